Settle the types that the packages share

Outcomes and reasons, the platform's ports, the peer link, the blackboard, the expanded configuration and the contract between choosing and sending come first, so that the packages behind them can be written side by side.

--- /dev/null
+++ b/blackboard/board.go
@@ -0,0 +1,46 @@
+package blackboard
+
+import (
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+
+	"github.com/cactusproxy/cactusproxy/declare"
+)
+
+// Sections of the board.
+const (
+	TopicConfig  Topic = "config"
+	TopicMembers Topic = "members"
+	TopicTargets Topic = "targets"
+	TopicStatus  Topic = "status"
+)
+
+// Board is the state shared by one daemon's controllers.
+type Board struct {
+	// Config is the configuration in force; controller/config writes it.
+	Config *Section[*declare.Config]
+	// Members is the view of the entry hosts; controller/membership writes it.
+	Members *Section[*Members]
+	// Targets is the view of all targets; controller/targets writes it.
+	Targets *Section[*Targets]
+	// Status is what the host says of itself; controller/config and
+	// controller/leave write it.
+	Status *Section[Status]
+
+	bus *gochannel.GoChannel
+}
+
+// New returns a board with an empty configuration and no hosts.
+func New() *Board {
+	bus := gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: 16}, watermill.NopLogger{})
+	return &Board{
+		Config:  newSection(bus, TopicConfig, &declare.Config{}),
+		Members: newSection(bus, TopicMembers, &Members{}),
+		Targets: newSection(bus, TopicTargets, &Targets{}),
+		Status:  newSection(bus, TopicStatus, Status{}),
+		bus:     bus,
+	}
+}
+
+// Close ends all watches.
+func (b *Board) Close() error { return b.bus.Close() }
--- /dev/null
+++ b/blackboard/views.go
@@ -0,0 +1,105 @@
+package blackboard
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// MemberState is what this host thinks of another entry host.
+type MemberState uint8
+
+const (
+	// MemberLive hosts answer heartbeats, or are listed and not yet suspected.
+	MemberLive MemberState = iota + 1
+	// MemberSuspected hosts missed heartbeats; they keep no role.
+	MemberSuspected
+	// MemberLeaving hosts said, or are listed as, leaving; they keep no role.
+	MemberLeaving
+)
+
+// Member is one entry host as this host sees it.
+type Member struct {
+	Host platform.Host
+	// Incarnation differs between two runs of a daemon on the same host; the
+	// later run has the greater number.
+	Incarnation uint64
+	State       MemberState
+	// Ready is false while the host answers no callers.
+	Ready bool
+	// ConfigSequence is the configuration the host last said it has in force.
+	ConfigSequence uint64
+}
+
+// Members is the view of all entry hosts, this one included, sorted by ID.
+type Members struct {
+	Self    platform.HostID
+	Members []Member
+}
+
+// Eligible returns the hosts that may hold a role such as coordinator.
+func (m *Members) Eligible() []Member {
+	out := make([]Member, 0, len(m.Members))
+	for _, mem := range m.Members {
+		if mem.State == MemberLive {
+			out = append(out, mem)
+		}
+	}
+	return out
+}
+
+// Find returns the member with this ID.
+func (m *Members) Find(id platform.HostID) (Member, bool) {
+	for _, mem := range m.Members {
+		if mem.Host.ID == id {
+			return mem, true
+		}
+	}
+	return Member{}, false
+}
+
+// ServiceKey names a service of a workspace.
+type ServiceKey struct {
+	Workspace string
+	Service   string
+}
+
+// String returns workspace/service.
+func (k ServiceKey) String() string { return k.Workspace + "/" + k.Service }
+
+// Target is one target as the platform lists it, with what this host knows of
+// its leaving. Load and health that change within milliseconds are not here:
+// they belong to whoever picks.
+type Target struct {
+	ID   platform.HostID
+	Addr string
+	Zone string
+	// Leaving targets get no new call. It is set by the list, by the target's
+	// own answers, or by another host's word, whichever comes first.
+	Leaving bool
+	// LeavingSince is when this host first saw a sign of leaving.
+	LeavingSince time.Time
+	// FirstSeen is when this host first saw the target; a cold start ramps up
+	// from here.
+	FirstSeen time.Time
+}
+
+// Targets is the view of all targets by service; each slice is sorted by ID.
+type Targets struct {
+	// ListVersion is the version of the platform's list it was made from.
+	ListVersion uint64
+	ByService   map[ServiceKey][]Target
+}
+
+// Status is what this host says of itself to the platform's balancer and to
+// operators.
+type Status struct {
+	// ConfigConfirmed is set once the configuration was confirmed as the
+	// newest with the store or, the store being out, with peers.
+	ConfigConfirmed bool
+	// Leaving is set from the first sign that this host is to stop.
+	Leaving bool
+}
+
+// Ready reports whether the host may take new calls.
+func (s Status) Ready() bool { return s.ConfigConfirmed && !s.Leaving }
--- /dev/null
+++ b/internal/fakes/peernet/peernet.go
@@ -0,0 +1,166 @@
+// Package peernet is an in-memory network of peer.Links for tests in virtual
+// time: it delays messages and drops those across a cut.
+package peernet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/peer"
+)
+
+// Network connects the links that join it.
+type Network struct {
+	// Delay is the time one way between two hosts; nil means none. It is set
+	// before the first message.
+	Delay func(from, to peer.HostID) time.Duration
+
+	mu    sync.Mutex
+	links map[peer.HostID]*Link
+	cut   map[[2]peer.HostID]bool
+}
+
+// New returns a network without links.
+func New() *Network {
+	return &Network{
+		links: make(map[peer.HostID]*Link),
+		cut:   make(map[[2]peer.HostID]bool),
+	}
+}
+
+// Join adds a host, or replaces the link of one that was there.
+func (n *Network) Join(id peer.HostID) *Link {
+	l := &Link{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[id] = l
+	return l
+}
+
+// Leave removes a host; messages to it are lost.
+func (n *Network) Leave(id peer.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.links, id)
+}
+
+// Cut drops what is sent from one host to another, in that direction only,
+// until Heal.
+func (n *Network) Cut(from, to peer.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]peer.HostID{from, to}] = true
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
+// route returns the receiver of a message, or nil if it is lost.
+func (n *Network) route(from, to peer.HostID) *Link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[[2]peer.HostID{from, to}] {
+		return nil
+	}
+	return n.links[to]
+}
+
+func (n *Network) wait(ctx context.Context, from, to peer.HostID) error {
+	if n.Delay == nil {
+		return nil
+	}
+	d := n.Delay(from, to)
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Link is one host's end of the network.
+type Link struct {
+	net *Network
+	id  peer.HostID
+
+	mu       sync.Mutex
+	handlers map[peer.Kind]peer.Handler
+}
+
+var _ peer.Link = (*Link)(nil)
+
+// Self returns the host's identity.
+func (l *Link) Self() peer.HostID { return l.id }
+
+// Handle registers a handler.
+func (l *Link) Handle(kind peer.Kind, h peer.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[kind] = h
+}
+
+func (l *Link) handler(kind peer.Kind) peer.Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handlers[kind]
+}
+
+type reply struct {
+	body []byte
+	err  error
+}
+
+// Call delivers a request after the delay and returns the reply after another.
+// A cut in either direction leaves the caller waiting until ctx ends.
+func (l *Link) Call(ctx context.Context, to peer.HostID, kind peer.Kind, body []byte) ([]byte, error) {
+	if ctx.Err() != nil {
+		return nil, errors.Mark(ctx.Err(), peer.ErrNotSent)
+	}
+	done := make(chan reply, 1)
+	go l.deliver(to, kind, body, done)
+	select {
+	case r := <-done:
+		return r.body, r.err
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), peer.ErrNoReply)
+	}
+}
+
+func (l *Link) deliver(to peer.HostID, kind peer.Kind, body []byte, done chan<- reply) {
+	ctx := context.Background()
+	_ = l.net.wait(ctx, l.id, to)
+	dst := l.net.route(l.id, to)
+	if dst == nil {
+		return
+	}
+	h := dst.handler(kind)
+	if h == nil {
+		return
+	}
+	out, err := h(ctx, l.id, body)
+	_ = l.net.wait(ctx, to, l.id)
+	if l.net.route(to, l.id) != l {
+		return
+	}
+	if err != nil {
+		err = errors.Mark(err, peer.ErrRemote)
+	}
+	done <- reply{body: out, err: err}
+}
+
+// Notify delivers a message after the delay.
+func (l *Link) Notify(to peer.HostID, kind peer.Kind, body []byte) bool {
+	done := make(chan reply, 1)
+	go l.deliver(to, kind, body, done)
+	return true
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,298 @@
+// Package store is an in-memory stand-in for the platform's table, object
+// store and host list, with the faults that the platform is known for: outages,
+// slowness, answers lost after a write took effect, and a rate limit.
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// Faults is what is wrong with the platform at the moment. The zero value is a
+// platform that answers at once.
+type Faults struct {
+	// Down refuses every operation with ErrUnavailable after Delay.
+	Down bool `json:"down"`
+	// Delay is how long each operation takes.
+	Delay time.Duration `json:"delay"`
+	// LoseReply is asked after each write that took effect; true loses the
+	// answer, so that the caller gets ErrUncertain. Nil loses none.
+	LoseReply func() bool `json:"-"`
+}
+
+// Limits bounds the operations a second; 0 is no limit.
+type Limits struct {
+	WritesPerSecond int
+	ReadsPerSecond  int
+}
+
+// Store implements platform.Table; Objects and Hosts give the other two ports.
+type Store struct {
+	writes *rate.Limiter
+	reads  *rate.Limiter
+
+	mu      sync.Mutex
+	faults  Faults
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	hosts   platform.HostSnapshot
+	visible platform.HostSnapshot
+	lag     time.Duration
+	commits uint64
+	gets    uint64
+}
+
+var _ platform.Table = (*Store)(nil)
+
+// New returns an empty store.
+func New(l Limits) *Store {
+	return &Store{
+		writes:  limiter(l.WritesPerSecond),
+		reads:   limiter(l.ReadsPerSecond),
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+	}
+}
+
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, perSecond/10))
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Commits returns the number of transactions taken and of reads made.
+func (s *Store) Commits() (commits, reads uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits, s.gets
+}
+
+// enter waits as long as the platform takes and refuses during an outage.
+func (s *Store) enter(ctx context.Context, l *rate.Limiter) error {
+	if err := l.Wait(ctx); err != nil {
+		return errors.Mark(err, platform.ErrUnavailable)
+	}
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if err := sleep(ctx, f.Delay); err != nil {
+		return errors.Mark(err, platform.ErrUnavailable)
+	}
+	if f.Down {
+		return errors.Wrap(platform.ErrUnavailable, "outage")
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// replyLost decides whether the answer to a write that took effect is lost.
+func (s *Store) replyLost() error {
+	s.mu.Lock()
+	lose := s.faults.LoseReply
+	s.mu.Unlock()
+	if lose != nil && lose() {
+		return errors.Wrap(platform.ErrUncertain, "answer lost")
+	}
+	return nil
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if err := s.enter(ctx, s.reads); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	rows := make([]platform.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = s.row(k)
+	}
+	return rows, nil
+}
+
+func (s *Store) row(key string) platform.Row {
+	r, ok := s.rows[key]
+	if !ok {
+		return platform.Row{Key: key}
+	}
+	return r
+}
+
+// Scan implements platform.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := s.enter(ctx, s.reads); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	var rows []platform.Row
+	for k, r := range s.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+	if err := s.enter(ctx, s.writes); err != nil {
+		return platform.CommitResult{}, err
+	}
+	res := s.apply(ops)
+	if err := s.replyLost(); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return res, nil
+}
+
+func (s *Store) apply(ops []platform.Op) platform.CommitResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	var conflicts []platform.Row
+	for _, op := range ops {
+		if r := s.row(op.Key); !allowed(op, r) {
+			conflicts = append(conflicts, r)
+		}
+	}
+	if len(conflicts) > 0 {
+		return platform.CommitResult{Conflicts: conflicts}
+	}
+	for _, op := range ops {
+		s.write(op)
+	}
+	return platform.CommitResult{Applied: true}
+}
+
+// allowed reports whether the operation's condition holds for the row.
+func allowed(op platform.Op, r platform.Row) bool {
+	switch op.Kind {
+	case platform.OpInsert:
+		return r.Version == 0
+	case platform.OpUpdate, platform.OpCheck:
+		return r.Version == op.Version
+	case platform.OpDelete:
+		return op.Version == 0 || r.Version == op.Version
+	default:
+		return true
+	}
+}
+
+func (s *Store) write(op platform.Op) {
+	switch op.Kind {
+	case platform.OpCheck:
+	case platform.OpDelete:
+		delete(s.rows, op.Key)
+	default:
+		r := s.row(op.Key)
+		s.rows[op.Key] = platform.Row{Key: op.Key, Version: r.Version + 1, Value: slices.Clone(op.Value)}
+	}
+}
+
+// Objects returns the object store.
+func (s *Store) Objects() platform.ObjectStore { return objects{s} }
+
+type objects struct{ *Store }
+
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := o.enter(ctx, o.reads); err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.objects[name]), nil
+}
+
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	if err := o.enter(ctx, o.writes); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.objects[name] = slices.Clone(data)
+	o.mu.Unlock()
+	return o.replyLost()
+}
+
+// Hosts returns the host list.
+func (s *Store) Hosts() platform.HostList { return hosts{s} }
+
+type hosts struct{ *Store }
+
+func (h hosts) List(ctx context.Context, known uint64) (platform.HostSnapshot, error) {
+	if err := h.enter(ctx, h.reads); err != nil {
+		return platform.HostSnapshot{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known == h.visible.Version && known != 0 {
+		return platform.HostSnapshot{Version: known, Unchanged: true}, nil
+	}
+	return platform.HostSnapshot{Version: h.visible.Version, Hosts: slices.Clone(h.visible.Hosts)}, nil
+}
+
+// SetHostLag sets how long a change to the list takes to be seen.
+func (s *Store) SetHostLag(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = d
+}
+
+// SetHosts replaces the list; readers see it after the lag.
+func (s *Store) SetHosts(list []platform.Host) {
+	s.ChangeHosts(func([]platform.Host) []platform.Host { return list })
+}
+
+// ChangeHosts replaces the list with what f makes of a copy of it; readers see
+// it after the lag.
+func (s *Store) ChangeHosts(f func([]platform.Host) []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = platform.HostSnapshot{Version: s.hosts.Version + 1, Hosts: slices.Clone(f(slices.Clone(s.hosts.Hosts)))}
+	snap := s.hosts
+	if s.lag <= 0 {
+		s.visible = snap
+		return
+	}
+	time.AfterFunc(s.lag, func() { s.show(snap) })
+}
+
+func (s *Store) show(snap platform.HostSnapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snap.Version > s.visible.Version {
+		s.visible = snap
+	}
+}
--- /dev/null
+++ b/outcome/reason.go
@@ -0,0 +1,129 @@
+package outcome
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reason says why a call had its outcome. The set is closed: Reasons lists all
+// of them, each has a counter, and docs/OPERATING.md says what to do about it.
+type Reason string
+
+// Reasons of answered calls.
+const (
+	// ReasonOK is an answer that a target gave to this call.
+	ReasonOK Reason = "ok"
+	// ReasonStored is an answer kept from an earlier send of the same key.
+	ReasonStored Reason = "stored-answer"
+)
+
+// Reasons that refuse a call before any target is chosen.
+const (
+	ReasonNoRoute        Reason = "no-route"
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonNotReady       Reason = "not-ready"
+	ReasonWorkspaceLimit Reason = "workspace-limit"
+	ReasonQueueFull      Reason = "queue-full"
+	ReasonDeadline       Reason = "deadline-too-short"
+	ReasonQueueTimeout   Reason = "queue-timeout"
+	ReasonTooDeep        Reason = "too-deep"
+	ReasonQuarantined    Reason = "quarantined"
+	ReasonHostMemory     Reason = "host-memory"
+	ReasonCallerGone     Reason = "caller-gone"
+)
+
+// Reasons about targets.
+const (
+	ReasonNoTarget      Reason = "no-target"
+	ReasonShed          Reason = "shed"
+	ReasonConnect       Reason = "connect-failed"
+	ReasonConnLimit     Reason = "connection-limit"
+	ReasonRetryBudget   Reason = "retry-budget"
+	ReasonBrokeOff      Reason = "target-broke-off"
+	ReasonTargetTimeout Reason = "target-timeout"
+)
+
+// Reasons about at-most-once calls.
+const (
+	ReasonKeyRequired      Reason = "key-required"
+	ReasonKeyMalformed     Reason = "key-malformed"
+	ReasonKeyExpired       Reason = "key-expired"
+	ReasonKeyMismatch      Reason = "key-mismatch"
+	ReasonKeyInProgress    Reason = "key-in-progress"
+	ReasonKeyUndecided     Reason = "key-undecided"
+	ReasonKeySpent         Reason = "key-spent"
+	ReasonKeyGivenUp       Reason = "key-given-up"
+	ReasonStoreUnavailable Reason = "store-unavailable"
+	ReasonClaimUnknown     Reason = "claim-unknown"
+	ReasonIssuerGone       Reason = "issuer-gone"
+	ReasonAnswerNotKept    Reason = "answer-not-kept"
+)
+
+// info is what belongs to a reason besides its name.
+type info struct {
+	status     int
+	retryAfter time.Duration
+}
+
+// Usual times after which a refused caller may try again.
+const (
+	soon  = time.Second
+	later = 5 * time.Second
+)
+
+var infos = map[Reason]info{
+	ReasonOK:     {status: http.StatusOK},
+	ReasonStored: {status: http.StatusOK},
+
+	ReasonNoRoute:        {status: http.StatusNotFound},
+	ReasonBadRequest:     {status: http.StatusBadRequest},
+	ReasonBodyTooLarge:   {status: http.StatusRequestEntityTooLarge},
+	ReasonNotReady:       {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonWorkspaceLimit: {status: http.StatusTooManyRequests, retryAfter: soon},
+	ReasonQueueFull:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonDeadline:       {status: http.StatusGatewayTimeout},
+	ReasonQueueTimeout:   {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonTooDeep:        {status: http.StatusLoopDetected},
+	ReasonQuarantined:    {status: http.StatusUnprocessableEntity, retryAfter: later},
+	ReasonHostMemory:     {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonCallerGone:     {status: http.StatusServiceUnavailable},
+
+	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: soon},
+	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonRetryBudget:   {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonBrokeOff:      {status: http.StatusBadGateway},
+	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
+
+	ReasonKeyRequired:      {status: http.StatusBadRequest},
+	ReasonKeyMalformed:     {status: http.StatusBadRequest},
+	ReasonKeyExpired:       {status: http.StatusGone},
+	ReasonKeyMismatch:      {status: http.StatusUnprocessableEntity},
+	ReasonKeyInProgress:    {status: http.StatusConflict, retryAfter: soon},
+	ReasonKeyUndecided:     {status: http.StatusConflict, retryAfter: later},
+	ReasonKeySpent:         {status: http.StatusGone},
+	ReasonKeyGivenUp:       {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonStoreUnavailable: {status: http.StatusServiceUnavailable, retryAfter: later},
+	ReasonClaimUnknown:     {status: http.StatusServiceUnavailable, retryAfter: later},
+	ReasonIssuerGone:       {status: http.StatusGone},
+	ReasonAnswerNotKept:    {status: http.StatusConflict},
+}
+
+func (r Reason) info() info { return infos[r] }
+
+// Valid reports whether r belongs to the closed set.
+func (r Reason) Valid() bool {
+	_, ok := infos[r]
+	return ok
+}
+
+// Reasons returns the closed set, in no particular order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(infos))
+	for r := range infos {
+		all = append(all, r)
+	}
+	return all
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,78 @@
+// Package pick is the contract between the code that sends the attempts of a
+// call (dispatch) and the code that chooses targets (slots, or a baseline).
+// Choosing knows nothing of connections; sending knows nothing of load.
+package pick
+
+import (
+	"context"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// Request asks for a target for one attempt.
+type Request struct {
+	Service blackboard.ServiceKey
+	// Avoid lists targets that earlier attempts of the call went to. They are
+	// taken only if there is no other.
+	Avoid []platform.HostID
+	// Hedge marks a second attempt while the first is in flight. It is granted
+	// only if a slot is free at once.
+	Hedge bool
+	// Alone asks for a target that runs nothing else for this call: the call is
+	// suspected of crashing targets.
+	Alone bool
+	// Digest identifies the request for suspicion; 0 if not computed.
+	Digest uint64
+}
+
+// Picker chooses targets. Implementations are safe for concurrent use.
+type Picker interface {
+	// Pick waits for a target until ctx ends. It returns a grant, which the
+	// caller must release exactly once, or else a nil grant and the refusal to
+	// tell the caller. A refusal is always not-run.
+	Pick(ctx context.Context, req Request) (Grant, outcome.Result)
+}
+
+// Grant is the right to send one attempt to one target.
+type Grant interface {
+	Target() blackboard.Target
+	// Release ends the grant and tells the picker how the attempt went.
+	Release(r Report)
+}
+
+// Class says how an attempt ended, as far as choosing targets is concerned.
+type Class uint8
+
+const (
+	// OK is a whole answer that is not the target's failure.
+	OK Class = iota + 1
+	// Failed is an answer of the target's failure (status 500 and above).
+	Failed
+	// Shed is a refusal by the target before it ran the call.
+	Shed
+	// Leaving is a refusal by a target that is draining.
+	Leaving
+	// NotSent means that no byte left: no connection, or the call gave up.
+	NotSent
+	// BrokeOff means that the connection ended before the whole answer came.
+	BrokeOff
+	// Canceled means that the caller, or a hedge that won, ended the attempt.
+	Canceled
+	// TimedOut means that the deadline passed after the request was sent.
+	TimedOut
+)
+
+// Report tells how an attempt went.
+type Report struct {
+	Class Class
+	// Latency is from the first byte sent to the last byte of the answer.
+	Latency time.Duration
+	// Load is the target's own report of its calls in flight and queued, from
+	// its answer; it is stale by the time it is read. Negative means none.
+	Load int
+	// LeavingHint is set if the answer said that the target is draining.
+	LeavingHint bool
+}
