--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -1,6 +1,8 @@
 package blackboard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -103,3 +105,19 @@
 
 // Ready reports whether the host may take new calls.
 func (s Status) Ready() bool { return s.ConfigConfirmed && !s.Leaving }
+
+// WithLeaving returns the view with one target marked as leaving, and whether
+// that changed anything.
+func (t *Targets) WithLeaving(key ServiceKey, id platform.HostID, now time.Time) (*Targets, bool) {
+	list := t.ByService[key]
+	i := slices.IndexFunc(list, func(tg Target) bool { return tg.ID == id })
+	if i < 0 || list[i].Leaving {
+		return t, false
+	}
+	list = slices.Clone(list)
+	list[i].Leaving = true
+	list[i].LeavingSince = now
+	next := &Targets{ListVersion: t.ListVersion, ByService: maps.Clone(t.ByService)}
+	next.ByService[key] = list
+	return next, true
+}
