Keep the configuration in force on every host

A change is one transaction that compares the workspace's version and the head row; peers get it pushed along a tree, and a poll of the head row or, with the store silent, a question to peers repairs what the push missed. A lost answer is resolved by committing again under the same change ID.

--- /dev/null
+++ b/controller/config/config_test.go
@@ -0,0 +1,338 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
+	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+)
+
+// bound is the time in which an accepted change has to be in force.
+const bound = 3 * time.Second
+
+// onFleet runs a test in virtual time on hosts that have confirmed.
+func onFleet(t *testing.T, hosts int, test func(t *testing.T, f *confignet.Fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := confignet.NewFleet(hosts)
+		defer func() {
+			f.Close()
+			pass(bound) // messages on their way end in the bubble
+		}()
+		pass(100 * time.Millisecond)
+		test(t, f)
+	})
+}
+
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// change applies a change by one host and requires the result.
+func change(t *testing.T, h *confignet.Host, id string, base uint64, value int, want config.Result) config.Outcome {
+	t.Helper()
+	out := h.Controller.Apply(context.Background(), confignet.Change(id, "ana", "w", base, value))
+	assert.Equal(t, out.Result, want, "%+v", out)
+	return out
+}
+
+func assertSequences(t *testing.T, f *confignet.Fleet, want uint64) {
+	t.Helper()
+	for _, h := range f.Hosts() {
+		assert.Check(t, h.Sequence() == want, "host %s is at %d, want %d", h.ID, h.Sequence(), want)
+	}
+}
+
+func assertReady(t *testing.T, want bool, hosts ...*confignet.Host) {
+	t.Helper()
+	for _, h := range hosts {
+		assert.Check(t, h.Ready() == want, "host %s ready: %v", h.ID, h.Ready())
+		assert.Check(t, h.Controller.Fresh() == want, "host %s", h.ID)
+	}
+}
+
+func setFaults(f *confignet.Fleet, down bool) { f.Store.SetFaults(store.Faults{Down: down}) }
+
+func TestChangeIsInForceOnAllHostsAndInTheHistory(t *testing.T) {
+	onFleet(t, 5, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		c := h[1].Controller
+		ctx := context.Background()
+		plan, err := c.Plan(ctx, confignet.Workspace("w", 7), confignet.Template())
+		assert.NilError(t, err)
+		assert.Check(t, plan.Base == 0 && len(plan.Differences) > 5)
+
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		change(t, h[1], "c2", 1, 8, config.ResultApplied)
+		change(t, h[1], "c3", 2, 8, config.ResultUnchanged)
+		st := c.WaitInForce(ctx, 2)
+		assert.Check(t, st.InForce && len(st.Hosts) == 5, "%+v", st)
+		assertSequences(t, f, 2)
+
+		plan, err = c.Plan(ctx, confignet.Workspace("w", 9), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, plan.Differences[0].String(), "~ maxInFlight: 8 -> 9")
+		assert.Check(t, len(plan.Differences) == 1 && plan.Base == 2)
+
+		out := c.Rollback(ctx, config.RollbackRequest{Request: config.Request{ID: "c4", Who: "eva", Base: 2}, Workspace: "w", To: 1})
+		assert.Check(t, out.Result == config.ResultApplied && out.Change.Sequence == 3 && out.Change.Workspace.MaxInFlight == 7)
+		for _, name := range []string{"w", ""} {
+			past, err := c.History(ctx, name, 2)
+			assert.NilError(t, err)
+			assert.Check(t, len(past) == 2 && past[0].Who == "eva" && past[0].RollbackTo == 1 && past[1].ID == "c2", "%+v", past)
+		}
+	})
+}
+
+// Two operators change the same workspace from the same version at the same
+// moment, by different hosts. Both transactions compare the version, so one is
+// told who was first and with what, and nothing of its change takes effect.
+func TestSecondOperatorSeesTheFirstOnesChange(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		outs := make(chan config.Outcome, 2)
+		for i, who := range []string{"ana", "eva"} {
+			go func() {
+				outs <- h[i].Controller.Apply(context.Background(), confignet.Change("c-"+who, who, "w", 0, 10+i))
+			}()
+		}
+		first, second := <-outs, <-outs
+		if first.Result != config.ResultApplied {
+			first, second = second, first
+		}
+		assert.Equal(t, first.Result, config.ResultApplied)
+		assert.Equal(t, second.Result, config.ResultConflict)
+		assert.Equal(t, second.Other.Who, first.Change.Who)
+		pass(time.Second)
+		assertSequences(t, f, 1)
+	})
+}
+
+// The operator's commit takes effect but its answer is lost. The host finds the
+// change by its ID and reports it as applied; it is not applied a second time.
+func TestLostAnswerIsResolvedByTheChangeID(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		lost := 0
+		f.Store.SetFaults(store.Faults{LoseReply: func() bool { lost++; return lost == 1 }})
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+		change(t, f.Hosts()[1], "c1", 0, 7, config.ResultApplied)
+		pass(time.Second)
+		assertSequences(t, f, 1)
+	})
+}
+
+// The answer is lost and the store goes down before the host can look for the
+// change. The operator is told uncertain, not failed; the same request after
+// the outage finds the change, which the other hosts have had since then.
+func TestUncertainChangeIsFoundAfterTheOutage(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		f.Store.SetFaults(store.Faults{LoseReply: func() bool { setFaultsLater(f); return true }})
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultUncertain)
+		assertSequences(t, f, 0)
+		change(t, f.Hosts()[0], "c2", 0, 8, config.ResultUnavailable)
+		setFaults(f, false)
+		pass(bound)
+		assertSequences(t, f, 1)
+		out := change(t, f.Hosts()[2], "c1", 0, 7, config.ResultApplied)
+		assert.Equal(t, out.Change.Sequence, uint64(1))
+	})
+}
+
+func setFaultsLater(f *confignet.Fleet) {
+	go setFaults(f, true)
+	time.Sleep(time.Nanosecond)
+}
+
+// The store fails right after the commit and the pushes to some hosts are lost
+// as well. Those hosts hear nothing from the store, ask their peers, and have
+// the change within the bound; all hosts go on serving.
+func TestChangeSpreadsWithoutTheStore(t *testing.T) {
+	onFleet(t, 15, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		for _, to := range h[7:] {
+			f.Net.Cut(h[0].ID, to.ID)
+		}
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		setFaults(f, true)
+		pass(bound)
+		assertSequences(t, f, 1)
+		pass(time.Minute)
+		assertReady(t, true, h...)
+	})
+}
+
+// The committing host dies right after the commit, before any push arrives.
+// The others read the head row within a poll.
+func TestChangeOfADeadHostIsPolled(t *testing.T) {
+	onFleet(t, 15, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		f.CutPeers(h[0])
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		f.Stop(h[0])
+		pass(bound)
+		assertSequences(t, f, 1)
+	})
+}
+
+// A pushed change arrives before the one it follows. Applied as it is, it would
+// hide that another workspace's change is missing; the host fetches both.
+func TestGapIsFilledFromThePeer(t *testing.T) {
+	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		h[1].CutPlatform()
+		f.CutPeers(h[1])
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		second := change(t, h[0], "c2", 1, 8, config.ResultApplied)
+		f.Net.Heal()
+		h[0].Controller.PushTo(h[1].ID, *second.Change)
+		pass(10 * time.Millisecond)
+		assertSequences(t, f, 2)
+		assert.Equal(t, h[1].Metrics.Map("config_refused").Get("sequence_gap").String(), "1")
+	})
+}
+
+// A host starts while the store is out. It takes the newest configuration that
+// a confirmed peer holds and serves; one that reaches nobody never does.
+func TestFreshHostInAnOutage(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+		pass(time.Second)
+		setFaults(f, true)
+		fresh := f.Start()
+		pass(time.Second)
+		assert.Equal(t, fresh.Sequence(), uint64(1))
+		assertReady(t, true, fresh)
+		lost := f.Start()
+		f.CutPeers(lost)
+		pass(time.Minute)
+		assertReady(t, false, lost)
+	})
+}
+
+// All hosts are replaced at once while the store is out. None holds anything,
+// so none may confirm another; they serve only once the store is back.
+func TestFleetWithoutMemoryWaitsForTheStore(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+		setFaults(f, true)
+		for _, h := range f.Hosts() {
+			f.Stop(h)
+		}
+		fresh := []*confignet.Host{f.Start(), f.Start(), f.Start()}
+		pass(time.Minute)
+		assertReady(t, false, fresh...)
+		setFaults(f, false)
+		pass(bound)
+		assertReady(t, true, fresh...)
+		assertSequences(t, f, 1)
+	})
+}
+
+// A host is paused for a minute while a change is accepted. At the first
+// instant after the pause it is not fresh; it serves again only with the new
+// configuration.
+func TestPausedHostConfirmsBeforeItServes(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()[2]
+		f.Isolate(h)
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+		h.Jump(time.Minute)
+		assert.Check(t, !h.Controller.Fresh())
+		pass(300 * time.Millisecond)
+		assertReady(t, false, h)
+		f.Heal()
+		pass(bound)
+		assertReady(t, true, h)
+		assertSequences(t, f, 1)
+	})
+}
+
+// Every host is paused at once and the store is out when they wake. No host is
+// confirmed, but more than half of them together hold the newest change.
+func TestFleetThatWasPausedTogetherConfirmsByMajority(t *testing.T) {
+	onFleet(t, 5, func(t *testing.T, f *confignet.Fleet) {
+		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+		pass(time.Second)
+		setFaults(f, true)
+		for _, h := range f.Hosts() {
+			h.Jump(time.Minute)
+		}
+		f.CutPeers(f.Hosts()[4])
+		pass(bound)
+		assertReady(t, true, f.Hosts()[:4]...)
+		assertReady(t, false, f.Hosts()[4])
+	})
+}
+
+// A host is cut off from everything. Its callers would be served by an ever
+// older view, so it is not ready once its confirmation lapses.
+func TestCutOffHostLapses(t *testing.T) {
+	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()[0]
+		f.Isolate(h)
+		pass(config.DefaultTimings().Lapse + config.DefaultTimings().Tick)
+		assertReady(t, false, h)
+		assertReady(t, true, f.Hosts()[1:]...)
+	})
+}
+
+// After many changes a start reads the snapshot instead of the log. A snapshot
+// with one byte altered is refused, and the workspace rows are read instead.
+func TestStartFromSnapshotOrTable(t *testing.T) {
+	onFleet(t, 1, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()[0]
+		for i := range uint64(60) {
+			change(t, h, fmt.Sprint("c", i), i, int(i)+1, config.ResultApplied)
+		}
+		pass(10 * time.Second)
+		start := func() *confignet.Host {
+			n := f.Start()
+			f.CutPeers(n)
+			pass(100 * time.Millisecond)
+			assert.Equal(t, n.Sequence(), uint64(60))
+			return n
+		}
+		assert.Equal(t, start().Reads(), uint64(2), "head row and snapshot")
+		ctx := context.Background()
+		raw, err := f.Store.Objects().Get(ctx, config.SnapshotName)
+		assert.NilError(t, err)
+		raw[len(raw)/2]++
+		assert.NilError(t, f.Store.Objects().Put(ctx, config.SnapshotName, raw))
+		n := start()
+		assert.Equal(t, n.Metrics.Map("config_refused").Get("damaged_snapshot").String(), "1")
+		assert.DeepEqual(t, n.Board.Config.Load(), h.Board.Config.Load())
+		pass(10 * time.Second)
+		assert.Equal(t, start().Reads(), uint64(2), "the snapshot was written anew")
+	})
+}
+
+func TestRefusedDeclarations(t *testing.T) {
+	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		apply := func(ws config.File, tpl *config.File, want string) {
+			t.Helper()
+			out := h[1].Controller.Apply(context.Background(), config.ApplyRequest{
+				Request: config.Request{ID: "c9", Who: "eva"}, Workspace: ws, Template: tpl,
+			})
+			assert.Equal(t, out.Result, config.ResultInvalid)
+			assert.ErrorContains(t, out.Problems, want)
+		}
+		apply(confignet.Workspace("v", 1), nil, "template bench version 1 has not been applied yet")
+		first := confignet.Change("c1", "ana", "w", 0, 1)
+		first.Workspace = confignet.Workspace("w", 1, "lots.example")
+		assert.Equal(t, h[0].Controller.Apply(context.Background(), first).Result, config.ResultApplied)
+		apply(confignet.Workspace("v", 1, "lots.example"), nil, "host name lots.example belongs to workspace w")
+		other := confignet.Template()
+		other.Text += " // other\n"
+		apply(confignet.Workspace("v", 1), other, "was applied with another text")
+		apply(confignet.Workspace("v", 0), nil, "v.jsonc:1: parameters.maxInFlight: value is below")
+	})
+}
--- /dev/null
+++ b/controller/config/confirm.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+)
+
+// Counters of the ways in which a configuration was confirmed.
+const (
+	confirmedByStore = "confirmed_store"
+	confirmedByPeer  = "confirmed_peer"
+	confirmedByMost  = "confirmed_majority"
+)
+
+// Fresh reports whether the configuration was confirmed within Timings.Lapse.
+// It is exact at the moment of the call, also in the first instant after a
+// pause, while Status.ConfigConfirmed follows within Timings.Tick.
+func (c *Controller) Fresh() bool {
+	at := c.evidence.Load()
+	return at != nil && elapsed(*at, c.Now()) < c.Timings.Lapse
+}
+
+// elapsed returns the time between two instants, as the monotonic or the wall
+// clock has it, whichever is longer. A suspended machine stops the monotonic
+// clock, and a host that trusted it alone would wake up and serve an old view.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// confirm records that the configuration was the newest when it was asked for.
+// The instant of asking counts, not that of the answer: a host may be paused
+// between the two, and the answer would look new though it is old.
+func (c *Controller) confirm(asked time.Time, how string) {
+	if woke := c.wokeAt.Load(); woke != nil && asked.Before(*woke) {
+		return
+	}
+	advance(&c.evidence, asked)
+	c.events.Add(how, 1)
+	c.updateStatus()
+}
+
+// advance stores an instant unless a later one is there.
+func advance(p *atomic.Pointer[time.Time], at time.Time) {
+	for {
+		old := p.Load()
+		if old != nil && !old.Before(at) {
+			return
+		}
+		if p.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// updateStatus writes Status.ConfigConfirmed.
+func (c *Controller) updateStatus() {
+	fresh := false
+	changed := c.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		fresh = c.Fresh()
+		was := s.ConfigConfirmed
+		s.ConfigConfirmed = fresh
+		return s, was != fresh
+	})
+	if changed {
+		c.Log.Info("config confirmation changed", zap.Bool("confirmed", fresh), zap.Uint64("sequence", c.Sequence()))
+	}
+}
+
+// watchClock looks at the host's clock every tick: it withdraws a confirmation
+// that has lapsed, notices that the host was paused, and asks peers while the
+// store gives no answer.
+func (c *Controller) watchClock(ctx context.Context) error {
+	ticker := time.NewTicker(c.Timings.Tick)
+	defer ticker.Stop()
+	last := c.Now()
+	var round peerRound
+	defer round.wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := c.Now()
+		if elapsed(last, now) > c.Timings.Pause {
+			c.noticePause(now, elapsed(last, now))
+		}
+		last = now
+		c.updateStatus()
+		if c.needsPeers(now) {
+			round.start(ctx, c)
+		}
+	}
+}
+
+// noticePause withdraws the confirmation of a host that was paused: whatever it
+// knew, or asked before, may be old by now.
+func (c *Controller) noticePause(now time.Time, gap time.Duration) {
+	c.events.Add("pauses", 1)
+	c.Log.Warn("host was paused", zap.Duration("gap", gap))
+	c.wokeAt.Store(&now)
+	c.evidence.Store(nil)
+	c.wake()
+}
+
+// needsPeers reports whether the store has been silent for so long that peers
+// have to be asked, or is left to other hosts to poll.
+func (c *Controller) needsPeers(now time.Time) bool {
+	if !c.isPoller() || !c.Fresh() {
+		return true
+	}
+	seen := c.storeSeen.Load()
+	return seen == nil || elapsed(*seen, now) > c.Timings.StoreQuiet
+}
--- a/declare/body.go
+++ b/declare/body.go
@@ -128,6 +128,9 @@
 
 // distinct checks that no two services are reached by the same path.
 func (d *decoder) distinct(services object, list []Service) {
+	if services.at.absent() {
+		return // reported as a missing field
+	}
 	if len(list) == 0 || len(list) > maxServices {
 		d.fail(services.at, "want 1 to %d services, have %d", maxServices, len(list))
 	}
--- a/declare/template.go
+++ b/declare/template.go
@@ -78,7 +78,8 @@
 	Workspace       string
 	Template        string
 	TemplateVersion uint64
-	// Text is the file it was read from.
+	// File is the name of the file and Text what it holds.
+	File string
 	Text []byte
 
 	top        node
@@ -94,7 +95,7 @@
 	}
 	d := new(decoder)
 	o := d.object(top, "workspace", "template", "templateVersion", "parameters")
-	w := &Declaration{Text: top.src.text, top: top, parameters: o.optional("parameters")}
+	w := &Declaration{File: file, Text: top.src.text, top: top, parameters: o.optional("parameters")}
 	w.Workspace = d.name(o.required("workspace"))
 	w.Template = d.name(o.required("template"))
 	w.TemplateVersion = uint64(d.integer(o.required("templateVersion"), versionLimits))
