--- a/declare/config.go
+++ b/declare/config.go
@@ -127,3 +127,6 @@
 	}
 	return len(path) == len(prefix) || path[len(prefix)] == '/'
 }
+
+// Covers reports whether a path leads to this service.
+func (s *Service) Covers(path string) bool { return hasPathPrefix(path, s.PathPrefix) }
--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// attempt is one send of a call to one target.
+type attempt struct {
+	grant  pick.Grant
+	cancel context.CancelFunc
+	start  time.Time
+	// observe learns the latency of a whole answer.
+	observe func(time.Duration)
+
+	class  pick.Class
+	reason outcome.Reason
+	resp   *http.Response
+	// mayHaveRun is set unless no byte left or the target refused the request
+	// before running it.
+	mayHaveRun bool
+	// retryAfter is what a target that shed the request asked for.
+	retryAfter time.Duration
+}
+
+// answered reports whether the attempt has an answer to pass on.
+func (a *attempt) answered() bool { return a.resp != nil }
+
+// send makes one attempt and waits for the head of its answer.
+func (d *Dispatcher) send(ctx context.Context, c *Call, g pick.Grant) *attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{
+		grant:   g,
+		cancel:  cancel,
+		start:   time.Now(),
+		observe: func(took time.Duration) { d.observe(c.Key, took) },
+	}
+	res := d.upstream.RoundTrip(newRequest(ctx, c), g.Target(), upstream.SendOptions{
+		MaxConns: d.connShare(c),
+		Once:     c.Repeat == Once,
+	})
+	if res.Err != nil {
+		a.failed(ctx, res)
+		a.end(a.class)
+		return a
+	}
+	a.headReceived(res.Response)
+	return a
+}
+
+// newRequest builds the request of one attempt.
+func newRequest(ctx context.Context, c *Call) *http.Request {
+	u := *c.URL
+	h := c.Header.Clone()
+	h.Set(HeaderAttempts, strconv.Itoa(c.Attempts))
+	h.Set(HeaderDepth, strconv.Itoa(c.Depth+1))
+	if at, ok := ctx.Deadline(); ok {
+		left := max(0, time.Until(at)-margin)
+		h.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	req := &http.Request{
+		Method:        c.Method,
+		URL:           &u,
+		Host:          c.Host,
+		Header:        h,
+		Body:          c.Body.reader(),
+		ContentLength: c.Body.length,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	return req.WithContext(ctx)
+}
+
+// failed classifies an attempt that brought no answer.
+func (a *attempt) failed(ctx context.Context, res upstream.Result) {
+	a.mayHaveRun = res.Sent
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.class, a.reason = pick.TimedOut, outcome.ReasonTargetTimeout
+	case ctx.Err() != nil:
+		a.class, a.reason = pick.Canceled, outcome.ReasonCallerGone
+	case res.Sent:
+		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
+	case errors.Is(res.Err, upstream.ErrConnLimit):
+		a.class, a.reason = pick.NotSent, outcome.ReasonConnLimit
+	default:
+		a.class, a.reason = pick.NotSent, outcome.ReasonConnect
+	}
+	if !res.Sent && a.class != pick.Canceled {
+		a.class = pick.NotSent
+	}
+	if !res.Sent && a.reason == outcome.ReasonTargetTimeout {
+		a.reason = outcome.ReasonDeadline
+	}
+}
+
+// headReceived classifies an attempt by the head of its answer.
+func (a *attempt) headReceived(resp *http.Response) {
+	if targetapi.IsShed(resp.StatusCode, resp.Header) {
+		a.class, a.reason = pick.Shed, outcome.ReasonShed
+		if targetapi.IsLeaving(resp.Header) {
+			a.class = pick.Leaving
+		}
+		a.retryAfter = retryAfter(resp)
+		a.discard(resp, a.class)
+		return
+	}
+	a.resp = resp
+	a.mayHaveRun = true
+	a.class, a.reason = pick.OK, outcome.ReasonOK
+	if resp.StatusCode >= http.StatusInternalServerError {
+		a.class = pick.Failed
+	}
+}
+
+// maxDiscard bounds what is read of an answer that is not passed on, so that
+// its connection can be kept.
+const maxDiscard = 16 << 10
+
+// discard ends an attempt whose answer is not passed on.
+func (a *attempt) discard(resp *http.Response, class pick.Class) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard+1)
+	_ = resp.Body.Close()
+	a.endWith(resp, class)
+}
+
+// end releases the grant of an attempt without an answer.
+func (a *attempt) end(class pick.Class) { a.endWith(nil, class) }
+
+func (a *attempt) endWith(resp *http.Response, class pick.Class) {
+	a.cancel()
+	rep := pick.Report{Class: class, Latency: time.Since(a.start), Load: -1}
+	if class == pick.OK {
+		a.observe(rep.Latency)
+	}
+	if resp != nil {
+		rep.Load = targetapi.LoadOf(resp.Header)
+		rep.LeavingHint = targetapi.IsLeaving(resp.Header)
+	}
+	a.grant.Release(rep)
+}
+
+// retryAfter reads a target's Retry-After in seconds; 0 if there is none.
+func retryAfter(resp *http.Response) time.Duration {
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
--- /dev/null
+++ b/dispatch/call.go
@@ -0,0 +1,80 @@
+// Package dispatch carries out calls: it asks a picker for a target, sends the
+// attempt, decides whether there may be another one, and says honestly how the
+// call ended.
+package dispatch
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+)
+
+// Headers by which a call and the calls it leads to share one deadline, one
+// number of attempts and one depth. A caller can only make its own call poorer
+// with them, so they are taken from anyone.
+const (
+	// HeaderTimeout is the time left for the call in milliseconds. It is a
+	// duration and not a point in time, so that clocks need not agree.
+	HeaderTimeout = "Cactusproxy-Timeout-Ms"
+	// HeaderAttempts is the number of attempts left.
+	HeaderAttempts = "Cactusproxy-Attempts"
+	// HeaderDepth counts the calls that led to this one.
+	HeaderDepth = "Cactusproxy-Depth"
+)
+
+// Repeat says whether an attempt that may have run may be followed by another.
+type Repeat uint8
+
+const (
+	// Idempotent calls may be repeated.
+	Idempotent Repeat = iota + 1
+	// Once calls are sent again only if no attempt can have run.
+	Once
+)
+
+// Call is one caller's request, read and checked.
+type Call struct {
+	Workspace *declare.Workspace
+	Service   *declare.Service
+	Key       blackboard.ServiceKey
+
+	Method string
+	URL    *url.URL
+	Host   string
+	Header http.Header
+	Body   *Body
+
+	// Repeat is Once for at-most-once calls and for methods that HTTP does not
+	// call idempotent.
+	Repeat Repeat
+	// AtMostOnce is set for the calls that the workspace declares so.
+	AtMostOnce bool
+	// IdempotencyKey is the caller's key, or empty.
+	IdempotencyKey string
+	// Caller identifies who asks, as far as stored answers go.
+	Caller string
+
+	// Attempts is the number of attempts allowed, at least 1.
+	Attempts int
+	// Depth is the number of calls that led to this one.
+	Depth int
+	// Suspicion identifies the request for quarantine; 0 if not computed.
+	Suspicion uint64
+}
+
+// RepeatOf returns the class of a method as HTTP defines it (RFC 9110, 9.2.2).
+func RepeatOf(method string) Repeat {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return Idempotent
+	default:
+		return Once
+	}
+}
+
+// margin is taken off the time left before it is told to a target, so that the
+// target's refusal arrives before this host gives up.
+const margin = time.Millisecond
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// Deps is what a Dispatcher works with.
+type Deps struct {
+	Board    *blackboard.Board
+	Picker   pick.Picker
+	Upstream upstream.RoundTripper
+	Metrics  *metrics.Set
+}
+
+// Dispatcher carries out calls. It is safe for concurrent use.
+type Dispatcher struct {
+	board    *blackboard.Board
+	picker   pick.Picker
+	upstream upstream.RoundTripper
+	metrics  *metrics.Set
+
+	workspaces sync.Map // name -> *workspace
+	latencies  sync.Map // blackboard.ServiceKey -> *serviceLatency
+}
+
+// New returns a dispatcher.
+func New(deps Deps) *Dispatcher {
+	return &Dispatcher{
+		board:    deps.Board,
+		picker:   deps.Picker,
+		upstream: deps.Upstream,
+		metrics:  deps.Metrics,
+	}
+}
+
+// Admit counts a call against its workspace's limit of calls in flight on this
+// host. Release must be called once the caller has its whole answer; it is nil
+// if the call is refused.
+func (d *Dispatcher) Admit(c *Call) (release func(), refusal outcome.Result) {
+	ws := d.workspace(c.Workspace)
+	limit := int64(c.Workspace.MaxInFlight)
+	if n := ws.inFlight.Add(1); limit > 0 && n > limit {
+		ws.inFlight.Add(-1)
+		return nil, outcome.Refuse(outcome.ReasonWorkspaceLimit)
+	}
+	ws.begin(c.Workspace)
+	return func() { ws.inFlight.Add(-1) }, outcome.Result{}
+}
+
+// Do carries out a call that was admitted. ctx carries the caller's deadline
+// and ends when the caller is gone.
+func (d *Dispatcher) Do(ctx context.Context, c *Call) *Reply {
+	h := &history{}
+	for {
+		g, refusal := d.picker.Pick(ctx, pick.Request{
+			Service: c.Key,
+			Avoid:   h.tried,
+			Digest:  c.Suspicion,
+		})
+		if g == nil {
+			return h.settle(refusal.Reason, refusal.RetryAfter)
+		}
+		a := d.race(ctx, c, g, h)
+		if r := d.accept(ctx, c, h, a); r != nil {
+			return r
+		}
+	}
+}
+
+// accept returns the reply that an attempt leads to, or nil if there is to be
+// another attempt.
+func (d *Dispatcher) accept(ctx context.Context, c *Call, h *history, a *attempt) *Reply {
+	if a.answered() && a.class == pick.OK {
+		return h.reply(a.stream())
+	}
+	if a.answered() && !a.keepable() {
+		return h.reply(a.stream())
+	}
+	again := d.mayRetry(ctx, c, h, a)
+	if a.answered() {
+		if !again {
+			return h.reply(a.stream())
+		}
+		h.failure = a.keep()
+		return nil
+	}
+	if !again {
+		return h.settle(a.reason, a.retryAfter)
+	}
+	return nil
+}
+
+// connShare returns this host's part of the connections that a target takes
+// from all hosts. It counts every host that may still hold connections, so
+// that the parts never add up to more than the whole while hosts come and go.
+func (d *Dispatcher) connShare(c *Call) int {
+	if c.Service.MaxConns == 0 {
+		return 0
+	}
+	hosts := max(1, len(d.board.Members.Load().Members))
+	return max(1, c.Service.MaxConns/hosts)
+}
+
+// observe learns the latency of a whole answer.
+func (d *Dispatcher) observe(key blackboard.ServiceKey, took time.Duration) {
+	d.latency(key).observe(took)
+}
--- /dev/null
+++ b/dispatch/fakes_test.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// fakePicker grants targets t1, t2, ... up to a number, then refuses.
+type fakePicker struct {
+	mu       sync.Mutex
+	targets  int
+	granted  int
+	released []pick.Class
+}
+
+func (p *fakePicker) Pick(context.Context, pick.Request) (pick.Grant, outcome.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.granted == p.targets {
+		return nil, outcome.Refuse(outcome.ReasonNoTarget)
+	}
+	p.granted++
+	return &fakeGrant{picker: p, id: platform.HostID("t" + string(rune('0'+p.granted)))}, outcome.Result{}
+}
+
+func (p *fakePicker) reports() []pick.Class {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.released
+}
+
+type fakeGrant struct {
+	picker *fakePicker
+	id     platform.HostID
+}
+
+func (g *fakeGrant) Target() blackboard.Target { return blackboard.Target{ID: g.id} }
+
+func (g *fakeGrant) Release(r pick.Report) {
+	g.picker.mu.Lock()
+	defer g.picker.mu.Unlock()
+	g.picker.released = append(g.picker.released, r.Class)
+}
+
+// behaviour is what a fake target does with a request.
+type behaviour func(req *http.Request) upstream.Result
+
+// fakeUpstream has one behaviour for each target.
+type fakeUpstream map[platform.HostID]behaviour
+
+func (u fakeUpstream) RoundTrip(req *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
+	return u[t.ID](req)
+}
+
+func answers(status int, body string, header http.Header) behaviour {
+	return func(*http.Request) upstream.Result {
+		return upstream.Result{Sent: true, Response: response(status, io.NopCloser(strings.NewReader(body)), int64(len(body)), header)}
+	}
+}
+
+func response(status int, body io.ReadCloser, length int64, h http.Header) *http.Response {
+	if h == nil {
+		h = make(http.Header)
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: body, ContentLength: length}
+}
+
+func sheds() behaviour {
+	return answers(http.StatusServiceUnavailable, "", http.Header{targetapi.HeaderShed: {targetapi.Yes}})
+}
+
+func breaks(sent bool) behaviour {
+	return func(*http.Request) upstream.Result {
+		return upstream.Result{Sent: sent, Err: errors.New("connection lost")}
+	}
+}
+
+// slow answers after a time unless the attempt is canceled first.
+func slow(d time.Duration, then behaviour) behaviour {
+	return func(req *http.Request) upstream.Result {
+		select {
+		case <-time.After(d):
+			return then(req)
+		case <-req.Context().Done():
+			return upstream.Result{Sent: true, Err: req.Context().Err()}
+		}
+	}
+}
+
+// bench is a dispatcher with fakes around it.
+type bench struct {
+	picker *fakePicker
+	d      *Dispatcher
+	m      *metrics.Set
+}
+
+func newBench(t *testing.T, targets ...behaviour) *bench {
+	t.Helper()
+	up := make(fakeUpstream)
+	for i, b := range targets {
+		up[platform.HostID("t"+string(rune('1'+i)))] = b
+	}
+	board := blackboard.New()
+	t.Cleanup(func() { _ = board.Close() })
+	b := &bench{picker: &fakePicker{targets: len(targets)}, m: metrics.New()}
+	b.d = New(Deps{Board: board, Picker: b.picker, Upstream: up, Metrics: b.m})
+	return b
+}
+
+func (b *bench) do(t *testing.T, ctx context.Context, c *Call) *Reply {
+	t.Helper()
+	// A call that went before fills the budget for two retries.
+	b.d.workspace(c.Workspace).begin(c.Workspace)
+	release, refusal := b.d.Admit(c)
+	if release == nil {
+		return &Reply{Result: refusal}
+	}
+	defer release()
+	return b.d.Do(ctx, c)
+}
+
+func call(method string) *Call {
+	ws := &declare.Workspace{
+		Name:       "w",
+		RetryRatio: 1,
+		Services:   []declare.Service{{Name: "s", MaxAttempts: 3}},
+	}
+	return &Call{
+		Workspace: ws,
+		Service:   &ws.Services[0],
+		Key:       blackboard.ServiceKey{Workspace: "w", Service: "s"},
+		Method:    method,
+		URL:       &url.URL{Path: "/"},
+		Header:    make(http.Header),
+		Body:      MemoryBody([]byte("body")),
+		Repeat:    RepeatOf(method),
+		Attempts:  3,
+	}
+}
+
+func readReply(t *testing.T, r *Reply) (string, error) {
+	t.Helper()
+	if r.Body == nil {
+		return "", nil
+	}
+	b, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	return string(b), err
+}
--- /dev/null
+++ b/dispatch/history.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// history is what is known of the attempts of one call.
+type history struct {
+	attempts   int
+	tried      []platform.HostID
+	mayHaveRun bool
+	// failure is a target's answer of status 500 and above, kept while another
+	// attempt looks for a better one.
+	failure *Reply
+}
+
+func (h *history) add(a *attempt) {
+	h.attempts++
+	h.tried = append(h.tried, a.grant.Target().ID)
+	h.mayHaveRun = h.mayHaveRun || a.mayHaveRun
+}
+
+// settle returns the reply of a call that ends without a fresh answer. One
+// attempt that may have run makes the whole call unknown, whatever the last
+// attempt or the picker said.
+func (h *history) settle(r outcome.Reason, retryAfter time.Duration) *Reply {
+	if h.failure != nil {
+		return h.failure
+	}
+	res := outcome.Refuse(r)
+	if h.mayHaveRun {
+		res = outcome.Uncertain(r)
+	}
+	res.RetryAfter = max(res.RetryAfter, retryAfter)
+	return h.reply(&Reply{Result: res, Status: res.Status()})
+}
+
+// reply checks what is told against what was done.
+func (h *history) reply(r *Reply) *Reply {
+	honest := r.Result.Outcome != outcome.NotRun || !h.mayHaveRun
+	invariant.Check(honest, invariant.NotRunHonest, "reason=%s attempts=%d", r.Result.Reason, h.attempts)
+	return r
+}
+
+// Reply is what a caller is told. Body is nil for replies that cactusproxy
+// makes itself; otherwise it must be closed.
+type Reply struct {
+	Result  outcome.Result
+	Status  int
+	Header  http.Header
+	Trailer http.Header
+	Body    *ReplyBody
+	// Length is the length of the body in bytes, or -1 if unknown.
+	Length int64
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/outcome"
+)
+
+// call serves one call of a caller.
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	status := s.deps.Board.Status.Load()
+	if status.Leaving {
+		// The caller opens its next connection through the balancer, to a host
+		// that stays. Closing the idle connection instead would reset a request
+		// that is just being sent on it.
+		w.Header().Set("Connection", "close")
+	}
+	if !status.ConfigConfirmed {
+		s.refuse(w, outcome.Refuse(outcome.ReasonNotReady))
+		return
+	}
+	m, ok := s.router().find(r.Host, r.URL.Path)
+	if !ok {
+		s.refuse(w, outcome.Refuse(outcome.ReasonNoRoute))
+		return
+	}
+	s.serve(w, r, m)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, m match) {
+	ctx, cancel := context.WithTimeout(r.Context(), timeout(r, m.service.Timeout))
+	defer cancel()
+	c, releaseBody, refusal := s.newCall(r, m)
+	if refusal.Outcome != 0 {
+		s.refuse(w, refusal)
+		return
+	}
+	defer releaseBody()
+	release, refusal := s.deps.Dispatcher.Admit(c)
+	if release == nil {
+		s.refuse(w, refusal)
+		return
+	}
+	defer release()
+	if _, inMemory := c.Body.Bytes(); !inMemory {
+		// Without this the answer to an upload could not begin before the whole
+		// upload was read.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	s.reply(w, s.deps.Dispatcher.Do(ctx, c))
+}
+
+// reply writes what came of a call.
+func (s *Server) reply(w http.ResponseWriter, r *dispatch.Reply) {
+	s.count(r.Result)
+	if r.Body == nil {
+		s.write(w, r.Result)
+		return
+	}
+	defer r.Body.Close()
+	h := w.Header()
+	for name, values := range forwardable(r.Header) {
+		h[name] = values
+	}
+	if r.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	}
+	for name := range r.Trailer {
+		h.Add("Trailer", name)
+	}
+	setOutcome(h, r.Result)
+	w.WriteHeader(r.Status)
+	if err := copyBody(w, r); err != nil {
+		// The answer broke off, or the caller is gone. Ending the reply as if it
+		// were complete would pass a part off as the whole; aborting breaks the
+		// caller's connection instead. What came is flushed first: a caller that
+		// saw no part of an answer might take the call for one that was never
+		// read and send it again by itself.
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range r.Trailer {
+		h[name] = values
+	}
+}
+
+// copyBufferSize is how much of an answer is read at a time, in bytes.
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// copyBody passes an answer on. One whose length is not known is flushed as it
+// comes, since it may be a stream of events.
+func copyBody(w http.ResponseWriter, r *dispatch.Reply) error {
+	buf := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buf)
+	var flush func() error
+	if r.Length < 0 {
+		flush = http.NewResponseController(w).Flush
+	}
+	for {
+		n, err := r.Body.Read(buf[:])
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if flush != nil {
+				_ = flush()
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// refuse tells a caller what cactusproxy itself has to say.
+func (s *Server) refuse(w http.ResponseWriter, r outcome.Result) {
+	s.count(r)
+	s.write(w, r)
+}
+
+func (s *Server) write(w http.ResponseWriter, r outcome.Result) {
+	h := w.Header()
+	setOutcome(h, r)
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(wholeSeconds(r.RetryAfter)))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(r.Status())
+	_, _ = io.WriteString(w, r.Outcome.String()+" "+string(r.Reason)+"\n")
+}
+
+func wholeSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
+
+func setOutcome(h http.Header, r outcome.Result) {
+	h.Set(outcome.HeaderOutcome, r.Outcome.String())
+	h.Set(outcome.HeaderReason, string(r.Reason))
+}
+
+func (s *Server) count(r outcome.Result) {
+	s.deps.Metrics.Calls.Add(r.Outcome.String(), 1)
+	s.deps.Metrics.Reasons.Add(string(r.Reason), 1)
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/outcome"
+)
+
+// HeaderIdempotencyKey carries the caller's key of an at-most-once call.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// maxDepth ends calls that lead to themselves. Chains of calls are up to 26
+// deep.
+const maxDepth = 32
+
+// newCall reads and checks a request. The zero Result means that the call is
+// good; the release function gives back the memory of its body.
+func (s *Server) newCall(r *http.Request, m match) (*dispatch.Call, func(), outcome.Result) {
+	c := &dispatch.Call{
+		Workspace: m.workspace,
+		Service:   m.service,
+		Key:       blackboard.ServiceKey{Workspace: m.workspace.Name, Service: m.service.Name},
+		Method:    r.Method,
+		Host:      r.Host,
+		Header:    forwardable(r.Header),
+		Repeat:    dispatch.RepeatOf(r.Method),
+		Attempts:  attemptsLeft(r, m.service.MaxAttempts),
+		Depth:     intHeader(r, dispatch.HeaderDepth, 0),
+		Caller:    callerOf(r),
+	}
+	u := *r.URL
+	u.Path = m.path
+	u.RawPath = ""
+	c.URL = &u
+	if c.Depth >= maxDepth {
+		return nil, nil, outcome.Refuse(outcome.ReasonTooDeep)
+	}
+	if m.service.IsAtMostOnce(r.Method, m.path) {
+		c.AtMostOnce = true
+		c.Repeat = dispatch.Once
+		c.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	}
+	body, release, refusal := s.readBody(r, m)
+	if refusal.Outcome != 0 {
+		return nil, nil, refusal
+	}
+	c.Body = body
+	return c, release, outcome.Result{}
+}
+
+// attemptsLeft returns the attempts of a call: the service's, or what the call
+// that led to this one has left.
+func attemptsLeft(r *http.Request, declared int) int {
+	return max(1, min(declared, intHeader(r, dispatch.HeaderAttempts, declared)))
+}
+
+// timeout returns how long a call may take: the service's timeout, or what the
+// caller says is left.
+func timeout(r *http.Request, declared time.Duration) time.Duration {
+	ms := intHeader(r, dispatch.HeaderTimeout, -1)
+	if ms < 0 {
+		return declared
+	}
+	return min(declared, time.Duration(ms)*time.Millisecond)
+}
+
+func intHeader(r *http.Request, name string, otherwise int) int {
+	n, err := strconv.Atoi(r.Header.Get(name))
+	if err != nil || n < 0 {
+		return otherwise
+	}
+	return n
+}
+
+// callerOf identifies the caller for stored answers: by its client certificate
+// or else by a digest of its Authorization header. Callers without either share
+// one identity in their workspace.
+func callerOf(r *http.Request) string {
+	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
+		return "cert:" + r.TLS.PeerCertificates[0].Subject.String()
+	}
+	auth := r.Header.Get("Authorization")
+	if auth == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(auth))
+	return "auth:" + hex.EncodeToString(sum[:16])
+}
+
+// readBody takes a body into memory if it is small enough to be sent again, and
+// leaves it a stream otherwise.
+func (s *Server) readBody(r *http.Request, m match) (*dispatch.Body, func(), outcome.Result) {
+	limit := m.service.MaxBody
+	if limit > 0 && r.ContentLength > limit {
+		return nil, nil, outcome.Refuse(outcome.ReasonBodyTooLarge)
+	}
+	if r.ContentLength == 0 {
+		return dispatch.MemoryBody(nil), func() {}, outcome.Result{}
+	}
+	stream := r.Body
+	if limit > 0 {
+		stream = http.MaxBytesReader(nil, r.Body, limit)
+	}
+	keep := int64(m.service.MaxReplayBody)
+	if r.ContentLength < 0 || r.ContentLength > keep || !s.memory.TryAcquire(r.ContentLength) {
+		return dispatch.StreamBody(stream, r.ContentLength), func() {}, outcome.Result{}
+	}
+	release := func() { s.memory.Release(r.ContentLength) }
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(stream, b); err != nil {
+		release()
+		return nil, nil, bodyError(err)
+	}
+	return dispatch.MemoryBody(b), release, outcome.Result{}
+}
+
+func bodyError(err error) outcome.Result {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return outcome.Refuse(outcome.ReasonBodyTooLarge)
+	}
+	return outcome.Refuse(outcome.ReasonCallerGone)
+}
--- /dev/null
+++ b/entry/router.go
@@ -0,0 +1,99 @@
+// Package entry takes callers' requests over HTTP, finds out which service each
+// is for, hands it to the dispatcher and writes what came of it.
+package entry
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cactusproxy/cactusproxy/declare"
+)
+
+// router finds the workspace and service of a request. It is built once for
+// each configuration and immutable after that, so a change of configuration
+// takes hold between two requests and never within one.
+type router struct {
+	byHost map[string]*workspaceRoutes
+	byName map[string]*workspaceRoutes
+}
+
+// workspaceRoutes holds a workspace's services, longest path prefix first.
+type workspaceRoutes struct {
+	workspace *declare.Workspace
+	services  []*declare.Service
+}
+
+// match is where a request leads.
+type match struct {
+	workspace *declare.Workspace
+	service   *declare.Service
+	// path is what the service sees: without the workspace's name if that was
+	// how the workspace was found.
+	path string
+}
+
+func newRouter(c *declare.Config) *router {
+	r := &router{
+		byHost: make(map[string]*workspaceRoutes),
+		byName: make(map[string]*workspaceRoutes, len(c.Workspaces)),
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		routes := newWorkspaceRoutes(w)
+		r.byName[w.Name] = routes
+		for _, h := range w.HostNames {
+			r.byHost[strings.ToLower(h)] = routes
+		}
+	}
+	return r
+}
+
+func newWorkspaceRoutes(w *declare.Workspace) *workspaceRoutes {
+	routes := &workspaceRoutes{workspace: w}
+	for i := range w.Services {
+		routes.services = append(routes.services, &w.Services[i])
+	}
+	slices.SortStableFunc(routes.services, func(a, b *declare.Service) int {
+		return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+	})
+	return routes
+}
+
+// find returns where a request leads. A workspace is found by the host name
+// or, if none declares that name, by the first segment of the path.
+func (r *router) find(host, path string) (match, bool) {
+	if routes := r.byHost[hostName(host)]; routes != nil {
+		return routes.find(path)
+	}
+	name, rest := splitFirst(path)
+	if routes := r.byName[name]; routes != nil {
+		return routes.find(rest)
+	}
+	return match{}, false
+}
+
+func (w *workspaceRoutes) find(path string) (match, bool) {
+	for _, s := range w.services {
+		if s.Covers(path) {
+			return match{workspace: w.workspace, service: s, path: path}, true
+		}
+	}
+	return match{}, false
+}
+
+// hostName returns a Host header without its port, in lower case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// splitFirst splits /a/b/c into a and /b/c.
+func splitFirst(path string) (first, rest string) {
+	path = strings.TrimPrefix(path, "/")
+	first, rest, _ = strings.Cut(path, "/")
+	return first, "/" + rest
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+)
+
+// Dispatcher carries out calls; dispatch.Dispatcher is one.
+type Dispatcher interface {
+	Admit(c *dispatch.Call) (release func(), refusal outcome.Result)
+	Do(ctx context.Context, c *dispatch.Call) *dispatch.Reply
+}
+
+// Paths that belong to cactusproxy itself on the callers' listener.
+const (
+	// PathReady answers 200 while the host takes new calls and 503 otherwise;
+	// it is meant for the platform's balancer.
+	PathReady = "/.cactusproxy/ready"
+	// PathKeys issues an idempotency key: POST /.cactusproxy/keys/<workspace>/<service>.
+	PathKeys = "/.cactusproxy/keys/{workspace}/{service}"
+)
+
+// Deps is what a Server works with.
+type Deps struct {
+	Board      *blackboard.Board
+	Dispatcher Dispatcher
+	Metrics    *metrics.Set
+	// BodyMemory bounds the bodies kept in memory for further attempts, in
+	// bytes over all calls of this host.
+	BodyMemory int64
+	// IssueKey makes an idempotency key bound to this host.
+	IssueKey func(workspace, service, caller string) string
+}
+
+// Server is the handler of the callers' listener.
+type Server struct {
+	deps   Deps
+	memory *semaphore.Weighted
+	routes atomic.Pointer[routesOf]
+	mux    *chi.Mux
+
+	inFlight atomic.Int64
+}
+
+// routesOf is the router made from one configuration.
+type routesOf struct {
+	config *declare.Config
+	router *router
+}
+
+// New returns a handler.
+func New(deps Deps) *Server {
+	s := &Server{deps: deps, memory: semaphore.NewWeighted(deps.BodyMemory)}
+	s.mux = chi.NewRouter()
+	s.mux.Get(PathReady, s.ready)
+	s.mux.Post(PathKeys, s.issueKey)
+	s.mux.NotFound(s.call)
+	s.mux.MethodNotAllowed(s.call)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// InFlight returns the number of calls that have not had their whole reply.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// router returns the router of the configuration in force. It is rebuilt by the
+// first request after a change.
+func (s *Server) router() *router {
+	c := s.deps.Board.Config.Load()
+	if have := s.routes.Load(); have != nil && have.config == c {
+		return have.router
+	}
+	made := &routesOf{config: c, router: newRouter(c)}
+	s.routes.Store(made)
+	return made.router
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.deps.Board.Status.Load().Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *Server) issueKey(w http.ResponseWriter, r *http.Request) {
+	status := s.deps.Board.Status.Load()
+	if !status.Ready() {
+		s.refuse(w, outcome.Refuse(outcome.ReasonNotReady))
+		return
+	}
+	workspace, service := chi.URLParam(r, "workspace"), chi.URLParam(r, "service")
+	if !s.known(workspace, service) {
+		s.refuse(w, outcome.Refuse(outcome.ReasonNoRoute))
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(http.StatusCreated)
+	_, _ = w.Write([]byte(s.deps.IssueKey(workspace, service, callerOf(r)) + "\n"))
+}
+
+func (s *Server) known(workspace, service string) bool {
+	ws, ok := s.deps.Board.Config.Load().Workspace(workspace)
+	if !ok {
+		return false
+	}
+	_, ok = ws.Service(service)
+	return ok
+}
--- /dev/null
+++ b/entry/server_test.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+)
+
+// recorder is a Dispatcher that keeps the last call and gives a fixed reply.
+type recorder struct {
+	call  *dispatch.Call
+	body  string
+	reply dispatch.Reply
+}
+
+func (d *recorder) Admit(*dispatch.Call) (func(), outcome.Result) {
+	return func() {}, outcome.Result{}
+}
+
+func (d *recorder) Do(_ context.Context, c *dispatch.Call) *dispatch.Reply {
+	d.call = c
+	if b, ok := c.Body.Bytes(); ok {
+		d.body = string(b)
+	}
+	return &d.reply
+}
+
+func testConfig() *declare.Config {
+	return &declare.Config{Sequence: 1, Workspaces: []declare.Workspace{{
+		Name:      "auction",
+		HostNames: []string{"auction.example"},
+		Services: []declare.Service{
+			{Name: "lots", PathPrefix: "/lots", Timeout: time.Second, MaxAttempts: 2, MaxReplayBody: 16, MaxBody: 64},
+			{Name: "bids", PathPrefix: "/lots/bids", Timeout: time.Second, AtMostOnce: []declare.CallRule{{Method: "POST"}}},
+		},
+	}}}
+}
+
+func newServer(t *testing.T) (*Server, *recorder, *blackboard.Board) {
+	t.Helper()
+	board := blackboard.New()
+	t.Cleanup(func() { _ = board.Close() })
+	board.Config.Store(testConfig())
+	board.Status.Store(blackboard.Status{ConfigConfirmed: true})
+	d := &recorder{reply: dispatch.Reply{Result: outcome.Refuse(outcome.ReasonNoTarget)}}
+	s := New(Deps{
+		Board: board, Dispatcher: d, Metrics: metrics.New(), BodyMemory: 1 << 10,
+		IssueKey: func(w, s, c string) string { return w + "/" + s + "/" + c },
+	})
+	return s, d, board
+}
+
+func do(s *Server, r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+func TestRoutesByHostAndPath(t *testing.T) {
+	s, d, _ := newServer(t)
+	for _, tc := range []struct{ url, service, path string }{
+		{"http://auction.example/lots/7", "lots", "/lots/7"},
+		{"http://AUCTION.example:8080/lots/bids/1", "bids", "/lots/bids/1"},
+		{"http://10.0.0.1/auction/lots", "lots", "/lots"},
+		{"http://auction.example/lotsale", "", ""},
+		{"http://other.example/nowhere/lots", "", ""},
+	} {
+		d.call = nil
+		w := do(s, httptest.NewRequest(http.MethodGet, tc.url, nil))
+		if tc.service == "" {
+			assert.Equal(t, w.Header().Get(outcome.HeaderReason), string(outcome.ReasonNoRoute))
+			continue
+		}
+		assert.Equal(t, d.call.Key.Service, tc.service)
+		assert.Equal(t, d.call.URL.Path, tc.path)
+	}
+}
+
+func TestAtMostOnceCallsAreMarked(t *testing.T) {
+	s, d, _ := newServer(t)
+	r := httptest.NewRequest(http.MethodPost, "http://auction.example/lots/bids", nil)
+	r.Header.Set(HeaderIdempotencyKey, "k")
+	do(s, r)
+	assert.Check(t, d.call.AtMostOnce)
+	assert.Equal(t, d.call.Repeat, dispatch.Once)
+	assert.Equal(t, d.call.IdempotencyKey, "k")
+}
+
+// The caller sees the outcome that cactusproxy set: a target that sends the
+// same header, or a caller that sends it on, is not believed.
+func TestSpoofedHeadersAreRemovedBothWays(t *testing.T) {
+	s, d, _ := newServer(t)
+	d.reply = dispatch.Reply{
+		Result: outcome.Refuse(outcome.ReasonShed), Status: 503,
+		Header: http.Header{outcome.HeaderOutcome: {"answered"}},
+	}
+	r := httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil)
+	r.Header.Set(outcome.HeaderOutcome, "answered")
+	r.Header.Set("Connection", "X-Private")
+	r.Header.Set("X-Private", "1")
+	r.Header.Set("X-Public", "1")
+	w := do(s, r)
+	assert.Equal(t, w.Header().Get(outcome.HeaderOutcome), "not-run")
+	assert.Equal(t, d.call.Header.Get(outcome.HeaderOutcome), "")
+	assert.Equal(t, d.call.Header.Get("X-Private"), "")
+	assert.Equal(t, d.call.Header.Get("X-Public"), "1")
+}
+
+func TestBodiesAreKeptOrStreamedBySize(t *testing.T) {
+	s, d, _ := newServer(t)
+	send := func(n int) *httptest.ResponseRecorder {
+		d.call = nil
+		body := strings.Repeat("x", n)
+		return do(s, httptest.NewRequest(http.MethodPut, "http://auction.example/lots", strings.NewReader(body)))
+	}
+	send(16)
+	assert.Equal(t, len(d.body), 16)
+	send(17)
+	_, inMemory := d.call.Body.Bytes()
+	assert.Check(t, !inMemory)
+	w := send(65)
+	assert.Check(t, d.call == nil)
+	assert.Equal(t, w.Code, http.StatusRequestEntityTooLarge)
+}
+
+func TestCallerCanOnlyShortenItsOwnCall(t *testing.T) {
+	s, d, _ := newServer(t)
+	r := httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil)
+	r.Header.Set(dispatch.HeaderAttempts, "9")
+	do(s, r)
+	assert.Equal(t, d.call.Attempts, 2)
+	r.Header.Set(dispatch.HeaderAttempts, "1")
+	r.Header.Set(dispatch.HeaderTimeout, "100")
+	do(s, r)
+	assert.Equal(t, d.call.Attempts, 1)
+	assert.Equal(t, timeout(r, time.Second), 100*time.Millisecond)
+	r.Header.Set(dispatch.HeaderTimeout, "5000")
+	assert.Equal(t, timeout(r, time.Second), time.Second)
+	r.Header.Set(dispatch.HeaderDepth, "32")
+	assert.Equal(t, do(s, r).Header().Get(outcome.HeaderReason), string(outcome.ReasonTooDeep))
+}
+
+// The caller's connection breaks: the target's answer did, and a reply that
+// ended there would look whole.
+func TestBrokenAnswerBreaksTheCallersConnection(t *testing.T) {
+	s, d, _ := newServer(t)
+	half := io.NopCloser(io.MultiReader(strings.NewReader("hal"), brokenReader{}))
+	d.reply = dispatch.Reply{Status: 200, Length: 8, Body: dispatch.NewReplyBody(half, nil)}
+	srv := httptest.NewServer(s)
+	defer srv.Close()
+	resp, err := http.Get(srv.URL + "/auction/lots")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	assert.Check(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+}
+
+func TestHostThatLeavesServesAndAsksForANewConnection(t *testing.T) {
+	s, d, board := newServer(t)
+	board.Status.Store(blackboard.Status{ConfigConfirmed: true, Leaving: true})
+	w := do(s, httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil))
+	assert.Equal(t, w.Header().Get("Connection"), "close")
+	assert.Check(t, d.call != nil)
+	assert.Equal(t, do(s, httptest.NewRequest(http.MethodGet, PathReady, nil)).Code, http.StatusServiceUnavailable)
+}
+
+// The caller is refused at once with not-run: the host woke from a pause and
+// does not know yet whether its configuration is the newest.
+func TestHostWithoutConfirmedConfigurationRefuses(t *testing.T) {
+	s, d, board := newServer(t)
+	board.Status.Store(blackboard.Status{})
+	w := do(s, httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil))
+	assert.Equal(t, w.Header().Get(outcome.HeaderOutcome), "not-run")
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+	assert.Check(t, d.call == nil)
+}
+
+func TestKeysAreIssuedForKnownServices(t *testing.T) {
+	s, _, _ := newServer(t)
+	w := do(s, httptest.NewRequest(http.MethodPost, "/.cactusproxy/keys/auction/bids", nil))
+	assert.Equal(t, w.Body.String(), "auction/bids/\n")
+	w = do(s, httptest.NewRequest(http.MethodPost, "/.cactusproxy/keys/auction/none", nil))
+	assert.Equal(t, w.Code, http.StatusNotFound)
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// fault is a fault before its place in the file is known.
+type fault struct {
+	field   string
+	message string
+}
+
+// checker collects faults.
+type checker struct{ faults []fault }
+
+func (c *checker) add(field, format string, args ...any) {
+	c.faults = append(c.faults, fault{field: field, message: fmt.Sprintf(format, args...)})
+}
+
+func (s *Settings) check() []fault {
+	c := new(checker)
+	c.required("host.id", s.Host.ID)
+	c.required("host.zone", s.Host.Zone)
+	c.listener("callers", s.Callers.Addr, s.Callers.TLS, false, s.Plaintext)
+	c.listener("operators", s.Operators.Addr, s.Operators.TLS, false, s.Plaintext)
+	c.listener("peers", s.Peers.Addr, s.Peers.TLS, s.Peers.KeyFile != "", s.Plaintext)
+	c.operators(s.Operators)
+	c.platform(s.Platform)
+	c.notNegative("callers.maxHeaderBytes", int64(s.Callers.MaxHeaderBytes))
+	c.notNegative("callers.bodyMemoryBytes", s.Callers.BodyMemoryBytes)
+	c.duration("callers.readHeaderTimeout", s.Callers.ReadHeaderTimeout)
+	c.duration("callers.idleTimeout", s.Callers.IdleTimeout)
+	c.duration("platform.timeout", s.Platform.Timeout)
+	c.duration("targets.dialTimeout", s.Targets.DialTimeout)
+	c.duration("keys.window", s.Keys.Window)
+	c.duration("drain.notice", s.Drain.Notice)
+	c.duration("drain.limit", s.Drain.Limit)
+	c.plaintext(s.Plaintext)
+	c.logLevel(s.LogLevel)
+	return c.faults
+}
+
+func (c *checker) required(field, v string) {
+	if v == "" {
+		c.add(field, "must be given")
+	}
+}
+
+func (c *checker) notNegative(field string, n int64) {
+	if n < 0 {
+		c.add(field, "must not be negative, is %d", n)
+	}
+}
+
+func (c *checker) duration(field string, d Duration) {
+	if d == "" {
+		return
+	}
+	v, err := time.ParseDuration(string(d))
+	if err != nil {
+		c.add(field, "want a duration such as \"5s\", have %q", string(d))
+		return
+	}
+	if v <= 0 {
+		c.add(field, "must be positive, is %s", v)
+	}
+}
+
+// listener checks an address. Processes learn their addresses from settings,
+// as numbers: a name could be resolved differently by each host.
+func (c *checker) listener(section, addr string, t TLS, keyed bool, plaintext string) {
+	field := section + ".addr"
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		c.add(field, "want an IP address and port such as 127.0.0.1:8080, have %q", addr)
+		return
+	}
+	if (t.Cert == "") != (t.Key == "") {
+		c.add(section+".tls", "cert and key must be given together")
+	}
+	if t.ClientCA != "" && !t.Enabled() {
+		c.add(section+".tls", "clientCA needs cert and key")
+	}
+	open := !t.Enabled() && !keyed && !ap.Addr().IsLoopback()
+	if open && plaintext != AcceptPlaintext {
+		c.add(field, "%s is not loopback and has no TLS; set it up, or set \"plaintext\": %q", addr, AcceptPlaintext)
+	}
+}
+
+func (c *checker) operators(o Operators) {
+	ap, err := netip.ParseAddrPort(o.Addr)
+	if err == nil && o.TokenFile == "" && !ap.Addr().IsLoopback() {
+		c.add("operators.tokenFile", "must be given when the listener is not loopback")
+	}
+}
+
+func (c *checker) platform(p Platform) {
+	u, err := url.Parse(p.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add("platform.url", "want a URL such as http://127.0.0.1:7000, have %q", p.URL)
+	}
+}
+
+func (c *checker) plaintext(words string) {
+	if words != "" && words != AcceptPlaintext {
+		c.add("plaintext", "the only words it takes are %q", AcceptPlaintext)
+	}
+}
+
+func (c *checker) logLevel(level string) {
+	if level == "" {
+		return
+	}
+	if _, err := zapcore.ParseLevel(level); err != nil {
+		c.add("logLevel", "want debug, info, warn or error, have %q", level)
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,147 @@
+// Package settings holds what one daemon is told at its start: who it is, where
+// it listens and where the platform is. It is read once and never changes while
+// the daemon runs; what operators change at run time is in package declare.
+package settings
+
+import "time"
+
+// Settings of one daemon, in JSON with comments.
+type Settings struct {
+	// Host says who this daemon is.
+	Host Host `json:"host"`
+	// Callers is the listener for callers' HTTP.
+	Callers Callers `json:"callers"`
+	// Operators is the listener for cactusctl and metrics.
+	Operators Operators `json:"operators"`
+	// Peers is the listener for other entry hosts.
+	Peers Peers `json:"peers"`
+	// Platform says where the table, the object store and the host list are.
+	Platform Platform `json:"platform"`
+	// Targets says how to connect to targets.
+	Targets Targets `json:"targets,omitzero"`
+	// Keys is for idempotency keys that hosts issue.
+	Keys Keys `json:"keys,omitzero"`
+	// Drain is how the daemon stops.
+	Drain Drain `json:"drain,omitzero"`
+	// Plaintext must be the words of AcceptPlaintext if a listener outside
+	// loopback has no TLS, or, for peers, no key.
+	Plaintext string `json:"plaintext,omitempty"`
+	// LogLevel is debug, info, warn or error; info if empty.
+	LogLevel string `json:"logLevel,omitempty"`
+}
+
+// AcceptPlaintext is what Plaintext must say for a listener outside loopback to
+// start without protection.
+const AcceptPlaintext = "accept plaintext outside loopback"
+
+// Host says who a daemon is.
+type Host struct {
+	// ID is the host's name in the platform's list.
+	ID string `json:"id"`
+	// Zone is the host's availability zone.
+	Zone string `json:"zone"`
+	// Region is the region the zone is in; optional.
+	Region string `json:"region,omitempty"`
+}
+
+// Callers is the listener for callers.
+type Callers struct {
+	// Addr is an IP address and port.
+	Addr string `json:"addr"`
+	TLS  TLS    `json:"tls,omitzero"`
+	// MaxHeaderBytes bounds a request's header; 64 KiB if 0.
+	MaxHeaderBytes int `json:"maxHeaderBytes,omitempty"`
+	// BodyMemoryBytes bounds the bodies kept in memory for retries over all
+	// calls; 128 MiB if 0.
+	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
+	// ReadHeaderTimeout bounds the arrival of a request's header; "5s" if empty.
+	ReadHeaderTimeout Duration `json:"readHeaderTimeout,omitempty"`
+	// IdleTimeout closes a caller's connection unused for this long; "120s" if
+	// empty.
+	IdleTimeout Duration `json:"idleTimeout,omitempty"`
+}
+
+// Operators is the listener for operators.
+type Operators struct {
+	Addr string `json:"addr"`
+	TLS  TLS    `json:"tls,omitzero"`
+	// TokenFile holds the token that changes must carry. Without it changes
+	// are taken from loopback alone.
+	TokenFile string `json:"tokenFile,omitempty"`
+}
+
+// Peers is the listener for other entry hosts.
+type Peers struct {
+	// Addr is where the daemon listens; Advertise is the address that others
+	// use, if it differs.
+	Addr      string `json:"addr"`
+	Advertise string `json:"advertise,omitempty"`
+	// TLS with a client CA is mutual TLS.
+	TLS TLS `json:"tls,omitzero"`
+	// KeyFile holds a key shared by all hosts that authenticates frames, in
+	// place of TLS; at least 32 bytes.
+	KeyFile string `json:"keyFile,omitempty"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// URL is the base URL of the table, object store and host list.
+	URL string `json:"url"`
+	// TokenFile holds the bearer token, if one is needed.
+	TokenFile string `json:"tokenFile,omitempty"`
+	// Timeout bounds one request; "2s" if empty.
+	Timeout Duration `json:"timeout,omitempty"`
+}
+
+// Targets says how to connect to targets.
+type Targets struct {
+	// CA holds the certificates that targets' certificates are checked
+	// against; empty means plain TCP.
+	CA string `json:"ca,omitempty"`
+	// DialTimeout bounds a new connection; "1s" if empty.
+	DialTimeout Duration `json:"dialTimeout,omitempty"`
+}
+
+// Keys is for idempotency keys that hosts issue.
+type Keys struct {
+	// File holds the key that authenticates issued keys, the same on all
+	// hosts; at least 32 bytes. Without it no keys are issued.
+	File string `json:"file,omitempty"`
+	// Window is how long a key that carries its time is good for; "24h" if
+	// empty.
+	Window Duration `json:"window,omitempty"`
+}
+
+// Drain is how the daemon stops.
+type Drain struct {
+	// Notice is how long the balancer and callers are told before the
+	// listener closes; "5s" if empty.
+	Notice Duration `json:"notice,omitempty"`
+	// Limit cuts off calls still in flight after this time, with a warning;
+	// "10m" if empty.
+	Limit Duration `json:"limit,omitempty"`
+}
+
+// TLS names the files of a listener's certificate.
+type TLS struct {
+	Cert string `json:"cert,omitempty"`
+	Key  string `json:"key,omitempty"`
+	// ClientCA has clients prove themselves with a certificate of this CA.
+	ClientCA string `json:"clientCA,omitempty"`
+}
+
+// Enabled reports whether a certificate is named.
+func (t TLS) Enabled() bool { return t.Cert != "" }
+
+// Duration is a time.Duration as time.ParseDuration reads it.
+type Duration string
+
+// Or returns the duration, or otherwise if it is empty. The text was checked
+// when the settings were loaded.
+func (d Duration) Or(otherwise time.Duration) time.Duration {
+	v, err := time.ParseDuration(string(d))
+	if err != nil {
+		return otherwise
+	}
+	return v
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,180 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+)
+
+// pool is this host's connections to one target.
+type pool struct {
+	owner *Pools
+	addr  string
+
+	mu     sync.Mutex
+	open   int // connections open or being opened
+	idle   []*conn
+	closed bool
+}
+
+// conn is one connection with what is needed to tell whether a request left.
+type conn struct {
+	cc      *http.ClientConn
+	counter *countingConn
+	since   time.Time // when it became idle
+	busy    atomic.Bool
+}
+
+// take returns a connection for one request: the one that was used last, or a
+// new one.
+func (p *pool) take(ctx context.Context, o SendOptions) (*conn, error) {
+	if c := p.takeIdle(o.Once); c != nil {
+		return c, nil
+	}
+	if !p.reserve(o.MaxConns) {
+		return nil, ErrConnLimit
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		p.forget()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *pool) takeIdle(once bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		if c.cc.Available() > 0 && once && time.Since(c.since) >= p.owner.opts.OnceIdle {
+			return nil
+		}
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.cc.Available() > 0 {
+			invariant.Check(c.busy.CompareAndSwap(false, true), invariant.OwnAnswer, "connection to %s used twice", p.addr)
+			return c
+		}
+		p.open--
+		go c.close()
+	}
+	return nil
+}
+
+// reserve makes room for a new connection, if need be by closing the one that
+// was idle longest.
+func (p *pool) reserve(limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit <= 0 || p.open < limit {
+		p.open++
+		return true
+	}
+	if len(p.idle) == 0 {
+		return false
+	}
+	go p.idle[0].close()
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	return true
+}
+
+func (p *pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+func (p *pool) dial(ctx context.Context) (*conn, error) {
+	var counter *countingConn
+	ctx = context.WithValue(ctx, counterKey{}, &counter)
+	cc, err := p.owner.transport.NewClientConn(ctx, p.owner.scheme, p.addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{cc: cc, counter: counter}
+	c.busy.Store(true)
+	return c, nil
+}
+
+// put takes back a connection whose answer was read to its end.
+func (p *pool) put(c *conn) {
+	if c.cc.Available() == 0 {
+		p.drop(c)
+		return
+	}
+	c.since = time.Now()
+	c.busy.Store(false)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.open--
+		go c.close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// drop closes a connection that can not be used again.
+func (p *pool) drop(c *conn) {
+	p.forget()
+	c.close()
+}
+
+func (c *conn) close() { _ = c.cc.Close() }
+
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		p.open--
+		go c.close()
+	}
+	p.idle = nil
+}
+
+// closeOlder closes the connections that became idle before t. They stand at
+// the front, since the one used last is taken first.
+func (p *pool) closeOlder(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for n < len(p.idle) && p.idle[n].since.Before(t) {
+		p.open--
+		go p.idle[n].close()
+		n++
+	}
+	p.idle = append(p.idle[:0], p.idle[n:]...)
+}
+
+type counterKey struct{}
+
+// countingConn counts the writes begun on a connection. A write counts from its
+// beginning: a caller that gave up while it was under way can not know how much
+// of it left.
+type countingConn struct {
+	net.Conn
+	writes atomic.Uint64
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+func dialCounting(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
+	raw, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &countingConn{Conn: raw}
+	if slot, ok := ctx.Value(counterKey{}).(**countingConn); ok {
+		*slot = c
+	}
+	return c, nil
+}
