--- /dev/null
+++ b/policy/choice/local.go
@@ -0,0 +1,272 @@
+// Package choice is the choice of target by what one entry host sees itself:
+// its own attempts in flight, the load that targets report in their answers,
+// and notices of overdue attempts from other hosts. It serves while no
+// coordinator does.
+package choice
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/latency"
+)
+
+const (
+	// reportFor is how long a reported load is believed in full; after it the
+	// usual load of all targets is more likely than the report.
+	reportFor = 10 * time.Millisecond
+	// overdueFor is how long a notice of an overdue attempt holds.
+	overdueFor = 50 * time.Millisecond
+	// shedFor is how long a refusal by the target holds.
+	shedFor = 50 * time.Millisecond
+	// overdueTimes the median makes an attempt overdue.
+	overdueTimes = 4
+	minOverdue   = 2 * time.Millisecond
+	minSamples   = 20
+
+	scoreOverdue = 8.0
+	scoreShed    = 4.0
+	scoreCold    = 2.0
+	// ownWeight counts an own attempt as more than one of the reported: it is
+	// certain and the report is stale.
+	ownWeight = 1.5
+)
+
+// target is what this host knows of a target.
+type target struct {
+	info     blackboard.Target
+	own      int // own attempts in flight
+	alone    bool
+	load     float64 // reported, own attempts included
+	loadAt   time.Time
+	overdue  time.Time // end of the last notice
+	shed     time.Time
+	health   health.State
+	lastPick time.Time
+	lastEnd  time.Time
+}
+
+// Local chooses for one service. It is not safe for concurrent use.
+type Local struct {
+	rng      *rand.Rand
+	slots    int
+	cold     time.Duration
+	targets  []target
+	usable   int
+	usual    float64 // running mean of reported loads
+	service  latency.Tracker
+	failures health.Service
+}
+
+// New returns a chooser without targets.
+func New(rng *rand.Rand) *Local { return &Local{rng: rng, slots: 1} }
+
+// Configure sets the slots of a target and the length of a cold start.
+func (l *Local) Configure(slots int, cold time.Duration) {
+	l.slots = max(slots, 1)
+	l.cold = cold
+}
+
+// SetTargets takes the view of the targets.
+func (l *Local) SetTargets(list []blackboard.Target) {
+	next := make([]target, len(list))
+	l.usable = 0
+	for i, info := range list {
+		if j := l.index(info.ID); j >= 0 {
+			next[i] = l.targets[j]
+			info.Leaving = info.Leaving || l.targets[j].info.Leaving
+		}
+		next[i].info = info
+		if !info.Leaving {
+			l.usable++
+		}
+	}
+	l.targets = next
+}
+
+func (l *Local) index(id platform.HostID) int {
+	return slices.IndexFunc(l.targets, func(t target) bool { return t.info.ID == id })
+}
+
+// Find returns a target, and false if it is unknown or leaving.
+func (l *Local) Find(id platform.HostID) (blackboard.Target, bool) {
+	i := l.index(id)
+	if i < 0 {
+		return blackboard.Target{}, false
+	}
+	return l.targets[i].info, !l.targets[i].info.Leaving
+}
+
+// Usable returns the number of targets that are not leaving.
+func (l *Local) Usable() int { return l.usable }
+
+// Latency is what the host learned of the service's latency.
+func (l *Local) Latency() *latency.Tracker { return &l.service }
+
+// Pick returns the target for one attempt; false means that none may take one
+// more from this host now.
+func (l *Local) Pick(now time.Time, avoid []platform.HostID, hedge, alone bool) (blackboard.Target, bool) {
+	best := -1
+	bestScore := 0.0
+	ties := 0
+	strict := len(avoid) > 0 && l.others(now, avoid)
+	for i := range l.targets {
+		t := &l.targets[i]
+		if !l.open(now, t, alone) || (hedge && t.own > 0) {
+			continue
+		}
+		if strict && slices.Contains(avoid, t.info.ID) {
+			continue
+		}
+		score := l.score(now, t)
+		switch {
+		case best < 0 || score < bestScore:
+			best, bestScore, ties = i, score, 1
+		case score == bestScore:
+			ties++
+			if l.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return blackboard.Target{}, false
+	}
+	return l.targets[best].info, true
+}
+
+// open reports whether the target may take one more attempt of this host.
+func (l *Local) open(now time.Time, t *target, alone bool) bool {
+	if t.info.Leaving || t.alone || t.health.Ejected(now) {
+		return false
+	}
+	if alone || t.health.Trial() {
+		return t.own == 0
+	}
+	return t.own < l.slots
+}
+
+func (l *Local) score(now time.Time, t *target) float64 {
+	s := float64(t.own)*ownWeight + l.believed(now, t)
+	if now.Before(t.overdue) {
+		s += scoreOverdue
+	}
+	if now.Before(t.shed) {
+		s += scoreShed
+	}
+	if l.cold > 0 && now.Sub(t.info.FirstSeen) < l.cold {
+		s += scoreCold * (1 - float64(now.Sub(t.info.FirstSeen))/float64(l.cold))
+	}
+	return s
+}
+
+// believed is the load of others to reckon with: the report while it is fresh,
+// and less and less of it as it ages.
+func (l *Local) believed(now time.Time, t *target) float64 {
+	age := now.Sub(t.loadAt)
+	if t.loadAt.IsZero() || age > 4*reportFor {
+		return l.usual
+	}
+	trust := 1 / (1 + float64(age)/float64(reportFor))
+	return trust*t.load + (1-trust)*l.usual
+}
+
+func (l *Local) others(now time.Time, avoid []platform.HostID) bool {
+	for i := range l.targets {
+		t := &l.targets[i]
+		if !t.info.Leaving && !t.health.Ejected(now) && !slices.Contains(avoid, t.info.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// Start notes an attempt in flight, whoever chose its target.
+func (l *Local) Start(now time.Time, id platform.HostID, alone bool) {
+	if i := l.index(id); i >= 0 {
+		l.targets[i].own++
+		l.targets[i].alone = l.targets[i].alone || alone
+		l.targets[i].lastPick = now
+	}
+}
+
+// End notes how an attempt ended. unused means that it was never sent.
+func (l *Local) End(now time.Time, id platform.HostID, alone, unused bool, r pick.Report) {
+	i := l.index(id)
+	if i < 0 {
+		return
+	}
+	t := &l.targets[i]
+	t.own = max(t.own-1, 0)
+	if alone {
+		t.alone = false
+	}
+	if unused {
+		return
+	}
+	t.lastEnd = now
+	l.learn(now, t, r)
+}
+
+func (l *Local) learn(now time.Time, t *target, r pick.Report) {
+	if r.LeavingHint || r.Class == pick.Leaving {
+		l.leave(t)
+	}
+	if r.Load >= 0 {
+		t.load = float64(max(r.Load-t.own, 0))
+		t.loadAt = now
+		l.usual += (t.load - l.usual) / 32
+	}
+	switch r.Class {
+	case pick.OK:
+		l.service.Observe(r.Latency)
+		l.record(now, t, false)
+	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
+		l.record(now, t, true)
+	case pick.Shed:
+		t.shed = now.Add(shedFor)
+	}
+}
+
+func (l *Local) leave(t *target) {
+	if !t.info.Leaving {
+		t.info.Leaving = true
+		l.usable--
+	}
+}
+
+func (l *Local) record(now time.Time, t *target, failed bool) {
+	l.failures.Record(failed)
+	if !t.health.Record(now, failed, &l.failures) {
+		return
+	}
+	ejected := 0
+	for i := range l.targets {
+		if l.targets[i].health.Ejected(now) {
+			ejected++
+		}
+	}
+	if health.Allowed(ejected, len(l.targets)) {
+		t.health.Eject(now, l.rng)
+	}
+}
+
+// Overdue notes that an attempt of this or another host is overdue.
+func (l *Local) Overdue(now time.Time, id platform.HostID) {
+	if i := l.index(id); i >= 0 {
+		l.targets[i].overdue = now.Add(overdueFor)
+	}
+}
+
+// OverdueAfter is the age at which an attempt is overdue, 0 if not known.
+func (l *Local) OverdueAfter() time.Duration {
+	if l.service.Count() < minSamples {
+		return 0
+	}
+	return max(overdueTimes*l.service.Median(), minOverdue)
+}
--- /dev/null
+++ b/policy/grant/book.go
@@ -0,0 +1,352 @@
+package grant
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/latency"
+)
+
+// Times of the protocol between a book and the entry hosts.
+const (
+	// TickEvery is how often Tick should run while an ask waits.
+	TickEvery = time.Millisecond
+	// aliveEvery is how often a host with a queued ask hears that it is queued.
+	aliveEvery = 1500 * time.Microsecond
+	// HeartbeatEvery is how often a host sends a full frame while it has an ask
+	// or an attempt.
+	HeartbeatEvery = 100 * time.Millisecond
+	// hostTimeout is the silence after which a host's attempts lapse: its
+	// process died, or it has another coordinator.
+	hostTimeout = 4 * HeartbeatEvery
+	// transit is how long a grant may be on its way before a full frame that
+	// does not list it shows that it was lost.
+	transit = 20 * time.Millisecond
+)
+
+// Book holds the attempts in flight and the asks that wait, of one service. It
+// is not safe for concurrent use.
+type Book struct {
+	key     blackboard.ServiceKey
+	slots   int
+	cold    time.Duration
+	rng     *rand.Rand
+	targets []*target
+	byID    map[platform.HostID]*target
+	hosts   []*host // in the order they are served
+	byHost  map[platform.HostID]*host
+	turn    int // the host that is served next
+	queued  int
+	calls   map[callKey]*call
+	spare   []*call
+
+	service  latency.Tracker
+	failures health.Service
+	gap      time.Duration     // slot time between two calls, see learnGap
+	capacity int               // slots of the usable targets
+	newlyOut []platform.HostID // ejected since Ejected was called
+	reserved *target           // kept free for an ask that must be alone
+	offset   int               // where the next choice starts among equals
+}
+
+// callKey names an attempt among those of all hosts.
+type callKey struct {
+	host platform.HostID
+	id   CallID
+}
+
+// call is an attempt that holds a slot.
+type call struct {
+	host    *host
+	id      CallID
+	target  *target
+	granted time.Time
+	alone   bool
+}
+
+// NewBook returns a book without targets or hosts.
+func NewBook(key blackboard.ServiceKey, rng *rand.Rand) *Book {
+	return &Book{
+		key:    key,
+		slots:  1,
+		rng:    rng,
+		byID:   make(map[platform.HostID]*target),
+		byHost: make(map[platform.HostID]*host),
+		calls:  make(map[callKey]*call),
+	}
+}
+
+// Configure takes the declaration of the service.
+func (b *Book) Configure(s *declare.Service) {
+	b.slots = max(s.Slots, 1)
+	b.cold = s.ColdStart
+	b.count()
+}
+
+// SetTargets takes the view of the targets. Targets that are no longer listed
+// get no new attempt and are forgotten when their last one has ended.
+func (b *Book) SetTargets(now time.Time, list []blackboard.Target) {
+	for _, t := range b.targets {
+		t.listed = false
+	}
+	for _, info := range list {
+		t := b.byID[info.ID]
+		if t == nil {
+			t = &target{id: info.ID}
+			b.byID[info.ID] = t
+			b.targets = append(b.targets, t)
+		}
+		t.listed = true
+		t.firstSeen = info.FirstSeen
+		t.leaving = t.leaving || info.Leaving
+	}
+	b.forgetTargets()
+	b.dispatch(now)
+}
+
+func (b *Book) forgetTargets() {
+	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
+		gone := !t.listed && t.inFlight() == 0
+		if gone {
+			delete(b.byID, t.id)
+		}
+		return gone
+	})
+	slices.SortFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.id, y.id) })
+	if b.reserved != nil && !b.reserved.usable() {
+		b.reserved = nil
+	}
+	b.count()
+}
+
+// count brings the sums over all targets up to date.
+func (b *Book) count() {
+	b.capacity = 0
+	for _, t := range b.targets {
+		if t.usable() {
+			b.capacity += b.slots
+		}
+	}
+}
+
+// Receive takes a frame of an entry host.
+func (b *Book) Receive(now time.Time, from platform.HostID, f Frame) {
+	h := b.host(from, f)
+	if f.Epoch != h.epoch {
+		return // a late frame of an earlier run
+	}
+	h.heard = now
+	for i := range f.Ends {
+		b.end(now, h, f.Ends[i])
+	}
+	for i := range f.Open {
+		b.adopt(now, h, f.Open[i])
+	}
+	for i := range f.Asks {
+		b.ask(now, h, f.Asks[i])
+	}
+	if f.Full && f.Seq > h.seq {
+		b.reconcile(now, h, f)
+	}
+	h.known = h.known || f.Full
+	h.seq = max(h.seq, f.Seq)
+	h.resync = !h.known
+	h.alive = h.alive || f.Full // a full frame also asks: are you there?
+	b.dispatch(now)
+}
+
+// ask queues an ask or refuses it at once.
+func (b *Book) ask(now time.Time, h *host, a Ask) {
+	if h.waits(a.ID) || b.calls[callKey{h.id, a.ID}] != nil {
+		return // listed again by a full frame
+	}
+	w := waiter{ask: a, since: now}
+	if a.Remaining > 0 {
+		w.deadline = now.Add(a.Remaining)
+	}
+	if reason, refused := b.refusal(&w); refused {
+		h.refuse(a.ID, reason)
+		return
+	}
+	h.queue.push(w)
+	b.queued++
+}
+
+// refusal tells whether an ask can not be served in time, or at all.
+func (b *Book) refusal(w *waiter) (outcome.Reason, bool) {
+	if w.ask.Remaining <= 0 || b.capacity == 0 {
+		return "", false
+	}
+	if b.ExpectedWait()+b.service.Median() > w.ask.Remaining {
+		return outcome.ReasonDeadline, true
+	}
+	return "", false
+}
+
+// ExpectedWait is how long an ask that came now would wait for a slot.
+func (b *Book) ExpectedWait() time.Duration {
+	free := b.capacity - len(b.calls)
+	if free > b.queued || b.capacity == 0 {
+		return 0
+	}
+	return b.service.Mean() * time.Duration(b.queued) / time.Duration(b.capacity)
+}
+
+// end gives back the slot of an attempt, or withdraws an ask.
+func (b *Book) end(now time.Time, h *host, e End) {
+	c := b.calls[callKey{h.id, e.ID}]
+	if c == nil {
+		if h.queue.remove(e.ID) {
+			b.queued--
+		}
+		return
+	}
+	b.learn(now, c, e)
+	b.release(now, c)
+}
+
+// release takes an attempt out of the books.
+func (b *Book) release(now time.Time, c *call) {
+	delete(b.calls, callKey{c.host.id, c.id})
+	c.target.remove(c)
+	invariant.Check(c.target.inFlight() >= 0, invariant.SlotAccount,
+		"%d attempts on %s", c.target.inFlight(), c.target.id)
+	c.target.lastEnd = now
+	if !c.target.listed && c.target.inFlight() == 0 {
+		b.forgetTargets()
+	}
+	*c = call{}
+	b.spare = append(b.spare, c)
+}
+
+// hold enters an attempt into the books.
+func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) {
+	c := &call{}
+	if n := len(b.spare); n > 0 {
+		c = b.spare[n-1]
+		b.spare = b.spare[:n-1]
+	}
+	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	b.calls[callKey{h.id, id}] = c
+	t.add(c)
+}
+
+// adopt enters an attempt that this book did not grant: the host chose by
+// itself, or another coordinator granted it.
+func (b *Book) adopt(now time.Time, h *host, o Open) {
+	if b.calls[callKey{h.id, o.ID}] != nil {
+		return
+	}
+	if h.queue.remove(o.ID) {
+		b.queued--
+	}
+	t := b.byID[o.Target]
+	if t == nil {
+		return
+	}
+	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone)
+}
+
+// reconcile drops what a full frame does not list. Without it a release that
+// was lost on the way would leave its slot taken for good: the target would
+// look busy and stay idle.
+func (b *Book) reconcile(now time.Time, h *host, f Frame) {
+	open := make(map[CallID]bool, len(f.Open)+len(f.Asks))
+	for _, o := range f.Open {
+		open[o.ID] = true
+	}
+	for _, a := range f.Asks {
+		open[a.ID] = true
+	}
+	for _, c := range b.held(h) {
+		if !open[c.id] && now.Sub(c.granted) > transit {
+			b.release(now, c)
+		}
+	}
+	b.queued -= h.queue.keep(func(id CallID) bool { return open[id] })
+}
+
+// held returns the attempts of one host, oldest first.
+func (b *Book) held(h *host) []*call {
+	var out []*call
+	for _, c := range b.calls {
+		if c.host == h {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(x, y *call) int { return cmp.Compare(x.id, y.id) })
+	return out
+}
+
+// Next returns the time until Tick should run, 0 for never.
+func (b *Book) Next() time.Duration {
+	switch {
+	case b.queued > 0:
+		return TickEvery
+	case len(b.hosts) > 0:
+		return HeartbeatEvery
+	default:
+		return 0
+	}
+}
+
+// InFlight returns the attempts in the books.
+func (b *Book) InFlight() int { return len(b.calls) }
+
+// Queued returns the asks that wait.
+func (b *Book) Queued() int { return b.queued }
+
+// Tick watches the passing of time: deadlines of asks, hosts that fell silent,
+// ejections that end.
+func (b *Book) Tick(now time.Time) {
+	for i := len(b.hosts) - 1; i >= 0; i-- {
+		h := b.hosts[i]
+		if now.Sub(h.heard) > hostTimeout {
+			b.dropHost(now, h)
+			continue
+		}
+		b.expire(now, h)
+	}
+	b.dispatch(now)
+	for _, h := range b.hosts {
+		if h.queue.len() > 0 && now.Sub(h.told) >= aliveEvery {
+			h.alive = true
+		}
+	}
+}
+
+func (b *Book) expire(now time.Time, h *host) {
+	b.queued -= h.queue.keepWaiters(func(w *waiter) bool {
+		if w.deadline.IsZero() || now.Before(w.deadline) {
+			return true
+		}
+		h.refuse(w.ask.ID, outcome.ReasonQueueTimeout)
+		return false
+	})
+}
+
+// DropHost lets the attempts of a host lapse that is known to be gone.
+func (b *Book) DropHost(now time.Time, id platform.HostID) {
+	if h := b.byHost[id]; h != nil {
+		b.dropHost(now, h)
+		b.dispatch(now)
+	}
+}
+
+func (b *Book) dropHost(now time.Time, h *host) {
+	for _, c := range b.held(h) {
+		b.release(now, c)
+	}
+	b.queued -= h.queue.len()
+	delete(b.byHost, h.id)
+	b.hosts = slices.DeleteFunc(b.hosts, func(x *host) bool { return x == h })
+	b.turn = 0
+}
--- /dev/null
+++ b/policy/grant/stale.go
@@ -0,0 +1,50 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// staleAfter is the time without the end of an attempt after which nothing is
+// known of a target.
+const staleAfter = time.Second
+
+// Stale returns the targets of which calls tell nothing: those that had none
+// for a while, and those left out. They are what a probe is worth spending on.
+func (b *Book) Stale(now time.Time) []platform.HostID {
+	var out []platform.HostID
+	for _, t := range b.targets {
+		if !t.usable() {
+			continue
+		}
+		silent := t.inFlight() == 0 && now.Sub(t.lastEnd) > staleAfter
+		if silent || t.health.Ejected(now) {
+			out = append(out, t.id)
+		}
+	}
+	return out
+}
+
+// Probed takes the result of a probe. A good answer ends an ejection early; a
+// bad one ejects nothing, since health endpoints lag and mislead.
+func (b *Book) Probed(now time.Time, id platform.HostID, ok bool, load int) {
+	t := b.byID[id]
+	if t == nil {
+		return
+	}
+	t.lastEnd = now
+	t.health.Probed(now, ok)
+	if load >= 0 {
+		t.foreign = max(load-t.inFlight(), 0)
+		t.foreignAt = now
+	}
+	b.dispatch(now)
+}
+
+// Ejected returns the targets that were ejected since the last call.
+func (b *Book) Ejected() []platform.HostID {
+	out := b.newlyOut
+	b.newlyOut = nil
+	return out
+}
--- /dev/null
+++ b/slots/cluster_test.go
@@ -0,0 +1,137 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+var bids = blackboard.ServiceKey{Workspace: "auction", Service: "bids"}
+
+// cluster is a few hosts in one process and virtual time.
+type cluster struct {
+	net         *peernet.Network
+	hosts       []*testHost
+	coordinator platform.HostID
+}
+
+type testHost struct {
+	id    platform.HostID
+	board *blackboard.Board
+	slots *Slots
+	m     *metrics.Set
+}
+
+func newCluster(hosts, targets int, svc declare.Service) *cluster {
+	c := &cluster{net: peernet.New(), coordinator: "h0"}
+	c.net.Delay = func(from, to peer.HostID) time.Duration {
+		if from == to {
+			return 0
+		}
+		return 500 * time.Microsecond
+	}
+	svc.Name = bids.Service
+	for i := range hosts {
+		c.hosts = append(c.hosts, c.newHost(platform.HostID(fmt.Sprint("h", i)), hosts, targets, svc))
+	}
+	return c
+}
+
+func (c *cluster) newHost(id platform.HostID, hosts, targets int, svc declare.Service) *testHost {
+	b := blackboard.New()
+	b.Config.Store(&declare.Config{Workspaces: []declare.Workspace{
+		{Name: bids.Workspace, Services: []declare.Service{svc}},
+	}})
+	members := &blackboard.Members{Self: id}
+	for i := range hosts {
+		members.Members = append(members.Members, blackboard.Member{
+			Host:  platform.Host{ID: platform.HostID(fmt.Sprint("h", i))},
+			State: blackboard.MemberLive,
+		})
+	}
+	b.Members.Store(members)
+	list := make([]blackboard.Target, targets)
+	for i := range list {
+		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%02d", i)), Addr: "127.0.0.1:1"}
+	}
+	b.Targets.Store(&blackboard.Targets{ByService: map[blackboard.ServiceKey][]blackboard.Target{bids: list}})
+	m := metrics.New()
+	s := New(Deps{
+		Board:       b,
+		Link:        c.net.Join(id),
+		Coordinator: c.choose,
+		Metrics:     m,
+		Log:         zap.NewNop(),
+		Seed:        1,
+		OnLeaving: func(key blackboard.ServiceKey, id platform.HostID) {
+			b.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+				return old.WithLeaving(key, id, time.Now())
+			})
+		},
+	})
+	return &testHost{id: id, board: b, slots: s, m: m}
+}
+
+func (c *cluster) choose(blackboard.ServiceKey, *blackboard.Members) (platform.HostID, bool) {
+	return c.coordinator, c.coordinator != ""
+}
+
+func (c *cluster) close(t *testing.T) {
+	for _, h := range c.hosts {
+		h.slots.Close()
+		assert.NilError(t, h.board.Close())
+	}
+}
+
+// setCoordinator changes every host's view at once.
+func (c *cluster) setCoordinator(id platform.HostID) {
+	c.coordinator = id
+	for _, h := range c.hosts {
+		h.board.Members.Update(func(m *blackboard.Members) (*blackboard.Members, bool) {
+			next := *m
+			return &next, true
+		})
+	}
+}
+
+// pickFor picks with a deadline.
+func (h *testHost) pickFor(d time.Duration, req pick.Request) (pick.Grant, outcome.Result) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	req.Service = bids
+	return h.slots.Pick(ctx, req)
+}
+
+// call picks, holds the grant for d, and reports a whole answer.
+func (h *testHost) call(d time.Duration) outcome.Result {
+	g, refusal := h.pickFor(time.Second, pick.Request{})
+	if g == nil {
+		return refusal
+	}
+	time.Sleep(d)
+	g.Release(pick.Report{Class: pick.OK, Latency: d, Load: -1})
+	return outcome.Result{Outcome: outcome.Answered, Reason: outcome.ReasonOK}
+}
+
+// held returns the attempts in a host's books.
+func (h *testHost) held() int {
+	svc := h.slots.service(bids)
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	return svc.book.InFlight()
+}
+
+func (h *testHost) count(name string) int64 { return h.m.Int(name).Value() }
--- /dev/null
+++ b/slots/probe.go
@@ -0,0 +1,55 @@
+package slots
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// StaleTarget is a target of which calls tell nothing.
+type StaleTarget struct {
+	Service blackboard.ServiceKey
+	Target  blackboard.Target
+}
+
+// Stale returns the targets worth a probe: those of services that this host
+// coordinates which had no call for a while, or are ejected.
+func (s *Slots) Stale(now time.Time) []StaleTarget {
+	var out []StaleTarget
+	members := s.deps.Board.Members.Load()
+	for key, list := range s.deps.Board.Targets.Load().ByService {
+		id, ok := s.deps.Coordinator(key, members)
+		if !ok || id != s.self {
+			continue
+		}
+		if svc := s.service(key); svc != nil {
+			out = append(out, svc.stale(now, list)...)
+		}
+	}
+	return out
+}
+
+func (v *service) stale(now time.Time, list []blackboard.Target) []StaleTarget {
+	var ids []platform.HostID
+	v.do(func(time.Time) { ids = v.book.Stale(now) })
+	wanted := make(map[platform.HostID]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
+	var out []StaleTarget
+	for _, t := range list {
+		if wanted[t.ID] {
+			out = append(out, StaleTarget{Service: v.key, Target: t})
+		}
+	}
+	return out
+}
+
+// Probed takes the result of a probe; a negative load means that none was
+// reported. A bad answer alone never ejects a target.
+func (s *Slots) Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int) {
+	if svc := s.service(key); svc != nil {
+		svc.do(func(now time.Time) { svc.book.Probed(now, id, ok, load) })
+	}
+}
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,118 @@
+package slots
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+func TestHostsShareTheSlotsOfATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 2, declare.Service{Slots: 2})
+		defer c.close(t)
+		seen := map[platform.HostID]int{}
+		var grants []pick.Grant
+		for _, h := range c.hosts {
+			g, _ := h.pickFor(time.Second, pick.Request{})
+			seen[g.Target().ID]++
+			grants = append(grants, g)
+		}
+		synctest.Wait()
+		assert.Equal(t, len(seen), 2, "%v", seen)
+		assert.Equal(t, c.hosts[0].held(), 3)
+		for _, g := range grants {
+			g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
+		}
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[0].held(), 0)
+	})
+}
+
+// The coordinator is cut off in both directions while calls come. The caller
+// sees nothing but a wait of a few milliseconds on the first call: its host
+// stops waiting and chooses alone. When the cut heals, the coordinator decides
+// again and its books hold what was started meanwhile.
+func TestSilentCoordinatorDelaysOneCallByMilliseconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 4, declare.Service{Slots: 2})
+		defer c.close(t)
+		h := c.hosts[1]
+		assert.Equal(t, h.call(5*time.Millisecond).Outcome, outcome.Answered)
+		c.net.Cut("h1", "h0")
+		c.net.Cut("h0", "h1")
+		began := time.Now()
+		g, _ := h.pickFor(time.Second, pick.Request{})
+		assert.Assert(t, g != nil)
+		waited := time.Since(began)
+		assert.Check(t, waited <= 6*time.Millisecond, "waited %s", waited)
+		began = time.Now()
+		assert.Equal(t, h.call(0).Outcome, outcome.Answered)
+		assert.Equal(t, time.Since(began), time.Duration(0), "later calls do not wait")
+		c.net.Heal()
+		time.Sleep(time.Second)
+		assert.Equal(t, c.hosts[0].held(), 1)
+		g.Release(pick.Report{Class: pick.OK, Latency: time.Second, Load: -1})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[0].held(), 0)
+		assert.Equal(t, h.count("slots_fallbacks"), int64(1))
+	})
+}
+
+func TestRefusalsComeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 1, declare.Service{Slots: 1, MaxQueue: 1})
+		defer c.close(t)
+		h := c.hosts[1]
+		for range 30 {
+			h.call(20 * time.Millisecond)
+		}
+		hold := make(chan struct{})
+		for range 2 {
+			go func() {
+				g, _ := h.pickFor(time.Minute, pick.Request{})
+				<-hold
+				g.Release(pick.Report{Class: pick.OK, Latency: time.Second, Load: -1})
+			}()
+			time.Sleep(2 * time.Millisecond)
+		}
+		go h.call(time.Millisecond) // waits in the queue
+		time.Sleep(2 * time.Millisecond)
+		began := time.Now()
+		_, refusal := h.pickFor(time.Second, pick.Request{})
+		assert.Equal(t, refusal, outcome.Refuse(outcome.ReasonQueueFull))
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		_, refusal = c.hosts[0].pickFor(10*time.Millisecond, pick.Request{})
+		assert.Equal(t, refusal.Reason, outcome.ReasonDeadline)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		close(hold)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.hosts[0].held(), 0)
+	})
+}
+
+// The coordinator dies with grants out and the hosts agree on another one. No
+// call loses its answer: those in flight end as usual, and the new coordinator
+// learns of them from the hosts that have them.
+func TestNewCoordinatorLearnsWhatIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 2, declare.Service{Slots: 2})
+		defer c.close(t)
+		g, _ := c.hosts[2].pickFor(time.Second, pick.Request{})
+		c.net.Leave("h0")
+		c.setCoordinator("h1")
+		assert.Equal(t, c.hosts[2].call(time.Millisecond).Outcome, outcome.Answered)
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[1].held(), 1)
+		g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[1].held(), 0)
+		assert.Equal(t, c.hosts[2].count("slots_fallbacks"), int64(0))
+	})
+}
