Hold at-most-once calls by claims in the table

A call that must not be repeated may reach several hosts, before and after crashes, pauses and lost store answers. The ledger lets only the holder of the key's claim send, never takes a claim from its holder, and tells not-run only where the claim shows it for the key over all hosts.

--- /dev/null
+++ b/ledger/batch/commit.go
@@ -0,0 +1,268 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// Run commits until ctx ends, and returns once no transaction is under way.
+func (w *Writer) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		if !w.await(ctx) {
+			return nil
+		}
+		group := w.gather()
+		if len(group) == 0 {
+			<-w.slots
+			continue
+		}
+		wg.Go(func() {
+			w.commit(group)
+			<-w.slots
+			w.signal()
+		})
+	}
+}
+
+// await waits until there is a write, a transaction may be made, and one of
+// the slots for transactions is taken for it. Writes that come meanwhile join
+// the same transaction.
+func (w *Writer) await(ctx context.Context) bool {
+	for !w.hasWork() {
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	if !sleep(ctx, w.untilSoon()) {
+		return false
+	}
+	if w.limiter.Wait(ctx) != nil {
+		return false
+	}
+	select {
+	case w.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *Writer) hasWork() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.queues[:], func(q []*entry) bool { return len(q) > 0 })
+}
+
+func (w *Writer) untilSoon() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.notSoon)
+}
+
+// gather takes the writes of one transaction, claims first. No row is written
+// twice in one: the table checks all conditions before it writes, so two
+// inserts of one row would both pass and two sends would both hold the claim.
+func (w *Writer) gather() []*entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var group []*entry
+	rows := make(map[string]bool)
+	size := 0
+	for c := range w.queues {
+		var rest []*entry
+		for _, e := range w.queues[c] {
+			full := len(group) >= w.cfg.MaxOps || len(group) > 0 && size+len(e.Op.Value) > w.cfg.MaxBytes
+			if full || rows[e.Op.Key] {
+				rest = append(rest, e)
+				continue
+			}
+			rows[e.Op.Key] = true
+			size += len(e.Op.Value)
+			e.queued = false
+			group = append(group, e)
+		}
+		w.queues[c] = rest
+	}
+	w.underway += len(group)
+	return group
+}
+
+// commit makes one transaction and settles or queues again each of its writes.
+func (w *Writer) commit(group []*entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.cfg.Timeout)
+	defer cancel()
+	res, err := w.table.Commit(ctx, ops(group)...)
+	switch {
+	case err == nil && res.Applied:
+		w.calm()
+		w.settleApplied(group)
+	case err == nil:
+		w.calm()
+		w.settleConflicts(group, res.Conflicts)
+	case errors.Is(err, platform.ErrUnavailable):
+		w.backOff()
+		w.requeue(group)
+	default:
+		w.readBack(group)
+	}
+}
+
+func ops(group []*entry) []platform.Op {
+	list := make([]platform.Op, len(group))
+	for i, e := range group {
+		list[i] = e.Op
+	}
+	return list
+}
+
+func (w *Writer) settleApplied(group []*entry) {
+	for _, e := range group {
+		w.settle(e, outcome{res: Result{Applied: true, Row: written(e.Op)}})
+	}
+}
+
+// written is the row that an applied operation leaves.
+func written(op platform.Op) platform.Row {
+	if op.Kind == platform.OpDelete {
+		return platform.Row{Key: op.Key}
+	}
+	return platform.Row{Key: op.Key, Version: op.Version + 1, Value: op.Value}
+}
+
+// settleConflicts answers the writes that were in conflict and queues the rest
+// again: a transaction with one conflict applies nothing at all.
+func (w *Writer) settleConflicts(group []*entry, conflicts []platform.Row) {
+	inWay := make(map[string]platform.Row, len(conflicts))
+	for _, r := range conflicts {
+		inWay[r.Key] = r
+	}
+	var rest []*entry
+	for _, e := range group {
+		row, conflict := inWay[e.Op.Key]
+		if !conflict {
+			rest = append(rest, e)
+			continue
+		}
+		w.settle(e, outcome{res: Result{Applied: isWritten(e.Op, row), Row: row}})
+	}
+	w.requeue(rest)
+}
+
+// isWritten reports whether a row is as the operation leaves it. Every value
+// holds the unique identity of its claim, so an equal value is this write's own,
+// which took effect although its answer was lost.
+func isWritten(op platform.Op, row platform.Row) bool {
+	if op.Kind == platform.OpDelete {
+		return row.Version == 0
+	}
+	return row.Version > 0 && bytes.Equal(row.Value, op.Value)
+}
+
+// readBack finds out what a transaction without an answer did. A write that is
+// not in its row may still get there, so it is made again: its condition lets
+// only one of the two take effect, and the value tells whose it was.
+func (w *Writer) readBack(group []*entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), w.cfg.Timeout)
+	defer cancel()
+	names := make([]string, len(group))
+	for i, e := range group {
+		names[i] = e.Op.Key
+		e.maybe = true
+	}
+	rows, err := w.table.Get(ctx, names...)
+	if err != nil || len(rows) != len(group) {
+		w.backOff()
+		w.requeue(group)
+		return
+	}
+	var rest []*entry
+	for i, e := range group {
+		if isWritten(e.Op, rows[i]) {
+			w.settle(e, outcome{res: Result{Applied: true, Row: rows[i]}})
+			continue
+		}
+		if rows[i].Version > e.Op.Version {
+			w.settle(e, outcome{res: Result{Row: rows[i]}})
+			continue
+		}
+		rest = append(rest, e)
+	}
+	w.requeue(rest)
+}
+
+// settle hands a result to whoever waits for it.
+func (w *Writer) settle(e *entry, o outcome) {
+	w.mu.Lock()
+	w.underway--
+	abandoned := e.abandoned
+	if !abandoned {
+		e.done <- o
+	}
+	w.mu.Unlock()
+	if abandoned && e.Late != nil {
+		e.Late(o.res, o.err)
+	}
+}
+
+// requeue puts writes back at the head of their queues. A write that nobody
+// waits for and that can not have taken effect is dropped instead.
+func (w *Writer) requeue(group []*entry) {
+	var dropped []*entry
+	w.mu.Lock()
+	var back [classes][]*entry
+	for _, e := range group {
+		if e.abandoned && !e.maybe {
+			dropped = append(dropped, e)
+			continue
+		}
+		e.queued = true
+		w.underway--
+		back[e.Class] = append(back[e.Class], e)
+	}
+	for c := range back {
+		w.queues[c] = append(back[c], w.queues[c]...)
+	}
+	w.mu.Unlock()
+	for _, e := range dropped {
+		w.settle(e, outcome{err: ErrNotWritten})
+	}
+	w.signal()
+}
+
+func (w *Writer) calm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = 0
+}
+
+func (w *Writer) backOff() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = min(max(2*w.pause, firstPause), lastPause)
+	w.notSoon = time.Now().Add(w.pause)
+}
