--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -15,7 +15,6 @@
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
@@ -122,8 +121,6 @@
 	}
 }
 
-func (w *world) link(i int) peer.HostID { return w.hosts[i].id }
-
 // key returns a key of the usual caller.
 func key(value string) Key {
 	return Key{Workspace: "auction", Service: "bids", Caller: "ana", Value: value, Digest: Digest{1}, DigestKnown: true}
