--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -37,7 +38,7 @@
 func (a *attempt) answered() bool { return a.resp != nil }
 
 // send makes one attempt and waits for the head of its answer.
-func (d *Dispatcher) send(ctx context.Context, c *Call, g pick.Grant) *attempt {
+func (d *Dispatcher) send(ctx context.Context, c *Call, g pick.Grant, claim *ledger.Claim) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
 		grant:   g,
@@ -45,6 +46,13 @@
 		start:   time.Now(),
 		observe: func(took time.Duration) { d.observe(c.Key, took) },
 	}
+	if claim != nil && !claim.Sending() {
+		// The host was held up for so long that the claim's row may be gone, and
+		// another send may have taken the key.
+		a.class, a.reason = pick.NotSent, outcome.ReasonKeyExpired
+		a.end(a.class)
+		return a
+	}
 	res := d.upstream.RoundTrip(newRequest(ctx, c), g.Target(), upstream.SendOptions{
 		MaxConns: d.connShare(c),
 		Once:     c.Repeat == Once,
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -54,6 +54,8 @@
 	AtMostOnce bool
 	// IdempotencyKey is the caller's key, or empty.
 	IdempotencyKey string
+	// Arrived is when the call reached this host.
+	Arrived time.Time
 	// Caller identifies who asks, as far as stored answers go.
 	Caller string
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	Board    *blackboard.Board
 	Picker   pick.Picker
 	Upstream upstream.RoundTripper
+	Ledger   Ledger
 	Metrics  *metrics.Set
 }
 
@@ -25,6 +26,7 @@
 	board    *blackboard.Board
 	picker   pick.Picker
 	upstream upstream.RoundTripper
+	ledger   Ledger
 	metrics  *metrics.Set
 
 	workspaces sync.Map // name -> *workspace
@@ -37,6 +39,7 @@
 		board:    deps.Board,
 		picker:   deps.Picker,
 		upstream: deps.Upstream,
+		ledger:   deps.Ledger,
 		metrics:  deps.Metrics,
 	}
 }
@@ -58,7 +61,21 @@
 // Do carries out a call that was admitted. ctx carries the caller's deadline
 // and ends when the caller is gone.
 func (d *Dispatcher) Do(ctx context.Context, c *Call) *Reply {
-	h := &history{}
+	if !c.AtMostOnce {
+		return d.run(ctx, c, &history{once: c.Repeat == Once})
+	}
+	if c.IdempotencyKey != "" {
+		return d.doKeyed(ctx, c)
+	}
+	h := &history{once: true}
+	if c.Service.RequireKey {
+		return h.settle(outcome.ReasonKeyRequired, 0)
+	}
+	return d.run(ctx, c, h)
+}
+
+// run makes attempts until one is answered or there may be no other.
+func (d *Dispatcher) run(ctx context.Context, c *Call, h *history) *Reply {
 	for {
 		g, refusal := d.picker.Pick(ctx, pick.Request{
 			Service: c.Key,
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) race(ctx context.Context, c *Call, g pick.Grant, h *history) *attempt {
 	delay, ok := d.hedgeDelay(ctx, c, h)
 	if !ok {
-		a := d.send(ctx, c, g)
+		a := d.send(ctx, c, g, h.claim)
 		h.add(a)
 		return a
 	}
@@ -72,7 +72,7 @@
 	// Each attempt has a context of its own, so that the loser can be canceled
 	// without touching the winner's answer.
 	ctx1, cancel1 := context.WithCancel(ctx)
-	go func() { done <- d.send(ctx1, c, g) }()
+	go func() { done <- d.send(ctx1, c, g, nil) }()
 
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -91,7 +91,7 @@
 		return a
 	}
 	ctx2, cancel2 := context.WithCancel(ctx)
-	go func() { done <- d.send(ctx2, c, g2) }()
+	go func() { done <- d.send(ctx2, c, g2, nil) }()
 	d.metrics.Retries.Add("hedge", 1)
 	return firstAnswer(h, done, map[pick.Grant]context.CancelFunc{g: cancel1, g2: cancel2})
 }
--- a/dispatch/history.go
+++ b/dispatch/history.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -14,6 +15,10 @@
 	attempts   int
 	tried      []platform.HostID
 	mayHaveRun bool
+	// once is set for calls that may not be repeated, claim for those of them
+	// that carry an idempotency key.
+	once  bool
+	claim *ledger.Claim
 	// failure is a target's answer of status 500 and above, kept while another
 	// attempt looks for a better one.
 	failure *Reply
@@ -22,6 +27,11 @@
 func (h *history) add(a *attempt) {
 	h.attempts++
 	h.tried = append(h.tried, a.grant.Target().ID)
+	twice := h.once && h.mayHaveRun && a.mayHaveRun
+	invariant.Check(!twice, invariant.AtMostOnce, "attempt=%d target=%s", h.attempts, a.grant.Target().ID)
+	if h.claim != nil && !a.mayHaveRun {
+		h.claim.Refused()
+	}
 	h.mayHaveRun = h.mayHaveRun || a.mayHaveRun
 }
 
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 )
 
@@ -17,6 +18,7 @@
 	noRetryBody     = "body-not-kept"
 	noRetryDeadline = "deadline"
 	noRetryStatus   = "status"
+	noRetryClaim    = "claim-too-old"
 )
 
 // mayRetry decides whether there is another attempt after a, and pays for it.
@@ -42,6 +44,8 @@
 		// The target may be running the call at this moment: another attempt
 		// could bill a purchase twice.
 		return noRetryMayRun
+	case a.reason == outcome.ReasonKeyExpired:
+		return noRetryClaim
 	case h.attempts >= c.Attempts:
 		return noRetryAttempts
 	case !c.Body.Replayable():
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // call serves one call of a caller.
@@ -71,6 +72,7 @@
 	for name, values := range forwardable(r.Header) {
 		h[name] = values
 	}
+	targetapi.Strip(h)
 	if r.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -35,6 +35,7 @@
 		Attempts:  attemptsLeft(r, m.service.MaxAttempts),
 		Depth:     intHeader(r, dispatch.HeaderDepth, 0),
 		Caller:    callerOf(r),
+		Arrived:   time.Now(),
 	}
 	u := *r.URL
 	u.Path = m.path
