--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,8 +65,8 @@
 type Operators struct {
 	Addr string `json:"addr"`
 	TLS  TLS    `json:"tls,omitzero"`
-	// TokenFile holds the token that changes must carry. Without it changes
-	// are taken from loopback alone.
+	// TokenFile holds the token that changes must carry. Without it every
+	// change is refused; plan, status, history and metrics need none.
 	TokenFile string `json:"tokenFile,omitempty"`
 }
 
