Prove the configuration by random faults

They found that a round of questions to peers that outlasts its gap ended the process (the limit of an active group was set again).

--- a/controller/config/config.go
+++ b/controller/config/config.go
@@ -22,8 +22,8 @@
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
-// Deps is what a controller works with. All fields but Timings and Now are
-// required.
+// Deps is what a controller works with. All fields but Timings, Now and
+// Rand are required.
 type Deps struct {
 	Board   *blackboard.Board
 	Table   platform.Table
@@ -35,6 +35,8 @@
 	Timings Timings
 	// Now is time.Now unless a test moves the clock of one host.
 	Now func() time.Time
+	// Rand spreads polls and picks peers; nil takes a random seed.
+	Rand *rand.Rand
 }
 
 // Timings are the periods and sizes of the controller.
@@ -89,6 +91,9 @@
 	refused *expvar.Map
 	retried *expvar.Map
 
+	// randMu guards Deps.Rand.
+	randMu sync.Mutex
+
 	// mu serialises changes of the configuration.
 	mu     sync.Mutex
 	recent []Change
@@ -125,6 +130,9 @@
 	if deps.Now == nil {
 		deps.Now = time.Now
 	}
+	if deps.Rand == nil {
+		deps.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	c := &Controller{
 		Deps:     deps,
 		events:   deps.Metrics.Map("config_events"),
@@ -169,14 +177,24 @@
 		case <-ctx.Done():
 			return nil
 		case <-c.kick:
-		case <-time.After(jitter(c.Timings.Poll)):
+		case <-time.After(c.jitter(c.Timings.Poll)):
 		}
 	}
 }
 
-// jitter spreads the hosts' polls, a tenth either way.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.9 + 0.2*rand.Float64()))
+// jitter spreads what the hosts do periodically, a tenth either way.
+func (c *Controller) jitter(d time.Duration) time.Duration {
+	c.randMu.Lock()
+	defer c.randMu.Unlock()
+	return time.Duration(float64(d) * (0.9 + 0.2*c.Rand.Float64()))
+}
+
+// pickHosts returns up to n of the hosts, at random; it reorders the slice.
+func (c *Controller) pickHosts(hosts []peer.HostID, n int) []peer.HostID {
+	c.randMu.Lock()
+	defer c.randMu.Unlock()
+	c.Rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(n, len(hosts))]
 }
 
 // wake makes the next poll come at once.
--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -191,6 +191,7 @@
 		f.CutPeers(h[1])
 		change(t, h[0], "c1", 0, 7, config.ResultApplied)
 		second := change(t, h[0], "c2", 1, 8, config.ResultApplied)
+		pass(10 * time.Millisecond) // the pushes are lost
 		f.Net.Heal()
 		h[0].Controller.PushTo(h[1].ID, *second.Change)
 		pass(10 * time.Millisecond)
--- a/controller/config/confirm.go
+++ b/controller/config/confirm.go
@@ -78,7 +78,7 @@
 	ticker := time.NewTicker(c.Timings.Tick)
 	defer ticker.Stop()
 	last := c.Now()
-	var round peerRound
+	round := newPeerRound()
 	defer round.wait()
 	for {
 		select {
--- a/controller/config/peers.go
+++ b/controller/config/peers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -131,8 +130,7 @@
 func (c *Controller) announce() {
 	hosts := c.peers()
 	if len(hosts) > smallFleet {
-		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-		hosts = hosts[:c.Timings.Fanout]
+		hosts = c.pickHosts(hosts, c.Timings.Fanout)
 	}
 	for _, h := range hosts {
 		peer.Notify(c.Link, h, kindAnnounce, announceMsg{Sequence: c.Sequence()})
@@ -227,6 +225,12 @@
 	next  time.Time
 }
 
+func newPeerRound() *peerRound {
+	r := new(peerRound)
+	r.group.SetLimit(1)
+	return r
+}
+
 func (r *peerRound) wait() { _ = r.group.Wait() }
 
 // start begins a round unless one is under way or the last was a moment ago.
@@ -235,11 +239,10 @@
 	if now.Before(r.next) {
 		return
 	}
-	r.group.SetLimit(1)
 	if !r.group.TryGo(func() error { c.askPeers(ctx); return nil }) {
 		return
 	}
-	gap := jitter(c.Timings.Poll)
+	gap := c.jitter(c.Timings.Poll)
 	if !c.Fresh() {
 		gap /= 2
 	}
--- a/controller/config/round.go
+++ b/controller/config/round.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -64,9 +63,7 @@
 	if len(hosts) <= smallFleet || !c.Fresh() {
 		return hosts
 	}
-	hosts = slices.Clone(hosts)
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	return hosts[:peerSample]
+	return c.pickHosts(slices.Clone(hosts), peerSample)
 }
 
 // heads asks hosts at once, at most smallFleet at a time.
--- a/controller/config/snapshot.go
+++ b/controller/config/snapshot.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,7 +103,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(wait + rand.N(wait)):
+		case <-time.After(c.jitter(wait)):
 		}
 	}
 }
--- a/internal/bench/confignet/fleet.go
+++ b/internal/bench/confignet/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,13 +28,20 @@
 	Store *store.Store
 	// Configure, if set, changes a controller before it runs.
 	Configure func(*config.Controller)
+	// Seed makes the hosts' random choices repeatable.
+	Seed uint64
 
 	mu    sync.Mutex
 	hosts []*Host
+	slow  map[platform.HostID]time.Duration
+	cuts  map[pair]bool
 	all   atomic.Uint64
 	sent  atomic.Uint64
 }
 
+// pair is a direction between two hosts.
+type pair struct{ from, to platform.HostID }
+
 // Host is one host of a fleet.
 type Host struct {
 	ID         platform.HostID
@@ -53,12 +61,42 @@
 
 // NewFleet starts hosts in three availability zones.
 func NewFleet(hosts int) *Fleet {
-	f := &Fleet{Net: peernet.New(), Store: store.New(store.Limits{})}
-	f.Net.Delay = oneWay
+	f := Empty()
+	f.StartAll(hosts)
+	return f
+}
+
+// Empty returns a fleet that can still be configured.
+func Empty() *Fleet {
+	f := &Fleet{
+		Net:   peernet.New(),
+		Store: store.New(store.Limits{}),
+		slow:  make(map[platform.HostID]time.Duration),
+		cuts:  make(map[pair]bool),
+	}
+	f.Net.Delay = f.delay
+	return f
+}
+
+// StartAll adds several hosts.
+func (f *Fleet) StartAll(hosts int) {
 	for range hosts {
 		f.Start()
 	}
-	return f
+}
+
+// delay is the time of a message between two hosts.
+func (f *Fleet) delay(from, to platform.HostID) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return oneWay(from, to) + f.slow[from]
+}
+
+// SlowDown delays all that a host sends from now on.
+func (f *Fleet) SlowDown(h *Host, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow[h.ID] = d
 }
 
 // oneWay is the delay between two hosts, whose IDs end with their zone.
@@ -86,7 +124,7 @@
 	link := &countingLink{Link: f.Net.Join(h.ID), sent: &f.sent}
 	h.Controller = config.New(config.Deps{
 		Board: h.Board, Table: h.platform, Objects: gateObjects{h.platform}, Link: link,
-		Metrics: h.Metrics, Log: zap.NewNop(), Now: h.now,
+		Metrics: h.Metrics, Log: zap.NewNop(), Now: h.now, Rand: rand.New(rand.NewPCG(f.Seed, n)),
 	})
 	if f.Configure != nil {
 		f.Configure(h.Controller)
@@ -152,25 +190,58 @@
 // CutPeers cuts the host off from all others.
 func (f *Fleet) CutPeers(h *Host) {
 	for _, other := range f.Hosts() {
-		f.Net.Cut(h.ID, other.ID)
-		f.Net.Cut(other.ID, h.ID)
+		f.CutLink(h, other)
+		f.CutLink(other, h)
 	}
 }
 
+// CutLink drops what one host sends to another.
+func (f *Fleet) CutLink(from, to *Host) {
+	f.Net.Cut(from.ID, to.ID)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts[pair{from.ID, to.ID}] = true
+}
+
 // Heal ends all cuts.
 func (f *Fleet) Heal() {
 	f.Net.Heal()
+	f.mu.Lock()
+	clear(f.slow)
+	clear(f.cuts)
+	f.mu.Unlock()
 	for _, h := range f.Hosts() {
 		h.platform.cut.Store(false)
 	}
 }
 
+// Linked reports whether two hosts reach each other without delay.
+func (f *Fleet) Linked(a, b *Host) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slow[a.ID]+f.slow[b.ID] == 0 && !f.cuts[pair{a.ID, b.ID}] && !f.cuts[pair{b.ID, a.ID}]
+}
+
+// Severed reports whether no message passes between two hosts and back.
+func (f *Fleet) Severed(a, b *Host) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cuts[pair{a.ID, b.ID}] || f.cuts[pair{b.ID, a.ID}]
+}
+
 // SentBytes returns the bytes of all message bodies so far.
 func (f *Fleet) SentBytes() uint64 { return f.sent.Load() }
 
 // CutPlatform makes the platform's answers to this host hang.
 func (h *Host) CutPlatform() { h.platform.cut.Store(true) }
 
+// DelayCommit loses the answer to the host's next commit, which takes effect
+// only after d.
+func (h *Host) DelayCommit(d time.Duration) { h.platform.late.Store(int64(d)) }
+
+// PlatformCut reports whether the platform's answers to this host hang.
+func (h *Host) PlatformCut() bool { return h.platform.cut.Load() }
+
 // Jump moves the host's clock on, as it looks after a pause.
 func (h *Host) Jump(d time.Duration) { h.offset.Add(int64(d)) }
 
--- a/internal/bench/confignet/gate.go
+++ b/internal/bench/confignet/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,9 @@
 	objects platform.ObjectStore
 	cut     atomic.Bool
 	reads   atomic.Uint64
+	// late is how long the next commit takes to take effect after its answer
+	// was lost.
+	late atomic.Int64
 }
 
 // pass waits for ctx if the gate is cut: no answer comes, as from a network
@@ -48,7 +52,12 @@
 	if err := g.pass(ctx); err != nil {
 		return platform.CommitResult{}, err
 	}
-	return g.table.Commit(ctx, ops...)
+	late := time.Duration(g.late.Swap(0))
+	if late == 0 {
+		return g.table.Commit(ctx, ops...)
+	}
+	time.AfterFunc(late, func() { _, _ = g.table.Commit(context.WithoutCancel(ctx), ops...) })
+	return platform.CommitResult{}, errors.Wrap(platform.ErrUncertain, "answer lost")
 }
 
 type gateObjects struct{ *gate }
