Carry peer messages in framed TCP connections

Cause: peer.Link had an in-memory implementation for tests only.

Node sends length-prefixed frames over one connection per peer and direction, writes all queued frames at once, and pairs replies by id. A shared key authenticates each frame by direction, nonces of both ends and a counter; mutual TLS is the other way.

--- /dev/null
+++ b/peer/counters.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"expvar"
+
+	"github.com/cactusproxy/cactusproxy/metrics"
+)
+
+// counters of one node, served as the map "peer".
+type counters struct {
+	framesIn, framesOut *expvar.Int
+	bytesIn, bytesOut   *expvar.Int
+	dials, dialFailed   *expvar.Int
+	handshakeFailed     *expvar.Int
+	inboundRefused      *expvar.Int
+	connBroken          *expvar.Int
+	frameRefused        *expvar.Int
+	unknownPeer         *expvar.Int
+	backingOff          *expvar.Int
+	queueFull           *expvar.Int
+	replyQueueFull      *expvar.Int
+	tooLarge            *expvar.Int
+	handlersBusy        *expvar.Int
+	lateReply           *expvar.Int
+}
+
+func newCounters(set *metrics.Set) counters {
+	m := set.Map("peer")
+	add := func(name string) *expvar.Int {
+		v := new(expvar.Int)
+		m.Set(name, v)
+		return v
+	}
+	return counters{
+		framesIn:        add("frames_in"),
+		framesOut:       add("frames_out"),
+		bytesIn:         add("bytes_in"),
+		bytesOut:        add("bytes_out"),
+		dials:           add("dials"),
+		dialFailed:      add("dial_failed"),
+		handshakeFailed: add("handshake_failed"),
+		inboundRefused:  add("inbound_refused"),
+		connBroken:      add("connection_broken"),
+		frameRefused:    add("frame_refused"),
+		unknownPeer:     add("unknown_peer"),
+		backingOff:      add("backing_off"),
+		queueFull:       add("queue_full"),
+		replyQueueFull:  add("reply_queue_full"),
+		tooLarge:        add("too_large"),
+		handlersBusy:    add("handlers_busy"),
+		lateReply:       add("late_reply"),
+	}
+}
--- /dev/null
+++ b/peer/inbound.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+var errBusy = errors.New("peer runs too many handlers")
+
+// serveInbound answers the requests of one connection until it ends.
+func (n *Node) serveInbound(conn net.Conn) {
+	tuneConn(conn)
+	if n.opts.TLS != nil {
+		conn = tls.Server(conn, n.opts.TLS)
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	s, err := n.acceptHandshake(ctx, conn)
+	if err != nil {
+		_ = conn.Close()
+		n.count.handshakeFailed.Add(1)
+		n.opts.Log.Warn("peer connection refused",
+			zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	n.heardFrom(s.peer.From)
+	in := newInbound(n, s)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		in.write(ctx)
+	}()
+	err = in.read(ctx)
+	cancel()
+	_ = conn.Close()
+	<-done
+	n.opts.Log.Debug("peer connection ended",
+		zap.String("from", string(s.peer.From)), zap.Uint64("incarnation", s.peer.Incarnation), zap.Error(err))
+}
+
+// inbound is a connection that a peer opened.
+type inbound struct {
+	node *Node
+	s    *session
+	wake chan struct{}
+
+	mu      sync.Mutex
+	enc     *frameEncoder
+	replies batch
+}
+
+func newInbound(n *Node, s *session) *inbound {
+	return &inbound{node: n, s: s, wake: make(chan struct{}, 1), enc: newFrameEncoder()}
+}
+
+func (in *inbound) read(ctx context.Context) error {
+	for {
+		h, body, err := in.s.readFrame()
+		if err != nil {
+			if errors.Is(err, errFrame) || errors.Is(err, errTag) {
+				in.node.count.frameRefused.Add(1)
+			}
+			return err
+		}
+		switch h.typ {
+		case frameRequest, frameNotify:
+			in.start(ctx, h, body)
+		default:
+			in.node.count.frameRefused.Add(1)
+			return errors.Wrap(errFrame, "not a request")
+		}
+	}
+}
+
+// start runs the handler without holding up the reader: a request that waits
+// for a slot must not hold up the release of that slot behind it.
+func (in *inbound) start(ctx context.Context, h header, body []byte) {
+	n := in.node
+	if n.executing.Add(1) > maxHandlers {
+		n.executing.Add(-1)
+		n.count.handlersBusy.Add(1)
+		in.reply(h, nil, errBusy)
+		return
+	}
+	go func() {
+		defer n.executing.Add(-1)
+		out, err := n.handle(ctx, in.s.peer.From, h.kind, body)
+		in.reply(h, out, err)
+	}()
+}
+
+func (in *inbound) reply(req header, body []byte, err error) {
+	if req.typ == frameNotify {
+		return
+	}
+	h := header{typ: frameReply, kind: req.kind, id: req.id}
+	if err == nil && len(body) > in.node.maxBody() {
+		in.node.count.tooLarge.Add(1)
+		err = errTooLarge
+	}
+	if err != nil {
+		h.typ = frameError
+		body = []byte(err.Error())
+		body = body[:min(len(body), in.node.maxBody())]
+	}
+	in.mu.Lock()
+	full := in.replies.full(len(body))
+	if !full {
+		in.replies.add(in.enc, h, body, in.s.tagLen())
+	}
+	in.mu.Unlock()
+	if full {
+		// The peer sends requests and reads no replies. Closing tells it that
+		// none will come; keeping them would cost this host its memory.
+		in.node.count.replyQueueFull.Add(1)
+		_ = in.s.conn.Close()
+		return
+	}
+	wakeUp(in.wake)
+}
+
+// write sends replies until the connection ends.
+func (in *inbound) write(ctx context.Context) {
+	var b batch
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-in.wake:
+		}
+		in.mu.Lock()
+		b, in.replies = in.replies, b
+		in.mu.Unlock()
+		if len(b.frames) == 0 {
+			continue
+		}
+		if _, err := in.s.writeBatch(&b); err != nil {
+			_ = in.s.conn.Close()
+			return
+		}
+		b.reset()
+	}
+}
+
+// wakeUp tells a writer that its queue is not empty.
+func wakeUp(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
