--- /dev/null
+++ b/internal/bench/choose/coordinated.go
@@ -0,0 +1,250 @@
+package choose
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/policy/session"
+)
+
+var benchService = blackboard.ServiceKey{Workspace: "bench", Service: "bench"}
+
+// coordinated runs the sessions and books of a daemon on every host.
+type coordinated struct {
+	world *world
+	hosts []*simHost
+	ids   map[platform.HostID]int
+	// coordinator returns which host a host takes for the coordinator.
+	coordinator func(host int) int
+	// hedge gives each call a second attempt when the first is overdue.
+	listed []blackboard.Target
+	local  int // calls placed by fallback
+	frames int // messages between hosts
+}
+
+// simHost is one entry host.
+type simHost struct {
+	way     *coordinated
+	index   int
+	id      platform.HostID
+	session *session.Session
+	book    *grant.Book
+	calls   map[grant.CallID]*simCall
+	armed   time.Duration // when the next tick comes; 0 means none
+	// dead hosts answer nothing; paused ones answer when the pause ends.
+	dead   bool
+	paused time.Duration
+}
+
+func (w *coordinated) attach(wd *world) {
+	w.world = wd
+	w.ids = make(map[platform.HostID]int)
+	svc := &declare.Service{Slots: wd.c.Slots, MaxQueue: wd.c.MaxQueue, ColdStart: wd.c.ColdStart}
+	for _, t := range wd.targets {
+		w.listed = append(w.listed, blackboard.Target{ID: t.id})
+	}
+	for i := range wd.c.Hosts {
+		h := &simHost{
+			way:   w,
+			index: i,
+			id:    platform.HostID(fmt.Sprintf("h%02d", i)),
+			calls: make(map[grant.CallID]*simCall),
+		}
+		h.session = session.New(benchService, h.id, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
+		h.book = grant.NewBook(benchService, rand.New(rand.NewPCG(wd.seed, uint64(200+i))))
+		h.session.Configure(svc)
+		h.book.Configure(svc)
+		w.ids[h.id] = i
+		w.hosts = append(w.hosts, h)
+	}
+	w.setTargets()
+	w.setCoordinators()
+}
+
+// setTargets tells every host the list of targets.
+func (w *coordinated) setTargets() {
+	for _, h := range w.hosts {
+		h.do(func(now time.Time) {
+			h.session.SetTargets(now, w.listed)
+			h.book.SetTargets(now, w.listed)
+		})
+	}
+}
+
+// setCoordinators tells every host its coordinator; a negative one is none.
+func (w *coordinated) setCoordinators() {
+	for _, h := range w.hosts {
+		i := w.coordinator(h.index)
+		h.do(func(now time.Time) {
+			if i < 0 {
+				h.session.SetCoordinator(now, "", false)
+				return
+			}
+			h.session.SetCoordinator(now, w.hosts[i].id, true)
+		})
+	}
+}
+
+func (w *coordinated) arrive(c *simCall) {
+	w.hosts[c.host].ask(c, nil)
+}
+
+func (h *simHost) ask(c *simCall, avoid []platform.HostID) {
+	h.do(func(now time.Time) {
+		id := h.session.NextID()
+		h.calls[id] = c
+		h.session.Ask(now, pick.Request{Service: benchService, Avoid: avoid}, epoch.Add(c.deadline))
+	})
+}
+
+// do runs one event of a host and carries out what follows from it.
+func (h *simHost) do(event func(now time.Time)) {
+	now := h.way.world.clock()
+	event(now)
+	for {
+		out := h.session.Take()
+		for _, d := range out.Decisions {
+			h.decided(d)
+		}
+		if len(out.Overdue) > 0 {
+			h.tellOverdue(out.Overdue)
+		}
+		if out.To == h.id {
+			h.book.Receive(now, h.id, out.Frame)
+		} else if out.To != "" {
+			h.sendFrame(out.To, out.Frame)
+		}
+		if !h.flush(now) && out.To != h.id {
+			break
+		}
+	}
+	h.arm()
+}
+
+// flush sends what the book has to say and reports whether some of it was for
+// this host itself.
+func (h *simHost) flush(now time.Time) bool {
+	own := false
+	h.book.Flush(now, func(to platform.HostID, t grant.Tell) {
+		t.Grants = append([]grant.Grant(nil), t.Grants...)
+		t.Refusals = append([]grant.Refusal(nil), t.Refusals...)
+		if to == h.id {
+			own = true
+			h.session.Told(now, h.id, t)
+			return
+		}
+		dst := h.way.hosts[h.way.ids[to]]
+		h.deliver(dst, func(now time.Time) { dst.session.Told(now, h.id, t) })
+	})
+	return own
+}
+
+func (h *simHost) sendFrame(to platform.HostID, f grant.Frame) {
+	dst := h.way.hosts[h.way.ids[to]]
+	h.deliver(dst, func(now time.Time) { dst.book.Receive(now, h.id, f) })
+}
+
+func (h *simHost) tellOverdue(ids []platform.HostID) {
+	for _, dst := range h.way.hosts {
+		if dst != h {
+			h.deliver(dst, func(now time.Time) { dst.session.Overdue(now, ids) })
+		}
+	}
+}
+
+// deliver carries a message to another host, unless one of them is dead. A
+// paused host takes it when the pause ends.
+func (h *simHost) deliver(dst *simHost, event func(now time.Time)) {
+	w := h.way.world
+	h.way.frames++
+	if h.dead {
+		return
+	}
+	w.after(w.distance(h.index, dst.index%w.c.Zones), func() {
+		dst.whenAwake(func() { dst.do(event) })
+	})
+}
+
+// whenAwake runs f now or at the end of the pause, and never on a dead host.
+func (h *simHost) whenAwake(f func()) {
+	w := h.way.world
+	switch {
+	case h.dead:
+	case h.paused > w.now:
+		w.after(h.paused-w.now, func() { h.whenAwake(f) })
+	default:
+		f()
+	}
+}
+
+func (h *simHost) arm() {
+	w := h.way.world
+	next := h.book.Next()
+	if n := h.session.Next(); n > 0 && (next == 0 || n < next) {
+		next = n
+	}
+	if next == 0 || (h.armed > 0 && h.armed <= w.now+next) {
+		return
+	}
+	at := w.now + next
+	h.armed = at
+	w.after(next, func() {
+		if h.armed != at {
+			return // an earlier tick took its place
+		}
+		h.armed = 0
+		h.whenAwake(func() {
+			h.do(func(now time.Time) {
+				h.session.Tick(now)
+				h.book.Tick(now)
+			})
+		})
+	})
+}
+
+// decided carries out a decision: the call goes to its target or is refused.
+func (h *simHost) decided(d session.Decision) {
+	w := h.way.world
+	c := h.calls[d.ID]
+	delete(h.calls, d.ID)
+	if d.Reason != "" {
+		w.refuse(c, d.Reason)
+		return
+	}
+	if d.Local {
+		h.way.local++
+	}
+	began := w.now
+	t := w.targetByID(d.Target.ID)
+	w.send(c, t, func(class pick.Class, load int) {
+		h.whenAwake(func() { h.answered(c, t, d.ID, began, class, load) })
+	})
+}
+
+// answered ends an attempt. A target that is leaving refused before running
+// the call, so that it goes to another; every other answer is the caller's.
+func (h *simHost) answered(c *simCall, t *simTarget, id grant.CallID, began time.Duration, class pick.Class, load int) {
+	w := h.way.world
+	r := pick.Report{Class: class, Latency: w.now - began, Load: load, LeavingHint: class == pick.Leaving}
+	h.do(func(now time.Time) { h.session.End(now, id, r) })
+	if class == pick.Leaving {
+		h.ask(c, []platform.HostID{t.id})
+		return
+	}
+	w.finish(c, class)
+}
+
+func (w *world) targetByID(id platform.HostID) *simTarget {
+	for _, t := range w.targets {
+		if t.id == id {
+			return t
+		}
+	}
+	panic("unknown target " + id)
+}
