Serve asks in the order of arrival, within a fair share

Cause: hosts took turns, so an ask of a host with a few more asks than the others waited longer than its age deserved. A host that asks for more than twice its even share still only delays itself.

--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -41,9 +41,8 @@
 	rng     *rand.Rand
 	targets []*target
 	byID    map[platform.HostID]*target
-	hosts   []*host // in the order they are served
+	hosts   []*host
 	byHost  map[platform.HostID]*host
-	turn    int // the host that is served next
 	queued  int
 	calls   map[callKey]*call
 	spare   []*call
@@ -176,6 +175,7 @@
 		h.refuse(a.ID, reason)
 		return
 	}
+	w.tag = b.tag(now, h)
 	h.queue.push(w)
 	b.queued++
 }
@@ -348,5 +348,4 @@
 	b.queued -= h.queue.len()
 	delete(b.byHost, h.id)
 	b.hosts = slices.DeleteFunc(b.hosts, func(x *host) bool { return x == h })
-	b.turn = 0
 }
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -29,23 +29,65 @@
 	maxCold = 0.5
 )
 
-// dispatch gives slots to asks until it runs out of one or the other. Hosts
-// take turns, so that one host's burst does not hold up the others'.
+// dispatch gives slots to asks until it runs out of one or the other.
 func (b *Book) dispatch(now time.Time) {
 	if b.queued > 0 && b.capacity == 0 {
 		b.declineAll()
 	}
 	b.checkReserved()
-	missed := 0
-	for b.queued > 0 && missed < len(b.hosts) {
-		b.turn = (b.turn + 1) % len(b.hosts)
-		h := b.hosts[b.turn]
-		if h.queue.len() == 0 || !b.serve(now, h) {
-			missed++
+	for _, h := range b.hosts {
+		h.passed = false
+	}
+	for b.queued > 0 {
+		h := b.next()
+		if h == nil {
+			return
+		}
+		h.passed = !b.serve(now, h)
+	}
+}
+
+// next returns the host whose oldest ask is due first, of those whose turn was
+// not passed because no target suits the ask.
+func (b *Book) next() *host {
+	var first *host
+	for _, h := range b.hosts {
+		if h.queue.len() == 0 || h.passed {
 			continue
 		}
-		missed = 0
+		if first == nil || h.queue.front().tag.Before(first.queue.front().tag) {
+			first = h
+		}
+	}
+	return first
+}
+
+// Fairness between hosts.
+const (
+	// fairTimes an even share of the capacity is served in the order of
+	// arrival; what a host asks beyond it waits behind the others.
+	fairTimes = 2
+	// fairBurst asks may come at once before that counts.
+	fairBurst = 16
+)
+
+// tag returns when an ask is due. Asks are served in the order of arrival, which
+// has the shortest tail, as long as each host keeps to a multiple of its even
+// share; a host that floods the coordinator delays its own asks only.
+func (b *Book) tag(now time.Time, h *host) time.Time {
+	if b.capacity == 0 || b.service.Count() < minSamples {
+		return now
+	}
+	every := b.service.Mean() * time.Duration(len(b.hosts)) / time.Duration(fairTimes*b.capacity)
+	if h.paid.Before(now) {
+		h.paid = now
+	}
+	h.paid = h.paid.Add(every)
+	due := h.paid.Add(-fairBurst * every)
+	if due.Before(now) {
+		return now
 	}
+	return due
 }
 
 // serve settles the oldest ask of a host and reports whether it could.
--- a/policy/grant/host.go
+++ b/policy/grant/host.go
@@ -18,6 +18,9 @@
 	heard time.Time
 	told  time.Time
 	queue queue
+	// paid is up to when the host's asks use up its share, see tag.
+	paid   time.Time
+	passed bool // in this round of dispatch
 
 	// What the next Tell carries.
 	grants   []Grant
@@ -87,6 +90,7 @@
 	ask      Ask
 	since    time.Time
 	deadline time.Time // zero means none
+	tag      time.Time // the ask with the earliest is served first
 }
 
 // queue is the asks of one host, oldest first.
