Learn service times from free slots; suspect stragglers later

Cause: a long answer is not rare with lognormal service times: at 4 times the median 4% of healthy calls made their target a straggler, which then got nothing over its slots and stood idle between grants.

--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -47,7 +47,7 @@
 	calls   map[callKey]*call
 	spare   []*call
 
-	service  latency.Tracker
+	service  latency.Tracker // of attempts that found a slot free
 	failures health.Service
 	gap      time.Duration     // slot time between two calls, see learnGap
 	capacity int               // slots of the usable targets
@@ -69,6 +69,7 @@
 	target  *target
 	granted time.Time
 	alone   bool
+	queued  bool // all slots of the target were taken when it was granted
 }
 
 // NewBook returns a book without targets or hosts.
@@ -235,6 +236,7 @@
 		b.spare = b.spare[:n-1]
 	}
 	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
 }
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -12,12 +12,10 @@
 const (
 	// overdueTimes the median latency makes an attempt overdue: the target is
 	// taken for a straggler while it lasts.
-	overdueTimes = 4
+	overdueTimes = 6
 	// minOverdue keeps very fast services from suspecting targets on a delay
 	// in the network.
 	minOverdue = 2 * time.Millisecond
-	// slowFor is how long an answer that came late is held against a target.
-	slowFor = 30 * time.Millisecond
 	// maxGap bounds what is believed of the journey of grant and release.
 	maxGap = 10 * time.Millisecond
 	// minSamples is how many latencies must be known to judge by them.
@@ -204,10 +202,7 @@
 	if overdue == 0 {
 		return false
 	}
-	if t.inFlight() > 0 && now.Sub(t.oldest) > overdue {
-		return true
-	}
-	return now.Before(t.slowUntil)
+	return t.inFlight() > 0 && now.Sub(t.oldest) > overdue
 }
 
 // overdueAfter is the age at which an attempt is overdue, 0 if not known.
@@ -228,8 +223,11 @@
 		return 1
 	}
 	journey := 2*b.gap + fixedGap
+	if b.queued > b.capacity/4 {
+		journey += mean / 2
+	}
 	n := int((time.Duration(b.slots)*journey + mean - 1) / mean)
-	return min(max(n, 1), b.slots)
+	return min(max(n, 1), 2*b.slots)
 }
 
 // fixedGap is the part of the journey that reports do not show: the way from
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -20,9 +20,6 @@
 	alone     bool      // its attempt must stay the only one
 	lastGrant time.Time
 	lastEnd   time.Time
-	// slowUntil is the end of the time in which an overdue answer is held
-	// against the target.
-	slowUntil time.Time
 	// shedUntil is the end of the time in which the target gets no more than
 	// shedLimit attempts, since it refused one.
 	shedUntil time.Time
@@ -76,9 +73,10 @@
 	}
 	switch e.Class {
 	case pick.OK:
-		b.service.Observe(e.Latency)
+		if !c.queued || b.service.Count() < minSamples {
+			b.service.Observe(e.Latency)
+		}
 		b.learnGap(now, c, e)
-		b.learnSlow(now, t, e)
 		b.record(now, t, false)
 	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
 		b.record(now, t, true)
@@ -114,15 +112,6 @@
 	b.gap += (gap - b.gap) / 64
 }
 
-// learnSlow remembers for a while that an answer took much longer than usual.
-func (b *Book) learnSlow(now time.Time, t *target, e End) {
-	if limit := b.overdueAfter(); limit > 0 && e.Latency > limit {
-		t.slowUntil = now.Add(slowFor)
-	} else {
-		t.slowUntil = time.Time{}
-	}
-}
-
 func (b *Book) record(now time.Time, t *target, failed bool) {
 	b.failures.Record(failed)
 	if t.health.Record(now, failed, &b.failures) && health.Allowed(b.countEjected(now), len(b.targets)) {
