--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -224,7 +224,7 @@
 	}
 	journey := 2*b.gap + fixedGap
 	if b.queued > b.capacity/4 {
-		journey += mean / 2
+		journey += mean
 	}
 	n := int((time.Duration(b.slots)*journey + mean - 1) / mean)
 	return min(max(n, 1), 2*b.slots)
