--- a/internal/bench/choose/coordinated.go
+++ b/internal/bench/choose/coordinated.go
@@ -28,6 +28,8 @@
 	frames int // messages between hosts
 }
 
+func zoneName(i int) string { return string(rune('a' + i)) }
+
 // simHost is one entry host.
 type simHost struct {
 	way     *coordinated
@@ -47,7 +49,7 @@
 	w.ids = make(map[platform.HostID]int)
 	svc := &declare.Service{Slots: wd.c.Slots, MaxQueue: wd.c.MaxQueue, ColdStart: wd.c.ColdStart}
 	for _, t := range wd.targets {
-		w.listed = append(w.listed, blackboard.Target{ID: t.id})
+		w.listed = append(w.listed, blackboard.Target{ID: t.id, Zone: zoneName(t.zone)})
 	}
 	for i := range wd.c.Hosts {
 		h := &simHost{
@@ -56,9 +58,10 @@
 			id:    platform.HostID(fmt.Sprintf("h%02d", i)),
 			calls: make(map[grant.CallID]*simCall),
 		}
-		h.session = session.New(benchService, h.id, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
+		h.session = session.New(benchService, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
 		h.book = grant.NewBook(benchService, rand.New(rand.NewPCG(wd.seed, uint64(200+i))))
 		h.session.Configure(svc)
+		h.session.SetZone(zoneName(i % wd.c.Zones))
 		h.book.Configure(svc)
 		w.ids[h.id] = i
 		w.hosts = append(w.hosts, h)
--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -32,6 +32,7 @@
 	scoreOverdue = 8.0
 	scoreShed    = 4.0
 	scoreCold    = 2.0
+	scoreFar     = 0.1 // among equals the target in the host's zone is nearer
 	// ownWeight counts an own attempt as more than one of the reported: it is
 	// certain and the report is stale.
 	ownWeight = 1.5
@@ -56,6 +57,7 @@
 	rng      *rand.Rand
 	slots    int
 	cold     time.Duration
+	zone     string
 	targets  []target
 	usable   int
 	usual    float64 // running mean of reported loads
@@ -72,6 +74,9 @@
 	l.cold = cold
 }
 
+// SetZone sets the availability zone of this host.
+func (l *Local) SetZone(zone string) { l.zone = zone }
+
 // SetTargets takes the view of the targets.
 func (l *Local) SetTargets(list []blackboard.Target) {
 	next := make([]target, len(list))
@@ -153,6 +158,9 @@
 
 func (l *Local) score(now time.Time, t *target) float64 {
 	s := float64(t.own)*ownWeight + l.believed(now, t)
+	if t.info.Zone != l.zone {
+		s += scoreFar
+	}
 	if now.Before(t.overdue) {
 		s += scoreOverdue
 	}
--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -106,6 +106,7 @@
 		}
 		t.listed = true
 		t.firstSeen = info.FirstSeen
+		t.zone = info.Zone
 		t.leaving = t.leaving || info.Leaving
 	}
 	b.forgetTargets()
@@ -153,6 +154,9 @@
 	for i := range f.Asks {
 		b.ask(now, h, f.Asks[i])
 	}
+	if f.Full {
+		h.zone = f.Zone
+	}
 	if f.Full && f.Seq > h.seq {
 		b.reconcile(now, h, f)
 	}
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -91,7 +91,7 @@
 // serve settles the oldest ask of a host and reports whether it could.
 func (b *Book) serve(now time.Time, h *host) bool {
 	w := h.queue.front()
-	t := b.place(now, &w.ask)
+	t := b.place(now, h, &w.ask)
 	if t == nil && !w.ask.Hedge {
 		return false
 	}
@@ -131,7 +131,7 @@
 }
 
 // place returns the target for an ask, or nil if none has a slot now.
-func (b *Book) place(now time.Time, a *Ask) *target {
+func (b *Book) place(now time.Time, h *host, a *Ask) *target {
 	if a.Alone {
 		return b.placeAlone(now, a)
 	}
@@ -148,6 +148,9 @@
 	for i := range n {
 		t := b.targets[(i+b.offset)%n]
 		score, ok := b.score(now, t, over, cold, overdue)
+		if t.zone != h.zone {
+			score += scoreFar
+		}
 		if !ok || (best != nil && score >= bestScore) {
 			continue
 		}
@@ -164,6 +167,7 @@
 	step         = 16
 	scoreOverdue = 8 * step
 	scoreCold    = step / 2
+	scoreFar     = 1 // among equals the target in the host's zone is nearer
 )
 
 // score rates a target; false means that it has no slot.
@@ -223,7 +227,7 @@
 		return 1
 	}
 	journey := 2*b.gap + fixedGap
-	if b.queued > b.capacity/4 {
+	if b.queued > max(b.capacity/4, 1) {
 		journey += mean
 	}
 	n := int((time.Duration(b.slots)*journey + mean - 1) / mean)
--- a/policy/grant/messages.go
+++ b/policy/grant/messages.go
@@ -70,6 +70,8 @@
 	Asks []Ask
 	Ends []End
 	Open []Open
+	// Zone is the host's availability zone; only full frames carry it.
+	Zone string
 }
 
 // Grant hands a slot to an ask.
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -11,6 +11,7 @@
 // target is a target as the coordinator sees it.
 type target struct {
 	id        platform.HostID
+	zone      string
 	listed    bool
 	leaving   bool
 	firstSeen time.Time
--- a/policy/session/session.go
+++ b/policy/session/session.go
@@ -61,7 +61,7 @@
 // for concurrent use.
 type Session struct {
 	key      blackboard.ServiceKey
-	self     platform.HostID
+	zone     string
 	epoch    uint64
 	seq      uint64
 	nextID   grant.CallID
@@ -87,10 +87,9 @@
 
 // New returns a session without targets or coordinator. The epoch must be
 // greater than that of an earlier run on the same host.
-func New(key blackboard.ServiceKey, self platform.HostID, epoch uint64, rng *rand.Rand) *Session {
+func New(key blackboard.ServiceKey, epoch uint64, rng *rand.Rand) *Session {
 	return &Session{
 		key:   key,
-		self:  self,
 		epoch: epoch,
 		local: choice.New(rng),
 		open:  make(map[grant.CallID]attempt),
@@ -103,6 +102,12 @@
 	s.local.Configure(svc.Slots, svc.ColdStart)
 }
 
+// SetZone sets the availability zone of this host.
+func (s *Session) SetZone(zone string) {
+	s.zone = zone
+	s.local.SetZone(zone)
+}
+
 // SetTargets takes the view of the targets.
 func (s *Session) SetTargets(now time.Time, list []blackboard.Target) {
 	s.local.SetTargets(list)
--- a/policy/session/tick.go
+++ b/policy/session/tick.go
@@ -143,6 +143,7 @@
 	s.lastFull = now
 	s.send = true
 	s.frame.Full = true
+	s.frame.Zone = s.zone
 	s.frame.Asks = s.frame.Asks[:0]
 	s.frame.Open = s.frame.Open[:0]
 	for i := range s.waiting {
--- a/slots/service.go
+++ b/slots/service.go
@@ -59,7 +59,7 @@
 	return &service{
 		owner:   s,
 		key:     key,
-		session: session.New(key, s.self, s.epoch, rand.New(rand.NewPCG(seed, 2))),
+		session: session.New(key, s.epoch, rand.New(rand.NewPCG(seed, 2))),
 		book:    grant.NewBook(key, rand.New(rand.NewPCG(seed, 3))),
 		waiters: make(map[grant.CallID]*waiter),
 	}
@@ -112,6 +112,9 @@
 }
 
 func (v *service) setMembers(now time.Time, m *blackboard.Members) {
+	if self, found := m.Find(v.owner.self); found {
+		v.session.SetZone(self.Host.Zone)
+	}
 	id, ok := v.owner.deps.Coordinator(v.key, m)
 	v.session.SetCoordinator(now, id, ok)
 	for _, h := range v.book.Hosts() {
