--- a/internal/bench/choose/choose_test.go
+++ b/internal/bench/choose/choose_test.go
@@ -13,6 +13,10 @@
 	ways := []string{WayTwoChoices, WayFallback, WayCoordinated, WayIdeal}
 	loads := []float64{0.5, 0.7, 0.85, 0.95, 2}
 	seeds := []uint64{1, 2, 3}
+	if os.Getenv("FB") != "" {
+		loads = []float64{0.5, 0.7, 0.85}
+		seeds = []uint64{1, 2, 3, 4, 5, 6, 7}
+	}
 	if s := os.Getenv("WAYS"); s != "" {
 		ways = append(strings.Split(s, ","), WayIdeal)
 	}
@@ -66,9 +70,17 @@
 					}
 					return float64(n)
 				})
-				fmt.Printf(" | %s p50 %.1f x%.2f g %.3f ref %.0f late %.0f m %.1f", w[:3], med(rs, func(r Result) float64 { return float64(r.P50) / 1e6 }), med(rs, p)/med(id, p), med(rs, g)/med(id, g), ref, med(rs, func(r Result) float64 { return float64(r.Late) }), rs[0].Messages)
+				fmt.Printf(" | %s p50 %.1f x%.2f max x%.2f g %.3f ref %.0f late %.0f m %.1f", w[:3], med(rs, func(r Result) float64 { return float64(r.P50) / 1e6 }), med(rs, p)/med(id, p), maxf(rs, p)/med(id, p), med(rs, g)/med(id, g), ref, med(rs, func(r Result) float64 { return float64(r.Late) }), rs[0].Messages)
 			}
 			fmt.Println()
 		}
 	}
 }
+
+func maxf(rs []Result, f func(Result) float64) float64 {
+	m := 0.0
+	for _, r := range rs {
+		m = max(m, f(r))
+	}
+	return m
+}
--- a/internal/bench/choose/world.go
+++ b/internal/bench/choose/world.go
@@ -52,7 +52,6 @@
 	failed    int
 	refused   map[outcome.Reason]int
 	answered  int
-	lost      int
 	inWindow  int // answers in time that came in the window of arrivals
 }
 
--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -25,11 +25,11 @@
 	// shedFor is how long a refusal by the target holds.
 	shedFor = 50 * time.Millisecond
 	// overdueTimes the median makes an attempt overdue.
-	overdueTimes = 4
+	overdueTimes = 6
 	minOverdue   = 2 * time.Millisecond
 	minSamples   = 20
 
-	scoreOverdue = 8.0
+	scoreOverdue = 3.0
 	scoreShed    = 4.0
 	scoreCold    = 2.0
 	scoreFar     = 0.1 // among equals the target in the host's zone is nearer
