Leave room for the uncertainty of a wait before taking a call

Cause: under overload without a coordinator calls were taken whose wait plus median just fitted the deadline; half of them came late and their slot time was lost.

--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -190,7 +190,7 @@
 	if w.ask.Remaining <= 0 || b.capacity == 0 {
 		return "", false
 	}
-	if b.ExpectedWait()+b.service.Median() > w.ask.Remaining {
+	if b.service.Needs(b.ExpectedWait()) > w.ask.Remaining {
 		return outcome.ReasonDeadline, true
 	}
 	return "", false
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -91,6 +91,12 @@
 // serve settles the oldest ask of a host and reports whether it could.
 func (b *Book) serve(now time.Time, h *host) bool {
 	w := h.queue.front()
+	if !w.deadline.IsZero() && now.Add(b.service.Median()).After(w.deadline) {
+		h.refuse(w.ask.ID, outcome.ReasonDeadline)
+		h.queue.pop()
+		b.queued--
+		return true
+	}
 	t := b.place(now, h, &w.ask)
 	if t == nil && !w.ask.Hedge {
 		return false
--- a/policy/latency/latency.go
+++ b/policy/latency/latency.go
@@ -78,6 +78,14 @@
 // Limit returns the 99th percentile as of a few calls ago.
 func (t *Tracker) Limit() time.Duration { return t.limit }
 
+// Needs returns the time that a call must have left to be worth taking if it
+// has to wait first. Without a wait the median is enough: most calls make it. A
+// long wait is itself uncertain, so that up to the 95th percentile is added:
+// slots spent on answers that come too late are lost to everyone.
+func (t *Tracker) Needs(wait time.Duration) time.Duration {
+	return wait + t.median + min(wait, t.high-t.median)
+}
+
 // Quantile returns the upper edge of the bucket that holds quantile q.
 func (t *Tracker) Quantile(q float64) time.Duration {
 	want := q * t.total
--- a/policy/session/session.go
+++ b/policy/session/session.go
@@ -337,6 +337,10 @@
 }
 
 func (s *Session) serveOne(now time.Time, a *ask) bool {
+	if !a.deadline.IsZero() && now.Add(s.local.Latency().Median()).After(a.deadline) {
+		s.refuse(a.id, outcome.ReasonDeadline)
+		return true
+	}
 	t, ok := s.local.Pick(now, a.avoid, a.req.Hedge, a.req.Alone)
 	if ok {
 		s.start(now, a, t, true)
--- a/policy/session/tick.go
+++ b/policy/session/tick.go
@@ -123,8 +123,8 @@
 	if s.serveOne(now, a) {
 		return
 	}
-	wait := s.expectedWait()
-	if !a.deadline.IsZero() && now.Add(wait+s.local.Latency().Median()).After(a.deadline) {
+	needs := s.local.Latency().Needs(s.expectedWait())
+	if !a.deadline.IsZero() && now.Add(needs).After(a.deadline) {
 		s.refuse(a.id, outcome.ReasonDeadline)
 		return
 	}
