Drop attempts a host no longer lists as soon as it lists the others

Cause: a coordinator that wakes from a pause takes in frames that were sent during it, and the attempts listed there counted as perhaps still on their way for another 100 ms: targets looked full.

--- a/internal/bench/choose/choose_test.go
+++ b/internal/bench/choose/choose_test.go
@@ -84,3 +84,14 @@
 	}
 	return m
 }
+
+func TestTrialScenarios(t *testing.T) {
+	c := Deployments()[0]
+	c.Calls = 60000
+	for _, s := range Scenarios() {
+		for seed := range uint64(3) {
+			r := RunScenario(c, s, seed+1)
+			fmt.Printf("%-40s p50 %.1f p99 %.1f x%.2f unsettled %d failed %d late %d refused %v reached %d last %s local %.2f\n", s.Name, float64(r.P50)/1e6, float64(r.P99)/1e6, float64(r.P99)/float64(r.IdealP99), r.Unsettled, r.Failed, r.Late, r.Refused, r.Reached, r.LastReached, r.Local)
+		}
+	}
+}
--- a/internal/bench/choose/coordinated.go
+++ b/internal/bench/choose/coordinated.go
@@ -22,7 +22,6 @@
 	ids   map[platform.HostID]int
 	// coordinator returns which host a host takes for the coordinator.
 	coordinator func(host int) int
-	// hedge gives each call a second attempt when the first is overdue.
 	listed []blackboard.Target
 	local  int // calls placed by fallback
 	frames int // messages between hosts
@@ -39,6 +38,9 @@
 	book    *grant.Book
 	calls   map[grant.CallID]*simCall
 	armed   time.Duration // when the next tick comes; 0 means none
+	service *declare.Service
+	// cut hosts neither send nor receive messages of other hosts.
+	cut bool
 	// dead hosts answer nothing; paused ones answer when the pause ends.
 	dead   bool
 	paused time.Duration
@@ -47,7 +49,7 @@
 func (w *coordinated) attach(wd *world) {
 	w.world = wd
 	w.ids = make(map[platform.HostID]int)
-	svc := &declare.Service{Slots: wd.c.Slots, MaxQueue: wd.c.MaxQueue, ColdStart: wd.c.ColdStart}
+	svc := declare.Service{Slots: wd.c.Slots, MaxQueue: wd.c.MaxQueue, ColdStart: wd.c.ColdStart}
 	for _, t := range wd.targets {
 		w.listed = append(w.listed, blackboard.Target{ID: t.id, Zone: zoneName(t.zone)})
 	}
@@ -60,9 +62,10 @@
 		}
 		h.session = session.New(benchService, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
 		h.book = grant.NewBook(benchService, rand.New(rand.NewPCG(wd.seed, uint64(200+i))))
-		h.session.Configure(svc)
+		h.service = &svc
+		h.session.Configure(&svc)
 		h.session.SetZone(zoneName(i % wd.c.Zones))
-		h.book.Configure(svc)
+		h.book.Configure(&svc)
 		w.ids[h.id] = i
 		w.hosts = append(w.hosts, h)
 	}
@@ -166,7 +169,7 @@
 func (h *simHost) deliver(dst *simHost, event func(now time.Time)) {
 	w := h.way.world
 	h.way.frames++
-	if h.dead {
+	if h.dead || h.cut || dst.cut {
 		return
 	}
 	w.after(w.distance(h.index, dst.index%w.c.Zones), func() {
--- a/internal/bench/choose/run.go
+++ b/internal/bench/choose/run.go
@@ -13,6 +13,8 @@
 	Late           int
 	Failed         int
 	Refused        map[string]int
+	// Unsettled is the calls that were neither answered nor refused.
+	Unsettled int
 	// Goodput is the answers in time by the capacity of the slots, were none
 	// of them ever slow.
 	Goodput float64
@@ -34,8 +36,10 @@
 		Failed:   w.failed,
 		Refused:  make(map[string]int),
 	}
+	r.Unsettled = w.arrived - w.answered - w.late - w.failed
 	for reason, n := range w.refused {
 		r.Refused[string(reason)] = n
+		r.Unsettled -= n
 	}
 	window := float64(w.end-w.warm) / float64(w.c.Mean) * float64(w.c.Targets*w.c.Slots)
 	r.Goodput = float64(w.inWindow) / window
--- a/internal/bench/choose/world.go
+++ b/internal/bench/choose/world.go
@@ -46,6 +46,11 @@
 	warm    time.Duration // calls before are not counted
 	until   time.Duration // nor those after, if set
 
+	// pickHost draws the entry host of a call; nil means evenly.
+	pickHost func() int
+	// only restricts what is counted to some calls; nil means all.
+	only func(*simCall) bool
+
 	latencies []time.Duration
 	arrived   int
 	late      int // answers after the deadline
@@ -113,7 +118,7 @@
 		return
 	}
 	call := &simCall{
-		host: w.rng.IntN(w.c.Hosts),
+		host: w.drawHost(),
 		at:   w.now,
 		work: lognormal(w.rng, w.c.Mean, w.c.Sigma),
 	}
@@ -126,7 +131,17 @@
 	w.way.arrive(call)
 }
 
+func (w *world) drawHost() int {
+	if w.pickHost != nil {
+		return w.pickHost()
+	}
+	return w.rng.IntN(w.c.Hosts)
+}
+
 func (w *world) counted(c *simCall) bool {
+	if w.only != nil && !w.only(c) {
+		return false
+	}
 	return c.at >= w.warm && (w.until == 0 || c.at < w.until)
 }
 
--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -69,7 +69,10 @@
 	target  *target
 	granted time.Time
 	alone   bool
-	queued  bool // all slots of the target were taken when it was granted
+	// confirmed is set once a full frame of the host listed it: from then on
+	// it has ended when a full frame does not.
+	confirmed bool
+	queued    bool // all slots of the target were taken when it was granted
 }
 
 // NewBook returns a book without targets or hosts.
@@ -233,7 +236,7 @@
 }
 
 // hold enters an attempt into the books.
-func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) {
+func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) *call {
 	c := &call{}
 	if n := len(b.spare); n > 0 {
 		c = b.spare[n-1]
@@ -243,13 +246,18 @@
 	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
+	return c
 }
 
 // adopt enters an attempt that this book did not grant: the host chose by
 // itself, or another coordinator granted it.
 func (b *Book) adopt(now time.Time, h *host, o Open) {
-	if b.calls[callKey{h.id, o.ID}] != nil {
-		return
+	if c := b.calls[callKey{h.id, o.ID}]; c != nil {
+		if c.target.id == o.Target {
+			c.confirmed = true
+			return
+		}
+		b.release(now, c) // the host chose for itself before the grant came
 	}
 	if h.queue.remove(o.ID) {
 		b.queued--
@@ -258,7 +266,7 @@
 	if t == nil {
 		return
 	}
-	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone)
+	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone).confirmed = true
 }
 
 // reconcile drops what a full frame does not list. Without it a release that
@@ -273,7 +281,7 @@
 		open[a.ID] = true
 	}
 	for _, c := range b.held(h) {
-		if !open[c.id] && now.Sub(c.granted) > transit {
+		if !open[c.id] && (c.confirmed || now.Sub(c.granted) > transit) {
 			b.release(now, c)
 		}
 	}
