--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -204,7 +204,7 @@
 	if now.Before(t.shedUntil) {
 		limit = min(limit, t.shedLimit)
 	}
-	return score, load < limit
+	return score, t.inFlight() < limit
 }
 
 // slow reports whether the target is taken for a straggler.
