--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -41,14 +41,14 @@
 	rng     *rand.Rand
 	targets []*target
 	byID    map[platform.HostID]*target
-	hosts   []*host // in the order they are served
+	hosts   []*host
 	byHost  map[platform.HostID]*host
-	turn    int // the host that is served next
 	queued  int
 	calls   map[callKey]*call
+	zones   []string
 	spare   []*call
 
-	service  latency.Tracker
+	service  latency.Tracker // of attempts that found a slot free
 	failures health.Service
 	gap      time.Duration     // slot time between two calls, see learnGap
 	capacity int               // slots of the usable targets
@@ -70,6 +70,10 @@
 	target  *target
 	granted time.Time
 	alone   bool
+	// confirmed is set once a full frame of the host listed it: from then on
+	// it has ended when a full frame does not.
+	confirmed bool
+	queued    bool // all slots of the target were taken when it was granted
 }
 
 // NewBook returns a book without targets or hosts.
@@ -106,12 +110,25 @@
 		}
 		t.listed = true
 		t.firstSeen = info.FirstSeen
+		t.zone = b.zone(info.Zone)
 		t.leaving = t.leaving || info.Leaving
 	}
+	for _, t := range b.targets {
+		t.setOpen()
+	}
 	b.forgetTargets()
 	b.dispatch(now)
 }
 
+// zone returns the number that stands for a zone's name.
+func (b *Book) zone(name string) zone {
+	if i := slices.Index(b.zones, name); i >= 0 {
+		return zone(i)
+	}
+	b.zones = append(b.zones, name)
+	return zone(len(b.zones) - 1)
+}
+
 func (b *Book) forgetTargets() {
 	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
 		gone := !t.listed && t.inFlight() == 0
@@ -153,6 +170,9 @@
 	for i := range f.Asks {
 		b.ask(now, h, f.Asks[i])
 	}
+	if f.Full {
+		h.zone = b.zone(f.Zone)
+	}
 	if f.Full && f.Seq > h.seq {
 		b.reconcile(now, h, f)
 	}
@@ -176,6 +196,7 @@
 		h.refuse(a.ID, reason)
 		return
 	}
+	w.tag = b.tag(now, h)
 	h.queue.push(w)
 	b.queued++
 }
@@ -185,7 +206,7 @@
 	if w.ask.Remaining <= 0 || b.capacity == 0 {
 		return "", false
 	}
-	if b.ExpectedWait()+b.service.Median() > w.ask.Remaining {
+	if b.service.Needs(b.ExpectedWait()) > w.ask.Remaining {
 		return outcome.ReasonDeadline, true
 	}
 	return "", false
@@ -216,9 +237,10 @@
 // release takes an attempt out of the books.
 func (b *Book) release(now time.Time, c *call) {
 	delete(b.calls, callKey{c.host.id, c.id})
-	c.target.remove(c)
-	invariant.Check(c.target.inFlight() >= 0, invariant.SlotAccount,
-		"%d attempts on %s", c.target.inFlight(), c.target.id)
+	held := c.target.remove(c)
+	if !held {
+		invariant.Broken(invariant.SlotAccount, "attempt ended that "+string(c.target.id)+" does not hold")
+	}
 	c.target.lastEnd = now
 	if !c.target.listed && c.target.inFlight() == 0 {
 		b.forgetTargets()
@@ -228,22 +250,30 @@
 }
 
 // hold enters an attempt into the books.
-func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) {
-	c := &call{}
+func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) *call {
+	var c *call
 	if n := len(b.spare); n > 0 {
 		c = b.spare[n-1]
 		b.spare = b.spare[:n-1]
+	} else {
+		c = new(call)
 	}
 	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
+	return c
 }
 
 // adopt enters an attempt that this book did not grant: the host chose by
 // itself, or another coordinator granted it.
 func (b *Book) adopt(now time.Time, h *host, o Open) {
-	if b.calls[callKey{h.id, o.ID}] != nil {
-		return
+	if c := b.calls[callKey{h.id, o.ID}]; c != nil {
+		if c.target.id == o.Target {
+			c.confirmed = true
+			return
+		}
+		b.release(now, c) // the host chose for itself before the grant came
 	}
 	if h.queue.remove(o.ID) {
 		b.queued--
@@ -252,7 +282,7 @@
 	if t == nil {
 		return
 	}
-	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone)
+	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone).confirmed = true
 }
 
 // reconcile drops what a full frame does not list. Without it a release that
@@ -267,7 +297,7 @@
 		open[a.ID] = true
 	}
 	for _, c := range b.held(h) {
-		if !open[c.id] && now.Sub(c.granted) > transit {
+		if !open[c.id] && (c.confirmed || now.Sub(c.granted) > transit) {
 			b.release(now, c)
 		}
 	}
@@ -348,5 +378,4 @@
 	b.queued -= h.queue.len()
 	delete(b.byHost, h.id)
 	b.hosts = slices.DeleteFunc(b.hosts, func(x *host) bool { return x == h })
-	b.turn = 0
 }
--- a/policy/grant/host.go
+++ b/policy/grant/host.go
@@ -11,6 +11,7 @@
 // host is an entry host as the coordinator sees it.
 type host struct {
 	id    platform.HostID
+	zone  zone
 	epoch uint64
 	seq   uint64
 	// known is set once a full frame told which attempts the host has.
@@ -18,6 +19,9 @@
 	heard time.Time
 	told  time.Time
 	queue queue
+	// paid is up to when the host's asks use up its share, see tag.
+	paid   time.Time
+	passed bool // in this round of dispatch
 
 	// What the next Tell carries.
 	grants   []Grant
@@ -87,6 +91,7 @@
 	ask      Ask
 	since    time.Time
 	deadline time.Time // zero means none
+	tag      time.Time // the ask with the earliest is served first
 }
 
 // queue is the asks of one host, oldest first.
