--- a/ledger/batch/commit.go
+++ b/ledger/batch/commit.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,12 +36,8 @@
 // the slots for transactions is taken for it. Writes that come meanwhile join
 // the same transaction.
 func (w *Writer) await(ctx context.Context) bool {
-	for !w.hasWork() {
-		select {
-		case <-w.wake:
-		case <-ctx.Done():
-			return false
-		}
+	if !w.awaitWork(ctx) {
+		return false
 	}
 	if !sleep(ctx, w.untilSoon()) {
 		return false
@@ -58,6 +53,54 @@
 	}
 }
 
+// awaitWork waits until a transaction is worth making.
+func (w *Writer) awaitWork(ctx context.Context) bool {
+	for {
+		wait := w.untilWork()
+		if wait <= 0 {
+			return true
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-w.wake:
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		}
+		t.Stop()
+	}
+}
+
+// idle is how long to wait without any write; a new one ends the wait.
+const idle = time.Hour
+
+// untilWork returns how long the queued writes can wait. Those that hold up a
+// call can not. Settle writes can: a transaction of their own would leave the
+// next claim to wait for its turn under the limit.
+func (w *Writer) untilWork() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queues[Claim]) > 0 || len(w.queues[GiveUp]) > 0 {
+		return 0
+	}
+	settles := w.queues[Settle]
+	if len(settles) == 0 {
+		return idle
+	}
+	if len(settles) >= w.cfg.MaxOps {
+		return 0
+	}
+	return max(w.cfg.Linger-time.Since(settles[0].since), w.untilSpare())
+}
+
+// untilSpare returns how long it takes until the limit leaves a transaction to
+// a claim after one more.
+func (w *Writer) untilSpare() time.Duration {
+	missing := minBurst - w.limiter.Tokens()
+	return time.Duration(missing / float64(w.limiter.Limit()) * float64(time.Second))
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
@@ -72,12 +115,6 @@
 	}
 }
 
-func (w *Writer) hasWork() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.ContainsFunc(w.queues[:], func(q []*entry) bool { return len(q) > 0 })
-}
-
 func (w *Writer) untilSoon() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,12 +132,14 @@
 	size := 0
 	for c := range w.queues {
 		var rest []*entry
+		taken := 0
 		for _, e := range w.queues[c] {
-			full := len(group) >= w.cfg.MaxOps || len(group) > 0 && size+len(e.Op.Value) > w.cfg.MaxBytes
+			full := taken >= w.cfg.MaxOps || len(group) > 0 && size+len(e.Op.Value) > w.cfg.MaxBytes
 			if full || rows[e.Op.Key] {
 				rest = append(rest, e)
 				continue
 			}
+			taken++
 			rows[e.Op.Key] = true
 			size += len(e.Op.Value)
 			e.queued = false
--- a/ledger/batch/writer.go
+++ b/ledger/batch/writer.go
@@ -56,13 +56,18 @@
 type Config struct {
 	// Rate is the number of transactions a second.
 	Rate float64
-	// MaxOps and MaxBytes bound one transaction.
+	// MaxOps bounds the writes of each class in one transaction, so that a
+	// stream of claims does not hold back the answers for good. MaxBytes bounds
+	// the values of all of them.
 	MaxOps   int
 	MaxBytes int
 	// InFlight bounds the transactions under way at once.
 	InFlight int
 	// Timeout bounds one transaction or read.
 	Timeout time.Duration
+	// Linger is how long Settle writes wait for a transaction that claims pay
+	// for, before they get one of their own.
+	Linger time.Duration
 }
 
 // Defaults of Config.
@@ -72,6 +77,7 @@
 	DefaultMaxBytes = 256 << 10
 	DefaultInFlight = 4
 	DefaultTimeout  = 2 * time.Second
+	DefaultLinger   = 100 * time.Millisecond
 )
 
 // Pauses after a transaction that the platform refused.
@@ -96,6 +102,9 @@
 	if c.Timeout <= 0 {
 		c.Timeout = DefaultTimeout
 	}
+	if c.Linger <= 0 {
+		c.Linger = DefaultLinger
+	}
 	return c
 }
 
@@ -109,6 +118,8 @@
 type entry struct {
 	Write
 	done chan outcome
+	// since is when the write was asked for.
+	since time.Time
 	// queued is false while the entry is part of a transaction under way.
 	queued bool
 	// maybe is set once an answer was lost: the write may take effect at any
@@ -147,8 +158,12 @@
 	return w
 }
 
-// burstShare is the part of a second's transactions that may go at once.
-const burstShare = 10
+// burstShare is the part of a second's transactions that may go at once;
+// minBurst lets a claim follow at once on a transaction without claims.
+const (
+	burstShare = 4
+	minBurst   = 2
+)
 
 // minRate keeps a writer without a share moving.
 const minRate = 0.1
@@ -157,7 +172,7 @@
 func (w *Writer) SetRate(perSecond float64) {
 	perSecond = max(perSecond, minRate)
 	w.limiter.SetLimit(rate.Limit(perSecond))
-	w.limiter.SetBurst(max(1, int(perSecond/burstShare)))
+	w.limiter.SetBurst(max(minBurst, int(perSecond/burstShare)))
 }
 
 // Do writes and waits for the result until ctx ends. The error is
@@ -191,6 +206,7 @@
 
 func (w *Writer) enqueue(e *entry) {
 	w.mu.Lock()
+	e.since = time.Now()
 	e.queued = true
 	w.queues[e.Class] = append(w.queues[e.Class], e)
 	w.mu.Unlock()
