--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -18,8 +18,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(n, opts)
 		w.start()
+		defer w.stop()
 		f(t, w)
-		w.stop()
 	})
 }
 
--- a/ledger/keys/keys.go
+++ b/ledger/keys/keys.go
@@ -30,8 +30,8 @@
 // ULID is an opaque key. The range is fixed, so that the same key is read the
 // same way on every host and at any time.
 var (
-	firstTime = time.Date(2015, 1, 1, 0, 0, 0, 0, time.UTC)
-	lastTime  = time.Date(2115, 1, 1, 0, 0, 0, 0, time.UTC)
+	firstTime = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+	lastTime  = time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
 // ErrMalformed says that no host can have accepted the key.
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -122,6 +122,8 @@
 	for _, h := range w.hosts {
 		h.wg.Wait()
 	}
+	// The last messages between the hosts are still on their way.
+	time.Sleep(time.Second)
 }
 
 // key returns a key of the usual caller.
