--- a/ledger/options.go
+++ b/ledger/options.go
@@ -31,7 +31,8 @@
 	ReopenAfter time.Duration
 	// IssuerPatience is how long a call waits for the host that issued its key.
 	IssuerPatience time.Duration
-	// SweepEvery is the time between two transactions that delete expired rows.
+	// SweepEvery is the time between two transactions that delete expired rows;
+	// negative deletes none.
 	SweepEvery time.Duration
 }
 
@@ -61,7 +62,9 @@
 	setDefault(&o.IssuedWindow, DefaultIssuedWindow)
 	setDefault(&o.ReopenAfter, DefaultReopenAfter)
 	setDefault(&o.IssuerPatience, DefaultIssuerPatience)
-	setDefault(&o.SweepEvery, DefaultSweepEvery)
+	if o.SweepEvery == 0 {
+		o.SweepEvery = DefaultSweepEvery
+	}
 	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
 	setDefault(&o.AnswerMemory, DefaultAnswerMemory)
 	return o
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -18,6 +18,9 @@
 // transaction a step. Every host sweeps; a row that another host deleted first
 // costs no more than a read.
 func (b *tableBook) sweep(ctx context.Context) error {
+	if b.l.opts.SweepEvery < 0 {
+		return nil
+	}
 	s := sweeper{b: b}
 	for sleep(ctx, s.pause()) {
 		if err := s.step(ctx); err != nil {
