--- /dev/null
+++ b/internal/standin/target/times.go
@@ -0,0 +1,73 @@
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// times draws service times. It is not safe for concurrent use.
+type times struct {
+	rng     *rand.Rand
+	started time.Time
+	// slowFrom and slowUntil bound the present or next slow period.
+	slowFrom  time.Time
+	slowUntil time.Time
+}
+
+func newTimes(seed uint64, now time.Time) *times {
+	return &times{rng: rand.New(rand.NewPCG(seed, seed+1)), started: now}
+}
+
+// draw returns the service time of a call that starts now.
+func (s *times) draw(b Behaviour, now time.Time) time.Duration {
+	d := s.lognormal(b.ServiceMean, b.ServiceSigma)
+	f := s.coldFactor(b, now)
+	if b.SlowFactor > 0 {
+		f *= b.SlowFactor
+	}
+	if s.straggling(b.Straggle, now) {
+		f *= b.Straggle.Factor
+	}
+	return time.Duration(float64(d) * f)
+}
+
+// lognormal draws from the lognormal distribution with this mean and sigma.
+func (s *times) lognormal(mean time.Duration, sigma float64) time.Duration {
+	if sigma <= 0 {
+		return mean
+	}
+	mu := math.Log(float64(mean)) - sigma*sigma/2
+	return time.Duration(math.Exp(mu + sigma*s.rng.NormFloat64()))
+}
+
+func (s *times) coldFactor(b Behaviour, now time.Time) float64 {
+	age := now.Sub(s.started)
+	if b.ColdFactor <= 1 || age >= b.ColdStart {
+		return 1
+	}
+	left := 1 - float64(age)/float64(b.ColdStart)
+	return 1 + (b.ColdFactor-1)*left
+}
+
+func (s *times) straggling(g Straggle, now time.Time) bool {
+	if g.Factor <= 0 || g.Share <= 0 || g.Share >= 1 || g.Period <= 0 {
+		return false
+	}
+	if s.slowUntil.IsZero() {
+		s.slowUntil = s.started
+		s.nextPeriod(g)
+	}
+	for !now.Before(s.slowUntil) {
+		s.nextPeriod(g)
+	}
+	return !now.Before(s.slowFrom)
+}
+
+// nextPeriod draws the pause before the next slow period, so that the slow
+// share of time comes out as asked for.
+func (s *times) nextPeriod(g Straggle) {
+	pause := float64(g.Period) * (1 - g.Share) / g.Share
+	s.slowFrom = s.slowUntil.Add(time.Duration(s.rng.ExpFloat64() * pause))
+	s.slowUntil = s.slowFrom.Add(g.Period)
+}
