--- /dev/null
+++ b/cmd/cactusstand/main.go
@@ -0,0 +1,97 @@
+// Command cactusstand runs small stand-ins for what cactusproxy works with: the
+// platform, or one target. It is for trials and tests, not for production.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// version is printed by --version; a release build sets it by -ldflags.
+var version = "development"
+
+// Exit statuses.
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+// args are the command line.
+type args struct {
+	Platform *platformArgs `arg:"subcommand:platform" help:"serve the platform's table, objects and host list"`
+	Target   *targetArgs   `arg:"subcommand:target" help:"serve one target"`
+}
+
+// Description is shown by --help.
+func (args) Description() string {
+	return "Stand-ins for what cactusproxy works with. SIGTERM and SIGINT stop them cleanly."
+}
+
+// Version is shown by --version.
+func (args) Version() string { return "cactusstand " + version }
+
+// stopTimeout bounds the time to finish what is in flight at a stop.
+const stopTimeout = 10 * time.Minute
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(status)
+}
+
+// run is the program; it ends when ctx does.
+func run(ctx context.Context, line []string, stdout, stderr io.Writer) int {
+	var a args
+	parser, err := arg.NewParser(arg.Config{Program: "cactusstand", Out: stderr}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	switch err := parser.Parse(line); {
+	case err == arg.ErrHelp:
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return exitOK
+	case err == arg.ErrVersion:
+		fmt.Fprintln(stdout, a.Version())
+		return exitOK
+	case err != nil:
+		parser.WriteUsage(stderr)
+		fmt.Fprintln(stderr, "error:", err)
+		return exitUsage
+	}
+	log := newLogger(stdout)
+	switch {
+	case a.Platform != nil:
+		err = servePlatform(ctx, *a.Platform, log)
+	case a.Target != nil:
+		err = serveTarget(ctx, *a.Target, log)
+	default:
+		parser.WriteHelp(stderr)
+		return exitUsage
+	}
+	if err != nil {
+		log.Error("stopped by an error", zap.Error(err))
+		return exitError
+	}
+	return exitOK
+}
+
+// newLogger writes one line of key=value pairs for each event.
+func newLogger(w io.Writer) *zap.Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
+	return zap.New(core)
+}
--- /dev/null
+++ b/cmd/cactusstand/main_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+)
+
+// program is one run of the command, whose log lines can be waited for.
+type program struct {
+	lines  chan string
+	stop   context.CancelFunc
+	status chan int
+}
+
+// Write takes one log line.
+func (p *program) Write(b []byte) (int, error) {
+	p.lines <- string(b)
+	return len(b), nil
+}
+
+func startProgram(line ...string) *program {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &program{lines: make(chan string, 100), stop: cancel, status: make(chan int, 1)}
+	go func() {
+		p.status <- run(ctx, line, p, io.Discard)
+		close(p.lines)
+	}()
+	return p
+}
+
+// addr waits for the line that tells where the program listens.
+func (p *program) addr(t *testing.T) string {
+	t.Helper()
+	for line := range p.lines {
+		if m := regexp.MustCompile(`addr=(\S+)`).FindStringSubmatch(line); m != nil {
+			return m[1]
+		}
+	}
+	t.Fatal("the program ended before it listened")
+	return ""
+}
+
+func TestHelpVersionAndUsage(t *testing.T) {
+	for _, c := range []struct {
+		line   string
+		status int
+		want   string
+	}{
+		{"--help", exitOK, "platform"},
+		{"target --help", exitOK, "--service-mean"},
+		{"--version", exitOK, "cactusstand "},
+		{"target", exitUsage, "ID is required"},
+		{"nonsense", exitUsage, "invalid subcommand"},
+	} {
+		var out bytes.Buffer
+		got := run(context.Background(), strings.Fields(c.line), &out, &out)
+		assert.Check(t, got == c.status, "%q: status %d", c.line, got)
+		assert.Check(t, strings.Contains(out.String(), c.want), "%q: %s", c.line, out.String())
+	}
+}
+
+// A target is stopped while it runs a call. It is listed as leaving, the call is
+// answered in full, and both programs end with status 0.
+func TestTargetRegistersAndLeavesCleanly(t *testing.T) {
+	plat := startProgram("platform", "--listen", "127.0.0.1:0", "--host-lag", "0s", "--token", "s")
+	url := "http://" + plat.addr(t)
+	tg := startProgram("target", "--id", "t1", "--register", url, "--token", "s",
+		"--workspace", "w", "--service", "s", "--grace", "0s", "--admin", "127.0.0.1:0")
+	addr := tg.addr(t)
+	admin := tg.addr(t)
+
+	c, err := httpstore.New(httpstore.Config{URL: url, Token: "s"})
+	assert.NilError(t, err)
+	defer c.Close()
+	for listed(t, c) == nil {
+	}
+	assert.Equal(t, listed(t, c)[0].Addr, addr)
+	assert.Equal(t, listed(t, c)[0].State, platform.HostLive)
+
+	answered := make(chan int, 1)
+	go func() {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+addr+"/", nil)
+		req.Header.Set("X-Run-For", "300ms")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	for load(t, admin) == 0 {
+	}
+	tg.stop()
+	assert.Equal(t, <-tg.status, exitOK)
+	assert.Equal(t, <-answered, 200)
+	assert.Equal(t, len(listed(t, c)), 0)
+	plat.stop()
+	assert.Equal(t, <-plat.status, exitOK)
+}
+
+func listed(t *testing.T, c *httpstore.Client) []platform.Host {
+	t.Helper()
+	snap, err := c.Hosts().List(context.Background(), 0)
+	assert.NilError(t, err)
+	return snap.Hosts
+}
+
+func load(t *testing.T, admin string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + admin + "/standin/status")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var status struct{ Load int }
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&status))
+	return status.Load
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,257 @@
+// Package platform serves the platform's stand-in over HTTP: the table, the
+// object store and the list of hosts of package internal/standin/store, with
+// switches for their faults.
+package platform
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+	ports "github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+)
+
+const (
+	// maxRequests bounds the requests that wait or run; more are refused.
+	maxRequests = 1000
+	// maxBody bounds the body of one request in bytes.
+	maxBody = 64 << 20
+)
+
+// Faults is what is wrong with the platform; the zero value is nothing.
+// Durations are nanoseconds in JSON.
+type Faults struct {
+	// Down refuses every request as not applied.
+	Down bool `json:"down"`
+	// Delay is how long each request takes.
+	Delay time.Duration `json:"delay"`
+	// LoseReplies is the share of writes, 0 to 1, whose connection is cut
+	// after they took effect; Seed fixes which.
+	LoseReplies float64 `json:"loseReplies"`
+	Seed        uint64  `json:"seed"`
+	// HostLag is how long a change of the list takes to be seen.
+	HostLag time.Duration `json:"hostLag"`
+}
+
+// Options say what to serve.
+type Options struct {
+	Store *store.Store
+	// Token is the bearer token that is asked for; empty asks for none.
+	Token string
+}
+
+// Server is the stand-in's HTTP side.
+type Server struct {
+	store *store.Store
+	token string
+	room  chan struct{}
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// New returns a server of the store.
+func New(o Options) *Server {
+	return &Server{store: o.Store, token: o.Token, room: make(chan struct{}, maxRequests)}
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	s.store.SetHostLag(f.HostLag)
+	s.store.SetFaults(store.Faults{Down: f.Down, Delay: f.Delay, LoseReply: loser(f)})
+}
+
+// loser draws which replies are lost.
+func loser(f Faults) func() bool {
+	if f.LoseReplies <= 0 {
+		return nil
+	}
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(f.Seed, 0))
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Float64() < f.LoseReplies
+	}
+}
+
+// Faults returns the present faults.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Handler serves the platform's API, and the switches:
+//
+//	GET, PUT /standin/faults     Faults
+//	PUT      /standin/hosts/{id} platform.Host, adding or replacing it
+//	DELETE   /standin/hosts/{id}
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(s.authenticate)
+	r.Group(func(r chi.Router) {
+		r.Use(s.bound)
+		r.Post(httpstore.PathGet, s.get)
+		r.Post(httpstore.PathScan, s.scan)
+		r.Post(httpstore.PathCommit, s.commit)
+		r.Get(httpstore.PathObjects+"*", s.getObject)
+		r.Put(httpstore.PathObjects+"*", s.putObject)
+		r.Get(httpstore.PathHosts, s.hosts)
+	})
+	r.Get("/standin/faults", s.getFaults)
+	r.Put("/standin/faults", s.putFaults)
+	r.Put("/standin/hosts/{id}", s.putHost)
+	r.Delete("/standin/hosts/{id}", s.deleteHost)
+	return r
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	want := []byte("Bearer " + s.token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if s.token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			http.Error(w, "token is wrong or missing", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// bound refuses requests beyond those that fit.
+func (s *Server) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.room <- struct{}{}:
+			defer func() { <-s.room }()
+			r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+			next.ServeHTTP(w, r)
+		default:
+			notApplied(w, http.StatusTooManyRequests, "too many requests")
+		}
+	})
+}
+
+func notApplied(w http.ResponseWriter, status int, text string) {
+	w.Header().Set(httpstore.HeaderNotApplied, "1")
+	http.Error(w, text, status)
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	var req httpstore.GetRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	rows, err := s.store.Get(r.Context(), req.Keys...)
+	answer(w, httpstore.RowsResponse{Rows: rows}, err)
+}
+
+func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
+	var req httpstore.ScanRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	if req.Limit < 0 {
+		http.Error(w, "limit is negative", http.StatusBadRequest)
+		return
+	}
+	rows, err := s.store.Scan(r.Context(), req.Prefix, req.After, req.Limit)
+	answer(w, httpstore.RowsResponse{Rows: rows}, err)
+}
+
+// commit applies a transaction also if its sender has gone by then: a request
+// that has arrived takes its course.
+func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
+	var req httpstore.CommitRequest
+	if !decode(w, r, &req) {
+		return
+	}
+	res, err := s.store.Commit(context.WithoutCancel(r.Context()), req.Ops...)
+	answer(w, res, err)
+}
+
+// objectName returns the name as it was before it was escaped in the path.
+func objectName(r *http.Request) string {
+	name := strings.TrimPrefix(r.URL.EscapedPath(), httpstore.PathObjects)
+	if plain, err := url.PathUnescape(name); err == nil {
+		return plain
+	}
+	return name
+}
+
+func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
+	data, err := s.store.Objects().Get(r.Context(), objectName(r))
+	if err == nil && data == nil {
+		http.NotFound(w, r)
+		return
+	}
+	if err != nil {
+		answer(w, nil, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	// A failed write means that the reader has gone.
+	_, _ = w.Write(data)
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = s.store.Objects().Put(context.WithoutCancel(r.Context()), objectName(r), data)
+	answer(w, struct{}{}, err)
+}
+
+func (s *Server) hosts(w http.ResponseWriter, r *http.Request) {
+	known, err := strconv.ParseUint(r.URL.Query().Get(httpstore.QueryKnown), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	snap, err := s.store.Hosts().List(r.Context(), known)
+	answer(w, snap, err)
+}
+
+// answer sends v, or what the error stands for: a lost answer cuts the
+// connection.
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case errors.Is(err, ports.ErrUncertain):
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		notApplied(w, http.StatusServiceUnavailable, err.Error())
+	default:
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		// A failed write means that the reader has gone.
+		_ = json.NewEncoder(w).Encode(v)
+	}
+}
+
+// decode reads the JSON body, or answers 400 and returns false.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
