--- /dev/null
+++ b/policy/suspicion/record.go
@@ -0,0 +1,122 @@
+package suspicion
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// Record is what one host tells another of a request. Times are ages, because
+// the clocks of two hosts need not agree.
+type Record struct {
+	Digest Digest `msgpack:"d"`
+	State  State  `msgpack:"s"`
+	// Age is how long the state has held, Quiet how long ago it was sent.
+	Age    time.Duration `msgpack:"a"`
+	Quiet  time.Duration `msgpack:"q"`
+	Losses []LossRecord  `msgpack:"l"`
+	// Good tells that some host remembers a whole answer to the request.
+	Good bool `msgpack:"g"`
+}
+
+// LossRecord is a Loss as it is told.
+type LossRecord struct {
+	Target platform.HostID `msgpack:"t"`
+	Ago    time.Duration   `msgpack:"a"`
+	Trial  bool            `msgpack:"r"`
+}
+
+// Record returns what is held of a request, and false if there is nothing.
+func (b *Book) Record(now time.Time, d Digest) (Record, bool) {
+	if b.State(now, d) == Clean {
+		return Record{}, false
+	}
+	e := b.entries[d]
+	r := Record{Digest: d, State: e.state, Age: now.Sub(e.since), Quiet: now.Sub(e.sent), Good: e.good}
+	for _, l := range e.losses {
+		r.Losses = append(r.Losses, LossRecord{Target: l.Target, Ago: now.Sub(l.At), Trial: l.Trial})
+	}
+	return r, true
+}
+
+// valid reports whether a record can be taken in; it comes from outside.
+func (r Record) valid() bool {
+	if r.State != Suspect && r.State != Quarantined {
+		return false
+	}
+	return r.Age >= 0 && r.Quiet >= 0 && len(r.Losses) > 0 && len(r.Losses) <= maxLosses
+}
+
+// Merge takes in what another host told, and reports whether that host is behind:
+// the request has been cleared since. New losses add up to evidence here as if
+// they had been seen here; a quarantine is taken over.
+func (b *Book) Merge(now time.Time, r Record, knownGood bool) (behind bool) {
+	if !r.valid() {
+		return false
+	}
+	if at, ok := b.cleared[r.Digest]; ok && !now.Add(-r.newest()).After(at) {
+		return true
+	}
+	e := b.ensure(r.Digest, now)
+	e.good = e.good || r.Good || knownGood
+	if at := now.Add(-r.Quiet); e.sent.Before(at) {
+		e.sent = at
+	}
+	fresh := b.mergeLosses(now, e, r.Losses)
+	age := time.Duration(0)
+	if r.State == Quarantined {
+		age = r.Age
+	}
+	if e.state == Suspect && e.accused() && (fresh || r.State == Quarantined) {
+		e.setState(Quarantined, now.Add(-age))
+		e.settled = age >= b.limits.Settle
+	}
+	return false
+}
+
+// newest returns the age of the newest loss.
+func (r Record) newest() time.Duration {
+	age := r.Losses[0].Ago
+	for _, l := range r.Losses {
+		age = min(age, l.Ago)
+	}
+	return max(0, age)
+}
+
+// mergeLosses remembers the losses, and reports whether there is new evidence
+// from this wave. Older losses are no evidence by themselves here: which other
+// targets were lost with them is no longer known.
+func (b *Book) mergeLosses(now time.Time, e *entry, told []LossRecord) bool {
+	fresh := false
+	for _, t := range told {
+		l := Loss{Target: t.Target, At: now.Add(-max(0, t.Ago)), Trial: t.Trial}
+		recent := now.Sub(l.At) < b.limits.Wave
+		if recent {
+			b.noteLoss(now, l)
+		}
+		if e.add(l, b.limits.Wave) && recent {
+			fresh = true
+		}
+	}
+	return fresh
+}
+
+// Newest returns up to n records, the latest changed ones first.
+func (b *Book) Newest(now time.Time, n int) []Record {
+	b.Sweep(now)
+	digests := make([]Digest, 0, len(b.entries))
+	for d := range b.entries {
+		digests = append(digests, d)
+	}
+	slices.SortFunc(digests, func(x, y Digest) int {
+		return b.entries[y].sent.Compare(b.entries[x].sent)
+	})
+	var out []Record
+	for _, d := range digests[:min(n, len(digests))] {
+		if r, ok := b.Record(now, d); ok {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/policy/suspicion/suspicion_test.go
@@ -0,0 +1,135 @@
+package suspicion
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+var start = time.Date(2026, 2, 13, 6, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// lose feeds the book with a break-off at this moment.
+func lose(b *Book, when time.Duration, d Digest, target platform.HostID, trial bool) State {
+	return b.BrokeOff(at(when), Run{Digest: d, Loss: Loss{Target: target, At: at(when), Trial: trial}})
+}
+
+func small() Limits {
+	l := DefaultLimits()
+	l.MaxEntries = 4
+	return l
+}
+
+// One crash breaks the connections of two runs of the same request: that is one
+// lost target. Only the trial at a second target is the evidence.
+func TestQuarantineNeedsTwoTargets(t *testing.T) {
+	b := NewBook(DefaultLimits())
+	assert.Equal(t, lose(b, 0, 1, "t1", false), Suspect)
+	assert.Equal(t, lose(b, time.Millisecond, 1, "t1", false), Suspect)
+	assert.Equal(t, b.Ask(at(time.Second), 1, "h1/1"), Alone)
+	assert.Equal(t, b.Ask(at(time.Second), 1, "h2/1"), Busy)
+	assert.Equal(t, lose(b, 2*time.Second, 1, "t2", true), Quarantined)
+	b.EndTrial(1, "h1/1")
+	assert.Equal(t, b.Ask(at(2*time.Second), 1, "h2/2"), Busy)
+	assert.Equal(t, b.Ask(at(3*time.Second), 1, "h2/3"), Refused)
+}
+
+func TestAnswerClearsAtOnce(t *testing.T) {
+	b := NewBook(DefaultLimits())
+	lose(b, 0, 1, "t1", false)
+	r, ok := b.Record(at(0), 1)
+	assert.Check(t, ok)
+	assert.Check(t, b.Clear(at(time.Millisecond), 1))
+	assert.Equal(t, b.Ask(at(time.Second), 1, "h1/1"), Free)
+	r.Losses[0].Ago = time.Second
+	assert.Check(t, b.Merge(at(time.Second), r, false), "old word of a cleared request was taken in")
+	assert.Equal(t, b.State(at(time.Second), 1), Clean)
+}
+
+// A zone dies while a request is in flight there; sent again at once, it meets
+// a second dying target of the zone. The other losses show that it is not the
+// cause, also if they are heard of only after its quarantine began.
+func TestMassLossQuarantinesNobody(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		b := NewBook(DefaultLimits())
+		others := func() {
+			lose(b, 5*time.Millisecond, 7, "t3", false)
+			lose(b, 6*time.Millisecond, 8, "t4", false)
+		}
+		lose(b, 0, 1, "t1", false)
+		if before {
+			others()
+		}
+		lose(b, 10*time.Millisecond, 1, "t2", true)
+		if !before {
+			others()
+		}
+		assert.Equal(t, b.State(at(300*time.Millisecond), 1), Suspect)
+	}
+}
+
+// A common request runs at two targets that crash together. Having been seen
+// answered, it gets a trial; a request never seen answered does not.
+func TestKnownGoodRequestGetsItsTrial(t *testing.T) {
+	b := NewBook(DefaultLimits())
+	for _, target := range []platform.HostID{"t1", "t2"} {
+		loss := Loss{Target: target, At: at(0)}
+		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
+		b.BrokeOff(at(0), Run{Digest: 2, Loss: loss})
+	}
+	assert.Equal(t, b.State(at(0), 1), Suspect)
+	assert.Equal(t, b.State(at(0), 2), Quarantined)
+
+	other := NewBook(DefaultLimits())
+	r, _ := b.Record(at(0), 2)
+	other.Merge(at(0), r, true)
+	assert.Equal(t, other.State(at(0), 2), Suspect)
+	r, _ = other.Record(at(0), 2)
+	b.Merge(at(0), r, false)
+	assert.Equal(t, b.State(at(time.Second), 2), Suspect)
+}
+
+func TestForgiveness(t *testing.T) {
+	l := DefaultLimits()
+	b := NewBook(l)
+	lose(b, 0, 1, "t1", false)
+	lose(b, time.Second, 1, "t2", true)
+	for m := time.Duration(0); m < 9; m++ {
+		assert.Equal(t, b.Sent(at(m*5*time.Minute), 1), Quarantined)
+	}
+	quiet := 40*time.Minute + l.QuietFor
+	assert.Equal(t, b.State(at(quiet-1), 1), Quarantined)
+	assert.Equal(t, b.State(at(quiet), 1), Suspect)
+	assert.Equal(t, lose(b, quiet, 1, "t3", true), Quarantined)
+	assert.Equal(t, b.State(at(quiet+l.QuietFor), 1), Suspect)
+	assert.Equal(t, b.State(at(quiet+l.QuietFor+l.SuspectFor), 1), Clean)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	b := NewBook(small())
+	lose(b, 0, 1, "t1", false)
+	lose(b, time.Second, 1, "t2", true)
+	for d := Digest(2); d < 100; d++ {
+		lose(b, time.Duration(d)*time.Minute/100, d, "t9", false)
+	}
+	assert.Equal(t, b.Len(), 4)
+	assert.Equal(t, b.State(at(2*time.Second), 1), Quarantined)
+}
+
+func TestBadRecordsAreNotTakenIn(t *testing.T) {
+	b := NewBook(DefaultLimits())
+	for _, r := range []Record{
+		{Digest: 1},
+		{Digest: 1, State: Suspect},
+		{Digest: 1, State: 9, Losses: []LossRecord{{Target: "t"}}},
+		{Digest: 1, State: Quarantined, Quiet: -1, Losses: []LossRecord{{Target: "t"}}},
+		{Digest: 1, State: Suspect, Losses: make([]LossRecord, maxLosses+1)},
+	} {
+		b.Merge(at(0), r, false)
+	}
+	assert.Equal(t, b.Len(), 0)
+}
