Spread the first sign that a target is leaving

Cause: the platform's list says so seconds late, and only one host hears it from the target's own answer.

--- /dev/null
+++ b/controller/targets/targets_test.go
@@ -0,0 +1,214 @@
+package targets
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// tellWithin is the time from the first sign of leaving at any host until no
+// host that can be reached gives the target new work.
+const tellWithin = 2 * time.Second
+
+var testKey = blackboard.ServiceKey{Workspace: "w", Service: "s"}
+
+func TestMain(m *testing.M) {
+	// Set before parsing, so that longer runs can choose otherwise.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "60")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func targetID(i int) platform.HostID { return platform.HostID(fmt.Sprintf("t%02d", i)) }
+
+func listOf(version uint64, states ...platform.HostState) platform.HostSnapshot {
+	snap := platform.HostSnapshot{Version: version}
+	for i, s := range states {
+		snap.Hosts = append(snap.Hosts, platform.Host{
+			ID: targetID(i), Role: platform.RoleTarget, State: s, Workspace: testKey.Workspace, Service: testKey.Service,
+		})
+	}
+	return snap
+}
+
+func liveList(version uint64, n int) platform.HostSnapshot {
+	states := make([]platform.HostState, n)
+	for i := range states {
+		states[i] = platform.HostLive
+	}
+	return listOf(version, states...)
+}
+
+type testHost struct {
+	c     *Controller
+	board *blackboard.Board
+}
+
+func (h *testHost) target(i int) blackboard.Target {
+	for _, t := range h.board.Targets.Load().ByService[testKey] {
+		if t.ID == targetID(i) {
+			return t
+		}
+	}
+	return blackboard.Target{}
+}
+
+// mark is what a picker does when a target answers that it is draining.
+func (h *testHost) mark(i int) {
+	h.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+		return old.WithLeaving(testKey, targetID(i), time.Now())
+	})
+}
+
+// withHosts runs f with n hosts that know each other and ten live targets.
+func withHosts(t *testing.T, n int, f func(net *peernet.Network, hosts []*testHost)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		net := peernet.New()
+		net.Delay = func(_, _ peer.HostID) time.Duration { return 500 * time.Microsecond }
+		view := &blackboard.Members{}
+		hosts := make([]*testHost, n)
+		for i := range hosts {
+			id := platform.HostID(fmt.Sprintf("h%03d", i))
+			view.Members = append(view.Members, blackboard.Member{Host: platform.Host{ID: id}, State: blackboard.MemberLive})
+			h := &testHost{board: blackboard.New()}
+			h.c = New(Options{Link: net.Join(id), Board: h.board})
+			hosts[i] = h
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, n)
+		for _, h := range hosts {
+			h.board.Members.Store(view)
+			h.c.ApplyList(liveList(1, 10))
+			go func() { done <- h.c.Run(ctx) }()
+		}
+		f(net, hosts)
+		cancel()
+		for range hosts {
+			<-done
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// unaware counts the hosts that would still give the target new work.
+func unaware(hosts []*testHost, target int) int {
+	n := 0
+	for _, h := range hosts {
+		if !h.target(target).Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func TestListKeepsWhatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &testHost{board: blackboard.New()}
+		h.c = New(Options{Link: peernet.New().Join("h"), Board: h.board})
+		h.c.ApplyList(liveList(1, 2))
+		assert.Check(t, h.target(0).FirstSeen.IsZero(), "targets listed at the start are warm")
+		time.Sleep(time.Minute)
+		h.c.ApplyList(listOf(2, platform.HostLeaving, platform.HostLive, platform.HostLive))
+		since := time.Now()
+		assert.Equal(t, h.target(2).FirstSeen, since)
+		time.Sleep(time.Minute)
+		h.c.ApplyList(liveList(3, 3))
+		assert.Check(t, h.target(0).Leaving, "the mark stays while the target is listed")
+		assert.Equal(t, h.target(0).LeavingSince, since)
+		assert.Equal(t, h.target(2).FirstSeen, since)
+		h.c.ApplyList(listOf(4))
+		h.c.ApplyList(liveList(5, 3))
+		assert.Check(t, h.target(0).Leaving, "a list that missed the target for a moment does not clear it")
+		h.c.ApplyList(listOf(6))
+		time.Sleep(2 * keepMark)
+		h.c.ApplyList(listOf(7))
+		assert.Equal(t, len(h.c.marks.at), 0)
+	})
+}
+
+// A target tells one host in an answer that it is draining; the list says so
+// only seconds later. All hosts have to stop giving it work within 2 s.
+func TestFirstSignReachesAll(t *testing.T) {
+	for _, n := range []int{15, 50, 150} {
+		withHosts(t, n, func(_ *peernet.Network, hosts []*testHost) {
+			start := time.Now()
+			hosts[n/2].mark(3)
+			for unaware(hosts, 3) > 0 && time.Since(start) < tellWithin {
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Check(t, unaware(hosts, 3) == 0, "%d of %d hosts do not know", unaware(hosts, 3), n)
+			t.Logf("%d hosts: all know after %v", n, time.Since(start))
+			sent := int64(0)
+			for _, h := range hosts {
+				sent += h.c.count.sent.Value()
+			}
+			assert.Check(t, sent <= int64(n*(passFanout+1)+n), "%d messages", sent)
+		})
+	}
+}
+
+// One host's list lags: it has not heard of a target that is already leaving
+// again. It keeps the mark until the list shows the target, and never gives it
+// work.
+func TestMarkComesBeforeTheTarget(t *testing.T) {
+	withHosts(t, 3, func(_ *peernet.Network, hosts []*testHost) {
+		hosts[0].c.ApplyList(liveList(2, 11))
+		hosts[0].mark(10)
+		time.Sleep(tellWithin)
+		hosts[1].c.ApplyList(liveList(2, 11))
+		assert.Check(t, hosts[1].target(10).Leaving)
+	})
+}
+
+// randomCuts cuts links one way, at most four at each of n hosts.
+func randomCuts(rng *rand.Rand, n int) [][2]int {
+	lost := make([]int, n)
+	var cuts [][2]int
+	for _, at := range rng.Perm(n * n) {
+		from, to := at/n, at%n
+		if from == to || lost[from] == 4 || lost[to] == 4 {
+			continue
+		}
+		lost[from]++
+		lost[to]++
+		cuts = append(cuts, [2]int{from, to})
+	}
+	return cuts
+}
+
+// A third of the links lose everything in one direction. Every host still has
+// some it can talk to, and the mark reaches all in time, past those that do
+// not hear the host that saw it first.
+func TestFirstSignPassesCuts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cuts := randomCuts(rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0)), 12)
+		left := -1
+		withHosts(t, 12, func(net *peernet.Network, hosts []*testHost) {
+			for _, c := range cuts {
+				net.Cut(hosts[c[0]].c.opts.Link.Self(), hosts[c[1]].c.opts.Link.Self())
+			}
+			hosts[0].mark(1)
+			time.Sleep(tellWithin)
+			left = unaware(hosts, 1)
+		})
+		if left != 0 {
+			rt.Fatalf("%d hosts do not know", left)
+		}
+	})
+}
