Refuse changes when the table lost what is in force

A table restored from a backup would give sequence numbers a second meaning: hosts that have the first would never apply it. Hosts keep what they have, and a commit is refused and says why. The random runs now also require that a host that reaches the store serves without a break.

--- a/controller/config/commit.go
+++ b/controller/config/commit.go
@@ -171,10 +171,14 @@
 // attempt reads, compares and commits once. It is not done if the head row
 // moved under it or the answer was lost.
 func (c *Controller) attempt(ctx context.Context, req Request, p proposal) (out Outcome, done bool, err error) {
+	before := c.Sequence()
 	b, err := c.readBase(ctx, req, p)
 	if err != nil {
 		return Outcome{}, false, err
 	}
+	if c.isBehind(b.head, before) {
+		return Outcome{}, false, errStoreBehind
+	}
 	if b.change.Version != 0 {
 		return c.alreadyCommitted(ctx, b)
 	}
--- a/controller/config/config.go
+++ b/controller/config/config.go
@@ -110,7 +110,7 @@
 	wokeAt atomic.Pointer[time.Time]
 
 	kick     chan struct{}
-	hints    chan peer.HostID
+	hints    chan hint
 	snapshot chan struct{}
 }
 
@@ -142,7 +142,7 @@
 		retried:  deps.Metrics.Map("config_retries"),
 		admit:    isNewer,
 		kick:     make(chan struct{}, 1),
-		hints:    make(chan peer.HostID, hintQueue),
+		hints:    make(chan hint, hintQueue),
 		snapshot: make(chan struct{}, 1),
 	}
 	deps.Metrics.Func("config_sequence", func() any { return c.Sequence() })
--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+	"github.com/cactusproxy/cactusproxy/platform"
 )
 
 // bound is the time in which an accepted change has to be in force.
@@ -315,6 +317,24 @@
 	})
 }
 
+// The platform restores its table from an old backup. Hosts keep what is in
+// force, and a change that would use a sequence number twice is refused.
+func TestTableThatLostChangesIsNotFollowed(t *testing.T) {
+	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		pass(time.Second)
+		rows, err := f.Store.Get(context.Background(), "config/head")
+		assert.NilError(t, err)
+		_, err = f.Store.Commit(context.Background(), platform.Op{Kind: platform.OpDelete, Key: rows[0].Key})
+		assert.NilError(t, err)
+		out := change(t, h[1], "c2", 0, 8, config.ResultUnavailable)
+		assert.Check(t, strings.Contains(out.Detail, "behind"), out.Detail)
+		pass(time.Minute)
+		assertSequences(t, f, 1)
+	})
+}
+
 func TestRefusedDeclarations(t *testing.T) {
 	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
 		h := f.Hosts()
--- a/controller/config/peers.go
+++ b/controller/config/peers.go
@@ -79,22 +79,18 @@
 func (c *Controller) onPush(_ context.Context, from peer.HostID, m pushMsg) (empty, error) {
 	c.forward(m.Change, m.Rest)
 	if c.applyChange(m.Change, eventPush) == appliedGap {
-		c.hint(from)
+		c.hint(from, m.Change.Sequence)
 	}
 	return empty{}, nil
 }
 
 func (c *Controller) onAnnounce(_ context.Context, from peer.HostID, m announceMsg) (empty, error) {
-	if m.Sequence > c.Sequence() {
-		c.hint(from)
-	}
+	c.hint(from, m.Sequence)
 	return empty{}, nil
 }
 
 func (c *Controller) onHead(_ context.Context, from peer.HostID, req headRequest) (headReply, error) {
-	if req.Sequence > c.Sequence() {
-		c.hint(from)
-	}
+	c.hint(from, req.Sequence)
 	return headReply{Sequence: c.Sequence(), Confirmed: c.Fresh()}, nil
 }
 
@@ -145,11 +141,20 @@
 	}
 }
 
+// hint is a host that was heard to have a sequence in force.
+type hint struct {
+	from     peer.HostID
+	sequence uint64
+}
+
 // hint has the host fetch what a peer is ahead. With the queue full the hint is
 // dropped: the next poll or round finds the same.
-func (c *Controller) hint(from peer.HostID) {
+func (c *Controller) hint(from peer.HostID, sequence uint64) {
+	if sequence <= c.Sequence() {
+		return
+	}
 	select {
-	case c.hints <- from:
+	case c.hints <- hint{from, sequence}:
 	default:
 		c.refused.Add("hint_queue_full", 1)
 	}
@@ -160,22 +165,34 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case from := <-c.hints:
-			if c.fetch(ctx, from) == nil {
-				c.announce()
-			}
+		case h := <-c.hints:
+			c.followHint(ctx, h)
 		}
 	}
 }
 
-// noticeMembers fetches from a host whose heartbeat tells a higher sequence.
+func (c *Controller) followHint(ctx context.Context, h hint) {
+	before := c.Sequence()
+	if h.sequence <= before {
+		return
+	}
+	if c.fetch(ctx, h.from) == nil && c.Sequence() > before {
+		c.announce()
+	}
+}
+
+// noticeMembers fetches from the host whose heartbeat tells the highest
+// sequence.
 func (c *Controller) noticeMembers(m *blackboard.Members) {
+	var best hint
 	for _, mem := range m.Members {
-		if mem.Host.ID != c.Link.Self() && mem.ConfigSequence > c.Sequence() {
-			c.hint(mem.Host.ID)
-			return
+		if mem.ConfigSequence > best.sequence {
+			best = hint{mem.Host.ID, mem.ConfigSequence}
 		}
 	}
+	if best.from != c.Link.Self() {
+		c.hint(best.from, best.sequence)
+	}
 }
 
 // fetch applies what a peer is ahead.
--- a/controller/config/store.go
+++ b/controller/config/store.go
@@ -19,32 +19,51 @@
 	maxReplay = 32
 )
 
+// errStoreBehind says that the table lost changes that are in force. A commit
+// would give their sequence numbers a second meaning, and hosts that have them
+// would never apply it.
+var errStoreBehind = errors.New("the table is behind the configuration in force")
+
 // errLogGap says that the log lacks a change that the head row counts.
 var errLogGap = errors.New("change missing from the log")
 
 // refreshFromStore reads the head row, catches up and confirms.
 func (c *Controller) refreshFromStore(ctx context.Context) {
-	asked := c.Now()
+	asked, before := c.Now(), c.Sequence()
 	head, err := c.readHead(ctx)
 	if err != nil {
 		c.events.Add("store_read_failed", 1)
 		c.storeFailed.Store(true)
 		return
 	}
-	c.storeFailed.Store(false)
 	c.storeSeen.Store(&asked)
-	before := c.Sequence()
+	if c.isBehind(head, before) {
+		c.Log.Error("store is behind this host", zap.Uint64("store", head.Sequence), zap.Uint64("sequence", before))
+	}
 	if err := c.catchUp(ctx, head.Sequence); err != nil {
 		c.events.Add("store_catch_up_failed", 1)
+		c.storeFailed.Store(true)
 		c.Log.Warn("config catch-up failed", zap.Uint64("sequence", head.Sequence), zap.Error(err))
 		return
 	}
+	c.storeFailed.Store(false)
 	c.confirm(asked, confirmedByStore)
 	if c.Sequence() > before {
 		c.announce()
 	}
 }
 
+// isBehind reports whether the head row is older than what this host had in
+// force before it was read. Only a table that lost writes, such as one restored
+// from a backup, can be. The host keeps what it has.
+func (c *Controller) isBehind(head headRow, before uint64) bool {
+	if head.Sequence >= before {
+		return false
+	}
+	c.refused.Add("store_behind", 1)
+	return true
+}
+
 func (c *Controller) readHead(ctx context.Context) (headRow, error) {
 	rows, err := c.get(ctx, keyHead)
 	if err != nil {
--- a/controller/config/watch_test.go
+++ b/controller/config/watch_test.go
@@ -33,6 +33,7 @@
 	had      map[*confignet.Host]uint64
 	behind   map[*confignet.Host]time.Time // able to catch up since
 	isolated map[*confignet.Host]time.Time
+	served   map[*confignet.Host]time.Time // reaching the store since
 }
 
 func newWatch(r *run) *watch {
@@ -43,6 +44,7 @@
 		had:      make(map[*confignet.Host]uint64),
 		behind:   make(map[*confignet.Host]time.Time),
 		isolated: make(map[*confignet.Host]time.Time),
+		served:   make(map[*confignet.Host]time.Time),
 	}
 	go w.loop(ctx)
 	return w
@@ -75,6 +77,7 @@
 	delete(w.had, h)
 	delete(w.behind, h)
 	delete(w.isolated, h)
+	delete(w.served, h)
 }
 
 func (w *watch) look() {
@@ -85,6 +88,7 @@
 		w.lookForward(h)
 		w.lookBound(h, hosts)
 		w.lookReady(h, hosts)
+		w.lookServing(h)
 	}
 }
 
@@ -151,6 +155,21 @@
 	}
 }
 
+// lookServing checks that a host that reaches the store serves, and does not
+// stop now and then.
+func (w *watch) lookServing(h *confignet.Host) {
+	if h.PlatformCut() || w.r.down.Load() {
+		delete(w.served, h)
+		return
+	}
+	since, ok := w.served[h]
+	if !ok {
+		w.served[h] = time.Now()
+	} else if !h.Ready() && time.Since(since) > bound+slack {
+		w.fault("host %s does not serve though it reached the store for %s", h.ID, time.Since(since))
+	}
+}
+
 // finish ends the watch, checks the history and returns all faults.
 func (w *watch) finish() []string {
 	w.cancel()
