--- a/policy/suspicion/book.go
+++ b/policy/suspicion/book.go
@@ -70,6 +70,7 @@
 	}
 	if !e.accused() || b.unexplained(e) >= b.limits.MassLoss {
 		e.setState(Suspect, now)
+		e.excused = now
 		return
 	}
 	e.settled = true
@@ -106,6 +107,11 @@
 	return e.state
 }
 
+// Lost takes in that a target can not be reached any more, whatever ran on it.
+func (b *Book) Lost(now time.Time, target platform.HostID) {
+	b.noteLoss(now, Loss{Target: target, At: now})
+}
+
 // ensure returns the entry of a request, making a suspect of a clean one.
 func (b *Book) ensure(d Digest, now time.Time) *entry {
 	if e := b.entries[d]; e != nil {
@@ -123,7 +129,8 @@
 func (b *Book) unexplained(e *entry) int {
 	n := 0
 	for id, l := range b.losses {
-		if apart(l.At, e.since) < b.limits.Wave && !b.explained(id) {
+		near := apart(l.At, e.since) < b.limits.Wave && l.At.After(e.excused)
+		if near && !b.explained(id) {
 			n++
 		}
 	}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -116,6 +116,10 @@
 	good bool
 	// settled tells that a quarantine has been decided on.
 	settled bool
+	// excused is when a quarantine was last taken back. Losses of other targets
+	// from before then excuse the request no more: otherwise it could take one
+	// target after the other for as long as the wave lasts.
+	excused time.Time
 }
 
 // trial is the permission to run a suspect.
--- a/quarantine/call.go
+++ b/quarantine/call.go
@@ -44,7 +44,7 @@
 
 // Admit decides on one attempt, first ones, retries and hedges alike. It returns
 // at once unless the request is suspected; then it waits for the permission to
-// try it, until ctx ends. An attempt that is not refused must be ended: by
+// try it, or for the verdict, until ctx ends. An attempt that is not refused must be ended: by
 // Completed, BrokeOff or Close. Digest 0 is admitted unwatched.
 func (q *Quarantine) Admit(ctx context.Context, digest uint64) (*Attempt, Decision) {
 	if digest == 0 {
@@ -142,6 +142,7 @@
 		return
 	}
 	a.once.Do(func() {
+		a.q.reach.up(a.target)
 		a.q.completed(a.digest)
 		a.endTrial()
 	})
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -126,6 +126,7 @@
 // merge takes in records, answers a host that is behind, and vouches for a
 // request that this host saw answered while others may quarantine it untried.
 func (q *Quarantine) merge(from peer.HostID, records []suspicion.Record) {
+	q.lostWith(records)
 	var behind []suspicion.Digest
 	var vouch []suspicion.Record
 	q.locked(func(now time.Time) {
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 )
 
@@ -15,6 +16,8 @@
 	kindAsk
 	// kindEndTrial gives the permission back.
 	kindEndTrial
+	// kindLost tells that a target can not be reached any more.
+	kindLost
 )
 
 // recordsMsg is the body of kindRecords.
@@ -27,6 +30,11 @@
 	Digests []suspicion.Digest `msgpack:"d"`
 }
 
+// lostMsg is the body of kindLost.
+type lostMsg struct {
+	Target platform.HostID `msgpack:"t"`
+}
+
 // askReq is the body of kindAsk. It carries what the asking host holds of the
 // request, so that a keeper that has heard nothing learns it first.
 type askReq struct {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -62,6 +62,7 @@
 	log     *zap.Logger
 
 	answered answered
+	reach    reach
 	// entries is the number of requests in the book: while it is 0, calls take
 	// no lock here.
 	entries atomic.Int64
@@ -91,6 +92,7 @@
 	peer.Handle(d.Link, kindCleared, q.onCleared)
 	peer.Handle(d.Link, kindAsk, q.onAsk)
 	peer.Handle(d.Link, kindEndTrial, q.onEndTrial)
+	peer.Handle(d.Link, kindLost, q.onLost)
 	return q
 }
 
@@ -147,6 +149,7 @@
 
 // brokeOff takes in a run of this host that broke off.
 func (q *Quarantine) brokeOff(r suspicion.Run) {
+	q.reach.down(r.Target)
 	r.KnownGood = q.answered.has(r.Digest)
 	var was, is suspicion.State
 	var records []suspicion.Record
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -131,6 +131,7 @@
 		}
 		t.up = false
 		close(t.lost)
+		go s.noticeLoss(t.id)
 		time.AfterFunc(simRestart, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -139,6 +140,14 @@
 	}
 }
 
+// noticeLoss is an attempt of some host that finds the target gone.
+func (s *sim) noticeLoss(id platform.HostID) {
+	time.Sleep(simTrip)
+	a, _ := s.host().Admit(context.Background(), 1)
+	a.NotReached(id)
+	a.Close()
+}
+
 // run takes one admitted attempt through a target; false if it broke off.
 func (s *sim) run(a *Attempt, digest uint64, alone, poison bool, work time.Duration) bool {
 	t := s.take(alone)
@@ -326,6 +335,21 @@
 	judge(t, "zone loss", sims, 0)
 }
 
+// A request that crashes targets comes while a zone is dying. Which of the two
+// took a target is not to be told then, so the request may get one more trial;
+// no innocent pays for it.
+func TestPoisonDuringAZoneLoss(t *testing.T) {
+	judge(t, "poison in a zone loss", scenario(t, func(s *sim, wg *sync.WaitGroup) {
+		s.innocents(wg, 2000, 500*time.Microsecond)
+		s.poisons(wg, 1, 7)
+		time.Sleep(90 * time.Millisecond)
+		for _, tg := range s.targets[:5] {
+			s.lose(tg)
+			time.Sleep(4 * time.Millisecond)
+		}
+	}), 3)
+}
+
 // An innocent suspect completes and is a suspect no more on any host within the
 // time of a message. A quarantined one is tried again after ten quiet minutes.
 func TestTimesToForgiveness(t *testing.T) {
--- /dev/null
+++ b/quarantine/reach.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+)
+
+// reach remembers which targets this host can reach, so that a target's loss is
+// one event however many connections to it fail afterwards.
+type reach struct {
+	targets sync.Map // platform.HostID -> *atomic.Bool
+}
+
+// up notes that a target answered.
+func (r *reach) up(id platform.HostID) {
+	if v, ok := r.targets.Load(id); ok {
+		if b := v.(*atomic.Bool); !b.Load() {
+			b.Store(true)
+		}
+		return
+	}
+	b := new(atomic.Bool)
+	b.Store(true)
+	r.targets.Store(id, b)
+}
+
+// down notes that a target was lost, and reports whether that is news.
+func (r *reach) down(id platform.HostID) bool {
+	v, ok := r.targets.Load(id)
+	return ok && v.(*atomic.Bool).Swap(false)
+}
+
+// keep forgets all targets but these.
+func (r *reach) keep(known func(platform.HostID) bool) {
+	r.targets.Range(func(id, _ any) bool {
+		if !known(id.(platform.HostID)) {
+			r.targets.Delete(id)
+		}
+		return true
+	})
+}
+
+// KeepTargets forgets what is known of targets that are no more.
+func (q *Quarantine) KeepTargets(known func(platform.HostID) bool) { q.reach.keep(known) }
+
+// NotReached tells that no connection to the target could be made. A target
+// that answered before is taken for lost: idle ones tell in this way alone that
+// a whole zone is failing, and that no request is the cause.
+func (a *Attempt) NotReached(target platform.HostID) {
+	if a == nil || !a.q.reach.down(target) {
+		return
+	}
+	a.q.locked(func(now time.Time) { a.q.book.Lost(now, target) })
+	broadcast(a.q, kindLost, lostMsg{Target: target})
+}
+
+func (q *Quarantine) onLost(_ context.Context, _ peer.HostID, msg lostMsg) (struct{}, error) {
+	if q.reach.down(msg.Target) {
+		q.locked(func(now time.Time) { q.book.Lost(now, msg.Target) })
+	}
+	return struct{}{}, nil
+}
+
+// lostWith notes the targets of records as lost.
+func (q *Quarantine) lostWith(records []suspicion.Record) {
+	for _, r := range records {
+		for _, l := range r.Losses {
+			if l.Ago < syncEvery {
+				q.reach.down(l.Target)
+			}
+		}
+	}
+}
