--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -6,18 +6,17 @@
 
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 )
 
 // Choice among targets.
 const (
 	// overdueTimes the median latency makes an attempt overdue: the target is
 	// taken for a straggler while it lasts.
-	overdueTimes = 4
+	overdueTimes = 6
 	// minOverdue keeps very fast services from suspecting targets on a delay
 	// in the network.
 	minOverdue = 2 * time.Millisecond
-	// slowFor is how long an answer that came late is held against a target.
-	slowFor = 30 * time.Millisecond
 	// maxGap bounds what is believed of the journey of grant and release.
 	maxGap = 10 * time.Millisecond
 	// minSamples is how many latencies must be known to judge by them.
@@ -29,29 +28,77 @@
 	maxCold = 0.5
 )
 
-// dispatch gives slots to asks until it runs out of one or the other. Hosts
-// take turns, so that one host's burst does not hold up the others'.
+// dispatch gives slots to asks until it runs out of one or the other.
 func (b *Book) dispatch(now time.Time) {
 	if b.queued > 0 && b.capacity == 0 {
 		b.declineAll()
 	}
 	b.checkReserved()
-	missed := 0
-	for b.queued > 0 && missed < len(b.hosts) {
-		b.turn = (b.turn + 1) % len(b.hosts)
-		h := b.hosts[b.turn]
-		if h.queue.len() == 0 || !b.serve(now, h) {
-			missed++
+	for _, h := range b.hosts {
+		h.passed = false
+	}
+	for b.queued > 0 {
+		h := b.next()
+		if h == nil {
+			return
+		}
+		h.passed = !b.serve(now, h)
+	}
+}
+
+// next returns the host whose oldest ask is due first, of those whose turn was
+// not passed because no target suits the ask.
+func (b *Book) next() *host {
+	var first *host
+	for _, h := range b.hosts {
+		if h.queue.len() == 0 || h.passed {
 			continue
 		}
-		missed = 0
+		if first == nil || h.queue.front().tag.Before(first.queue.front().tag) {
+			first = h
+		}
+	}
+	return first
+}
+
+// Fairness between hosts.
+const (
+	// fairTimes an even share of the capacity is served in the order of
+	// arrival; what a host asks beyond it waits behind the others.
+	fairTimes = 2
+	// fairBurst asks may come at once before that counts.
+	fairBurst = 16
+)
+
+// tag returns when an ask is due. Asks are served in the order of arrival, which
+// has the shortest tail, as long as each host keeps to a multiple of its even
+// share; a host that floods the coordinator delays its own asks only.
+func (b *Book) tag(now time.Time, h *host) time.Time {
+	if b.capacity == 0 || b.service.Count() < minSamples {
+		return now
+	}
+	every := b.service.Mean() * time.Duration(len(b.hosts)) / time.Duration(fairTimes*b.capacity)
+	if h.paid.Before(now) {
+		h.paid = now
+	}
+	h.paid = h.paid.Add(every)
+	due := h.paid.Add(-fairBurst * every)
+	if due.Before(now) {
+		return now
 	}
+	return due
 }
 
 // serve settles the oldest ask of a host and reports whether it could.
 func (b *Book) serve(now time.Time, h *host) bool {
 	w := h.queue.front()
-	t := b.place(now, &w.ask)
+	if !w.deadline.IsZero() && now.Add(b.service.Median()).After(w.deadline) {
+		h.refuse(w.ask.ID, outcome.ReasonDeadline)
+		h.queue.pop()
+		b.queued--
+		return true
+	}
+	t := b.place(now, h, &w.ask)
 	if t == nil && !w.ask.Hedge {
 		return false
 	}
@@ -91,27 +138,32 @@
 }
 
 // place returns the target for an ask, or nil if none has a slot now.
-func (b *Book) place(now time.Time, a *Ask) *target {
+func (b *Book) place(now time.Time, h *host, a *Ask) *target {
 	if a.Alone {
 		return b.placeAlone(now, a)
 	}
-	over := b.over()
-	if a.Hedge {
-		over = 0
-	}
-	cold := b.coldLimit(now)
-	overdue := b.overdueAfter()
+	in := b.terms(now, a)
+	strict := len(a.Avoid) > 0 && b.others(now, a.Avoid)
 	var best *target
 	bestScore := 0
-	n := len(b.targets)
 	b.offset++
-	for i := range n {
-		t := b.targets[(i+b.offset)%n]
-		score, ok := b.score(now, t, over, cold, overdue)
-		if !ok || (best != nil && score >= bestScore) {
+	i := b.offset % max(len(b.targets), 1)
+	for range b.targets {
+		t := b.targets[i]
+		if i++; i == len(b.targets) {
+			i = 0
+		}
+		score, ok := b.score(&in, t)
+		if !ok {
+			continue
+		}
+		if t.zone != h.zone {
+			score += scoreFar
+		}
+		if best != nil && score >= bestScore {
 			continue
 		}
-		if len(a.Avoid) > 0 && slices.Contains(a.Avoid, t.id) && b.others(now, a.Avoid) {
+		if strict && slices.Contains(a.Avoid, t.id) {
 			continue
 		}
 		best, bestScore = t, score
@@ -119,53 +171,76 @@
 	return best
 }
 
+// terms is what a choice looks up once for all targets.
+type terms struct {
+	time    time.Time
+	now     instant.Time
+	limit   int // attempts a healthy target may hold
+	cold    bool
+	overdue instant.Time // grants before it are overdue
+}
+
+func (b *Book) terms(now time.Time, a *Ask) terms {
+	in := terms{time: now, now: instant.Of(now), limit: b.slots, cold: b.coldLimit(now)}
+	if !a.Hedge {
+		in.limit += b.over()
+	}
+	if d := b.overdueAfter(); d > 0 {
+		in.overdue = in.now.Add(-d)
+	}
+	return in
+}
+
 // Scores: lower is better; an attempt in flight counts one step.
 const (
 	step         = 16
 	scoreOverdue = 8 * step
 	scoreCold    = step / 2
+	scoreFar     = 1 // among equals the target in the host's zone is nearer
 )
 
 // score rates a target; false means that it has no slot.
-func (b *Book) score(now time.Time, t *target, over int, cold bool, overdue time.Duration) (int, bool) {
-	if !t.usable() || t.alone || t == b.reserved || t.health.Ejected(now) {
+func (b *Book) score(in *terms, t *target) (int, bool) {
+	if !t.open || t == b.reserved {
 		return 0, false
 	}
-	load := t.inFlight()
-	if t.foreign > 0 && now.Sub(t.foreignAt) < foreignFor {
-		load += t.foreign
+	held := len(t.calls)
+	limit := in.limit
+	score := held * step
+	if t.foreign > 0 && in.now.Add(-foreignFor) < t.foreignAt {
+		score += t.foreign * step
 	}
-	limit := b.slots + over
-	score := load * step
-	if b.slow(now, t, overdue) {
+	if held > 0 && t.oldest < in.overdue {
 		limit = b.slots
 		score += scoreOverdue
 	}
-	if cold && b.isCold(now, t) {
-		if !b.coldTurn(now, t) {
-			return 0, false
-		}
-		limit = b.slots
-		score += scoreCold
+	if in.now < t.shedUntil {
+		limit = min(limit, t.shedLimit)
 	}
-	if t.health.Trial() {
-		limit = 1
+	if held >= limit {
+		return 0, false
 	}
-	if now.Before(t.shedUntil) {
-		limit = min(limit, t.shedLimit)
+	if in.cold || t.doubted {
+		return b.scoreDoubted(in, t, score)
 	}
-	return score, load < limit
+	return score, true
 }
 
-// slow reports whether the target is taken for a straggler.
-func (b *Book) slow(now time.Time, t *target, overdue time.Duration) bool {
-	if overdue == 0 {
-		return false
+// scoreDoubted goes on for targets that may be cold, ejected or on trial.
+func (b *Book) scoreDoubted(in *terms, t *target, score int) (int, bool) {
+	if t.health.Ejected(in.time) {
+		return 0, false
 	}
-	if t.inFlight() > 0 && now.Sub(t.oldest) > overdue {
-		return true
+	if t.health.Trial() && t.inFlight() > 0 {
+		return 0, false
+	}
+	if !in.cold || !b.isCold(in.time, t) {
+		return score, true
 	}
-	return now.Before(t.slowUntil)
+	if t.inFlight() >= b.slots || !b.coldTurn(in.time, t) {
+		return 0, false
+	}
+	return score + scoreCold, true
 }
 
 // overdueAfter is the age at which an attempt is overdue, 0 if not known.
@@ -186,8 +261,11 @@
 		return 1
 	}
 	journey := 2*b.gap + fixedGap
+	if b.queued > max(b.capacity/4, 1) {
+		journey += mean
+	}
 	n := int((time.Duration(b.slots)*journey + mean - 1) / mean)
-	return min(max(n, 1), b.slots)
+	return min(max(n, 1), 2*b.slots)
 }
 
 // fixedGap is the part of the journey that reports do not show: the way from
