Run the whole path as one daemon, and show it in one command

An upload that its caller breaks off is now told apart from a target that breaks off: it must not eject the target nor have the request suspected of a crash.

--- /dev/null
+++ b/cmd/cactusdemo/main.go
@@ -0,0 +1,81 @@
+// Command cactusdemo shows cactusproxy at work in one process: three entry hosts
+// in three availability zones, the platform's stand-in and targets of both
+// example deployments. It makes real calls over loopback, prints what came of
+// each, and exits 0 only if all was as promised.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/cactusproxy/cactusproxy/internal/lab"
+	"github.com/cactusproxy/cactusproxy/internal/logging"
+	"github.com/cactusproxy/cactusproxy/internal/version"
+)
+
+type args struct {
+	Stay     bool   `arg:"--stay" help:"keep everything running afterwards and print addresses for curl"`
+	Examples string `arg:"--examples" default:"examples" help:"folder with the declarations"`
+	Log      string `arg:"--log" default:"error" help:"level of the hosts' logs on standard error: debug, info, warn or error"`
+}
+
+func (args) Description() string {
+	return "cactusdemo starts a small deployment in one process and shows what it promises."
+}
+
+func (args) Version() string { return "cactusdemo " + version.String() }
+
+// limit bounds the whole show.
+const limit = 50 * time.Second
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var a args
+	arg.MustParse(&a)
+	log, err := logging.New(os.Stderr, a.Log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	l, err := lab.New(lab.Options{Log: log})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	d := &demo{lab: l, examples: a.Examples, out: os.Stdout}
+	ok := d.run(ctx)
+	if a.Stay && ok {
+		d.stay()
+	}
+	if !ok {
+		return 1
+	}
+	return 0
+}
+
+// stay prints addresses and waits for a signal.
+func (d *demo) stay() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Fprintln(d.out, "\nrunning until interrupted:")
+	for _, id := range d.hosts {
+		h, err := d.lab.Host(id)
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(d.out, "  %s  callers http://%s  operators http://%s\n", id, h.CallersAddr(), h.OperatorsAddr())
+	}
+	fmt.Fprintf(d.out, "  platform  %s\n", d.lab.PlatformURL())
+	fmt.Fprintf(d.out, "try:  curl -i http://<callers>/%s/catalogue/lots\n", auction)
+	<-ctx.Done()
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -12,13 +12,23 @@
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
+// send is the right to make one attempt.
+type send struct {
+	grant pick.Grant
+	// watch tells the quarantine what became of it; nil if nobody asks.
+	watch *quarantine.Attempt
+	// claim is set for calls with an idempotency key.
+	claim *ledger.Claim
+}
+
 // attempt is one send of a call to one target.
 type attempt struct {
-	grant  pick.Grant
+	send
 	cancel context.CancelFunc
 	start  time.Time
 	// observe learns the latency of a whole answer.
@@ -37,28 +47,29 @@
 // answered reports whether the attempt has an answer to pass on.
 func (a *attempt) answered() bool { return a.resp != nil }
 
-// send makes one attempt and waits for the head of its answer.
-func (d *Dispatcher) send(ctx context.Context, c *Call, g pick.Grant, claim *ledger.Claim) *attempt {
+// attempt makes one attempt and waits for the head of its answer.
+func (d *Dispatcher) attempt(ctx context.Context, c *Call, s send) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
-		grant:   g,
+		send:    s,
 		cancel:  cancel,
 		start:   time.Now(),
 		observe: func(took time.Duration) { d.observe(c.Key, took) },
 	}
-	if claim != nil && !claim.Sending() {
+	if s.claim != nil && !s.claim.Sending() {
 		// The host was held up for so long that the claim's row may be gone, and
 		// another send may have taken the key.
 		a.class, a.reason = pick.NotSent, outcome.ReasonKeyExpired
 		a.end(a.class)
 		return a
 	}
-	res := d.upstream.RoundTrip(newRequest(ctx, c), g.Target(), upstream.SendOptions{
+	s.watch.Started(s.grant.Target().ID)
+	res := d.upstream.RoundTrip(newRequest(ctx, c), s.grant.Target(), upstream.SendOptions{
 		MaxConns: d.connShare(c),
 		Once:     c.Repeat == Once,
 	})
 	if res.Err != nil {
-		a.failed(ctx, res)
+		a.failed(ctx, res, c.Body.Broken())
 		a.end(a.class)
 		return a
 	}
@@ -91,12 +102,14 @@
 }
 
 // failed classifies an attempt that brought no answer.
-func (a *attempt) failed(ctx context.Context, res upstream.Result) {
+func (a *attempt) failed(ctx context.Context, res upstream.Result, callerBroke bool) {
 	a.mayHaveRun = res.Sent
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		a.class, a.reason = pick.TimedOut, outcome.ReasonTargetTimeout
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || callerBroke:
+		// An upload that its caller broke off says nothing about the target: it
+		// must neither be ejected nor the request suspected of crashing it.
 		a.class, a.reason = pick.Canceled, outcome.ReasonCallerGone
 	case res.Sent:
 		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
@@ -156,9 +169,23 @@
 		rep.Load = targetapi.LoadOf(resp.Header)
 		rep.LeavingHint = targetapi.IsLeaving(resp.Header)
 	}
+	a.tellWatch(class)
 	a.grant.Release(rep)
 }
 
+// tellWatch tells the quarantine how the attempt ended, before the caller learns
+// of it: once the caller knows, it may send the request to any host again.
+func (a *attempt) tellWatch(class pick.Class) {
+	switch class {
+	case pick.OK, pick.Failed:
+		a.watch.Completed()
+	case pick.BrokeOff:
+		a.watch.BrokeOff()
+	default:
+		a.watch.Close()
+	}
+}
+
 // retryAfter reads a target's Retry-After in seconds; 0 if there is none.
 func retryAfter(resp *http.Response) time.Duration {
 	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	stream io.ReadCloser
 	length int64
 	read   atomic.Bool
+	broken atomic.Bool
 }
 
 // MemoryBody returns a body held in memory.
@@ -29,9 +31,15 @@
 // Bytes returns the body if it is in memory.
 func (b *Body) Bytes() ([]byte, bool) { return b.mem, b.stream == nil }
 
+// Length returns the length in bytes, or -1 if it is not known.
+func (b *Body) Length() int64 { return b.length }
+
 // Replayable reports whether another attempt can send the body.
 func (b *Body) Replayable() bool { return b.stream == nil || !b.read.Load() }
 
+// Broken reports whether the caller stopped sending before the body's end.
+func (b *Body) Broken() bool { return b.broken.Load() }
+
 // reader returns the body for one attempt.
 func (b *Body) reader() io.ReadCloser {
 	if b.stream != nil {
@@ -49,7 +57,11 @@
 
 func (r *streamReader) Read(p []byte) (int, error) {
 	r.body.read.Store(true)
-	return r.body.stream.Read(p)
+	n, err := r.body.stream.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.body.broken.Store(true)
+	}
+	return n, err
 }
 
 func (r *streamReader) Close() error { return nil }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -18,7 +19,15 @@
 	Picker   pick.Picker
 	Upstream upstream.RoundTripper
 	Ledger   Ledger
-	Metrics  *metrics.Set
+	// Quarantine may be nil.
+	Quarantine Quarantine
+	Metrics    *metrics.Set
+}
+
+// Quarantine keeps requests that crash targets from more of them;
+// quarantine.Quarantine is one.
+type Quarantine interface {
+	Admit(ctx context.Context, digest uint64) (*quarantine.Attempt, quarantine.Decision)
 }
 
 // Dispatcher carries out calls. It is safe for concurrent use.
@@ -27,6 +36,7 @@
 	picker   pick.Picker
 	upstream upstream.RoundTripper
 	ledger   Ledger
+	suspects Quarantine
 	metrics  *metrics.Set
 
 	workspaces sync.Map // name -> *workspace
@@ -40,6 +50,7 @@
 		picker:   deps.Picker,
 		upstream: deps.Upstream,
 		ledger:   deps.Ledger,
+		suspects: deps.Quarantine,
 		metrics:  deps.Metrics,
 	}
 }
@@ -77,21 +88,35 @@
 // run makes attempts until one is answered or there may be no other.
 func (d *Dispatcher) run(ctx context.Context, c *Call, h *history) *Reply {
 	for {
+		watch, decision := d.admitAttempt(ctx, c)
+		if decision.Refuse {
+			return h.settle(outcome.ReasonQuarantined, decision.RetryAfter)
+		}
 		g, refusal := d.picker.Pick(ctx, pick.Request{
 			Service: c.Key,
 			Avoid:   h.tried,
+			Alone:   decision.Alone,
 			Digest:  c.Suspicion,
 		})
 		if g == nil {
+			watch.Close()
 			return h.settle(refusal.Reason, refusal.RetryAfter)
 		}
-		a := d.race(ctx, c, g, h)
+		a := d.race(ctx, c, send{grant: g, watch: watch, claim: h.claim}, h)
 		if r := d.accept(ctx, c, h, a); r != nil {
 			return r
 		}
 	}
 }
 
+// admitAttempt asks the quarantine about one attempt.
+func (d *Dispatcher) admitAttempt(ctx context.Context, c *Call) (*quarantine.Attempt, quarantine.Decision) {
+	if d.suspects == nil {
+		return nil, quarantine.Decision{}
+	}
+	return d.suspects.Admit(ctx, c.Suspicion)
+}
+
 // accept returns the reply that an attempt leads to, or nil if there is to be
 // another attempt.
 func (d *Dispatcher) accept(ctx context.Context, c *Call, h *history, a *attempt) *Reply {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -41,14 +41,14 @@
 // race sends an attempt and, if the call may be hedged and the answer is late,
 // a second one to another target. It returns the first attempt that has an
 // answer, or the last to fail; the other one is canceled.
-func (d *Dispatcher) race(ctx context.Context, c *Call, g pick.Grant, h *history) *attempt {
+func (d *Dispatcher) race(ctx context.Context, c *Call, s send, h *history) *attempt {
 	delay, ok := d.hedgeDelay(ctx, c, h)
 	if !ok {
-		a := d.send(ctx, c, g, h.claim)
+		a := d.attempt(ctx, c, s)
 		h.add(a)
 		return a
 	}
-	return d.hedged(ctx, c, g, h, delay)
+	return d.hedged(ctx, c, s, h, delay)
 }
 
 // hedgeDelay returns when to send a second attempt. Only a call that may be
@@ -67,12 +67,12 @@
 	return d.latency(c.Key).hedgeDelay(left)
 }
 
-func (d *Dispatcher) hedged(ctx context.Context, c *Call, g pick.Grant, h *history, delay time.Duration) *attempt {
+func (d *Dispatcher) hedged(ctx context.Context, c *Call, s send, h *history, delay time.Duration) *attempt {
 	done := make(chan *attempt, 2)
 	// Each attempt has a context of its own, so that the loser can be canceled
 	// without touching the winner's answer.
 	ctx1, cancel1 := context.WithCancel(ctx)
-	go func() { done <- d.send(ctx1, c, g, nil) }()
+	go func() { done <- d.attempt(ctx1, c, s) }()
 
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -83,27 +83,32 @@
 		return a
 	case <-timer.C:
 	}
-	g2 := d.hedgeGrant(ctx, c, g)
-	if g2 == nil {
+	s2 := d.hedgeSend(ctx, c, s.grant)
+	if s2 == nil {
 		a := <-done
 		h.add(a)
 		a.addCancel(cancel1)
 		return a
 	}
 	ctx2, cancel2 := context.WithCancel(ctx)
-	go func() { done <- d.send(ctx2, c, g2, nil) }()
+	go func() { done <- d.attempt(ctx2, c, *s2) }()
 	d.metrics.Retries.Add("hedge", 1)
-	return firstAnswer(h, done, map[pick.Grant]context.CancelFunc{g: cancel1, g2: cancel2})
+	return firstAnswer(h, done, map[pick.Grant]context.CancelFunc{s.grant: cancel1, s2.grant: cancel2})
 }
 
-// hedgeGrant returns the grant for a second attempt, or nil if the budget or
-// the targets have no room.
-func (d *Dispatcher) hedgeGrant(ctx context.Context, c *Call, g pick.Grant) pick.Grant {
+// hedgeSend returns the right to a second attempt, or nil if the budget or the
+// targets have no room, or the request is suspected of crashing targets.
+func (d *Dispatcher) hedgeSend(ctx context.Context, c *Call, g pick.Grant) *send {
 	ws := d.workspace(c.Workspace)
 	if !ws.takeHedge(time.Now()) {
 		d.metrics.RetriesRefused.Add("hedge-budget", 1)
 		return nil
 	}
+	watch, decision := d.admitAttempt(ctx, c)
+	if decision.Refuse || decision.Alone {
+		watch.Close()
+		return d.noHedge(ws, "hedge-suspected")
+	}
 	g2, _ := d.picker.Pick(ctx, pick.Request{
 		Service: c.Key,
 		Avoid:   []platform.HostID{g.Target().ID},
@@ -111,10 +116,17 @@
 		Digest:  c.Suspicion,
 	})
 	if g2 == nil {
-		ws.returnHedge()
-		d.metrics.RetriesRefused.Add("hedge-no-slot", 1)
+		watch.Close()
+		return d.noHedge(ws, "hedge-no-slot")
 	}
-	return g2
+	return &send{grant: g2, watch: watch}
+}
+
+// noHedge gives back a hedge that was paid for.
+func (d *Dispatcher) noHedge(ws *workspace, why string) *send {
+	ws.returnHedge()
+	d.metrics.RetriesRefused.Add(why, 1)
+	return nil
 }
 
 // firstAnswer waits for the two attempts and returns the better one.
--- a/entry/request.go
+++ b/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/quarantine"
 )
 
 // HeaderIdempotencyKey carries the caller's key of an at-most-once call.
@@ -54,6 +55,8 @@
 		return nil, nil, refusal
 	}
 	c.Body = body
+	mem, _ := body.Bytes()
+	c.Suspicion = quarantine.Digest(c.Key.Workspace, c.Key.Service, c.Method, u.RequestURI(), mem, body.Length())
 	return c, release, outcome.Result{}
 }
 
--- /dev/null
+++ b/provision.go
@@ -0,0 +1,299 @@
+package cactusproxy
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/controller/membership"
+	"github.com/cactusproxy/cactusproxy/controller/targets"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/ledger"
+	"github.com/cactusproxy/cactusproxy/operator"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+	"github.com/cactusproxy/cactusproxy/policy/rendezvous"
+	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/settings"
+	"github.com/cactusproxy/cactusproxy/slots"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// Defaults of settings that are left out.
+const (
+	defaultMaxHeader   = 64 << 10  // bytes
+	defaultBodyMemory  = 128 << 20 // bytes
+	defaultReadHeader  = 5 * time.Second
+	defaultIdle        = 2 * time.Minute
+	defaultDialTimeout = time.Second
+	defaultKeyWindow   = 24 * time.Hour
+)
+
+// provision makes the daemon's parts, from the listeners inwards. Handlers of
+// peer messages are registered here, before the link serves.
+func (d *Daemon) provision(o options) error {
+	d.incarnation = membership.NewIncarnation(time.Now())
+	for _, step := range []func(options) error{
+		d.provisionListeners,
+		d.provisionPlatform,
+		d.provisionPeers,
+		d.provisionUpstream,
+		d.provisionLedger,
+	} {
+		if err := step(o); err != nil {
+			return err
+		}
+	}
+	d.provisionControllers()
+	d.provisionCallers(o)
+	return d.provisionOperators()
+}
+
+func (d *Daemon) provisionListeners(options) error {
+	for _, l := range []struct {
+		addr string
+		to   *net.Listener
+	}{
+		{d.settings.Callers.Addr, &d.listeners.callers},
+		{d.settings.Operators.Addr, &d.listeners.operators},
+		{d.settings.Peers.Addr, &d.listeners.peers},
+	} {
+		opened, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return err
+		}
+		*l.to = opened
+		d.cleanup = append(d.cleanup, func() { _ = opened.Close() })
+	}
+	return nil
+}
+
+func (d *Daemon) provisionPlatform(o options) error {
+	if o.platform != nil {
+		d.platform = *o.platform
+		return nil
+	}
+	token, err := settings.Secret(d.settings.Platform.TokenFile)
+	if err != nil {
+		return err
+	}
+	client, err := httpstore.New(httpstore.Config{
+		URL:     d.settings.Platform.URL,
+		Token:   string(token),
+		Timeout: d.settings.Platform.Timeout.Or(httpstore.DefaultTimeout),
+	})
+	if err != nil {
+		return err
+	}
+	d.cleanup = append(d.cleanup, client.Close)
+	d.platform = Platform{Table: client.Table(), Objects: client.Objects(), Hosts: client.Hosts()}
+	return nil
+}
+
+func (d *Daemon) provisionPeers(options) error {
+	tlsConfig, err := d.settings.Peers.TLS.Server()
+	if err != nil {
+		return err
+	}
+	key, err := settings.Key(d.settings.Peers.KeyFile)
+	if err != nil {
+		return err
+	}
+	d.node = peer.NewNode(peer.Options{
+		Self:        d.id(),
+		Incarnation: d.incarnation,
+		Listener:    d.listeners.peers,
+		TLS:         tlsConfig,
+		Key:         key,
+		Log:         d.log,
+		Metrics:     d.metrics,
+	})
+	d.cleanup = append(d.cleanup, d.node.Close)
+	return nil
+}
+
+func (d *Daemon) id() platform.HostID { return platform.HostID(d.settings.Host.ID) }
+
+func (d *Daemon) provisionUpstream(options) error {
+	tlsConfig, err := d.settings.Targets.Client()
+	if err != nil {
+		return err
+	}
+	d.pools = upstream.New(upstream.Options{
+		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
+		TLS:         tlsConfig,
+	})
+	d.cleanup = append(d.cleanup, d.pools.Close)
+	return nil
+}
+
+func (d *Daemon) provisionLedger(options) error {
+	key, err := settings.Key(d.settings.Keys.File)
+	if err != nil {
+		return err
+	}
+	opts := ledger.Options{Retention: d.settings.Keys.Window.Or(defaultKeyWindow)}
+	if key != nil {
+		opts.ClusterKeys = [][]byte{key}
+	}
+	d.ledger = ledger.New(ledger.Deps{
+		Table:       d.platform.Table,
+		Link:        d.node,
+		Host:        d.id(),
+		Incarnation: d.incarnation,
+		Metrics:     d.metrics,
+		Log:         d.log,
+		Options:     opts,
+	})
+	return nil
+}
+
+func (d *Daemon) provisionControllers() {
+	d.config = config.New(config.Deps{
+		Board:   d.board,
+		Table:   d.platform.Table,
+		Objects: d.platform.Objects,
+		Link:    d.node,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
+	d.targets = targets.New(targets.Options{
+		Board:   d.board,
+		Link:    d.node,
+		Log:     d.log,
+		Metrics: d.metrics,
+	})
+	d.members = membership.New(membership.Options{
+		Host:        d.self(),
+		Incarnation: d.incarnation,
+		Link:        d.node,
+		Peers:       d.node,
+		Board:       d.board,
+		List:        d.platform.Hosts,
+		OnList:      d.targets.ApplyList,
+		Log:         d.log,
+		Metrics:     d.metrics,
+	})
+	d.quarantine = quarantine.New(quarantine.Deps{
+		Link:    d.node,
+		Members: d.roleHolders,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
+	d.slots = slots.New(slots.Deps{
+		Board:       d.board,
+		Link:        d.node,
+		Coordinator: coordinator,
+		Metrics:     d.metrics,
+		Log:         d.log,
+		Seed:        d.incarnation,
+		OnLeaving:   d.markLeaving,
+	})
+	d.cleanup = append(d.cleanup, d.slots.Close)
+}
+
+// self is this host as the others shall know it.
+func (d *Daemon) self() platform.Host {
+	peerAddr := d.settings.Peers.Advertise
+	if peerAddr == "" {
+		peerAddr = d.PeersAddr()
+	}
+	return platform.Host{
+		ID:       d.id(),
+		Role:     platform.RoleEntry,
+		State:    platform.HostLive,
+		Zone:     d.settings.Host.Zone,
+		Region:   d.settings.Host.Region,
+		Addr:     d.CallersAddr(),
+		PeerAddr: peerAddr,
+	}
+}
+
+// coordinator gives a service's slots to one of the live hosts.
+func coordinator(key blackboard.ServiceKey, m *blackboard.Members) (platform.HostID, bool) {
+	owner, ok := rendezvous.Owner(key.String(), m.Members)
+	return owner.Host.ID, ok
+}
+
+func (d *Daemon) roleHolders() []platform.HostID {
+	var ids []platform.HostID
+	for _, m := range d.board.Members.Load().Eligible() {
+		ids = append(ids, m.Host.ID)
+	}
+	return ids
+}
+
+// markLeaving notes that a target's own answer said that it is to stop; the
+// targets controller tells the other hosts.
+func (d *Daemon) markLeaving(key blackboard.ServiceKey, id platform.HostID) {
+	d.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+		return old.WithLeaving(key, id, time.Now())
+	})
+}
+
+func (d *Daemon) provisionCallers(o options) {
+	var up upstream.RoundTripper = d.pools
+	if o.upstream != nil {
+		up = o.upstream
+	}
+	dispatcher := dispatch.New(dispatch.Deps{
+		Board:      d.board,
+		Picker:     d.slots,
+		Upstream:   up,
+		Ledger:     d.ledger,
+		Quarantine: d.quarantine,
+		Metrics:    d.metrics,
+	})
+	memory := d.settings.Callers.BodyMemoryBytes
+	if memory == 0 {
+		memory = defaultBodyMemory
+	}
+	d.entry = entry.New(entry.Deps{
+		Board:      d.board,
+		Dispatcher: dispatcher,
+		Metrics:    d.metrics,
+		BodyMemory: memory,
+		IssueKey:   d.ledger.Issue,
+	})
+	header := d.settings.Callers.MaxHeaderBytes
+	if header == 0 {
+		header = defaultMaxHeader
+	}
+	d.callers = &http.Server{
+		Handler:           d.entry,
+		MaxHeaderBytes:    header,
+		ReadHeaderTimeout: d.settings.Callers.ReadHeaderTimeout.Or(defaultReadHeader),
+		IdleTimeout:       d.settings.Callers.IdleTimeout.Or(defaultIdle),
+		ErrorLog:          zap.NewStdLog(d.log),
+	}
+}
+
+func (d *Daemon) provisionOperators() error {
+	token, err := settings.Secret(d.settings.Operators.TokenFile)
+	if err != nil {
+		return err
+	}
+	routes := operator.New(operator.Deps{
+		Config:  d.config,
+		Metrics: d.metrics,
+		Log:     d.log,
+		Token:   string(token),
+	})
+	d.operators = &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: defaultReadHeader,
+		IdleTimeout:       defaultIdle,
+		ErrorLog:          zap.NewStdLog(d.log),
+	}
+	if d.callers.TLSConfig, err = d.settings.Callers.TLS.Server(); err != nil {
+		return err
+	}
+	d.operators.TLSConfig, err = d.settings.Operators.TLS.Server()
+	return err
+}
--- /dev/null
+++ b/run.go
@@ -0,0 +1,140 @@
+package cactusproxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+// upkeepInterval is the time between two closings of idle connections.
+const upkeepInterval = 5 * time.Second
+
+// Run serves until ctx ends, then stops without cutting off a call, and returns
+// nil if every call in flight had its whole answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.Close()
+	work, halt := context.WithCancel(context.WithoutCancel(ctx))
+	defer halt()
+	g, work := errgroup.WithContext(work)
+	d.start(work, g)
+	d.log.Info("listening",
+		zap.String("callers", d.CallersAddr()),
+		zap.String("operators", d.OperatorsAddr()),
+		zap.String("peers", d.PeersAddr()),
+	)
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		// A part failed; what it returned ends Run.
+	}
+	stopped := d.stop(work)
+	halt()
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return stopped
+}
+
+// start runs all parts until work ends.
+func (d *Daemon) start(work context.Context, g *errgroup.Group) {
+	for _, part := range []func(context.Context) error{
+		d.node.Serve,
+		d.members.Run,
+		d.targets.Run,
+		d.config.Run,
+		d.ledger.Run,
+		d.quarantine.Run,
+		d.upkeep,
+	} {
+		g.Go(func() error { return part(work) })
+	}
+	g.Go(func() error { return serve(d.callers, d.listeners.callers) })
+	g.Go(func() error { return serve(d.operators, d.listeners.operators) })
+	g.Go(func() error {
+		<-work.Done()
+		_ = d.callers.Close()
+		return d.operators.Close()
+	})
+}
+
+// serve runs a server until it is shut down or closed.
+func serve(s *http.Server, l net.Listener) error {
+	var err error
+	if s.TLSConfig != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// upkeep closes connections to targets that are gone and those idle for long.
+func (d *Daemon) upkeep(ctx context.Context) error {
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			d.retainConnections()
+		}
+	}
+}
+
+func (d *Daemon) retainConnections() {
+	listed := make(map[platform.HostID]bool)
+	for _, list := range d.board.Targets.Load().ByService {
+		for _, t := range list {
+			listed[t.ID] = true
+		}
+	}
+	d.pools.Retain(func(id platform.HostID) bool { return listed[id] })
+}
+
+// stop ends the service of callers: first the balancer and the callers are
+// told, then the listener closes, and every call in flight is finished.
+func (d *Daemon) stop(ctx context.Context) error {
+	d.board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		s.Leaving = true
+		return s, true
+	})
+	notice := d.settings.Drain.Notice.Or(defaultNotice)
+	d.log.Info("stopping", zap.Duration("notice", notice), zap.Int64("in_flight", d.entry.InFlight()))
+	select {
+	case <-time.After(notice):
+	case <-ctx.Done():
+	}
+	limit := d.settings.Drain.Limit.Or(defaultDrainLimit)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn("calls cut off", zap.Int64("in_flight", d.entry.InFlight()), zap.Duration("limit", limit))
+		return errors.Wrap(err, "stop")
+	}
+	if !d.ledger.Drain(ctx) {
+		d.log.Warn("claims not written down")
+	}
+	d.log.Info("stopped")
+	return nil
+}
+
+// Defaults of the stop.
+const (
+	defaultNotice     = 5 * time.Second
+	defaultDrainLimit = 10 * time.Minute
+)
+
+// InFlight returns the number of calls that have not had their whole reply.
+func (d *Daemon) InFlight() int64 { return d.entry.InFlight() }
