--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -164,17 +164,13 @@
 	for i := range f.Ends {
 		b.end(now, h, f.Ends[i])
 	}
-	for i := range f.Open {
-		b.adopt(now, h, f.Open[i])
-	}
 	for i := range f.Asks {
 		b.ask(now, h, f.Asks[i])
 	}
-	if f.Full {
-		h.zone = b.zone(f.Zone)
-	}
+	// A full frame that a later frame overtook may list attempts whose end is
+	// known already; they would come back and hold their slots until the next.
 	if f.Full && f.Seq > h.seq {
-		b.reconcile(now, h, f)
+		b.takeFull(now, h, f)
 	}
 	h.known = h.known || f.Full
 	h.seq = max(h.seq, f.Seq)
@@ -285,6 +281,15 @@
 	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone).confirmed = true
 }
 
+// takeFull brings the books of one host in line with what it lists.
+func (b *Book) takeFull(now time.Time, h *host, f Frame) {
+	h.zone = b.zone(f.Zone)
+	for i := range f.Open {
+		b.adopt(now, h, f.Open[i])
+	}
+	b.reconcile(now, h, f)
+}
+
 // reconcile drops what a full frame does not list. Without it a release that
 // was lost on the way would leave its slot taken for good: the target would
 // look busy and stay idle.
--- a/slots/cluster_test.go
+++ b/slots/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 type cluster struct {
 	net         *peernet.Network
 	hosts       []*testHost
-	coordinator platform.HostID
+	coordinator atomic.Pointer[platform.HostID]
 }
 
 type testHost struct {
@@ -36,7 +37,8 @@
 }
 
 func newCluster(hosts, targets int, svc declare.Service) *cluster {
-	c := &cluster{net: peernet.New(), coordinator: "h0"}
+	c := &cluster{net: peernet.New()}
+	c.name("h0")
 	c.net.Delay = func(from, to peer.HostID) time.Duration {
 		if from == to {
 			return 0
@@ -86,9 +88,13 @@
 }
 
 func (c *cluster) choose(blackboard.ServiceKey, *blackboard.Members) (platform.HostID, bool) {
-	return c.coordinator, c.coordinator != ""
+	id := *c.coordinator.Load()
+	return id, id != ""
 }
 
+// name sets what hosts find when they next look for the coordinator.
+func (c *cluster) name(id platform.HostID) { c.coordinator.Store(&id) }
+
 func (c *cluster) close(t *testing.T) {
 	for _, h := range c.hosts {
 		h.slots.Close()
@@ -98,15 +104,20 @@
 
 // setCoordinator changes every host's view at once.
 func (c *cluster) setCoordinator(id platform.HostID) {
-	c.coordinator = id
+	c.name(id)
 	for _, h := range c.hosts {
-		h.board.Members.Update(func(m *blackboard.Members) (*blackboard.Members, bool) {
-			next := *m
-			return &next, true
-		})
+		h.touchMembers()
 	}
 }
 
+// touchMembers makes a host look anew for its coordinator.
+func (h *testHost) touchMembers() {
+	h.board.Members.Update(func(m *blackboard.Members) (*blackboard.Members, bool) {
+		next := *m
+		return &next, true
+	})
+}
+
 // pickFor picks with a deadline.
 func (h *testHost) pickFor(d time.Duration, req pick.Request) (pick.Grant, outcome.Result) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
