--- a/slots/cluster_test.go
+++ b/slots/cluster_test.go
@@ -96,6 +96,7 @@
 func (c *cluster) name(id platform.HostID) { c.coordinator.Store(&id) }
 
 func (c *cluster) close(t *testing.T) {
+	time.Sleep(10 * time.Millisecond) // messages on their way arrive
 	for _, h := range c.hosts {
 		h.slots.Close()
 		assert.NilError(t, h.board.Close())
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
@@ -116,3 +117,97 @@
 		assert.Equal(t, c.hosts[2].count("slots_fallbacks"), int64(0))
 	})
 }
+
+// The host has known for three seconds that a target is leaving; the
+// coordinator's list lags and it grants just that one. The host gives the slot
+// back and asks again, so that the caller gets the other target.
+func TestHostRefusesAGrantForATargetThatLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 2, declare.Service{Slots: 2})
+		defer c.close(t)
+		h := c.hosts[1]
+		h.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+			return old.WithLeaving(bids, "t00", time.Now())
+		})
+		time.Sleep(3 * time.Second)
+		var grants []pick.Grant
+		for range 3 {
+			g, _ := h.pickFor(time.Second, pick.Request{})
+			assert.Equal(t, g.Target().ID, platform.HostID("t01"))
+			grants = append(grants, g)
+		}
+		for _, g := range grants {
+			g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
+		}
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[0].held(), 0)
+	})
+}
+
+// A target says in an answer to one host that it is draining, seconds before
+// the list does. From then on no host gets it, since the coordinator knows.
+func TestSignOfLeavingAtOneHostCountsForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 3, declare.Service{Slots: 2})
+		defer c.close(t)
+		g, _ := c.hosts[1].pickFor(time.Second, pick.Request{})
+		leaving := g.Target().ID
+		g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1, LeavingHint: true})
+		time.Sleep(5 * time.Millisecond)
+		for range 4 {
+			g, _ := c.hosts[2].pickFor(time.Second, pick.Request{})
+			assert.Check(t, g.Target().ID != leaving)
+			defer g.Release(pick.Report{Class: pick.OK, Load: -1})
+		}
+	})
+}
+
+func TestNoTargetAndUnknownServiceAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 1, declare.Service{Slots: 1})
+		defer c.close(t)
+		h := c.hosts[0]
+		_, refusal := h.slots.Pick(t.Context(), pick.Request{Service: blackboard.ServiceKey{Workspace: "x"}})
+		assert.Equal(t, refusal, outcome.Refuse(outcome.ReasonNoRoute))
+		h.board.Targets.Store(&blackboard.Targets{})
+		_, refusal = h.pickFor(time.Second, pick.Request{})
+		assert.Equal(t, refusal, outcome.Refuse(outcome.ReasonNoTarget))
+		assert.Equal(t, h.m.Map("slots_refused").Get("no-target").String(), "1")
+	})
+}
+
+func TestPickThatIsGivenUpLeavesNothingBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 1, declare.Service{Slots: 1})
+		defer c.close(t)
+		var grants []pick.Grant
+		for range 2 {
+			g, _ := c.hosts[0].pickFor(time.Second, pick.Request{})
+			grants = append(grants, g)
+		}
+		_, refusal := c.hosts[1].pickFor(20*time.Millisecond, pick.Request{})
+		assert.Equal(t, refusal.Reason, outcome.ReasonQueueTimeout)
+		for _, g := range grants {
+			g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
+		}
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, c.hosts[0].held(), 0)
+		assert.Equal(t, c.hosts[1].call(time.Millisecond).Outcome, outcome.Answered)
+	})
+}
+
+func TestIdleTargetsAreWorthAProbeAtTheCoordinatorOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 2, declare.Service{Slots: 1})
+		defer c.close(t)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(c.hosts[1].slots.Stale(time.Now())), 0)
+		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 2)
+		c.hosts[0].slots.Probed(bids, "t00", true, 0)
+		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 1)
+		g, _ := c.hosts[1].pickFor(time.Second, pick.Request{Avoid: []platform.HostID{"t00"}})
+		g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 0, "traffic makes probes needless")
+	})
+}
