--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -62,6 +62,7 @@
 // Local chooses for one service. It is not safe for concurrent use.
 type Local struct {
 	rng      *rand.Rand
+	clock    instant.Clock
 	slots    int
 	cold     time.Duration
 	zone     string
@@ -95,7 +96,7 @@
 		}
 		next[i].info = info
 		next[i].far = info.Zone != l.zone
-		next[i].coldTo = instant.Of(info.FirstSeen).Add(l.cold)
+		next[i].coldTo = l.clock.At(info.FirstSeen).Add(l.cold)
 		next[i].setOpen()
 		if !info.Leaving {
 			l.usable++
@@ -130,7 +131,7 @@
 	if n == 0 {
 		return blackboard.Target{}, false
 	}
-	at := instant.Of(now)
+	at := l.clock.At(now)
 	limit := l.slots
 	if hedge || alone {
 		limit = 1
@@ -238,7 +239,7 @@
 	}
 	if r.Load >= 0 {
 		t.load = float64(max(r.Load-t.own, 0))
-		t.loadAt = instant.Of(now)
+		t.loadAt = l.clock.At(now)
 		l.usual += (t.load - l.usual) / 32
 	}
 	switch r.Class {
@@ -248,7 +249,7 @@
 	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
 		l.record(now, t, true)
 	case pick.Shed:
-		t.shed = instant.Of(now).Add(shedFor)
+		t.shed = l.clock.At(now).Add(shedFor)
 	}
 }
 
@@ -281,7 +282,7 @@
 // Overdue notes that an attempt of this or another host is overdue.
 func (l *Local) Overdue(now time.Time, id platform.HostID) {
 	if i := l.index(id); i >= 0 {
-		l.targets[i].overdue = instant.Of(now).Add(overdueFor)
+		l.targets[i].overdue = l.clock.At(now).Add(overdueFor)
 	}
 }
 
--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -12,6 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 )
 
@@ -39,6 +40,7 @@
 	slots   int
 	cold    time.Duration
 	rng     *rand.Rand
+	clock   instant.Clock
 	targets []*target
 	byID    map[platform.HostID]*target
 	hosts   []*host
@@ -69,6 +71,7 @@
 	id      CallID
 	target  *target
 	granted time.Time
+	since   instant.Time // granted
 	alone   bool
 	// confirmed is set once a full frame of the host listed it: from then on
 	// it has ended when a full frame does not.
@@ -255,6 +258,7 @@
 		c = new(call)
 	}
 	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	c.since = b.clock.At(since)
 	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -181,7 +181,7 @@
 }
 
 func (b *Book) terms(now time.Time, a *Ask) terms {
-	in := terms{time: now, now: instant.Of(now), limit: b.slots, cold: b.coldLimit(now)}
+	in := terms{time: now, now: b.clock.At(now), limit: b.slots, cold: b.coldLimit(now)}
 	if !a.Hedge {
 		in.limit += b.over()
 	}
--- a/policy/grant/stale.go
+++ b/policy/grant/stale.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/platform"
-	"github.com/cactusproxy/cactusproxy/policy/instant"
 )
 
 // staleAfter is the time without the end of an attempt after which nothing is
@@ -38,7 +37,7 @@
 	t.health.Probed(now, ok)
 	if load >= 0 {
 		t.foreign = max(load-t.inFlight(), 0)
-		t.foreignAt = instant.Of(now)
+		t.foreignAt = b.clock.At(now)
 	}
 	b.dispatch(now)
 }
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -50,9 +50,8 @@
 	t.calls = append(t.calls, c)
 	t.alone = t.alone || c.alone
 	t.setOpen()
-	at := instant.Of(c.granted)
-	if len(t.calls) == 1 || at < t.oldest {
-		t.oldest = at
+	if len(t.calls) == 1 || c.since < t.oldest {
+		t.oldest = c.since
 	}
 }
 
@@ -67,8 +66,8 @@
 	t.oldest = 0
 	for i, x := range t.calls {
 		t.alone = t.alone || x.alone
-		if at := instant.Of(x.granted); i == 0 || at < t.oldest {
-			t.oldest = at
+		if i == 0 || x.since < t.oldest {
+			t.oldest = x.since
 		}
 	}
 	t.setOpen()
@@ -97,12 +96,12 @@
 	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
 		b.record(now, t, true)
 	case pick.Shed:
-		t.shedUntil = instant.Of(now).Add(shedFor)
+		t.shedUntil = b.clock.At(now).Add(shedFor)
 		t.shedLimit = max(t.inFlight()-1, 1)
 	}
 	if e.Load >= 0 && e.Class != Returned {
 		t.foreign = max(e.Load-t.inFlight(), 0)
-		t.foreignAt = instant.Of(now)
+		t.foreignAt = b.clock.At(now)
 	}
 }
 
