--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -12,6 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 )
 
@@ -39,6 +40,7 @@
 	slots   int
 	cold    time.Duration
 	rng     *rand.Rand
+	clock   instant.Clock
 	targets []*target
 	byID    map[platform.HostID]*target
 	hosts   []*host
@@ -69,6 +71,7 @@
 	id      CallID
 	target  *target
 	granted time.Time
+	since   instant.Time // granted
 	alone   bool
 	// confirmed is set once a full frame of the host listed it: from then on
 	// it has ended when a full frame does not.
@@ -164,17 +167,13 @@
 	for i := range f.Ends {
 		b.end(now, h, f.Ends[i])
 	}
-	for i := range f.Open {
-		b.adopt(now, h, f.Open[i])
-	}
 	for i := range f.Asks {
 		b.ask(now, h, f.Asks[i])
 	}
-	if f.Full {
-		h.zone = b.zone(f.Zone)
-	}
+	// A full frame that a later frame overtook may list attempts whose end is
+	// known already; they would come back and hold their slots until the next.
 	if f.Full && f.Seq > h.seq {
-		b.reconcile(now, h, f)
+		b.takeFull(now, h, f)
 	}
 	h.known = h.known || f.Full
 	h.seq = max(h.seq, f.Seq)
@@ -259,6 +258,7 @@
 		c = new(call)
 	}
 	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	c.since = b.clock.At(since)
 	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
@@ -285,6 +285,15 @@
 	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone).confirmed = true
 }
 
+// takeFull brings the books of one host in line with what it lists.
+func (b *Book) takeFull(now time.Time, h *host, f Frame) {
+	h.zone = b.zone(f.Zone)
+	for i := range f.Open {
+		b.adopt(now, h, f.Open[i])
+	}
+	b.reconcile(now, h, f)
+}
+
 // reconcile drops what a full frame does not list. Without it a release that
 // was lost on the way would leave its slot taken for good: the target would
 // look busy and stay idle.
