Commit claims of all hosts together when a host's share is used up

A host with a fifteenth of the table's transactions has a turn every 50 ms, and a claim waits for it. When no turn is free, writes now go to the coordinator, which commits those of all hosts with the larger part of the limit.

--- a/ledger/batch/commit.go
+++ b/ledger/batch/commit.go
@@ -16,7 +16,17 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
-		if !w.await(ctx) {
+		if !w.awaitWork(ctx) {
+			return nil
+		}
+		send := w.forward
+		if !w.forwards() {
+			send = w.commit
+			if !w.awaitTurn(ctx) {
+				return nil
+			}
+		}
+		if !w.awaitSlot(ctx) {
 			return nil
 		}
 		group := w.gather()
@@ -25,26 +35,21 @@
 			continue
 		}
 		wg.Go(func() {
-			w.commit(group)
+			send(group)
 			<-w.slots
 			w.signal()
 		})
 	}
 }
 
-// await waits until there is a write, a transaction may be made, and one of
-// the slots for transactions is taken for it. Writes that come meanwhile join
-// the same transaction.
-func (w *Writer) await(ctx context.Context) bool {
-	if !w.awaitWork(ctx) {
-		return false
-	}
-	if !sleep(ctx, w.untilSoon()) {
-		return false
-	}
-	if w.limiter.Wait(ctx) != nil {
-		return false
-	}
+// awaitTurn waits until this host may make a transaction. Writes that come
+// meanwhile join it.
+func (w *Writer) awaitTurn(ctx context.Context) bool {
+	return sleep(ctx, w.untilSoon()) && w.limiter.Wait(ctx) == nil
+}
+
+// awaitSlot takes one of the slots for transactions under way.
+func (w *Writer) awaitSlot(ctx context.Context) bool {
 	select {
 	case w.slots <- struct{}{}:
 		return true
--- a/ledger/batch/writer.go
+++ b/ledger/batch/writer.go
@@ -68,6 +68,8 @@
 	// Linger is how long Settle writes wait for a transaction that claims pay
 	// for, before they get one of their own.
 	Linger time.Duration
+	// Forward, if set, takes the writes in place of the table while it can.
+	Forward Forwarder
 }
 
 // Defaults of Config.
@@ -142,6 +144,8 @@
 	underway int
 	pause    time.Duration
 	notSoon  time.Time
+	// directUntil is when writes may be forwarded again.
+	directUntil time.Time
 }
 
 // NewWriter returns a writer that works while Run does.
@@ -180,6 +184,10 @@
 func (w *Writer) Do(ctx context.Context, wr Write) (Result, error) {
 	e := &entry{Write: wr, done: make(chan outcome, 1)}
 	w.enqueue(e)
+	return w.wait(ctx, e)
+}
+
+func (w *Writer) wait(ctx context.Context, e *entry) (Result, error) {
 	select {
 	case o := <-e.done:
 		return o.res, o.err
--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -96,6 +96,19 @@
 	})
 }
 
+// Bytes have left and nobody knows what became of them. Whatever the holder then
+// asks for, the key is not given up.
+func TestClaimThatMayHaveRunIsNotGivenUp(t *testing.T) {
+	inWorld(t, 2, Options{}, func(t *testing.T, w *world) {
+		c, _, _ := w.begin(t, 0, key("k"))
+		assert.Check(t, c.Sending())
+		result(t, c.GiveUp(context.Background()), outcome.Unknown, outcome.ReasonKeyUndecided)
+		time.Sleep(2 * time.Second)
+		_, r := w.send(t, 1, key("k"))
+		result(t, r, outcome.Unknown, outcome.ReasonKeyUndecided)
+	})
+}
+
 // A send is held up before its claim. Meanwhile the caller sends again and is
 // told not-run. The first send wakes later, finds the key given up, and must not
 // run: the caller acts on not-run.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -60,6 +60,9 @@
 	Incarnation uint64
 	Metrics     *metrics.Set
 	Log         *zap.Logger
+	// Coordinator returns the host that commits the writes of all hosts, by this
+	// host's present view; nil has each host write for itself. Hosts may disagree.
+	Coordinator func() platform.HostID
 	Options     Options
 }
 
@@ -72,6 +75,7 @@
 	counts      *expvar.Map
 	sealer      *keys.Sealer
 	writer      *batch.Writer
+	pool        *pool
 	table       *tableBook
 	issuer      *issuer
 	remote      *remoteBook
@@ -101,10 +105,12 @@
 		log:         d.Log,
 		counts:      d.Metrics.Map("ledger"),
 		sealer:      keys.NewSealer(opts.ClusterKeys...),
-		writer:      batch.NewWriter(d.Table, batch.Config{Rate: opts.WriteRate}),
 		runs:        newRunLog(),
 		active:      make(map[string]*Claim),
 	}
+	l.pool = newPool(l, d)
+	l.writer = batch.NewWriter(d.Table, batch.Config{Rate: opts.WriteRate, Forward: l.pool})
+	l.pool.serve(d.Link)
 	l.table = &tableBook{l: l, table: d.Table}
 	l.issuer = newIssuer(l)
 	l.remote = newRemoteBook(l, d.Link)
@@ -117,6 +123,7 @@
 func (l *Ledger) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.writer.Run(ctx) })
+	g.Go(func() error { return l.pool.run(ctx) })
 	g.Go(func() error { return l.table.sweep(ctx) })
 	g.Go(func() error { return l.issuer.expire(ctx) })
 	g.Go(func() error { return l.remote.run(ctx) })
@@ -124,7 +131,7 @@
 }
 
 // SetWriteRate replaces this host's share of the table's transactions a second.
-func (l *Ledger) SetWriteRate(perSecond float64) { l.writer.SetRate(perSecond) }
+func (l *Ledger) SetWriteRate(perSecond float64) { l.pool.setRate(perSecond) }
 
 // Drain waits until what became of every claim of this host is written down,
 // or until ctx ends; it reports whether nothing is left. A stop that does not
--- a/ledger/messages.go
+++ b/ledger/messages.go
@@ -12,6 +12,7 @@
 const (
 	kindRedeem = peer.KindLedger + iota
 	kindSettle
+	kindPool
 )
 
 // issuedID names a key to its issuer. The seal was checked by the host that
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -14,6 +14,10 @@
 	ClusterKeys [][]byte
 	// WriteRate is this host's share of the table's transactions a second.
 	WriteRate float64
+	// PoolRate is the share of the table's transactions a second that the
+	// coordinator has on top of its own, to commit the writes of all hosts
+	// together. Zero has each host write for itself.
+	PoolRate float64
 	// Retention is how old a key that carries its time may be.
 	Retention time.Duration
 	// OpaqueRetention is how long a key that carries no time is remembered. A
--- a/ledger/script_test.go
+++ b/ledger/script_test.go
@@ -13,6 +13,10 @@
 	Faults []faultStep
 	// Skews is how far each host's clock is off.
 	Skews []time.Duration
+	// Pooled has the hosts write through a coordinator.
+	Pooled bool
+	// Views are the hosts that each host takes for the coordinator at first.
+	Views []int
 }
 
 // fate is what happens to a send once it holds the claim.
@@ -52,6 +56,7 @@
 	faultLate                   // writes get no answer and land after Arg
 	faultCut                    // nothing passes from Host to Other
 	faultFar                    // messages from Host take Arg
+	faultView                   // Host takes Other for the coordinator
 	faultCrash                  // Host crashes, and is back at the end
 	faults
 )
@@ -62,7 +67,7 @@
 	For  time.Duration
 	Kind faultKind
 	Host int
-	// Other is the host at the far end of a cut.
+	// Other is the host at the far end of a cut, or the coordinator.
 	Other int
 	Arg   time.Duration
 }
@@ -127,7 +132,10 @@
 		Sends:  rapid.SliceOfN(rapid.Custom(drawSend), 2, 10).Draw(t, "sends"),
 		Faults: rapid.SliceOfN(rapid.Custom(drawFault), 0, 5).Draw(t, "faults"),
 	}
+	s.Pooled = rapid.Bool().Draw(t, "pooled")
+	first := rapid.IntRange(0, scriptHosts-1).Draw(t, "coordinator")
 	for range scriptHosts {
+		s.Views = append(s.Views, first)
 		s.Skews = append(s.Skews, millis(-int(maxSkew.Milliseconds()), int(maxSkew.Milliseconds())).Draw(t, "skew"))
 	}
 	return s
