Tell each promise and failure as a scenario

The language is a set of testscript commands over a deployment in one process; fifteen scripts, each named for what it shows. Their first run found that the stand-in aborted a broken answer before anything of it had left, so that the caller saw no answer in place of a broken one; it now flushes first. The script of a dead issuer expected not-run; unknown is the honest word, since the issuer may have run the key before it died, and the script now says why.

--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -12,6 +12,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -85,6 +86,9 @@
 
 	callers   *http.Server
 	operators *http.Server
+
+	aborted chan struct{}
+	abort   sync.Once
 }
 
 // listeners are open from New on, so that a port that is taken shows at once
@@ -108,6 +112,7 @@
 		log:      o.log.With(zap.String("host", s.Host.ID)),
 		metrics:  metrics.New(),
 		board:    blackboard.New(),
+		aborted:  make(chan struct{}),
 	}
 	if err := d.provision(o); err != nil {
 		d.Close()
@@ -124,6 +129,10 @@
 	d.cleanup = nil
 }
 
+// Abort ends Run at once, as a crash would: calls in flight are cut off, nobody
+// is told, nothing is handed over.
+func (d *Daemon) Abort() { d.abort.Do(func() { close(d.aborted) }) }
+
 // CallersAddr returns the address that callers use.
 func (d *Daemon) CallersAddr() string { return d.listeners.callers.Addr().String() }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -6,11 +6,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,7 +112,7 @@
 	l.hosts, l.targets = nil, nil
 	l.mu.Unlock()
 	for _, h := range hosts {
-		h.cancel()
+		h.Abort()
 	}
 	for _, t := range targets {
 		t.Close()
@@ -185,6 +188,20 @@
 	return h.err
 }
 
+// Kill ends a host at once, as a crash would; the platform still lists it.
+func (l *Lab) Kill(id string) error {
+	h, err := l.Host(id)
+	if err != nil {
+		return err
+	}
+	h.Abort()
+	<-h.done
+	l.mu.Lock()
+	delete(l.hosts, id)
+	l.mu.Unlock()
+	return nil
+}
+
 // Host returns a host by its ID.
 func (l *Lab) Host(id string) (*Host, error) {
 	l.mu.Lock()
@@ -195,12 +212,34 @@
 	return nil, errors.Newf("no host %q", id)
 }
 
+// HostIDs returns the IDs of the hosts that run, sorted.
+func (l *Lab) HostIDs() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.hosts))
+}
+
+// Targets returns all targets, in no particular order.
+func (l *Lab) Targets() []*Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.targets))
+}
+
 // Target is a target's stand-in.
 type Target struct {
 	*target.Target
 	ID       string
 	Addr     string
 	listener net.Listener
+
+	seen atomic.Int64
+}
+
+// RunsSinceLast returns the number of runs begun since the last call of it.
+func (t *Target) RunsSinceLast() int {
+	n := int64(len(t.Runs()))
+	return int(n - t.seen.Swap(n))
 }
 
 // AddTarget starts a target and lists it.
--- /dev/null
+++ b/internal/scenario/deployment.go
@@ -0,0 +1,187 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/internal/standin/platform"
+	"github.com/cactusproxy/cactusproxy/internal/standin/target"
+)
+
+// cmdHosts starts entry hosts entry-1 to entry-n, in zones a, b and c, and waits
+// until all see each other and are ready.
+//
+//	hosts n
+func cmdHosts(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 1, "hosts n")
+	n := number(ts, args[0])
+	for i := range n {
+		_, err := w.lab.AddHost(hostID(i), "zone-"+string(rune('a'+i%3)))
+		ts.Check(err)
+	}
+	for i := range n {
+		ts.Check(w.lab.WaitMembers(w.ctx, hostID(i), n))
+		ts.Check(w.lab.WaitReady(w.ctx, hostID(i)))
+	}
+}
+
+// cmdHost starts one more entry host.
+//
+//	host id zone
+func cmdHost(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 2, "host id zone")
+	_, err := w.lab.AddHost(args[0], args[1])
+	ts.Check(err)
+}
+
+func hostID(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+// cmdStop stops hosts gracefully and fails if one of them does not end well.
+//
+//	stop host...
+func cmdStop(ts *testscript.TestScript, w *world, args []string) {
+	for _, id := range args {
+		ts.Check(w.lab.Stop(id))
+	}
+}
+
+// cmdCrash ends hosts as a crash would.
+//
+//	crash host...
+func cmdCrash(ts *testscript.TestScript, w *world, args []string) {
+	for _, id := range args {
+		ts.Check(w.lab.Kill(id))
+	}
+}
+
+// cmdTargets starts targets <service>-1 to <service>-n of a service and waits
+// until every host knows them.
+//
+//	targets workspace/service n [slots=2] [queue=16] [mean=1ms]
+func cmdTargets(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 2, "targets workspace/service n [slots=2] [queue=16] [mean=1ms]")
+	workspace, service, _ := strings.Cut(args[0], "/")
+	n := number(ts, args[1])
+	opts, _ := options(args[2:])
+	o := target.Options{Slots: 2, Queue: 16, MaxConns: 200}
+	if v, ok := opts["slots"]; ok {
+		o.Slots = number(ts, v)
+	}
+	if v, ok := opts["queue"]; ok {
+		o.Queue = number(ts, v)
+	}
+	if v, ok := opts["mean"]; ok {
+		d, err := time.ParseDuration(v)
+		ts.Check(err)
+		o.Behaviour.ServiceMean = d
+	}
+	for i := range n {
+		o.Seed = uint64(i)
+		id := fmt.Sprintf("%s-%d", service, i+1)
+		_, err := w.lab.AddTarget(id, "zone-"+string(rune('a'+i%3)), workspace, service, o)
+		ts.Check(err)
+	}
+	for _, id := range w.lab.HostIDs() {
+		ts.Check(w.lab.WaitTargets(w.ctx, id, workspace, service, n))
+	}
+}
+
+// cmdTarget changes one target.
+//
+//	target id behave {"failFast": true}   see target.Behaviour
+//	target id crash | restart | drain
+//	target id leave                       mark it as leaving in the list
+func cmdTarget(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 2, "target id behave|crash|restart|drain|leave")
+	t, err := w.lab.Target(args[0])
+	ts.Check(err)
+	switch args[1] {
+	case "behave":
+		need(ts, args, 3, "target id behave json")
+		var b target.Behaviour
+		ts.Check(json.Unmarshal([]byte(args[2]), &b))
+		t.SetBehaviour(b)
+	case "crash":
+		t.Crash()
+	case "restart":
+		ts.Check(t.Restart())
+	case "drain":
+		t.Drain(time.Hour)
+	case "leave":
+		w.lab.MarkLeaving(args[0])
+	default:
+		ts.Fatalf("target: unknown change %q", args[1])
+	}
+}
+
+// cmdApply applies an example deployment, or a template and workspace from the
+// script, through entry-1 (or host=) and waits until it is in force everywhere.
+//
+//	apply [host=entry-1] auction|repairs
+//	apply [host=entry-1] template-file workspace-file
+func cmdApply(ts *testscript.TestScript, w *world, args []string) {
+	opts, rest := options(args)
+	host := opts["host"]
+	if host == "" {
+		host = hostID(0)
+	}
+	need(ts, rest, 1, "apply [host=id] example | template-file workspace-file")
+	var template, workspace config.File
+	if len(rest) == 1 {
+		dir := filepath.Join(w.examples, rest[0])
+		template = file(ts, filepath.Join(dir, "template.jsonc"))
+		workspace = file(ts, filepath.Join(dir, "workspace.jsonc"))
+	} else {
+		template = file(ts, ts.MkAbs(rest[0]))
+		workspace = file(ts, ts.MkAbs(rest[1]))
+	}
+	r, err := w.lab.ApplyText(w.ctx, host, template, workspace)
+	ts.Check(err)
+	if r.Result != config.ResultApplied || r.Status == nil || !r.Status.InForce {
+		ts.Fatalf("apply: result %s, %s, problems %v", r.Result, r.Detail, r.Problems)
+	}
+}
+
+func file(ts *testscript.TestScript, name string) config.File {
+	return config.File{Name: filepath.Base(name), Text: readFile(ts, name)}
+}
+
+// cmdTable sets what is wrong with the platform's table, objects and host list.
+//
+//	table up | down
+//	table slow 50ms
+//	table loses 0.3     share of writes whose answer is lost after they took effect
+func cmdTable(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 1, "table up|down|slow d|loses share")
+	var f platform.Faults
+	switch args[0] {
+	case "up":
+	case "down":
+		f.Down = true
+	case "slow":
+		d, err := time.ParseDuration(args[1])
+		ts.Check(err)
+		f.Delay = d
+	case "loses":
+		share, err := strconv.ParseFloat(args[1], 64)
+		ts.Check(err)
+		f.LoseReplies = share
+		f.Seed = 1
+	default:
+		ts.Fatalf("table: unknown state %q", args[0])
+	}
+	w.lab.Platform.SetFaults(f)
+}
+
+func number(ts *testscript.TestScript, s string) int {
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -159,6 +159,7 @@
 	// A failed write means that the caller has gone; the run is done all the same.
 	if t.Behaviour().BreakOff {
 		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body)
--- a/run.go
+++ b/run.go
@@ -17,6 +17,9 @@
 // upkeepInterval is the time between two closings of idle connections.
 const upkeepInterval = 5 * time.Second
 
+// ErrAborted is what Run returns after Abort.
+var ErrAborted = errors.New("daemon aborted")
+
 // Run serves until ctx ends, then stops without cutting off a call, and returns
 // nil if every call in flight had its whole answer.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -30,12 +33,15 @@
 		zap.String("operators", d.OperatorsAddr()),
 		zap.String("peers", d.PeersAddr()),
 	)
+	var stopped error
 	select {
 	case <-ctx.Done():
+		stopped = d.stop(work)
 	case <-work.Done():
 		// A part failed; what it returned ends Run.
+	case <-d.aborted:
+		stopped = ErrAborted
 	}
-	stopped := d.stop(work)
 	halt()
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
