Stop a host gracefully

Cause: a planned stop must cut off no call in flight.

The sequence is readiness off, announce, hand over, drain period, close, wait for calls, release; hooks of other packages hang on its stages. Only the operator's limit or the end of the context cuts calls off, with an error line. graceful-stop is asserted at the end.

--- /dev/null
+++ b/controller/leave/leave.go
@@ -0,0 +1,212 @@
+// Package leave stops this host gracefully: readiness off, peers told, roles
+// handed over, idle connections of callers closed by "Connection: close"
+// answers over a drain period, every call in flight finished however long it
+// takes, shares given back.
+package leave
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/metrics"
+)
+
+const (
+	// DefaultDrainPeriod is how long callers and the platform's balancer get
+	// to learn that this host is leaving.
+	DefaultDrainPeriod = 5 * time.Second
+	// DefaultHookTimeout bounds each hook but those of Close.
+	DefaultHookTimeout = 3 * time.Second
+
+	checkEvery = 20 * time.Millisecond
+	logEvery   = 10 * time.Second
+)
+
+// Options of a Controller.
+type Options struct {
+	Board *blackboard.Board
+	// InFlight returns the number of callers' calls in flight on this host.
+	InFlight func() int
+	Hooks    []Hook
+	// DrainPeriod is how long calls are still taken, and answered with
+	// "Connection: close"; 0 is DefaultDrainPeriod. A stop that closed idle
+	// connections at once would reset the call that a caller is just sending.
+	DrainPeriod time.Duration
+	// Limit is the operator's limit on the whole stop; 0 is none.
+	Limit time.Duration
+	// HookTimeout bounds each hook; 0 is DefaultHookTimeout.
+	HookTimeout time.Duration
+	Log         *zap.Logger
+	Metrics     *metrics.Set
+}
+
+// Controller runs the stop once.
+type Controller struct {
+	opts      Options
+	requested chan struct{}
+	request   sync.Once
+	started   atomic.Bool
+	done      chan struct{}
+	report    Report
+}
+
+// New returns a controller of a host that is not leaving.
+func New(opts Options) *Controller {
+	if opts.DrainPeriod == 0 {
+		opts.DrainPeriod = DefaultDrainPeriod
+	}
+	if opts.HookTimeout == 0 {
+		opts.HookTimeout = DefaultHookTimeout
+	}
+	if opts.Log == nil {
+		opts.Log = zap.NewNop()
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.New()
+	}
+	return &Controller{opts: opts, requested: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Run watches for a leaving mark on this host in the platform's list until ctx
+// ends. Requested is closed when there is one.
+func (c *Controller) Run(ctx context.Context) error {
+	return c.opts.Board.Members.Watch(ctx, func(m *blackboard.Members) {
+		self, ok := m.Find(m.Self)
+		if ok && self.State == blackboard.MemberLeaving {
+			c.request.Do(func() { close(c.requested) })
+		}
+	})
+}
+
+// Requested is closed when the platform wants this host to leave. The daemon
+// calls Stop then, as it does on SIGTERM.
+func (c *Controller) Requested() <-chan struct{} { return c.requested }
+
+// Done is closed at the end of Stop.
+func (c *Controller) Done() <-chan struct{} { return c.done }
+
+// Stop leaves and returns when the host may exit. Calls after the first wait
+// for its end. If ctx ends, what is still in flight is cut off, as after the
+// operator's limit.
+func (c *Controller) Stop(ctx context.Context) Report {
+	if !c.started.Swap(true) {
+		c.report = c.leave(ctx)
+		close(c.done)
+	}
+	<-c.done
+	return c.report
+}
+
+func (c *Controller) leave(ctx context.Context) Report {
+	start := time.Now()
+	var rep Report
+	limited, cancel := c.limit(ctx)
+	defer cancel()
+	c.opts.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		s.Leaving = true
+		return s, true
+	})
+	c.opts.Log.Info("leaving", zap.Int("in_flight", c.opts.InFlight()),
+		zap.Duration("drain_period", c.opts.DrainPeriod), zap.Duration("limit", c.opts.Limit))
+
+	c.runStage(limited, Announce, &rep)
+	c.runStage(limited, Handover, &rep)
+	sleep(limited, c.opts.DrainPeriod)
+	c.runStage(limited, Close, &rep)
+	c.awaitCalls(limited, start, &rep)
+	c.runStage(context.WithoutCancel(ctx), Release, &rep)
+
+	left := c.opts.InFlight()
+	invariant.Check(left == 0 || rep.Cut, invariant.GracefulStop, "%d calls in flight at the end of a stop", left)
+	c.opts.Log.Info("left", zap.Duration("took", time.Since(start)), zap.Bool("cut", rep.Cut), zap.Int("cut_off", rep.Left))
+	return rep
+}
+
+func (c *Controller) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.opts.Limit == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.opts.Limit)
+}
+
+// runStage runs the hooks of a stage. One that fails or hangs does not keep the
+// others from running: a store that is out must not keep roles here.
+func (c *Controller) runStage(ctx context.Context, s Stage, rep *Report) {
+	for _, h := range c.opts.Hooks {
+		if h.Stage != s {
+			continue
+		}
+		if err := c.runHook(ctx, h); err != nil {
+			c.opts.Metrics.Map("leave_hooks_failed").Add(h.Name, 1)
+			c.opts.Log.Warn("leave hook failed", zap.Stringer("stage", s), zap.String("hook", h.Name), zap.Error(err))
+			rep.FailedHooks = append(rep.FailedHooks, h.Name)
+		}
+	}
+}
+
+var errHookTimeout = errors.New("hook took too long")
+
+func (c *Controller) runHook(ctx context.Context, h Hook) error {
+	if h.Stage != Close {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.opts.HookTimeout)
+		defer cancel()
+	}
+	done := make(chan error, 1)
+	go func() { done <- h.Func(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errHookTimeout
+	}
+}
+
+// awaitCalls waits for the last call in flight.
+func (c *Controller) awaitCalls(ctx context.Context, start time.Time, rep *Report) {
+	logged := time.Now()
+	for {
+		n := c.opts.InFlight()
+		if n == 0 {
+			return
+		}
+		if !sleep(ctx, checkEvery) {
+			c.cut(rep, start)
+			return
+		}
+		if time.Since(logged) >= logEvery {
+			logged = time.Now()
+			c.opts.Log.Info("waiting for calls in flight", zap.Int("in_flight", n), zap.Duration("waited", time.Since(start)))
+		}
+	}
+}
+
+func (c *Controller) cut(rep *Report, start time.Time) {
+	rep.Left = c.opts.InFlight()
+	if rep.Left == 0 {
+		return
+	}
+	rep.Cut = true
+	c.opts.Metrics.Int("leave_calls_cut").Add(int64(rep.Left))
+	c.opts.Log.Error("STOP CUTS OFF CALLS IN FLIGHT: the operator's limit was reached",
+		zap.Int("cut_off", rep.Left), zap.Duration("limit", c.opts.Limit), zap.Duration("waited", time.Since(start)))
+}
+
+// sleep reports whether the time passed before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
