Eject a target only if it is clearly worse than its service

Cause: with all targets failing, each had a share of failures of 1 against a bound that was capped at 0.99, so that a third of them was left out for a fault they all shared. Also shows the state of each service in the metrics and drops what nobody calls.

--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -149,7 +149,7 @@
 		}
 		d.now = d.now.Add(time.Millisecond / 2)
 	}
-	assert.Equal(t, d.countEjected(d.now), 3)
+	assert.Equal(t, d.CountEjected(d.now), 3)
 }
 
 // A release is lost on the way. Its slot would stay taken for good; the next
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -131,14 +131,15 @@
 func (b *Book) record(now time.Time, t *target, failed bool) {
 	b.failures.Record(failed)
 	t.doubted = t.health.Ejected(now) || t.health.Trial()
-	if t.health.Record(now, failed, &b.failures) && health.Allowed(b.countEjected(now), len(b.targets)) {
+	if t.health.Record(now, failed, &b.failures) && health.Allowed(b.CountEjected(now), len(b.targets)) {
 		t.health.Eject(now, b.rng)
 		t.doubted = true
 		b.newlyOut = append(b.newlyOut, t.id)
 	}
 }
 
-func (b *Book) countEjected(now time.Time) int {
+// CountEjected returns how many targets are left out at present.
+func (b *Book) CountEjected(now time.Time) int {
 	n := 0
 	for _, t := range b.targets {
 		if t.listed && t.health.Ejected(now) {
--- a/policy/health/health.go
+++ b/policy/health/health.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	minSamples   = 5    // ends before the share of failures says anything
-	failWeight   = 0.2  // weight of one end in the share of failures
-	ejectShare   = 0.6  // share of failures that ejects
-	timesService = 3.0  // how much worse than the service a target must be
-	maxEjected   = 0.34 // share of the targets that may be out at once
+	minSamples = 5    // ends before the share of failures says anything
+	failWeight = 0.2  // weight of one end in the share of failures
+	ejectShare = 0.6  // share of failures that ejects
+	worseBy    = 0.3  // how much worse than the service a target must be
+	maxEjected = 0.34 // share of the targets that may be out at once
 
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
@@ -64,7 +64,7 @@
 	if s.samples < minSamples || s.fail < ejectShare {
 		return false
 	}
-	return s.fail > min(timesService*svc.fail, 0.99) || svc.samples < 2*minSamples
+	return s.fail > svc.fail+worseBy
 }
 
 func (s *State) recordTrial(failed bool) bool {
--- a/policy/latency/latency.go
+++ b/policy/latency/latency.go
@@ -13,7 +13,7 @@
 const (
 	subBits   = 3 // buckets of an octave, as a power of two
 	unit      = time.Microsecond
-	buckets   = 26 << subBits // 1 us to about a minute
+	buckets   = 26 << subBits // 1 us to a few minutes
 	forgetAt  = 4000.0        // weight at which the histogram is halved
 	refresh   = 32            // calls between two computations of the quantiles
 	meanShare = 1.0 / 256     // weight of one call in the running mean
@@ -27,14 +27,10 @@
 	mean   float64 // ns
 	median time.Duration
 	high   time.Duration
-	limit  time.Duration
 }
 
-// Quantiles that are kept ready.
-const (
-	highQuantile  = 0.95
-	limitQuantile = 0.99
-)
+// highQuantile is kept ready, as the median is.
+const highQuantile = 0.95
 
 // Observe adds the latency of one whole answer.
 func (t *Tracker) Observe(d time.Duration) {
@@ -52,7 +48,6 @@
 	if t.n%refresh == 0 || t.n < refresh {
 		t.median = t.Quantile(0.5)
 		t.high = t.Quantile(highQuantile)
-		t.limit = t.Quantile(limitQuantile)
 	}
 }
 
@@ -75,9 +70,6 @@
 // High returns the 95th percentile as of a few calls ago.
 func (t *Tracker) High() time.Duration { return t.high }
 
-// Limit returns the 99th percentile as of a few calls ago.
-func (t *Tracker) Limit() time.Duration { return t.limit }
-
 // Needs returns the time that a call must have left to be worth taking if it
 // has to wait first. Without a wait the median is enough: most calls make it. A
 // long wait is itself uncertain, so that up to the 95th percentile is added:
--- a/policy/session/session.go
+++ b/policy/session/session.go
@@ -82,7 +82,6 @@
 	send      bool        // frame is due now
 	decisions []Decision
 	overdue   []platform.HostID
-	fallbacks uint64
 }
 
 // New returns a session without targets or coordinator. The epoch must be
@@ -138,12 +137,6 @@
 // Coordinated reports whether a coordinator decides at present.
 func (s *Session) Coordinated() bool { return !s.silent && s.coordinator != "" }
 
-// Latency returns what is known of the service's latency.
-func (s *Session) Latency() (median, high time.Duration) {
-	l := s.local.Latency()
-	return l.Median(), l.High()
-}
-
 // NextID returns the identity that the next Ask will have.
 func (s *Session) NextID() grant.CallID { return s.nextID + 1 }
 
--- a/policy/session/tick.go
+++ b/policy/session/tick.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
@@ -72,7 +71,6 @@
 // fallBack chooses from here until the coordinator is heard again.
 func (s *Session) fallBack(now time.Time) {
 	if s.Coordinated() {
-		s.fallbacks++
 		s.retryAt = now.Add(s.retry)
 	}
 	s.silent = true
@@ -186,13 +184,6 @@
 	return out
 }
 
-// Fallbacks returns how often this host stopped waiting for a coordinator.
-func (s *Session) Fallbacks() uint64 { return s.fallbacks }
-
-// Find returns a target as this session sees it, and false if it is unknown or
-// leaving.
-func (s *Session) Find(id platform.HostID) (blackboard.Target, bool) { return s.local.Find(id) }
-
 // sortedOpen returns the attempts in flight, oldest first.
 func (s *Session) sortedOpen() []grant.CallID {
 	ids := make([]grant.CallID, 0, len(s.open))
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"time"
 
 	"github.com/cactusproxy/cactusproxy/metrics"
 )
@@ -28,3 +29,37 @@
 		dropped:     m.Int("slots_messages_dropped"),
 	}
 }
+
+// ServiceState is what the metrics show of one service on this host.
+type ServiceState struct {
+	// Coordinated is false while this host chooses alone.
+	Coordinated bool `json:"coordinated"`
+	// InFlight and Queued are those of the books that this host keeps; they are
+	// those of all hosts if it is the coordinator.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Ejected  int `json:"ejected"`
+	// ExpectedWait is how long a call that came now would wait for a slot.
+	ExpectedWait time.Duration `json:"expected_wait_ns"`
+}
+
+func (s *Slots) state() any {
+	out := make(map[string]ServiceState)
+	now := time.Now()
+	for key, svc := range *s.services.Load() {
+		out[key.String()] = svc.state(now)
+	}
+	return out
+}
+
+func (v *service) state(now time.Time) ServiceState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return ServiceState{
+		Coordinated:  v.session.Coordinated(),
+		InFlight:     v.book.InFlight(),
+		Queued:       v.book.Queued(),
+		Ejected:      v.book.CountEjected(now),
+		ExpectedWait: v.book.ExpectedWait(),
+	}
+}
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -72,6 +72,7 @@
 		count: newCounters(d.Metrics),
 		rng:   rand.New(rand.NewPCG(d.Seed, 1)),
 	}
+	d.Metrics.Func("slots_services", s.state)
 	empty := make(map[blackboard.ServiceKey]*service)
 	s.services.Store(&empty)
 	peer.Handle(d.Link, kindFrame, s.onFrame)
@@ -147,18 +148,6 @@
 	return outcome.Refuse(r)
 }
 
-// Latency returns the learned median and 95th percentile of a service's
-// latency; zeros if nothing is known.
-func (s *Slots) Latency(key blackboard.ServiceKey) (median, high time.Duration) {
-	svc := s.service(key)
-	if svc == nil {
-		return 0, 0
-	}
-	svc.mu.Lock()
-	defer svc.mu.Unlock()
-	return svc.session.Latency()
-}
-
 // held is a grant in the caller's hands.
 type held struct {
 	service  *service
