--- /dev/null
+++ b/internal/bench/loopback/bench.go
@@ -0,0 +1,141 @@
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
+	"github.com/cactusproxy/cactusproxy/internal/lab"
+	"github.com/cactusproxy/cactusproxy/internal/standin/target"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+const (
+	workspace            = "bench"
+	service              = "s0"
+	slots                = 16
+	servicesPerWorkspace = 5
+)
+
+// bench is one deployment under load.
+type bench struct {
+	opts   Options
+	lab    *lab.Lab
+	client *http.Client
+
+	hosts   []string // URLs of the service through the hosts
+	targets []string // URLs of the targets
+	next    atomic.Uint64
+}
+
+func newBench(ctx context.Context, o Options) (*bench, error) {
+	l, err := lab.New(lab.Options{})
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{opts: o, lab: l, client: newClient(o.Callers)}
+	for _, step := range []func(context.Context) error{b.startHosts, b.declare, b.startTargets} {
+		if err := step(ctx); err != nil {
+			b.close()
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func newClient(callers int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4 * callers}}
+}
+
+func (b *bench) close() {
+	b.client.CloseIdleConnections()
+	b.lab.Close()
+}
+
+func (b *bench) direct() string {
+	return b.targets[b.next.Add(1)%uint64(len(b.targets))]
+}
+
+func (b *bench) through() string {
+	return b.hosts[b.next.Add(1)%uint64(len(b.hosts))]
+}
+
+func (b *bench) startHosts(ctx context.Context) error {
+	for i := range b.opts.Hosts {
+		h, err := b.lab.AddHost(hostID(i), "zone-a")
+		if err != nil {
+			return err
+		}
+		b.hosts = append(b.hosts, fmt.Sprintf("http://%s/%s/%s/x", h.CallersAddr(), workspace, service))
+	}
+	for i := range b.opts.Hosts {
+		if err := b.lab.WaitMembers(ctx, hostID(i), b.opts.Hosts); err != nil {
+			return err
+		}
+		if err := b.lab.WaitReady(ctx, hostID(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func hostID(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+// declare applies the workspace that takes the calls, and the others.
+func (b *bench) declare(ctx context.Context) error {
+	names := []string{workspace}
+	for i := range b.opts.Services / servicesPerWorkspace {
+		names = append(names, otherWorkspace(i))
+	}
+	for _, name := range names {
+		r, err := b.lab.ApplyText(ctx, hostID(0), *confignet.Template(), confignet.Workspace(name, 100_000))
+		if err != nil {
+			return err
+		}
+		if r.Result != config.ResultApplied {
+			return errors.Newf("workspace %s: %s", name, r.Result)
+		}
+	}
+	return nil
+}
+
+func otherWorkspace(i int) string { return fmt.Sprintf("other-%d", i) }
+
+func (b *bench) startTargets(ctx context.Context) error {
+	if b.opts.Listed > 0 {
+		b.lab.ListTargets(b.others())
+	}
+	for i := range b.opts.Targets {
+		t, err := b.lab.AddTarget(fmt.Sprintf("t-%d", i), "zone-a", workspace, service, target.Options{Slots: slots, Queue: 1000})
+		if err != nil {
+			return err
+		}
+		b.targets = append(b.targets, "http://"+t.Addr+"/x")
+	}
+	for i := range b.opts.Hosts {
+		if err := b.lab.WaitTargets(ctx, hostID(i), workspace, service, b.opts.Targets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// others returns listed targets of the services that take no calls.
+func (b *bench) others() []platform.Host {
+	spaces := max(1, b.opts.Services/servicesPerWorkspace)
+	out := make([]platform.Host, b.opts.Listed)
+	for i := range out {
+		out[i] = platform.Host{
+			ID: platform.HostID(fmt.Sprintf("other-%d", i)), Role: platform.RoleTarget, State: platform.HostLive,
+			Zone: "zone-b", Addr: "127.0.0.1:1",
+			Workspace: otherWorkspace(i % spaces),
+			Service:   fmt.Sprintf("s%d", i/spaces%servicesPerWorkspace),
+		}
+	}
+	return out
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -271,6 +271,11 @@
 	return nil, errors.Newf("no target %q", id)
 }
 
+// ListTargets adds targets to the platform's list that do not run.
+func (l *Lab) ListTargets(targets []ports.Host) {
+	l.Store.ChangeHosts(func(list []ports.Host) []ports.Host { return append(list, targets...) })
+}
+
 func (l *Lab) list(h ports.Host) {
 	l.Store.ChangeHosts(func(list []ports.Host) []ports.Host { return append(list, h) })
 }
