--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -287,6 +287,25 @@
 	})
 }
 
+// A host reaches no peer, and its reads of the table hang as on a network that
+// drops packets. Whenever the table answers again, the host has the change
+// within the bound: a read that still hangs does not hold up the next.
+func TestHangingReadDoesNotHideTheEndOfAnOutage(t *testing.T) {
+	for phase := range 8 {
+		onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+			h := f.Hosts()[1]
+			f.Isolate(h)
+			change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+			pass(10*time.Second + time.Duration(phase)*500*time.Millisecond)
+			assert.Equal(t, h.Sequence(), uint64(0))
+			h.RestorePlatform()
+			pass(bound)
+			assertSequences(t, f, 1)
+			assertReady(t, true, h)
+		})
+	}
+}
+
 // After many changes a start reads the snapshot instead of the log. A snapshot
 // with one byte altered is refused, and the workspace rows are read instead.
 func TestStartFromSnapshotOrTable(t *testing.T) {
--- a/controller/config/confirm.go
+++ b/controller/config/confirm.go
@@ -80,6 +80,7 @@
 	last := c.Now()
 	round := newPeerRound()
 	defer round.wait()
+	round.start(ctx, c)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/bench/confignet/bench.go
+++ b/internal/bench/confignet/bench.go
@@ -57,12 +57,14 @@
 	CPUPerChange time.Duration
 	// IdleBytes is what one host sends and receives a second without changes.
 	IdleBytes uint64
+	// OutageBytes is the same while the store is out.
+	OutageBytes uint64
 }
 
 // String returns one line of key=value pairs.
 func (r Report) String() string {
-	return fmt.Sprintf("hosts=%d scenario=%q changes=%d p50=%s p99=%s worst=%s bytes_per_change=%d cpu_per_change_host=%s idle_bytes_per_host_s=%d",
-		r.Hosts, r.Scenario, r.Changes, r.P50, r.P99, r.Worst, r.BytesPerChange, r.CPUPerChange, r.IdleBytes)
+	return fmt.Sprintf("hosts=%d scenario=%q changes=%d p50=%s p99=%s worst=%s bytes_per_change=%d cpu_per_change_host=%s idle_bytes_per_host_s=%d outage_bytes_per_host_s=%d",
+		r.Hosts, r.Scenario, r.Changes, r.P50, r.P99, r.Worst, r.BytesPerChange, r.CPUPerChange, r.IdleBytes, r.OutageBytes)
 }
 
 const (
@@ -94,10 +96,11 @@
 	f.StartAll(opt.Hosts)
 	defer f.Close()
 	time.Sleep(settle)
-	before := f.SentBytes()
-	time.Sleep(idleTime)
-	idle := f.SentBytes() - before
-	rep.IdleBytes = idle / uint64(opt.Hosts) / uint64(idleTime/time.Second)
+	rep.IdleBytes = f.traffic()
+	f.Store.SetFaults(store.Faults{Down: true, Delay: storeDelay})
+	rep.OutageBytes = f.traffic()
+	f.Store.SetFaults(store.Faults{Delay: storeDelay})
+	time.Sleep(settle)
 	b := &bench{f: f, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1))}
 	for i := range opt.Changes {
 		if err := ctx.Err(); err != nil {
@@ -115,6 +118,14 @@
 	return rep, nil
 }
 
+// traffic returns the bytes that one host sends a second, on average over
+// idleTime.
+func (f *Fleet) traffic() uint64 {
+	before := f.SentBytes()
+	time.Sleep(idleTime)
+	return (f.SentBytes() - before) / uint64(len(f.Hosts())) / uint64(idleTime/time.Second)
+}
+
 // bench is a run under way.
 type bench struct {
 	f     *Fleet
@@ -215,72 +226,10 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// StartReport is what it takes to start a host.
-type StartReport struct {
-	Services int
-	// From says what the host started from.
-	From string
-	// Reads counts operations on the platform, the head row included.
-	Reads uint64
-	// InForce is the time until the host has the configuration.
-	InForce time.Duration
-	// CPU is the processor time of the whole process meanwhile.
-	CPU time.Duration
-	// Bytes is the size of the snapshot.
-	Bytes int
-}
-
-// String returns one line of key=value pairs.
-func (r StartReport) String() string {
-	return fmt.Sprintf("services=%d from=%q reads=%d in_force=%s cpu=%s snapshot_bytes=%d", r.Services, r.From, r.Reads, r.InForce, r.CPU, r.Bytes)
-}
-
-// RunStart measures the start of a host when there are this many services: from
-// the snapshot, then from the table because the snapshot is damaged.
-func RunStart(ctx context.Context, services int) ([]StartReport, error) {
-	f := Empty()
-	f.Store.SetFaults(store.Faults{Delay: storeDelay})
-	f.StartAll(1)
-	defer f.Close()
-	writer := f.Hosts()[0]
-	for i := range services / servicesPerWorkspace {
-		req := Change(fmt.Sprintf("c%d", i), "bench", fmt.Sprintf("w%d", i), 0, 100)
-		if out := writer.Controller.Apply(ctx, req); out.Result != config.ResultApplied {
-			return nil, errors.Newf("workspace %d: %s", i, out.Result)
-		}
-	}
-	time.Sleep(2 * settle)
-	const snapshot = "config/snapshot"
-	raw, err := f.Store.Objects().Get(ctx, snapshot)
-	if err != nil {
-		return nil, err
-	}
-	first := f.start(writer, services, "snapshot", len(raw))
-	raw[len(raw)/2] ^= 1
-	if err := f.Store.Objects().Put(ctx, snapshot, raw); err != nil {
-		return nil, err
-	}
-	second := f.start(writer, services, "table, snapshot damaged", len(raw))
-	return []StartReport{first, second}, nil
-}
-
-// start measures the start of one host that reaches no other.
-func (f *Fleet) start(writer *Host, services int, from string, size int) StartReport {
-	cpu, began := processorTime(), time.Now()
-	h := f.Start()
-	f.CutPeers(h)
-	for h.Sequence() < writer.Sequence() {
-		time.Sleep(look)
-	}
-	rep := StartReport{Services: services, From: from, Reads: h.Reads(), InForce: time.Since(began), CPU: processorTime() - cpu, Bytes: size}
-	f.Stop(h)
-	return rep
-}
-
 // Table returns reports as a table in Markdown.
 func Table(reports []Report) string {
 	var b strings.Builder
-	b.WriteString("| hosts | scenario | p50 | p99 | worst | bytes a change |\n| --- | --- | --- | --- | --- | --- |\n")
+	fmt.Fprint(&b, "| hosts | scenario | p50 | p99 | worst | bytes a change |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, r := range reports {
 		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s | %d |\n", r.Hosts, r.Scenario, round(r.P50), round(r.P99), round(r.Worst), r.BytesPerChange)
 	}
--- a/internal/bench/confignet/bench_test.go
+++ b/internal/bench/confignet/bench_test.go
@@ -47,3 +47,15 @@
 		assert.Equal(t, reports[0].Reads, uint64(2), "head row and snapshot")
 	})
 }
+
+func TestTimeUntilReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reports, err := RunReady(15, 20)
+		assert.NilError(t, err)
+		time.Sleep(settle)
+		for _, rep := range reports {
+			t.Log(rep)
+			assert.Check(t, rep.Worst <= bound, "%s", rep)
+		}
+	})
+}
--- a/internal/bench/confignet/fleet.go
+++ b/internal/bench/confignet/fleet.go
@@ -235,6 +235,9 @@
 // CutPlatform makes the platform's answers to this host hang.
 func (h *Host) CutPlatform() { h.platform.cut.Store(true) }
 
+// RestorePlatform ends CutPlatform; what hangs goes on hanging.
+func (h *Host) RestorePlatform() { h.platform.cut.Store(false) }
+
 // DelayCommit loses the answer to the host's next commit, which takes effect
 // only after d.
 func (h *Host) DelayCommit(d time.Duration) { h.platform.late.Store(int64(d)) }
--- /dev/null
+++ b/internal/bench/confignet/start.go
@@ -0,0 +1,153 @@
+package confignet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+)
+
+// StartReport is what it takes to start a host.
+type StartReport struct {
+	Services int
+	// From says what the host started from.
+	From string
+	// Reads counts operations on the platform, the head row included.
+	Reads uint64
+	// InForce is the time until the host has the configuration.
+	InForce time.Duration
+	// CPU is the processor time of the whole process meanwhile.
+	CPU time.Duration
+	// Bytes is the size of the snapshot.
+	Bytes int
+}
+
+// String returns one line of key=value pairs.
+func (r StartReport) String() string {
+	return fmt.Sprintf("services=%d from=%q reads=%d in_force=%s cpu=%s snapshot_bytes=%d", r.Services, r.From, r.Reads, r.InForce, r.CPU, r.Bytes)
+}
+
+// RunStart measures the start of a host when there are this many services: from
+// the snapshot, then from the table because the snapshot is damaged.
+func RunStart(ctx context.Context, services int) ([]StartReport, error) {
+	f := Empty()
+	f.Store.SetFaults(store.Faults{Delay: storeDelay})
+	f.StartAll(1)
+	defer f.Close()
+	writer := f.Hosts()[0]
+	for i := range services / servicesPerWorkspace {
+		req := Change(fmt.Sprintf("c%d", i), "bench", fmt.Sprintf("w%d", i), 0, 100)
+		if out := writer.Controller.Apply(ctx, req); out.Result != config.ResultApplied {
+			return nil, errors.Newf("workspace %d: %s", i, out.Result)
+		}
+	}
+	time.Sleep(2 * settle)
+	const snapshot = "config/snapshot"
+	raw, err := f.Store.Objects().Get(ctx, snapshot)
+	if err != nil {
+		return nil, err
+	}
+	first := f.start(writer, services, "snapshot", len(raw))
+	raw[len(raw)/2] ^= 1
+	if err := f.Store.Objects().Put(ctx, snapshot, raw); err != nil {
+		return nil, err
+	}
+	second := f.start(writer, services, "table, snapshot damaged", len(raw))
+	return []StartReport{first, second}, nil
+}
+
+// start measures the start of one host that reaches no other.
+func (f *Fleet) start(writer *Host, services int, from string, size int) StartReport {
+	cpu, began := processorTime(), time.Now()
+	h := f.Start()
+	f.CutPeers(h)
+	for h.Sequence() < writer.Sequence() {
+		time.Sleep(look)
+	}
+	rep := StartReport{Services: services, From: from, Reads: h.Reads(), InForce: time.Since(began), CPU: processorTime() - cpu, Bytes: size}
+	f.Stop(h)
+	return rep
+}
+
+// ReadyReport is how long hosts take to serve.
+type ReadyReport struct {
+	Case   string
+	Hosts  int
+	Trials int
+	// Worst is the longest time from the start, or the end of a pause, until
+	// the host is ready.
+	Worst time.Duration
+}
+
+// String returns one line of key=value pairs.
+func (r ReadyReport) String() string {
+	return fmt.Sprintf("case=%q hosts=%d trials=%d worst=%s", r.Case, r.Hosts, r.Trials, r.Worst)
+}
+
+// pauseLength is how long a host is paused in RunReady.
+const pauseLength = time.Minute
+
+// RunReady measures how long a host takes to serve after its start and after a
+// pause, with the store up and with the store out.
+func RunReady(hosts, trials int) ([]ReadyReport, error) {
+	var out []ReadyReport
+	for _, down := range []bool{false, true} {
+		for _, begin := range []string{"start", "pause"} {
+			f := Empty()
+			f.Store.SetFaults(store.Faults{Delay: storeDelay})
+			f.StartAll(hosts)
+			time.Sleep(settle)
+			f.Store.SetFaults(store.Faults{Delay: storeDelay, Down: down})
+			rep := ReadyReport{Case: begin + ", " + platformState(down), Hosts: hosts, Trials: trials}
+			err := f.readyTrials(&rep, begin)
+			f.Close()
+			if err != nil {
+				return nil, errors.Wrap(err, rep.Case)
+			}
+			out = append(out, rep)
+		}
+	}
+	return out, nil
+}
+
+func platformState(down bool) string {
+	if down {
+		return "store out"
+	}
+	return "store up"
+}
+
+func (f *Fleet) readyTrials(rep *ReadyReport, begin string) error {
+	for i := range rep.Trials {
+		time.Sleep(settle + time.Duration(i)*7*time.Millisecond) // another phase each time
+		h := f.Hosts()[0]
+		if begin == "start" {
+			f.Stop(h)
+			h = f.Start()
+		} else {
+			h.Jump(pauseLength)
+		}
+		took, err := h.untilReady()
+		if err != nil {
+			return err
+		}
+		rep.Worst = max(rep.Worst, took)
+	}
+	return nil
+}
+
+// untilReady waits until the host is ready and has confirmed.
+func (h *Host) untilReady() (time.Duration, error) {
+	start := time.Now()
+	for !h.Ready() || !h.Controller.Fresh() {
+		if time.Since(start) > giveUp {
+			return 0, errors.New("host is not ready")
+		}
+		time.Sleep(look)
+	}
+	return time.Since(start), nil
+}
