--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -136,7 +136,7 @@
 	if hedge || alone {
 		limit = 1
 	}
-	strict := len(avoid) > 0 && l.others(now, avoid)
+	strict := hedge || (len(avoid) > 0 && l.others(now, avoid))
 	best := -1
 	bestScore := 0.0
 	i := l.rng.IntN(n) // so that hosts do not all prefer the first of equals
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -143,7 +143,8 @@
 		return b.placeAlone(now, a)
 	}
 	in := b.terms(now, a)
-	strict := len(a.Avoid) > 0 && b.others(now, a.Avoid)
+	// A second attempt beside the first at the same target would help nobody.
+	strict := a.Hedge || (len(a.Avoid) > 0 && b.others(now, a.Avoid))
 	var best *target
 	bestScore := 0
 	b.offset++
