--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -253,14 +254,15 @@
 	return n
 }
 
-const simSeeds = 20
+// simSeeds is the number of runs of each scenario; longer ones are for trials.
+var simSeeds = flag.Int("seeds", 20, "runs of each scenario")
 
 // scenario plays one script for all seeds and returns the sims for judgement
 // outside the bubbles.
 func scenario(t *testing.T, script func(s *sim, wg *sync.WaitGroup)) []*sim {
 	t.Helper()
 	var sims []*sim
-	for seed := range uint64(simSeeds) {
+	for seed := range uint64(*simSeeds) {
 		synctest.Test(t, func(*testing.T) {
 			s := newSim(seed)
 			var wg sync.WaitGroup
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -30,10 +30,12 @@
 	r.targets.Store(id, b)
 }
 
-// down notes that a target was lost, and reports whether that is news.
+// down notes that a target was lost, and reports whether that is news. A target
+// that this host never tried counts as having been up: another host's word of
+// its loss is what this host would go by.
 func (r *reach) down(id platform.HostID) bool {
-	v, ok := r.targets.Load(id)
-	return ok && v.(*atomic.Bool).Swap(false)
+	v, known := r.targets.LoadOrStore(id, new(atomic.Bool))
+	return !known || v.(*atomic.Bool).Swap(false)
 }
 
 // keep forgets all targets but these.
@@ -49,9 +51,9 @@
 // KeepTargets forgets what is known of targets that are no more.
 func (q *Quarantine) KeepTargets(known func(platform.HostID) bool) { q.reach.keep(known) }
 
-// NotReached tells that no connection to the target could be made. A target
-// that answered before is taken for lost: idle ones tell in this way alone that
-// a whole zone is failing, and that no request is the cause.
+// NotReached tells that no connection to the target could be made. The first
+// time it is taken for lost: idle targets tell in this way alone that a whole
+// zone is failing, and that no request is the cause.
 func (a *Attempt) NotReached(target platform.HostID) {
 	if a == nil || !a.q.reach.down(target) {
 		return
