--- a/cmd/cactusstand/main.go
+++ b/cmd/cactusstand/main.go
@@ -12,13 +12,11 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-)
 
-// version is printed by --version; a release build sets it by -ldflags.
-var version = "development"
+	"github.com/cactusproxy/cactusproxy/internal/logging"
+	"github.com/cactusproxy/cactusproxy/internal/version"
+)
 
 // Exit statuses.
 const (
@@ -39,7 +37,7 @@
 }
 
 // Version is shown by --version.
-func (args) Version() string { return "cactusstand " + version }
+func (args) Version() string { return "cactusstand " + version.String() }
 
 // stopTimeout bounds the time to finish what is in flight at a stop.
 const stopTimeout = 10 * time.Minute
@@ -71,7 +69,11 @@
 		fmt.Fprintln(stderr, "error:", err)
 		return exitUsage
 	}
-	log := newLogger(stdout)
+	log, err := logging.New(stdout, "")
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitError
+	}
 	switch {
 	case a.Platform != nil:
 		err = servePlatform(ctx, *a.Platform, log)
@@ -87,11 +89,3 @@
 	}
 	return exitOK
 }
-
-// newLogger writes one line of key=value pairs for each event.
-func newLogger(w io.Writer) *zap.Logger {
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), zapcore.InfoLevel)
-	return zap.New(core)
-}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -24,5 +24,38 @@
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	enc.EncodeDuration = zapcore.StringDurationEncoder
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(enc), zapcore.Lock(zapcore.AddSync(w)), lvl)
-	return zap.New(core), nil
+	return zap.New(plainErrors{core}), nil
+}
+
+// plainErrors writes an error as its text alone. zap would add a second field
+// with the stack of every wrapped error, which makes lines of many kilobytes.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{c.Core.With(plain(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c plainErrors) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+// Write implements zapcore.Core.
+func (c plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return c.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, len(fields))
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		out[i] = f
+	}
+	return out
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
@@ -18,6 +19,10 @@
 	line := b.String()
 	assert.Equal(t, strings.Count(line, "\n"), 1)
 	assert.Check(t, strings.Contains(line, `msg="target ejected" target=t1 errors=20`), line)
+
+	b.Reset()
+	log.With(zap.String("host", "h1")).Warn("failed", zap.Error(errors.Wrap(errors.New("inner"), "outer")))
+	assert.Check(t, strings.HasSuffix(b.String(), "error=\"outer: inner\"\n"), b.String())
 	_, err = New(&b, "loud")
 	assert.ErrorContains(t, err, "loud")
 }
--- a/operator/client/cli.go
+++ b/operator/client/cli.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/internal/version"
 	"github.com/cactusproxy/cactusproxy/operator"
 )
 
@@ -25,9 +26,6 @@
 	ExitUncertain = 4
 )
 
-// version is what --version prints.
-const version = "cactusctl 0.1.0"
-
 type planArgs struct {
 	File     string `arg:"positional,required" placeholder:"WORKSPACE-FILE"`
 	Template string `arg:"--template" placeholder:"FILE" help:"template file; not needed once its version was applied"`
@@ -79,7 +77,7 @@
 }
 
 // Version is shown by --version.
-func (arguments) Version() string { return version }
+func (arguments) Version() string { return "cactusctl " + version.String() }
 
 // command is one run of cactusctl.
 type command struct {
@@ -102,7 +100,7 @@
 		_ = p.WriteHelpForSubcommand(stdout, p.SubcommandNames()...)
 		return ExitDone
 	case errors.Is(err, arg.ErrVersion):
-		fmt.Fprintln(stdout, version)
+		fmt.Fprintln(stdout, arguments{}.Version())
 		return ExitDone
 	}
 	if err == nil {
