Refuse a change ID that was used for another change

The operator would have been told applied for a request that never was. The random runs look at the fleet after each step: a pause healed before the next tick was taken for a host that does not serve.

--- a/controller/config/commit.go
+++ b/controller/config/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -86,6 +87,8 @@
 	// build returns the content of the change. The error is declare.Problems
 	// if the request is refused, or else the platform's.
 	build(ctx context.Context, extra []platform.Row) (draft, error)
+	// made reports whether a change is what this proposal asks for.
+	made(ch Change) bool
 }
 
 // draft is the content of a change before it has a sequence number.
@@ -180,7 +183,7 @@
 		return Outcome{}, false, errStoreBehind
 	}
 	if b.change.Version != 0 {
-		return c.alreadyCommitted(ctx, b)
+		return c.alreadyCommitted(ctx, b, p)
 	}
 	if b.workspace.Version != req.Base {
 		return conflict(b), true, nil
@@ -220,8 +223,10 @@
 	return b, err
 }
 
-// alreadyCommitted answers a repeated request with the change it made.
-func (c *Controller) alreadyCommitted(ctx context.Context, b base) (Outcome, bool, error) {
+// alreadyCommitted answers a repeated request with the change it made. An ID
+// that was used for something else is refused: its change says nothing about
+// this request, and the operator would believe that it was applied.
+func (c *Controller) alreadyCommitted(ctx context.Context, b base, p proposal) (Outcome, bool, error) {
 	sequence, err := decodeRow[uint64](b.change)
 	if err != nil {
 		return Outcome{}, false, err
@@ -230,10 +235,18 @@
 	if err != nil {
 		return Outcome{}, false, err
 	}
+	if !p.made(ch) {
+		problem := declare.Problem{Line: 1, Field: "id", Message: "change ID was used for another change: " + describe(ch)}
+		return Outcome{Result: ResultInvalid, Problems: declare.Problems{problem}}, true, nil
+	}
 	c.retried.Add("found_by_id", 1)
 	return Outcome{Result: ResultApplied, Change: &ch}, true, nil
 }
 
+func describe(ch Change) string {
+	return fmt.Sprintf("workspace %s version %d by %s", ch.Workspace.Name, ch.Workspace.Version, ch.Who)
+}
+
 // readChange returns a change from the log.
 func (c *Controller) readChange(ctx context.Context, sequence uint64) (Change, error) {
 	rows, err := c.get(ctx, keyLog(sequence))
--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -145,6 +145,8 @@
 		assertSequences(t, f, 1)
 		out := change(t, f.Hosts()[2], "c1", 0, 7, config.ResultApplied)
 		assert.Equal(t, out.Change.Sequence, uint64(1))
+		out = change(t, f.Hosts()[2], "c1", 1, 9, config.ResultInvalid)
+		assert.ErrorContains(t, out.Problems, "change ID was used for another change")
 	})
 }
 
@@ -289,7 +291,8 @@
 
 // A host reaches no peer, and its reads of the table hang as on a network that
 // drops packets. Whenever the table answers again, the host has the change
-// within the bound: a read that still hangs does not hold up the next.
+// within the time of one poll: a read that still hangs does not hold up the
+// next.
 func TestHangingReadDoesNotHideTheEndOfAnOutage(t *testing.T) {
 	for phase := range 8 {
 		onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
@@ -299,7 +302,7 @@
 			pass(10*time.Second + time.Duration(phase)*500*time.Millisecond)
 			assert.Equal(t, h.Sequence(), uint64(0))
 			h.RestorePlatform()
-			pass(bound)
+			pass(1200 * time.Millisecond)
 			assertSequences(t, f, 1)
 			assertReady(t, true, h)
 		})
--- a/controller/config/export_test.go
+++ b/controller/config/export_test.go
@@ -1,15 +1,6 @@
 package config
 
-import (
-	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/peer"
-)
-
-// Names that tests of other packages' harness need.
-const (
-	SnapshotName = snapshotName
-	KindPush     = kindPush
-)
+import "github.com/cactusproxy/cactusproxy/peer"
 
 // ApplyWithoutComparing breaks the rule that only higher sequences are applied.
 func (c *Controller) ApplyWithoutComparing() {
@@ -20,6 +11,3 @@
 func (c *Controller) PushTo(to peer.HostID, ch Change) {
 	peer.Notify(c.Link, to, kindPush, pushMsg{Change: ch})
 }
-
-// SnapshotOf returns a configuration as it is kept in the object store.
-func SnapshotOf(cfg *declare.Config) []byte { return encodeSnapshot(cfg) }
--- a/controller/config/propose.go
+++ b/controller/config/propose.go
@@ -82,6 +82,10 @@
 	return []string{keyTemplate(p.decl.Template, p.decl.TemplateVersion)}
 }
 
+func (p *declared) made(ch Change) bool {
+	return ch.RollbackTo == 0 && ch.Workspace.Name == p.decl.Workspace && ch.Source == string(p.decl.Text)
+}
+
 func (p *declared) build(_ context.Context, extra []platform.Row) (draft, error) {
 	tpl, ops, err := p.template(extra[0])
 	if err != nil {
@@ -125,6 +129,10 @@
 
 func (p *rollback) keys() []string { return []string{keyVersion(p.name, p.to)} }
 
+func (p *rollback) made(ch Change) bool {
+	return ch.RollbackTo == p.to && ch.Workspace.Name == p.name
+}
+
 func (p *rollback) build(ctx context.Context, extra []platform.Row) (draft, error) {
 	if extra[0].Version == 0 {
 		return draft{}, declare.Problems{{Line: 1, Field: "to", Message: fmt.Sprintf("workspace %s has no version %d", p.name, p.to)}}
--- a/controller/config/random_test.go
+++ b/controller/config/random_test.go
@@ -142,6 +142,7 @@
 	case "wait":
 		pass(s.For)
 	}
+	r.watch.look() // a fault that ends before the next tick must be seen
 	pass(time.Duration(s.Value) * 100 * time.Microsecond)
 }
 
--- a/controller/config/snapshot.go
+++ b/controller/config/snapshot.go
@@ -13,8 +13,10 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 )
 
+// SnapshotName is the object that holds the snapshot.
+const SnapshotName = "config/snapshot"
+
 const (
-	snapshotName  = "config/snapshot"
 	snapshotMagic = "cpcfg001"
 	snapshotHead  = len(snapshotMagic) + 8
 	// snapshotGap is the least time between two snapshots written by a host.
@@ -58,7 +60,7 @@
 func (c *Controller) readSnapshot(ctx context.Context) (*declare.Config, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timings.ReadTimeout)
 	defer cancel()
-	raw, err := c.Objects.Get(ctx, snapshotName)
+	raw, err := c.Objects.Get(ctx, SnapshotName)
 	if err != nil {
 		c.events.Add("snapshot_read_failed", 1)
 		return nil, nil
@@ -111,5 +113,5 @@
 func (c *Controller) writeSnapshot(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Timings.ReadTimeout)
 	defer cancel()
-	return c.Objects.Put(ctx, snapshotName, encodeSnapshot(c.Board.Config.Load()))
+	return c.Objects.Put(ctx, SnapshotName, encodeSnapshot(c.Board.Config.Load()))
 }
--- a/internal/bench/confignet/start.go
+++ b/internal/bench/confignet/start.go
@@ -46,14 +46,13 @@
 		}
 	}
 	time.Sleep(2 * settle)
-	const snapshot = "config/snapshot"
-	raw, err := f.Store.Objects().Get(ctx, snapshot)
+	raw, err := f.Store.Objects().Get(ctx, config.SnapshotName)
 	if err != nil {
 		return nil, err
 	}
 	first := f.start(writer, services, "snapshot", len(raw))
 	raw[len(raw)/2] ^= 1
-	if err := f.Store.Objects().Put(ctx, snapshot, raw); err != nil {
+	if err := f.Store.Objects().Put(ctx, config.SnapshotName, raw); err != nil {
 		return nil, err
 	}
 	second := f.start(writer, services, "table, snapshot damaged", len(raw))
