Keep connections between hosts few, and measure the cost

Cause: comparing views with random hosts opened a connection to every other host within a minute; 150 hosts in one process ran out of descriptors, and the failed accept ended the node.

Past 30 hosts changes and comparisons go to the fingers on the ring (distances 1, 2, 4 and so on). A failed accept is counted and tried again.

--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -312,19 +312,13 @@
 	return out
 }
 
-// partnersLocked returns the hosts to compare views with. Doubted hosts are
-// among them: across a partition that has healed, nobody else would ever speak
-// to the other side again.
+// partnersLocked returns the hosts to compare views with in this round.
 func (c *Controller) partnersLocked(now time.Time) []platform.HostID {
 	if now.Sub(c.synced) < syncEvery {
 		return nil
 	}
 	c.synced = now
-	k := 1
-	if c.view.mesh() {
-		k = 2
-	}
-	return sample(c.rng, c.view.others(nil), k)
+	return c.view.partners(c.rng)
 }
 
 // sleep reports whether the time passed before ctx ended.
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,7 +99,7 @@
 
 // spread passes changed records on until ctx ends. What this host says of
 // itself goes to all others, or past some tens of hosts to its watchers; what
-// it heard goes to a few at random.
+// it heard goes to a few neighbours.
 func (c *Controller) spread(ctx context.Context) {
 	for {
 		select {
@@ -136,13 +137,19 @@
 	if own && c.view.mesh() {
 		return recs, c.view.others(nil)
 	}
-	to := sample(c.rng, c.view.others(func(e *entry) bool { return !e.doubted() }), gossipFanout)
+	to := sample(c.rng, c.view.neighbours(), gossipFanout)
 	if own {
-		to = append(to, c.view.heartbeatTo()...)
+		to = union(to, c.view.heartbeatTo())
 	}
 	return recs, to
 }
 
+func union(a, b []platform.HostID) []platform.HostID {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // onSync answers a comparison of views.
 func (c *Controller) onSync(from peer.HostID, m syncMsg) syncReply {
 	c.mu.Lock()
--- a/controller/targets/controller.go
+++ b/controller/targets/controller.go
@@ -36,12 +36,11 @@
 	// pushDelay collects marks that come together, as in a rolling update.
 	pushDelay = 10 * time.Millisecond
 	// tellAll is up to how many hosts a first sign is told to each of them;
-	// past that it goes to pushFanout hosts, which pass it on.
-	tellAll    = 30
-	pushFanout = 8
-	// passFanout is how many hosts a mark from the list or from a peer is
+	// past that it goes to the fingers on the ring, which pass it on.
+	tellAll = 30
+	// passFanout is how many neighbours a mark from the list or from a peer is
 	// passed on to.
-	passFanout = 3
+	passFanout = 4
 	pruneEvery = time.Minute
 )
 
--- a/controller/targets/exchange.go
+++ b/controller/targets/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -10,6 +11,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/ring"
 )
 
 // push sends new marks to other hosts.
@@ -34,12 +36,8 @@
 }
 
 func (c *Controller) receiversLocked() (tell, pass []platform.HostID) {
-	all := c.shuffledPeers()
-	tell = all
-	if len(all) >= tellAll {
-		tell = all[:pushFanout]
-	}
-	return tell, all[:min(passFanout, len(all))]
+	near := c.neighboursLocked()
+	return near, near[:min(passFanout, len(near))]
 }
 
 func (c *Controller) wireLocked(ms []Mark) []wireMark {
@@ -63,22 +61,26 @@
 	}
 }
 
-// shuffledPeers returns the other hosts in random order, suspected ones too:
-// a host that is cut off from this one still gives work to targets. It is
-// called with mu held, which guards the random source.
-func (c *Controller) shuffledPeers() []platform.HostID {
+// neighboursLocked returns, in random order, all other hosts if they are few,
+// or else this host's fingers on the ring. Suspected hosts are among them: a
+// host that is cut off from this one still gives work to targets.
+func (c *Controller) neighboursLocked() []platform.HostID {
 	view := c.opts.Board.Members.Load()
-	out := make([]platform.HostID, 0, len(view.Members))
-	for i := range view.Members {
-		if id := view.Members[i].Host.ID; id != c.opts.Link.Self() {
-			out = append(out, id)
-		}
+	ids := make([]platform.HostID, len(view.Members))
+	for i := range ids {
+		ids[i] = view.Members[i].Host.ID
 	}
-	c.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
+	self := c.opts.Link.Self()
+	if len(ids) > tellAll {
+		ids = ring.New(ids).Fingers(self)
+	} else {
+		ids = slices.DeleteFunc(ids, func(id platform.HostID) bool { return id == self })
+	}
+	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
 }
 
-// compare asks a few random hosts again and again for marks this host lacks.
+// compare asks a few neighbours again and again for marks this host lacks.
 func (c *Controller) compare(ctx context.Context, g *errgroup.Group) {
 	for sleep(ctx, compareEvery) {
 		c.mu.Lock()
@@ -86,7 +88,7 @@
 			c.prune(c.opts.Board.Targets.Load(), now)
 		}
 		digest := c.marks.digest()
-		peers := c.shuffledPeers()
+		peers := c.neighboursLocked()
 		c.mu.Unlock()
 		for _, id := range peers[:min(comparePeers, len(peers))] {
 			g.Go(func() error { c.compareWith(ctx, id, digest); return nil })
--- /dev/null
+++ b/internal/bench/membernet/membernet.go
@@ -0,0 +1,232 @@
+// Package membernet measures what it costs to keep the view of the entry hosts:
+// many hosts in one process, each with its own peer node over loopback TCP, a
+// shared key, and the controllers of membership and targets.
+package membernet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/membership"
+	"github.com/cactusproxy/cactusproxy/controller/targets"
+	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+const (
+	checkEvery = 20 * time.Millisecond
+	// settle lets the burst of the first meeting pass.
+	settle = 2 * time.Second
+	zones  = 3
+)
+
+// Report is the cost of a host that sees no change.
+type Report struct {
+	Hosts    int
+	Duration time.Duration
+	// Converged is how long it took until all hosts saw all others as live.
+	Converged time.Duration
+	// BytesPerSecond that one host sends, and as many that it receives: frames
+	// with their tags, without the headers of TCP and IP.
+	BytesPerSecond float64
+	// FramesPerSecond that one host sends.
+	FramesPerSecond float64
+	// Connections that one host opened; about as many are opened to it.
+	Connections float64
+	// CPUPercent of one core that one host takes, both ends of its messages
+	// included.
+	CPUPercent float64
+}
+
+// String returns the report as key=value pairs.
+func (r Report) String() string {
+	return fmt.Sprintf("hosts=%d duration=%v converged=%v bytes_per_s=%.0f frames_per_s=%.1f connections=%.1f cpu_percent=%.2f",
+		r.Hosts, r.Duration, r.Converged.Round(time.Millisecond), r.BytesPerSecond, r.FramesPerSecond, r.Connections, r.CPUPercent)
+}
+
+// Run lets the hosts meet and then measures for d.
+func Run(ctx context.Context, hosts int, d time.Duration) (Report, error) {
+	n, err := listen(hosts)
+	if err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, runCtx := errgroup.WithContext(ctx)
+	start := time.Now()
+	for i := range n.hosts {
+		n.hosts[i].run(runCtx, g)
+	}
+	rep, err := n.measure(runCtx, start, d)
+	cancel()
+	return rep, errors.CombineErrors(err, g.Wait())
+}
+
+type host struct {
+	node    *peer.Node
+	board   *blackboard.Board
+	set     *metrics.Set
+	members *membership.Controller
+	targets *targets.Controller
+}
+
+type network struct {
+	hosts []*host
+}
+
+// listen makes all hosts and the list that names them.
+func listen(count int) (*network, error) {
+	var lc net.ListenConfig
+	list := store.New(store.Limits{})
+	lines := make([]platform.Host, count)
+	listeners := make([]net.Listener, count)
+	for i := range lines {
+		l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			closeAll(listeners[:i])
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners[i] = l
+		lines[i] = platform.Host{
+			ID:       platform.HostID(fmt.Sprintf("entry-%03d", i)),
+			Role:     platform.RoleEntry,
+			State:    platform.HostLive,
+			Zone:     fmt.Sprintf("zone-%d", i%zones),
+			Addr:     l.Addr().String(),
+			PeerAddr: l.Addr().String(),
+		}
+	}
+	list.SetHosts(lines)
+	n := &network{}
+	for i, line := range lines {
+		n.hosts = append(n.hosts, newHost(line, listeners[i], list.Hosts()))
+	}
+	return n, nil
+}
+
+func closeAll(ls []net.Listener) {
+	for _, l := range ls {
+		_ = l.Close()
+	}
+}
+
+func newHost(line platform.Host, l net.Listener, list platform.HostList) *host {
+	h := &host{board: blackboard.New(), set: metrics.New()}
+	incarnation := membership.NewIncarnation(time.Now())
+	h.node = peer.NewNode(peer.Options{
+		Self:        line.ID,
+		Incarnation: incarnation,
+		Listener:    l,
+		Key:         []byte("membernet shared key"),
+		Metrics:     h.set,
+	})
+	h.targets = targets.New(targets.Options{Link: h.node, Board: h.board, Metrics: h.set})
+	h.members = membership.New(membership.Options{
+		Host:        line,
+		Incarnation: incarnation,
+		Link:        h.node,
+		Peers:       h.node,
+		Board:       h.board,
+		List:        list,
+		OnList:      h.targets.ApplyList,
+		Metrics:     h.set,
+	})
+	h.board.Status.Store(blackboard.Status{ConfigConfirmed: true})
+	return h
+}
+
+func (h *host) run(ctx context.Context, g *errgroup.Group) {
+	g.Go(func() error { return h.node.Serve(ctx) })
+	g.Go(func() error { return h.members.Run(ctx) })
+	g.Go(func() error { return h.targets.Run(ctx) })
+}
+
+// converged reports whether each host sees all hosts as live and ready.
+func (n *network) converged() bool {
+	for _, h := range n.hosts {
+		ready := 0
+		for _, m := range h.board.Members.Load().Eligible() {
+			if m.Ready {
+				ready++
+			}
+		}
+		if ready != len(n.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) measure(ctx context.Context, start time.Time, d time.Duration) (Report, error) {
+	rep := Report{Hosts: len(n.hosts), Duration: d}
+	for !n.converged() {
+		if err := sleep(ctx, checkEvery); err != nil {
+			return rep, errors.Wrap(err, "hosts did not all meet")
+		}
+	}
+	rep.Converged = time.Since(start)
+	if err := sleep(ctx, settle); err != nil {
+		return rep, err
+	}
+	before, err := n.read()
+	if err != nil {
+		return rep, err
+	}
+	if err := sleep(ctx, d); err != nil {
+		return rep, err
+	}
+	after, err := n.read()
+	if err != nil {
+		return rep, err
+	}
+	per := after.at.Sub(before.at).Seconds() * float64(len(n.hosts))
+	rep.BytesPerSecond = float64(after.bytes-before.bytes) / per
+	rep.FramesPerSecond = float64(after.frames-before.frames) / per
+	rep.Connections = float64(after.connections) / float64(len(n.hosts))
+	rep.CPUPercent = 100 * (after.cpu - before.cpu).Seconds() / per
+	return rep, nil
+}
+
+// reading is the sum over all hosts at one time.
+type reading struct {
+	at            time.Time
+	bytes, frames int64
+	connections   int64
+	cpu           time.Duration
+}
+
+func (n *network) read() (reading, error) {
+	r := reading{at: time.Now()}
+	for _, h := range n.hosts {
+		st := h.node.Stats()
+		r.bytes += st.BytesSent
+		r.frames += st.FramesSent
+		r.connections += st.Connections
+	}
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return r, errors.Wrap(err, "read CPU time")
+	}
+	r.cpu = time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return r, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -10,9 +10,11 @@
 type counters struct {
 	framesIn, framesOut *expvar.Int
 	bytesIn, bytesOut   *expvar.Int
+	connections         *expvar.Int // open now, of those this host opened
 	dials, dialFailed   *expvar.Int
 	handshakeFailed     *expvar.Int
 	inboundRefused      *expvar.Int
+	acceptFailed        *expvar.Int
 	connBroken          *expvar.Int
 	frameRefused        *expvar.Int
 	unknownPeer         *expvar.Int
@@ -36,10 +38,12 @@
 		framesOut:       add("frames_out"),
 		bytesIn:         add("bytes_in"),
 		bytesOut:        add("bytes_out"),
+		connections:     add("connections"),
 		dials:           add("dials"),
 		dialFailed:      add("dial_failed"),
 		handshakeFailed: add("handshake_failed"),
 		inboundRefused:  add("inbound_refused"),
+		acceptFailed:    add("accept_failed"),
 		connBroken:      add("connection_broken"),
 		frameRefused:    add("frame_refused"),
 		unknownPeer:     add("unknown_peer"),
--- a/peer/node.go
+++ b/peer/node.go
@@ -30,6 +30,7 @@
 	unackedTimeout  = 5 * time.Second
 	idleTimeout     = time.Minute
 	retireLinger    = 5 * time.Second
+	acceptRetry     = 50 * time.Millisecond
 	firstBackoff    = 20 * time.Millisecond
 	maxBackoff      = time.Second
 	// steadyAfter is how long a connection has to last before the wait for the
@@ -118,6 +119,24 @@
 // Self returns the identity that peers see.
 func (n *Node) Self() HostID { return n.opts.Self }
 
+// Stats are totals since the node was made, but for Connections.
+type Stats struct {
+	// BytesSent counts frames with their tags, not the headers of TCP and IP.
+	BytesSent  int64
+	FramesSent int64
+	// Connections that this host opened and that are open now.
+	Connections int64
+}
+
+// Stats returns the node's traffic so far.
+func (n *Node) Stats() Stats {
+	return Stats{
+		BytesSent:   n.count.bytesOut.Value(),
+		FramesSent:  n.count.framesOut.Value(),
+		Connections: n.count.connections.Value(),
+	}
+}
+
 // Handle registers the handler of a kind.
 func (n *Node) Handle(kind Kind, h Handler) {
 	n.mu.Lock()
@@ -169,7 +188,7 @@
 }
 
 // Serve takes connections until ctx ends, then closes the node. It returns an
-// error only if the listener failed.
+// error only if the listener was closed by someone else.
 func (n *Node) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, n.Close)
 	defer stop()
@@ -180,13 +199,17 @@
 			closeIf(conn)
 			return nil
 		}
-		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				continue
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "accept peer connection")
 		}
+		if err != nil {
+			// Out of file descriptors, for one: that passes, and a daemon that
+			// ended over it would cut off its callers.
+			n.count.acceptFailed.Add(1)
+			n.opts.Log.Warn("peer connection not accepted", zap.Error(err))
+			time.Sleep(acceptRetry)
+			continue
+		}
 		n.acceptConn(conn)
 	}
 }
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -224,7 +224,9 @@
 	r.notBefore = time.Time{}
 	r.mu.Unlock()
 	start := time.Now()
+	r.node.count.connections.Add(1)
 	err = r.serve(s)
+	r.node.count.connections.Add(-1)
 	if time.Since(start) > steadyAfter {
 		r.wait.Reset()
 	}
--- /dev/null
+++ b/policy/ring/ring_test.go
@@ -0,0 +1,53 @@
+package ring
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform"
+)
+
+func ids(n int) []platform.HostID {
+	out := make([]platform.HostID, n)
+	for i := range out {
+		out[i] = platform.HostID(fmt.Sprintf("h%d", i))
+	}
+	return out
+}
+
+func TestAfterAndBeforeAgree(t *testing.T) {
+	r := New(ids(20))
+	for _, id := range ids(20) {
+		for _, next := range r.After(id, 6) {
+			assert.Check(t, slices.Contains(r.Before(next, 6), id))
+		}
+	}
+	assert.Equal(t, len(New(ids(3)).After("h0", 6)), 2)
+	assert.Equal(t, len(r.After("elsewhere", 6)), 0)
+	assert.Equal(t, len(New(ids(1)).Fingers("h0")), 0)
+}
+
+func TestFingersReachAllInFewSteps(t *testing.T) {
+	r := New(ids(150))
+	reached := map[platform.HostID]bool{"h0": true}
+	last := []platform.HostID{"h0"}
+	steps := 0
+	for len(reached) < 150 {
+		var next []platform.HostID
+		for _, id := range last {
+			assert.Equal(t, len(r.Fingers(id)), 8)
+			for _, f := range r.Fingers(id) {
+				if !reached[f] {
+					reached[f] = true
+					next = append(next, f)
+				}
+			}
+		}
+		last = next
+		steps++
+	}
+	assert.Check(t, steps <= 8, "%d steps", steps)
+}
