--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -46,6 +46,7 @@
 	log      *zap.Logger
 	platform *Platform
 	upstream upstream.RoundTripper
+	link     peer.Link
 }
 
 // WithLog has the daemon log to this logger; without it nothing is logged.
@@ -63,6 +64,13 @@
 	return func(o *options) { o.upstream = u }
 }
 
+// WithLink reaches the other hosts over this link in place of TCP. The daemon
+// then opens no listeners: callers and operators are served by Handler and
+// Operators alone.
+func WithLink(l peer.Link) Option {
+	return func(o *options) { o.link = l }
+}
+
 // Daemon is one entry host.
 type Daemon struct {
 	settings    *settings.Settings
@@ -74,7 +82,8 @@
 	cleanup     []func()
 
 	listeners  listeners
-	node       *peer.Node
+	link       peer.Link
+	node       *peer.Node // nil if the link was given
 	pools      *upstream.Pools
 	slots      *slots.Slots
 	ledger     *ledger.Ledger
@@ -134,13 +143,34 @@
 func (d *Daemon) Abort() { d.abort.Do(func() { close(d.aborted) }) }
 
 // CallersAddr returns the address that callers use.
-func (d *Daemon) CallersAddr() string { return d.listeners.callers.Addr().String() }
+func (d *Daemon) CallersAddr() string {
+	return addrOf(d.listeners.callers, d.settings.Callers.Addr)
+}
 
 // OperatorsAddr returns the address that operators use.
-func (d *Daemon) OperatorsAddr() string { return d.listeners.operators.Addr().String() }
+func (d *Daemon) OperatorsAddr() string {
+	return addrOf(d.listeners.operators, d.settings.Operators.Addr)
+}
 
 // PeersAddr returns the address that other entry hosts use.
-func (d *Daemon) PeersAddr() string { return d.listeners.peers.Addr().String() }
+func (d *Daemon) PeersAddr() string {
+	return addrOf(d.listeners.peers, d.settings.Peers.Addr)
+}
+
+// addrOf returns where a listener listens, or what the settings say if it was
+// not opened.
+func addrOf(l net.Listener, set string) string {
+	if l == nil {
+		return set
+	}
+	return l.Addr().String()
+}
+
+// Handler serves callers.
+func (d *Daemon) Handler() http.Handler { return d.callers.Handler }
+
+// Operators serves operators.
+func (d *Daemon) Operators() http.Handler { return d.operators.Handler }
 
 // Metrics returns the daemon's counters.
 func (d *Daemon) Metrics() *metrics.Set { return d.metrics }
--- a/controller/leave/leave_test.go
+++ b/controller/leave/leave_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -137,6 +139,8 @@
 			s.inFlight.Store(1)
 			return nil
 		}})
+		invariant.SetHandler(invariant.Panic)
+		defer invariant.SetHandler(nil)
 		defer func() { assert.Check(t, recover() != nil) }()
 		New(s.opts).Stop(t.Context())
 	})
--- a/entry/call.go
+++ b/entry/call.go
@@ -26,12 +26,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !status.ConfigConfirmed {
-		s.refuse(w, outcome.Refuse(outcome.ReasonNotReady))
+		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNotReady)))
 		return
 	}
 	m, ok := s.router().find(r.Host, r.URL.Path)
 	if !ok {
-		s.refuse(w, outcome.Refuse(outcome.ReasonNoRoute))
+		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNoRoute)))
 		return
 	}
 	s.serve(w, r, m)
@@ -42,13 +42,13 @@
 	defer cancel()
 	c, releaseBody, refusal := s.newCall(r, m)
 	if refusal.Outcome != 0 {
-		s.refuse(w, refusal)
+		s.refuse(w, refuseCall(r, m, refusal))
 		return
 	}
 	defer releaseBody()
 	release, refusal := s.deps.Dispatcher.Admit(c)
 	if release == nil {
-		s.refuse(w, refusal)
+		s.refuse(w, refuseCall(r, m, refusal))
 		return
 	}
 	defer release()
@@ -60,6 +60,27 @@
 	s.reply(w, s.deps.Dispatcher.Do(ctx, c))
 }
 
+// refuseKey returns what a request is told that is refused before anybody asked
+// for the claim of its key. An earlier send of the same key may have run through
+// another host; were this one told not-run, its caller would take the purchase
+// for not made and buy again under a new key. So a request with a key is told
+// unknown, and its caller sends the same key again.
+func refuseKey(r *http.Request, refusal outcome.Result) outcome.Result {
+	if r.Header.Get(HeaderIdempotencyKey) != "" {
+		refusal.Outcome = outcome.Unknown
+	}
+	return refusal
+}
+
+// refuseCall is refuseKey for a request whose service is known: a key means
+// something for at-most-once calls alone.
+func refuseCall(r *http.Request, m match, refusal outcome.Result) outcome.Result {
+	if m.service.IsAtMostOnce(r.Method, m.path) {
+		return refuseKey(r, refusal)
+	}
+	return refusal
+}
+
 // reply writes what came of a call.
 func (s *Server) reply(w http.ResponseWriter, r *dispatch.Reply) {
 	s.count(r.Result)
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -188,6 +188,33 @@
 	assert.Check(t, d.call == nil)
 }
 
+// The caller is told unknown and sends the same key again: its first send may
+// have run through another host, which this one has not asked. A call without a
+// key, or one that may be repeated, is told not-run of this send alone.
+func TestRefusalOfAKeyBeforeItsClaimIsUnknown(t *testing.T) {
+	s, _, board := newServer(t)
+	for _, tc := range []struct {
+		ready             bool
+		method, path, key string
+		want              string
+	}{
+		{false, "POST", "/lots/bids", "k", "unknown not-ready"},
+		{false, "POST", "/lots/bids", "", "not-run not-ready"},
+		{true, "POST", "/nowhere", "k", "unknown no-route"},
+		{true, "GET", "/nowhere", "", "not-run no-route"},
+		{true, "POST", "/lots/bids", "k", "unknown too-deep"},
+		{true, "PUT", "/lots", "k", "not-run too-deep"},
+	} {
+		board.Status.Store(blackboard.Status{ConfigConfirmed: tc.ready})
+		r := httptest.NewRequest(tc.method, "http://auction.example"+tc.path, nil)
+		r.Header.Set(dispatch.HeaderDepth, "32")
+		if tc.key != "" {
+			r.Header.Set(HeaderIdempotencyKey, tc.key)
+		}
+		assert.Equal(t, do(s, r).Body.String(), tc.want+"\n")
+	}
+}
+
 func TestKeysAreIssuedForKnownServices(t *testing.T) {
 	s, _, _ := newServer(t)
 	w := do(s, httptest.NewRequest(http.MethodPost, "/.cactusproxy/keys/auction/bids", nil))
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -40,9 +40,29 @@
 
 var handler atomic.Pointer[Handler]
 
-// SetHandler replaces what happens on a broken invariant. The default panics,
-// which ends the process. It is process-wide because the process is what stops.
-func SetHandler(h Handler) { handler.Store(&h) }
+// SetHandler replaces what happens on a broken invariant; nil restores the
+// default, which is Stop. It is process-wide because the process is what stops.
+func SetHandler(h Handler) {
+	if h == nil {
+		handler.Store(nil)
+		return
+	}
+	handler.Store(&h)
+}
+
+// Stop ends the process with the invariant's name. It panics in a goroutine of
+// its own: net/http recovers a panic in a handler, so that one there would only
+// break off one caller's connection and the process would go on.
+func Stop(name Name, detail string) {
+	go Panic(name, detail)
+	select {}
+}
+
+// Panic panics where the invariant broke. It is a handler for tests that bring
+// that about.
+func Panic(name Name, detail string) {
+	panic("invariant broken: " + string(name) + ": " + detail)
+}
 
 // Check stops the process if ok is false. The detail is formatted only then.
 func Check(ok bool, name Name, format string, args ...any) {
@@ -52,11 +72,11 @@
 	Broken(name, fmt.Sprintf(format, args...))
 }
 
-// Broken reports a broken invariant and does not return normally.
+// Broken reports a broken invariant and does not return.
 func Broken(name Name, detail string) {
 	broken.Add(string(name), 1)
 	if h := handler.Load(); h != nil {
 		(*h)(name, detail)
 	}
-	panic("invariant broken: " + string(name) + ": " + detail)
+	Stop(name, detail)
 }
--- /dev/null
+++ b/internal/vlab/target.go
@@ -0,0 +1,148 @@
+// Package vlab puts whole daemons between fakes of everything they talk to, in
+// virtual time: an in-memory platform and network of peers, and targets behind
+// the round trip. It is for randomised runs inside a testing/synctest bubble.
+package vlab
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/standin/target"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// State is what a fake target does with the calls that reach it.
+type State uint8
+
+// States of a target.
+const (
+	Up State = iota
+	// Down targets take no connection.
+	Down
+	// Shedding targets refuse each call before running it.
+	Shedding
+	// Draining targets run what comes and say that they are leaving.
+	Draining
+	// Cutting targets run the call and break the connection off.
+	Cutting
+)
+
+// Run is one run of a call at a target.
+type Run struct {
+	Target platform.HostID
+	Key    string
+	ID     string
+	At     time.Time
+}
+
+// Fleet is all fake targets. It sends attempts as upstream.Pools would.
+type Fleet struct {
+	// Service is how long a call runs.
+	Service time.Duration
+
+	mu     sync.Mutex
+	states map[platform.HostID]State
+	runs   []Run
+}
+
+var _ upstream.RoundTripper = (*Fleet)(nil)
+
+// NewFleet returns targets that are all up.
+func NewFleet(service time.Duration) *Fleet {
+	return &Fleet{Service: service, states: make(map[platform.HostID]State)}
+}
+
+// Set changes the state of a target.
+func (f *Fleet) Set(id platform.HostID, s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states[id] = s
+}
+
+// Runs returns all runs so far.
+func (f *Fleet) Runs() []Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Run(nil), f.runs...)
+}
+
+// errConnection is what a connection that breaks gives.
+var errConnection = errors.New("connection broken")
+
+// connectDelay is how long a new connection takes, or its refusal.
+const connectDelay = time.Millisecond
+
+// RoundTrip implements upstream.RoundTripper.
+func (f *Fleet) RoundTrip(req *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
+	if err := sleep(req, connectDelay); err != nil {
+		return upstream.Result{Err: err}
+	}
+	state := f.arrive(req, t.ID)
+	switch state {
+	case Down:
+		return upstream.Result{Err: errConnection}
+	case Shedding:
+		return upstream.Result{Sent: true, Response: shed()}
+	}
+	if err := sleep(req, f.Service); err != nil {
+		return upstream.Result{Sent: true, Err: err}
+	}
+	if state == Cutting {
+		return upstream.Result{Sent: true, Err: errConnection}
+	}
+	return upstream.Result{Sent: true, Response: answer(req, state)}
+}
+
+// arrive records the run of a call that the target takes.
+func (f *Fleet) arrive(req *http.Request, id platform.HostID) State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[id]
+	if s != Down && s != Shedding {
+		f.runs = append(f.runs, Run{
+			Target: id,
+			Key:    req.Header.Get(target.HeaderKey),
+			ID:     req.Header.Get(target.HeaderRequestID),
+			At:     time.Now(),
+		})
+	}
+	return s
+}
+
+func sleep(req *http.Request, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-req.Context().Done():
+		return req.Context().Err()
+	}
+}
+
+func shed() *http.Response {
+	return response(http.StatusServiceUnavailable, http.Header{targetapi.HeaderShed: {targetapi.Yes}}, "")
+}
+
+// answer tells which request it belongs to, so that a caller can check.
+func answer(req *http.Request, s State) *http.Response {
+	h := http.Header{}
+	if s == Draining {
+		h.Set(targetapi.HeaderLeaving, targetapi.Yes)
+	}
+	return response(http.StatusOK, h, req.Header.Get(target.HeaderRequestID))
+}
+
+func response(status int, h http.Header, body string) *http.Response {
+	return &http.Response{
+		StatusCode:    status,
+		Header:        h,
+		Body:          io.NopCloser(strings.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+}
--- a/provision.go
+++ b/provision.go
@@ -39,6 +39,7 @@
 // peer messages are registered here, before the link serves.
 func (d *Daemon) provision(o options) error {
 	d.incarnation = membership.NewIncarnation(time.Now())
+	d.cleanup = append(d.cleanup, func() { _ = d.board.Close() })
 	for _, step := range []func(options) error{
 		d.provisionListeners,
 		d.provisionPlatform,
@@ -55,7 +56,10 @@
 	return d.provisionOperators()
 }
 
-func (d *Daemon) provisionListeners(options) error {
+func (d *Daemon) provisionListeners(o options) error {
+	if o.link != nil {
+		return nil
+	}
 	for _, l := range []struct {
 		addr string
 		to   *net.Listener
@@ -96,7 +100,11 @@
 	return nil
 }
 
-func (d *Daemon) provisionPeers(options) error {
+func (d *Daemon) provisionPeers(o options) error {
+	d.link = o.link
+	if o.link != nil {
+		return nil
+	}
 	tlsConfig, err := d.settings.Peers.TLS.Server()
 	if err != nil {
 		return err
@@ -114,6 +122,7 @@
 		Log:         d.log,
 		Metrics:     d.metrics,
 	})
+	d.link = d.node
 	d.cleanup = append(d.cleanup, d.node.Close)
 	return nil
 }
@@ -144,7 +153,7 @@
 	}
 	d.ledger = ledger.New(ledger.Deps{
 		Table:       d.platform.Table,
-		Link:        d.node,
+		Link:        d.link,
 		Host:        d.id(),
 		Incarnation: d.incarnation,
 		Metrics:     d.metrics,
@@ -159,21 +168,21 @@
 		Board:   d.board,
 		Table:   d.platform.Table,
 		Objects: d.platform.Objects,
-		Link:    d.node,
+		Link:    d.link,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
 	d.targets = targets.New(targets.Options{
 		Board:   d.board,
-		Link:    d.node,
+		Link:    d.link,
 		Log:     d.log,
 		Metrics: d.metrics,
 	})
 	d.members = membership.New(membership.Options{
 		Host:        d.self(),
 		Incarnation: d.incarnation,
-		Link:        d.node,
-		Peers:       d.node,
+		Link:        d.link,
+		Peers:       d.peers(),
 		Board:       d.board,
 		List:        d.platform.Hosts,
 		OnList:      d.targets.ApplyList,
@@ -181,14 +190,14 @@
 		Metrics:     d.metrics,
 	})
 	d.quarantine = quarantine.New(quarantine.Deps{
-		Link:    d.node,
+		Link:    d.link,
 		Members: d.roleHolders,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
 	d.slots = slots.New(slots.Deps{
 		Board:       d.board,
-		Link:        d.node,
+		Link:        d.link,
 		Coordinator: coordinator,
 		Metrics:     d.metrics,
 		Log:         d.log,
@@ -198,6 +207,14 @@
 	d.cleanup = append(d.cleanup, d.slots.Close)
 }
 
+// peers learns the addresses of the other hosts.
+func (d *Daemon) peers() membership.PeerSetter {
+	if d.node == nil {
+		return nil
+	}
+	return d.node
+}
+
 // self is this host as the others shall know it.
 func (d *Daemon) self() platform.Host {
 	peerAddr := d.settings.Peers.Advertise
--- a/run.go
+++ b/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
@@ -52,7 +53,6 @@
 // start runs all parts until work ends.
 func (d *Daemon) start(work context.Context, g *errgroup.Group) {
 	for _, part := range []func(context.Context) error{
-		d.node.Serve,
 		d.members.Run,
 		d.targets.Run,
 		d.config.Run,
@@ -62,6 +62,10 @@
 	} {
 		g.Go(func() error { return part(work) })
 	}
+	if d.node == nil {
+		return
+	}
+	g.Go(func() error { return d.node.Serve(work) })
 	g.Go(func() error { return serve(d.callers, d.listeners.callers) })
 	g.Go(func() error { return serve(d.operators, d.listeners.operators) })
 	g.Go(func() error {
@@ -144,3 +148,9 @@
 
 // InFlight returns the number of calls that have not had their whole reply.
 func (d *Daemon) InFlight() int64 { return d.entry.InFlight() }
+
+// Apply commits an operator's change through this host, as its operators'
+// listener does.
+func (d *Daemon) Apply(ctx context.Context, req config.ApplyRequest) config.Outcome {
+	return d.config.Apply(ctx, req)
+}
