--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -18,6 +18,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/entry"
@@ -92,6 +93,7 @@
 	config     *config.Controller
 	members    *membership.Controller
 	targets    *targets.Controller
+	leave      *leave.Controller
 
 	callers   *http.Server
 	operators *http.Server
--- a/provision.go
+++ b/provision.go
@@ -1,14 +1,17 @@
 package cactusproxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
@@ -33,6 +36,7 @@
 	defaultIdle        = 2 * time.Minute
 	defaultDialTimeout = time.Second
 	defaultKeyWindow   = 24 * time.Hour
+	defaultDrainLimit  = 10 * time.Minute
 )
 
 // provision makes the daemon's parts, from the listeners inwards. Handlers of
@@ -53,6 +57,7 @@
 	}
 	d.provisionControllers()
 	d.provisionCallers(o)
+	d.provisionLeave()
 	return d.provisionOperators()
 }
 
@@ -291,6 +296,30 @@
 	}
 }
 
+func (d *Daemon) provisionLeave() {
+	d.leave = leave.New(leave.Options{
+		Board:       d.board,
+		InFlight:    func() int { return int(d.entry.InFlight()) },
+		DrainPeriod: d.settings.Drain.Notice.Or(leave.DefaultDrainPeriod),
+		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
+		Log:         d.log,
+		Metrics:     d.metrics,
+		Hooks: []leave.Hook{
+			{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown},
+			{Stage: leave.Release, Name: "claims", Func: d.releaseClaims},
+		},
+	})
+}
+
+// releaseClaims waits until what became of every claim is written down, so that
+// later sends of the same keys get their answers.
+func (d *Daemon) releaseClaims(ctx context.Context) error {
+	if !d.ledger.Drain(ctx) {
+		return errors.New("claims not written down")
+	}
+	return nil
+}
+
 func (d *Daemon) provisionOperators() error {
 	token, err := settings.Secret(d.settings.Operators.TokenFile)
 	if err != nil {
--- a/run.go
+++ b/run.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -38,6 +37,8 @@
 	select {
 	case <-ctx.Done():
 		stopped = d.stop(work)
+	case <-d.leave.Requested():
+		stopped = d.stop(work)
 	case <-work.Done():
 		// A part failed; what it returned ends Run.
 	case <-d.aborted:
@@ -56,6 +57,7 @@
 		d.members.Run,
 		d.targets.Run,
 		d.config.Run,
+		d.leave.Run,
 		d.ledger.Run,
 		d.quarantine.Run,
 		d.upkeep,
@@ -113,39 +115,15 @@
 	d.pools.Retain(func(id platform.HostID) bool { return listed[id] })
 }
 
-// stop ends the service of callers: first the balancer and the callers are
-// told, then the listener closes, and every call in flight is finished.
+// stop leaves gracefully. The error says that calls were cut off.
 func (d *Daemon) stop(ctx context.Context) error {
-	d.board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
-		s.Leaving = true
-		return s, true
-	})
-	notice := d.settings.Drain.Notice.Or(defaultNotice)
-	d.log.Info("stopping", zap.Duration("notice", notice), zap.Int64("in_flight", d.entry.InFlight()))
-	select {
-	case <-time.After(notice):
-	case <-ctx.Done():
+	report := d.leave.Stop(ctx)
+	if report.Cut {
+		return errors.Newf("stop cut off %d calls", report.Left)
 	}
-	limit := d.settings.Drain.Limit.Or(defaultDrainLimit)
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := d.callers.Shutdown(ctx); err != nil {
-		d.log.Warn("calls cut off", zap.Int64("in_flight", d.entry.InFlight()), zap.Duration("limit", limit))
-		return errors.Wrap(err, "stop")
-	}
-	if !d.ledger.Drain(ctx) {
-		d.log.Warn("claims not written down")
-	}
-	d.log.Info("stopped")
 	return nil
 }
 
-// Defaults of the stop.
-const (
-	defaultNotice     = 5 * time.Second
-	defaultDrainLimit = 10 * time.Minute
-)
-
 // InFlight returns the number of calls that have not had their whole reply.
 func (d *Daemon) InFlight() int64 { return d.entry.InFlight() }
 
