Let a call whose answer is in time pay for a timer, not for a goroutine

The first attempt of a call that may be hedged ran in a goroutine of its own, so that each such call paid for two hand-overs between goroutines. It now runs where it is; the second one is sent from the timer.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -47,6 +47,10 @@
 // answered reports whether the attempt has an answer to pass on.
 func (a *attempt) answered() bool { return a.resp != nil }
 
+// good reports whether the attempt has an answer that is not the target's
+// failure.
+func (a *attempt) good() bool { return a.answered() && a.class == pick.OK }
+
 // attempt makes one attempt and waits for the head of its answer.
 func (d *Dispatcher) attempt(ctx context.Context, c *Call, s send) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,10 +120,7 @@
 // accept returns the reply that an attempt leads to, or nil if there is to be
 // another attempt.
 func (d *Dispatcher) accept(ctx context.Context, c *Call, h *history, a *attempt) *Reply {
-	if a.answered() && a.class == pick.OK {
-		return h.reply(a.stream())
-	}
-	if a.answered() && !a.keepable() {
+	if a.good() || a.answered() && !a.keepable() {
 		return h.reply(a.stream())
 	}
 	again := d.mayRetry(ctx, c, h, a)
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -67,33 +67,19 @@
 	return d.latency(c.Key).hedgeDelay(left)
 }
 
+// hedged sends the first attempt from this goroutine, so that a call whose answer
+// is in time pays for a timer alone, and a second one from the timer's.
 func (d *Dispatcher) hedged(ctx context.Context, c *Call, s send, h *history, delay time.Duration) *attempt {
-	done := make(chan *attempt, 2)
-	// Each attempt has a context of its own, so that the loser can be canceled
-	// without touching the winner's answer.
 	ctx1, cancel1 := context.WithCancel(ctx)
-	go func() { done <- d.attempt(ctx1, c, s) }()
-
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case a := <-done:
-		h.add(a)
-		a.addCancel(cancel1)
-		return a
-	case <-timer.C:
-	}
-	s2 := d.hedgeSend(ctx, c, s.grant)
-	if s2 == nil {
-		a := <-done
-		h.add(a)
-		a.addCancel(cancel1)
+	r := &hedgeRace{d: d, ctx: ctx, call: c, first: s.grant, cancelFirst: cancel1, done: make(chan *attempt, 1)}
+	timer := time.AfterFunc(delay, r.second)
+	a := d.attempt(ctx1, c, s)
+	a.addCancel(cancel1)
+	h.add(a)
+	if timer.Stop() {
 		return a
 	}
-	ctx2, cancel2 := context.WithCancel(ctx)
-	go func() { done <- d.attempt(ctx2, c, *s2) }()
-	d.metrics.Retries.Add("hedge", 1)
-	return firstAnswer(h, done, map[pick.Grant]context.CancelFunc{s.grant: cancel1, s2.grant: cancel2})
+	return r.settle(h, a)
 }
 
 // hedgeSend returns the right to a second attempt, or nil if the budget or the
@@ -129,34 +115,6 @@
 	return nil
 }
 
-// firstAnswer waits for the two attempts and returns the better one.
-func firstAnswer(h *history, done <-chan *attempt, cancels map[pick.Grant]context.CancelFunc) *attempt {
-	first := <-done
-	h.add(first)
-	first.addCancel(cancels[first.grant])
-	if first.answered() && first.class == pick.OK {
-		for g, cancel := range cancels {
-			if g != first.grant {
-				cancel()
-			}
-		}
-		// The loser may have run; the call is idempotent, and its answer is
-		// thrown away where it arrives.
-		h.mayHaveRun = true
-		go func() { (<-done).throwAway() }()
-		return first
-	}
-	second := <-done
-	h.add(second)
-	second.addCancel(cancels[second.grant])
-	if second.answered() || !first.answered() {
-		first.throwAway()
-		return second
-	}
-	second.throwAway()
-	return first
-}
-
 // addCancel has another context canceled when the attempt ends.
 func (a *attempt) addCancel(f context.CancelFunc) {
 	old := a.cancel
