--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	pending  map[string]chan result
 	examples string
+	load     *load
 }
 
 // result is what a call in the background came to.
@@ -49,8 +50,12 @@
 	}
 }
 
+// notice is how long hosts announce a stop. A caller that has looked at a host's
+// readiness sends well within it, also on a busy machine.
+const notice = 400 * time.Millisecond
+
 func setup(env *testscript.Env, examples string) error {
-	l, err := lab.New(lab.Options{})
+	l, err := lab.New(lab.Options{Notice: notice})
 	if err != nil {
 		return err
 	}
@@ -84,6 +89,8 @@
 	"ran":     positive(cmdRan),
 	"metric":  positive(cmdMetric),
 	"expect":  positive(cmdExpect),
+	"load":    positive(cmdLoad),
+	"replace": positive(cmdReplace),
 }
 
 // positive refuses the ! that testscript offers: each command says itself what
