--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -204,6 +204,7 @@
 		{true, "GET", "/nowhere", "", "not-run no-route"},
 		{true, "POST", "/lots/bids", "k", "unknown too-deep"},
 		{true, "PUT", "/lots", "k", "not-run too-deep"},
+		{true, "CONNECT", "/lots", "", "not-run bad-request"},
 	} {
 		board.Status.Store(blackboard.Status{ConfigConfirmed: tc.ready})
 		r := httptest.NewRequest(tc.method, "http://auction.example"+tc.path, nil)
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -29,7 +29,6 @@
 	ReasonQueueTimeout   Reason = "queue-timeout"
 	ReasonTooDeep        Reason = "too-deep"
 	ReasonQuarantined    Reason = "quarantined"
-	ReasonHostMemory     Reason = "host-memory"
 	ReasonCallerGone     Reason = "caller-gone"
 )
 
@@ -39,7 +38,6 @@
 	ReasonShed          Reason = "shed"
 	ReasonConnect       Reason = "connect-failed"
 	ReasonConnLimit     Reason = "connection-limit"
-	ReasonRetryBudget   Reason = "retry-budget"
 	ReasonBrokeOff      Reason = "target-broke-off"
 	ReasonTargetTimeout Reason = "target-timeout"
 )
@@ -52,7 +50,6 @@
 	ReasonKeyMismatch      Reason = "key-mismatch"
 	ReasonKeyInProgress    Reason = "key-in-progress"
 	ReasonKeyUndecided     Reason = "key-undecided"
-	ReasonKeySpent         Reason = "key-spent"
 	ReasonKeyGivenUp       Reason = "key-given-up"
 	ReasonStoreUnavailable Reason = "store-unavailable"
 	ReasonClaimUnknown     Reason = "claim-unknown"
@@ -86,14 +83,12 @@
 	ReasonQueueTimeout:   {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonTooDeep:        {status: http.StatusLoopDetected},
 	ReasonQuarantined:    {status: http.StatusUnprocessableEntity, retryAfter: later},
-	ReasonHostMemory:     {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonCallerGone:     {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: soon},
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonRetryBudget:   {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonBrokeOff:      {status: http.StatusBadGateway},
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
 
@@ -103,7 +98,6 @@
 	ReasonKeyMismatch:      {status: http.StatusUnprocessableEntity},
 	ReasonKeyInProgress:    {status: http.StatusConflict, retryAfter: soon},
 	ReasonKeyUndecided:     {status: http.StatusConflict, retryAfter: later},
-	ReasonKeySpent:         {status: http.StatusGone},
 	ReasonKeyGivenUp:       {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonStoreUnavailable: {status: http.StatusServiceUnavailable, retryAfter: later},
 	ReasonClaimUnknown:     {status: http.StatusServiceUnavailable, retryAfter: later},
