Pin what the safeguards of the configuration are for

Trials that took one safeguard out at a time left some unnoticed: the push, the pause seen by the clock, an answer asked for before a pause. Each has a test that fails without it now.

--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -73,6 +73,8 @@
 		assert.Check(t, plan.Base == 0 && len(plan.Differences) > 5)
 
 		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		pass(5 * time.Millisecond) // pushed, long before the next poll
+		assertSequences(t, f, 1)
 		change(t, h[1], "c2", 1, 8, config.ResultApplied)
 		change(t, h[1], "c3", 2, 8, config.ResultUnchanged)
 		st := c.WaitInForce(ctx, 2)
@@ -260,6 +262,30 @@
 	})
 }
 
+// A host is paused for less than a confirmation holds, with a read of the table
+// on its way. The answer comes after the pause but tells of the time before it,
+// so the host does not serve until it has asked again.
+func TestAnswerFromBeforeThePauseDoesNotCount(t *testing.T) {
+	const answerTime = 500 * time.Millisecond
+	for phase := range 20 {
+		onFleet(t, 1, func(t *testing.T, f *confignet.Fleet) {
+			f.Store.SetFaults(store.Faults{Delay: answerTime})
+			pass(10*time.Second + time.Duration(phase)*50*time.Millisecond)
+			h := f.Hosts()[0]
+			assertReady(t, true, h)
+			h.Jump(config.DefaultTimings().Pause + 100*time.Millisecond)
+			pass(config.DefaultTimings().Tick)
+			woke := h.Metrics.Map("config_events").Get("pauses").String()
+			assert.Equal(t, woke, "1")
+			assertReady(t, false, h)
+			pass(answerTime / 2)
+			assertReady(t, false, h)
+			pass(answerTime)
+			assertReady(t, true, h)
+		})
+	}
+}
+
 // Every host is paused at once and the store is out when they wake. No host is
 // confirmed, but more than half of them together hold the newest change.
 func TestFleetThatWasPausedTogetherConfirmsByMajority(t *testing.T) {
--- a/internal/bench/confignet/bench_test.go
+++ b/internal/bench/confignet/bench_test.go
@@ -14,8 +14,13 @@
 // a host being one; the figures in docs/design/configuration.md took 1500.
 var times = flag.Int("times", 450, "times to take for each fleet and scenario")
 
-// bound is the time in which an accepted change has to be in force.
-const bound = 3 * time.Second
+const (
+	// bound is the time in which an accepted change has to be in force.
+	bound = 3 * time.Second
+	// repaired is the time by which lost pushes are made up for in the cases
+	// measured; half of it was the worst.
+	repaired = time.Second
+)
 
 // TestTimeInForce measures the fleets of the brief and prints the figures with
 // -v. The bound is asserted; the time is virtual.
@@ -27,7 +32,7 @@
 				rep, err := Run(context.Background(), Options{Hosts: hosts, Changes: *times / hosts, Scenario: scenario, Seed: 1})
 				assert.NilError(t, err)
 				time.Sleep(settle) // messages on their way end in the bubble
-				assert.Check(t, rep.Worst <= bound, "%s", rep)
+				assert.Check(t, rep.Worst <= repaired, "%s", rep)
 				t.Log(rep)
 				reports = append(reports, rep)
 			})
