--- a/provision.go
+++ b/provision.go
@@ -1,14 +1,17 @@
 package cactusproxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
+	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
@@ -33,12 +36,14 @@
 	defaultIdle        = 2 * time.Minute
 	defaultDialTimeout = time.Second
 	defaultKeyWindow   = 24 * time.Hour
+	defaultDrainLimit  = 10 * time.Minute
 )
 
 // provision makes the daemon's parts, from the listeners inwards. Handlers of
 // peer messages are registered here, before the link serves.
 func (d *Daemon) provision(o options) error {
 	d.incarnation = membership.NewIncarnation(time.Now())
+	d.cleanup = append(d.cleanup, func() { _ = d.board.Close() })
 	for _, step := range []func(options) error{
 		d.provisionListeners,
 		d.provisionPlatform,
@@ -52,10 +57,14 @@
 	}
 	d.provisionControllers()
 	d.provisionCallers(o)
+	d.provisionLeave()
 	return d.provisionOperators()
 }
 
-func (d *Daemon) provisionListeners(options) error {
+func (d *Daemon) provisionListeners(o options) error {
+	if o.link != nil {
+		return nil
+	}
 	for _, l := range []struct {
 		addr string
 		to   *net.Listener
@@ -96,7 +105,11 @@
 	return nil
 }
 
-func (d *Daemon) provisionPeers(options) error {
+func (d *Daemon) provisionPeers(o options) error {
+	d.link = o.link
+	if o.link != nil {
+		return nil
+	}
 	tlsConfig, err := d.settings.Peers.TLS.Server()
 	if err != nil {
 		return err
@@ -114,6 +127,7 @@
 		Log:         d.log,
 		Metrics:     d.metrics,
 	})
+	d.link = d.node
 	d.cleanup = append(d.cleanup, d.node.Close)
 	return nil
 }
@@ -144,7 +158,7 @@
 	}
 	d.ledger = ledger.New(ledger.Deps{
 		Table:       d.platform.Table,
-		Link:        d.node,
+		Link:        d.link,
 		Host:        d.id(),
 		Incarnation: d.incarnation,
 		Metrics:     d.metrics,
@@ -159,21 +173,21 @@
 		Board:   d.board,
 		Table:   d.platform.Table,
 		Objects: d.platform.Objects,
-		Link:    d.node,
+		Link:    d.link,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
 	d.targets = targets.New(targets.Options{
 		Board:   d.board,
-		Link:    d.node,
+		Link:    d.link,
 		Log:     d.log,
 		Metrics: d.metrics,
 	})
 	d.members = membership.New(membership.Options{
 		Host:        d.self(),
 		Incarnation: d.incarnation,
-		Link:        d.node,
-		Peers:       d.node,
+		Link:        d.link,
+		Peers:       d.peers(),
 		Board:       d.board,
 		List:        d.platform.Hosts,
 		OnList:      d.targets.ApplyList,
@@ -181,14 +195,14 @@
 		Metrics:     d.metrics,
 	})
 	d.quarantine = quarantine.New(quarantine.Deps{
-		Link:    d.node,
+		Link:    d.link,
 		Members: d.roleHolders,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
 	d.slots = slots.New(slots.Deps{
 		Board:       d.board,
-		Link:        d.node,
+		Link:        d.link,
 		Coordinator: coordinator,
 		Metrics:     d.metrics,
 		Log:         d.log,
@@ -198,6 +212,14 @@
 	d.cleanup = append(d.cleanup, d.slots.Close)
 }
 
+// peers learns the addresses of the other hosts.
+func (d *Daemon) peers() membership.PeerSetter {
+	if d.node == nil {
+		return nil
+	}
+	return d.node
+}
+
 // self is this host as the others shall know it.
 func (d *Daemon) self() platform.Host {
 	peerAddr := d.settings.Peers.Advertise
@@ -274,6 +296,30 @@
 	}
 }
 
+func (d *Daemon) provisionLeave() {
+	d.leave = leave.New(leave.Options{
+		Board:       d.board,
+		InFlight:    func() int { return int(d.entry.InFlight()) },
+		DrainPeriod: d.settings.Drain.Notice.Or(leave.DefaultDrainPeriod),
+		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
+		Log:         d.log,
+		Metrics:     d.metrics,
+		Hooks: []leave.Hook{
+			{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown},
+			{Stage: leave.Release, Name: "claims", Func: d.releaseClaims},
+		},
+	})
+}
+
+// releaseClaims waits until what became of every claim is written down, so that
+// later sends of the same keys get their answers.
+func (d *Daemon) releaseClaims(ctx context.Context) error {
+	if !d.ledger.Drain(ctx) {
+		return errors.New("claims not written down")
+	}
+	return nil
+}
+
 func (d *Daemon) provisionOperators() error {
 	token, err := settings.Secret(d.settings.Operators.TokenFile)
 	if err != nil {
