--- a/entry/call.go
+++ b/entry/call.go
@@ -29,6 +29,10 @@
 		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNotReady)))
 		return
 	}
+	if r.Method == http.MethodConnect {
+		s.refuse(w, outcome.Refuse(outcome.ReasonBadRequest))
+		return
+	}
 	m, ok := s.router().find(r.Host, r.URL.Path)
 	if !ok {
 		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNoRoute)))
--- a/entry/request.go
+++ b/entry/request.go
@@ -42,9 +42,6 @@
 	u.Path = m.path
 	u.RawPath = ""
 	c.URL = &u
-	if r.Method == http.MethodConnect {
-		return nil, nil, outcome.Refuse(outcome.ReasonBadRequest)
-	}
 	if c.Depth >= maxDepth {
 		return nil, nil, outcome.Refuse(outcome.ReasonTooDeep)
 	}
