--- a/cmd/cactusbench/main.go
+++ b/cmd/cactusbench/main.go
@@ -25,6 +25,8 @@
 	Choose  *chooseCmd  `arg:"subcommand:choose" help:"ways of choosing a target, in virtual time"`
 	Claims  *claimsCmd  `arg:"subcommand:claims" help:"what an at-most-once claim costs"`
 	Config  *configCmd  `arg:"subcommand:config" help:"how fast a change is in force, and what a start costs"`
+	Members  *membersCmd  `arg:"subcommand:members" help:"what heartbeats and gossip cost"`
+	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure every slope and rewrite the tables of the capacity page"`
 }
 
 func (args) Description() string {
--- /dev/null
+++ b/internal/bench/capacity/grants.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/grant"
+)
+
+// grantsPerPoint is the number of grants timed for one point.
+const grantsPerPoint = 100_000
+
+// measureGrants drives a coordinator's book as one entry host does, with half of
+// the slots in use.
+func measureGrants(_ context.Context, s *Slopes) error {
+	s.Grant = Slope{Name: "grant", X: "targets of the service", Y: "ns of processor time of a coordinator for a grant and its release"}
+	for _, n := range serviceSizes {
+		s.Grant.Points = append(s.Grant.Points, Point{float64(n), float64(timeGrants(n)) / grantsPerPoint})
+	}
+	return nil
+}
+
+func timeGrants(targets int) time.Duration {
+	const slots = 2
+	now := time.Now()
+	b := grant.NewBook(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1)))
+	b.Configure(&declare.Service{Name: "s", Slots: slots, MaxQueue: 1000})
+	list := make([]blackboard.Target, targets)
+	for i := range list {
+		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%d", i)), FirstSeen: now.Add(-time.Hour)}
+	}
+	b.SetTargets(now, list)
+	host := &entryHost{book: b}
+	for range targets * slots / 2 {
+		host.ask(now)
+	}
+	start := time.Now()
+	for range grantsPerPoint {
+		now = now.Add(10 * time.Microsecond)
+		host.endOldest(now)
+		host.ask(now)
+	}
+	return time.Since(start)
+}
+
+// entryHost asks a book for grants and gives them back in their order.
+type entryHost struct {
+	book *grant.Book
+	seq  uint64
+	next grant.CallID
+	open []grant.CallID
+}
+
+func (h *entryHost) frame(f grant.Frame, now time.Time) {
+	h.seq++
+	f.Epoch, f.Seq, f.Full = 1, h.seq, h.seq == 1
+	h.book.Receive(now, "h1", f)
+	h.book.Flush(now, func(_ platform.HostID, t grant.Tell) {
+		for _, g := range t.Grants {
+			h.open = append(h.open, g.ID)
+		}
+	})
+}
+
+func (h *entryHost) ask(now time.Time) {
+	h.next++
+	h.frame(grant.Frame{Asks: []grant.Ask{{ID: h.next}}}, now)
+}
+
+func (h *entryHost) endOldest(now time.Time) {
+	if len(h.open) == 0 {
+		return
+	}
+	id := h.open[0]
+	h.open = h.open[1:]
+	h.frame(grant.Frame{Ends: []grant.End{{ID: id, Class: pick.OK, Latency: 5 * time.Millisecond, Load: -1}}}, now)
+}
--- /dev/null
+++ b/internal/bench/capacity/measure.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/internal/bench/claims"
+	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
+	"github.com/cactusproxy/cactusproxy/internal/bench/loopback"
+	"github.com/cactusproxy/cactusproxy/internal/bench/membernet"
+)
+
+// Slopes is everything that is measured.
+type Slopes struct {
+	// Call is the processor time of a call, in microseconds, over listed targets.
+	Call Slope
+	// TargetMemory is the heap of a daemon, in bytes, over listed targets.
+	TargetMemory Slope
+	// CallMemory is the heap of callers, host and targets, in bytes, over calls
+	// in flight.
+	CallMemory Slope
+	// Grant is the coordinator's processor time of a grant, in nanoseconds, over
+	// the targets of the service.
+	Grant Slope
+	// MemberBytes and MemberCPU are what a host sends, in bytes a second, and
+	// uses, in percent of a core, for heartbeats and gossip, over hosts.
+	MemberBytes, MemberCPU Slope
+	// ChangeBytes and ChangeCPU are what a change of configuration costs: bytes
+	// over all hosts, and microseconds of one host, over hosts.
+	ChangeBytes, ChangeCPU Slope
+	// Start is the time in milliseconds until a fresh host has the configuration
+	// from its snapshot, over services.
+	Start Slope
+	// Claims is the claims a second of all hosts, over the table's writes a
+	// second.
+	Claims Slope
+	// KeyMemory and KeyCPU are what issued keys cost at their issuer: bytes of
+	// heap over keys held, and microseconds of processor time for each key.
+	KeyMemory, KeyCPU Slope
+}
+
+// All returns the slopes in the order of the page.
+func (s Slopes) All() []Slope {
+	return []Slope{
+		s.Call, s.TargetMemory, s.CallMemory, s.Grant, s.MemberBytes, s.MemberCPU,
+		s.ChangeBytes, s.ChangeCPU, s.Start, s.Claims, s.KeyMemory, s.KeyCPU,
+	}
+}
+
+// Sizes that are measured; at least four for each slope.
+var (
+	listedSizes  = []int{0, 5_000, 10_000, 15_000}
+	openCalls    = []int{250, 500, 1_000, 2_000}
+	serviceSizes = []int{10, 30, 100, 300}
+	fleetSizes   = []int{15, 50, 100, 150}
+	startSizes   = []int{100, 200, 300, 490}
+	writeLimits  = []int{100, 200, 300, 400}
+	keyCounts    = []int{10_000, 20_000, 40_000, 80_000}
+)
+
+// How long or often each point is measured.
+const (
+	callsPerPoint   = 20_000
+	changesPerPoint = 10
+	memberTime      = 5 * time.Second
+	claimTime       = 3 * time.Second
+)
+
+// Measure measures every slope and tells its progress to out.
+func Measure(ctx context.Context, out io.Writer) (Slopes, error) {
+	var s Slopes
+	for _, step := range []struct {
+		name string
+		run  func(context.Context, *Slopes) error
+	}{
+		{"call", measureCalls},
+		{"memory of targets", measureTargetMemory},
+		{"memory of calls", measureCallMemory},
+		{"grant", measureGrants},
+		{"membership", measureMembers},
+		{"changes", measureChanges},
+		{"start", measureStarts},
+		{"claims", measureClaims},
+		{"issued keys", measureKeys},
+	} {
+		start := time.Now()
+		if err := step.run(ctx, &s); err != nil {
+			return s, fmt.Errorf("%s: %w", step.name, err)
+		}
+		fmt.Fprintf(out, "measured %s in %s\n", step.name, time.Since(start).Round(time.Second))
+	}
+	return s, nil
+}
+
+func measureCalls(ctx context.Context, s *Slopes) error {
+	s.Call = Slope{Name: "call", X: "targets listed", Y: "us of processor time of a call through a host, beyond a direct one"}
+	for _, n := range listedSizes {
+		r, err := loopback.Run(ctx, loopback.Options{Services: n / 30, Listed: n, Calls: callsPerPoint})
+		if err != nil {
+			return err
+		}
+		s.Call.Points = append(s.Call.Points, Point{float64(n), micros(r.CPU)})
+	}
+	return nil
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func measureMembers(ctx context.Context, s *Slopes) error {
+	s.MemberBytes = Slope{Name: "membership-bytes", X: "entry hosts", Y: "bytes/s that a host sends"}
+	s.MemberCPU = Slope{Name: "membership-cpu", X: "entry hosts", Y: "% of a core that a host uses"}
+	for _, n := range fleetSizes {
+		r, err := membernet.Run(ctx, n, memberTime)
+		if err != nil {
+			return err
+		}
+		s.MemberBytes.Points = append(s.MemberBytes.Points, Point{float64(n), r.BytesPerSecond})
+		s.MemberCPU.Points = append(s.MemberCPU.Points, Point{float64(n), r.CPUPercent})
+	}
+	return nil
+}
+
+func measureChanges(ctx context.Context, s *Slopes) error {
+	s.ChangeBytes = Slope{Name: "change-bytes", X: "entry hosts", Y: "bytes between all hosts for a change"}
+	s.ChangeCPU = Slope{Name: "change-cpu", X: "entry hosts", Y: "us of processor time of a host for a change, fakes included"}
+	for _, n := range fleetSizes {
+		r, err := confignet.Run(ctx, confignet.Options{Hosts: n, Changes: changesPerPoint, Scenario: confignet.StoreUp, Seed: 1})
+		if err != nil {
+			return err
+		}
+		s.ChangeBytes.Points = append(s.ChangeBytes.Points, Point{float64(n), float64(r.BytesPerChange)})
+		s.ChangeCPU.Points = append(s.ChangeCPU.Points, Point{float64(n), micros(r.CPUPerChange)})
+	}
+	return nil
+}
+
+func measureStarts(ctx context.Context, s *Slopes) error {
+	s.Start = Slope{Name: "start", X: "services", Y: "ms until a fresh host has the configuration from its snapshot"}
+	for _, n := range startSizes {
+		reports, err := confignet.RunStart(ctx, n)
+		if err != nil {
+			return err
+		}
+		s.Start.Points = append(s.Start.Points, Point{float64(n), micros(reports[0].InForce) / 1000})
+	}
+	return nil
+}
+
+func measureClaims(ctx context.Context, s *Slopes) error {
+	s.Claims = Slope{Name: "claims", X: "transactions/s that the table takes", Y: "claims/s of 15 hosts, each with its answer stored"}
+	for _, n := range writeLimits {
+		r, err := claims.RunWith(ctx, claims.Settings{WritesPerSecond: n, For: claimTime, CallRates: []int{10}})
+		if err != nil {
+			return err
+		}
+		s.Claims.Points = append(s.Claims.Points, Point{float64(n), r.ClaimsPerSecond})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/capacity/memory.go
@@ -0,0 +1,186 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy"
+	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
+	"github.com/cactusproxy/cactusproxy/internal/lab"
+	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+	"github.com/cactusproxy/cactusproxy/internal/standin/target"
+	"github.com/cactusproxy/cactusproxy/ledger"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/settings"
+)
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// measureTargetMemory starts a daemon on lists of several lengths. The list
+// itself is there before, so the difference is the daemon's.
+func measureTargetMemory(ctx context.Context, s *Slopes) error {
+	s.TargetMemory = Slope{Name: "target-memory", X: "targets listed", Y: "bytes of heap of a daemon"}
+	for _, n := range listedSizes {
+		used, err := daemonHeap(ctx, n)
+		if err != nil {
+			return err
+		}
+		s.TargetMemory.Points = append(s.TargetMemory.Points, Point{float64(n), used})
+	}
+	return nil
+}
+
+func daemonHeap(ctx context.Context, listed int) (float64, error) {
+	st := store.New(store.Limits{})
+	st.SetHosts(listedTargets(listed))
+	before := heap()
+	set, err := settings.Parse("capacity", []byte(`{
+		"host": {"id": "h1", "zone": "a"}, "platform": {"url": "http://127.0.0.1:1"}, "drain": {"notice": "1ms"},
+		"callers": {"addr": "127.0.0.1:0"}, "operators": {"addr": "127.0.0.1:0"}, "peers": {"addr": "127.0.0.1:0"},
+	}`))
+	if err != nil {
+		return 0, err
+	}
+	d, err := cactusproxy.New(set,
+		cactusproxy.WithLink(peernet.New().Join("h1")),
+		cactusproxy.WithPlatform(cactusproxy.Platform{Table: st, Objects: st.Objects(), Hosts: st.Hosts()}))
+	if err != nil {
+		return 0, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- d.Run(run) }()
+	err = lab.Wait(ctx, "the list", func() bool { return targetsKnown(d) == listed })
+	used := heap() - before
+	cancel()
+	<-done
+	runtime.KeepAlive(st)
+	return used, err
+}
+
+func targetsKnown(d *cactusproxy.Daemon) int {
+	n := 0
+	for _, list := range d.Board().Targets.Load().ByService {
+		n += len(list)
+	}
+	return n
+}
+
+func listedTargets(n int) []platform.Host {
+	out := make([]platform.Host, n)
+	for i := range out {
+		out[i] = platform.Host{
+			ID: platform.HostID(fmt.Sprintf("target-%d", i)), Role: platform.RoleTarget, State: platform.HostLive,
+			Zone: "zone-a", Addr: "127.0.0.1:1",
+			Workspace: fmt.Sprintf("w%d", i%98), Service: fmt.Sprintf("s%d", i/98%5),
+		}
+	}
+	return out
+}
+
+// longCall is how long the calls run whose memory is measured.
+const longCall = 5 * time.Second
+
+// measureCallMemory holds calls in flight through one host.
+func measureCallMemory(ctx context.Context, s *Slopes) error {
+	s.CallMemory = Slope{Name: "call-memory", X: "calls in flight", Y: "bytes of heap of caller, host and target together"}
+	l, err := lab.New(lab.Options{})
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	h, err := l.AddHost("entry-1", "a")
+	if err != nil {
+		return err
+	}
+	if err := l.WaitReady(ctx, h.ID); err != nil {
+		return err
+	}
+	if _, err := l.ApplyText(ctx, h.ID, *confignet.Template(), confignet.Workspace("w", 100_000)); err != nil {
+		return err
+	}
+	for i := range 20 {
+		if _, err := l.AddTarget(fmt.Sprintf("t%d", i), "a", "w", "s0", target.Options{Slots: 1000}); err != nil {
+			return err
+		}
+	}
+	if err := l.WaitTargets(ctx, h.ID, "w", "s0", 20); err != nil {
+		return err
+	}
+	for _, n := range openCalls {
+		used, err := openCallHeap(ctx, h, n)
+		if err != nil {
+			return err
+		}
+		s.CallMemory.Points = append(s.CallMemory.Points, Point{float64(n), used})
+	}
+	return nil
+}
+
+func openCallHeap(ctx context.Context, h *lab.Host, n int) (float64, error) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	before := heap()
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.CallersAddr()+"/w/s0/x", nil)
+			if err != nil {
+				return
+			}
+			req.Header.Set(target.HeaderRunFor, longCall.String())
+			_, _ = lab.Do(client, req)
+		})
+	}
+	err := lab.Wait(ctx, "the calls", func() bool { return h.InFlight() >= int64(n)*9/10 })
+	used := heap() - before
+	wg.Wait()
+	return used, err
+}
+
+// measureKeys issues keys, redeems each at its issuer and keeps its answer.
+func measureKeys(ctx context.Context, s *Slopes) error {
+	s.KeyMemory = Slope{Name: "key-memory", X: "issued keys redeemed within the window", Y: "bytes of heap of the issuer"}
+	s.KeyCPU = Slope{Name: "key-cpu", X: "issued keys redeemed within the window", Y: "us to issue, redeem and store one"}
+	for _, n := range keyCounts {
+		before := heap()
+		l := ledger.New(ledger.Deps{
+			Table: store.New(store.Limits{}), Link: peernet.New().Join("h1"), Host: "h1", Incarnation: 1,
+			Options: ledger.Options{ClusterKeys: [][]byte{[]byte("a cluster key of more than 32 bytes")}},
+		})
+		start := time.Now()
+		for range n {
+			if err := redeem(ctx, l); err != nil {
+				return err
+			}
+		}
+		took := time.Since(start)
+		s.KeyMemory.Points = append(s.KeyMemory.Points, Point{float64(n), heap() - before})
+		s.KeyCPU.Points = append(s.KeyCPU.Points, Point{float64(n), micros(took) / float64(n)})
+		runtime.KeepAlive(l)
+	}
+	return nil
+}
+
+func redeem(ctx context.Context, l *ledger.Ledger) error {
+	key := ledger.Key{Workspace: "w", Service: "s", Caller: "c", DigestKnown: true}
+	key.Value = l.Issue(key.Workspace, key.Service, key.Caller)
+	claim, _, res := l.Begin(ctx, key)
+	if claim == nil || !claim.Sending() {
+		return fmt.Errorf("key not redeemed: %s", res.Reason)
+	}
+	claim.Finish(ctx, &ledger.Answer{Status: http.StatusOK, Body: make([]byte, 100)})
+	return nil
+}
