--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -124,8 +125,8 @@
 // change by its ID and reports it as applied; it is not applied a second time.
 func TestLostAnswerIsResolvedByTheChangeID(t *testing.T) {
 	onFleet(t, 3, func(t *testing.T, f *confignet.Fleet) {
-		lost := 0
-		f.Store.SetFaults(store.Faults{LoseReply: func() bool { lost++; return lost == 1 }})
+		var writes atomic.Int64
+		f.Store.SetFaults(store.Faults{LoseReply: func() bool { return writes.Add(1) == 1 }})
 		change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
 		change(t, f.Hosts()[1], "c1", 0, 7, config.ResultApplied)
 		pass(time.Second)
