--- /dev/null
+++ b/controller/config/export_test.go
@@ -0,0 +1,13 @@
+package config
+
+import "github.com/cactusproxy/cactusproxy/peer"
+
+// ApplyWithoutComparing breaks the rule that only higher sequences are applied.
+func (c *Controller) ApplyWithoutComparing() {
+	c.admit = func(_, _ uint64) bool { return true }
+}
+
+// PushTo sends a change to one host, out of the usual order.
+func (c *Controller) PushTo(to peer.HostID, ch Change) {
+	peer.Notify(c.Link, to, kindPush, pushMsg{Change: ch})
+}
--- /dev/null
+++ b/policy/grant/target.go
@@ -0,0 +1,150 @@
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
+)
+
+// target is a target as the coordinator sees it.
+type target struct {
+	// What every choice reads stands first, to fit into one cache line.
+	open    bool // listed, not leaving, and not kept for one attempt alone
+	doubted bool // health has something to say
+	zone    zone
+	foreign int // attempts of others that the target last reported
+	calls   []*call
+	oldest  instant.Time // grant of the oldest attempt
+	// shedUntil is the end of the time in which the target gets no more than
+	// shedLimit attempts, since it refused one.
+	shedUntil instant.Time
+	shedLimit int
+
+	id        platform.HostID
+	listed    bool
+	leaving   bool
+	alone     bool // its attempt must stay the only one
+	firstSeen time.Time
+	health    health.State
+	lastGrant time.Time
+	lastEnd   time.Time
+	foreignAt instant.Time
+}
+
+// zone stands for the name of an availability zone; see Book.zone.
+type zone uint16
+
+func (t *target) inFlight() int { return len(t.calls) }
+
+// usable reports whether the target may get attempts at all.
+func (t *target) usable() bool { return t.listed && !t.leaving }
+
+// setOpen brings open up to date after a change of what it depends on.
+func (t *target) setOpen() { t.open = t.usable() && !t.alone }
+
+func (t *target) add(c *call) {
+	t.calls = append(t.calls, c)
+	t.alone = t.alone || c.alone
+	t.setOpen()
+	if len(t.calls) == 1 || c.since < t.oldest {
+		t.oldest = c.since
+	}
+}
+
+// remove takes an attempt off the target and reports whether it was there.
+func (t *target) remove(c *call) bool {
+	i := slices.Index(t.calls, c)
+	if i < 0 {
+		return false
+	}
+	t.calls = slices.Delete(t.calls, i, i+1)
+	t.alone = false
+	t.oldest = 0
+	for i, x := range t.calls {
+		t.alone = t.alone || x.alone
+		if i == 0 || x.since < t.oldest {
+			t.oldest = x.since
+		}
+	}
+	t.setOpen()
+	return true
+}
+
+// Times for which a sign is held against a target.
+const (
+	shedFor    = 50 * time.Millisecond
+	foreignFor = 20 * time.Millisecond
+)
+
+// learn takes what the end of an attempt says about its target.
+func (b *Book) learn(now time.Time, c *call, e End) {
+	t := c.target
+	if e.Leaving || e.Class == pick.Leaving {
+		b.leave(t)
+	}
+	switch e.Class {
+	case pick.OK:
+		if !c.queued || b.service.Count() < minSamples {
+			b.service.Observe(e.Latency)
+		}
+		b.learnGap(now, c, e)
+		b.record(now, t, false)
+	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
+		b.record(now, t, true)
+	case pick.Shed:
+		t.shedUntil = b.clock.At(now).Add(shedFor)
+		t.shedLimit = max(t.inFlight()-1, 1)
+	}
+	if e.Load >= 0 && e.Class != Returned {
+		t.foreign = max(e.Load-t.inFlight(), 0)
+		t.foreignAt = b.clock.At(now)
+	}
+}
+
+func (b *Book) leave(t *target) {
+	if t.leaving {
+		return
+	}
+	t.leaving = true
+	t.setOpen()
+	if b.reserved == t {
+		b.reserved = nil
+	}
+	b.count()
+}
+
+// learnGap learns how long a slot stands empty between two attempts because
+// grant and release are on their way. The release tells how long the attempt
+// took at the entry host; the rest of the time from the grant was the journey.
+func (b *Book) learnGap(now time.Time, c *call, e End) {
+	gap := now.Sub(c.granted) - e.Latency
+	if gap < 0 || gap > maxGap {
+		return
+	}
+	b.gap += (gap - b.gap) / 64
+}
+
+func (b *Book) record(now time.Time, t *target, failed bool) {
+	b.failures.Record(failed)
+	t.doubted = t.health.Ejected(now) || t.health.Trial()
+	if t.health.Record(now, failed, &b.failures) && health.Allowed(b.CountEjected(now), len(b.targets)) {
+		t.health.Eject(now, b.rng)
+		t.doubted = true
+		b.newlyOut = append(b.newlyOut, t.id)
+	}
+}
+
+// CountEjected returns how many targets are left out at present.
+func (b *Book) CountEjected(now time.Time) int {
+	n := 0
+	for _, t := range b.targets {
+		if t.listed && t.health.Ejected(now) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/slots/metrics.go
@@ -0,0 +1,65 @@
+package slots
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/metrics"
+)
+
+// counters are the metrics of choosing targets.
+type counters struct {
+	coordinated *expvar.Int // grants by a coordinator
+	local       *expvar.Int // grants by this host's own choice
+	refused     *expvar.Map // picks refused, by reason
+	fallbacks   *expvar.Int // times this host stopped waiting for a coordinator
+	overdue     *expvar.Int // overdue attempts told to all hosts
+	ejected     *expvar.Int // ejections by this host as coordinator
+	dropped     *expvar.Int // messages the peer link did not take
+}
+
+func newCounters(m *metrics.Set) counters {
+	return counters{
+		coordinated: m.Int("slots_granted_coordinated"),
+		local:       m.Int("slots_granted_local"),
+		refused:     m.Map("slots_refused"),
+		fallbacks:   m.Int("slots_fallbacks"),
+		overdue:     m.Int("slots_overdue_notices"),
+		ejected:     m.Int("slots_ejections"),
+		dropped:     m.Int("slots_messages_dropped"),
+	}
+}
+
+// ServiceState is what the metrics show of one service on this host.
+type ServiceState struct {
+	// Coordinated is false while this host chooses alone.
+	Coordinated bool `json:"coordinated"`
+	// InFlight and Queued are those of the books that this host keeps; they are
+	// those of all hosts if it is the coordinator.
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+	Ejected  int `json:"ejected"`
+	// ExpectedWait is how long a call that came now would wait for a slot.
+	ExpectedWait time.Duration `json:"expected_wait_ns"`
+}
+
+func (s *Slots) state() any {
+	out := make(map[string]ServiceState)
+	now := time.Now()
+	for key, svc := range *s.services.Load() {
+		out[key.String()] = svc.state(now)
+	}
+	return out
+}
+
+func (v *service) state(now time.Time) ServiceState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return ServiceState{
+		Coordinated:  v.session.Coordinated(),
+		InFlight:     v.book.InFlight(),
+		Queued:       v.book.Queued(),
+		Ejected:      v.book.CountEjected(now),
+		ExpectedWait: v.book.ExpectedWait(),
+	}
+}
