End a claim that was never sent as undecided, too

A call that ended without an outcome before it was sent kept its claim in memory for good, and a stop waited for it. The claim is now written down as undecided; only its key is lost.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -166,9 +166,10 @@
 }
 
 // Undecided ends a claim under which the request may have run. It stays, and
-// later sends are told unknown.
+// later sends are told unknown. A claim under which nothing was sent may be ended
+// so too; only its key is lost.
 func (c *Claim) Undecided() {
-	if c.end(phaseSending, stateUndecided, nil) {
+	if c.end(phaseSending, stateUndecided, nil) || c.end(phaseHeld, stateUndecided, nil) {
 		c.settleLater()
 	}
 }
--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -109,6 +109,19 @@
 	})
 }
 
+// A call ends in a way that nobody foresaw, before it was sent. Its claim is
+// settled as undecided and keeps nothing in memory.
+func TestUndecidedBeforeSending(t *testing.T) {
+	inWorld(t, 2, Options{}, func(t *testing.T, w *world) {
+		c, _, _ := w.begin(t, 0, key("k"))
+		c.Undecided()
+		assert.Check(t, !c.Sending())
+		assert.Check(t, w.hosts[0].ledger.Drain(context.Background()))
+		_, r := w.send(t, 1, key("k"))
+		result(t, r, outcome.Unknown, outcome.ReasonKeyUndecided)
+	})
+}
+
 // A send is held up before its claim. Meanwhile the caller sends again and is
 // told not-run. The first send wakes later, finds the key given up, and must not
 // run: the caller acts on not-run.
