Let a key run again on its own host after the operator's retention

A host remembers what it ran, to stop if a key runs twice. An opaque key whose row had expired was taken for that: the first send of it after the retention stopped the host. Keys that carry a time are remembered as before.

--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -42,6 +42,8 @@
 	// while its machine is suspended, the table's sweep does not.
 	made    time.Time
 	maxHold time.Duration
+	// retention is how long the key is remembered after it ran.
+	retention time.Duration
 
 	mu    sync.Mutex
 	phase phase
@@ -99,7 +101,7 @@
 	if c.phase != phaseHeld || c.tooOld() {
 		return false
 	}
-	c.l.runs.start(c.row, c.id)
+	c.l.runs.start(c.row, c.id, c.retention)
 	c.phase = phaseSending
 	return true
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -119,7 +119,7 @@
 	return l
 }
 
-// Run works until ctx ends. The error is nil or that of a broken invariant.
+// Run works until ctx ends. It returns nil.
 func (l *Ledger) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.writer.Run(ctx) })
@@ -246,6 +246,7 @@
 	}
 	c.row = rowName(k, parsed)
 	c.maxHold = l.opts.hold(parsed.Kind)
+	c.retention = l.opts.remember(parsed.Kind)
 	c.book = l.table
 	return c, outcome.Result{}
 }
@@ -259,6 +260,7 @@
 	c.issued = id
 	c.row = issuedName(id)
 	c.maxHold = l.opts.IssuedWindow
+	c.retention = l.opts.remember(keys.Issued)
 	c.book = l.remote
 	if id.Issuer == l.host {
 		c.book = l.issuer
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -56,7 +56,7 @@
 const clockSlack = 10 * time.Minute
 
 // forever stands in for no limit of time.
-const forever = time.Duration(1<<63 - 1)
+const forever = 100 * 365 * 24 * time.Hour
 
 func (o Options) withDefaults() Options {
 	if o.WriteRate <= 0 {
@@ -83,6 +83,15 @@
 // tellWithin is how long after the stamp of a mark not-run may be told.
 func (o Options) tellWithin() time.Duration { return o.ReopenAfter / 2 }
 
+// remember is how long a key can not run a second time. A key that carries its
+// time, or its issuer's, is refused for good after its window.
+func (o Options) remember(k keys.Kind) time.Duration {
+	if k == keys.Opaque && o.OpaqueRetention > 0 {
+		return o.OpaqueRetention
+	}
+	return forever
+}
+
 // hold is how long after it was made a claim may still be sent. It ends long
 // before the row is deleted and the key could be claimed anew.
 func (o Options) hold(k keys.Kind) time.Duration {
--- a/ledger/runlog.go
+++ b/ledger/runlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 )
@@ -13,23 +14,35 @@
 // host, to assert that none runs twice.
 type runLog struct {
 	mu    sync.Mutex
-	runs  map[string]claimID
+	runs  map[string]runEntry
 	order []string
 	next  int
 }
 
+// runEntry is a key under which a request may have run.
+type runEntry struct {
+	claim claimID
+	// until is when the operator's retention lets the key run again.
+	until time.Time
+}
+
 func newRunLog() *runLog {
-	return &runLog{runs: make(map[string]claimID)}
+	return &runLog{runs: make(map[string]runEntry)}
 }
 
-// start records that a request is about to be sent.
-func (g *runLog) start(row string, id claimID) {
+// start records that a request is about to be sent. Its key may run again once
+// the retention has passed.
+func (g *runLog) start(row string, id claimID, retention time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	before, ran := g.runs[row]
-	invariant.Check(!ran, invariant.AtMostOnce, "key %s sent by %s and %s", row, before, id)
-	g.remember(row)
-	g.runs[row] = id
+	twice := ran && now.Before(before.until)
+	invariant.Check(!twice, invariant.AtMostOnce, "key %s sent by %s and %s", row, before.claim, id)
+	if !ran {
+		g.remember(row)
+	}
+	g.runs[row] = runEntry{claim: id, until: now.Add(retention)}
 }
 
 // remember makes room by dropping the oldest key.
@@ -47,7 +60,7 @@
 func (g *runLog) refused(row string, id claimID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.runs[row] == id {
+	if g.runs[row].claim == id {
 		delete(g.runs, row)
 	}
 }
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -133,6 +133,10 @@
 			w.send(t, 0, key("young"))
 			time.Sleep(time.Hour)
 			assert.Equal(t, rows(t, w, opaquePrefix), c.left)
+			// A key whose row has gone may run again: the host that ran it first
+			// must not take that for a fault of its own.
+			_, r := w.send(t, 0, key("old0"))
+			assert.Equal(t, r.Reason == outcome.ReasonOK, c.retention > 0)
 		})
 	}
 }
