--- a/ledger/runlog.go
+++ b/ledger/runlog.go
@@ -35,7 +35,8 @@
 func (g *runLog) start(row string, id claimID, retention time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	// The sweep goes by the wall clock, also while a machine is suspended.
+	now := time.Now().Round(0)
 	before, ran := g.runs[row]
 	twice := ran && now.Before(before.until)
 	invariant.Check(!twice, invariant.AtMostOnce, "key %s sent by %s and %s", row, before.claim, id)
