Keep asks for a certain target from holding up the others

Cause: only the oldest ask of a host was tried, so that a suspect waiting for a target of its own kept every other call of its host waiting. An ask that any target serves now passes it. A dispatch stops at the first such ask that finds no slot: with 15 waiting hosts and 100 targets that saves 14 searches an event. A host whose coordinator keeps granting a target that leaves chooses alone after the second time, where it went round until the deadline before; and a coordinator without targets declines heartbeats too, so that hosts do not change over and back every 20 ms.

--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -56,6 +56,7 @@
 	capacity int               // slots of the usable targets
 	newlyOut []platform.HostID // ejected since Ejected was called
 	reserved *target           // kept free for an ask that must be alone
+	full     bool              // no target has a slot, as dispatch just found
 	offset   int               // where the next choice starts among equals
 }
 
@@ -178,7 +179,10 @@
 	h.known = h.known || f.Full
 	h.seq = max(h.seq, f.Seq)
 	h.resync = !h.known
-	h.alive = h.alive || f.Full // a full frame also asks: are you there?
+	if f.Full { // it also asks: are you there?
+		h.alive = true
+		h.decline = b.capacity == 0
+	}
 	b.dispatch(now)
 }
 
--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -266,3 +266,15 @@
 		d.release(d.now, d.hold(h, a.ID, d.place(d.now, h, a), d.now, false))
 	}), 0.0)
 }
+
+// A suspect waits for a target of its own, which takes as long as the calls on
+// it do. The calls behind it, of the same host, go on meanwhile.
+func TestWaitingSuspectHoldsUpNobody(t *testing.T) {
+	d := newDesk(2, 2)
+	d.ask("a", Ask{ID: 1})
+	d.ask("a", Ask{ID: 2})
+	assert.Equal(t, len(d.ask("a", Ask{ID: 3, Alone: true}).Grants), 0)
+	assert.Equal(t, len(d.ask("a", Ask{ID: 4}).Grants), 1)
+	d.finish("a", 4, pick.OK)
+	assert.Equal(t, len(d.ask("a", Ask{ID: 5}).Grants), 1)
+}
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -34,6 +34,7 @@
 		b.declineAll()
 	}
 	b.checkReserved()
+	b.full = false
 	for _, h := range b.hosts {
 		h.passed = false
 	}
@@ -89,28 +90,45 @@
 	return due
 }
 
-// serve settles the oldest ask of a host and reports whether it could.
+// serve settles one ask of a host, the oldest that can be, and reports whether
+// there was one. An ask that wants a certain target does not hold up those
+// behind it; any other ask that finds no slot shows that there is none.
 func (b *Book) serve(now time.Time, h *host) bool {
-	w := h.queue.front()
+	for i := h.queue.head; i < len(h.queue.items); i++ {
+		w := &h.queue.items[i]
+		if b.full && w.ask.plain() {
+			return false
+		}
+		if b.settle(now, h, w) {
+			h.queue.removeAt(i)
+			b.queued--
+			return true
+		}
+		b.full = b.full || w.ask.plain()
+	}
+	return false
+}
+
+// plain reports whether any target will do.
+func (a *Ask) plain() bool { return !a.Alone && !a.Hedge && len(a.Avoid) == 0 }
+
+// settle grants or refuses an ask, or leaves it waiting and returns false.
+func (b *Book) settle(now time.Time, h *host, w *waiter) bool {
 	if !w.deadline.IsZero() && now.Add(b.service.Median()).After(w.deadline) {
 		h.refuse(w.ask.ID, outcome.ReasonDeadline)
-		h.queue.pop()
-		b.queued--
 		return true
 	}
 	t := b.place(now, h, &w.ask)
-	if t == nil && !w.ask.Hedge {
-		return false
+	if t == nil && w.ask.Hedge {
+		h.refuse(w.ask.ID, outcome.ReasonQueueFull)
+		return true
 	}
 	if t == nil {
-		h.refuse(w.ask.ID, outcome.ReasonQueueFull)
-	} else {
-		b.hold(h, w.ask.ID, t, now, w.ask.Alone)
-		t.lastGrant = now
-		h.grants = append(h.grants, Grant{ID: w.ask.ID, Target: t.id})
+		return false
 	}
-	h.queue.pop()
-	b.queued--
+	b.hold(h, w.ask.ID, t, now, w.ask.Alone)
+	t.lastGrant = now
+	h.grants = append(h.grants, Grant{ID: w.ask.ID, Target: t.id})
 	return true
 }
 
--- a/policy/grant/host.go
+++ b/policy/grant/host.go
@@ -106,7 +106,11 @@
 
 func (q *queue) push(w waiter) { q.items = append(q.items, w) }
 
-func (q *queue) pop() {
+func (q *queue) removeAt(i int) {
+	if i > q.head {
+		q.items = slices.Delete(q.items, i, i+1)
+		return
+	}
 	q.items[q.head] = waiter{}
 	q.head++
 	if q.head == len(q.items) {
@@ -129,7 +133,7 @@
 	if i < 0 {
 		return false
 	}
-	q.items = slices.Delete(q.items, i, i+1)
+	q.removeAt(i)
 	return true
 }
 
--- a/policy/session/session.go
+++ b/policy/session/session.go
@@ -300,6 +300,13 @@
 // goes back in the same frame, before the ask.
 func (s *Session) askAgain(now time.Time, a ask, not platform.HostID) {
 	s.giveBack(a.id)
+	if slices.Contains(a.avoid, not) {
+		// The coordinator knows no other target. Asking on would go round until
+		// the deadline; this host knows better and chooses alone for a while.
+		s.waiting = append(s.waiting, a)
+		s.fallBack(now)
+		return
+	}
 	a.avoid = append(slices.Clone(a.avoid), not)
 	s.waiting = append(s.waiting, a)
 	if s.Coordinated() {
--- a/policy/session/session_test.go
+++ b/policy/session/session_test.go
@@ -101,3 +101,22 @@
 	s.ask(noon)
 	assert.Equal(t, s.Take().Decisions[0].Reason, outcome.ReasonQueueFull)
 }
+
+// The coordinator's list lags: it knows only a target that this host knows to
+// be leaving, and would grant it for ever. The host asks once more, then uses
+// the target that it knows itself.
+func TestHostDoesNotGoRoundWithALaggingCoordinator(t *testing.T) {
+	s := newSession(0)
+	s.SetTargets(noon, []blackboard.Target{{ID: "t0", Leaving: true}, {ID: "t1"}})
+	id := s.ask(noon)
+	s.Take()
+	tell := grant.Tell{Epoch: epoch, Grants: []grant.Grant{{ID: id, Target: "t0"}}}
+	s.Told(noon, "h0", tell)
+	out := s.Take()
+	assert.Equal(t, len(out.Decisions), 0)
+	assert.Equal(t, out.Frame.Asks[0].ID, id)
+	s.Told(noon, "h0", tell)
+	d := s.Take().Decisions
+	assert.Equal(t, len(d), 1)
+	assert.Equal(t, string(d[0].Target.ID), "t1")
+}
