--- a/internal/bench/choose/choose_test.go
+++ b/internal/bench/choose/choose_test.go
@@ -84,6 +84,8 @@
 				faulty = 3
 			}
 			assert.Check(t, r.Reached-20*faulty < r.Calls/100, "%s: %d of %d calls", s.Name, r.Reached, r.Calls)
+		case ScenarioShed, ScenarioShedSolo:
+			assert.Check(t, r.Reached < r.Calls/100, "%s: %d of %d calls", s.Name, r.Reached, r.Calls)
 		case ScenarioAll:
 			near := ratio(ms(r.P99), ms(r.IdealP99))
 			assert.Check(t, near <= 2, "%s: p99 %.2f times the ideal", s.Name, near)
--- a/internal/bench/choose/coordinated.go
+++ b/internal/bench/choose/coordinated.go
@@ -233,13 +233,14 @@
 	})
 }
 
-// answered ends an attempt. A target that is leaving refused before running
-// the call, so that it goes to another; every other answer is the caller's.
+// answered ends an attempt. A target that sheds or is leaving refused before
+// running the call, so that it goes to another; every other answer is the
+// caller's.
 func (h *simHost) answered(c *simCall, t *simTarget, id grant.CallID, began time.Duration, class pick.Class, load int) {
 	w := h.way.world
 	r := pick.Report{Class: class, Latency: w.now - began, Load: load, LeavingHint: class == pick.Leaving}
 	h.do(func(now time.Time) { h.session.End(now, id, r) })
-	if class == pick.Leaving {
+	if class == pick.Leaving || class == pick.Shed {
 		h.ask(c, []platform.HostID{t.id})
 		return
 	}
--- a/internal/bench/choose/scenario.go
+++ b/internal/bench/choose/scenario.go
@@ -27,6 +27,8 @@
 	ScenarioFailFast = "a target fails fast"
 	ScenarioFailSolo = "a target fails fast, no coordinator"
 	ScenarioThree    = "three targets fail fast"
+	ScenarioShed     = "a target sheds everything"
+	ScenarioShedSolo = "a target sheds everything, no coordinator"
 	ScenarioDrain    = "a target drains, list 5 s late"
 	ScenarioColdRamp = "a cold target, ramp declared"
 	ScenarioColdNone = "a cold target, no ramp"
@@ -44,6 +46,8 @@
 		{Name: ScenarioFailFast, Load: 0.7, prepare: failFast(1)},
 		{Name: ScenarioFailSolo, Load: 0.7, Fallback: true, prepare: failFast(1)},
 		{Name: ScenarioThree, Load: 0.5, prepare: failFast(3)},
+		{Name: ScenarioShed, Load: 0.7, prepare: shed},
+		{Name: ScenarioShedSolo, Load: 0.7, Fallback: true, prepare: shed},
 		{Name: ScenarioDrain, Load: 0.7, prepare: drain},
 		{Name: ScenarioColdRamp, Load: 0.7, prepare: coldStartOnly(coldFor)},
 		{Name: ScenarioColdNone, Load: 0.7, prepare: coldStartOnly(0)},
@@ -134,6 +138,8 @@
 	}
 }
 
+func shed(w *world, _ *coordinated) { w.targets[0].shedFrom = w.end / 2 }
+
 func drain(w *world, c *coordinated) {
 	w.targets[0].leaves = w.end / 2
 	w.after(w.end/2+5*time.Second, func() {
--- a/internal/bench/choose/target.go
+++ b/internal/bench/choose/target.go
@@ -26,10 +26,11 @@
 
 	slow     []episode // in order, made as time goes on
 	failFrom time.Duration
+	shedFrom time.Duration
 	leaves   time.Duration // refuses new calls from then on
 	started  time.Duration // a cold start begins here
 	got      int           // calls that arrived
-	gotAfter int           // calls that arrived after failFrom or leaves
+	gotAfter int           // calls that arrived after its fault
 	lastGot  time.Duration
 	slotTime time.Duration
 }
@@ -49,6 +50,11 @@
 		t.world.after(failTime, func() { j.answer(pick.Failed, t.load()) })
 		return
 	}
+	if t.shedFrom > 0 && t.world.now >= t.shedFrom {
+		t.gotAfter++
+		j.answer(pick.Shed, t.load())
+		return
+	}
 	if t.leaves > 0 && t.world.now >= t.leaves {
 		t.gotAfter++
 		j.answer(pick.Leaving, t.load())
--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -23,8 +23,6 @@
 	reportFor = 25 * time.Millisecond
 	// overdueFor is how long a notice of an overdue attempt holds.
 	overdueFor = 50 * time.Millisecond
-	// shedFor is how long a refusal by the target holds.
-	shedFor = 50 * time.Millisecond
 	// overdueTimes the median makes an attempt overdue.
 	overdueTimes = 6
 	minOverdue   = 2 * time.Millisecond
@@ -55,6 +53,7 @@
 	info   blackboard.Target
 	alone  bool
 	health health.State
+	sheds  health.Sheds
 }
 
 func (t *target) setOpen() { t.open = !t.info.Leaving && !t.alone }
@@ -244,12 +243,13 @@
 	}
 	switch r.Class {
 	case pick.OK:
+		t.sheds.Answered()
 		l.service.Observe(r.Latency)
 		l.record(now, t, false)
 	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
 		l.record(now, t, true)
 	case pick.Shed:
-		t.shed = l.clock.At(now).Add(shedFor)
+		t.shed = l.clock.At(now).Add(t.sheds.Refused())
 	}
 }
 
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -23,6 +23,7 @@
 	// shedLimit attempts, since it refused one.
 	shedUntil instant.Time
 	shedLimit int
+	sheds     health.Sheds
 
 	id        platform.HostID
 	listed    bool
@@ -74,11 +75,8 @@
 	return true
 }
 
-// Times for which a sign is held against a target.
-const (
-	shedFor    = 50 * time.Millisecond
-	foreignFor = 20 * time.Millisecond
-)
+// foreignFor is how long a reported load of others is believed.
+const foreignFor = 20 * time.Millisecond
 
 // learn takes what the end of an attempt says about its target.
 func (b *Book) learn(now time.Time, c *call, e End) {
@@ -88,6 +86,7 @@
 	}
 	switch e.Class {
 	case pick.OK:
+		t.sheds.Answered()
 		if !c.queued || b.service.Count() < minSamples {
 			b.service.Observe(e.Latency)
 		}
@@ -96,8 +95,8 @@
 	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
 		b.record(now, t, true)
 	case pick.Shed:
-		t.shedUntil = b.clock.At(now).Add(shedFor)
-		t.shedLimit = max(t.inFlight()-1, 1)
+		t.shedUntil = b.clock.At(now).Add(t.sheds.Refused())
+		t.shedLimit = t.inFlight() - 1 // this one is still among them
 	}
 	if e.Load >= 0 && e.Class != Returned {
 		t.foreign = max(e.Load-t.inFlight(), 0)
