--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -29,7 +29,6 @@
 	minSamples   = 20
 
 	scoreOverdue = 3.0
-	scoreShed    = 4.0
 	scoreCold    = 2.0
 	scoreFar     = 0.1 // among equals the target in the host's zone is nearer
 	// ownWeight counts an own attempt as more than one of the reported: it is
@@ -47,13 +46,16 @@
 	load    float64
 	loadAt  instant.Time // when load was reported; own attempts are not in it
 	overdue instant.Time // end of the last notice
-	shed    instant.Time // end of the time after a refusal
-	coldTo  instant.Time // end of the cold start
+	// restUntil is the end of the time in which the target gets no more than
+	// restLimit own attempts, since it refused one.
+	restUntil instant.Time
+	restLimit int
+	coldTo    instant.Time // end of the cold start
 
-	info   blackboard.Target
-	alone  bool
-	health health.State
-	sheds  health.Sheds
+	info     blackboard.Target
+	alone    bool
+	health   health.State
+	refusals health.Refusals
 }
 
 func (t *target) setOpen() { t.open = !t.info.Leaving && !t.alone }
@@ -141,7 +143,7 @@
 	i := l.rng.IntN(n) // so that hosts do not all prefer the first of equals
 	for range n {
 		t := &l.targets[i]
-		if t.open && t.own < limit {
+		if t.open && t.own < t.limit(at, limit) {
 			score := l.score(at, t)
 			if (best < 0 || score < bestScore) && l.suits(now, t, strict, avoid) {
 				best, bestScore = i, score
@@ -157,6 +159,14 @@
 	return l.targets[best].info, true
 }
 
+// limit is how many own attempts the target may hold, of at most most.
+func (t *target) limit(now instant.Time, most int) int {
+	if now < t.restUntil {
+		return min(most, t.restLimit)
+	}
+	return most
+}
+
 // suits reports whether nothing speaks against a target with a slot free.
 func (l *Local) suits(now time.Time, t *target, strict bool, avoid []platform.HostID) bool {
 	if t.doubted {
@@ -175,9 +185,6 @@
 	if now < t.overdue {
 		s += scoreOverdue
 	}
-	if now < t.shed {
-		s += scoreShed
-	}
 	if now < t.coldTo {
 		s += scoreCold * float64(t.coldTo.Sub(now)) / float64(l.cold)
 	}
@@ -243,16 +250,25 @@
 	}
 	switch r.Class {
 	case pick.OK:
-		t.sheds.Answered()
+		t.refusals.Answered()
 		l.service.Observe(r.Latency)
 		l.record(now, t, false)
-	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
+	case pick.Failed, pick.TimedOut:
 		l.record(now, t, true)
+	case pick.BrokeOff, pick.NotSent:
+		l.record(now, t, true)
+		l.rest(now, t)
 	case pick.Shed:
-		t.shed = l.clock.At(now).Add(t.sheds.Refused())
+		l.rest(now, t)
 	}
 }
 
+// rest keeps more own attempts than now are in flight off a target for a while.
+func (l *Local) rest(now time.Time, t *target) {
+	t.restUntil = l.clock.At(now).Add(t.refusals.Refused())
+	t.restLimit = t.own
+}
+
 func (l *Local) leave(t *target) {
 	if !t.info.Leaving {
 		t.info.Leaving = true
--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -278,3 +278,24 @@
 	d.finish("a", 4, pick.OK)
 	assert.Equal(t, len(d.ask("a", Ask{ID: 5}).Grants), 1)
 }
+
+// Two of five targets are down and refuse connections, too many for all to be
+// ejected. They look idle all the time. Each costs a caller one further attempt
+// now and then, not with every call.
+func TestTargetsThatAreDownAreTriedSeldom(t *testing.T) {
+	d := newDesk(5, 2)
+	d.warm()
+	refused := 0
+	for id := CallID(1); id <= 1000; id++ {
+		a := Ask{ID: id, Alone: id%10 == 0}
+		g := d.ask("a", a).Grants[0]
+		d.now = d.now.Add(time.Millisecond)
+		if g.Target <= targetID(1) {
+			refused++
+			d.finish("a", id, pick.NotSent)
+			continue
+		}
+		d.finish("a", id, pick.OK)
+	}
+	assert.Check(t, refused <= 12, "%d of 1000 attempts were refused", refused)
+}
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -233,8 +233,8 @@
 		limit = b.slots
 		score += scoreOverdue
 	}
-	if in.now < t.shedUntil {
-		limit = min(limit, t.shedLimit)
+	if in.now < t.restUntil {
+		limit = min(limit, t.restLimit)
 	}
 	if held >= limit {
 		return 0, false
@@ -332,8 +332,9 @@
 func (b *Book) placeAlone(now time.Time, a *Ask) *target {
 	var least *target
 	strict := b.others(now, a.Avoid)
+	at := b.clock.At(now)
 	for _, t := range b.targets {
-		if !t.usable() || t.alone || t.health.Ejected(now) {
+		if !t.open || t.health.Ejected(now) || at < t.restUntil {
 			continue
 		}
 		if strict && slices.Contains(a.Avoid, t.id) {
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -19,11 +19,11 @@
 	foreign int // attempts of others that the target last reported
 	calls   []*call
 	oldest  instant.Time // grant of the oldest attempt
-	// shedUntil is the end of the time in which the target gets no more than
-	// shedLimit attempts, since it refused one.
-	shedUntil instant.Time
-	shedLimit int
-	sheds     health.Sheds
+	// restUntil is the end of the time in which the target gets no more than
+	// restLimit attempts, since it refused one.
+	restUntil instant.Time
+	restLimit int
+	refusals  health.Refusals
 
 	id        platform.HostID
 	listed    bool
@@ -86,17 +86,19 @@
 	}
 	switch e.Class {
 	case pick.OK:
-		t.sheds.Answered()
+		t.refusals.Answered()
 		if !c.queued || b.service.Count() < minSamples {
 			b.service.Observe(e.Latency)
 		}
 		b.learnGap(now, c, e)
 		b.record(now, t, false)
-	case pick.Failed, pick.BrokeOff, pick.TimedOut, pick.NotSent:
+	case pick.Failed, pick.TimedOut:
 		b.record(now, t, true)
+	case pick.BrokeOff, pick.NotSent:
+		b.record(now, t, true)
+		b.rest(now, t)
 	case pick.Shed:
-		t.shedUntil = b.clock.At(now).Add(t.sheds.Refused())
-		t.shedLimit = t.inFlight() - 1 // this one is still among them
+		b.rest(now, t)
 	}
 	if e.Load >= 0 && e.Class != Returned {
 		t.foreign = max(e.Load-t.inFlight(), 0)
@@ -104,6 +106,12 @@
 	}
 }
 
+// rest keeps more attempts than now are in flight off a target for a while.
+func (b *Book) rest(now time.Time, t *target) {
+	t.restUntil = b.clock.At(now).Add(t.refusals.Refused())
+	t.restLimit = t.inFlight() - 1 // the one that ends is still among them
+}
+
 func (b *Book) leave(t *target) {
 	if t.leaving {
 		return
