--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -24,10 +24,12 @@
 	aliveEvery = 1500 * time.Microsecond
 	// HeartbeatEvery is how often a host sends a full frame while it has an ask
 	// or an attempt.
-	HeartbeatEvery = 100 * time.Millisecond
+	HeartbeatEvery = 50 * time.Millisecond
 	// hostTimeout is the silence after which a host's attempts lapse: its
-	// process died, or it has another coordinator.
-	hostTimeout = 4 * HeartbeatEvery
+	// process died, it was cut off, or it has another coordinator. Until then
+	// they take slots that may be free; a host that lapses by mistake tells of
+	// its attempts anew with its next frame.
+	hostTimeout = 3 * HeartbeatEvery
 	// transit is how long a grant may be on its way before a full frame that
 	// does not list it shows that it was lost.
 	transit = 20 * time.Millisecond
