--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -241,14 +241,27 @@
 	assert.Check(t, got[0] > 0 && got[0] < got[1], "%v", got)
 }
 
-func BenchmarkChoice(b *testing.B) {
+func benchDesk() (*desk, *host) {
 	d := newDesk(100, 2)
 	d.warm()
-	h := d.byHost["warm"]
 	for id := CallID(1); id <= 100; id++ {
 		d.ask("warm", Ask{ID: id})
 	}
 	d.hear("warm")
+	return d, d.byHost["warm"]
+}
+
+func BenchmarkChoice(b *testing.B) {
+	d, h := benchDesk()
+	a := &Ask{ID: 5000}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.place(d.now, h, a)
+	}
+}
+
+func BenchmarkChoiceWithBooks(b *testing.B) {
+	d, h := benchDesk()
 	a := &Ask{ID: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
