--- a/internal/bench/choose/scenario.go
+++ b/internal/bench/choose/scenario.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -26,10 +27,13 @@
 	ScenarioFailFast = "a target fails fast"
 	ScenarioFailSolo = "a target fails fast, no coordinator"
 	ScenarioThree    = "three targets fail fast"
+	ScenarioShed     = "a target sheds everything"
+	ScenarioShedSolo = "a target sheds everything, no coordinator"
 	ScenarioDrain    = "a target drains, list 5 s late"
 	ScenarioColdRamp = "a cold target, ramp declared"
 	ScenarioColdNone = "a cold target, no ramp"
 	ScenarioFlood    = "one host floods, the others' calls"
+	ScenarioAll      = "pause, dispute, drain, failing target and cold start at once"
 )
 
 // Scenarios returns all of them.
@@ -42,10 +46,13 @@
 		{Name: ScenarioFailFast, Load: 0.7, prepare: failFast(1)},
 		{Name: ScenarioFailSolo, Load: 0.7, Fallback: true, prepare: failFast(1)},
 		{Name: ScenarioThree, Load: 0.5, prepare: failFast(3)},
+		{Name: ScenarioShed, Load: 0.7, prepare: shed},
+		{Name: ScenarioShedSolo, Load: 0.7, Fallback: true, prepare: shed},
 		{Name: ScenarioDrain, Load: 0.7, prepare: drain},
-		{Name: ScenarioColdRamp, Load: 0.7, prepare: coldStart(coldFor)},
-		{Name: ScenarioColdNone, Load: 0.7, prepare: coldStart(0)},
+		{Name: ScenarioColdRamp, Load: 0.7, prepare: coldStartOnly(coldFor)},
+		{Name: ScenarioColdNone, Load: 0.7, prepare: coldStartOnly(0)},
 		{Name: ScenarioFlood, Load: 1.3, prepare: flood},
+		{Name: ScenarioAll, Load: 0.6, prepare: allAtOnce},
 	}
 }
 
@@ -131,10 +138,12 @@
 	}
 }
 
+func shed(w *world, _ *coordinated) { w.targets[0].shedFrom = w.end / 2 }
+
 func drain(w *world, c *coordinated) {
 	w.targets[0].leaves = w.end / 2
 	w.after(w.end/2+5*time.Second, func() {
-		c.listed = append([]blackboard.Target(nil), c.listed...)
+		c.listed = slices.Clone(c.listed)
 		c.listed[0].Leaving = true
 		c.setTargets()
 	})
@@ -143,7 +152,6 @@
 // coldStart adds a target that is slow at first.
 func coldStart(ramp time.Duration) func(*world, *coordinated) {
 	return func(w *world, c *coordinated) {
-		w.until = w.end/2 + coldFor
 		for _, h := range c.hosts {
 			h.service.ColdStart = ramp
 			h.session.Configure(h.service)
@@ -158,6 +166,25 @@
 	}
 }
 
+// coldStartOnly counts the calls of the cold start.
+func coldStartOnly(ramp time.Duration) func(*world, *coordinated) {
+	return func(w *world, c *coordinated) {
+		w.until = w.end/2 + coldFor
+		coldStart(ramp)(w, c)
+	}
+}
+
+// allAtOnce lets a target drain, another fail fast and a third start cold while
+// half of the hosts take another host for the coordinator and the first one is
+// paused again and again.
+func allAtOnce(w *world, c *coordinated) {
+	coordinatorPause(w, c)
+	coordinatorDispute(w, c)
+	drain(w, c)
+	w.targets[1].failFrom = w.end / 2
+	coldStart(coldFor)(w, c)
+}
+
 // flood sends half of all calls through host 1, and counts those of the others.
 func flood(w *world, _ *coordinated) {
 	w.pickHost = func() int {
--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -241,14 +241,27 @@
 	assert.Check(t, got[0] > 0 && got[0] < got[1], "%v", got)
 }
 
-func BenchmarkChoice(b *testing.B) {
+func benchDesk() (*desk, *host) {
 	d := newDesk(100, 2)
 	d.warm()
-	h := d.byHost["warm"]
 	for id := CallID(1); id <= 100; id++ {
 		d.ask("warm", Ask{ID: id})
 	}
 	d.hear("warm")
+	return d, d.byHost["warm"]
+}
+
+func BenchmarkChoice(b *testing.B) {
+	d, h := benchDesk()
+	a := &Ask{ID: 5000}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.place(d.now, h, a)
+	}
+}
+
+func BenchmarkChoiceWithBooks(b *testing.B) {
+	d, h := benchDesk()
 	a := &Ask{ID: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -266,3 +279,36 @@
 		d.release(d.now, d.hold(h, a.ID, d.place(d.now, h, a), d.now, false))
 	}), 0.0)
 }
+
+// A suspect waits for a target of its own, which takes as long as the calls on
+// it do. The calls behind it, of the same host, go on meanwhile.
+func TestWaitingSuspectHoldsUpNobody(t *testing.T) {
+	d := newDesk(2, 2)
+	d.ask("a", Ask{ID: 1})
+	d.ask("a", Ask{ID: 2})
+	assert.Equal(t, len(d.ask("a", Ask{ID: 3, Alone: true}).Grants), 0)
+	assert.Equal(t, len(d.ask("a", Ask{ID: 4}).Grants), 1)
+	d.finish("a", 4, pick.OK)
+	assert.Equal(t, len(d.ask("a", Ask{ID: 5}).Grants), 1)
+}
+
+// Two of five targets are down and refuse connections, too many for all to be
+// ejected. They look idle all the time. Each costs a caller one further attempt
+// now and then, not with every call.
+func TestTargetsThatAreDownAreTriedSeldom(t *testing.T) {
+	d := newDesk(5, 2)
+	d.warm()
+	refused := 0
+	for id := CallID(1); id <= 1000; id++ {
+		a := Ask{ID: id, Alone: id%10 == 0}
+		g := d.ask("a", a).Grants[0]
+		d.now = d.now.Add(time.Millisecond)
+		if g.Target <= targetID(1) {
+			refused++
+			d.finish("a", id, pick.NotSent)
+			continue
+		}
+		d.finish("a", id, pick.OK)
+	}
+	assert.Check(t, refused <= 12, "%d of 1000 attempts were refused", refused)
+}
