Find deaths that leave few watchers, and heal partitions sooner

Cause: with the ring down to few hosts, one that thought itself cut off kept its doubts to itself for ever, and two sides that doubted each other met again only by chance. Random runs under the race detector, with two watchers, found both (a dead host held for live after 8 s; 20 s to converge).

A doubt is now told when another host answered that it could not reach the host either; a host that is silent but not suspected stays on the ring and is probed again; after a suspicion the next hosts are probed at once; a host that doubts many compares views with doubted ones more often.

--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -237,7 +237,7 @@
 		}
 	}
 	for _, id := range silent {
-		g.Go(func() error { c.probe(ctx, id); return nil })
+		g.Go(func() error { c.probe(ctx, g, id); return nil })
 	}
 	for _, id := range partners {
 		g.Go(func() error { c.syncWith(ctx, id); return nil })
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -200,9 +201,9 @@
 // probe asks a silent host directly and through others before it is suspected:
 // a cut between two hosts, or one direction of it, is no reason to take roles
 // from a host that all others reach.
-func (c *Controller) probe(ctx context.Context, id platform.HostID) {
+func (c *Controller) probe(ctx context.Context, g *errgroup.Group, id platform.HostID) {
 	c.count.probes.Add(1)
-	rec, err := c.reach(ctx, id)
+	ans := c.reach(ctx, id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.view.entries[id]
@@ -210,75 +211,84 @@
 		return
 	}
 	e.probing = false
-	if err == nil {
-		c.hearLocked(rec)
+	if ans.rec != nil {
+		c.hearLocked(*ans.rec)
 		return
 	}
 	now := time.Now()
-	if now.Sub(e.heard) < silentAfter {
+	if paused(c.lastRun, now) || now.Sub(e.heard) < silentAfter {
+		return
+	}
+	if !c.suspectLocked(id, ans.confirmed) {
 		return
 	}
-	c.suspectLocked(id, now)
+	// The hosts before it on the ring are this host's to watch now. When many
+	// died at once, waiting for the next round each time would add up.
+	for _, next := range c.silentLocked(now) {
+		g.Go(func() error { c.probe(ctx, g, next); return nil })
+	}
 }
 
-func (c *Controller) suspectLocked(id platform.HostID, now time.Time) {
-	told := !c.cutOffLocked(now)
+// suspectLocked doubts a host. Others are told only if one of them answered
+// that it could not reach the host either. A host that is itself cut off gets
+// no such answer; it keeps its doubts to itself, and does not come back with
+// doubts about everyone. It reports whether others are told.
+func (c *Controller) suspectLocked(id platform.HostID, told bool) bool {
 	if !c.view.suspect(id, told) {
-		return
+		return false
 	}
 	c.count.suspected.Add(1)
 	c.opts.Log.Info("host suspected", zap.String("host", string(id)), zap.Bool("told", told))
 	if told {
 		c.noteLocked(id)
-		return
+	} else {
+		c.publishLocked()
 	}
-	c.publishLocked()
+	return told
 }
 
-// cutOffLocked reports whether more than half of the watched hosts are silent.
-// Then it is more likely that this host is the one cut off, and its doubts are
-// kept to itself.
-func (c *Controller) cutOffLocked(now time.Time) bool {
-	watched := c.view.watched()
-	silent := 0
-	for _, id := range watched {
-		e := c.view.entries[id]
-		if now.Sub(e.heard) >= silentAfter {
-			silent++
-		}
-	}
-	return 2*silent > len(watched)
+// answer is what became of a ping.
+type answer struct {
+	// rec is the record of the host if it was reached.
+	rec *Record
+	// confirmed is set if another host answered that it could not reach it.
+	confirmed bool
 }
 
-var errNotReached = errors.New("host not reached")
-
 // reach pings a host directly and through helpers at the same time.
-func (c *Controller) reach(ctx context.Context, id platform.HostID) (Record, error) {
+func (c *Controller) reach(ctx context.Context, id platform.HostID) answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	c.mu.Lock()
 	via := c.view.others(func(e *entry) bool { return e.rec.ID != id && !e.doubted() })
 	via = sample(c.rng, via, helpers)
 	c.mu.Unlock()
-	answers := make(chan *Record, len(via)+1)
-	ask := func(f func() (Record, error)) {
-		r, err := f()
-		if err != nil || r.ID != id {
-			answers <- nil
-			return
-		}
-		answers <- &r
-	}
-	go ask(func() (Record, error) { return c.ping(ctx, id) })
+	answers := make(chan answer, len(via)+1)
+	go func() {
+		rec, err := c.ping(ctx, id)
+		ans := answerOf(rec, err)
+		ans.confirmed = false
+		answers <- ans
+	}()
 	for _, h := range via {
-		go ask(func() (Record, error) {
-			return peer.Call[Record](ctx, c.opts.Link, h, kindPingVia, pingViaMsg{ID: id})
-		})
+		go func() {
+			answers <- answerOf(peer.Call[Record](ctx, c.opts.Link, h, kindPingVia, pingViaMsg{ID: id}))
+		}()
 	}
+	var all answer
 	for range len(via) + 1 {
-		if r := <-answers; r != nil {
-			return *r, nil
+		ans := <-answers
+		if ans.rec != nil {
+			return ans
 		}
+		all.confirmed = all.confirmed || ans.confirmed
+	}
+	return all
+}
+
+func answerOf(rec Record, err error) answer {
+	if err == nil {
+		return answer{rec: &rec}
 	}
-	return Record{}, errNotReached
+	return answer{confirmed: errors.Is(err, peer.ErrRemote)}
 }
--- a/controller/membership/neighbours.go
+++ b/controller/membership/neighbours.go
@@ -17,7 +17,7 @@
 	// gossipFanout is how many hosts a change is passed on to.
 	gossipFanout = 4
 	// strangerEvery is how often, in comparisons of views, a host asks any
-	// other and not a neighbour.
+	// other and not a neighbour, even if it doubts none.
 	strangerEvery = 10
 )
 
@@ -25,9 +25,11 @@
 
 func (v *view) watchers() int { return cmp.Or(v.rules.watchers, ringWatchers) }
 
-// ring leaves out doubted hosts, which would be watchers that do not watch.
+// ring leaves out suspected hosts, which would be watchers that do not watch. A
+// host that is only silent to this one stays on it and is probed again: if this
+// host is its last watcher, nobody else would ever tell that it is gone.
 func (v *view) ring() ring.Ring {
-	ids := v.others(func(e *entry) bool { return !e.doubted() })
+	ids := v.others(func(e *entry) bool { return !e.rec.Suspected && !e.rec.Waking })
 	return ring.New(append(ids, v.self))
 }
 
@@ -55,16 +57,18 @@
 	return v.ring().Fingers(v.self)
 }
 
-// partners returns the hosts to compare views with. Now and then it is any
-// host, doubted or not: across a partition that has healed, nobody else would
-// ever speak to the other side again.
+// partners returns the hosts to compare views with. A host that doubts most
+// others asks doubted ones most of the time: after a partition has healed,
+// nobody else would ever speak to the other side again.
 func (v *view) partners(rng *rand.Rand) []platform.HostID {
+	all := v.others(nil)
 	if v.mesh() {
-		return sample(rng, v.others(nil), 2)
+		return sample(rng, all, 2)
 	}
+	other := sample(rng, all, 1)
 	near := v.neighbours()
-	if len(near) == 0 || rng.IntN(strangerEvery) == 0 {
-		return sample(rng, v.others(nil), 1)
+	if len(near) == 0 || v.entries[other[0]].doubted() || rng.IntN(strangerEvery) == 0 {
+		return other
 	}
 	return sample(rng, near, 1)
 }
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 )
 
 // What stops a message before any byte of it left.
@@ -190,99 +187,6 @@
 	return id, nil
 }
 
-// run connects whenever there is something to send.
-func (r *remote) run() {
-	defer r.close()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-r.wake:
-		}
-		for r.queued() && r.ctx.Err() == nil {
-			r.connect()
-		}
-	}
-}
-
-func (r *remote) queued() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.out.frames) > 0
-}
-
-// connect opens a connection and serves it until it breaks or is unused.
-func (r *remote) connect() {
-	s, err := r.dial()
-	if err != nil {
-		r.node.count.dialFailed.Add(1)
-		r.node.opts.Log.Debug("peer not reached", zap.String("peer", string(r.id)), zap.Error(err))
-		r.broken(err)
-		return
-	}
-	r.mu.Lock()
-	r.notBefore = time.Time{}
-	r.mu.Unlock()
-	start := time.Now()
-	r.node.count.connections.Add(1)
-	err = r.serve(s)
-	r.node.count.connections.Add(-1)
-	if time.Since(start) > steadyAfter {
-		r.wait.Reset()
-	}
-	if err == nil {
-		return
-	}
-	r.node.count.connBroken.Add(1)
-	r.node.opts.Log.Info("peer connection broken", zap.String("peer", string(r.id)), zap.Error(err))
-	r.broken(err)
-}
-
-func (r *remote) dial() (*session, error) {
-	r.node.count.dials.Add(1)
-	r.mu.Lock()
-	addr := r.addr
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(r.ctx, handshakeTimeout)
-	defer cancel()
-	conn, err := r.node.opts.Dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	tuneConn(conn)
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	conn, err = r.secure(ctx, conn, addr)
-	if err != nil {
-		return nil, err
-	}
-	s, err := r.node.dialHandshake(conn, r.id)
-	if err != nil {
-		r.node.count.handshakeFailed.Add(1)
-		_ = conn.Close()
-		return nil, err
-	}
-	return s, nil
-}
-
-// secure wraps the connection in TLS if the node has it.
-func (r *remote) secure(ctx context.Context, conn net.Conn, addr string) (net.Conn, error) {
-	cfg := r.node.opts.TLS
-	if cfg == nil {
-		return conn, nil
-	}
-	if cfg.ServerName == "" {
-		cfg = cfg.Clone()
-		cfg.ServerName, _, _ = net.SplitHostPort(addr)
-	}
-	tc := tls.Client(conn, cfg)
-	if err := tc.HandshakeContext(ctx); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return tc, nil
-}
-
 // serve writes the queue and reads replies. It returns nil if the connection
 // was unused for a while.
 func (r *remote) serve(s *session) error {
