Let a new host take calls only once it has a list of targets

Status has TargetsUnknown, set by the controller of targets until the first list; the zero value leaves hosts without that controller as they were.

--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -101,10 +101,13 @@
 	ConfigConfirmed bool
 	// Leaving is set from the first sign that this host is to stop.
 	Leaving bool
+	// TargetsUnknown is set by controller/targets until it has a first list.
+	// A new host that took calls before would refuse them for want of targets.
+	TargetsUnknown bool
 }
 
 // Ready reports whether the host may take new calls.
-func (s Status) Ready() bool { return s.ConfigConfirmed && !s.Leaving }
+func (s Status) Ready() bool { return s.ConfigConfirmed && !s.Leaving && !s.TargetsUnknown }
 
 // WithLeaving returns the view with one target marked as leaving, and whether
 // that changed anything.
--- a/controller/targets/controller.go
+++ b/controller/targets/controller.go
@@ -76,7 +76,8 @@
 	pruned     time.Time
 }
 
-// New returns a controller and registers its handlers on the link.
+// New returns a controller and registers its handlers on the link. The host is
+// not ready until ApplyList was called.
 func New(opts Options) *Controller {
 	if opts.Log == nil {
 		opts.Log = zap.NewNop()
@@ -92,6 +93,7 @@
 		marks:  newMarks(),
 		pruned: time.Now(),
 	}
+	c.setUnknown(true)
 	peer.Handle(opts.Link, kindMarks, func(_ context.Context, _ peer.HostID, m marksMsg) (struct{}, error) {
 		c.take(m.Marks)
 		return struct{}{}, nil
@@ -134,10 +136,20 @@
 			c.pass = append(c.pass, m)
 		}
 	})
+	c.setUnknown(false)
 	c.prune(after, now)
 	c.wakeUp()
 }
 
+// setUnknown writes whether there was no list yet.
+func (c *Controller) setUnknown(unknown bool) {
+	c.opts.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		changed := s.TargetsUnknown != unknown
+		s.TargetsUnknown = unknown
+		return s, changed
+	})
+}
+
 // withMarks sets the marks that came before the list had their targets. The
 // view is not on the board yet, so it may be changed.
 func (c *Controller) withMarks(t *blackboard.Targets, now time.Time) *blackboard.Targets {
--- a/controller/targets/targets_test.go
+++ b/controller/targets/targets_test.go
@@ -121,7 +121,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := &testHost{board: blackboard.New()}
 		h.c = New(Options{Link: peernet.New().Join("h"), Board: h.board})
+		h.board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+			s.ConfigConfirmed = true
+			return s, true
+		})
+		assert.Check(t, !h.board.Status.Load().Ready(), "a host without a list has no targets to offer")
 		h.c.ApplyList(liveList(1, 2))
+		assert.Check(t, h.board.Status.Load().Ready())
 		assert.Check(t, h.target(0).FirstSeen.IsZero(), "targets listed at the start are warm")
 		time.Sleep(time.Minute)
 		h.c.ApplyList(listOf(2, platform.HostLeaving, platform.HostLive, platform.HostLive))
