Clear doubts that were told to nobody after a split

Cause: on a ring of 50 hosts split 3 to 47 for 20 s, hosts of the small part still suspected some of the others 8 s after the split: a silence kept to oneself was never probed again once the ring had moved on.

Silent hosts are probed until they answer or are suspected, and a record that shows a doubted host as live sends the doubt to that host, which refutes it.

Conclusion: both sides of a split find each other again.

--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -298,10 +298,13 @@
 	return ok
 }
 
-// silentLocked returns the watched hosts that are due for a probe.
+// silentLocked returns the hosts that are due for a probe: those watched, and
+// those that were silent when they were watched. The latter are told to nobody,
+// so nobody would refute it.
 func (c *Controller) silentLocked(now time.Time) []platform.HostID {
 	var out []platform.HostID
-	for _, id := range c.view.watched() {
+	silent := c.view.others(func(e *entry) bool { return e.silent })
+	for _, id := range union(c.view.watched(), silent) {
 		e := c.view.entries[id]
 		if e.probing || e.rec.Suspected || now.Sub(e.heard) < silentAfter {
 			continue
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -75,9 +75,13 @@
 	var contested []Record
 	c.mu.Lock()
 	for _, r := range recs {
-		if c.takeLocked(r) == mergeContested {
-			contested = append(contested, r)
+		if c.takeLocked(r) != mergeContested {
+			continue
 		}
+		if !r.Suspected {
+			r = c.view.entries[r.ID].rec
+		}
+		contested = append(contested, r)
 	}
 	c.mu.Unlock()
 	for _, r := range contested {
--- a/controller/membership/faults_test.go
+++ b/controller/membership/faults_test.go
@@ -256,3 +256,27 @@
 		})
 	}
 }
+
+// The network splits 50 hosts into two parts for 20 s. Each part suspects the
+// other, and both have to find each other again without the list's help.
+func TestRingHealsAfterASplit(t *testing.T) {
+	for _, first := range []int{3, 25} {
+		inCluster(t, 50, func(c *cluster) {
+			for i := range first {
+				for j := first; j < 50; j++ {
+					c.net.Cut(hostID(i), hostID(j))
+					c.net.Cut(hostID(j), hostID(i))
+				}
+			}
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, c.state(hostID(0), hostID(40)), blackboard.MemberSuspected)
+			assert.Equal(t, c.state(hostID(40), hostID(0)), blackboard.MemberSuspected)
+			c.net.Heal()
+			var took time.Duration
+			for _, id := range c.ids() {
+				took += c.timeUntil(id, blackboard.MemberLive, convergeWithin-took)
+			}
+			t.Logf("%d and %d hosts: views agree %v after the split", first, 50-first, took)
+		})
+	}
+}
--- a/controller/membership/view.go
+++ b/controller/membership/view.go
@@ -95,8 +95,9 @@
 	mergeNew
 	// mergeRefuted records doubted this host, which now has a higher Seq.
 	mergeRefuted
-	// mergeContested records doubt a host that was heard just now. They are
-	// not taken but sent to that host, which refutes them.
+	// mergeContested records are not taken: one of this record and the one
+	// held doubts the host, and the other shows that it need not be so. The
+	// doubt is sent to that host, which refutes it.
 	mergeContested
 )
 
@@ -110,6 +111,10 @@
 		return v.learn(r, now)
 	}
 	if !v.newer(r, e.rec) {
+		if v.newer(e.rec, r) && e.rec.Suspected && e.rec.Seq == r.Seq {
+			// After a split has healed, the other side never doubted this host.
+			return mergeContested
+		}
 		return mergeOld
 	}
 	if r.Suspected && now.Sub(e.heard) < silentAfter {
--- a/controller/targets/targets_test.go
+++ b/controller/targets/targets_test.go
@@ -218,3 +218,21 @@
 		}
 	})
 }
+
+// BenchmarkApplyList takes in a changed list of 15,000 targets of 490 services.
+func BenchmarkApplyList(b *testing.B) {
+	h := &testHost{board: blackboard.New()}
+	h.c = New(Options{Link: peernet.New().Join("h"), Board: h.board})
+	snap := platform.HostSnapshot{}
+	for i := range 15000 {
+		snap.Hosts = append(snap.Hosts, platform.Host{
+			ID: targetID(i), Role: platform.RoleTarget, State: platform.HostLive,
+			Workspace: "w", Service: fmt.Sprint("s", i%490),
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		snap.Version++
+		h.c.ApplyList(snap)
+	}
+}
