--- a/controller/membership/faults_test.go
+++ b/controller/membership/faults_test.go
@@ -37,9 +37,11 @@
 			for i := range n {
 				c.kill(hostID(i))
 			}
+			var took time.Duration
 			for i := range n {
-				c.timeUntil(hostID(i), blackboard.MemberSuspected, detectWithin)
+				took += c.timeUntil(hostID(i), blackboard.MemberSuspected, detectWithin-took)
 			}
+			t.Logf("%d of 15 hosts: suspected by all after %v", n, took)
 			for i := n; i < 15; i++ {
 				c.allSee(hostID(i), blackboard.MemberLive)
 			}
@@ -65,9 +67,9 @@
 		}
 		var states []blackboard.MemberState
 		ctx, stop := context.WithCancel(context.Background())
-		defer stop()
+		watched := make(chan error, 1)
 		go func() {
-			_ = h.board.Members.Watch(ctx, func(m *blackboard.Members) {
+			watched <- h.board.Members.Watch(ctx, func(m *blackboard.Members) {
 				self, _ := m.Find(hostID(2))
 				states = append(states, self.State)
 			})
@@ -75,6 +77,8 @@
 		synctest.Wait()
 		h.gate.open()
 		time.Sleep(time.Second)
+		stop()
+		assert.NilError(t, <-watched)
 		assert.Equal(t, h.c.count.woke.Value(), int64(1))
 		assert.Equal(t, h.c.count.suspected.Value(), int64(0))
 		assert.Check(t, len(states) >= 3 && states[1] == blackboard.MemberSuspected, "own states: %v", states)
@@ -220,7 +224,8 @@
 		time.Sleep(5 * time.Second)
 		c.allSee("new", blackboard.MemberLive)
 		m, _ := c.hosts[hostID(3)].board.Members.Load().Find("new")
-		assert.Equal(t, m.Incarnation, c.hosts["new"].c.view.own().rec.Incarnation)
+		self, _ := c.hosts["new"].board.Members.Load().Find("new")
+		assert.Equal(t, m.Incarnation, self.Incarnation)
 	})
 }
 
@@ -229,7 +234,11 @@
 func TestRing(t *testing.T) {
 	for _, n := range []int{50, 100} {
 		inCluster(t, n, func(c *cluster) {
-			assert.Equal(t, len(c.hosts[hostID(0)].c.view.heartbeatTo()), ringWatchers)
+			h := c.hosts[hostID(0)].c
+			h.mu.Lock()
+			watchers := h.view.heartbeatTo()
+			h.mu.Unlock()
+			assert.Equal(t, len(watchers), ringWatchers)
 			for _, id := range c.ids() {
 				c.allSee(id, blackboard.MemberLive)
 			}
@@ -247,3 +256,27 @@
 		})
 	}
 }
+
+// The network splits 50 hosts into two parts for 20 s. Each part suspects the
+// other, and both have to find each other again without the list's help.
+func TestRingHealsAfterASplit(t *testing.T) {
+	for _, first := range []int{3, 25} {
+		inCluster(t, 50, func(c *cluster) {
+			for i := range first {
+				for j := first; j < 50; j++ {
+					c.net.Cut(hostID(i), hostID(j))
+					c.net.Cut(hostID(j), hostID(i))
+				}
+			}
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, c.state(hostID(0), hostID(40)), blackboard.MemberSuspected)
+			assert.Equal(t, c.state(hostID(40), hostID(0)), blackboard.MemberSuspected)
+			c.net.Heal()
+			var took time.Duration
+			for _, id := range c.ids() {
+				took += c.timeUntil(id, blackboard.MemberLive, convergeWithin-took)
+			}
+			t.Logf("%d and %d hosts: views agree %v after the split", first, 50-first, took)
+		})
+	}
+}
