--- a/controller/config/config.go
+++ b/controller/config/config.go
@@ -104,11 +104,13 @@
 	evidence atomic.Pointer[time.Time]
 	// storeSeen is when the store was last asked and did answer.
 	storeSeen atomic.Pointer[time.Time]
+	// storeFailed is set while the last answer from the store was an error.
+	storeFailed atomic.Bool
 	// wokeAt is the end of the last pause; older evidence does not count.
 	wokeAt atomic.Pointer[time.Time]
 
 	kick     chan struct{}
-	hints    chan peer.HostID
+	hints    chan hint
 	snapshot chan struct{}
 }
 
@@ -140,7 +142,7 @@
 		retried:  deps.Metrics.Map("config_retries"),
 		admit:    isNewer,
 		kick:     make(chan struct{}, 1),
-		hints:    make(chan peer.HostID, hintQueue),
+		hints:    make(chan hint, hintQueue),
 		snapshot: make(chan struct{}, 1),
 	}
 	deps.Metrics.Func("config_sequence", func() any { return c.Sequence() })
--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
+	"github.com/cactusproxy/cactusproxy/platform"
 )
 
 // bound is the time in which an accepted change has to be in force.
@@ -71,6 +73,8 @@
 		assert.Check(t, plan.Base == 0 && len(plan.Differences) > 5)
 
 		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		pass(5 * time.Millisecond) // pushed, long before the next poll
+		assertSequences(t, f, 1)
 		change(t, h[1], "c2", 1, 8, config.ResultApplied)
 		change(t, h[1], "c3", 2, 8, config.ResultUnchanged)
 		st := c.WaitInForce(ctx, 2)
@@ -143,6 +147,8 @@
 		assertSequences(t, f, 1)
 		out := change(t, f.Hosts()[2], "c1", 0, 7, config.ResultApplied)
 		assert.Equal(t, out.Change.Sequence, uint64(1))
+		out = change(t, f.Hosts()[2], "c1", 1, 9, config.ResultInvalid)
+		assert.ErrorContains(t, out.Problems, "change ID was used for another change")
 	})
 }
 
@@ -256,6 +262,30 @@
 	})
 }
 
+// A host is paused for less than a confirmation holds, with a read of the table
+// on its way. The answer comes after the pause but tells of the time before it,
+// so the host does not serve until it has asked again.
+func TestAnswerFromBeforeThePauseDoesNotCount(t *testing.T) {
+	const answerTime = 500 * time.Millisecond
+	for phase := range 20 {
+		onFleet(t, 1, func(t *testing.T, f *confignet.Fleet) {
+			f.Store.SetFaults(store.Faults{Delay: answerTime})
+			pass(10*time.Second + time.Duration(phase)*50*time.Millisecond)
+			h := f.Hosts()[0]
+			assertReady(t, true, h)
+			h.Jump(config.DefaultTimings().Pause + 100*time.Millisecond)
+			pass(config.DefaultTimings().Tick)
+			woke := h.Metrics.Map("config_events").Get("pauses").String()
+			assert.Equal(t, woke, "1")
+			assertReady(t, false, h)
+			pass(answerTime / 2)
+			assertReady(t, false, h)
+			pass(answerTime)
+			assertReady(t, true, h)
+		})
+	}
+}
+
 // Every host is paused at once and the store is out when they wake. No host is
 // confirmed, but more than half of them together hold the newest change.
 func TestFleetThatWasPausedTogetherConfirmsByMajority(t *testing.T) {
@@ -285,6 +315,26 @@
 	})
 }
 
+// A host reaches no peer, and its reads of the table hang as on a network that
+// drops packets. Whenever the table answers again, the host has the change
+// within the time of one poll: a read that still hangs does not hold up the
+// next.
+func TestHangingReadDoesNotHideTheEndOfAnOutage(t *testing.T) {
+	for phase := range 8 {
+		onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+			h := f.Hosts()[1]
+			f.Isolate(h)
+			change(t, f.Hosts()[0], "c1", 0, 7, config.ResultApplied)
+			pass(10*time.Second + time.Duration(phase)*500*time.Millisecond)
+			assert.Equal(t, h.Sequence(), uint64(0))
+			h.RestorePlatform()
+			pass(1200 * time.Millisecond)
+			assertSequences(t, f, 1)
+			assertReady(t, true, h)
+		})
+	}
+}
+
 // After many changes a start reads the snapshot instead of the log. A snapshot
 // with one byte altered is refused, and the workspace rows are read instead.
 func TestStartFromSnapshotOrTable(t *testing.T) {
@@ -315,6 +365,24 @@
 	})
 }
 
+// The platform restores its table from an old backup. Hosts keep what is in
+// force, and a change that would use a sequence number twice is refused.
+func TestTableThatLostChangesIsNotFollowed(t *testing.T) {
+	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()
+		change(t, h[0], "c1", 0, 7, config.ResultApplied)
+		pass(time.Second)
+		rows, err := f.Store.Get(context.Background(), "config/head")
+		assert.NilError(t, err)
+		_, err = f.Store.Commit(context.Background(), platform.Op{Kind: platform.OpDelete, Key: rows[0].Key})
+		assert.NilError(t, err)
+		out := change(t, h[1], "c2", 0, 8, config.ResultUnavailable)
+		assert.Check(t, strings.Contains(out.Detail, "behind"), out.Detail)
+		pass(time.Minute)
+		assertSequences(t, f, 1)
+	})
+}
+
 func TestRefusedDeclarations(t *testing.T) {
 	onFleet(t, 2, func(t *testing.T, f *confignet.Fleet) {
 		h := f.Hosts()
--- a/policy/grant/book.go
+++ b/policy/grant/book.go
@@ -12,6 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 )
 
@@ -39,6 +40,7 @@
 	slots   int
 	cold    time.Duration
 	rng     *rand.Rand
+	clock   instant.Clock
 	targets []*target
 	byID    map[platform.HostID]*target
 	hosts   []*host
@@ -69,6 +71,7 @@
 	id      CallID
 	target  *target
 	granted time.Time
+	since   instant.Time // granted
 	alone   bool
 	// confirmed is set once a full frame of the host listed it: from then on
 	// it has ended when a full frame does not.
@@ -164,17 +167,13 @@
 	for i := range f.Ends {
 		b.end(now, h, f.Ends[i])
 	}
-	for i := range f.Open {
-		b.adopt(now, h, f.Open[i])
-	}
 	for i := range f.Asks {
 		b.ask(now, h, f.Asks[i])
 	}
-	if f.Full {
-		h.zone = b.zone(f.Zone)
-	}
+	// A full frame that a later frame overtook may list attempts whose end is
+	// known already; they would come back and hold their slots until the next.
 	if f.Full && f.Seq > h.seq {
-		b.reconcile(now, h, f)
+		b.takeFull(now, h, f)
 	}
 	h.known = h.known || f.Full
 	h.seq = max(h.seq, f.Seq)
@@ -259,63 +258,13 @@
 		c = new(call)
 	}
 	*c = call{host: h, id: id, target: t, granted: since, alone: alone}
+	c.since = b.clock.At(since)
 	c.queued = t.inFlight() >= b.slots
 	b.calls[callKey{h.id, id}] = c
 	t.add(c)
 	return c
 }
 
-// adopt enters an attempt that this book did not grant: the host chose by
-// itself, or another coordinator granted it.
-func (b *Book) adopt(now time.Time, h *host, o Open) {
-	if c := b.calls[callKey{h.id, o.ID}]; c != nil {
-		if c.target.id == o.Target {
-			c.confirmed = true
-			return
-		}
-		b.release(now, c) // the host chose for itself before the grant came
-	}
-	if h.queue.remove(o.ID) {
-		b.queued--
-	}
-	t := b.byID[o.Target]
-	if t == nil {
-		return
-	}
-	b.hold(h, o.ID, t, now.Add(-o.Age), o.Alone).confirmed = true
-}
-
-// reconcile drops what a full frame does not list. Without it a release that
-// was lost on the way would leave its slot taken for good: the target would
-// look busy and stay idle.
-func (b *Book) reconcile(now time.Time, h *host, f Frame) {
-	open := make(map[CallID]bool, len(f.Open)+len(f.Asks))
-	for _, o := range f.Open {
-		open[o.ID] = true
-	}
-	for _, a := range f.Asks {
-		open[a.ID] = true
-	}
-	for _, c := range b.held(h) {
-		if !open[c.id] && (c.confirmed || now.Sub(c.granted) > transit) {
-			b.release(now, c)
-		}
-	}
-	b.queued -= h.queue.keep(func(id CallID) bool { return open[id] })
-}
-
-// held returns the attempts of one host, oldest first.
-func (b *Book) held(h *host) []*call {
-	var out []*call
-	for _, c := range b.calls {
-		if c.host == h {
-			out = append(out, c)
-		}
-	}
-	slices.SortFunc(out, func(x, y *call) int { return cmp.Compare(x.id, y.id) })
-	return out
-}
-
 // Next returns the time until Tick should run, 0 for never.
 func (b *Book) Next() time.Duration {
 	switch {
