Not ready without a list of targets; claims through one coordinator

Readiness and service now need the list as well, and the configuration's freshness at the very moment.

Attempts that were not sent for this host's own reasons (its share of connections, the call's deadline, an old claim) no longer count against the target.

--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -106,8 +106,12 @@
 	TargetsUnknown bool
 }
 
-// Ready reports whether the host may take new calls.
-func (s Status) Ready() bool { return s.ConfigConfirmed && !s.Leaving && !s.TargetsUnknown }
+// Serving reports whether the host knows enough to carry calls. A host that is
+// leaving still does.
+func (s Status) Serving() bool { return s.ConfigConfirmed && !s.TargetsUnknown }
+
+// Ready reports whether the balancer should send new calls.
+func (s Status) Ready() bool { return s.Serving() && !s.Leaving }
 
 // WithLeaving returns the view with one target marked as leaving, and whether
 // that changed anything.
--- a/cmd/cactusbench/main.go
+++ b/cmd/cactusbench/main.go
@@ -21,10 +21,10 @@
 }
 
 type args struct {
-	Latency *latencyCmd `arg:"subcommand:latency" help:"what a daemon adds to a call, over loopback"`
-	Choose  *chooseCmd  `arg:"subcommand:choose" help:"ways of choosing a target, in virtual time"`
-	Claims  *claimsCmd  `arg:"subcommand:claims" help:"what an at-most-once claim costs"`
-	Config  *configCmd  `arg:"subcommand:config" help:"how fast a change is in force, and what a start costs"`
+	Latency  *latencyCmd  `arg:"subcommand:latency" help:"what a daemon adds to a call, over loopback"`
+	Choose   *chooseCmd   `arg:"subcommand:choose" help:"ways of choosing a target, in virtual time"`
+	Claims   *claimsCmd   `arg:"subcommand:claims" help:"what an at-most-once claim costs"`
+	Config   *configCmd   `arg:"subcommand:config" help:"how fast a change is in force, and what a start costs"`
 	Members  *membersCmd  `arg:"subcommand:members" help:"what heartbeats and gossip cost"`
 	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure every slope and rewrite the tables of the capacity page"`
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -63,7 +63,7 @@
 	if s.claim != nil && !s.claim.Sending() {
 		// The host was held up for so long that the claim's row may be gone, and
 		// another send may have taken the key.
-		a.class, a.reason = pick.NotSent, outcome.ReasonKeyExpired
+		a.class, a.reason = pick.Canceled, outcome.ReasonKeyExpired
 		a.end(a.class)
 		return a
 	}
@@ -109,8 +109,11 @@
 func (a *attempt) failed(ctx context.Context, res upstream.Result, callerBroke bool) {
 	a.mayHaveRun = res.Sent
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && res.Sent:
 		a.class, a.reason = pick.TimedOut, outcome.ReasonTargetTimeout
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		// The call came too late; that is not the target's fault.
+		a.class, a.reason = pick.Canceled, outcome.ReasonDeadline
 	case ctx.Err() != nil || callerBroke:
 		// An upload that its caller broke off says nothing about the target: it
 		// must neither be ejected nor the request suspected of crashing it.
@@ -118,16 +121,11 @@
 	case res.Sent:
 		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
 	case errors.Is(res.Err, upstream.ErrConnLimit):
-		a.class, a.reason = pick.NotSent, outcome.ReasonConnLimit
+		// This host's share is used up; that is not the target's fault either.
+		a.class, a.reason = pick.Canceled, outcome.ReasonConnLimit
 	default:
 		a.class, a.reason = pick.NotSent, outcome.ReasonConnect
 	}
-	if !res.Sent && a.class != pick.Canceled {
-		a.class = pick.NotSent
-	}
-	if !res.Sent && a.reason == outcome.ReasonTargetTimeout {
-		a.reason = outcome.ReasonDeadline
-	}
 }
 
 // headReceived classifies an attempt by the head of its answer.
--- a/entry/call.go
+++ b/entry/call.go
@@ -25,7 +25,7 @@
 		// that is just being sent on it.
 		w.Header().Set("Connection", "close")
 	}
-	if !status.ConfigConfirmed {
+	if !status.Serving() || !s.deps.Fresh() {
 		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNotReady)))
 		return
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"sync/atomic"
 
@@ -35,10 +36,16 @@
 	Board      *blackboard.Board
 	Dispatcher Dispatcher
 	Metrics    *metrics.Set
+	// Fresh reports, exactly at the moment of the call, whether the
+	// configuration was confirmed of late. The board's word follows a pause of
+	// the process by a fraction of a second, in which a host could serve a
+	// configuration that was replaced meanwhile.
+	Fresh func() bool
 	// BodyMemory bounds the bodies kept in memory for further attempts, in
 	// bytes over all calls of this host.
 	BodyMemory int64
-	// IssueKey makes an idempotency key bound to this host.
+	// IssueKey makes an idempotency key bound to this host, or returns "" if the
+	// settings name no cluster key.
 	IssueKey func(workspace, service, caller string) string
 }
 
@@ -88,7 +95,7 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.deps.Board.Status.Load().Ready() {
+	if s.deps.Board.Status.Load().Ready() && s.deps.Fresh() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -97,7 +104,7 @@
 
 func (s *Server) issueKey(w http.ResponseWriter, r *http.Request) {
 	status := s.deps.Board.Status.Load()
-	if !status.Ready() {
+	if !status.Ready() || !s.deps.Fresh() {
 		s.refuse(w, outcome.Refuse(outcome.ReasonNotReady))
 		return
 	}
@@ -106,9 +113,14 @@
 		s.refuse(w, outcome.Refuse(outcome.ReasonNoRoute))
 		return
 	}
+	key := s.deps.IssueKey(workspace, service, callerOf(r))
+	if key == "" {
+		s.refuse(w, outcome.Refuse(outcome.ReasonNoKeys))
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(http.StatusCreated)
-	_, _ = w.Write([]byte(s.deps.IssueKey(workspace, service, callerOf(r)) + "\n"))
+	_, _ = io.WriteString(w, key+"\n")
 }
 
 func (s *Server) known(workspace, service string) bool {
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -58,6 +58,7 @@
 	d := &recorder{reply: dispatch.Reply{Result: outcome.Refuse(outcome.ReasonNoTarget)}}
 	s := New(Deps{
 		Board: board, Dispatcher: d, Metrics: metrics.New(), BodyMemory: 1 << 10,
+		Fresh:    func() bool { return true },
 		IssueKey: func(w, s, c string) string { return w + "/" + s + "/" + c },
 	})
 	return s, d, board
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -47,6 +47,7 @@
 	ReasonKeyRequired      Reason = "key-required"
 	ReasonKeyMalformed     Reason = "key-malformed"
 	ReasonKeyExpired       Reason = "key-expired"
+	ReasonNoKeys           Reason = "no-cluster-key"
 	ReasonKeyMismatch      Reason = "key-mismatch"
 	ReasonKeyInProgress    Reason = "key-in-progress"
 	ReasonKeyUndecided     Reason = "key-undecided"
@@ -95,6 +96,7 @@
 	ReasonKeyRequired:      {status: http.StatusBadRequest},
 	ReasonKeyMalformed:     {status: http.StatusBadRequest},
 	ReasonKeyExpired:       {status: http.StatusGone},
+	ReasonNoKeys:           {status: http.StatusNotImplemented},
 	ReasonKeyMismatch:      {status: http.StatusUnprocessableEntity},
 	ReasonKeyInProgress:    {status: http.StatusConflict, retryAfter: soon},
 	ReasonKeyUndecided:     {status: http.StatusConflict, retryAfter: later},
--- a/provision.go
+++ b/provision.go
@@ -37,6 +37,7 @@
 	defaultDialTimeout = time.Second
 	defaultKeyWindow   = 24 * time.Hour
 	defaultDrainLimit  = 10 * time.Minute
+	defaultWrites      = 300.0 // transactions a second
 )
 
 // provision makes the daemon's parts, from the listeners inwards. Handlers of
@@ -152,7 +153,11 @@
 	if err != nil {
 		return err
 	}
-	opts := ledger.Options{Retention: d.settings.Keys.Window.Or(defaultKeyWindow)}
+	opts := ledger.Options{
+		Retention: d.settings.Keys.Window.Or(defaultKeyWindow),
+		WriteRate: d.ownWrites(),
+		PoolRate:  pooledWrites * d.writes(),
+	}
 	if key != nil {
 		opts.ClusterKeys = [][]byte{key}
 	}
@@ -163,11 +168,39 @@
 		Incarnation: d.incarnation,
 		Metrics:     d.metrics,
 		Log:         d.log,
+		Coordinator: d.ledgerCoordinator,
 		Options:     opts,
 	})
 	return nil
 }
 
+// pooledWrites is the part of the table's transactions that the coordinator of
+// the ledger has for the claims of all hosts; the rest is shared evenly, so that
+// hosts that do not reach it can claim by themselves.
+const pooledWrites = 0.6
+
+// writes is the transactions a second that claims may use, over all hosts.
+func (d *Daemon) writes() float64 {
+	if n := d.settings.Platform.WritesPerSecond; n > 0 {
+		return float64(n)
+	}
+	return defaultWrites
+}
+
+// ownWrites is this host's even share. It counts all hosts that may be at work,
+// so that the shares never add up to more than the whole.
+func (d *Daemon) ownWrites() float64 {
+	hosts := max(1, len(d.board.Members.Load().Members))
+	return (1 - pooledWrites) * d.writes() / float64(hosts)
+}
+
+// ledgerCoordinator is the host that commits the claims of all hosts. No safety
+// hangs on it: the table decides who holds a key.
+func (d *Daemon) ledgerCoordinator() platform.HostID {
+	owner, _ := rendezvous.Owner("ledger", d.board.Members.Load().Members)
+	return owner.Host.ID
+}
+
 func (d *Daemon) provisionControllers() {
 	d.config = config.New(config.Deps{
 		Board:   d.board,
@@ -282,6 +315,7 @@
 		Metrics:    d.metrics,
 		BodyMemory: memory,
 		IssueKey:   d.ledger.Issue,
+		Fresh:      d.config.Fresh,
 	})
 	header := d.settings.Callers.MaxHeaderBytes
 	if header == 0 {
--- a/run.go
+++ b/run.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -58,6 +59,7 @@
 		d.targets.Run,
 		d.config.Run,
 		d.leave.Run,
+		d.shareWrites,
 		d.ledger.Run,
 		d.quarantine.Run,
 		d.upkeep,
@@ -105,6 +107,11 @@
 	}
 }
 
+// shareWrites keeps this host's share of the table's writes as hosts come and go.
+func (d *Daemon) shareWrites(ctx context.Context) error {
+	return d.board.Members.Watch(ctx, func(*blackboard.Members) { d.ledger.SetWriteRate(d.ownWrites()) })
+}
+
 func (d *Daemon) retainConnections() {
 	listed := make(map[platform.HostID]bool)
 	for _, list := range d.board.Targets.Load().ByService {
--- a/settings/check.go
+++ b/settings/check.go
@@ -33,6 +33,7 @@
 	c.platform(s.Platform)
 	c.notNegative("callers.maxHeaderBytes", int64(s.Callers.MaxHeaderBytes))
 	c.notNegative("callers.bodyMemoryBytes", s.Callers.BodyMemoryBytes)
+	c.notNegative("platform.writesPerSecond", int64(s.Platform.WritesPerSecond))
 	c.duration("callers.readHeaderTimeout", s.Callers.ReadHeaderTimeout)
 	c.duration("callers.idleTimeout", s.Callers.IdleTimeout)
 	c.duration("platform.timeout", s.Platform.Timeout)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,6 +91,9 @@
 	TokenFile string `json:"tokenFile,omitempty"`
 	// Timeout bounds one request; "2s" if empty.
 	Timeout Duration `json:"timeout,omitempty"`
+	// WritesPerSecond is how many transactions a second the claims of all hosts
+	// together may use; 300 if 0.
+	WritesPerSecond int `json:"writesPerSecond,omitempty"`
 }
 
 // Targets says how to connect to targets.
