--- a/policy/suspicion/book.go
+++ b/policy/suspicion/book.go
@@ -12,6 +12,8 @@
 	entries map[Digest]*entry
 	// losses are the targets lost of late, with the last loss of each.
 	losses map[platform.HostID]Loss
+	// accused is when each request was accused of late, cleared since or not.
+	accused map[Digest]time.Time
 	// cleared are the requests lately proved innocent: what other hosts still
 	// tell of them is out of date.
 	cleared map[Digest]time.Time
@@ -23,6 +25,7 @@
 		limits:  l,
 		entries: make(map[Digest]*entry),
 		losses:  make(map[platform.HostID]Loss),
+		accused: make(map[Digest]time.Time),
 		cleared: make(map[Digest]time.Time),
 	}
 }
@@ -68,7 +71,7 @@
 	if e.settled || now.Sub(e.since) < b.limits.Settle {
 		return
 	}
-	if !e.accused() || b.unexplained(e) >= b.limits.MassLoss {
+	if !e.accused() || b.unexplained(e) >= b.limits.MassLoss || b.accusedWith(e) > maxAccused {
 		e.setState(Suspect, now)
 		e.excused = now
 		return
@@ -102,11 +105,22 @@
 	e.sent = now
 	e.good = e.good || r.KnownGood
 	if e.add(r.Loss, b.limits.Wave) && e.accused() {
-		e.setState(Quarantined, now)
+		b.accuse(r.Digest, e, now)
 	}
 	return e.state
 }
 
+// accuse quarantines a request; settle decides whether it stays so.
+func (b *Book) accuse(d Digest, e *entry, at time.Time) {
+	e.setState(Quarantined, at)
+	for old, t := range b.accused {
+		if at.Sub(t) >= 2*b.limits.Wave {
+			delete(b.accused, old)
+		}
+	}
+	b.accused[d] = at
+}
+
 // Lost takes in that a target can not be reached any more, whatever ran on it.
 func (b *Book) Lost(now time.Time, target platform.HostID) {
 	b.noteLoss(now, Loss{Target: target, At: now})
@@ -123,14 +137,41 @@
 	return e
 }
 
-// unexplained counts the targets lost in the wave of this quarantine that no
-// quarantined request ran on. Two requests that crash targets at the same time
-// explain each other's.
+// unexplained counts the targets lost in the wave of this quarantine that speak
+// for the request: those that no accused request ran on. Two requests that crash
+// targets at the same time explain each other's.
+//
+// Failure: a request that is always in flight somewhere is lost with several
+// targets of a dying zone. Symptom: it seems to explain them, and a part of the
+// traffic is refused. So a request that was answered before explains no loss,
+// and any other target lost speaks for it, as do its own untried losses but the
+// first.
 func (b *Book) unexplained(e *entry) int {
+	counts := func(l Loss) bool {
+		return apart(l.At, e.since) < b.limits.Wave && l.At.After(e.excused)
+	}
 	n := 0
+	if e.good {
+		n = e.untried(counts)
+	}
 	for id, l := range b.losses {
-		near := apart(l.At, e.since) < b.limits.Wave && l.At.After(e.excused)
-		if near && !b.explained(id) {
+		if counts(l) && !e.lost(id) && (e.good || !b.explained(id)) {
+			n++
+		}
+	}
+	return n
+}
+
+// maxAccused is the number of requests that may be held guilty in one wave. More
+// at once are more likely victims of a dying zone that seem to explain each
+// other's losses.
+const maxAccused = 2
+
+// accusedWith counts the requests accused in the wave of this quarantine.
+func (b *Book) accusedWith(e *entry) int {
+	n := 0
+	for _, at := range b.accused {
+		if apart(at, e.since) < b.limits.Wave && at.After(e.excused) {
 			n++
 		}
 	}
@@ -139,7 +180,7 @@
 
 func (b *Book) explained(id platform.HostID) bool {
 	for _, e := range b.entries {
-		if e.state == Quarantined && e.lost(id) {
+		if e.state == Quarantined && !e.good && e.lost(id) {
 			return true
 		}
 	}
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -69,7 +69,7 @@
 		age = r.Age
 	}
 	if e.state == Suspect && e.accused() && (fresh || r.State == Quarantined) {
-		e.setState(Quarantined, now.Add(-age))
+		b.accuse(r.Digest, e, now.Add(-age))
 		e.settled = age >= b.limits.Settle
 	}
 	return false
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -173,6 +173,17 @@
 	return false
 }
 
+// untried returns how many of these losses beyond the first came without a trial.
+func (e *entry) untried(counts func(Loss) bool) int {
+	n := 0
+	for _, l := range e.losses {
+		if !l.Trial && counts(l) {
+			n++
+		}
+	}
+	return max(0, n-1)
+}
+
 func (e *entry) tried() bool {
 	for _, l := range e.losses {
 		if l.Trial {
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -93,6 +93,39 @@
 	assert.Equal(t, b.State(at(time.Second), 2), Suspect)
 }
 
+// A common request is lost with two targets of a dying zone and then, tried
+// alone, with a third; a rare one is lost with the other two. Each seems to
+// explain what the other does not. The common one is known to be good, so its
+// losses are the zone's, and neither is refused.
+func TestCommonRequestInADyingZone(t *testing.T) {
+	b := NewBook(DefaultLimits())
+	for i, target := range []platform.HostID{"t1", "t2", "t3"} {
+		loss := Loss{Target: target, At: at(0), Trial: i == 2}
+		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
+	}
+	lose(b, 0, 2, "t4", false)
+	lose(b, 0, 2, "t5", true)
+	assert.Equal(t, b.State(at(0), 1), Quarantined)
+	assert.Equal(t, b.State(at(time.Second), 2), Suspect)
+	assert.Equal(t, b.State(at(time.Second), 1), Suspect)
+}
+
+// Three requests are each lost with two of six targets, so that none is left
+// unexplained. So many at once speak for a dying zone; two do not.
+func TestManyAccusedAtOnceExcuseEachOther(t *testing.T) {
+	for n, want := range map[Digest]State{2: Quarantined, 3: Suspect} {
+		b := NewBook(DefaultLimits())
+		targets := []platform.HostID{"t1", "t2", "t3", "t4", "t5", "t6"}
+		for d := range n {
+			lose(b, 0, d+1, targets[2*d], false)
+			lose(b, 0, d+1, targets[2*d+1], true)
+		}
+		for d := range n {
+			assert.Equal(t, b.State(at(time.Second), d+1), want)
+		}
+	}
+}
+
 func TestForgiveness(t *testing.T) {
 	l := DefaultLimits()
 	b := NewBook(l)
