Let the holder's write go before claims of its row

A caller sent its key again without a pause while its answer waited to be written down, and was told key-in-progress all the while. Cause: a transaction is filled with claims first and holds each row once, so every transaction had a claim of that row and none the holder's write.

--- a/ledger/batch/commit.go
+++ b/ledger/batch/commit.go
@@ -129,18 +129,24 @@
 // gather takes the writes of one transaction, claims first. No row is written
 // twice in one: the table checks all conditions before it writes, so two
 // inserts of one row would both pass and two sends would both hold the claim.
+//
+// A claim of a row whose holder has a write queued goes after that write. Were
+// it first, a caller that sends its key again and again would keep its own answer
+// from ever being written down, and would be told key-in-progress for minutes.
 func (w *Writer) gather() []*entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var group []*entry
 	rows := make(map[string]bool)
+	holders := w.holderRows()
 	size := 0
 	for c := range w.queues {
 		var rest []*entry
 		taken := 0
 		for _, e := range w.queues[c] {
 			full := taken >= w.cfg.MaxOps || len(group) > 0 && size+len(e.Op.Value) > w.cfg.MaxBytes
-			if full || rows[e.Op.Key] {
+			behind := Class(c) == Claim && holders[e.Op.Key]
+			if full || rows[e.Op.Key] || behind {
 				rest = append(rest, e)
 				continue
 			}
@@ -156,6 +162,17 @@
 	return group
 }
 
+// holderRows returns the rows that holders of claims have writes queued for.
+func (w *Writer) holderRows() map[string]bool {
+	held := make(map[string]bool)
+	for c := GiveUp; c < classes; c++ {
+		for _, e := range w.queues[c] {
+			held[e.Op.Key] = true
+		}
+	}
+	return held
+}
+
 // commit makes one transaction and settles or queues again each of its writes.
 func (w *Writer) commit(group []*entry) {
 	ctx, cancel := context.WithTimeout(context.Background(), w.cfg.Timeout)
--- a/ledger/batch/writer_test.go
+++ b/ledger/batch/writer_test.go
@@ -205,3 +205,29 @@
 		assert.Equal(t, w.Backlog(), 0)
 	})
 }
+
+// A caller sends its key again without a pause while the first send's answer
+// waits to be written down. It gets that answer soon: the holder's write goes
+// before the claims of the same row, which would all meet it in conflict.
+func TestHolderIsNotStarvedByClaimsOfItsRow(t *testing.T) {
+	withWriter(t, func(t *testing.T, _ *store.Store, w *Writer) {
+		first := doAll(w, insert("a", "claimed"))[0]
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					_, _ = w.Do(ctx, insert("a", "again"))
+				}
+			})
+		}
+		began := time.Now()
+		settle := Write{Class: Settle, Op: platform.Op{Kind: platform.OpUpdate, Key: "a", Version: first.Row.Version, Value: []byte("answer")}}
+		res, err := w.Do(context.Background(), settle)
+		stop()
+		wg.Wait()
+		assert.NilError(t, err)
+		assert.Check(t, res.Applied)
+		assert.Check(t, time.Since(began) < time.Second, "took %s", time.Since(began))
+	})
+}
