--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -17,9 +17,11 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
+	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/entry"
 	"github.com/cactusproxy/cactusproxy/ledger"
@@ -48,6 +50,7 @@
 	platform *Platform
 	upstream upstream.RoundTripper
 	link     peer.Link
+	prober   probes.Prober
 }
 
 // WithLog has the daemon log to this logger; without it nothing is logged.
@@ -65,6 +68,11 @@
 	return func(o *options) { o.upstream = u }
 }
 
+// WithProber probes targets in another way than over HTTP.
+func WithProber(p probes.Prober) Option {
+	return func(o *options) { o.prober = p }
+}
+
 // WithLink reaches the other hosts over this link in place of TCP. The daemon
 // then opens no listeners: callers and operators are served by Handler and
 // Operators alone.
@@ -94,6 +102,8 @@
 	members    *membership.Controller
 	targets    *targets.Controller
 	leave      *leave.Controller
+	budget     *budget.Shares
+	probes     *probes.Controller
 
 	callers   *http.Server
 	operators *http.Server
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -183,6 +183,11 @@
 		a.watch.Completed()
 	case pick.BrokeOff:
 		a.watch.BrokeOff()
+	case pick.NotSent:
+		// The target can not be reached: what was in flight on it may have broken
+		// off for that, and not for a request.
+		a.watch.NotReached(a.grant.Target().ID)
+		a.watch.Close()
 	default:
 		a.watch.Close()
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,7 +90,7 @@
 	for {
 		watch, decision := d.admitAttempt(ctx, c)
 		if decision.Refuse {
-			return h.settle(outcome.ReasonQuarantined, decision.RetryAfter)
+			return h.settle(quarantineReason(decision), decision.RetryAfter)
 		}
 		g, refusal := d.picker.Pick(ctx, pick.Request{
 			Service: c.Key,
@@ -109,6 +109,15 @@
 	}
 }
 
+// quarantineReason tells a request that crashes targets from one that waited in
+// vain for its turn to be tried alone.
+func quarantineReason(d quarantine.Decision) outcome.Reason {
+	if d.Waited {
+		return outcome.ReasonQueueTimeout
+	}
+	return outcome.ReasonQuarantined
+}
+
 // admitAttempt asks the quarantine about one attempt.
 func (d *Dispatcher) admitAttempt(ctx context.Context, c *Call) (*quarantine.Attempt, quarantine.Decision) {
 	if d.suspects == nil {
--- a/internal/vlab/lab.go
+++ b/internal/vlab/lab.go
@@ -80,6 +80,7 @@
 		cactusproxy.WithLink(l.Net.Join(platform.HostID(id))),
 		cactusproxy.WithPlatform(cactusproxy.Platform{Table: l.Table, Objects: l.Store.Objects(), Hosts: l.Store.Hosts()}),
 		cactusproxy.WithUpstream(l.Fleet),
+		cactusproxy.WithProber(l.Fleet.Probe),
 	)
 	if err != nil {
 		return err
--- a/internal/vlab/target.go
+++ b/internal/vlab/target.go
@@ -4,6 +4,7 @@
 package vlab
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -116,6 +118,22 @@
 	return s
 }
 
+// probeTime is how long a probe takes.
+const probeTime = 6 * time.Millisecond
+
+// Probe answers a probe as the target's health endpoint would.
+func (f *Fleet) Probe(ctx context.Context, t blackboard.Target, _ string) probes.Result {
+	select {
+	case <-time.After(probeTime):
+	case <-ctx.Done():
+		return probes.Result{Load: -1}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.states[t.ID]
+	return probes.Result{OK: s != Down, Load: -1, Leaving: s == Draining}
+}
+
 func sleep(req *http.Request, d time.Duration) error {
 	select {
 	case <-time.After(d):
--- /dev/null
+++ b/probesource.go
@@ -0,0 +1,31 @@
+package cactusproxy
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/probes"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/slots"
+)
+
+// probeSource lets the prober ask the coordinator which targets to probe.
+type probeSource struct{ slots *slots.Slots }
+
+var _ probes.Source = probeSource{}
+
+// Stale implements probes.Source.
+func (p probeSource) Stale(now time.Time) []probes.Candidate {
+	stale := p.slots.Stale(now)
+	out := make([]probes.Candidate, len(stale))
+	for i, s := range stale {
+		out[i] = probes.Candidate{Service: s.Service, Target: s.Target}
+	}
+	return out
+}
+
+// Probed implements probes.Source. The latency of a probe says little of that of
+// calls, so it is left out.
+func (p probeSource) Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int, _ time.Duration) {
+	p.slots.Probed(key, id, ok, load)
+}
--- a/provision.go
+++ b/provision.go
@@ -10,9 +10,11 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
+	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
@@ -57,6 +59,7 @@
 		}
 	}
 	d.provisionControllers()
+	d.provisionProbes(o)
 	d.provisionCallers(o)
 	d.provisionLeave()
 	return d.provisionOperators()
@@ -245,6 +248,30 @@
 	d.cleanup = append(d.cleanup, d.slots.Close)
 }
 
+func (d *Daemon) provisionProbes(o options) {
+	d.budget = budget.New(budget.Deps{
+		Table:       d.platform.Table,
+		Self:        d.id(),
+		Incarnation: d.incarnation,
+		Config:      d.board.Config.Load,
+		Metrics:     d.metrics,
+		Log:         d.log,
+	})
+	prober := o.prober
+	if prober == nil {
+		prober = probes.HTTPProber()
+	}
+	d.probes = probes.New(probes.Deps{
+		Board:   d.board,
+		Source:  probeSource{d.slots},
+		Budget:  d.budget,
+		Prober:  prober,
+		Leaving: d.markLeaving,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
+}
+
 // peers learns the addresses of the other hosts.
 func (d *Daemon) peers() membership.PeerSetter {
 	if d.node == nil {
--- a/run.go
+++ b/run.go
@@ -15,7 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
-// upkeepInterval is the time between two closings of idle connections.
+// upkeepInterval is the time between two looks at what is not needed any more.
 const upkeepInterval = 5 * time.Second
 
 // ErrAborted is what Run returns after Abort.
@@ -59,6 +59,8 @@
 		d.targets.Run,
 		d.config.Run,
 		d.leave.Run,
+		d.budget.Run,
+		d.probes.Run,
 		d.shareWrites,
 		d.ledger.Run,
 		d.quarantine.Run,
@@ -93,7 +95,7 @@
 	return err
 }
 
-// upkeep closes connections to targets that are gone and those idle for long.
+// upkeep forgets targets that are gone, and closes connections idle for long.
 func (d *Daemon) upkeep(ctx context.Context) error {
 	tick := time.NewTicker(upkeepInterval)
 	defer tick.Stop()
@@ -102,7 +104,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			d.retainConnections()
+			d.forgetTargets()
 		}
 	}
 }
@@ -112,14 +114,16 @@
 	return d.board.Members.Watch(ctx, func(*blackboard.Members) { d.ledger.SetWriteRate(d.ownWrites()) })
 }
 
-func (d *Daemon) retainConnections() {
+func (d *Daemon) forgetTargets() {
 	listed := make(map[platform.HostID]bool)
 	for _, list := range d.board.Targets.Load().ByService {
 		for _, t := range list {
 			listed[t.ID] = true
 		}
 	}
-	d.pools.Retain(func(id platform.HostID) bool { return listed[id] })
+	known := func(id platform.HostID) bool { return listed[id] }
+	d.pools.Retain(known)
+	d.quarantine.KeepTargets(known)
 }
 
 // stop leaves gracefully. The error says that calls were cut off.
