--- a/internal/scenario/calls.go
+++ b/internal/scenario/calls.go
@@ -188,17 +188,20 @@
 }
 
 func compare(ts *testscript.TestScript, what string, have int, want string) {
-	var ok bool
+	if !holds(ts, have, want) {
+		ts.Fatalf("%s: %d, want %s", what, have, want)
+	}
+}
+
+// holds compares with a number, or with a bound such as <2 or >0.
+func holds(ts *testscript.TestScript, have int, want string) bool {
 	switch want[0] {
 	case '<':
-		ok = have < number(ts, want[1:])
+		return have < number(ts, want[1:])
 	case '>':
-		ok = have > number(ts, want[1:])
+		return have > number(ts, want[1:])
 	default:
-		ok = have == number(ts, want)
-	}
-	if !ok {
-		ts.Fatalf("%s: %d, want %s", what, have, want)
+		return have == number(ts, want)
 	}
 }
 
@@ -207,15 +210,29 @@
 //	metric map key n|<n|>n
 func cmdMetric(ts *testscript.TestScript, w *world, args []string) {
 	need(ts, args, 3, "metric map key n")
+	compare(ts, args[0]+"."+args[1], sumCounter(ts, w, args[0], args[1]), args[2])
+}
+
+// cmdUntil waits until a counter summed over all hosts is as wanted.
+//
+//	until map key n|<n|>n
+func cmdUntil(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 3, "until map key n")
+	ts.Check(lab.Wait(w.ctx, args[0]+"."+args[1], func() bool {
+		return holds(ts, sumCounter(ts, w, args[0], args[1]), args[2])
+	}))
+}
+
+func sumCounter(ts *testscript.TestScript, w *world, name, key string) int {
 	sum := 0
 	for _, id := range w.lab.HostIDs() {
 		h, err := w.lab.Host(id)
 		ts.Check(err)
-		v, err := counter(h.Metrics().String(), args[0], args[1])
+		v, err := counter(h.Metrics().String(), name, key)
 		ts.Check(err)
 		sum += v
 	}
-	compare(ts, args[0]+"."+args[1], sum, args[2])
+	return sum
 }
 
 // counter reads one counter of a map from the metrics' JSON; 0 if it is absent.
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -88,6 +88,7 @@
 	"runs":    positive(cmdRuns),
 	"ran":     positive(cmdRan),
 	"metric":  positive(cmdMetric),
+	"until":   positive(cmdUntil),
 	"expect":  positive(cmdExpect),
 	"load":    positive(cmdLoad),
 	"replace": positive(cmdReplace),
