Hold an overdue answer against its target for as long as it took

Cause: at low load every target is idle again when the next call comes, so nothing in flight told a straggler from the others; a target that took 2 s got 20 of 80 calls made one after the other.

--- a/internal/bench/capacity/memory.go
+++ b/internal/bench/capacity/memory.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy"
+	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/internal/lab"
@@ -108,7 +110,7 @@
 	if err := l.WaitReady(ctx, h.ID); err != nil {
 		return err
 	}
-	if _, err := l.ApplyText(ctx, h.ID, *confignet.Template(), confignet.Workspace("w", 100_000)); err != nil {
+	if _, err := l.ApplyText(ctx, h.ID, wideTemplate(), confignet.Workspace("w", 100_000), nil); err != nil {
 		return err
 	}
 	for i := range 20 {
@@ -129,6 +131,15 @@
 	return nil
 }
 
+// wideTemplate is the bench's template with targets that take many calls at
+// once.
+func wideTemplate() config.File {
+	t := *confignet.Template()
+	t.Text = strings.Replace(t.Text, `"slots": 2, "maxConns": 200`, `"slots": 200, "maxConns": 5000`, 1)
+	t.Text = strings.Replace(t.Text, `"timeout": "5s"`, `"timeout": "60s"`, 1)
+	return t
+}
+
 func openCallHeap(ctx context.Context, h *lab.Host, n int) (float64, error) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
--- a/internal/bench/loopback/bench.go
+++ b/internal/bench/loopback/bench.go
@@ -93,7 +93,7 @@
 		names = append(names, otherWorkspace(i))
 	}
 	for _, name := range names {
-		r, err := b.lab.ApplyText(ctx, hostID(0), *confignet.Template(), confignet.Workspace(name, 100_000))
+		r, err := b.lab.ApplyText(ctx, hostID(0), *confignet.Template(), confignet.Workspace(name, 100_000), nil)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/wait.go
+++ b/internal/lab/wait.go
@@ -85,24 +85,28 @@
 	if err != nil {
 		return operator.ChangeReply{}, err
 	}
-	return l.ApplyText(ctx, host, config.File{Name: templateFile, Text: string(template)}, config.File{Name: workspaceFile, Text: string(workspace)})
+	return l.ApplyText(ctx, host, config.File{Name: templateFile, Text: string(template)}, config.File{Name: workspaceFile, Text: string(workspace)}, nil)
 }
 
-// ApplyText is Apply with the text of the files.
-func (l *Lab) ApplyText(ctx context.Context, host string, template, workspace config.File) (operator.ChangeReply, error) {
+// ApplyText is Apply with the text of the files, against a version of the
+// workspace; nil is the present one.
+func (l *Lab) ApplyText(ctx context.Context, host string, template, workspace config.File, base *uint64) (operator.ChangeReply, error) {
 	h, err := l.Host(host)
 	if err != nil {
 		return operator.ChangeReply{}, err
 	}
 	ops := h.Operators()
-	plan, err := ops.Plan(ctx, operator.PlanRequest{Workspace: workspace, Template: &template})
-	if err != nil {
-		return operator.ChangeReply{}, err
+	if base == nil {
+		plan, err := ops.Plan(ctx, operator.PlanRequest{Workspace: workspace, Template: &template})
+		if err != nil {
+			return operator.ChangeReply{}, err
+		}
+		base = &plan.Base
 	}
 	return ops.Apply(ctx, operator.ApplyRequest{
 		ID:         ulid.Make().String(),
 		Who:        "lab",
-		Base:       &plan.Base,
+		Base:       base,
 		Workspace:  workspace,
 		Template:   &template,
 		WaitMillis: operator.MaxWait.Milliseconds(),
--- a/internal/scenario/deployment.go
+++ b/internal/scenario/deployment.go
@@ -123,9 +123,11 @@
 
 // cmdApply applies an example deployment, or a template and workspace from the
 // script, through entry-1 (or host=) and waits until it is in force everywhere.
+// With base the change is made against that version of the workspace and not the
+// present one; with want its result is checked.
 //
-//	apply [host=entry-1] auction|repairs
-//	apply [host=entry-1] template-file workspace-file
+//	apply [host=entry-1] [base=n] [want=applied] auction|repairs
+//	apply [host=entry-1] [base=n] [want=applied] template-file workspace-file
 func cmdApply(ts *testscript.TestScript, w *world, args []string) {
 	opts, rest := options(args)
 	host := opts["host"]
@@ -142,11 +144,23 @@
 		template = file(ts, ts.MkAbs(rest[0]))
 		workspace = file(ts, ts.MkAbs(rest[1]))
 	}
-	r, err := w.lab.ApplyText(w.ctx, host, template, workspace)
+	var base *uint64
+	if v, ok := opts["base"]; ok {
+		n := uint64(number(ts, v))
+		base = &n
+	}
+	r, err := w.lab.ApplyText(w.ctx, host, template, workspace, base)
 	ts.Check(err)
-	if r.Result != config.ResultApplied || r.Status == nil || !r.Status.InForce {
+	want := config.ResultApplied
+	if v, ok := opts["want"]; ok {
+		want = config.Result(v)
+	}
+	if r.Result != want {
 		ts.Fatalf("apply: result %s, %s, problems %v", r.Result, r.Detail, r.Problems)
 	}
+	if want == config.ResultApplied && (r.Status == nil || !r.Status.InForce) {
+		ts.Fatalf("apply: not in force everywhere: %+v", r.Status)
+	}
 }
 
 func file(ts *testscript.TestScript, name string) config.File {
--- a/policy/grant/book_test.go
+++ b/policy/grant/book_test.go
@@ -312,3 +312,31 @@
 	}
 	assert.Check(t, refused <= 12, "%d of 1000 attempts were refused", refused)
 }
+
+// Calls come one after the other, so every target is idle when the next one
+// comes. A target answers one of them far too late: for as long as that took the
+// calls go to the other target, and after that it gets its share again.
+func TestOverdueAnswerIsHeldAgainstItsTarget(t *testing.T) {
+	d := newDesk(2, 2)
+	d.warm()
+	next := CallID(1000)
+	call := func(took time.Duration) platform.HostID {
+		next++
+		at := d.ask("h1", Ask{ID: next}).Grants[0].Target
+		d.now = d.now.Add(took)
+		d.tell("h1", Frame{Ends: []End{{ID: next, Class: pick.OK, Latency: took, Load: -1}}})
+		return at
+	}
+	slow := call(time.Second)
+	for range 10 {
+		assert.Check(t, call(time.Millisecond) != slow)
+	}
+	d.now = d.now.Add(time.Second)
+	again := 0
+	for range 10 {
+		if call(time.Millisecond) == slow {
+			again++
+		}
+	}
+	assert.Check(t, again > 0)
+}
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -215,6 +215,7 @@
 	step         = 16
 	scoreOverdue = 8 * step
 	scoreCold    = step / 2
+	scoreSlow    = step // as much as one more attempt in flight
 	scoreFar     = 1 // among equals the target in the host's zone is nearer
 )
 
@@ -233,6 +234,9 @@
 		limit = b.slots
 		score += scoreOverdue
 	}
+	if in.now < t.slowUntil {
+		score += scoreSlow
+	}
 	if in.now < t.restUntil {
 		limit = min(limit, t.restLimit)
 	}
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -24,6 +24,7 @@
 	restUntil instant.Time
 	restLimit int
 	refusals  health.Refusals
+	slowUntil instant.Time // until then an overdue answer is held against it
 
 	id        platform.HostID
 	listed    bool
@@ -92,6 +93,7 @@
 		}
 		b.learnGap(now, c, e)
 		b.record(now, t, false)
+		b.learnSlow(now, t, e.Latency)
 	case pick.Failed, pick.TimedOut:
 		b.record(now, t, true)
 	case pick.BrokeOff, pick.NotSent:
@@ -106,6 +108,19 @@
 	}
 }
 
+// maxSlow bounds how long one overdue answer is held against a target.
+const maxSlow = 2 * time.Second
+
+// learnSlow remembers a target whose answer was overdue for as long as it took.
+// At low load every target is idle again when the next call comes, and nothing in
+// flight tells the straggler from the others: it would get its even share of the
+// calls, and each of them its delay.
+func (b *Book) learnSlow(now time.Time, t *target, took time.Duration) {
+	if d := b.overdueAfter(); d > 0 && took > d {
+		t.slowUntil = b.clock.At(now).Add(min(took, maxSlow))
+	}
+}
+
 // rest keeps more attempts than now are in flight off a target for a while.
 func (b *Book) rest(now time.Time, t *target) {
 	t.restUntil = b.clock.At(now).Add(t.refusals.Refused())
