--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -216,7 +216,7 @@
 	scoreOverdue = 8 * step
 	scoreCold    = step / 2
 	scoreSlow    = step // as much as one more attempt in flight
-	scoreFar     = 1 // among equals the target in the host's zone is nearer
+	scoreFar     = 1    // among equals the target in the host's zone is nearer
 )
 
 // score rates a target; false means that it has no slot.
