--- a/controller/leave/leave.go
+++ b/controller/leave/leave.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/metrics"
 )
@@ -118,7 +119,7 @@
 
 	c.runStage(limited, Announce, &rep)
 	c.runStage(limited, Handover, &rep)
-	sleep(limited, c.opts.DrainPeriod)
+	ctxtime.Sleep(limited, c.opts.DrainPeriod)
 	c.runStage(limited, Close, &rep)
 	c.awaitCalls(limited, start, &rep)
 	c.runStage(context.WithoutCancel(ctx), Release, &rep)
@@ -177,7 +178,7 @@
 		if n == 0 {
 			return
 		}
-		if !sleep(ctx, checkEvery) {
+		if !ctxtime.Sleep(ctx, checkEvery) {
 			c.cut(rep, start)
 			return
 		}
@@ -198,15 +199,3 @@
 	c.opts.Log.Error("STOP CUTS OFF CALLS IN FLIGHT: the operator's limit was reached",
 		zap.Int("cut_off", rep.Left), zap.Duration("limit", c.opts.Limit), zap.Duration("waited", time.Since(start)))
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -19,6 +19,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -195,7 +196,7 @@
 	offset := time.Duration(c.rng.Int64N(int64(beatEvery)))
 	c.lastRun = time.Now()
 	c.mu.Unlock()
-	if !sleep(ctx, offset) {
+	if !ctxtime.Sleep(ctx, offset) {
 		return
 	}
 	t := time.NewTicker(beatEvery)
@@ -275,7 +276,7 @@
 		if len(ids) == 0 || c.anySync(ctx, ids) {
 			break
 		}
-		if !sleep(ctx, wakeRetry) {
+		if !ctxtime.Sleep(ctx, wakeRetry) {
 			return
 		}
 	}
@@ -323,15 +324,3 @@
 	c.synced = now
 	return c.view.partners(c.rng)
 }
-
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -121,7 +122,7 @@
 				c.count.dropped.Add(1)
 			}
 		}
-		if !sleep(ctx, gossipDelay) {
+		if !ctxtime.Sleep(ctx, gossipDelay) {
 			return
 		}
 	}
--- a/controller/membership/list.go
+++ b/controller/membership/list.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
@@ -15,7 +16,7 @@
 	var known uint64
 	for {
 		known = c.readList(ctx, known)
-		if !sleep(ctx, c.pollWait()) {
+		if !ctxtime.Sleep(ctx, c.pollWait()) {
 			return
 		}
 	}
--- a/controller/targets/exchange.go
+++ b/controller/targets/exchange.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -22,7 +23,7 @@
 			return
 		case <-c.wake:
 		}
-		if !sleep(ctx, pushDelay) {
+		if !ctxtime.Sleep(ctx, pushDelay) {
 			return
 		}
 		c.mu.Lock()
@@ -82,7 +83,7 @@
 
 // compare asks a few neighbours again and again for marks this host lacks.
 func (c *Controller) compare(ctx context.Context, g *errgroup.Group) {
-	for sleep(ctx, compareEvery) {
+	for ctxtime.Sleep(ctx, compareEvery) {
 		c.mu.Lock()
 		if now := time.Now(); now.Sub(c.pruned) > pruneEvery {
 			c.prune(c.opts.Board.Targets.Load(), now)
@@ -110,18 +111,6 @@
 	}
 }
 
-// sleep reports whether the time passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // counters of one controller, served as the map "targets".
 type counters struct {
 	fromList, fromPeer, firstSeen  *expvar.Int
--- a/internal/bench/capacity/grants.go
+++ b/internal/bench/capacity/grants.go
@@ -16,7 +16,7 @@
 // grantsPerPoint is the number of grants timed for one point.
 const grantsPerPoint = 100_000
 
-// measureGrants drives a coordinator's book as one entry host does, with half of
+// measureGrants drives a coordinator's state as one entry host does, with half of
 // the slots in use.
 func measureGrants(_ context.Context, s *Slopes) error {
 	s.Grant = Slope{Name: "grant", X: "targets of the service", Y: "ns of processor time of a coordinator for a grant and its release"}
@@ -29,14 +29,14 @@
 func timeGrants(targets int) time.Duration {
 	const slots = 2
 	now := time.Now()
-	b := grant.NewBook(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1)))
+	b := grant.NewCoordinator(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1)))
 	b.Configure(&declare.Service{Name: "s", Slots: slots, MaxQueue: 1000})
 	list := make([]blackboard.Target, targets)
 	for i := range list {
 		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%d", i)), FirstSeen: now.Add(-time.Hour)}
 	}
 	b.SetTargets(now, list)
-	host := &entryHost{book: b}
+	host := &entryHost{coordinator: b}
 	for range targets * slots / 2 {
 		host.ask(now)
 	}
@@ -49,19 +49,19 @@
 	return time.Since(start)
 }
 
-// entryHost asks a book for grants and gives them back in their order.
+// entryHost asks a coordinator for grants and gives them back in their order.
 type entryHost struct {
-	book *grant.Book
-	seq  uint64
-	next grant.CallID
-	open []grant.CallID
+	coordinator *grant.Coordinator
+	seq         uint64
+	next        grant.CallID
+	open        []grant.CallID
 }
 
 func (h *entryHost) frame(f grant.Frame, now time.Time) {
 	h.seq++
 	f.Epoch, f.Seq, f.Full = 1, h.seq, h.seq == 1
-	h.book.Receive(now, "h1", f)
-	h.book.Flush(now, func(_ platform.HostID, t grant.Tell) {
+	h.coordinator.Receive(now, "h1", f)
+	h.coordinator.Flush(now, func(_ platform.HostID, t grant.Tell) {
 		for _, g := range t.Grants {
 			h.open = append(h.open, g.ID)
 		}
--- a/internal/bench/choose/coordinated.go
+++ b/internal/bench/choose/coordinated.go
@@ -15,7 +15,7 @@
 
 var benchService = blackboard.ServiceKey{Workspace: "bench", Service: "bench"}
 
-// coordinated runs the sessions and books of a daemon on every host.
+// coordinated runs the sessions and state of a daemon on every host.
 type coordinated struct {
 	world *world
 	hosts []*simHost
@@ -31,14 +31,14 @@
 
 // simHost is one entry host.
 type simHost struct {
-	way     *coordinated
-	index   int
-	id      platform.HostID
-	session *session.Session
-	book    *grant.Book
-	calls   map[grant.CallID]*simCall
-	armed   time.Duration // when the next tick comes; 0 means none
-	service *declare.Service
+	way         *coordinated
+	index       int
+	id          platform.HostID
+	session     *session.Session
+	coordinator *grant.Coordinator
+	calls       map[grant.CallID]*simCall
+	armed       time.Duration // when the next tick comes; 0 means none
+	service     *declare.Service
 	// cut hosts neither send nor receive messages of other hosts.
 	cut bool
 	// dead hosts answer nothing; paused ones answer when the pause ends.
@@ -61,11 +61,11 @@
 			calls: make(map[grant.CallID]*simCall),
 		}
 		h.session = session.New(benchService, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
-		h.book = grant.NewBook(benchService, rand.New(rand.NewPCG(wd.seed, uint64(200+i))))
+		h.coordinator = grant.NewCoordinator(benchService, rand.New(rand.NewPCG(wd.seed, uint64(200+i))))
 		h.service = &svc
 		h.session.Configure(&svc)
 		h.session.SetZone(zoneName(i % wd.c.Zones))
-		h.book.Configure(&svc)
+		h.coordinator.Configure(&svc)
 		w.ids[h.id] = i
 		w.hosts = append(w.hosts, h)
 	}
@@ -78,7 +78,7 @@
 	for _, h := range w.hosts {
 		h.do(func(now time.Time) {
 			h.session.SetTargets(now, w.listed)
-			h.book.SetTargets(now, w.listed)
+			h.coordinator.SetTargets(now, w.listed)
 		})
 	}
 }
@@ -122,7 +122,7 @@
 			h.tellOverdue(out.Overdue)
 		}
 		if out.To == h.id {
-			h.book.Receive(now, h.id, out.Frame)
+			h.coordinator.Receive(now, h.id, out.Frame)
 		} else if out.To != "" {
 			h.sendFrame(out.To, out.Frame)
 		}
@@ -133,11 +133,11 @@
 	h.arm()
 }
 
-// flush sends what the book has to say and reports whether some of it was for
+// flush sends what the coordinator has to say and reports whether some of it was for
 // this host itself.
 func (h *simHost) flush(now time.Time) bool {
 	own := false
-	h.book.Flush(now, func(to platform.HostID, t grant.Tell) {
+	h.coordinator.Flush(now, func(to platform.HostID, t grant.Tell) {
 		t.Grants = append([]grant.Grant(nil), t.Grants...)
 		t.Refusals = append([]grant.Refusal(nil), t.Refusals...)
 		if to == h.id {
@@ -153,7 +153,7 @@
 
 func (h *simHost) sendFrame(to platform.HostID, f grant.Frame) {
 	dst := h.way.hosts[h.way.ids[to]]
-	h.deliver(dst, func(now time.Time) { dst.book.Receive(now, h.id, f) })
+	h.deliver(dst, func(now time.Time) { dst.coordinator.Receive(now, h.id, f) })
 }
 
 func (h *simHost) tellOverdue(ids []platform.HostID) {
@@ -191,7 +191,7 @@
 
 func (h *simHost) arm() {
 	w := h.way.world
-	next := h.book.Next()
+	next := h.coordinator.Next()
 	if n := h.session.Next(); n > 0 && (next == 0 || n < next) {
 		next = n
 	}
@@ -208,7 +208,7 @@
 		h.whenAwake(func() {
 			h.do(func(now time.Time) {
 				h.session.Tick(now)
-				h.book.Tick(now)
+				h.coordinator.Tick(now)
 			})
 		})
 	})
--- a/internal/bench/choose/scenario.go
+++ b/internal/bench/choose/scenario.go
@@ -155,7 +155,7 @@
 		for _, h := range c.hosts {
 			h.service.ColdStart = ramp
 			h.session.Configure(h.service)
-			h.book.Configure(h.service)
+			h.coordinator.Configure(h.service)
 		}
 		w.atHalf(func() {
 			t := w.addTarget(len(w.targets))
--- a/ledger/batch/commit.go
+++ b/ledger/batch/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
@@ -45,7 +46,7 @@
 // awaitTurn waits until this host may make a transaction. Writes that come
 // meanwhile join it.
 func (w *Writer) awaitTurn(ctx context.Context) bool {
-	return sleep(ctx, w.untilSoon()) && w.limiter.Wait(ctx) == nil
+	return ctxtime.Sleep(ctx, w.untilSoon()) && w.limiter.Wait(ctx) == nil
 }
 
 // awaitSlot takes one of the slots for transactions under way.
@@ -106,20 +107,6 @@
 	return time.Duration(missing / float64(w.limiter.Limit()) * float64(time.Second))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (w *Writer) untilSoon() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -9,10 +9,10 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 )
 
-// book is where the claims of a kind of key are kept.
-type book interface {
+// claimStore is where the claims of a kind of key are kept.
+type claimStore interface {
 	// take tries to make c the holder of its key. If it does not, and c may yet
-	// become the holder, the book gives it up by itself.
+	// become the holder, the store gives it up by itself.
 	take(ctx context.Context, c *Claim) verdict
 	// settle writes down what became of c, as c.record has it, however long it
 	// takes, and then has the ledger forget c. It waits until ctx ends.
@@ -37,7 +37,7 @@
 	id     claimID
 	row    string
 	issued keys.ID
-	book   book
+	store  claimStore
 	// made is the wall clock when the call began: a monotonic clock stands still
 	// while its machine is suspended, the table's sweep does not.
 	made    time.Time
@@ -47,7 +47,7 @@
 
 	mu    sync.Mutex
 	phase phase
-	// owned is set once the book has confirmed that the key is this claim's.
+	// owned is set once the store has confirmed that the key is this claim's.
 	owned  bool
 	state  state
 	stamp  time.Time
@@ -56,7 +56,7 @@
 	version uint64
 }
 
-// record returns the claim as its book keeps it.
+// record returns the claim as its store keeps it.
 func (c *Claim) record() record {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,7 +138,7 @@
 		c.close()
 		return c.l.told(outcome.Uncertain(outcome.ReasonClaimUnknown))
 	}
-	c.book.settle(ctx, c)
+	c.store.settle(ctx, c)
 	if time.Now().Round(0).Sub(c.marked()) >= c.l.opts.tellWithin() {
 		return c.l.told(outcome.Uncertain(outcome.ReasonKeyGivenUp))
 	}
@@ -176,7 +176,7 @@
 	}
 }
 
-// settleLater has the book write the claim down without waiting for it.
+// settleLater has the store write the claim down without waiting for it.
 func (c *Claim) settleLater() {
 	if c.tooOld() {
 		c.close()
@@ -184,7 +184,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	c.book.settle(ctx, c)
+	c.store.settle(ctx, c)
 }
 
 // close ends the host's interest in a claim: what became of it is written down
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -76,9 +76,9 @@
 	sealer      *keys.Sealer
 	writer      *batch.Writer
 	pool        *pool
-	table       *tableBook
+	table       *tableStore
 	issuer      *issuer
-	remote      *remoteBook
+	remote      *remoteStore
 	runs        *runLog
 	serial      atomic.Uint64
 	// waiting is the size in bytes of the answers not written down yet.
@@ -111,9 +111,9 @@
 	l.pool = newPool(l, d)
 	l.writer = batch.NewWriter(d.Table, batch.Config{Rate: opts.WriteRate, Forward: l.pool, Count: l.counts.Add})
 	l.pool.serve(d.Link)
-	l.table = &tableBook{l: l, table: d.Table}
+	l.table = &tableStore{l: l, table: d.Table}
 	l.issuer = newIssuer(l)
-	l.remote = newRemoteBook(l, d.Link)
+	l.remote = newRemoteStore(l, d.Link)
 	l.issuer.serve(d.Link)
 	d.Metrics.Func("ledger_backlog", func() any { return l.writer.Backlog() })
 	return l
@@ -180,7 +180,7 @@
 	if other := l.admit(c); other != nil {
 		return l.answer(l.judgeActive(other, k))
 	}
-	v := c.book.take(ctx, c)
+	v := c.store.take(ctx, c)
 	if !v.take {
 		return l.answer(v)
 	}
@@ -247,7 +247,7 @@
 	c.row = rowName(k, parsed)
 	c.maxHold = l.opts.hold(parsed.Kind)
 	c.retention = l.opts.remember(parsed.Kind)
-	c.book = l.table
+	c.store = l.table
 	return c, outcome.Result{}
 }
 
@@ -261,9 +261,9 @@
 	c.row = issuedName(id)
 	c.maxHold = l.opts.IssuedWindow
 	c.retention = l.opts.remember(keys.Issued)
-	c.book = l.remote
+	c.store = l.remote
 	if id.Issuer == l.host {
-		c.book = l.issuer
+		c.store = l.issuer
 	}
 	return c, outcome.Result{}
 }
--- a/ledger/pool.go
+++ b/ledger/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/ledger/batch"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -39,7 +40,7 @@
 		return nil
 	}
 	p.apply()
-	for sleep(ctx, poolCheck) {
+	for ctxtime.Sleep(ctx, poolCheck) {
 		p.apply()
 	}
 	return nil
--- a/ledger/remote.go
+++ b/ledger/remote.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/peer"
 )
@@ -23,8 +24,8 @@
 	lastAskPause   = time.Second
 )
 
-// remoteBook redeems keys that other hosts issued.
-type remoteBook struct {
+// remoteStore redeems keys that other hosts issued.
+type remoteStore struct {
 	l    *Ledger
 	link peer.Link
 	// base ends with run; mu keeps a message from starting after that.
@@ -34,13 +35,13 @@
 	wg   sync.WaitGroup
 }
 
-func newRemoteBook(l *Ledger, link peer.Link) *remoteBook {
+func newRemoteStore(l *Ledger, link peer.Link) *remoteStore {
 	base, stop := context.WithCancel(context.Background())
-	return &remoteBook{l: l, link: link, base: base, stop: stop}
+	return &remoteStore{l: l, link: link, base: base, stop: stop}
 }
 
 // run ends the messages to issuers when ctx ends.
-func (b *remoteBook) run(ctx context.Context) error {
+func (b *remoteStore) run(ctx context.Context) error {
 	<-ctx.Done()
 	b.mu.Lock()
 	b.stop()
@@ -55,7 +56,7 @@
 // under it and nothing will be, but an earlier send may have run, which only
 // the issuer could tell: so the caller is told unknown, and the issuer, once it
 // can be reached, that the claim is given up.
-func (b *remoteBook) take(ctx context.Context, c *Claim) verdict {
+func (b *remoteStore) take(ctx context.Context, c *Claim) verdict {
 	ctx, cancel := context.WithTimeout(ctx, b.l.opts.IssuerPatience)
 	defer cancel()
 	req := newRedeemRequest(c)
@@ -67,14 +68,14 @@
 			return b.replied(reply, c)
 		}
 		asked = asked || !errors.Is(err, peer.ErrNotSent)
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			return b.noReply(c, asked)
 		}
 		pause = min(2*pause, lastAskPause)
 	}
 }
 
-func (b *remoteBook) replied(reply redeemReply, c *Claim) verdict {
+func (b *remoteStore) replied(reply redeemReply, c *Claim) verdict {
 	b.l.counts.Add("redeemed_at_peer", 1)
 	v := b.l.judgeReply(reply, c)
 	if !v.take {
@@ -83,7 +84,7 @@
 	return v
 }
 
-func (b *remoteBook) noReply(c *Claim, asked bool) verdict {
+func (b *remoteStore) noReply(c *Claim, asked bool) verdict {
 	if !asked {
 		b.l.forget(c)
 		return tell(outcome.Uncertain(outcome.ReasonIssuerGone))
@@ -94,7 +95,7 @@
 	return tell(outcome.Uncertain(outcome.ReasonClaimUnknown))
 }
 
-func ask[Resp, Req any](ctx context.Context, b *remoteBook, c *Claim, kind peer.Kind, req Req) (Resp, error) {
+func ask[Resp, Req any](ctx context.Context, b *remoteStore, c *Claim, kind peer.Kind, req Req) (Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	return peer.Call[Resp](ctx, b.link, c.issued.Issuer, kind, req)
@@ -102,7 +103,7 @@
 
 // settle tells the issuer what became of a claim, and waits for its word until
 // ctx ends.
-func (b *remoteBook) settle(ctx context.Context, c *Claim) {
+func (b *remoteStore) settle(ctx context.Context, c *Claim) {
 	done := make(chan struct{})
 	if !b.start(func() {
 		defer close(done)
@@ -116,7 +117,7 @@
 	}
 }
 
-func (b *remoteBook) start(f func()) bool {
+func (b *remoteStore) start(f func()) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.base.Err() != nil {
@@ -126,7 +127,7 @@
 	return true
 }
 
-func (b *remoteBook) tellIssuer(c *Claim) {
+func (b *remoteStore) tellIssuer(c *Claim) {
 	ctx, cancel := context.WithTimeout(b.base, settlePatience)
 	defer cancel()
 	defer c.close()
@@ -136,7 +137,7 @@
 		if err == nil {
 			return
 		}
-		if !sleep(ctx, pause) {
+		if !ctxtime.Sleep(ctx, pause) {
 			b.l.counts.Add("settles_lost", 1)
 			b.l.log.Warn("issuer not told of a claim's end",
 				zap.String("claim", c.id.String()), zap.String("issuer", string(c.issued.Issuer)))
@@ -144,15 +145,3 @@
 		}
 	}
 }
-
-// sleep waits for d; it reports whether ctx did not end meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -152,11 +152,11 @@
 	})
 }
 
-// slowBook holds its host up while a claim is given up.
-type slowBook struct{ book }
+// slowStore holds its host up while a claim is given up.
+type slowStore struct{ claimStore }
 
-func (b slowBook) settle(ctx context.Context, c *Claim) {
-	b.book.settle(ctx, c)
+func (b slowStore) settle(ctx context.Context, c *Claim) {
+	b.claimStore.settle(ctx, c)
 	time.Sleep(time.Second)
 }
 
@@ -166,7 +166,7 @@
 func TestPauseBeforeNotRunIsTold(t *testing.T) {
 	inWorld(t, 1, Options{}, func(t *testing.T, w *world) {
 		c, _, _ := w.begin(t, 0, key("k"))
-		c.book = slowBook{c.book}
+		c.store = slowStore{c.store}
 		result(t, c.GiveUp(context.Background()), outcome.Unknown, outcome.ReasonKeyGivenUp)
 	})
 }
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
@@ -17,12 +18,12 @@
 // sweep deletes expired rows until ctx ends, one read and at most one
 // transaction a step. Every host sweeps; a row that another host deleted first
 // costs no more than a read.
-func (b *tableBook) sweep(ctx context.Context) error {
+func (b *tableStore) sweep(ctx context.Context) error {
 	if b.l.opts.SweepEvery < 0 {
 		return nil
 	}
 	s := sweeper{b: b}
-	for sleep(ctx, s.pause()) {
+	for ctxtime.Sleep(ctx, s.pause()) {
 		if err := s.step(ctx); err != nil {
 			b.l.counts.Add("sweeps_failed", 1)
 			b.l.log.Warn("sweep failed", zap.Error(err))
@@ -33,7 +34,7 @@
 
 // sweeper takes turns between the keys that carry their time and the others.
 type sweeper struct {
-	b *tableBook
+	b *tableStore
 	// after is the last opaque row that was read.
 	after string
 	turn  bool
--- a/ledger/tablebook.go
+++ b/ledger/tablestore.go
@@ -12,8 +12,8 @@
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
-// tableBook keeps claims as rows of the platform's table.
-type tableBook struct {
+// tableStore keeps claims as rows of the platform's table.
+type tableStore struct {
 	l     *Ledger
 	table platform.Table
 }
@@ -24,7 +24,7 @@
 // A send that could not make its claim is told unknown, even if nothing of it
 // reached the table: an earlier send of the key may have run from another host,
 // and only the table could tell.
-func (b *tableBook) take(ctx context.Context, c *Claim) verdict {
+func (b *tableStore) take(ctx context.Context, c *Claim) verdict {
 	c.restamp()
 	op := platform.Op{Kind: platform.OpInsert, Key: c.row, Value: c.record().encode()}
 	for {
@@ -62,7 +62,7 @@
 }
 
 // read judges the row that was in the way of a claim.
-func (b *tableBook) read(c *Claim, row platform.Row) verdict {
+func (b *tableStore) read(c *Claim, row platform.Row) verdict {
 	if row.Version == 0 {
 		return verdict{take: true}
 	}
@@ -77,7 +77,7 @@
 // claimWrite is the write of a claim. If its caller's deadline ends first, the
 // claim may be in the table with nobody to send it: then it is given up, so
 // that a later send can take the key.
-func (b *tableBook) claimWrite(c *Claim, op platform.Op) batch.Write {
+func (b *tableStore) claimWrite(c *Claim, op platform.Op) batch.Write {
 	late := func(res batch.Result, err error) {
 		if err != nil || !res.Applied {
 			b.l.forget(c)
@@ -93,7 +93,7 @@
 }
 
 // settle writes the claim's end over its own row.
-func (b *tableBook) settle(ctx context.Context, c *Claim) {
+func (b *tableStore) settle(ctx context.Context, c *Claim) {
 	r := c.record()
 	done := func(res batch.Result, _ error) { b.settled(c, res) }
 	w := batch.Write{Class: batch.Settle, Op: c.update(r), Late: done}
@@ -113,7 +113,7 @@
 	}
 }
 
-func (b *tableBook) settled(c *Claim, res batch.Result) {
+func (b *tableStore) settled(c *Claim, res batch.Result) {
 	c.close()
 	if !res.Applied {
 		b.l.log.Warn("claim changed under its holder",
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -29,7 +29,7 @@
 )
 
 // dispatch gives slots to asks until it runs out of one or the other.
-func (b *Book) dispatch(now time.Time) {
+func (b *Coordinator) dispatch(now time.Time) {
 	if b.queued > 0 && b.capacity == 0 {
 		b.declineAll()
 	}
@@ -49,7 +49,7 @@
 
 // next returns the host whose oldest ask is due first, of those whose turn was
 // not passed because no target suits the ask.
-func (b *Book) next() *host {
+func (b *Coordinator) next() *host {
 	var first *host
 	for _, h := range b.hosts {
 		if h.queue.len() == 0 || h.passed {
@@ -74,7 +74,7 @@
 // tag returns when an ask is due. Asks are served in the order of arrival, which
 // has the shortest tail, as long as each host keeps to a multiple of its even
 // share; a host that floods the coordinator delays its own asks only.
-func (b *Book) tag(now time.Time, h *host) time.Time {
+func (b *Coordinator) tag(now time.Time, h *host) time.Time {
 	if b.capacity == 0 || b.service.Count() < minSamples {
 		return now
 	}
@@ -93,7 +93,7 @@
 // serve settles one ask of a host, the oldest that can be, and reports whether
 // there was one. An ask that wants a certain target does not hold up those
 // behind it; any other ask that finds no slot shows that there is none.
-func (b *Book) serve(now time.Time, h *host) bool {
+func (b *Coordinator) serve(now time.Time, h *host) bool {
 	for i := h.queue.head; i < len(h.queue.items); i++ {
 		w := &h.queue.items[i]
 		if b.full && w.ask.plain() {
@@ -113,7 +113,7 @@
 func (a *Ask) plain() bool { return !a.Alone && !a.Hedge && len(a.Avoid) == 0 }
 
 // settle grants or refuses an ask, or leaves it waiting and returns false.
-func (b *Book) settle(now time.Time, h *host, w *waiter) bool {
+func (b *Coordinator) settle(now time.Time, h *host, w *waiter) bool {
 	if !w.deadline.IsZero() && now.Add(b.service.Median()).After(w.deadline) {
 		h.refuse(w.ask.ID, outcome.ReasonDeadline)
 		return true
@@ -134,7 +134,7 @@
 
 // checkReserved frees the reserved target when the ask it was kept for is gone.
 // Otherwise it would stand idle until the next such ask.
-func (b *Book) checkReserved() {
+func (b *Coordinator) checkReserved() {
 	if b.reserved == nil {
 		return
 	}
@@ -148,7 +148,7 @@
 
 // declineAll sends all asks back to their hosts. The list of targets that this
 // host has may lag behind theirs, so it can not say that there is none.
-func (b *Book) declineAll() {
+func (b *Coordinator) declineAll() {
 	for _, h := range b.hosts {
 		h.decline = h.decline || h.queue.len() > 0
 		b.queued -= h.queue.keep(func(CallID) bool { return false })
@@ -156,7 +156,7 @@
 }
 
 // place returns the target for an ask, or nil if none has a slot now.
-func (b *Book) place(now time.Time, h *host, a *Ask) *target {
+func (b *Coordinator) place(now time.Time, h *host, a *Ask) *target {
 	if a.Alone {
 		return b.placeAlone(now, a)
 	}
@@ -199,7 +199,7 @@
 	overdue instant.Time // grants before it are overdue
 }
 
-func (b *Book) terms(now time.Time, a *Ask) terms {
+func (b *Coordinator) terms(now time.Time, a *Ask) terms {
 	in := terms{time: now, now: b.clock.At(now), limit: b.slots, cold: b.coldLimit(now)}
 	if !a.Hedge {
 		in.limit += b.over()
@@ -220,7 +220,7 @@
 )
 
 // score rates a target; false means that it has no slot.
-func (b *Book) score(in *terms, t *target) (int, bool) {
+func (b *Coordinator) score(in *terms, t *target) (int, bool) {
 	if !t.open || t == b.reserved {
 		return 0, false
 	}
@@ -250,7 +250,7 @@
 }
 
 // scoreDoubted goes on for targets that may be cold, ejected or on trial.
-func (b *Book) scoreDoubted(in *terms, t *target, score int) (int, bool) {
+func (b *Coordinator) scoreDoubted(in *terms, t *target, score int) (int, bool) {
 	if t.health.Ejected(in.time) {
 		return 0, false
 	}
@@ -267,7 +267,7 @@
 }
 
 // overdueAfter is the age at which an attempt is overdue, 0 if not known.
-func (b *Book) overdueAfter() time.Duration {
+func (b *Coordinator) overdueAfter() time.Duration {
 	if b.service.Count() < minSamples {
 		return 0
 	}
@@ -278,7 +278,7 @@
 // into the journey of release and grant. Never over the slots, each slot stands
 // idle for that journey; further over, calls wait in the target's queue, behind
 // a straggler if it has become one.
-func (b *Book) over() int {
+func (b *Coordinator) over() int {
 	mean := b.service.Mean()
 	if b.service.Count() < minSamples || mean <= 0 {
 		return 1
@@ -296,7 +296,7 @@
 const fixedGap = 500 * time.Microsecond
 
 // coldLimit reports whether cold starts are to be held back.
-func (b *Book) coldLimit(now time.Time) bool {
+func (b *Coordinator) coldLimit(now time.Time) bool {
 	if b.cold <= 0 {
 		return false
 	}
@@ -309,20 +309,20 @@
 	return n > 0 && float64(n) <= maxCold*float64(len(b.targets))
 }
 
-func (b *Book) isCold(now time.Time, t *target) bool {
+func (b *Coordinator) isCold(now time.Time, t *target) bool {
 	return now.Sub(t.firstSeen) < b.cold
 }
 
 // coldTurn spaces the attempts on a new target so that its share grows from
 // coldFloor to the whole over the cold start.
-func (b *Book) coldTurn(now time.Time, t *target) bool {
+func (b *Coordinator) coldTurn(now time.Time, t *target) bool {
 	share := max(float64(now.Sub(t.firstSeen))/float64(b.cold), coldFloor)
 	every := float64(b.service.Mean()) / (float64(b.slots) * share)
 	return now.Sub(t.lastGrant) >= time.Duration(every)
 }
 
 // others reports whether a target that is not to be avoided could serve.
-func (b *Book) others(now time.Time, avoid []platform.HostID) bool {
+func (b *Coordinator) others(now time.Time, avoid []platform.HostID) bool {
 	for _, t := range b.targets {
 		if t.usable() && !t.health.Ejected(now) && !slices.Contains(avoid, t.id) {
 			return true
@@ -333,7 +333,7 @@
 
 // placeAlone returns an idle target. If there is none it keeps one from getting
 // more, so that busy targets can not put off the ask for ever.
-func (b *Book) placeAlone(now time.Time, a *Ask) *target {
+func (b *Coordinator) placeAlone(now time.Time, a *Ask) *target {
 	var least *target
 	strict := b.others(now, a.Avoid)
 	at := b.clock.At(now)
--- a/policy/grant/book.go
+++ b/policy/grant/coordinator.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 )
 
-// Times of the protocol between a book and the entry hosts.
+// Times of the protocol between a coordinator and the entry hosts.
 const (
 	// TickEvery is how often Tick should run while an ask waits.
 	TickEvery = time.Millisecond
@@ -35,9 +35,9 @@
 	transit = 20 * time.Millisecond
 )
 
-// Book holds the attempts in flight and the asks that wait, of one service. It
+// Coordinator holds the attempts in flight and the asks that wait, of one service. It
 // is not safe for concurrent use.
-type Book struct {
+type Coordinator struct {
 	key     blackboard.ServiceKey
 	slots   int
 	cold    time.Duration
@@ -82,9 +82,9 @@
 	queued    bool // all slots of the target were taken when it was granted
 }
 
-// NewBook returns a book without targets or hosts.
-func NewBook(key blackboard.ServiceKey, rng *rand.Rand) *Book {
-	return &Book{
+// NewCoordinator returns a coordinator without targets or hosts.
+func NewCoordinator(key blackboard.ServiceKey, rng *rand.Rand) *Coordinator {
+	return &Coordinator{
 		key:    key,
 		slots:  1,
 		rng:    rng,
@@ -95,7 +95,7 @@
 }
 
 // Configure takes the declaration of the service.
-func (b *Book) Configure(s *declare.Service) {
+func (b *Coordinator) Configure(s *declare.Service) {
 	b.slots = max(s.Slots, 1)
 	b.cold = s.ColdStart
 	b.count()
@@ -103,7 +103,7 @@
 
 // SetTargets takes the view of the targets. Targets that are no longer listed
 // get no new attempt and are forgotten when their last one has ended.
-func (b *Book) SetTargets(now time.Time, list []blackboard.Target) {
+func (b *Coordinator) SetTargets(now time.Time, list []blackboard.Target) {
 	for _, t := range b.targets {
 		t.listed = false
 	}
@@ -127,7 +127,7 @@
 }
 
 // zone returns the number that stands for a zone's name.
-func (b *Book) zone(name string) zone {
+func (b *Coordinator) zone(name string) zone {
 	if i := slices.Index(b.zones, name); i >= 0 {
 		return zone(i)
 	}
@@ -135,7 +135,7 @@
 	return zone(len(b.zones) - 1)
 }
 
-func (b *Book) forgetTargets() {
+func (b *Coordinator) forgetTargets() {
 	b.targets = slices.DeleteFunc(b.targets, func(t *target) bool {
 		gone := !t.listed && t.inFlight() == 0
 		if gone {
@@ -151,7 +151,7 @@
 }
 
 // count brings the sums over all targets up to date.
-func (b *Book) count() {
+func (b *Coordinator) count() {
 	b.capacity = 0
 	for _, t := range b.targets {
 		if t.usable() {
@@ -161,7 +161,7 @@
 }
 
 // Receive takes a frame of an entry host.
-func (b *Book) Receive(now time.Time, from platform.HostID, f Frame) {
+func (b *Coordinator) Receive(now time.Time, from platform.HostID, f Frame) {
 	h := b.host(from, f)
 	if f.Epoch != h.epoch {
 		return // a late frame of an earlier run
@@ -189,7 +189,7 @@
 }
 
 // ask queues an ask or refuses it at once.
-func (b *Book) ask(now time.Time, h *host, a Ask) {
+func (b *Coordinator) ask(now time.Time, h *host, a Ask) {
 	if h.waits(a.ID) || b.calls[callKey{h.id, a.ID}] != nil {
 		return // listed again by a full frame
 	}
@@ -207,7 +207,7 @@
 }
 
 // refusal tells whether an ask can not be served in time, or at all.
-func (b *Book) refusal(w *waiter) (outcome.Reason, bool) {
+func (b *Coordinator) refusal(w *waiter) (outcome.Reason, bool) {
 	if w.ask.Remaining <= 0 || b.capacity == 0 {
 		return "", false
 	}
@@ -218,7 +218,7 @@
 }
 
 // ExpectedWait is how long an ask that came now would wait for a slot.
-func (b *Book) ExpectedWait() time.Duration {
+func (b *Coordinator) ExpectedWait() time.Duration {
 	free := b.capacity - len(b.calls)
 	if free > b.queued || b.capacity == 0 {
 		return 0
@@ -227,7 +227,7 @@
 }
 
 // end gives back the slot of an attempt, or withdraws an ask.
-func (b *Book) end(now time.Time, h *host, e End) {
+func (b *Coordinator) end(now time.Time, h *host, e End) {
 	c := b.calls[callKey{h.id, e.ID}]
 	if c == nil {
 		if h.queue.remove(e.ID) {
@@ -239,8 +239,8 @@
 	b.release(now, c)
 }
 
-// release takes an attempt out of the books.
-func (b *Book) release(now time.Time, c *call) {
+// release takes an attempt out of the state.
+func (b *Coordinator) release(now time.Time, c *call) {
 	delete(b.calls, callKey{c.host.id, c.id})
 	held := c.target.remove(c)
 	if !held {
@@ -254,8 +254,8 @@
 	b.spare = append(b.spare, c)
 }
 
-// hold enters an attempt into the books.
-func (b *Book) hold(h *host, id CallID, t *target, since time.Time, alone bool) *call {
+// hold enters an attempt into the state.
+func (b *Coordinator) hold(h *host, id CallID, t *target, since time.Time, alone bool) *call {
 	var c *call
 	if n := len(b.spare); n > 0 {
 		c = b.spare[n-1]
@@ -272,7 +272,7 @@
 }
 
 // Next returns the time until Tick should run, 0 for never.
-func (b *Book) Next() time.Duration {
+func (b *Coordinator) Next() time.Duration {
 	switch {
 	case b.queued > 0:
 		return TickEvery
@@ -283,15 +283,15 @@
 	}
 }
 
-// InFlight returns the attempts in the books.
-func (b *Book) InFlight() int { return len(b.calls) }
+// InFlight returns the attempts in the state.
+func (b *Coordinator) InFlight() int { return len(b.calls) }
 
 // Queued returns the asks that wait.
-func (b *Book) Queued() int { return b.queued }
+func (b *Coordinator) Queued() int { return b.queued }
 
 // Tick watches the passing of time: deadlines of asks, hosts that fell silent,
 // ejections that end.
-func (b *Book) Tick(now time.Time) {
+func (b *Coordinator) Tick(now time.Time) {
 	for i := len(b.hosts) - 1; i >= 0; i-- {
 		h := b.hosts[i]
 		if now.Sub(h.heard) > hostTimeout {
@@ -308,7 +308,7 @@
 	}
 }
 
-func (b *Book) expire(now time.Time, h *host) {
+func (b *Coordinator) expire(now time.Time, h *host) {
 	b.queued -= h.queue.keepWaiters(func(w *waiter) bool {
 		if w.deadline.IsZero() || now.Before(w.deadline) {
 			return true
@@ -319,14 +319,14 @@
 }
 
 // DropHost lets the attempts of a host lapse that is known to be gone.
-func (b *Book) DropHost(now time.Time, id platform.HostID) {
+func (b *Coordinator) DropHost(now time.Time, id platform.HostID) {
 	if h := b.byHost[id]; h != nil {
 		b.dropHost(now, h)
 		b.dispatch(now)
 	}
 }
 
-func (b *Book) dropHost(now time.Time, h *host) {
+func (b *Coordinator) dropHost(now time.Time, h *host) {
 	for _, c := range b.held(h) {
 		b.release(now, c)
 	}
--- a/policy/grant/book_test.go
+++ b/policy/grant/coordinator_test.go
@@ -15,20 +15,20 @@
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
-// desk drives a book by hand.
-type desk struct {
-	*Book
+// fixture drives a coordinator by hand.
+type fixture struct {
+	*Coordinator
 	now   time.Time
 	seq   map[platform.HostID]uint64
 	tells map[platform.HostID]Tell
 }
 
-func newDesk(targets, slots int) *desk {
-	d := &desk{
-		Book:  NewBook(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1))),
-		now:   time.Unix(1000, 0),
-		seq:   make(map[platform.HostID]uint64),
-		tells: make(map[platform.HostID]Tell),
+func newFixture(targets, slots int) *fixture {
+	d := &fixture{
+		Coordinator: NewCoordinator(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1))),
+		now:         time.Unix(1000, 0),
+		seq:         make(map[platform.HostID]uint64),
+		tells:       make(map[platform.HostID]Tell),
 	}
 	d.Configure(&declare.Service{Slots: slots, ColdStart: 0})
 	d.list(targets, -1)
@@ -36,7 +36,7 @@
 }
 
 // list lists this many targets; one may be leaving.
-func (d *desk) list(targets, leaving int) {
+func (d *fixture) list(targets, leaving int) {
 	list := make([]blackboard.Target, targets)
 	for i := range list {
 		list[i] = blackboard.Target{ID: targetID(i), Leaving: i == leaving}
@@ -48,7 +48,7 @@
 
 // tell delivers a frame and returns what the host hears, at once and in the
 // grants that others' frames set free later.
-func (d *desk) tell(h platform.HostID, f Frame) Tell {
+func (d *fixture) tell(h platform.HostID, f Frame) Tell {
 	d.seq[h]++
 	f.Epoch, f.Seq = 1, d.seq[h]
 	f.Full = f.Full || f.Seq == 1
@@ -56,7 +56,7 @@
 	return d.hear(h)
 }
 
-func (d *desk) hear(h platform.HostID) Tell {
+func (d *fixture) hear(h platform.HostID) Tell {
 	d.tells = make(map[platform.HostID]Tell)
 	d.Flush(d.now, func(to platform.HostID, t Tell) {
 		t.Grants = append([]Grant(nil), t.Grants...)
@@ -66,14 +66,14 @@
 	return d.tells[h]
 }
 
-func (d *desk) ask(h platform.HostID, a Ask) Tell { return d.tell(h, Frame{Asks: []Ask{a}}) }
+func (d *fixture) ask(h platform.HostID, a Ask) Tell { return d.tell(h, Frame{Asks: []Ask{a}}) }
 
-func (d *desk) finish(h platform.HostID, id CallID, class pick.Class) Tell {
+func (d *fixture) finish(h platform.HostID, id CallID, class pick.Class) Tell {
 	return d.tell(h, Frame{Ends: []End{{ID: id, Class: class, Latency: 5 * time.Millisecond, Load: -1}}})
 }
 
-// warm lets the book learn a service time of 5 ms.
-func (d *desk) warm() {
+// warm lets the coordinator learn a service time of 5 ms.
+func (d *fixture) warm() {
 	for i := range 2 * minSamples {
 		id := CallID(1_000_000 + i)
 		d.ask("warm", Ask{ID: id})
@@ -86,7 +86,7 @@
 // target gets no more, so that the others' calls can not put it off for ever.
 // As long as it runs, its target gets nothing else.
 func TestAskForATargetOfItsOwn(t *testing.T) {
-	d := newDesk(2, 2)
+	d := newFixture(2, 2)
 	d.ask("a", Ask{ID: 1})
 	d.ask("a", Ask{ID: 2})
 	assert.Equal(t, len(d.ask("b", Ask{ID: 1, Alone: true}).Grants), 0)
@@ -106,7 +106,7 @@
 }
 
 func TestHedgeGetsAFreeSlotOrNothing(t *testing.T) {
-	d := newDesk(2, 1)
+	d := newFixture(2, 1)
 	first := d.ask("a", Ask{ID: 1}).Grants[0].Target
 	second := d.ask("a", Ask{ID: 2, Hedge: true, Avoid: []platform.HostID{first}}).Grants[0].Target
 	assert.Check(t, second != first)
@@ -116,7 +116,7 @@
 }
 
 func TestAvoidedTargetIsTakenOnlyIfThereIsNoOther(t *testing.T) {
-	d := newDesk(2, 4)
+	d := newFixture(2, 4)
 	for id := CallID(1); id < 4; id++ {
 		assert.Equal(t, d.ask("a", Ask{ID: id, Avoid: []platform.HostID{targetID(0)}}).Grants[0].Target, targetID(1))
 	}
@@ -125,7 +125,7 @@
 }
 
 func TestTargetThatSaysItLeavesGetsNothingMore(t *testing.T) {
-	d := newDesk(2, 4)
+	d := newFixture(2, 4)
 	g := d.ask("a", Ask{ID: 1}).Grants[0]
 	d.tell("a", Frame{Ends: []End{{ID: 1, Class: pick.OK, Latency: time.Millisecond, Load: -1, Leaving: true}}})
 	for id := CallID(2); id < 6; id++ {
@@ -137,7 +137,7 @@
 // left out; the cap keeps the other two in use, or the third of the targets
 // that still worked would get all the load.
 func TestEjectionHasACap(t *testing.T) {
-	d := newDesk(10, 2)
+	d := newFixture(10, 2)
 	d.warm()
 	for id := CallID(1); id < 400; id++ {
 		for _, g := range d.ask("a", Ask{ID: id}).Grants {
@@ -155,7 +155,7 @@
 // A release is lost on the way. Its slot would stay taken for good; the next
 // full frame of the host does not list the attempt, which frees it.
 func TestFullFrameFreesWhatWasLost(t *testing.T) {
-	d := newDesk(1, 4)
+	d := newFixture(1, 4)
 	d.ask("a", Ask{ID: 1})
 	d.ask("a", Ask{ID: 2})
 	d.now = d.now.Add(HeartbeatEvery)
@@ -166,7 +166,7 @@
 // A host dies with grants in hand: it says nothing more, and what it held
 // lapses. A restart of the same host starts from nothing as well.
 func TestGrantsLapseWithTheirHost(t *testing.T) {
-	d := newDesk(1, 4)
+	d := newFixture(1, 4)
 	d.ask("a", Ask{ID: 1})
 	d.ask("b", Ask{ID: 1})
 	d.now = d.now.Add(hostTimeout / 2)
@@ -179,7 +179,7 @@
 }
 
 func TestHostWithoutHistoryIsAskedForItsAttempts(t *testing.T) {
-	d := newDesk(1, 4)
+	d := newFixture(1, 4)
 	d.Receive(d.now, "a", Frame{Epoch: 1, Seq: 7, Asks: []Ask{{ID: 3}}})
 	told := d.hear("a")
 	assert.Equal(t, len(told.Grants), 1)
@@ -189,7 +189,7 @@
 // The list of this host lags and names no target, while the asking host knows
 // some. A refusal would be a lie; the asking host is sent back to choose alone.
 func TestCoordinatorWithoutTargetsDeclines(t *testing.T) {
-	d := newDesk(0, 1)
+	d := newFixture(0, 1)
 	told := d.ask("a", Ask{ID: 1})
 	assert.Check(t, told.Decline)
 	assert.Equal(t, len(told.Refusals), 0)
@@ -198,7 +198,7 @@
 // One host asks for far more than its share. Its own asks wait; another host's
 // few asks come next although they came last.
 func TestFloodOfOneHostDelaysOnlyItself(t *testing.T) {
-	d := newDesk(2, 1)
+	d := newFixture(2, 1)
 	d.warm()
 	for id := CallID(1); id <= 200; id++ {
 		d.ask("flood", Ask{ID: id})
@@ -216,7 +216,7 @@
 }
 
 func TestColdTargetGetsAGrowingShare(t *testing.T) {
-	d := newDesk(4, 2)
+	d := newFixture(4, 2)
 	d.warm()
 	d.Configure(&declare.Service{Slots: 2, ColdStart: time.Second})
 	list := make([]blackboard.Target, 5)
@@ -241,8 +241,8 @@
 	assert.Check(t, got[0] > 0 && got[0] < got[1], "%v", got)
 }
 
-func benchDesk() (*desk, *host) {
-	d := newDesk(100, 2)
+func benchFixture() (*fixture, *host) {
+	d := newFixture(100, 2)
 	d.warm()
 	for id := CallID(1); id <= 100; id++ {
 		d.ask("warm", Ask{ID: id})
@@ -252,7 +252,7 @@
 }
 
 func BenchmarkChoice(b *testing.B) {
-	d, h := benchDesk()
+	d, h := benchFixture()
 	a := &Ask{ID: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -261,7 +261,7 @@
 }
 
 func BenchmarkChoiceWithBooks(b *testing.B) {
-	d, h := benchDesk()
+	d, h := benchFixture()
 	a := &Ask{ID: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -271,7 +271,7 @@
 }
 
 func TestChoiceAllocatesNothing(t *testing.T) {
-	d := newDesk(100, 2)
+	d := newFixture(100, 2)
 	d.warm()
 	h := d.byHost["warm"]
 	a := &Ask{ID: 5000}
@@ -283,7 +283,7 @@
 // A suspect waits for a target of its own, which takes as long as the calls on
 // it do. The calls behind it, of the same host, go on meanwhile.
 func TestWaitingSuspectHoldsUpNobody(t *testing.T) {
-	d := newDesk(2, 2)
+	d := newFixture(2, 2)
 	d.ask("a", Ask{ID: 1})
 	d.ask("a", Ask{ID: 2})
 	assert.Equal(t, len(d.ask("a", Ask{ID: 3, Alone: true}).Grants), 0)
@@ -296,7 +296,7 @@
 // ejected. They look idle all the time. Each costs a caller one further attempt
 // now and then, not with every call.
 func TestTargetsThatAreDownAreTriedSeldom(t *testing.T) {
-	d := newDesk(5, 2)
+	d := newFixture(5, 2)
 	d.warm()
 	refused := 0
 	for id := CallID(1); id <= 1000; id++ {
@@ -317,7 +317,7 @@
 // comes. A target answers one of them far too late: for as long as that took the
 // calls go to the other target, and after that it gets its share again.
 func TestOverdueAnswerIsHeldAgainstItsTarget(t *testing.T) {
-	d := newDesk(2, 2)
+	d := newFixture(2, 2)
 	d.warm()
 	next := CallID(1000)
 	call := func(took time.Duration) platform.HostID {
--- a/policy/grant/full.go
+++ b/policy/grant/full.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// takeFull brings the books of one host in line with what it lists.
-func (b *Book) takeFull(now time.Time, h *host, f Frame) {
+// takeFull brings the state of one host in line with what it lists.
+func (b *Coordinator) takeFull(now time.Time, h *host, f Frame) {
 	h.zone = b.zone(f.Zone)
 	for i := range f.Open {
 		b.adopt(now, h, f.Open[i])
@@ -15,9 +15,9 @@
 	b.reconcile(now, h, f)
 }
 
-// adopt enters an attempt that this book did not grant: the host chose by
+// adopt enters an attempt that this coordinator did not grant: the host chose by
 // itself, or another coordinator granted it.
-func (b *Book) adopt(now time.Time, h *host, o Open) {
+func (b *Coordinator) adopt(now time.Time, h *host, o Open) {
 	if c := b.calls[callKey{h.id, o.ID}]; c != nil {
 		if c.target.id == o.Target {
 			c.confirmed = true
@@ -38,7 +38,7 @@
 // reconcile drops what a full frame does not list. Without it a release that
 // was lost on the way would leave its slot taken for good: the target would
 // look busy and stay idle.
-func (b *Book) reconcile(now time.Time, h *host, f Frame) {
+func (b *Coordinator) reconcile(now time.Time, h *host, f Frame) {
 	open := make(map[CallID]bool, len(f.Open)+len(f.Asks))
 	for _, o := range f.Open {
 		open[o.ID] = true
@@ -55,7 +55,7 @@
 }
 
 // held returns the attempts of one host, oldest first.
-func (b *Book) held(h *host) []*call {
+func (b *Coordinator) held(h *host) []*call {
 	var out []*call
 	for _, c := range b.calls {
 		if c.host == h {
--- a/policy/grant/host.go
+++ b/policy/grant/host.go
@@ -33,7 +33,7 @@
 
 // host returns the record of a host. A later run of its daemon starts from
 // nothing: the attempts of the earlier run ended with it.
-func (b *Book) host(id platform.HostID, f Frame) *host {
+func (b *Coordinator) host(id platform.HostID, f Frame) *host {
 	h := b.byHost[id]
 	if h != nil && f.Epoch > h.epoch {
 		b.dropHost(h.heard, h)
@@ -47,8 +47,8 @@
 	return h
 }
 
-// Hosts returns the entry hosts in the books.
-func (b *Book) Hosts() []platform.HostID {
+// Hosts returns the entry hosts in the state.
+func (b *Coordinator) Hosts() []platform.HostID {
 	ids := make([]platform.HostID, len(b.hosts))
 	for i, h := range b.hosts {
 		ids[i] = h.id
@@ -64,7 +64,7 @@
 
 // Flush hands every message that is due to send and forgets it. The slices of
 // the message are only valid during the call.
-func (b *Book) Flush(now time.Time, send func(to platform.HostID, t Tell)) {
+func (b *Coordinator) Flush(now time.Time, send func(to platform.HostID, t Tell)) {
 	for _, h := range b.hosts {
 		if len(h.grants) == 0 && len(h.refusals) == 0 && !h.alive && !h.resync && !h.decline {
 			continue
--- a/policy/grant/stale.go
+++ b/policy/grant/stale.go
@@ -12,7 +12,7 @@
 
 // Stale returns the targets of which calls tell nothing: those that had none
 // for a while, and those left out. They are what a probe is worth spending on.
-func (b *Book) Stale(now time.Time) []platform.HostID {
+func (b *Coordinator) Stale(now time.Time) []platform.HostID {
 	var out []platform.HostID
 	for _, t := range b.targets {
 		if !t.usable() {
@@ -28,7 +28,7 @@
 
 // Probed takes the result of a probe. A good answer ends an ejection early; a
 // bad one ejects nothing, since health endpoints lag and mislead.
-func (b *Book) Probed(now time.Time, id platform.HostID, ok bool, load int) {
+func (b *Coordinator) Probed(now time.Time, id platform.HostID, ok bool, load int) {
 	t := b.byID[id]
 	if t == nil {
 		return
@@ -43,7 +43,7 @@
 }
 
 // Ejected returns the targets that were ejected since the last call.
-func (b *Book) Ejected() []platform.HostID {
+func (b *Coordinator) Ejected() []platform.HostID {
 	out := b.newlyOut
 	b.newlyOut = nil
 	return out
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -37,7 +37,7 @@
 	foreignAt instant.Time
 }
 
-// zone stands for the name of an availability zone; see Book.zone.
+// zone stands for the name of an availability zone; see Coordinator.zone.
 type zone uint16
 
 func (t *target) inFlight() int { return len(t.calls) }
@@ -80,7 +80,7 @@
 const foreignFor = 20 * time.Millisecond
 
 // learn takes what the end of an attempt says about its target.
-func (b *Book) learn(now time.Time, c *call, e End) {
+func (b *Coordinator) learn(now time.Time, c *call, e End) {
 	t := c.target
 	if e.Leaving || e.Class == pick.Leaving {
 		b.leave(t)
@@ -115,19 +115,19 @@
 // At low load every target is idle again when the next call comes, and nothing in
 // flight tells the straggler from the others: it would get its even share of the
 // calls, and each of them its delay.
-func (b *Book) learnSlow(now time.Time, t *target, took time.Duration) {
+func (b *Coordinator) learnSlow(now time.Time, t *target, took time.Duration) {
 	if d := b.overdueAfter(); d > 0 && took > d {
 		t.slowUntil = b.clock.At(now).Add(min(took, maxSlow))
 	}
 }
 
 // rest keeps more attempts than now are in flight off a target for a while.
-func (b *Book) rest(now time.Time, t *target) {
+func (b *Coordinator) rest(now time.Time, t *target) {
 	t.restUntil = b.clock.At(now).Add(t.refusals.Refused())
 	t.restLimit = t.inFlight() - 1 // the one that ends is still among them
 }
 
-func (b *Book) leave(t *target) {
+func (b *Coordinator) leave(t *target) {
 	if t.leaving {
 		return
 	}
@@ -142,7 +142,7 @@
 // learnGap learns how long a slot stands empty between two attempts because
 // grant and release are on their way. The release tells how long the attempt
 // took at the entry host; the rest of the time from the grant was the journey.
-func (b *Book) learnGap(now time.Time, c *call, e End) {
+func (b *Coordinator) learnGap(now time.Time, c *call, e End) {
 	gap := now.Sub(c.granted) - e.Latency
 	if gap < 0 || gap > maxGap {
 		return
@@ -150,7 +150,7 @@
 	b.gap += (gap - b.gap) / 64
 }
 
-func (b *Book) record(now time.Time, t *target, failed bool) {
+func (b *Coordinator) record(now time.Time, t *target, failed bool) {
 	b.failures.Record(failed)
 	t.doubted = t.health.Ejected(now) || t.health.Trial()
 	if t.health.Record(now, failed, &b.failures) && health.Allowed(b.CountEjected(now), len(b.targets)) {
@@ -161,7 +161,7 @@
 }
 
 // CountEjected returns how many targets are left out at present.
-func (b *Book) CountEjected(now time.Time) int {
+func (b *Coordinator) CountEjected(now time.Time) int {
 	n := 0
 	for _, t := range b.targets {
 		if t.listed && t.health.Ejected(now) {
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -28,7 +28,7 @@
 }
 
 // Record returns what is held of a request, and false if there is nothing.
-func (b *Book) Record(now time.Time, d Digest) (Record, bool) {
+func (b *Tracker) Record(now time.Time, d Digest) (Record, bool) {
 	if b.State(now, d) == Clean {
 		return Record{}, false
 	}
@@ -51,7 +51,7 @@
 // Merge takes in what another host told, and reports whether that host is behind:
 // the request has been cleared since. New losses add up to evidence here as if
 // they had been seen here; a quarantine is taken over.
-func (b *Book) Merge(now time.Time, r Record, knownGood bool) (behind bool) {
+func (b *Tracker) Merge(now time.Time, r Record, knownGood bool) (behind bool) {
 	if !r.valid() {
 		return false
 	}
@@ -87,7 +87,7 @@
 // mergeLosses remembers the losses, and reports whether there is new evidence
 // from this wave. Older losses are no evidence by themselves here: which other
 // targets were lost with them is no longer known.
-func (b *Book) mergeLosses(now time.Time, e *entry, told []LossRecord) bool {
+func (b *Tracker) mergeLosses(now time.Time, e *entry, told []LossRecord) bool {
 	fresh := false
 	for _, t := range told {
 		l := Loss{Target: t.Target, At: now.Add(-max(0, t.Ago)), Trial: t.Trial}
@@ -103,7 +103,7 @@
 }
 
 // Newest returns up to n records, the latest changed ones first.
-func (b *Book) Newest(now time.Time, n int) []Record {
+func (b *Tracker) Newest(now time.Time, n int) []Record {
 	b.Sweep(now)
 	digests := make([]Digest, 0, len(b.entries))
 	for d := range b.entries {
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -13,8 +13,8 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-// lose feeds the book with a break-off at this moment.
-func lose(b *Book, when time.Duration, d Digest, target platform.HostID, trial bool) State {
+// lose feeds the tracker with a break-off at this moment.
+func lose(b *Tracker, when time.Duration, d Digest, target platform.HostID, trial bool) State {
 	return b.BrokeOff(at(when), Run{Digest: d, Loss: Loss{Target: target, At: at(when), Trial: trial}})
 }
 
@@ -27,7 +27,7 @@
 // One crash breaks the connections of two runs of the same request: that is one
 // lost target. Only the trial at a second target is the evidence.
 func TestQuarantineNeedsTwoTargets(t *testing.T) {
-	b := NewBook(DefaultLimits())
+	b := NewTracker(DefaultLimits())
 	assert.Equal(t, lose(b, 0, 1, "t1", false), Suspect)
 	assert.Equal(t, lose(b, time.Millisecond, 1, "t1", false), Suspect)
 	assert.Equal(t, b.Ask(at(time.Second), 1, "h1/1"), Alone)
@@ -39,7 +39,7 @@
 }
 
 func TestAnswerClearsAtOnce(t *testing.T) {
-	b := NewBook(DefaultLimits())
+	b := NewTracker(DefaultLimits())
 	lose(b, 0, 1, "t1", false)
 	r, ok := b.Record(at(0), 1)
 	assert.Check(t, ok)
@@ -55,7 +55,7 @@
 // cause, also if they are heard of only after its quarantine began.
 func TestMassLossQuarantinesNobody(t *testing.T) {
 	for _, before := range []bool{true, false} {
-		b := NewBook(DefaultLimits())
+		b := NewTracker(DefaultLimits())
 		others := func() {
 			lose(b, 5*time.Millisecond, 7, "t3", false)
 			lose(b, 6*time.Millisecond, 8, "t4", false)
@@ -75,7 +75,7 @@
 // A common request runs at two targets that crash together. Having been seen
 // answered, it gets a trial; a request never seen answered does not.
 func TestKnownGoodRequestGetsItsTrial(t *testing.T) {
-	b := NewBook(DefaultLimits())
+	b := NewTracker(DefaultLimits())
 	for _, target := range []platform.HostID{"t1", "t2"} {
 		loss := Loss{Target: target, At: at(0)}
 		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
@@ -84,7 +84,7 @@
 	assert.Equal(t, b.State(at(0), 1), Suspect)
 	assert.Equal(t, b.State(at(0), 2), Quarantined)
 
-	other := NewBook(DefaultLimits())
+	other := NewTracker(DefaultLimits())
 	r, _ := b.Record(at(0), 2)
 	other.Merge(at(0), r, true)
 	assert.Equal(t, other.State(at(0), 2), Suspect)
@@ -98,7 +98,7 @@
 // explain what the other does not. The common one is known to be good, so its
 // losses are the zone's, and neither is refused.
 func TestCommonRequestInADyingZone(t *testing.T) {
-	b := NewBook(DefaultLimits())
+	b := NewTracker(DefaultLimits())
 	for i, target := range []platform.HostID{"t1", "t2", "t3"} {
 		loss := Loss{Target: target, At: at(0), Trial: i == 2}
 		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
@@ -114,7 +114,7 @@
 // unexplained. So many at once speak for a dying zone; two do not.
 func TestManyAccusedAtOnceExcuseEachOther(t *testing.T) {
 	for n, want := range map[Digest]State{2: Quarantined, 3: Suspect} {
-		b := NewBook(DefaultLimits())
+		b := NewTracker(DefaultLimits())
 		targets := []platform.HostID{"t1", "t2", "t3", "t4", "t5", "t6"}
 		for d := range n {
 			lose(b, 0, d+1, targets[2*d], false)
@@ -128,7 +128,7 @@
 
 func TestForgiveness(t *testing.T) {
 	l := DefaultLimits()
-	b := NewBook(l)
+	b := NewTracker(l)
 	lose(b, 0, 1, "t1", false)
 	lose(b, time.Second, 1, "t2", true)
 	for m := time.Duration(0); m < 9; m++ {
@@ -143,7 +143,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
-	b := NewBook(small())
+	b := NewTracker(small())
 	lose(b, 0, 1, "t1", false)
 	lose(b, time.Second, 1, "t2", true)
 	for d := Digest(2); d < 100; d++ {
@@ -154,7 +154,7 @@
 }
 
 func TestBadRecordsAreNotTakenIn(t *testing.T) {
-	b := NewBook(DefaultLimits())
+	b := NewTracker(DefaultLimits())
 	for _, r := range []Record{
 		{Digest: 1},
 		{Digest: 1, State: Suspect},
--- a/policy/suspicion/book.go
+++ b/policy/suspicion/tracker.go
@@ -6,8 +6,8 @@
 	"github.com/cactusproxy/cactusproxy/platform"
 )
 
-// Book is one host's knowledge of suspects. It is not safe for concurrent use.
-type Book struct {
+// Tracker is one host's knowledge of suspects. It is not safe for concurrent use.
+type Tracker struct {
 	limits  Limits
 	entries map[Digest]*entry
 	// losses are the targets lost of late, with the last loss of each.
@@ -19,9 +19,9 @@
 	cleared map[Digest]time.Time
 }
 
-// NewBook returns an empty book.
-func NewBook(l Limits) *Book {
-	return &Book{
+// NewTracker returns an empty tracker.
+func NewTracker(l Limits) *Tracker {
+	return &Tracker{
 		limits:  l,
 		entries: make(map[Digest]*entry),
 		losses:  make(map[platform.HostID]Loss),
@@ -31,11 +31,11 @@
 }
 
 // Len returns the number of requests remembered.
-func (b *Book) Len() int { return len(b.entries) }
+func (b *Tracker) Len() int { return len(b.entries) }
 
 // State returns what is held of a request. Times that have passed take effect
 // here: a suspect is forgotten, a quarantined request becomes a suspect.
-func (b *Book) State(now time.Time, d Digest) State {
+func (b *Tracker) State(now time.Time, d Digest) State {
 	e := b.entries[d]
 	if e == nil {
 		return Clean
@@ -56,7 +56,7 @@
 }
 
 // Settled reports whether a request is to be refused, not held.
-func (b *Book) Settled(now time.Time, d Digest) bool {
+func (b *Tracker) Settled(now time.Time, d Digest) bool {
 	return b.State(now, d) == Quarantined && b.entries[d].settled
 }
 
@@ -67,7 +67,7 @@
 // crashed both, and is refused from then on. Until the moment has passed the
 // request is held; by then the other losses are known, and show that it need not
 // be the cause.
-func (b *Book) settle(now time.Time, e *entry) {
+func (b *Tracker) settle(now time.Time, e *entry) {
 	if e.settled || now.Sub(e.since) < b.limits.Settle {
 		return
 	}
@@ -81,7 +81,7 @@
 
 // release makes a quarantined request a suspect of one loss: one more loss in a
 // trial quarantines it again.
-func (b *Book) release(e *entry, now time.Time) {
+func (b *Tracker) release(e *entry, now time.Time) {
 	e.setState(Suspect, now)
 	e.losses = e.losses[:1]
 	e.losses[0].Trial = false
@@ -90,7 +90,7 @@
 }
 
 // Sent notes that a request came again, and returns its state.
-func (b *Book) Sent(now time.Time, d Digest) State {
+func (b *Tracker) Sent(now time.Time, d Digest) State {
 	s := b.State(now, d)
 	if e := b.entries[d]; e != nil {
 		e.sent = now
@@ -99,7 +99,7 @@
 }
 
 // BrokeOff takes in a run that broke off and returns the request's state.
-func (b *Book) BrokeOff(now time.Time, r Run) State {
+func (b *Tracker) BrokeOff(now time.Time, r Run) State {
 	b.noteLoss(now, r.Loss)
 	e := b.ensure(r.Digest, now)
 	e.sent = now
@@ -111,7 +111,7 @@
 }
 
 // accuse quarantines a request; settle decides whether it stays so.
-func (b *Book) accuse(d Digest, e *entry, at time.Time) {
+func (b *Tracker) accuse(d Digest, e *entry, at time.Time) {
 	e.setState(Quarantined, at)
 	for old, t := range b.accused {
 		if at.Sub(t) >= 2*b.limits.Wave {
@@ -122,12 +122,12 @@
 }
 
 // Lost takes in that a target can not be reached any more, whatever ran on it.
-func (b *Book) Lost(now time.Time, target platform.HostID) {
+func (b *Tracker) Lost(now time.Time, target platform.HostID) {
 	b.noteLoss(now, Loss{Target: target, At: now})
 }
 
 // ensure returns the entry of a request, making a suspect of a clean one.
-func (b *Book) ensure(d Digest, now time.Time) *entry {
+func (b *Tracker) ensure(d Digest, now time.Time) *entry {
 	if e := b.entries[d]; e != nil {
 		return e
 	}
@@ -146,7 +146,7 @@
 // traffic is refused. So a request that was answered before explains no loss,
 // and any other target lost speaks for it, as do its own untried losses but the
 // first.
-func (b *Book) unexplained(e *entry) int {
+func (b *Tracker) unexplained(e *entry) int {
 	counts := func(l Loss) bool {
 		return apart(l.At, e.since) < b.limits.Wave && l.At.After(e.excused)
 	}
@@ -168,7 +168,7 @@
 const maxAccused = 2
 
 // accusedWith counts the requests accused in the wave of this quarantine.
-func (b *Book) accusedWith(e *entry) int {
+func (b *Tracker) accusedWith(e *entry) int {
 	n := 0
 	for _, at := range b.accused {
 		if apart(at, e.since) < b.limits.Wave && at.After(e.excused) {
@@ -178,7 +178,7 @@
 	return n
 }
 
-func (b *Book) explained(id platform.HostID) bool {
+func (b *Tracker) explained(id platform.HostID) bool {
 	for _, e := range b.entries {
 		if e.state == Quarantined && !e.good && e.lost(id) {
 			return true
@@ -187,7 +187,7 @@
 	return false
 }
 
-func (b *Book) noteLoss(now time.Time, l Loss) {
+func (b *Tracker) noteLoss(now time.Time, l Loss) {
 	for id, old := range b.losses {
 		if now.Sub(old.At) >= 2*b.limits.Wave {
 			delete(b.losses, id)
@@ -201,7 +201,7 @@
 // Clear takes in that a request is innocent, by a whole answer to it or by an
 // operator's word, and reports whether it had been suspected. What other hosts
 // still tell of it from before now counts no more.
-func (b *Book) Clear(now time.Time, d Digest) bool {
+func (b *Tracker) Clear(now time.Time, d Digest) bool {
 	if b.entries[d] == nil {
 		return false
 	}
@@ -214,7 +214,7 @@
 }
 
 // Sweep forgets what has expired.
-func (b *Book) Sweep(now time.Time) {
+func (b *Tracker) Sweep(now time.Time) {
 	for d := range b.entries {
 		b.State(now, d)
 	}
@@ -225,9 +225,9 @@
 	}
 }
 
-// makeRoom forgets one request if the book is full: the suspect that was sent
+// makeRoom forgets one request if the tracker is full: the suspect that was sent
 // the longest ago or, there being none, the quarantined one.
-func (b *Book) makeRoom() {
+func (b *Tracker) makeRoom() {
 	if len(b.entries) < b.limits.MaxEntries {
 		return
 	}
@@ -242,7 +242,7 @@
 }
 
 // Digests returns the requests remembered in this state.
-func (b *Book) Digests(s State) []Digest {
+func (b *Tracker) Digests(s State) []Digest {
 	var out []Digest
 	for d, e := range b.entries {
 		if e.state == s {
--- a/policy/suspicion/trial.go
+++ b/policy/suspicion/trial.go
@@ -23,7 +23,7 @@
 
 // Ask asks to run a request. One host keeps the trials of a request, so that
 // two hosts do not lose two targets to it at the same moment.
-func (b *Book) Ask(now time.Time, d Digest, holder platform.HostID) Answer {
+func (b *Tracker) Ask(now time.Time, d Digest, holder platform.HostID) Answer {
 	switch b.Sent(now, d) {
 	case Clean:
 		return Free
@@ -43,7 +43,7 @@
 
 // EndTrial gives the permission back. The request may be tried again unless
 // what was seen meanwhile speaks against it.
-func (b *Book) EndTrial(d Digest, holder platform.HostID) {
+func (b *Tracker) EndTrial(d Digest, holder platform.HostID) {
 	if e := b.entries[d]; e != nil && e.trial.holder == holder {
 		e.trial = trial{}
 	}
--- a/quarantine/call.go
+++ b/quarantine/call.go
@@ -84,8 +84,8 @@
 	var state suspicion.State
 	var settled bool
 	q.locked(func(now time.Time) {
-		state = q.book.Sent(now, digest)
-		settled = q.book.Settled(now, digest)
+		state = q.tracker.Sent(now, digest)
+		settled = q.tracker.Settled(now, digest)
 		changed = q.changed
 	})
 	switch {
@@ -178,8 +178,8 @@
 	}
 	msg := endTrialMsg{Digest: a.digest, Holder: a.trial.holder}
 	a.q.locked(func(now time.Time) {
-		a.q.book.EndTrial(a.digest, platform.HostID(a.trial.holder))
-		if r, ok := a.q.book.Record(now, a.digest); ok {
+		a.q.tracker.EndTrial(a.digest, platform.HostID(a.trial.holder))
+		if r, ok := a.q.tracker.Record(now, a.digest); ok {
 			msg.Record = append(msg.Record, r)
 		}
 		a.q.wake()
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -67,7 +67,7 @@
 
 func (q *Quarantine) askSelf(digest uint64, t *trial) (a suspicion.Answer) {
 	q.locked(func(now time.Time) {
-		a = q.book.Ask(now, digest, platform.HostID(t.holder))
+		a = q.tracker.Ask(now, digest, platform.HostID(t.holder))
 	})
 	return a
 }
@@ -75,7 +75,7 @@
 func (q *Quarantine) askKeeper(ctx context.Context, id platform.HostID, digest uint64, t *trial) (suspicion.Answer, bool) {
 	req := askReq{Holder: t.holder}
 	suspected := false
-	q.locked(func(now time.Time) { req.Record, suspected = q.book.Record(now, digest) })
+	q.locked(func(now time.Time) { req.Record, suspected = q.tracker.Record(now, digest) })
 	if !suspected {
 		return suspicion.Free, true
 	}
@@ -88,9 +88,9 @@
 	q.locked(func(now time.Time) {
 		switch resp.Answer {
 		case suspicion.Free:
-			q.book.Clear(now, digest)
+			q.tracker.Clear(now, digest)
 		case suspicion.Refused:
-			q.book.Merge(now, resp.Record, q.answered.has(digest))
+			q.tracker.Merge(now, resp.Record, q.answered.has(digest))
 		}
 	})
 	return resp.Answer, true
@@ -100,10 +100,10 @@
 	var resp askResp
 	d := req.Record.Digest
 	q.locked(func(now time.Time) {
-		q.book.Merge(now, req.Record, q.answered.has(d))
-		resp.Answer = q.book.Ask(now, d, platform.HostID(req.Holder))
+		q.tracker.Merge(now, req.Record, q.answered.has(d))
+		resp.Answer = q.tracker.Ask(now, d, platform.HostID(req.Holder))
 		if resp.Answer == suspicion.Refused {
-			resp.Record, _ = q.book.Record(now, d)
+			resp.Record, _ = q.tracker.Record(now, d)
 		}
 	})
 	return resp, nil
@@ -112,7 +112,7 @@
 func (q *Quarantine) onEndTrial(_ context.Context, from peer.HostID, msg endTrialMsg) (struct{}, error) {
 	q.merge(from, msg.Record)
 	q.locked(func(time.Time) {
-		q.book.EndTrial(msg.Digest, platform.HostID(msg.Holder))
+		q.tracker.EndTrial(msg.Digest, platform.HostID(msg.Holder))
 		q.wake()
 	})
 	return struct{}{}, nil
@@ -132,11 +132,11 @@
 	q.locked(func(now time.Time) {
 		for _, r := range records {
 			good := q.answered.has(r.Digest)
-			if q.book.Merge(now, r, good) {
+			if q.tracker.Merge(now, r, good) {
 				behind = append(behind, r.Digest)
 				continue
 			}
-			if rec, ok := q.book.Record(now, r.Digest); ok && good && !r.Good && len(rec.Losses) > 1 {
+			if rec, ok := q.tracker.Record(now, r.Digest); ok && good && !r.Good && len(rec.Losses) > 1 {
 				vouch = append(vouch, rec)
 			}
 		}
@@ -153,7 +153,7 @@
 func (q *Quarantine) onCleared(_ context.Context, from peer.HostID, msg clearedMsg) (struct{}, error) {
 	q.locked(func(now time.Time) {
 		for _, d := range msg.Digests {
-			q.book.Clear(now, d)
+			q.tracker.Clear(now, d)
 		}
 		q.wake()
 	})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -63,13 +63,13 @@
 
 	answered answered
 	reach    reach
-	// entries is the number of requests in the book: while it is 0, calls take
+	// entries is the number of requests in the tracker: while it is 0, calls take
 	// no lock here.
 	entries atomic.Int64
 	trials  atomic.Uint64
 
-	mu   sync.Mutex
-	book *suspicion.Book
+	mu      sync.Mutex
+	tracker *suspicion.Tracker
 	// changed is closed, and replaced, when something is decided.
 	changed chan struct{}
 }
@@ -84,7 +84,7 @@
 		members: d.Members,
 		count:   d.Metrics.Map("quarantine"),
 		log:     d.Log,
-		book:    suspicion.NewBook(d.Limits),
+		tracker: suspicion.NewTracker(d.Limits),
 		changed: make(chan struct{}),
 	}
 	d.Metrics.Func("quarantine_entries", func() any { return q.entries.Load() })
@@ -115,7 +115,7 @@
 
 func (q *Quarantine) sync() {
 	var records []suspicion.Record
-	q.locked(func(now time.Time) { records = q.book.Newest(now, syncRecords) })
+	q.locked(func(now time.Time) { records = q.tracker.Newest(now, syncRecords) })
 	if len(records) > 0 {
 		broadcast(q, kindRecords, recordsMsg{Records: records})
 	}
@@ -126,7 +126,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	f(time.Now())
-	q.entries.Store(int64(q.book.Len()))
+	q.entries.Store(int64(q.tracker.Len()))
 }
 
 // wake lets calls that wait for a trial look again. The caller holds the lock.
@@ -155,9 +155,9 @@
 	var records []suspicion.Record
 	q.locked(func(now time.Time) {
 		r.At = now
-		was = q.book.State(now, r.Digest)
-		is = q.book.BrokeOff(now, r)
-		if rec, ok := q.book.Record(now, r.Digest); ok {
+		was = q.tracker.State(now, r.Digest)
+		is = q.tracker.BrokeOff(now, r)
+		if rec, ok := q.tracker.Record(now, r.Digest); ok {
 			records = append(records, rec)
 		}
 		q.wake()
@@ -192,7 +192,7 @@
 func (q *Quarantine) clear(d suspicion.Digest) bool {
 	known := false
 	q.locked(func(now time.Time) {
-		known = q.book.Clear(now, d)
+		known = q.tracker.Clear(now, d)
 		if known {
 			q.wake()
 		}
@@ -219,7 +219,7 @@
 // List returns up to n requests that are not clean, the latest sent first.
 func (q *Quarantine) List(n int) []Entry {
 	var records []suspicion.Record
-	q.locked(func(now time.Time) { records = q.book.Newest(now, n) })
+	q.locked(func(now time.Time) { records = q.tracker.Newest(now, n) })
 	out := make([]Entry, 0, len(records))
 	for _, r := range records {
 		e := Entry{Digest: hex(r.Digest), State: r.State.String(), Age: r.Age}
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -58,13 +58,13 @@
 	if a == nil || !a.q.reach.down(target) {
 		return
 	}
-	a.q.locked(func(now time.Time) { a.q.book.Lost(now, target) })
+	a.q.locked(func(now time.Time) { a.q.tracker.Lost(now, target) })
 	broadcast(a.q, kindLost, lostMsg{Target: target})
 }
 
 func (q *Quarantine) onLost(_ context.Context, _ peer.HostID, msg lostMsg) (struct{}, error) {
 	if q.reach.down(msg.Target) {
-		q.locked(func(now time.Time) { q.book.Lost(now, msg.Target) })
+		q.locked(func(now time.Time) { q.tracker.Lost(now, msg.Target) })
 	}
 	return struct{}{}, nil
 }
--- a/slots/cluster_test.go
+++ b/slots/cluster_test.go
@@ -138,12 +138,12 @@
 	return outcome.Result{Outcome: outcome.Answered, Reason: outcome.ReasonOK}
 }
 
-// held returns the attempts in a host's books.
+// held returns the attempts in a host's state.
 func (h *testHost) held() int {
 	svc := h.slots.service(bids)
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	return svc.book.InFlight()
+	return svc.coordinator.InFlight()
 }
 
 func (h *testHost) count(name string) int64 { return h.m.Int(name).Value() }
--- a/slots/messages.go
+++ b/slots/messages.go
@@ -70,7 +70,7 @@
 // that is not declared here gets no answer: the asking host then chooses alone.
 func (s *Slots) onFrame(_ context.Context, from peer.HostID, f grant.Frame) (none, error) {
 	if svc := s.service(f.Service); svc != nil {
-		svc.do(func(now time.Time) { svc.book.Receive(now, from, f) })
+		svc.do(func(now time.Time) { svc.coordinator.Receive(now, from, f) })
 	}
 	return none{}, nil
 }
@@ -93,7 +93,7 @@
 func (v *service) note(overdue []platform.HostID) {
 	s := v.owner
 	s.count.overdue.Add(int64(len(overdue)))
-	for _, id := range v.book.Ejected() {
+	for _, id := range v.coordinator.Ejected() {
 		s.count.ejected.Add(1)
 		s.deps.Log.Info("target ejected", zap.Stringer("service", v.key), zap.String("target", string(id)))
 	}
--- a/slots/metrics.go
+++ b/slots/metrics.go
@@ -34,7 +34,7 @@
 type ServiceState struct {
 	// Coordinated is false while this host chooses alone.
 	Coordinated bool `json:"coordinated"`
-	// InFlight and Queued are those of the books that this host keeps; they are
+	// InFlight and Queued are those of the state that this host keeps; they are
 	// those of all hosts if it is the coordinator.
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
@@ -57,9 +57,9 @@
 	defer v.mu.Unlock()
 	return ServiceState{
 		Coordinated:  v.session.Coordinated(),
-		InFlight:     v.book.InFlight(),
-		Queued:       v.book.Queued(),
-		Ejected:      v.book.CountEjected(now),
-		ExpectedWait: v.book.ExpectedWait(),
+		InFlight:     v.coordinator.InFlight(),
+		Queued:       v.coordinator.Queued(),
+		Ejected:      v.coordinator.CountEjected(now),
+		ExpectedWait: v.coordinator.ExpectedWait(),
 	}
 }
--- a/slots/probe.go
+++ b/slots/probe.go
@@ -32,7 +32,7 @@
 
 func (v *service) stale(now time.Time, list []blackboard.Target) []StaleTarget {
 	var ids []platform.HostID
-	v.do(func(time.Time) { ids = v.book.Stale(now) })
+	v.do(func(time.Time) { ids = v.coordinator.Stale(now) })
 	wanted := make(map[platform.HostID]bool, len(ids))
 	for _, id := range ids {
 		wanted[id] = true
@@ -50,6 +50,6 @@
 // reported. A bad answer alone never ejects a target.
 func (s *Slots) Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int) {
 	if svc := s.service(key); svc != nil {
-		svc.do(func(now time.Time) { svc.book.Probed(now, id, ok, load) })
+		svc.do(func(now time.Time) { svc.coordinator.Probed(now, id, ok, load) })
 	}
 }
--- a/slots/random_test.go
+++ b/slots/random_test.go
@@ -59,7 +59,7 @@
 // coordinator moves, vanishes or is another for each host, and targets drain,
 // of which each host hears at another time. Every pick ends by its deadline; no
 // grant goes to a target that its host knew to be leaving for two seconds (the
-// program asserts it); and when the calls end, every slot is free in all books.
+// program asserts it); and when the calls end, every slot is free in the state of each coordinator.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		script := drawScript(rt)
@@ -108,7 +108,7 @@
 	callers.Wait()
 	p.net.Heal()
 	p.setCoordinator("h1")
-	p.checkBooks("h1")
+	p.checkState("h1")
 	for _, h := range p.hosts {
 		h.slots.Close()
 		_ = h.board.Close()
@@ -117,10 +117,10 @@
 	return p.failures
 }
 
-// checkBooks starts one long call on each host and sees whether the books of the
+// checkState starts one long call on each host and sees whether the state of the
 // coordinator come to hold these and nothing else. The hosts go on sending
 // heartbeats, so that nothing is freed just because a host fell silent.
-func (p *play) checkBooks(coordinator platform.HostID) {
+func (p *play) checkState(coordinator platform.HostID) {
 	var held []pick.Grant
 	for _, h := range p.hosts {
 		if g, _ := h.pickFor(time.Second, pick.Request{}); g != nil {
--- a/slots/service.go
+++ b/slots/service.go
@@ -23,22 +23,22 @@
 // be handed out.
 const leavingGrace = 2 * time.Second
 
-// service is one service on this host: its session, and the book that it keeps
+// service is one service on this host: its session, and the coordinator that it keeps
 // when it is coordinator. The lock is held for computing only, never while a
 // message is sent.
 type service struct {
 	owner *Slots
 	key   blackboard.ServiceKey
 
-	mu       sync.Mutex
-	session  *session.Session
-	book     *grant.Book
-	waiters  map[grant.CallID]*waiter
-	seen     versions
-	timer    *time.Timer
-	due      time.Time
-	stopped  bool
-	fallback bool // as last logged
+	mu          sync.Mutex
+	session     *session.Session
+	coordinator *grant.Coordinator
+	waiters     map[grant.CallID]*waiter
+	seen        versions
+	timer       *time.Timer
+	due         time.Time
+	stopped     bool
+	fallback    bool // as last logged
 }
 
 // versions are those of the blackboard's sections that were taken in.
@@ -57,11 +57,11 @@
 
 func newService(s *Slots, key blackboard.ServiceKey, seed uint64) *service {
 	return &service{
-		owner:   s,
-		key:     key,
-		session: session.New(key, s.epoch, rand.New(rand.NewPCG(seed, 2))),
-		book:    grant.NewBook(key, rand.New(rand.NewPCG(seed, 3))),
-		waiters: make(map[grant.CallID]*waiter),
+		owner:       s,
+		key:         key,
+		session:     session.New(key, s.epoch, rand.New(rand.NewPCG(seed, 2))),
+		coordinator: grant.NewCoordinator(key, rand.New(rand.NewPCG(seed, 3))),
+		waiters:     make(map[grant.CallID]*waiter),
 	}
 }
 
@@ -92,7 +92,7 @@
 	if first || next.targets != v.seen.targets {
 		list := board.Targets.Load().ByService[v.key]
 		v.session.SetTargets(now, list)
-		v.book.SetTargets(now, list)
+		v.coordinator.SetTargets(now, list)
 	}
 	if first || next.members != v.seen.members {
 		v.setMembers(now, board.Members.Load())
@@ -107,7 +107,7 @@
 	}
 	if svc, ok := ws.Service(v.key.Service); ok {
 		v.session.Configure(svc)
-		v.book.Configure(svc)
+		v.coordinator.Configure(svc)
 	}
 }
 
@@ -117,14 +117,14 @@
 	}
 	id, ok := v.owner.deps.Coordinator(v.key, m)
 	v.session.SetCoordinator(now, id, ok)
-	for _, h := range v.book.Hosts() {
+	for _, h := range v.coordinator.Hosts() {
 		if _, found := m.Find(h); !found {
-			v.book.DropHost(now, h)
+			v.coordinator.DropHost(now, h)
 		}
 	}
 }
 
-// settle passes messages between the session and the book of this host until
+// settle passes messages between the session and the coordinator of this host until
 // nothing is left, and returns those for other hosts.
 func (v *service) settle(now time.Time) outbox {
 	var out outbox
@@ -133,12 +133,12 @@
 		v.decide(now, o.Decisions)
 		out.overdue = append(out.overdue, o.Overdue...)
 		if o.To == v.owner.self {
-			v.book.Receive(now, o.To, o.Frame)
+			v.coordinator.Receive(now, o.To, o.Frame)
 		} else if o.To != "" {
 			out.frames = append(out.frames, frameTo{o.To, o.Frame})
 		}
 		own := false
-		v.book.Flush(now, func(to platform.HostID, t grant.Tell) {
+		v.coordinator.Flush(now, func(to platform.HostID, t grant.Tell) {
 			t.Grants = slices.Clone(t.Grants)
 			t.Refusals = slices.Clone(t.Refusals)
 			if to == v.owner.self {
@@ -232,13 +232,13 @@
 	v.do(func(now time.Time) {
 		v.due = time.Time{}
 		v.session.Tick(now)
-		v.book.Tick(now)
+		v.coordinator.Tick(now)
 	})
 }
 
 // arm sets the timer for the next tick.
 func (v *service) arm(now time.Time) {
-	next := v.book.Next()
+	next := v.coordinator.Next()
 	if n := v.session.Next(); n > 0 && (next == 0 || n < next) {
 		next = n
 	}
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -39,7 +39,7 @@
 // The coordinator is cut off in both directions while calls come. The caller
 // sees nothing but a wait of a few milliseconds on the first call: its host
 // stops waiting and chooses alone. When the cut heals, the coordinator decides
-// again and its books hold what was started meanwhile.
+// again and its state holds what was started meanwhile.
 func TestSilentCoordinatorDelaysOneCallByMilliseconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(2, 4, declare.Service{Slots: 2})
