--- /dev/null
+++ b/leave.go
@@ -0,0 +1,37 @@
+package cactusproxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/controller/leave"
+)
+
+// defaultDrainLimit bounds a stop unless the settings say otherwise.
+const defaultDrainLimit = 10 * time.Minute
+
+func (d *Daemon) provisionLeave() {
+	d.leave = leave.New(leave.Options{
+		Board:       d.board,
+		InFlight:    func() int { return int(d.entry.InFlight()) },
+		DrainPeriod: d.settings.Drain.Notice.Or(leave.DefaultDrainPeriod),
+		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
+		Log:         d.log,
+		Metrics:     d.metrics,
+		Hooks: []leave.Hook{
+			{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown},
+			{Stage: leave.Release, Name: "claims", Func: d.releaseClaims},
+		},
+	})
+}
+
+// stop leaves gracefully. The error says that calls were cut off.
+func (d *Daemon) stop(ctx context.Context) error {
+	report := d.leave.Stop(ctx)
+	if report.Cut {
+		return errors.Newf("stop cut off %d calls", report.Left)
+	}
+	return nil
+}
--- a/provision.go
+++ b/provision.go
@@ -1,24 +1,20 @@
 package cactusproxy
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/controller/config"
-	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/membership"
 	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
-	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/operator"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -37,9 +33,6 @@
 	defaultReadHeader  = 5 * time.Second
 	defaultIdle        = 2 * time.Minute
 	defaultDialTimeout = time.Second
-	defaultKeyWindow   = 24 * time.Hour
-	defaultDrainLimit  = 10 * time.Minute
-	defaultWrites      = 300.0 // transactions a second
 )
 
 // provision makes the daemon's parts, from the listeners inwards. Handlers of
@@ -151,59 +144,6 @@
 	return nil
 }
 
-func (d *Daemon) provisionLedger(options) error {
-	key, err := settings.Key(d.settings.Keys.File)
-	if err != nil {
-		return err
-	}
-	opts := ledger.Options{
-		Retention: d.settings.Keys.Window.Or(defaultKeyWindow),
-		WriteRate: d.ownWrites(),
-		PoolRate:  pooledWrites * d.writes(),
-	}
-	if key != nil {
-		opts.ClusterKeys = [][]byte{key}
-	}
-	d.ledger = ledger.New(ledger.Deps{
-		Table:       d.platform.Table,
-		Link:        d.link,
-		Host:        d.id(),
-		Incarnation: d.incarnation,
-		Metrics:     d.metrics,
-		Log:         d.log,
-		Coordinator: d.ledgerCoordinator,
-		Options:     opts,
-	})
-	return nil
-}
-
-// pooledWrites is the part of the table's transactions that the coordinator of
-// the ledger has for the claims of all hosts; the rest is shared evenly, so that
-// hosts that do not reach it can claim by themselves.
-const pooledWrites = 0.6
-
-// writes is the transactions a second that claims may use, over all hosts.
-func (d *Daemon) writes() float64 {
-	if n := d.settings.Platform.WritesPerSecond; n > 0 {
-		return float64(n)
-	}
-	return defaultWrites
-}
-
-// ownWrites is this host's even share. It counts all hosts that may be at work,
-// so that the shares never add up to more than the whole.
-func (d *Daemon) ownWrites() float64 {
-	hosts := max(1, len(d.board.Members.Load().Members))
-	return (1 - pooledWrites) * d.writes() / float64(hosts)
-}
-
-// ledgerCoordinator is the host that commits the claims of all hosts. No safety
-// hangs on it: the table decides who holds a key.
-func (d *Daemon) ledgerCoordinator() platform.HostID {
-	owner, _ := rendezvous.Owner("ledger", d.board.Members.Load().Members)
-	return owner.Host.ID
-}
-
 func (d *Daemon) provisionControllers() {
 	d.config = config.New(config.Deps{
 		Board:   d.board,
@@ -357,30 +297,6 @@
 	}
 }
 
-func (d *Daemon) provisionLeave() {
-	d.leave = leave.New(leave.Options{
-		Board:       d.board,
-		InFlight:    func() int { return int(d.entry.InFlight()) },
-		DrainPeriod: d.settings.Drain.Notice.Or(leave.DefaultDrainPeriod),
-		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
-		Log:         d.log,
-		Metrics:     d.metrics,
-		Hooks: []leave.Hook{
-			{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown},
-			{Stage: leave.Release, Name: "claims", Func: d.releaseClaims},
-		},
-	})
-}
-
-// releaseClaims waits until what became of every claim is written down, so that
-// later sends of the same keys get their answers.
-func (d *Daemon) releaseClaims(ctx context.Context) error {
-	if !d.ledger.Drain(ctx) {
-		return errors.New("claims not written down")
-	}
-	return nil
-}
-
 func (d *Daemon) provisionOperators() error {
 	token, err := settings.Secret(d.settings.Operators.TokenFile)
 	if err != nil {
--- a/run.go
+++ b/run.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/platform"
 )
@@ -109,11 +108,6 @@
 	}
 }
 
-// shareWrites keeps this host's share of the table's writes as hosts come and go.
-func (d *Daemon) shareWrites(ctx context.Context) error {
-	return d.board.Members.Watch(ctx, func(*blackboard.Members) { d.ledger.SetWriteRate(d.ownWrites()) })
-}
-
 func (d *Daemon) forgetTargets() {
 	listed := make(map[platform.HostID]bool)
 	for _, list := range d.board.Targets.Load().ByService {
@@ -126,15 +120,6 @@
 	d.quarantine.KeepTargets(known)
 }
 
-// stop leaves gracefully. The error says that calls were cut off.
-func (d *Daemon) stop(ctx context.Context) error {
-	report := d.leave.Stop(ctx)
-	if report.Cut {
-		return errors.Newf("stop cut off %d calls", report.Left)
-	}
-	return nil
-}
-
 // InFlight returns the number of calls that have not had their whole reply.
 func (d *Daemon) InFlight() int64 { return d.entry.InFlight() }
 
