--- a/internal/bench/capacity/measure.go
+++ b/internal/bench/capacity/measure.go
@@ -55,9 +55,12 @@
 	openCalls    = []int{250, 500, 1_000, 2_000}
 	serviceSizes = []int{10, 30, 100, 300}
 	fleetSizes   = []int{15, 50, 100, 150}
-	startSizes   = []int{100, 200, 300, 490}
-	writeLimits  = []int{100, 200, 300, 400}
-	keyCounts    = []int{10_000, 20_000, 40_000, 80_000}
+	// memberSizes are past the size up to which hosts heartbeat all others: a
+	// line through both ways of heartbeating would mean nothing.
+	memberSizes = []int{50, 75, 100, 125, 150}
+	startSizes  = []int{100, 200, 300, 490}
+	writeLimits = []int{100, 200, 300, 400}
+	keyCounts   = []int{10_000, 20_000, 40_000, 80_000}
 )
 
 // How long or often each point is measured.
@@ -68,9 +71,10 @@
 	claimTime       = 3 * time.Second
 )
 
-// Measure measures every slope and tells its progress to out.
-func Measure(ctx context.Context, out io.Writer) (Slopes, error) {
-	var s Slopes
+// Measure measures the slopes whose step is named, or all if the name is empty,
+// and tells its progress to out. The others stay as they are.
+func Measure(ctx context.Context, out io.Writer, s *Slopes, only string) error {
+	found := false
 	for _, step := range []struct {
 		name string
 		run  func(context.Context, *Slopes) error
@@ -85,13 +89,20 @@
 		{"claims", measureClaims},
 		{"issued keys", measureKeys},
 	} {
+		if only != "" && only != step.name {
+			continue
+		}
+		found = true
 		start := time.Now()
-		if err := step.run(ctx, &s); err != nil {
-			return s, fmt.Errorf("%s: %w", step.name, err)
+		if err := step.run(ctx, s); err != nil {
+			return fmt.Errorf("%s: %w", step.name, err)
 		}
 		fmt.Fprintf(out, "measured %s in %s\n", step.name, time.Since(start).Round(time.Second))
 	}
-	return s, nil
+	if !found {
+		return fmt.Errorf("no step is named %q", only)
+	}
+	return nil
 }
 
 func measureCalls(ctx context.Context, s *Slopes) error {
@@ -111,7 +122,7 @@
 func measureMembers(ctx context.Context, s *Slopes) error {
 	s.MemberBytes = Slope{Name: "membership-bytes", X: "entry hosts", Y: "bytes/s that a host sends"}
 	s.MemberCPU = Slope{Name: "membership-cpu", X: "entry hosts", Y: "% of a core that a host uses"}
-	for _, n := range fleetSizes {
+	for _, n := range memberSizes {
 		r, err := membernet.Run(ctx, n, memberTime)
 		if err != nil {
 			return err
