Do not charge the retry budget for a target that was not reached

Cause: two targets were down, a workspace that was quiet has one retry saved, and each target that could not be reached cost one. Nothing is attempted where no byte leaves; the number of attempts bounds it as before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -64,6 +64,17 @@
 	assert.Equal(t, b.m.RetriesRefused.Get(noRetryBudget).String(), "1")
 }
 
+// The caller gets its answer: two targets are down at once, and a quiet workspace
+// has no retry saved. Nothing was attempted at either of them.
+func TestTargetsThatCanNotBeReachedCostNoBudget(t *testing.T) {
+	b := newBench(t, breaks(false), breaks(false), answers(200, "fine", nil))
+	c := call(http.MethodPost)
+	c.Workspace.RetryRatio = 0
+	body, err := readReply(t, b.do(t, context.Background(), c))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "fine")
+}
+
 // The caller gets the first target's own failure: a second attempt was begun
 // for a better answer, but there was no target left for it.
 func TestFailureIsPassedOnWhenThereIsNoBetterAnswer(t *testing.T) {
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -22,12 +22,17 @@
 )
 
 // mayRetry decides whether there is another attempt after a, and pays for it.
+//
+// A target that could not be reached is not paid for: no byte left, so nothing was
+// attempted there, and the budget is there to keep faults from being multiplied
+// into load on targets. Paid for, the loss of two targets at once refused calls
+// that three healthy ones had room for. The number of attempts still bounds it.
 func (d *Dispatcher) mayRetry(ctx context.Context, c *Call, h *history, a *attempt) bool {
 	if why := refuseRetry(ctx, c, h, a); why != "" {
 		d.metrics.RetriesRefused.Add(why, 1)
 		return false
 	}
-	if !d.workspace(c.Workspace).takeRetry(time.Now()) {
+	if a.class != pick.NotSent && !d.workspace(c.Workspace).takeRetry(time.Now()) {
 		d.metrics.RetriesRefused.Add(noRetryBudget, 1)
 		return false
 	}
