--- a/entry/headers.go
+++ b/entry/headers.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
@@ -35,3 +37,25 @@
 	}
 	return out
 }
+
+// Headers that tell a target who called, as other proxies set them.
+const (
+	headerForwardedFor   = "X-Forwarded-For"
+	headerForwardedProto = "X-Forwarded-Proto"
+)
+
+// addForwarded appends the caller's address to those of the proxies before it.
+// What stands before the last address was said by the caller and may be false.
+func addForwarded(h http.Header, r *http.Request) {
+	ip, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return
+	}
+	chain := append(slices.Clone(r.Header[headerForwardedFor]), ip)
+	h.Set(headerForwardedFor, strings.Join(chain, ", "))
+	proto := "http"
+	if r.TLS != nil {
+		proto = "https"
+	}
+	h.Set(headerForwardedProto, proto)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -38,6 +38,7 @@
 		Caller:    callerOf(r),
 		Arrived:   time.Now(),
 	}
+	addForwarded(c.Header, r)
 	u := *r.URL
 	u.Path = m.path
 	u.RawPath = ""
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -120,6 +120,17 @@
 	assert.Equal(t, d.call.Header.Get("X-Public"), "1")
 }
 
+func TestTargetsLearnWhoCalled(t *testing.T) {
+	s, d, _ := newServer(t)
+	r := httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil)
+	r.RemoteAddr = "10.0.0.7:4711"
+	r.Header.Set("X-Forwarded-For", "203.0.113.9")
+	do(s, r)
+	assert.Equal(t, d.call.Header.Get("X-Forwarded-For"), "203.0.113.9, 10.0.0.7")
+	assert.Equal(t, d.call.Header.Get("X-Forwarded-Proto"), "http")
+	assert.Equal(t, r.Header.Get("X-Forwarded-For"), "203.0.113.9")
+}
+
 func TestBodiesAreKeptOrStreamedBySize(t *testing.T) {
 	s, d, _ := newServer(t)
 	send := func(n int) *httptest.ResponseRecorder {
