Crash the host of a purchase once a target has begun to run it

Cause: the script crashed the host when the call had arrived, which may be before its claim was made; then the second send is the first to run, and is rightly answered. The script now waits for what its comment says, the run at the target.

--- a/internal/scenario/calls.go
+++ b/internal/scenario/calls.go
@@ -163,17 +163,31 @@
 //	runs key n
 func cmdRuns(ts *testscript.TestScript, w *world, args []string) {
 	need(ts, args, 2, "runs key n")
+	if n := runsOf(w, args[0]); n != number(ts, args[1]) {
+		ts.Fatalf("key %s ran %d times", args[0], n)
+	}
+}
+
+// runsOf counts the runs of a key at all targets, those that have not ended yet
+// among them.
+func runsOf(w *world, key string) int {
 	n := 0
 	for _, t := range w.lab.Targets() {
 		for _, r := range t.Runs() {
-			if r.Key == args[0] {
+			if r.Key == key {
 				n++
 			}
 		}
 	}
-	if n != number(ts, args[1]) {
-		ts.Fatalf("key %s ran %d times", args[0], n)
-	}
+	return n
+}
+
+// cmdBegun waits until a target has begun to run an idempotency key.
+//
+//	begun key
+func cmdBegun(ts *testscript.TestScript, w *world, args []string) {
+	need(ts, args, 1, "begun key")
+	ts.Check(lab.Wait(w.ctx, "a run of "+args[0], func() bool { return runsOf(w, args[0]) > 0 }))
 }
 
 // cmdRan checks the number of calls that one target ran since the last look at
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -86,6 +86,7 @@
 	"await":   positive(cmdAwait),
 	"issue":   positive(cmdIssue),
 	"runs":    positive(cmdRuns),
+	"begun":   positive(cmdBegun),
 	"ran":     positive(cmdRan),
 	"metric":  positive(cmdMetric),
 	"until":   positive(cmdUntil),
