--- a/internal/scenario/calls.go
+++ b/internal/scenario/calls.go
@@ -114,7 +114,8 @@
 	c.w.mu.Lock()
 	c.w.pending[name] = done
 	c.w.mu.Unlock()
-	return lab.Wait(c.w.ctx, "the call to arrive", func() bool { return h.InFlight() > before })
+	// A call before it may end meanwhile, and then the number does not rise.
+	return lab.Wait(c.w.ctx, "the call to arrive", func() bool { return h.InFlight() > before || len(done) > 0 })
 }
 
 // cmdAwait waits for a call in the background and checks what its caller is
