--- a/cmd/cactusbench/latency.go
+++ b/cmd/cactusbench/latency.go
@@ -19,7 +19,8 @@
 	Profile  string `arg:"--cpuprofile" help:"file for a CPU profile of the run"`
 }
 
-// run measures a small deployment and one with much declared, in one run.
+// run measures in one run a small deployment, the same while the platform is out,
+// and one with much declared.
 func (c *latencyCmd) run(ctx context.Context, out io.Writer) error {
 	stop, err := profile(c.Profile)
 	if err != nil {
@@ -29,8 +30,10 @@
 	small := loopback.Options{Hosts: c.Hosts, Calls: c.Calls}
 	large := small
 	large.Services, large.Listed = c.Services, c.Listed
+	outage := small
+	outage.StoreDown = true
 	var reports []loopback.Report
-	for _, o := range []loopback.Options{small, large} {
+	for _, o := range []loopback.Options{small, outage, large} {
 		r, err := loopback.Run(ctx, o)
 		if err != nil {
 			return err
--- a/internal/bench/loopback/loopback.go
+++ b/internal/bench/loopback/loopback.go
@@ -16,6 +16,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/internal/standin/platform"
 )
 
 // Options says what to measure; zero fields get the defaults named.
@@ -28,6 +30,8 @@
 	// Services and Listed are declared and listed besides, without any calls.
 	Services int
 	Listed   int
+	// StoreDown takes the platform out before latency is measured.
+	StoreDown bool
 	// Calls is the number of calls of each measurement; 40,000.
 	Calls int
 	// Load is the share of the capacity at which latency is measured; 0.5.
@@ -90,8 +94,8 @@
 // String returns one line of key=value pairs.
 func (r Report) String() string {
 	a := r.Added()
-	return fmt.Sprintf("hosts=%d services=%d listed=%d capacity=%.0f/s rate=%.0f/s direct_p50=%s direct_p99=%s through_p50=%s through_p99=%s added_p50=%s added_p99=%s added_p999=%s cpu_per_call=%s calls_per_core=%.0f refused=%d",
-		r.Options.Hosts, r.Options.Services, r.Options.Listed, r.Capacity, r.Rate,
+	return fmt.Sprintf("hosts=%d services=%d listed=%d store_down=%t capacity=%.0f/s rate=%.0f/s direct_p50=%s direct_p99=%s through_p50=%s through_p99=%s added_p50=%s added_p99=%s added_p999=%s cpu_per_call=%s calls_per_core=%.0f refused=%d",
+		r.Options.Hosts, r.Options.Services, r.Options.Listed, r.Options.StoreDown, r.Capacity, r.Rate,
 		r.Direct.P50, r.Direct.P99, r.Through.P50, r.Through.P99, a.P50, a.P99, a.P999, r.CPU, r.CallsPerCore(), r.Refused)
 }
 
@@ -113,6 +117,9 @@
 	r.CPU = (through.cpu - direct.cpu) / time.Duration(o.Calls)
 	r.Capacity = float64(o.Calls) / through.took.Seconds()
 	r.Rate = r.Capacity * o.Load
+	if o.StoreDown {
+		b.lab.Platform.SetFaults(platform.Faults{Down: true})
+	}
 	mixed := b.openLoop(ctx, r.Rate, o.Calls)
 	r.Direct, r.Through = mixed.direct, mixed.through
 	r.Refused = through.refused + mixed.refused
