--- a/controller/membership/counters.go
+++ b/controller/membership/counters.go
@@ -17,12 +17,7 @@
 }
 
 func newCounters(set *metrics.Set) counters {
-	m := set.Map("membership")
-	add := func(name string) *expvar.Int {
-		v := new(expvar.Int)
-		m.Set(name, v)
-		return v
-	}
+	add := set.Counters("membership")
 	return counters{
 		beats:       add("heartbeats_sent"),
 		gossips:     add("gossip_sent"),
--- a/controller/targets/exchange.go
+++ b/controller/targets/exchange.go
@@ -119,12 +119,7 @@
 }
 
 func newCounters(set *metrics.Set) counters {
-	m := set.Map("targets")
-	add := func(name string) *expvar.Int {
-		v := new(expvar.Int)
-		m.Set(name, v)
-		return v
-	}
+	add := set.Counters("targets")
 	return counters{
 		fromList:        add("leaving_from_list"),
 		fromPeer:        add("leaving_from_peer"),
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -47,6 +47,17 @@
 	return m
 }
 
+// Counters returns a function that makes counters of the map with this name, so
+// that a package can hold those it counts on every message without a lookup.
+func (s *Set) Counters(name string) func(counter string) *expvar.Int {
+	m := s.Map(name)
+	return func(counter string) *expvar.Int {
+		v := new(expvar.Int)
+		m.Set(counter, v)
+		return v
+	}
+}
+
 // Int returns the counter with this name, making it at first use.
 func (s *Set) Int(name string) *expvar.Int {
 	s.mu.Lock()
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -27,12 +27,7 @@
 }
 
 func newCounters(set *metrics.Set) counters {
-	m := set.Map("peer")
-	add := func(name string) *expvar.Int {
-		v := new(expvar.Int)
-		m.Set(name, v)
-		return v
-	}
+	add := set.Counters("peer")
 	return counters{
 		framesIn:        add("frames_in"),
 		framesOut:       add("frames_out"),
