--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // MemberState is what this host thinks of another entry host.
@@ -22,7 +22,7 @@
 
 // Member is one entry host as this host sees it.
 type Member struct {
-	Host platform.Host
+	Host ports.Host
 	// Incarnation differs between two runs of a daemon on the same host; the
 	// later run has the greater number.
 	Incarnation uint64
@@ -35,7 +35,7 @@
 
 // Members is the view of all entry hosts, this one included, sorted by ID.
 type Members struct {
-	Self    platform.HostID
+	Self    ports.HostID
 	Members []Member
 }
 
@@ -51,7 +51,7 @@
 }
 
 // Find returns the member with this ID.
-func (m *Members) Find(id platform.HostID) (Member, bool) {
+func (m *Members) Find(id ports.HostID) (Member, bool) {
 	for _, mem := range m.Members {
 		if mem.Host.ID == id {
 			return mem, true
@@ -73,7 +73,7 @@
 // its leaving. Load and health that change within milliseconds are not here:
 // they belong to whoever picks.
 type Target struct {
-	ID   platform.HostID
+	ID   ports.HostID
 	Addr string
 	Zone string
 	// Leaving targets get no new call. It is set by the list, by the target's
@@ -115,7 +115,7 @@
 
 // WithLeaving returns the view with one target marked as leaving, and whether
 // that changed anything.
-func (t *Targets) WithLeaving(key ServiceKey, id platform.HostID, now time.Time) (*Targets, bool) {
+func (t *Targets) WithLeaving(key ServiceKey, id ports.HostID, now time.Time) (*Targets, bool) {
 	list := t.ByService[key]
 	i := slices.IndexFunc(list, func(tg Target) bool { return tg.ID == id })
 	if i < 0 || list[i].Leaving {
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -17,7 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Names of the counters in the metrics map "probe_budget".
@@ -40,9 +40,9 @@
 
 // Deps is what Shares works with.
 type Deps struct {
-	Table platform.Table
+	Table ports.Table
 	// Self is this host; Incarnation differs between two runs on it.
-	Self        platform.HostID
+	Self        ports.HostID
 	Incarnation uint64
 	// Config returns the configuration in force.
 	Config  func() *declare.Config
@@ -54,8 +54,8 @@
 
 // Shares is this host's part of the budgets. It is safe for concurrent use.
 type Shares struct {
-	table  platform.Table
-	self   platform.HostID
+	table  ports.Table
+	self   ports.HostID
 	prefix string
 	config func() *declare.Config
 	count  *expvar.Map
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -14,7 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -46,7 +46,7 @@
 }
 
 // holder makes a host over the store that has asked for a probe.
-func holder(s *store.Store, id platform.HostID) *Shares {
+func holder(s *store.Store, id ports.HostID) *Shares {
 	return New(Deps{
 		Table:   s,
 		Self:    id,
@@ -168,11 +168,11 @@
 
 // slowTable keeps back the answer to each commit that took effect.
 type slowTable struct {
-	platform.Table
+	ports.Table
 	wait time.Duration
 }
 
-func (t slowTable) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (t slowTable) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	res, err := t.Table.Commit(ctx, ops...)
 	time.Sleep(t.wait)
 	return res, err
--- a/budget/lease.go
+++ b/budget/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // lease is a share that this host holds.
@@ -43,7 +43,7 @@
 
 // adopt takes over what the row shows, after an answer was lost; false if the
 // row is another host's.
-func (l *lease) adopt(r platform.Row, s share) bool {
+func (l *lease) adopt(r ports.Row, s share) bool {
 	if l.unsure != nil && s.Nonce == l.unsure.nonce {
 		l.nonce, l.asked = l.unsure.nonce, l.unsure.asked
 	} else if s.Nonce != l.nonce {
--- a/budget/random_test.go
+++ b/budget/random_test.go
@@ -18,7 +18,7 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // span is a stretch of the play.
@@ -112,19 +112,19 @@
 // pausedTable is the table as a host sees it that may be paused before a request
 // and before it takes in the answer.
 type pausedTable struct {
-	platform.Table
+	ports.Table
 	play *play
 	host int
 }
 
-func (t pausedTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t pausedTable) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
 	t.play.pause(t.host)
 	rows, err := t.Table.Get(ctx, keys...)
 	t.play.pause(t.host)
 	return rows, err
 }
 
-func (t pausedTable) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (t pausedTable) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	t.play.pause(t.host)
 	res, err := t.Table.Commit(ctx, ops...)
 	t.play.pause(t.host)
@@ -150,7 +150,7 @@
 		cfg.Store(config(p.script.changes[0].budget))
 		s := New(Deps{
 			Table:       pausedTable{Table: p.store, play: p, host: h},
-			Self:        platform.HostID(fmt.Sprintf("h%d", h)),
+			Self:        ports.HostID(fmt.Sprintf("h%d", h)),
 			Incarnation: uint64(h),
 			Config:      cfg.Load,
 			Metrics:     metrics.New(),
--- a/budget/row.go
+++ b/budget/row.go
@@ -6,12 +6,12 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // share is the value of the row that stands for one share.
 type share struct {
-	Holder platform.HostID `msgpack:"h"`
+	Holder ports.HostID `msgpack:"h"`
 	// Nonce differs for each write, so that a writer whose answer was lost
 	// knows its own row when it reads it back.
 	Nonce string `msgpack:"n"`
@@ -49,7 +49,7 @@
 }
 
 // update takes in a row that was read.
-func (v *view) update(now time.Time, r platform.Row) {
+func (v *view) update(now time.Time, r ports.Row) {
 	var s share
 	if r.Version > 0 && msgpack.Unmarshal(r.Value, &s) != nil {
 		// A row that can not be read is waited for like a lease of this version,
--- a/budget/step.go
+++ b/budget/step.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // task is what a step decided to do with a workspace's rows.
@@ -100,7 +100,7 @@
 }
 
 // choose takes in the rows and returns a free one.
-func (s *Shares) choose(name string, rows []platform.Row, p Plan) (found, bool) {
+func (s *Shares) choose(name string, rows []ports.Row, p Plan) (found, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -145,12 +145,12 @@
 // write writes the row if it still has the version; a lost answer is resolved by
 // reading back, once.
 func (s *Shares) write(ctx context.Context, name string, l *lease, version uint64, v share) bool {
-	op := platform.Op{Kind: platform.OpUpdate, Key: rowKey(name, l.index), Version: version, Value: v.encode()}
+	op := ports.Op{Kind: ports.OpUpdate, Key: rowKey(name, l.index), Version: version, Value: v.encode()}
 	if version == 0 {
-		op.Kind = platform.OpInsert
+		op.Kind = ports.OpInsert
 	}
 	res, err := s.table.Commit(ctx, op)
-	if errors.Is(err, platform.ErrUncertain) {
+	if errors.Is(err, ports.ErrUncertain) {
 		s.failed(err)
 		r, now, err := s.read(ctx, name, l.index)
 		return err == nil && now.Nonce == v.Nonce && r.Version == version+1
@@ -165,11 +165,11 @@
 	return res.Applied
 }
 
-func (s *Shares) read(ctx context.Context, name string, i int) (platform.Row, share, error) {
+func (s *Shares) read(ctx context.Context, name string, i int) (ports.Row, share, error) {
 	rows, err := s.table.Get(ctx, rowKey(name, i))
 	if err != nil {
 		s.failed(err)
-		return platform.Row{}, share{}, err
+		return ports.Row{}, share{}, err
 	}
 	var v share
 	if rows[0].Version > 0 {
@@ -179,7 +179,7 @@
 }
 
 func (s *Shares) failed(err error) {
-	if errors.Is(err, platform.ErrUncertain) {
+	if errors.Is(err, ports.ErrUncertain) {
 		s.count.Add(countUncertain, 1)
 		return
 	}
@@ -195,12 +195,12 @@
 	version := l.version
 	v := s.holding(l, r.nonce, s.plan(name))
 	s.mu.Unlock()
-	op := platform.Op{Kind: platform.OpUpdate, Key: rowKey(name, l.index), Version: version, Value: v.encode()}
+	op := ports.Op{Kind: ports.OpUpdate, Key: rowKey(name, l.index), Version: version, Value: v.encode()}
 	res, err := s.table.Commit(ctx, op)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, ports.ErrUncertain):
 		s.failed(err)
 		l.unsure = &r
 	case err != nil:
--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -27,7 +27,7 @@
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
@@ -37,9 +37,9 @@
 // Platform is what the platform gives, for daemons that do not reach it over
 // HTTP as their settings say.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.ObjectStore
-	Hosts   platform.HostList
+	Table   ports.Table
+	Objects ports.ObjectStore
+	Hosts   ports.HostList
 }
 
 // Option changes how New makes a daemon.
--- a/cmd/cactusstand/main_test.go
+++ b/cmd/cactusstand/main_test.go
@@ -12,8 +12,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cactusproxy/cactusproxy/platform"
-	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 )
 
 // program is one run of the command, whose log lines can be waited for.
@@ -86,7 +86,7 @@
 	for listed(t, c) == nil {
 	}
 	assert.Equal(t, listed(t, c)[0].Addr, addr)
-	assert.Equal(t, listed(t, c)[0].State, platform.HostLive)
+	assert.Equal(t, listed(t, c)[0].State, ports.HostLive)
 
 	answered := make(chan int, 1)
 	go func() {
@@ -110,7 +110,7 @@
 	assert.Equal(t, <-plat.status, exitOK)
 }
 
-func listed(t *testing.T, c *httpstore.Client) []platform.Host {
+func listed(t *testing.T, c *httpstore.Client) []ports.Host {
 	t.Helper()
 	snap, err := c.Hosts().List(context.Background(), 0)
 	assert.NilError(t, err)
--- a/cmd/cactusstand/register.go
+++ b/cmd/cactusstand/register.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // registerTimeout bounds one change of the platform's list.
@@ -21,7 +21,7 @@
 type registrar struct {
 	url   string
 	token string
-	host  platform.Host
+	host  ports.Host
 }
 
 func newRegistrar(a targetArgs, addr string) *registrar {
@@ -31,9 +31,9 @@
 	return &registrar{
 		url:   strings.TrimSuffix(a.Register, "/") + "/standin/hosts/" + url.PathEscape(a.ID),
 		token: a.Token,
-		host: platform.Host{
-			ID:        platform.HostID(a.ID),
-			Role:      platform.RoleTarget,
+		host: ports.Host{
+			ID:        ports.HostID(a.ID),
+			Role:      ports.RoleTarget,
 			Zone:      a.Zone,
 			Addr:      addr,
 			Workspace: a.Workspace,
@@ -43,7 +43,7 @@
 }
 
 // put writes the line with this state; it does nothing without a platform.
-func (r *registrar) put(ctx context.Context, state platform.HostState) error {
+func (r *registrar) put(ctx context.Context, state ports.HostState) error {
 	h := r.host
 	h.State = state
 	body, err := json.Marshal(h)
--- a/cmd/cactusstand/target.go
+++ b/cmd/cactusstand/target.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	standin "github.com/cactusproxy/cactusproxy/internal/standin/target"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // targetArgs are the command line of cactusstand target.
@@ -38,7 +38,7 @@
 
 func (a targetArgs) options() standin.Options {
 	return standin.Options{
-		ID:         platform.HostID(a.ID),
+		ID:         ports.HostID(a.ID),
 		Slots:      a.Slots,
 		Queue:      a.Queue,
 		MaxConns:   a.MaxConns,
@@ -73,7 +73,7 @@
 	defer stopAdmin()
 
 	list := newRegistrar(a, l.Addr().String())
-	if err := list.put(ctx, platform.HostLive); err != nil {
+	if err := list.put(ctx, ports.HostLive); err != nil {
 		tg.Close()
 		return err
 	}
@@ -91,7 +91,7 @@
 func drain(ctx context.Context, a targetArgs, tg *standin.Target, list *registrar, log *zap.Logger) error {
 	tg.Drain(a.Grace)
 	log.Info("target leaves", zap.Duration("grace", a.Grace))
-	if err := list.put(ctx, platform.HostLeaving); err != nil {
+	if err := list.put(ctx, ports.HostLeaving); err != nil {
 		log.Warn("not marked as leaving", zap.Error(err))
 	}
 	time.Sleep(a.Grace)
--- a/controller/config/change.go
+++ b/controller/config/change.go
@@ -8,7 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Change is one accepted change: a workspace as it is from this sequence number
@@ -67,7 +67,7 @@
 }
 
 // decodeRow reads a row's value; an absent row leaves the zero value.
-func decodeRow[T any](r platform.Row) (T, error) {
+func decodeRow[T any](r ports.Row) (T, error) {
 	var v T
 	if r.Version == 0 {
 		return v, nil
--- a/controller/config/commit.go
+++ b/controller/config/commit.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Result tells what became of an operator's request.
@@ -86,7 +86,7 @@
 	keys() []string
 	// build returns the content of the change. The error is declare.Problems
 	// if the request is refused, or else the platform's.
-	build(ctx context.Context, extra []platform.Row) (draft, error)
+	build(ctx context.Context, extra []ports.Row) (draft, error)
 	// made reports whether a change is what this proposal asks for.
 	made(ch Change) bool
 }
@@ -96,17 +96,17 @@
 	workspace  declare.Workspace
 	source     string
 	rollbackTo uint64
-	ops        []platform.Op
+	ops        []ports.Op
 }
 
 // base is what the table holds before a commit.
 type base struct {
 	head      headRow
-	headRow   platform.Row
-	change    platform.Row
-	workspace platform.Row
+	headRow   ports.Row
+	change    ports.Row
+	workspace ports.Row
 	present   Change
-	extra     []platform.Row
+	extra     []ports.Row
 }
 
 // commit repeats a proposal until it is committed, refused or out of time.
@@ -133,7 +133,7 @@
 		if done {
 			return c.finish(req, out)
 		}
-		uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
+		uncertain = uncertain || errors.Is(err, ports.ErrUncertain)
 		if err != nil && !uncertain {
 			return c.finish(req, Outcome{Result: ResultUnavailable, Detail: err.Error()})
 		}
@@ -308,7 +308,7 @@
 	defer cancel()
 	res, err := c.Table.Commit(ctx, append(d.ops, operations(b, ch)...)...)
 	if err != nil {
-		if errors.Is(err, platform.ErrUncertain) {
+		if errors.Is(err, ports.ErrUncertain) {
 			c.retried.Add("answer_lost", 1)
 		}
 		return Outcome{}, false, err
@@ -323,14 +323,14 @@
 // operations writes a change: the workspace compared by version, the head row
 // compared so that sequence numbers have neither gaps nor twins, the log, and
 // the rows that find a change by its ID and by workspace version.
-func operations(b base, ch Change) []platform.Op {
+func operations(b base, ch Change) []ports.Op {
 	value := encode(ch)
 	name := ch.Workspace.Name
-	return []platform.Op{
-		{Kind: platform.OpUpdate, Key: keyHead, Version: b.headRow.Version, Value: encode(headRow{ch.Sequence, ch.ID})},
-		{Kind: platform.OpUpdate, Key: keyWorkspace(name), Version: b.workspace.Version, Value: value},
-		{Kind: platform.OpInsert, Key: keyLog(ch.Sequence), Value: value},
-		{Kind: platform.OpInsert, Key: keyChange(ch.ID), Value: encode(ch.Sequence)},
-		{Kind: platform.OpInsert, Key: keyVersion(name, ch.Workspace.Version), Value: encode(ch.Sequence)},
+	return []ports.Op{
+		{Kind: ports.OpUpdate, Key: keyHead, Version: b.headRow.Version, Value: encode(headRow{ch.Sequence, ch.ID})},
+		{Kind: ports.OpUpdate, Key: keyWorkspace(name), Version: b.workspace.Version, Value: value},
+		{Kind: ports.OpInsert, Key: keyLog(ch.Sequence), Value: value},
+		{Kind: ports.OpInsert, Key: keyChange(ch.ID), Value: encode(ch.Sequence)},
+		{Kind: ports.OpInsert, Key: keyVersion(name, ch.Workspace.Version), Value: encode(ch.Sequence)},
 	}
 }
--- a/controller/config/config.go
+++ b/controller/config/config.go
@@ -19,15 +19,15 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Deps is what a controller works with. All fields but Timings, Now and
 // Rand are required.
 type Deps struct {
 	Board   *blackboard.Board
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   ports.Table
+	Objects ports.ObjectStore
 	Link    peer.Link
 	Metrics *metrics.Set
 	Log     *zap.Logger
--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -14,7 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/config"
 	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // bound is the time in which an accepted change has to be in force.
@@ -303,7 +303,7 @@
 		pass(time.Second)
 		rows, err := f.Store.Get(context.Background(), "config/head")
 		assert.NilError(t, err)
-		_, err = f.Store.Commit(context.Background(), platform.Op{Kind: platform.OpDelete, Key: rows[0].Key})
+		_, err = f.Store.Commit(context.Background(), ports.Op{Kind: ports.OpDelete, Key: rows[0].Key})
 		assert.NilError(t, err)
 		out := change(t, h[1], "c2", 0, 8, config.ResultUnavailable)
 		assert.Check(t, strings.Contains(out.Detail, "behind"), out.Detail)
--- a/controller/config/propose.go
+++ b/controller/config/propose.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // File is a declaration with the name that its problems are reported under.
@@ -86,7 +86,7 @@
 	return ch.RollbackTo == 0 && ch.Workspace.Name == p.decl.Workspace && ch.Source == string(p.decl.Text)
 }
 
-func (p *declared) build(_ context.Context, extra []platform.Row) (draft, error) {
+func (p *declared) build(_ context.Context, extra []ports.Row) (draft, error) {
 	tpl, ops, err := p.template(extra[0])
 	if err != nil {
 		return draft{}, err
@@ -98,12 +98,12 @@
 // template returns the template to expand and the operation that keeps it. A
 // version, once applied, always has the same text: otherwise two workspaces of
 // one version could differ in ways that no file in version control shows.
-func (p *declared) template(row platform.Row) (*declare.Template, []platform.Op, error) {
+func (p *declared) template(row ports.Row) (*declare.Template, []ports.Op, error) {
 	switch {
 	case row.Version == 0 && p.tpl == nil:
 		return nil, nil, p.problem("template %s version %d has not been applied yet: send its file along", p.decl.Template, p.decl.TemplateVersion)
 	case row.Version == 0:
-		return p.tpl, []platform.Op{{Kind: platform.OpInsert, Key: row.Key, Value: p.tpl.Text}}, nil
+		return p.tpl, []ports.Op{{Kind: ports.OpInsert, Key: row.Key, Value: p.tpl.Text}}, nil
 	case p.tpl != nil && p.tpl.Name == p.decl.Template && p.tpl.Version == p.decl.TemplateVersion && !bytes.Equal(row.Value, p.tpl.Text):
 		return nil, nil, p.problem("template %s version %d was applied with another text: raise its version", p.decl.Template, p.decl.TemplateVersion)
 	case p.tpl != nil:
@@ -133,7 +133,7 @@
 	return ch.RollbackTo == p.to && ch.Workspace.Name == p.name
 }
 
-func (p *rollback) build(ctx context.Context, extra []platform.Row) (draft, error) {
+func (p *rollback) build(ctx context.Context, extra []ports.Row) (draft, error) {
 	if extra[0].Version == 0 {
 		return draft{}, declare.Problems{{Line: 1, Field: "to", Message: fmt.Sprintf("workspace %s has no version %d", p.name, p.to)}}
 	}
--- a/controller/config/query.go
+++ b/controller/config/query.go
@@ -7,7 +7,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Plan is what an Apply would do.
@@ -50,10 +50,10 @@
 
 // HostStatus is the configuration that one host has in force.
 type HostStatus struct {
-	ID       platform.HostID `json:"id"`
-	Zone     string          `json:"zone"`
-	State    string          `json:"state"`
-	Sequence uint64          `json:"sequence"`
+	ID       ports.HostID `json:"id"`
+	Zone     string       `json:"zone"`
+	State    string       `json:"state"`
+	Sequence uint64       `json:"sequence"`
 }
 
 // WorkspaceStatus is one workspace as this host has it in force.
@@ -74,7 +74,7 @@
 	InForce bool `json:"inForce"`
 	// Pending are the hosts that have not acknowledged the change. Leaving
 	// hosts are not waited for: they take no new calls.
-	Pending    []platform.HostID `json:"pending,omitempty"`
+	Pending    []ports.HostID    `json:"pending,omitempty"`
 	Hosts      []HostStatus      `json:"hosts"`
 	Workspaces []WorkspaceStatus `json:"workspaces,omitempty"`
 }
@@ -110,7 +110,7 @@
 func (c *Controller) hostStatus(ctx context.Context, sequence uint64) []HostStatus {
 	members := c.Board.Members.Load().Members
 	out := make([]HostStatus, len(members))
-	var behind []platform.HostID
+	var behind []ports.HostID
 	for i, m := range members {
 		out[i] = HostStatus{ID: m.Host.ID, Zone: m.Host.Zone, State: stateNames[m.State], Sequence: m.ConfigSequence}
 		if m.Host.ID == c.Link.Self() {
--- a/controller/config/store.go
+++ b/controller/config/store.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/declare"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -72,13 +72,13 @@
 	return decodeRow[headRow](rows[0])
 }
 
-func (c *Controller) get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c *Controller) get(ctx context.Context, keys ...string) ([]ports.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timings.ReadTimeout)
 	defer cancel()
 	return c.Table.Get(ctx, keys...)
 }
 
-func (c *Controller) scan(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (c *Controller) scan(ctx context.Context, prefix, after string) ([]ports.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timings.ReadTimeout)
 	defer cancel()
 	return c.Table.Scan(ctx, prefix, after, scanPage)
--- a/controller/leave/leave_test.go
+++ b/controller/leave/leave_test.go
@@ -13,7 +13,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // testStop is a host with calls in flight and a hook for each stage.
@@ -114,7 +114,7 @@
 		done := make(chan error, 1)
 		go func() { done <- c.Run(ctx) }()
 		view := func(st blackboard.MemberState) *blackboard.Members {
-			return &blackboard.Members{Self: "me", Members: []blackboard.Member{{Host: platform.Host{ID: "me"}, State: st}}}
+			return &blackboard.Members{Self: "me", Members: []blackboard.Member{{Host: ports.Host{ID: "me"}, State: st}}}
 		}
 		s.opts.Board.Members.Store(view(blackboard.MemberLive))
 		synctest.Wait()
--- a/controller/membership/cluster_test.go
+++ b/controller/membership/cluster_test.go
@@ -15,7 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -75,20 +75,20 @@
 // testList is the list as one host sees it.
 type testList struct {
 	mu   sync.Mutex
-	snap platform.HostSnapshot
+	snap ports.HostSnapshot
 	err  error
 }
 
-func (l *testList) List(context.Context, uint64) (platform.HostSnapshot, error) {
+func (l *testList) List(context.Context, uint64) (ports.HostSnapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.snap, l.err
 }
 
-func (l *testList) set(hosts []platform.Host) {
+func (l *testList) set(hosts []ports.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.snap = platform.HostSnapshot{Version: l.snap.Version + 1, Hosts: hosts}
+	l.snap = ports.HostSnapshot{Version: l.snap.Version + 1, Hosts: hosts}
 }
 
 func (l *testList) fail(err error) {
@@ -109,18 +109,18 @@
 type cluster struct {
 	t     testing.TB
 	net   *peernet.Network
-	hosts map[platform.HostID]*testHost
+	hosts map[ports.HostID]*testHost
 	rules rules
 }
 
-func hostID(i int) platform.HostID { return platform.HostID(fmt.Sprintf("h%03d", i)) }
+func hostID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("h%03d", i)) }
 
-func entryHost(id platform.HostID) platform.Host {
-	return platform.Host{ID: id, Role: platform.RoleEntry, State: platform.HostLive, Zone: "a", PeerAddr: "addr-" + string(id)}
+func entryHost(id ports.HostID) ports.Host {
+	return ports.Host{ID: id, Role: ports.RoleEntry, State: ports.HostLive, Zone: "a", PeerAddr: "addr-" + string(id)}
 }
 
-func entryHosts(n int) []platform.Host {
-	out := make([]platform.Host, n)
+func entryHosts(n int) []ports.Host {
+	out := make([]ports.Host, n)
 	for i := range out {
 		out[i] = entryHost(hostID(i))
 	}
@@ -130,7 +130,7 @@
 // newCluster starts n hosts that are all listed, and lets them meet. It runs
 // inside a synctest bubble.
 func newCluster(t testing.TB, n int) *cluster {
-	c := &cluster{t: t, net: peernet.New(), hosts: make(map[platform.HostID]*testHost)}
+	c := &cluster{t: t, net: peernet.New(), hosts: make(map[ports.HostID]*testHost)}
 	c.net.Delay = func(_, _ peer.HostID) time.Duration { return 500 * time.Microsecond }
 	for i := range n {
 		c.start(hostID(i), 1, entryHosts(n))
@@ -139,7 +139,7 @@
 	return c
 }
 
-func (c *cluster) start(id platform.HostID, incarnation uint64, list []platform.Host) *testHost {
+func (c *cluster) start(id ports.HostID, incarnation uint64, list []ports.Host) *testHost {
 	h := &testHost{board: blackboard.New(), list: &testList{}, gate: &gate{}, done: make(chan error, 1)}
 	h.list.set(list)
 	h.board.Status.Store(blackboard.Status{ConfigConfirmed: true})
@@ -154,7 +154,7 @@
 	return h
 }
 
-func (c *cluster) kill(ids ...platform.HostID) {
+func (c *cluster) kill(ids ...ports.HostID) {
 	for _, id := range ids {
 		h := c.hosts[id]
 		c.net.Leave(id)
@@ -174,8 +174,8 @@
 	time.Sleep(5 * time.Second)
 }
 
-func (c *cluster) ids() []platform.HostID {
-	var out []platform.HostID
+func (c *cluster) ids() []ports.HostID {
+	var out []ports.HostID
 	for id := range c.hosts {
 		out = append(out, id)
 	}
@@ -184,21 +184,21 @@
 }
 
 // setLists gives all hosts the same list.
-func (c *cluster) setLists(hosts []platform.Host) {
+func (c *cluster) setLists(hosts []ports.Host) {
 	for _, h := range c.hosts {
 		h.list.set(hosts)
 	}
 }
 
 // state is what one host thinks of another; 0 if it does not know it.
-func (c *cluster) state(at, of platform.HostID) blackboard.MemberState {
+func (c *cluster) state(at, of ports.HostID) blackboard.MemberState {
 	m, _ := c.hosts[at].board.Members.Load().Find(of)
 	return m.State
 }
 
 // wrong lists the running hosts whose view of a host is not as wanted.
-func (c *cluster) wrong(of platform.HostID, want blackboard.MemberState) []platform.HostID {
-	var out []platform.HostID
+func (c *cluster) wrong(of ports.HostID, want blackboard.MemberState) []ports.HostID {
+	var out []ports.HostID
 	for _, at := range c.ids() {
 		if c.state(at, of) != want {
 			out = append(out, at)
@@ -207,13 +207,13 @@
 	return out
 }
 
-func (c *cluster) allSee(of platform.HostID, want blackboard.MemberState) {
+func (c *cluster) allSee(of ports.HostID, want blackboard.MemberState) {
 	c.t.Helper()
 	assert.Check(c.t, len(c.wrong(of, want)) == 0, "%s should be seen as %d, but not so at %v", of, want, c.wrong(of, want))
 }
 
 // timeUntil waits until all running hosts see a host as wanted.
-func (c *cluster) timeUntil(of platform.HostID, want blackboard.MemberState, limit time.Duration) time.Duration {
+func (c *cluster) timeUntil(of ports.HostID, want blackboard.MemberState, limit time.Duration) time.Duration {
 	c.t.Helper()
 	start := time.Now()
 	for len(c.wrong(of, want)) > 0 && time.Since(start) < limit {
--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -22,7 +22,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Times of the protocol. A host that dies is suspected by those that watch it
@@ -52,13 +52,13 @@
 
 // PeerSetter learns the addresses of the hosts; peer.Node is one.
 type PeerSetter interface {
-	SetPeers(hosts []platform.Host)
+	SetPeers(hosts []ports.Host)
 }
 
 // Options of a Controller.
 type Options struct {
 	// Host is this host as the others shall know it.
-	Host platform.Host
+	Host ports.Host
 	// Incarnation has to be greater than that of any earlier run on the host;
 	// NewIncarnation gives one.
 	Incarnation uint64
@@ -66,9 +66,9 @@
 	// Peers is told the addresses of the hosts in the view; it may be nil.
 	Peers PeerSetter
 	Board *blackboard.Board
-	List  platform.HostList
+	List  ports.HostList
 	// OnList gets each new list, for the controller of targets; it may be nil.
-	OnList  func(platform.HostSnapshot)
+	OnList  func(ports.HostSnapshot)
 	Log     *zap.Logger
 	Metrics *metrics.Set
 
@@ -89,8 +89,8 @@
 	mu      sync.Mutex
 	view    *view
 	rng     *rand.Rand
-	changed map[platform.HostID]struct{}
-	peers   []platform.Host
+	changed map[ports.HostID]struct{}
+	peers   []ports.Host
 	lastRun time.Time
 	synced  time.Time
 }
@@ -111,7 +111,7 @@
 		wake:    make(chan struct{}, 1),
 		view:    newView(rec, time.Now()),
 		rng:     rand.New(rand.NewPCG(xxhash.Sum64String(string(opts.Host.ID)), opts.Incarnation)),
-		changed: make(map[platform.HostID]struct{}),
+		changed: make(map[ports.HostID]struct{}),
 	}
 	c.view.rules = opts.rules
 	c.register()
@@ -155,7 +155,7 @@
 }
 
 // noteLocked marks a record to be passed on and publishes the view.
-func (c *Controller) noteLocked(id platform.HostID) {
+func (c *Controller) noteLocked(id ports.HostID) {
 	c.changed[id] = struct{}{}
 	select {
 	case c.wake <- struct{}{}:
@@ -178,10 +178,10 @@
 	if c.opts.Peers == nil {
 		return
 	}
-	hosts := make([]platform.Host, len(m.Members))
+	hosts := make([]ports.Host, len(m.Members))
 	for i := range m.Members {
 		hosts[i] = m.Members[i].Host
-		hosts[i].State = platform.HostLive
+		hosts[i].State = ports.HostLive
 	}
 	if slices.Equal(hosts, c.peers) {
 		return
@@ -287,7 +287,7 @@
 	}
 }
 
-func (c *Controller) anySync(ctx context.Context, ids []platform.HostID) bool {
+func (c *Controller) anySync(ctx context.Context, ids []ports.HostID) bool {
 	answers := make(chan bool, len(ids))
 	for _, id := range ids {
 		go func() { answers <- c.syncWith(ctx, id) }()
@@ -302,8 +302,8 @@
 // silentLocked returns the hosts that are due for a probe: those watched, and
 // those that were silent when they were watched. The latter are told to nobody,
 // so nobody would refute it.
-func (c *Controller) silentLocked(now time.Time) []platform.HostID {
-	var out []platform.HostID
+func (c *Controller) silentLocked(now time.Time) []ports.HostID {
+	var out []ports.HostID
 	silent := c.view.others(func(e *entry) bool { return e.silent })
 	for _, id := range union(c.view.watched(), silent) {
 		e := c.view.entries[id]
@@ -317,7 +317,7 @@
 }
 
 // partnersLocked returns the hosts to compare views with in this round.
-func (c *Controller) partnersLocked(now time.Time) []platform.HostID {
+func (c *Controller) partnersLocked(now time.Time) []ports.HostID {
 	if now.Sub(c.synced) < syncEvery {
 		return nil
 	}
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -11,7 +11,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func (c *Controller) register() {
@@ -128,7 +128,7 @@
 	}
 }
 
-func (c *Controller) changesLocked() ([]Record, []platform.HostID) {
+func (c *Controller) changesLocked() ([]Record, []ports.HostID) {
 	if len(c.changed) == 0 {
 		return nil, nil
 	}
@@ -150,7 +150,7 @@
 	return recs, to
 }
 
-func union(a, b []platform.HostID) []platform.HostID {
+func union(a, b []ports.HostID) []ports.HostID {
 	all := append(slices.Clone(a), b...)
 	slices.Sort(all)
 	return slices.Compact(all)
@@ -172,7 +172,7 @@
 // compare compares views with a host or, if it does not answer, with any other.
 // A host that comes while its neighbours on the ring are dead would otherwise
 // ask nobody who knows that.
-func (c *Controller) compare(ctx context.Context, id platform.HostID) {
+func (c *Controller) compare(ctx context.Context, id ports.HostID) {
 	if c.syncWith(ctx, id) {
 		return
 	}
@@ -186,7 +186,7 @@
 
 // syncWith compares views with one host and takes what it has newer. It
 // reports whether the host answered.
-func (c *Controller) syncWith(ctx context.Context, id platform.HostID) bool {
+func (c *Controller) syncWith(ctx context.Context, id ports.HostID) bool {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -212,7 +212,7 @@
 	return true
 }
 
-func (c *Controller) ping(ctx context.Context, id platform.HostID) (Record, error) {
+func (c *Controller) ping(ctx context.Context, id ports.HostID) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	return peer.Call[Record](ctx, c.opts.Link, id, kindPing, pingMsg{})
@@ -221,7 +221,7 @@
 // probe asks a silent host directly and through others before it is suspected:
 // a cut between two hosts, or one direction of it, is no reason to take roles
 // from a host that all others reach.
-func (c *Controller) probe(ctx context.Context, g *errgroup.Group, id platform.HostID) {
+func (c *Controller) probe(ctx context.Context, g *errgroup.Group, id ports.HostID) {
 	c.count.probes.Add(1)
 	ans := c.reach(ctx, id)
 	c.mu.Lock()
@@ -253,7 +253,7 @@
 // that it could not reach the host either. A host that is itself cut off gets
 // no such answer; it keeps its doubts to itself, and does not come back with
 // doubts about everyone. It reports whether others are told.
-func (c *Controller) suspectLocked(id platform.HostID, told bool) bool {
+func (c *Controller) suspectLocked(id ports.HostID, told bool) bool {
 	if !c.view.suspect(id, told) {
 		return false
 	}
@@ -276,7 +276,7 @@
 }
 
 // reach pings a host directly and through helpers at the same time.
-func (c *Controller) reach(ctx context.Context, id platform.HostID) answer {
+func (c *Controller) reach(ctx context.Context, id ports.HostID) answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	c.mu.Lock()
--- a/controller/membership/faults_test.go
+++ b/controller/membership/faults_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Bounds that docs/design/membership.md states.
@@ -174,7 +174,7 @@
 		defer c.close()
 		all := entryHosts(9)
 		for i := range 9 {
-			c.start(hostID(i), 1, []platform.Host{all[i], all[(i+1)%9], all[(i+2)%9]})
+			c.start(hostID(i), 1, []ports.Host{all[i], all[(i+1)%9], all[(i+2)%9]})
 		}
 		time.Sleep(spreadWithin)
 		for _, id := range c.ids() {
@@ -195,7 +195,7 @@
 		spent := c.timeUntil(hostID(1), blackboard.MemberLeaving, spreadWithin)
 		assert.Check(t, spent < 100*time.Millisecond, "took %v", spent)
 		marked := entryHosts(7)
-		marked[2].State = platform.HostLeaving
+		marked[2].State = ports.HostLeaving
 		c.setLists(marked)
 		c.timeUntil(hostID(2), blackboard.MemberLeaving, spreadWithin)
 		c.setLists(entryHosts(7))
--- a/controller/membership/list.go
+++ b/controller/membership/list.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // pollList reads the platform's list again and again. While it can not be read
@@ -51,7 +51,7 @@
 	return snap.Version
 }
 
-func (c *Controller) applyList(snap platform.HostSnapshot) {
+func (c *Controller) applyList(snap ports.HostSnapshot) {
 	c.mu.Lock()
 	c.view.applyList(snap.Hosts, time.Now())
 	c.publishLocked()
--- a/controller/membership/messages.go
+++ b/controller/membership/messages.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Kinds of messages between membership controllers.
@@ -17,11 +17,11 @@
 // Record is what hosts tell each other about one entry host. Its own host
 // writes a new Seq with each change; others add only Suspected.
 type Record struct {
-	ID       platform.HostID `msgpack:"id"`
-	Zone     string          `msgpack:"z"`
-	Region   string          `msgpack:"r,omitempty"`
-	Addr     string          `msgpack:"a"`
-	PeerAddr string          `msgpack:"p"`
+	ID       ports.HostID `msgpack:"id"`
+	Zone     string       `msgpack:"z"`
+	Region   string       `msgpack:"r,omitempty"`
+	Addr     string       `msgpack:"a"`
+	PeerAddr string       `msgpack:"p"`
 	// Incarnation grows with each run of the daemon, Seq with each change
 	// within a run.
 	Incarnation uint64 `msgpack:"i"`
@@ -48,14 +48,14 @@
 	return r.Suspected && !than.Suspected
 }
 
-func (r Record) host() platform.Host {
-	return platform.Host{
-		ID: r.ID, Role: platform.RoleEntry, State: platform.HostLive,
+func (r Record) host() ports.Host {
+	return ports.Host{
+		ID: r.ID, Role: ports.RoleEntry, State: ports.HostLive,
 		Zone: r.Zone, Region: r.Region, Addr: r.Addr, PeerAddr: r.PeerAddr,
 	}
 }
 
-func recordOf(h platform.Host) Record {
+func recordOf(h ports.Host) Record {
 	return Record{ID: h.ID, Zone: h.Zone, Region: h.Region, Addr: h.Addr, PeerAddr: h.PeerAddr}
 }
 
@@ -80,5 +80,5 @@
 
 // pingViaMsg asks a host to ping another one.
 type pingViaMsg struct {
-	ID platform.HostID
+	ID ports.HostID
 }
--- a/controller/membership/neighbours.go
+++ b/controller/membership/neighbours.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"slices"
 
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/ring"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -34,7 +34,7 @@
 }
 
 // heartbeatTo returns the hosts that get this host's heartbeats.
-func (v *view) heartbeatTo() []platform.HostID {
+func (v *view) heartbeatTo() []ports.HostID {
 	if v.mesh() {
 		return v.others(nil)
 	}
@@ -42,7 +42,7 @@
 }
 
 // watched returns the hosts whose heartbeats this one expects.
-func (v *view) watched() []platform.HostID {
+func (v *view) watched() []ports.HostID {
 	if v.mesh() {
 		return v.others(nil)
 	}
@@ -50,7 +50,7 @@
 }
 
 // neighbours returns the hosts that changes are passed on to.
-func (v *view) neighbours() []platform.HostID {
+func (v *view) neighbours() []ports.HostID {
 	if v.mesh() {
 		return v.others(func(e *entry) bool { return !e.doubted() })
 	}
@@ -60,7 +60,7 @@
 // partners returns the hosts to compare views with. A host that doubts most
 // others asks doubted ones most of the time: after a partition has healed,
 // nobody else would ever speak to the other side again.
-func (v *view) partners(rng *rand.Rand) []platform.HostID {
+func (v *view) partners(rng *rand.Rand) []ports.HostID {
 	all := v.others(nil)
 	if v.mesh() {
 		return sample(rng, all, 2)
@@ -74,8 +74,8 @@
 }
 
 // others returns all hosts but this one that are kept, in order of ID.
-func (v *view) others(keep func(*entry) bool) []platform.HostID {
-	out := make([]platform.HostID, 0, len(v.entries))
+func (v *view) others(keep func(*entry) bool) []ports.HostID {
+	out := make([]ports.HostID, 0, len(v.entries))
 	for id, e := range v.entries {
 		if id != v.self && (keep == nil || keep(e)) {
 			out = append(out, id)
@@ -86,7 +86,7 @@
 }
 
 // sample returns up to k of the hosts at random.
-func sample(rng *rand.Rand, ids []platform.HostID, k int) []platform.HostID {
+func sample(rng *rand.Rand, ids []ports.HostID, k int) []ports.HostID {
 	rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(k, len(ids))]
 }
--- a/controller/membership/random_test.go
+++ b/controller/membership/random_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // How long after the last fault all views have to agree. On a ring of two
@@ -57,9 +57,9 @@
 type randomRun struct {
 	*cluster
 	incarnation uint64
-	leaving     map[platform.HostID]bool
+	leaving     map[ports.HostID]bool
 	// seen holds the newest that a view showed of a host.
-	seen map[[2]platform.HostID]blackboard.Member
+	seen map[[2]ports.HostID]blackboard.Member
 	bad  string
 	// converged is the time from the end of all faults until all views were
 	// right.
@@ -73,8 +73,8 @@
 		c.rules = r
 		run := &randomRun{
 			cluster: c, incarnation: 1, bound: convergeWithin,
-			leaving: make(map[platform.HostID]bool),
-			seen:    make(map[[2]platform.HostID]blackboard.Member),
+			leaving: make(map[ports.HostID]bool),
+			seen:    make(map[[2]ports.HostID]blackboard.Member),
 		}
 		if r.watchers > 0 {
 			run.bound = ringConvergeWithin
@@ -123,12 +123,12 @@
 	}
 }
 
-func (r *randomRun) stopHost(id platform.HostID) {
+func (r *randomRun) stopHost(id ports.HostID) {
 	r.kill(id)
-	maps.DeleteFunc(r.seen, func(key [2]platform.HostID, _ blackboard.Member) bool { return key[0] == id })
+	maps.DeleteFunc(r.seen, func(key [2]ports.HostID, _ blackboard.Member) bool { return key[0] == id })
 }
 
-func (r *randomRun) restart(id platform.HostID) {
+func (r *randomRun) restart(id ports.HostID) {
 	if r.hosts[id] != nil {
 		r.stopHost(id)
 	}
@@ -148,8 +148,8 @@
 	}
 }
 
-func (r *randomRun) check(at platform.HostID, m blackboard.Member) {
-	key := [2]platform.HostID{at, m.Host.ID}
+func (r *randomRun) check(at ports.HostID, m blackboard.Member) {
+	key := [2]ports.HostID{at, m.Host.ID}
 	old, known := r.seen[key]
 	r.seen[key] = m
 	if !known {
--- a/controller/membership/view.go
+++ b/controller/membership/view.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // entry is what this host holds of one entry host.
@@ -51,8 +51,8 @@
 // view holds all entries and the rules by which they change. It has no clock
 // and no lock.
 type view struct {
-	self    platform.HostID
-	entries map[platform.HostID]*entry
+	self    ports.HostID
+	entries map[ports.HostID]*entry
 	rules   rules
 }
 
@@ -65,7 +65,7 @@
 }
 
 func newView(self Record, now time.Time) *view {
-	v := &view{self: self.ID, entries: make(map[platform.HostID]*entry)}
+	v := &view{self: self.ID, entries: make(map[ports.HostID]*entry)}
 	v.entries[self.ID] = &entry{rec: self, heard: now}
 	return v
 }
@@ -168,7 +168,7 @@
 }
 
 // suspect doubts a host that did not answer. If told, others will hear of it.
-func (v *view) suspect(id platform.HostID, told bool) bool {
+func (v *view) suspect(id ports.HostID, told bool) bool {
 	e := v.entries[id]
 	if e == nil || e.rec.Suspected || e.silent && !told {
 		return false
@@ -179,12 +179,12 @@
 }
 
 // applyList takes in the entry hosts of a list.
-func (v *view) applyList(hosts []platform.Host, now time.Time) {
+func (v *view) applyList(hosts []ports.Host, now time.Time) {
 	for _, e := range v.entries {
 		e.listed = false
 	}
 	for _, h := range hosts {
-		if h.Role != platform.RoleEntry {
+		if h.Role != ports.RoleEntry {
 			continue
 		}
 		e := v.entries[h.ID]
@@ -195,7 +195,7 @@
 		e.listed = true
 		// A host that began to leave does not come back without a restart, even
 		// if the mark is taken back: its roles and shares are handed over.
-		e.listMark = h.State == platform.HostLeaving
+		e.listMark = h.State == ports.HostLeaving
 		e.listLeaving = e.listLeaving || e.listMark
 	}
 }
@@ -251,7 +251,7 @@
 			ConfigSequence: e.rec.Config,
 		}
 		if e.leaving() {
-			m.Host.State = platform.HostLeaving
+			m.Host.State = ports.HostLeaving
 		}
 		out.Members = append(out.Members, m)
 	}
--- a/controller/probes/probes.go
+++ b/controller/probes/probes.go
@@ -17,7 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Candidate is a target worth a probe.
@@ -33,7 +33,7 @@
 	// services that it coordinates.
 	Stale(now time.Time) []Candidate
 	// Probed takes a result; a negative load means that none was reported.
-	Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int, latency time.Duration)
+	Probed(key blackboard.ServiceKey, id ports.HostID, ok bool, load int, latency time.Duration)
 }
 
 // Budget gives permission for probes; *budget.Shares does.
@@ -62,7 +62,7 @@
 	Budget Budget
 	Prober Prober
 	// Leaving is told of a target that says it is to stop; nil tells nobody.
-	Leaving func(key blackboard.ServiceKey, id platform.HostID)
+	Leaving func(key blackboard.ServiceKey, id ports.HostID)
 	Metrics *metrics.Set
 	Log     *zap.Logger
 }
@@ -107,7 +107,7 @@
 // probeKey names a target of a service.
 type probeKey struct {
 	service blackboard.ServiceKey
-	target  platform.HostID
+	target  ports.HostID
 }
 
 // New returns a controller that does nothing until Run.
--- a/controller/probes/probes_test.go
+++ b/controller/probes/probes_test.go
@@ -23,7 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 var service = blackboard.ServiceKey{Workspace: "w", Service: "s"}
@@ -32,13 +32,13 @@
 type idleSource struct {
 	targets []blackboard.Target
 	mu      sync.Mutex
-	probed  map[platform.HostID]int
+	probed  map[ports.HostID]int
 }
 
 func newSource(n int) *idleSource {
-	s := &idleSource{probed: make(map[platform.HostID]int)}
+	s := &idleSource{probed: make(map[ports.HostID]int)}
 	for i := range n {
-		s.targets = append(s.targets, blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%02d", i))})
+		s.targets = append(s.targets, blackboard.Target{ID: ports.HostID(fmt.Sprintf("t%02d", i))})
 	}
 	return s
 }
@@ -51,7 +51,7 @@
 	return out
 }
 
-func (s *idleSource) Probed(_ blackboard.ServiceKey, id platform.HostID, _ bool, _ int, _ time.Duration) {
+func (s *idleSource) Probed(_ blackboard.ServiceKey, id ports.HostID, _ bool, _ int, _ time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.probed[id]++
@@ -75,7 +75,7 @@
 	source     *idleSource
 }
 
-func newDaemon(st platform.Table, id platform.HostID, n int, healthPath string, prober Prober) *daemon {
+func newDaemon(st ports.Table, id ports.HostID, n int, healthPath string, prober Prober) *daemon {
 	b := blackboard.New()
 	b.Config.Store(&declare.Config{Workspaces: []declare.Workspace{{
 		Name:        "w",
--- a/controller/targets/controller.go
+++ b/controller/targets/controller.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Kinds of messages between controllers of targets; the membership controller
@@ -117,7 +117,7 @@
 
 // ApplyList takes in a new list of the platform. Without a new one the last
 // stays in force, for as long as the list is out.
-func (c *Controller) ApplyList(snap platform.HostSnapshot) {
+func (c *Controller) ApplyList(snap ports.HostSnapshot) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/controller/targets/exchange.go
+++ b/controller/targets/exchange.go
@@ -11,8 +11,8 @@
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/ring"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // push sends new marks to other hosts.
@@ -36,7 +36,7 @@
 	}
 }
 
-func (c *Controller) receiversLocked() (tell, pass []platform.HostID) {
+func (c *Controller) receiversLocked() (tell, pass []ports.HostID) {
 	near := c.neighboursLocked()
 	return near, near[:min(passFanout, len(near))]
 }
@@ -50,7 +50,7 @@
 	return out
 }
 
-func (c *Controller) send(to []platform.HostID, ms []wireMark) {
+func (c *Controller) send(to []ports.HostID, ms []wireMark) {
 	if len(ms) == 0 {
 		return
 	}
@@ -65,9 +65,9 @@
 // neighboursLocked returns, in random order, all other hosts if they are few,
 // or else this host's fingers on the ring. Suspected hosts are among them: a
 // host that is cut off from this one still gives work to targets.
-func (c *Controller) neighboursLocked() []platform.HostID {
+func (c *Controller) neighboursLocked() []ports.HostID {
 	view := c.opts.Board.Members.Load()
-	ids := make([]platform.HostID, len(view.Members))
+	ids := make([]ports.HostID, len(view.Members))
 	for i := range ids {
 		ids[i] = view.Members[i].Host.ID
 	}
@@ -75,7 +75,7 @@
 	if len(ids) > tellAll {
 		ids = ring.New(ids).Fingers(self)
 	} else {
-		ids = slices.DeleteFunc(ids, func(id platform.HostID) bool { return id == self })
+		ids = slices.DeleteFunc(ids, func(id ports.HostID) bool { return id == self })
 	}
 	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids
@@ -97,7 +97,7 @@
 	}
 }
 
-func (c *Controller) compareWith(ctx context.Context, id platform.HostID, digest []uint64) {
+func (c *Controller) compareWith(ctx context.Context, id ports.HostID, digest []uint64) {
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	reply, err := peer.Call[marksMsg](ctx, c.opts.Link, id, kindCompare, compareMsg{Digest: digest})
--- a/controller/targets/list.go
+++ b/controller/targets/list.go
@@ -6,18 +6,18 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // fromList makes the view of a list, with what the view before it knew.
-func fromList(old *blackboard.Targets, snap platform.HostSnapshot, now time.Time) *blackboard.Targets {
+func fromList(old *blackboard.Targets, snap ports.HostSnapshot, now time.Time) *blackboard.Targets {
 	next := &blackboard.Targets{
 		ListVersion: snap.Version,
 		ByService:   make(map[blackboard.ServiceKey][]blackboard.Target, len(old.ByService)),
 	}
 	first := len(old.ByService) == 0 && old.ListVersion == 0
 	for _, h := range snap.Hosts {
-		if h.Role != platform.RoleTarget {
+		if h.Role != ports.RoleTarget {
 			continue
 		}
 		t := blackboard.Target{ID: h.ID, Addr: h.Addr, Zone: h.Zone, FirstSeen: now}
@@ -27,7 +27,7 @@
 			// all targets at once.
 			t.FirstSeen = time.Time{}
 		}
-		if h.State == platform.HostLeaving {
+		if h.State == ports.HostLeaving {
 			t.Leaving, t.LeavingSince = true, now
 		}
 		key := blackboard.ServiceKey{Workspace: h.Workspace, Service: h.Service}
--- a/controller/targets/marks.go
+++ b/controller/targets/marks.go
@@ -6,24 +6,24 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Mark says that a target is leaving.
 type Mark struct {
 	Workspace string
 	Service   string
-	ID        platform.HostID
+	ID        ports.HostID
 }
 
 // wireMark is a mark on its way. Age in seconds is the time since a list last
 // had the target. Without it each host that learns of an old mark would count
 // from zero, and hosts would bring it back to each other for ever.
 type wireMark struct {
-	Workspace string          `msgpack:"w"`
-	Service   string          `msgpack:"s"`
-	ID        platform.HostID `msgpack:"id"`
-	Age       uint32          `msgpack:"a,omitempty"`
+	Workspace string       `msgpack:"w"`
+	Service   string       `msgpack:"s"`
+	ID        ports.HostID `msgpack:"id"`
+	Age       uint32       `msgpack:"a,omitempty"`
 }
 
 func (w wireMark) mark() Mark { return Mark{Workspace: w.Workspace, Service: w.Service, ID: w.ID} }
@@ -32,7 +32,7 @@
 	return blackboard.ServiceKey{Workspace: m.Workspace, Service: m.Service}
 }
 
-func markOf(key blackboard.ServiceKey, id platform.HostID) Mark {
+func markOf(key blackboard.ServiceKey, id ports.HostID) Mark {
 	return Mark{Workspace: key.Workspace, Service: key.Service, ID: id}
 }
 
--- a/controller/targets/targets_test.go
+++ b/controller/targets/targets_test.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // tellWithin is the time from the first sign of leaving at any host until no
@@ -34,22 +34,22 @@
 	os.Exit(m.Run())
 }
 
-func targetID(i int) platform.HostID { return platform.HostID(fmt.Sprintf("t%02d", i)) }
+func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%02d", i)) }
 
-func listOf(version uint64, states ...platform.HostState) platform.HostSnapshot {
-	snap := platform.HostSnapshot{Version: version}
+func listOf(version uint64, states ...ports.HostState) ports.HostSnapshot {
+	snap := ports.HostSnapshot{Version: version}
 	for i, s := range states {
-		snap.Hosts = append(snap.Hosts, platform.Host{
-			ID: targetID(i), Role: platform.RoleTarget, State: s, Workspace: testKey.Workspace, Service: testKey.Service,
+		snap.Hosts = append(snap.Hosts, ports.Host{
+			ID: targetID(i), Role: ports.RoleTarget, State: s, Workspace: testKey.Workspace, Service: testKey.Service,
 		})
 	}
 	return snap
 }
 
-func liveList(version uint64, n int) platform.HostSnapshot {
-	states := make([]platform.HostState, n)
+func liveList(version uint64, n int) ports.HostSnapshot {
+	states := make([]ports.HostState, n)
 	for i := range states {
-		states[i] = platform.HostLive
+		states[i] = ports.HostLive
 	}
 	return listOf(version, states...)
 }
@@ -84,8 +84,8 @@
 		view := &blackboard.Members{}
 		hosts := make([]*testHost, n)
 		for i := range hosts {
-			id := platform.HostID(fmt.Sprintf("h%03d", i))
-			view.Members = append(view.Members, blackboard.Member{Host: platform.Host{ID: id}, State: blackboard.MemberLive})
+			id := ports.HostID(fmt.Sprintf("h%03d", i))
+			view.Members = append(view.Members, blackboard.Member{Host: ports.Host{ID: id}, State: blackboard.MemberLive})
 			h := &testHost{board: blackboard.New()}
 			h.c = New(Options{Link: net.Join(id), Board: h.board})
 			hosts[i] = h
@@ -130,7 +130,7 @@
 		assert.Check(t, h.board.Status.Load().Ready())
 		assert.Check(t, h.target(0).FirstSeen.IsZero(), "targets listed at the start are warm")
 		time.Sleep(time.Minute)
-		h.c.ApplyList(listOf(2, platform.HostLeaving, platform.HostLive, platform.HostLive))
+		h.c.ApplyList(listOf(2, ports.HostLeaving, ports.HostLive, ports.HostLive))
 		since := time.Now()
 		assert.Equal(t, h.target(2).FirstSeen, since)
 		time.Sleep(time.Minute)
@@ -223,10 +223,10 @@
 func BenchmarkApplyList(b *testing.B) {
 	h := &testHost{board: blackboard.New()}
 	h.c = New(Options{Link: peernet.New().Join("h"), Board: h.board})
-	snap := platform.HostSnapshot{}
+	snap := ports.HostSnapshot{}
 	for i := range 15000 {
-		snap.Hosts = append(snap.Hosts, platform.Host{
-			ID: targetID(i), Role: platform.RoleTarget, State: platform.HostLive,
+		snap.Hosts = append(snap.Hosts, ports.Host{
+			ID: targetID(i), Role: ports.RoleTarget, State: ports.HostLive,
 			Workspace: "w", Service: fmt.Sprint("s", i%490),
 		})
 	}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
@@ -36,7 +36,7 @@
 		return nil, outcome.Refuse(outcome.ReasonNoTarget)
 	}
 	p.granted++
-	return &fakeGrant{picker: p, id: platform.HostID("t" + string(rune('0'+p.granted)))}, outcome.Result{}
+	return &fakeGrant{picker: p, id: ports.HostID("t" + string(rune('0'+p.granted)))}, outcome.Result{}
 }
 
 func (p *fakePicker) reports() []pick.Class {
@@ -47,7 +47,7 @@
 
 type fakeGrant struct {
 	picker *fakePicker
-	id     platform.HostID
+	id     ports.HostID
 }
 
 func (g *fakeGrant) Target() blackboard.Target { return blackboard.Target{ID: g.id} }
@@ -62,7 +62,7 @@
 type behaviour func(req *http.Request) upstream.Result
 
 // fakeUpstream has one behaviour for each target.
-type fakeUpstream map[platform.HostID]behaviour
+type fakeUpstream map[ports.HostID]behaviour
 
 func (u fakeUpstream) RoundTrip(req *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
 	return u[t.ID](req)
@@ -114,7 +114,7 @@
 	t.Helper()
 	up := make(fakeUpstream)
 	for i, b := range targets {
-		up[platform.HostID("t"+string(rune('1'+i)))] = b
+		up[ports.HostID("t"+string(rune('1'+i)))] = b
 	}
 	board := blackboard.New()
 	t.Cleanup(func() { _ = board.Close() })
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -7,9 +7,9 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 	"github.com/cactusproxy/cactusproxy/policy/retry"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // serviceLatency is the latency of whole answers of one service.
@@ -97,7 +97,7 @@
 	}
 	g2, _ := d.picker.Pick(ctx, pick.Request{
 		Service: c.Key,
-		Avoid:   []platform.HostID{g.Target().ID},
+		Avoid:   []ports.HostID{g.Target().ID},
 		Hedge:   true,
 		Digest:  c.Suspicion,
 	})
--- a/dispatch/history.go
+++ b/dispatch/history.go
@@ -7,13 +7,13 @@
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // history is what is known of the attempts of one call.
 type history struct {
 	attempts   int
-	tried      []platform.HostID
+	tried      []ports.HostID
 	mayHaveRun bool
 	// once is set for calls that may not be repeated, claim for those of them
 	// that carry an idempotency key.
--- a/internal/bench/capacity/grants.go
+++ b/internal/bench/capacity/grants.go
@@ -9,8 +9,8 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // grantsPerPoint is the number of grants timed for one point.
@@ -33,7 +33,7 @@
 	b.Configure(&declare.Service{Name: "s", Slots: slots, MaxQueue: 1000})
 	list := make([]blackboard.Target, targets)
 	for i := range list {
-		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%d", i)), FirstSeen: now.Add(-time.Hour)}
+		list[i] = blackboard.Target{ID: ports.HostID(fmt.Sprintf("t%d", i)), FirstSeen: now.Add(-time.Hour)}
 	}
 	b.SetTargets(now, list)
 	host := &entryHost{coordinator: b}
@@ -61,7 +61,7 @@
 	h.seq++
 	f.Epoch, f.Seq, f.Full = 1, h.seq, h.seq == 1
 	h.coordinator.Receive(now, "h1", f)
-	h.coordinator.Flush(now, func(_ platform.HostID, t grant.Tell) {
+	h.coordinator.Flush(now, func(_ ports.HostID, t grant.Tell) {
 		for _, g := range t.Grants {
 			h.open = append(h.open, g.ID)
 		}
--- a/internal/bench/capacity/memory.go
+++ b/internal/bench/capacity/memory.go
@@ -17,7 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 	"github.com/cactusproxy/cactusproxy/ledger"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
@@ -80,11 +80,11 @@
 	return n
 }
 
-func listedTargets(n int) []platform.Host {
-	out := make([]platform.Host, n)
+func listedTargets(n int) []ports.Host {
+	out := make([]ports.Host, n)
 	for i := range out {
-		out[i] = platform.Host{
-			ID: platform.HostID(fmt.Sprintf("target-%d", i)), Role: platform.RoleTarget, State: platform.HostLive,
+		out[i] = ports.Host{
+			ID: ports.HostID(fmt.Sprintf("target-%d", i)), Role: ports.RoleTarget, State: ports.HostLive,
 			Zone: "zone-a", Addr: "127.0.0.1:1",
 			Workspace: fmt.Sprintf("w%d", i%98), Service: fmt.Sprintf("s%d", i/98%5),
 		}
--- a/internal/bench/choose/coordinated.go
+++ b/internal/bench/choose/coordinated.go
@@ -8,9 +8,9 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
 	"github.com/cactusproxy/cactusproxy/policy/session"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 var benchService = blackboard.ServiceKey{Workspace: "bench", Service: "bench"}
@@ -19,7 +19,7 @@
 type coordinated struct {
 	world *world
 	hosts []*simHost
-	ids   map[platform.HostID]int
+	ids   map[ports.HostID]int
 	// coordinator returns which host a host takes for the coordinator.
 	coordinator func(host int) int
 	listed      []blackboard.Target
@@ -33,7 +33,7 @@
 type simHost struct {
 	way         *coordinated
 	index       int
-	id          platform.HostID
+	id          ports.HostID
 	session     *session.Session
 	coordinator *grant.Coordinator
 	calls       map[grant.CallID]*simCall
@@ -48,7 +48,7 @@
 
 func (w *coordinated) attach(wd *world) {
 	w.world = wd
-	w.ids = make(map[platform.HostID]int)
+	w.ids = make(map[ports.HostID]int)
 	svc := declare.Service{Slots: wd.c.Slots, MaxQueue: wd.c.MaxQueue, ColdStart: wd.c.ColdStart}
 	for _, t := range wd.targets {
 		w.listed = append(w.listed, blackboard.Target{ID: t.id, Zone: zoneName(t.zone)})
@@ -57,7 +57,7 @@
 		h := &simHost{
 			way:   w,
 			index: i,
-			id:    platform.HostID(fmt.Sprintf("h%02d", i)),
+			id:    ports.HostID(fmt.Sprintf("h%02d", i)),
 			calls: make(map[grant.CallID]*simCall),
 		}
 		h.session = session.New(benchService, 1, rand.New(rand.NewPCG(wd.seed, uint64(100+i))))
@@ -101,7 +101,7 @@
 	w.hosts[c.host].ask(c, nil)
 }
 
-func (h *simHost) ask(c *simCall, avoid []platform.HostID) {
+func (h *simHost) ask(c *simCall, avoid []ports.HostID) {
 	h.do(func(now time.Time) {
 		id := h.session.NextID()
 		h.calls[id] = c
@@ -137,7 +137,7 @@
 // this host itself.
 func (h *simHost) flush(now time.Time) bool {
 	own := false
-	h.coordinator.Flush(now, func(to platform.HostID, t grant.Tell) {
+	h.coordinator.Flush(now, func(to ports.HostID, t grant.Tell) {
 		t.Grants = append([]grant.Grant(nil), t.Grants...)
 		t.Refusals = append([]grant.Refusal(nil), t.Refusals...)
 		if to == h.id {
@@ -151,12 +151,12 @@
 	return own
 }
 
-func (h *simHost) sendFrame(to platform.HostID, f grant.Frame) {
+func (h *simHost) sendFrame(to ports.HostID, f grant.Frame) {
 	dst := h.way.hosts[h.way.ids[to]]
 	h.deliver(dst, func(now time.Time) { dst.coordinator.Receive(now, h.id, f) })
 }
 
-func (h *simHost) tellOverdue(ids []platform.HostID) {
+func (h *simHost) tellOverdue(ids []ports.HostID) {
 	for _, dst := range h.way.hosts {
 		if dst != h {
 			h.deliver(dst, func(now time.Time) { dst.session.Overdue(now, ids) })
@@ -241,13 +241,13 @@
 	r := pick.Report{Class: class, Latency: w.now - began, Load: load, LeavingHint: class == pick.Leaving}
 	h.do(func(now time.Time) { h.session.End(now, id, r) })
 	if class == pick.Leaving || class == pick.Shed {
-		h.ask(c, []platform.HostID{t.id})
+		h.ask(c, []ports.HostID{t.id})
 		return
 	}
 	w.finish(c, class)
 }
 
-func (w *world) targetByID(id platform.HostID) *simTarget {
+func (w *world) targetByID(id ports.HostID) *simTarget {
 	for _, t := range w.targets {
 		if t.id == id {
 			return t
--- a/internal/bench/choose/real_test.go
+++ b/internal/bench/choose/real_test.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/slots"
 )
 
@@ -48,24 +48,24 @@
 	c       Case
 	pickers []*slots.Slots
 	boards  []*blackboard.Board
-	targets map[platform.HostID]chan struct{} // slots of each
+	targets map[ports.HostID]chan struct{} // slots of each
 	listed  []blackboard.Target
 }
 
 func newRealRun(c Case) *realRun {
-	r := &realRun{c: c, targets: make(map[platform.HostID]chan struct{})}
+	r := &realRun{c: c, targets: make(map[ports.HostID]chan struct{})}
 	for i := range c.Targets {
-		id := platform.HostID(fmt.Sprintf("t%03d", i))
+		id := ports.HostID(fmt.Sprintf("t%03d", i))
 		r.targets[id] = make(chan struct{}, c.Slots)
 		r.listed = append(r.listed, blackboard.Target{ID: id, Zone: zoneName(i % c.Zones)})
 	}
 	members := &blackboard.Members{}
 	zones := make(map[peer.HostID]int)
 	for i := range c.Hosts {
-		id := platform.HostID(fmt.Sprintf("h%02d", i))
+		id := ports.HostID(fmt.Sprintf("h%02d", i))
 		zones[id] = i % c.Zones
 		members.Members = append(members.Members, blackboard.Member{
-			Host:  platform.Host{ID: id, Zone: zoneName(i % c.Zones)},
+			Host:  ports.Host{ID: id, Zone: zoneName(i % c.Zones)},
 			State: blackboard.MemberLive,
 		})
 	}
@@ -99,7 +99,7 @@
 		Metrics: metrics.New(),
 		Log:     zap.NewNop(),
 		Seed:    uint64(len(r.pickers)),
-		Coordinator: func(blackboard.ServiceKey, *blackboard.Members) (platform.HostID, bool) {
+		Coordinator: func(blackboard.ServiceKey, *blackboard.Members) (ports.HostID, bool) {
 			return members.Members[0].Host.ID, true
 		},
 	}))
--- a/internal/bench/choose/target.go
+++ b/internal/bench/choose/target.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // episode is a time in which a target runs slower.
@@ -15,7 +15,7 @@
 
 // simTarget is a target with a few slots and a first-in-first-out queue.
 type simTarget struct {
-	id    platform.HostID
+	id    ports.HostID
 	index int
 	zone  int
 	world *world
--- a/internal/bench/choose/world.go
+++ b/internal/bench/choose/world.go
@@ -7,7 +7,7 @@
 
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Case is a service and the load on it.
@@ -100,7 +100,7 @@
 
 func (w *world) addTarget(i int) *simTarget {
 	t := &simTarget{
-		id:    platform.HostID(fmt.Sprintf("t%03d", i)),
+		id:    ports.HostID(fmt.Sprintf("t%03d", i)),
 		index: i,
 		zone:  i % w.c.Zones,
 		world: w,
--- a/internal/bench/claims/claims.go
+++ b/internal/bench/claims/claims.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Settings of a measurement; zero fields get the defaults.
@@ -179,9 +179,9 @@
 	return b.report(commits)
 }
 
-func hostID(i int) platform.HostID { return platform.HostID(fmt.Sprintf("host-%d", i)) }
+func hostID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("host-%d", i)) }
 
-func (b *bench) host(i int, table platform.Table, net *peernet.Network) *ledger.Ledger {
+func (b *bench) host(i int, table ports.Table, net *peernet.Network) *ledger.Ledger {
 	id := hostID(i)
 	all := float64(b.settings.WritesPerSecond)
 	pooled := all * b.settings.Pooled
@@ -190,7 +190,7 @@
 		Link:        net.Join(id),
 		Host:        id,
 		Incarnation: 1,
-		Coordinator: func() platform.HostID { return hostID(0) },
+		Coordinator: func() ports.HostID { return hostID(0) },
 		Options: ledger.Options{
 			WriteRate: (all - pooled) / float64(b.settings.Hosts),
 			PoolRate:  pooled,
--- a/internal/bench/claims/outage_test.go
+++ b/internal/bench/claims/outage_test.go
@@ -15,7 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Size of the outage that is played.
@@ -58,7 +58,7 @@
 }
 
 func (a *auction) boot(i int, incarnation uint64) {
-	id := platform.HostID(fmt.Sprintf("host-%d", i))
+	id := ports.HostID(fmt.Sprintf("host-%d", i))
 	ctx, cancel := context.WithCancel(context.Background())
 	l := ledger.New(ledger.Deps{
 		Table:       a.table,
--- a/internal/bench/confignet/fleet.go
+++ b/internal/bench/confignet/fleet.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Fleet is a number of hosts in one process.
@@ -33,18 +33,18 @@
 
 	mu    sync.Mutex
 	hosts []*Host
-	slow  map[platform.HostID]time.Duration
+	slow  map[ports.HostID]time.Duration
 	cuts  map[pair]bool
 	all   atomic.Uint64
 	sent  atomic.Uint64
 }
 
 // pair is a direction between two hosts.
-type pair struct{ from, to platform.HostID }
+type pair struct{ from, to ports.HostID }
 
 // Host is one host of a fleet.
 type Host struct {
-	ID         platform.HostID
+	ID         ports.HostID
 	Zone       string
 	Board      *blackboard.Board
 	Metrics    *metrics.Set
@@ -71,7 +71,7 @@
 	f := &Fleet{
 		Net:   peernet.New(),
 		Store: store.New(store.Limits{}),
-		slow:  make(map[platform.HostID]time.Duration),
+		slow:  make(map[ports.HostID]time.Duration),
 		cuts:  make(map[pair]bool),
 	}
 	f.Net.Delay = f.delay
@@ -86,7 +86,7 @@
 }
 
 // delay is the time of a message between two hosts.
-func (f *Fleet) delay(from, to platform.HostID) time.Duration {
+func (f *Fleet) delay(from, to ports.HostID) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return oneWay(from, to) + f.slow[from]
@@ -100,7 +100,7 @@
 }
 
 // oneWay is the delay between two hosts, whose IDs end with their zone.
-func oneWay(from, to platform.HostID) time.Duration {
+func oneWay(from, to ports.HostID) time.Duration {
 	if from[len(from)-1] == to[len(to)-1] {
 		return 100 * time.Microsecond
 	}
@@ -113,7 +113,7 @@
 	zone := string(rune('a' + n%zones))
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
-		ID:       platform.HostID(fmt.Sprintf("h%03d-%s", n, zone)),
+		ID:       ports.HostID(fmt.Sprintf("h%03d-%s", n, zone)),
 		Zone:     zone,
 		Board:    blackboard.New(),
 		Metrics:  metrics.New(),
@@ -174,7 +174,7 @@
 	hosts := f.Hosts()
 	members := make([]blackboard.Member, len(hosts))
 	for i, h := range hosts {
-		members[i] = blackboard.Member{Host: platform.Host{ID: h.ID, Zone: h.Zone}, State: blackboard.MemberLive}
+		members[i] = blackboard.Member{Host: ports.Host{ID: h.ID, Zone: h.Zone}, State: blackboard.MemberLive}
 	}
 	for _, h := range hosts {
 		h.Board.Members.Store(&blackboard.Members{Self: h.ID, Members: members})
--- a/internal/bench/confignet/gate.go
+++ b/internal/bench/confignet/gate.go
@@ -8,13 +8,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // gate is one host's way to the platform; it can be cut.
 type gate struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   ports.Table
+	objects ports.ObjectStore
 	cut     atomic.Bool
 	reads   atomic.Uint64
 	// late is how long the next commit takes to take effect after its answer
@@ -29,10 +29,10 @@
 		return nil
 	}
 	<-ctx.Done()
-	return errors.Mark(ctx.Err(), platform.ErrUnavailable)
+	return errors.Mark(ctx.Err(), ports.ErrUnavailable)
 }
 
-func (g *gate) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (g *gate) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
 	if err := g.pass(ctx); err != nil {
 		return nil, err
 	}
@@ -40,7 +40,7 @@
 	return g.table.Get(ctx, keys...)
 }
 
-func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]ports.Row, error) {
 	if err := g.pass(ctx); err != nil {
 		return nil, err
 	}
@@ -48,16 +48,16 @@
 	return g.table.Scan(ctx, prefix, after, limit)
 }
 
-func (g *gate) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (g *gate) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	if err := g.pass(ctx); err != nil {
-		return platform.CommitResult{}, err
+		return ports.CommitResult{}, err
 	}
 	late := time.Duration(g.late.Swap(0))
 	if late == 0 {
 		return g.table.Commit(ctx, ops...)
 	}
 	time.AfterFunc(late, func() { _, _ = g.table.Commit(context.WithoutCancel(ctx), ops...) })
-	return platform.CommitResult{}, errors.Wrap(platform.ErrUncertain, "answer lost")
+	return ports.CommitResult{}, errors.Wrap(ports.ErrUncertain, "answer lost")
 }
 
 type gateObjects struct{ *gate }
--- a/internal/bench/loopback/bench.go
+++ b/internal/bench/loopback/bench.go
@@ -12,7 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/bench/confignet"
 	"github.com/cactusproxy/cactusproxy/internal/lab"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -126,12 +126,12 @@
 }
 
 // others returns listed targets of the services that take no calls.
-func (b *bench) others() []platform.Host {
+func (b *bench) others() []ports.Host {
 	spaces := max(1, b.opts.Services/servicesPerWorkspace)
-	out := make([]platform.Host, b.opts.Listed)
+	out := make([]ports.Host, b.opts.Listed)
 	for i := range out {
-		out[i] = platform.Host{
-			ID: platform.HostID(fmt.Sprintf("other-%d", i)), Role: platform.RoleTarget, State: platform.HostLive,
+		out[i] = ports.Host{
+			ID: ports.HostID(fmt.Sprintf("other-%d", i)), Role: ports.RoleTarget, State: ports.HostLive,
 			Zone: "zone-b", Addr: "127.0.0.1:1",
 			Workspace: otherWorkspace(i % spaces),
 			Service:   fmt.Sprintf("s%d", i/spaces%servicesPerWorkspace),
--- a/internal/bench/membernet/membernet.go
+++ b/internal/bench/membernet/membernet.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -87,7 +87,7 @@
 func listen(count int) (*network, error) {
 	var lc net.ListenConfig
 	list := store.New(store.Limits{})
-	lines := make([]platform.Host, count)
+	lines := make([]ports.Host, count)
 	listeners := make([]net.Listener, count)
 	for i := range lines {
 		l, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -96,10 +96,10 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		listeners[i] = l
-		lines[i] = platform.Host{
-			ID:       platform.HostID(fmt.Sprintf("entry-%03d", i)),
-			Role:     platform.RoleEntry,
-			State:    platform.HostLive,
+		lines[i] = ports.Host{
+			ID:       ports.HostID(fmt.Sprintf("entry-%03d", i)),
+			Role:     ports.RoleEntry,
+			State:    ports.HostLive,
 			Zone:     fmt.Sprintf("zone-%d", i%zones),
 			Addr:     l.Addr().String(),
 			PeerAddr: l.Addr().String(),
@@ -119,7 +119,7 @@
 	}
 }
 
-func newHost(line platform.Host, l net.Listener, list platform.HostList) *host {
+func newHost(line ports.Host, l net.Listener, list ports.HostList) *host {
 	h := &host{board: blackboard.New(), set: metrics.New()}
 	incarnation := membership.NewIncarnation(time.Now())
 	h.node = peer.NewNode(peer.Options{
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,7 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/platform"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
-	ports "github.com/cactusproxy/cactusproxy/platform"
+	ports "github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -20,8 +20,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
-	ports "github.com/cactusproxy/cactusproxy/platform"
-	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+	ports "github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 )
 
 const (
@@ -101,7 +101,7 @@
 // Handler serves the platform's API, and the switches:
 //
 //	GET, PUT /standin/faults     Faults
-//	PUT      /standin/hosts/{id} platform.Host, adding or replacing it
+//	PUT      /standin/hosts/{id} ports.Host, adding or replacing it
 //	DELETE   /standin/hosts/{id}
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
--- a/internal/standin/platform/switches.go
+++ b/internal/standin/platform/switches.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	ports "github.com/cactusproxy/cactusproxy/platform"
+	ports "github.com/cactusproxy/cactusproxy/ports"
 )
 
 func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) { answer(w, s.Faults(), nil) }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Faults is what is wrong with the platform at the moment. The zero value is a
@@ -34,30 +34,30 @@
 	ReadsPerSecond  int
 }
 
-// Store implements platform.Table; Objects and Hosts give the other two ports.
+// Store implements ports.Table; Objects and Hosts give the other two ports.
 type Store struct {
 	writes *rate.Limiter
 	reads  *rate.Limiter
 
 	mu      sync.Mutex
 	faults  Faults
-	rows    map[string]platform.Row
+	rows    map[string]ports.Row
 	objects map[string][]byte
-	hosts   platform.HostSnapshot
-	visible platform.HostSnapshot
+	hosts   ports.HostSnapshot
+	visible ports.HostSnapshot
 	lag     time.Duration
 	commits uint64
 	gets    uint64
 }
 
-var _ platform.Table = (*Store)(nil)
+var _ ports.Table = (*Store)(nil)
 
 // New returns an empty store.
 func New(l Limits) *Store {
 	return &Store{
 		writes:  limiter(l.WritesPerSecond),
 		reads:   limiter(l.ReadsPerSecond),
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]ports.Row),
 		objects: make(map[string][]byte),
 	}
 }
@@ -86,16 +86,16 @@
 // enter waits as long as the platform takes and refuses during an outage.
 func (s *Store) enter(ctx context.Context, l *rate.Limiter) error {
 	if err := l.Wait(ctx); err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, ports.ErrUnavailable)
 	}
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
 	if err := sleep(ctx, f.Delay); err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, ports.ErrUnavailable)
 	}
 	if f.Down {
-		return errors.Wrap(platform.ErrUnavailable, "outage")
+		return errors.Wrap(ports.ErrUnavailable, "outage")
 	}
 	return nil
 }
@@ -120,110 +120,110 @@
 	lose := s.faults.LoseReply
 	s.mu.Unlock()
 	if lose != nil && lose() {
-		return errors.Wrap(platform.ErrUncertain, "answer lost")
+		return errors.Wrap(ports.ErrUncertain, "answer lost")
 	}
 	return nil
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements ports.Table.
+func (s *Store) Get(ctx context.Context, keys ...string) ([]ports.Row, error) {
 	if err := s.enter(ctx, s.reads); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gets++
-	rows := make([]platform.Row, len(keys))
+	rows := make([]ports.Row, len(keys))
 	for i, k := range keys {
 		rows[i] = s.row(k)
 	}
 	return rows, nil
 }
 
-func (s *Store) row(key string) platform.Row {
+func (s *Store) row(key string) ports.Row {
 	r, ok := s.rows[key]
 	if !ok {
-		return platform.Row{Key: key}
+		return ports.Row{Key: key}
 	}
 	return r
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements ports.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]ports.Row, error) {
 	if err := s.enter(ctx, s.reads); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gets++
-	var rows []platform.Row
+	var rows []ports.Row
 	for k, r := range s.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b ports.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows[:min(limit, len(rows))], nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+// Commit implements ports.Table.
+func (s *Store) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	if err := s.enter(ctx, s.writes); err != nil {
-		return platform.CommitResult{}, err
+		return ports.CommitResult{}, err
 	}
 	res := s.apply(ops)
 	if err := s.replyLost(); err != nil {
-		return platform.CommitResult{}, err
+		return ports.CommitResult{}, err
 	}
 	return res, nil
 }
 
-func (s *Store) apply(ops []platform.Op) platform.CommitResult {
+func (s *Store) apply(ops []ports.Op) ports.CommitResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
-	var conflicts []platform.Row
+	var conflicts []ports.Row
 	for _, op := range ops {
 		if r := s.row(op.Key); !allowed(op, r) {
 			conflicts = append(conflicts, r)
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.CommitResult{Conflicts: conflicts}
+		return ports.CommitResult{Conflicts: conflicts}
 	}
 	for _, op := range ops {
 		s.write(op)
 	}
-	return platform.CommitResult{Applied: true}
+	return ports.CommitResult{Applied: true}
 }
 
 // allowed reports whether the operation's condition holds for the row.
-func allowed(op platform.Op, r platform.Row) bool {
+func allowed(op ports.Op, r ports.Row) bool {
 	switch op.Kind {
-	case platform.OpInsert:
+	case ports.OpInsert:
 		return r.Version == 0
-	case platform.OpUpdate, platform.OpCheck:
+	case ports.OpUpdate, ports.OpCheck:
 		return r.Version == op.Version
-	case platform.OpDelete:
+	case ports.OpDelete:
 		return op.Version == 0 || r.Version == op.Version
 	default:
 		return true
 	}
 }
 
-func (s *Store) write(op platform.Op) {
+func (s *Store) write(op ports.Op) {
 	switch op.Kind {
-	case platform.OpCheck:
-	case platform.OpDelete:
+	case ports.OpCheck:
+	case ports.OpDelete:
 		delete(s.rows, op.Key)
 	default:
 		r := s.row(op.Key)
-		s.rows[op.Key] = platform.Row{Key: op.Key, Version: r.Version + 1, Value: slices.Clone(op.Value)}
+		s.rows[op.Key] = ports.Row{Key: op.Key, Version: r.Version + 1, Value: slices.Clone(op.Value)}
 	}
 }
 
 // Objects returns the object store.
-func (s *Store) Objects() platform.ObjectStore { return objects{s} }
+func (s *Store) Objects() ports.ObjectStore { return objects{s} }
 
 type objects struct{ *Store }
 
@@ -247,20 +247,20 @@
 }
 
 // Hosts returns the host list.
-func (s *Store) Hosts() platform.HostList { return hosts{s} }
+func (s *Store) Hosts() ports.HostList { return hosts{s} }
 
 type hosts struct{ *Store }
 
-func (h hosts) List(ctx context.Context, known uint64) (platform.HostSnapshot, error) {
+func (h hosts) List(ctx context.Context, known uint64) (ports.HostSnapshot, error) {
 	if err := h.enter(ctx, h.reads); err != nil {
-		return platform.HostSnapshot{}, err
+		return ports.HostSnapshot{}, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if known == h.visible.Version && known != 0 {
-		return platform.HostSnapshot{Version: known, Unchanged: true}, nil
+		return ports.HostSnapshot{Version: known, Unchanged: true}, nil
 	}
-	return platform.HostSnapshot{Version: h.visible.Version, Hosts: slices.Clone(h.visible.Hosts)}, nil
+	return ports.HostSnapshot{Version: h.visible.Version, Hosts: slices.Clone(h.visible.Hosts)}, nil
 }
 
 // SetHostLag sets how long a change to the list takes to be seen.
@@ -271,16 +271,16 @@
 }
 
 // SetHosts replaces the list; readers see it after the lag.
-func (s *Store) SetHosts(list []platform.Host) {
-	s.ChangeHosts(func([]platform.Host) []platform.Host { return list })
+func (s *Store) SetHosts(list []ports.Host) {
+	s.ChangeHosts(func([]ports.Host) []ports.Host { return list })
 }
 
 // ChangeHosts replaces the list with what f makes of a copy of it; readers see
 // it after the lag.
-func (s *Store) ChangeHosts(f func([]platform.Host) []platform.Host) {
+func (s *Store) ChangeHosts(f func([]ports.Host) []ports.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = platform.HostSnapshot{Version: s.hosts.Version + 1, Hosts: slices.Clone(f(slices.Clone(s.hosts.Hosts)))}
+	s.hosts = ports.HostSnapshot{Version: s.hosts.Version + 1, Hosts: slices.Clone(f(slices.Clone(s.hosts.Hosts)))}
 	snap := s.hosts
 	if s.lag <= 0 {
 		s.visible = snap
@@ -289,7 +289,7 @@
 	time.AfterFunc(s.lag, func() { s.show(snap) })
 }
 
-func (s *Store) show(snap platform.HostSnapshot) {
+func (s *Store) show(snap ports.HostSnapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snap.Version > s.visible.Version {
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-func insert(key, value string) platform.Op {
-	return platform.Op{Kind: platform.OpInsert, Key: key, Value: []byte(value)}
+func insert(key, value string) ports.Op {
+	return ports.Op{Kind: ports.OpInsert, Key: key, Value: []byte(value)}
 }
 
 func TestCommitIsAllOrNothing(t *testing.T) {
@@ -40,7 +40,7 @@
 	ctx := context.Background()
 	s.SetFaults(Faults{LoseReply: func() bool { return true }})
 	_, err := s.Commit(ctx, insert("a", "1"))
-	assert.Check(t, errors.Is(err, platform.ErrUncertain))
+	assert.Check(t, errors.Is(err, ports.ErrUncertain))
 	rows, err := s.Get(ctx, "a")
 	assert.NilError(t, err)
 	assert.Equal(t, string(rows[0].Value), "1")
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Limits{})
 		s.SetHostLag(2 * time.Second)
-		s.SetHosts([]platform.Host{{ID: "h1"}})
+		s.SetHosts([]ports.Host{{ID: "h1"}})
 		snap, err := s.Hosts().List(context.Background(), 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(snap.Hosts), 0)
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Headers by which a request steers the stand-in that runs it.
@@ -25,7 +25,7 @@
 
 // Options are what stays the same over the life of a target.
 type Options struct {
-	ID platform.HostID
+	ID ports.HostID
 	// Slots is the number of calls run at once; 0 stands for 1.
 	Slots int
 	// Queue is the number of calls that may wait for a slot; more are shed.
--- a/internal/vlab/lab.go
+++ b/internal/vlab/lab.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
@@ -25,7 +25,7 @@
 type Lab struct {
 	Store *store.Store
 	// Table is what hosts that start later get for their table.
-	Table platform.Table
+	Table ports.Table
 	Net   *peernet.Network
 	Fleet *Fleet
 
@@ -57,7 +57,7 @@
 		hosts:   make(map[string]*host),
 	}
 	l.Table = l.Store
-	l.Net.Delay = func(platform.HostID, platform.HostID) time.Duration { return peerDelay }
+	l.Net.Delay = func(ports.HostID, ports.HostID) time.Duration { return peerDelay }
 	l.Store.SetFaults(store.Faults{Delay: storeDelay})
 	return l
 }
@@ -77,7 +77,7 @@
 		return err
 	}
 	d, err := cactusproxy.New(s,
-		cactusproxy.WithLink(l.Net.Join(platform.HostID(id))),
+		cactusproxy.WithLink(l.Net.Join(ports.HostID(id))),
 		cactusproxy.WithPlatform(cactusproxy.Platform{Table: l.Table, Objects: l.Store.Objects(), Hosts: l.Store.Hosts()}),
 		cactusproxy.WithUpstream(l.Fleet),
 		cactusproxy.WithProber(l.Fleet.Probe),
@@ -91,7 +91,7 @@
 	l.mu.Lock()
 	l.hosts[id] = h
 	l.mu.Unlock()
-	l.list(platform.Host{ID: platform.HostID(id), Role: platform.RoleEntry, State: platform.HostLive, Zone: "zone-a", Addr: "127.0.0.1:1", PeerAddr: "127.0.0.1:1"})
+	l.list(ports.Host{ID: ports.HostID(id), Role: ports.RoleEntry, State: ports.HostLive, Zone: "zone-a", Addr: "127.0.0.1:1", PeerAddr: "127.0.0.1:1"})
 	return nil
 }
 
@@ -101,7 +101,7 @@
 	if h == nil {
 		return
 	}
-	l.Net.Leave(platform.HostID(id))
+	l.Net.Leave(ports.HostID(id))
 	h.daemon.Abort()
 	<-h.done
 	h.stop()
@@ -116,7 +116,7 @@
 	}
 	h.stop()
 	err := <-h.done
-	l.Net.Leave(platform.HostID(id))
+	l.Net.Leave(ports.HostID(id))
 	l.unlist(id)
 	return err
 }
@@ -164,19 +164,19 @@
 
 // AddTarget lists a target.
 func (l *Lab) AddTarget(id, workspace, service string) {
-	l.list(platform.Host{
-		ID: platform.HostID(id), Role: platform.RoleTarget, State: platform.HostLive, Zone: "zone-a",
+	l.list(ports.Host{
+		ID: ports.HostID(id), Role: ports.RoleTarget, State: ports.HostLive, Zone: "zone-a",
 		Addr: "127.0.0.1:1", Workspace: workspace, Service: service,
 	})
 }
 
-func (l *Lab) list(h platform.Host) {
-	l.Store.ChangeHosts(func(list []platform.Host) []platform.Host { return append(list, h) })
+func (l *Lab) list(h ports.Host) {
+	l.Store.ChangeHosts(func(list []ports.Host) []ports.Host { return append(list, h) })
 }
 
 func (l *Lab) unlist(id string) {
-	l.Store.ChangeHosts(func(list []platform.Host) []platform.Host {
-		return slices.DeleteFunc(list, func(h platform.Host) bool { return string(h.ID) == id })
+	l.Store.ChangeHosts(func(list []ports.Host) []ports.Host {
+		return slices.DeleteFunc(list, func(h ports.Host) bool { return string(h.ID) == id })
 	})
 }
 
--- a/internal/vlab/target.go
+++ b/internal/vlab/target.go
@@ -15,7 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
@@ -38,7 +38,7 @@
 
 // Run is one run of a call at a target.
 type Run struct {
-	Target platform.HostID
+	Target ports.HostID
 	Key    string
 	ID     string
 	At     time.Time
@@ -50,7 +50,7 @@
 	Service time.Duration
 
 	mu     sync.Mutex
-	states map[platform.HostID]State
+	states map[ports.HostID]State
 	runs   []Run
 }
 
@@ -58,11 +58,11 @@
 
 // NewFleet returns targets that are all up.
 func NewFleet(service time.Duration) *Fleet {
-	return &Fleet{Service: service, states: make(map[platform.HostID]State)}
+	return &Fleet{Service: service, states: make(map[ports.HostID]State)}
 }
 
 // Set changes the state of a target.
-func (f *Fleet) Set(id platform.HostID, s State) {
+func (f *Fleet) Set(id ports.HostID, s State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.states[id] = s
@@ -103,7 +103,7 @@
 }
 
 // arrive records the run of a call that the target takes.
-func (f *Fleet) arrive(req *http.Request, id platform.HostID) State {
+func (f *Fleet) arrive(req *http.Request, id ports.HostID) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.states[id]
--- a/ledger/batch/commit.go
+++ b/ledger/batch/commit.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Run commits until ctx ends, and returns once no transaction is under way.
@@ -175,7 +175,7 @@
 		w.cfg.Count(countConflicts, 1)
 		w.calm()
 		w.settleConflicts(group, res.Conflicts)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, ports.ErrUnavailable):
 		w.cfg.Count(countRefused, 1)
 		w.backOff()
 		w.requeue(group)
@@ -185,8 +185,8 @@
 	}
 }
 
-func ops(group []*entry) []platform.Op {
-	list := make([]platform.Op, len(group))
+func ops(group []*entry) []ports.Op {
+	list := make([]ports.Op, len(group))
 	for i, e := range group {
 		list[i] = e.Op
 	}
@@ -200,17 +200,17 @@
 }
 
 // written is the row that an applied operation leaves.
-func written(op platform.Op) platform.Row {
-	if op.Kind == platform.OpDelete {
-		return platform.Row{Key: op.Key}
+func written(op ports.Op) ports.Row {
+	if op.Kind == ports.OpDelete {
+		return ports.Row{Key: op.Key}
 	}
-	return platform.Row{Key: op.Key, Version: op.Version + 1, Value: op.Value}
+	return ports.Row{Key: op.Key, Version: op.Version + 1, Value: op.Value}
 }
 
 // settleConflicts answers the writes that were in conflict and queues the rest
 // again: a transaction with one conflict applies nothing at all.
-func (w *Writer) settleConflicts(group []*entry, conflicts []platform.Row) {
-	inWay := make(map[string]platform.Row, len(conflicts))
+func (w *Writer) settleConflicts(group []*entry, conflicts []ports.Row) {
+	inWay := make(map[string]ports.Row, len(conflicts))
 	for _, r := range conflicts {
 		inWay[r.Key] = r
 	}
@@ -229,8 +229,8 @@
 // isWritten reports whether a row is as the operation leaves it. Every value
 // holds the unique identity of its claim, so an equal value is this write's own,
 // which took effect although its answer was lost.
-func isWritten(op platform.Op, row platform.Row) bool {
-	if op.Kind == platform.OpDelete {
+func isWritten(op ports.Op, row ports.Row) bool {
+	if op.Kind == ports.OpDelete {
 		return row.Version == 0
 	}
 	return row.Version > 0 && bytes.Equal(row.Value, op.Value)
--- a/ledger/batch/forward.go
+++ b/ledger/batch/forward.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Status is what became of a forwarded write, as far as the other host knows.
@@ -101,11 +101,11 @@
 func (w *Writer) settleForwarded(e *entry, r Reply) bool {
 	switch r.Status {
 	case Applied:
-		row := platform.Row{Key: e.Op.Key, Version: r.Version, Value: e.Op.Value}
+		row := ports.Row{Key: e.Op.Key, Version: r.Version, Value: e.Op.Value}
 		w.settle(e, outcome{res: Result{Applied: true, Row: row}})
 		return true
 	case Conflict:
-		row := platform.Row{Key: e.Op.Key, Version: r.Version, Value: r.Value}
+		row := ports.Row{Key: e.Op.Key, Version: r.Version, Value: r.Value}
 		w.settle(e, outcome{res: Result{Applied: isWritten(e.Op, row), Row: row}})
 		return true
 	case Pending:
--- a/ledger/batch/writer.go
+++ b/ledger/batch/writer.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Class orders writes: a transaction is filled from the lowest class up.
@@ -40,13 +40,13 @@
 	// Applied is true if the row is as the write left it.
 	Applied bool
 	// Row is the present row: the one written, or the one that was in the way.
-	Row platform.Row
+	Row ports.Row
 }
 
 // Write is one write to one row.
 type Write struct {
 	Class Class
-	Op    platform.Op
+	Op    ports.Op
 	// Late is called, if set, after Do returned ErrPending, once it is known
 	// what became of the write; ErrNotWritten if nothing did.
 	Late func(Result, error)
@@ -149,7 +149,7 @@
 
 // Writer is the group commit of one host. It is safe for concurrent use.
 type Writer struct {
-	table   platform.Table
+	table   ports.Table
 	cfg     Config
 	limiter *rate.Limiter
 	wake    chan struct{}
@@ -165,7 +165,7 @@
 }
 
 // NewWriter returns a writer that works while Run does.
-func NewWriter(table platform.Table, cfg Config) *Writer {
+func NewWriter(table ports.Table, cfg Config) *Writer {
 	cfg = cfg.withDefaults()
 	w := &Writer{
 		table:   table,
--- a/ledger/batch/writer_test.go
+++ b/ledger/batch/writer_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // withWriter runs a scenario over a table that answers in 5 ms.
@@ -32,7 +32,7 @@
 }
 
 func insert(key, value string) Write {
-	return Write{Op: platform.Op{Kind: platform.OpInsert, Key: key, Value: []byte(value)}}
+	return Write{Op: ports.Op{Kind: ports.OpInsert, Key: key, Value: []byte(value)}}
 }
 
 func doAll(w *Writer, writes ...Write) []Result {
@@ -90,13 +90,13 @@
 
 // lateOnce loses the first answer, and lets that write land only after a while.
 type lateOnce struct {
-	platform.Table
+	ports.Table
 	once sync.Once
 	// then, if set, is called when the answer was lost.
 	then func()
 }
 
-func (l *lateOnce) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (l *lateOnce) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	late := false
 	l.once.Do(func() { late = true })
 	if !late {
@@ -106,7 +106,7 @@
 	if l.then != nil {
 		l.then()
 	}
-	return platform.CommitResult{}, errors.Wrap(platform.ErrUncertain, "answer lost")
+	return ports.CommitResult{}, errors.Wrap(ports.ErrUncertain, "answer lost")
 }
 
 // A write gets no answer and is not there when read back, so it is made again;
@@ -222,7 +222,7 @@
 			})
 		}
 		began := time.Now()
-		settle := Write{Class: Settle, Op: platform.Op{Kind: platform.OpUpdate, Key: "a", Version: first.Row.Version, Value: []byte("answer")}}
+		settle := Write{Class: Settle, Op: ports.Op{Kind: ports.OpUpdate, Key: "a", Version: first.Row.Version, Value: []byte("answer")}}
 		res, err := w.Do(context.Background(), settle)
 		stop()
 		wg.Wait()
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -12,7 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // reply is what a caller was told.
@@ -41,22 +41,22 @@
 
 // lateTable loses the answers of writes that land later.
 type lateTable struct {
-	platform.Table
+	ports.Table
 	delay atomic.Int64
 }
 
-func (t *lateTable) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (t *lateTable) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	d := time.Duration(t.delay.Load())
 	if d == 0 {
 		return t.Table.Commit(ctx, ops...)
 	}
 	time.AfterFunc(d, func() { _, _ = t.Table.Commit(context.Background(), ops...) })
-	return platform.CommitResult{}, errors.Wrap(platform.ErrUncertain, "answer lost, write on its way")
+	return ports.CommitResult{}, errors.Wrap(ports.ErrUncertain, "answer lost, write on its way")
 }
 
 // play runs a script in the present bubble. The wrapper, if any, stands between
 // the ledgers and the table.
-func play(s script, wrap func(platform.Table) platform.Table) *history {
+func play(s script, wrap func(ports.Table) ports.Table) *history {
 	opts := Options{}
 	if s.Pooled {
 		opts.PoolRate = 100
@@ -97,7 +97,7 @@
 }
 
 // delay is half a millisecond between hosts, unless one is far away.
-func (h *history) delay(from, _ platform.HostID) time.Duration {
+func (h *history) delay(from, _ ports.HostID) time.Duration {
 	for i := range h.far {
 		if h.w.hosts[i].id == from {
 			return max(time.Duration(h.far[i].Load()), time.Millisecond/2)
--- a/ledger/keys/issued.go
+++ b/ledger/keys/issued.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // issuedPrefix starts every issued key. A key that starts so and does not
@@ -39,7 +39,7 @@
 
 // ID names an issued key over all hosts.
 type ID struct {
-	Issuer      platform.HostID
+	Issuer      ports.HostID
 	Incarnation uint64
 	// Serial counts the keys of one incarnation.
 	Serial uint64
@@ -95,7 +95,7 @@
 		return ID{}, ErrSeal
 	}
 	return ID{
-		Issuer:      platform.HostID(raw[fixedSize:end]),
+		Issuer:      ports.HostID(raw[fixedSize:end]),
 		Incarnation: binary.BigEndian.Uint64(raw[8:]),
 		Serial:      binary.BigEndian.Uint64(raw[16:]),
 		Time:        time.UnixMilli(int64(binary.BigEndian.Uint64(raw[0:]))),
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,7 +22,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Digest identifies a request by its method, path and body.
@@ -53,22 +53,22 @@
 
 // Deps is what a ledger works with. Metrics and Log may be nil.
 type Deps struct {
-	Table platform.Table
+	Table ports.Table
 	Link  peer.Link
-	Host  platform.HostID
+	Host  ports.HostID
 	// Incarnation differs between any two runs of a daemon on a host.
 	Incarnation uint64
 	Metrics     *metrics.Set
 	Log         *zap.Logger
 	// Coordinator returns the host that commits the writes of all hosts, by this
 	// host's present view; nil has each host write for itself. Hosts may disagree.
-	Coordinator func() platform.HostID
+	Coordinator func() ports.HostID
 	Options     Options
 }
 
 // Ledger holds the claims of one host. It is safe for concurrent use.
 type Ledger struct {
-	host        platform.HostID
+	host        ports.HostID
 	incarnation uint64
 	opts        Options
 	log         *zap.Logger
--- a/ledger/pool.go
+++ b/ledger/pool.go
@@ -8,7 +8,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/ledger/batch"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // pool lets one host, the coordinator, commit the writes of all. A host by
@@ -19,7 +19,7 @@
 type pool struct {
 	l           *Ledger
 	link        peer.Link
-	coordinator func() platform.HostID
+	coordinator func() ports.HostID
 
 	mu   sync.Mutex
 	rate float64
@@ -69,11 +69,11 @@
 
 // poolWrite is a write on its way to the coordinator.
 type poolWrite struct {
-	Class   batch.Class     `msgpack:"c"`
-	Kind    platform.OpKind `msgpack:"o"`
-	Key     string          `msgpack:"k"`
-	Version uint64          `msgpack:"v"`
-	Value   []byte          `msgpack:"b"`
+	Class   batch.Class  `msgpack:"c"`
+	Kind    ports.OpKind `msgpack:"o"`
+	Key     string       `msgpack:"k"`
+	Version uint64       `msgpack:"v"`
+	Value   []byte       `msgpack:"b"`
 }
 
 type poolRequest struct {
@@ -142,7 +142,7 @@
 func (r poolRequest) writes() []batch.Write {
 	writes := make([]batch.Write, len(r.Writes))
 	for i, w := range r.Writes {
-		op := platform.Op{Kind: w.Kind, Key: w.Key, Version: w.Version, Value: w.Value}
+		op := ports.Op{Kind: w.Kind, Key: w.Key, Version: w.Version, Value: w.Value}
 		writes[i] = batch.Write{Class: w.Class, Op: op}
 	}
 	return writes
--- a/ledger/random_test.go
+++ b/ledger/random_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // tally counts what was told over all histories, to show that the histories
@@ -33,7 +33,7 @@
 	}
 }
 
-func playInBubble(t *testing.T, s script, wrap func(platform.Table) platform.Table) *history {
+func playInBubble(t *testing.T, s script, wrap func(ports.Table) ports.Table) *history {
 	t.Helper()
 	var h *history
 	synctest.Test(t, func(*testing.T) { h = play(s, wrap) })
@@ -73,30 +73,30 @@
 
 // sendFirst answers that a claim is made before it is: claim after send.
 type sendFirst struct {
-	platform.Table
+	ports.Table
 	lag time.Duration
 }
 
-func (t sendFirst) Commit(_ context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (t sendFirst) Commit(_ context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	time.AfterFunc(t.lag, func() { _, _ = t.Table.Commit(context.Background(), ops...) })
-	return platform.CommitResult{Applied: true}, nil
+	return ports.CommitResult{Applied: true}, nil
 }
 
 // expiring makes room for a claim by removing one that it deems expired: a
 // takeover after a lease.
 type expiring struct {
-	platform.Table
+	ports.Table
 	lease time.Duration
 	mu    *sync.Mutex
 	made  map[string]time.Time
 }
 
-func (t expiring) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (t expiring) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	t.mu.Lock()
-	var all []platform.Op
+	var all []ports.Op
 	for _, op := range ops {
-		if op.Kind == platform.OpInsert && time.Since(t.made[op.Key]) > t.lease {
-			all = append(all, platform.Op{Kind: platform.OpDelete, Key: op.Key})
+		if op.Kind == ports.OpInsert && time.Since(t.made[op.Key]) > t.lease {
+			all = append(all, ports.Op{Kind: ports.OpDelete, Key: op.Key})
 			t.made[op.Key] = time.Now()
 		}
 	}
@@ -110,11 +110,11 @@
 // Ledgers that are broken on purpose run keys twice, and the check above says
 // so. Were it silent here, its silence there would show nothing.
 func TestRandomHistoriesCatchBrokenLedgers(t *testing.T) {
-	broken := map[string]func(platform.Table) platform.Table{
-		"claim after send": func(under platform.Table) platform.Table {
+	broken := map[string]func(ports.Table) ports.Table{
+		"claim after send": func(under ports.Table) ports.Table {
 			return sendFirst{Table: under, lag: 100 * time.Millisecond}
 		},
-		"takeover on expiry": func(under platform.Table) platform.Table {
+		"takeover on expiry": func(under ports.Table) ports.Table {
 			return expiring{Table: under, lease: time.Second, mu: new(sync.Mutex), made: map[string]time.Time{}}
 		},
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -12,7 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/cactusproxy/cactusproxy/ledger/keys"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // state is how far a claim has come.
@@ -31,9 +31,9 @@
 
 // claimID is unique over all hosts and times.
 type claimID struct {
-	Host        platform.HostID `msgpack:"h"`
-	Incarnation uint64          `msgpack:"i"`
-	Serial      uint64          `msgpack:"n"`
+	Host        ports.HostID `msgpack:"h"`
+	Incarnation uint64       `msgpack:"i"`
+	Serial      uint64       `msgpack:"n"`
 }
 
 func (id claimID) String() string {
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // sweepRows bounds the rows read and deleted by one step of the sweep.
@@ -66,7 +66,7 @@
 		return err
 	}
 	keep := s.b.l.opts.Retention + clockSlack
-	var old []platform.Row
+	var old []ports.Row
 	for _, r := range rows {
 		hour, ok := hourOf(r.Key)
 		if !ok || time.Since(hour.Add(time.Hour)) <= keep {
@@ -96,7 +96,7 @@
 	if len(rows) == sweepRows {
 		s.after = rows[len(rows)-1].Key
 	}
-	var old []platform.Row
+	var old []ports.Row
 	for _, row := range rows {
 		r, err := decodeRecord(row.Value)
 		if err == nil && time.Since(r.stamped()) > s.b.l.opts.OpaqueRetention+clockSlack {
@@ -106,13 +106,13 @@
 	return s.remove(ctx, old)
 }
 
-func (s *sweeper) remove(ctx context.Context, rows []platform.Row) error {
+func (s *sweeper) remove(ctx context.Context, rows []ports.Row) error {
 	if len(rows) == 0 {
 		return nil
 	}
-	ops := make([]platform.Op, len(rows))
+	ops := make([]ports.Op, len(rows))
 	for i, r := range rows {
-		ops[i] = platform.Op{Kind: platform.OpDelete, Key: r.Key, Version: r.Version}
+		ops[i] = ports.Op{Kind: ports.OpDelete, Key: r.Key, Version: r.Version}
 	}
 	res, err := s.b.table.Commit(ctx, ops...)
 	if err == nil && res.Applied {
--- a/ledger/tablestore.go
+++ b/ledger/tablestore.go
@@ -9,13 +9,13 @@
 
 	"github.com/cactusproxy/cactusproxy/ledger/batch"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // tableStore keeps claims as rows of the platform's table.
 type tableStore struct {
 	l     *Ledger
-	table platform.Table
+	table ports.Table
 }
 
 // take inserts the claim's row if the key has none, or else does what the
@@ -26,7 +26,7 @@
 // and only the table could tell.
 func (b *tableStore) take(ctx context.Context, c *Claim) verdict {
 	c.restamp()
-	op := platform.Op{Kind: platform.OpInsert, Key: c.row, Value: c.record().encode()}
+	op := ports.Op{Kind: ports.OpInsert, Key: c.row, Value: c.record().encode()}
 	for {
 		res, err := b.l.writer.Do(ctx, b.claimWrite(c, op))
 		if errors.Is(err, batch.ErrNotWritten) {
@@ -53,16 +53,16 @@
 
 // takeOver writes a claim over a row that its holder gave up, or inserts it if
 // the row was deleted meanwhile.
-func takeOver(row platform.Row, r record) platform.Op {
-	kind := platform.OpUpdate
+func takeOver(row ports.Row, r record) ports.Op {
+	kind := ports.OpUpdate
 	if row.Version == 0 {
-		kind = platform.OpInsert
+		kind = ports.OpInsert
 	}
-	return platform.Op{Kind: kind, Key: row.Key, Version: row.Version, Value: r.encode()}
+	return ports.Op{Kind: kind, Key: row.Key, Version: row.Version, Value: r.encode()}
 }
 
 // read judges the row that was in the way of a claim.
-func (b *tableStore) read(c *Claim, row platform.Row) verdict {
+func (b *tableStore) read(c *Claim, row ports.Row) verdict {
 	if row.Version == 0 {
 		return verdict{take: true}
 	}
@@ -77,7 +77,7 @@
 // claimWrite is the write of a claim. If its caller's deadline ends first, the
 // claim may be in the table with nobody to send it: then it is given up, so
 // that a later send can take the key.
-func (b *tableStore) claimWrite(c *Claim, op platform.Op) batch.Write {
+func (b *tableStore) claimWrite(c *Claim, op ports.Op) batch.Write {
 	late := func(res batch.Result, err error) {
 		if err != nil || !res.Applied {
 			b.l.forget(c)
@@ -121,10 +121,10 @@
 	}
 }
 
-func (c *Claim) update(r record) platform.Op {
+func (c *Claim) update(r record) ports.Op {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return platform.Op{Kind: platform.OpUpdate, Key: c.row, Version: c.version, Value: r.encode()}
+	return ports.Op{Kind: ports.OpUpdate, Key: c.row, Version: c.version, Value: r.encode()}
 }
 
 func (c *Claim) setVersion(v uint64) {
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // histories is the number of histories of each randomised test.
@@ -69,7 +69,7 @@
 // world is a few hosts with real ledgers, one table and one target.
 type world struct {
 	store  *store.Store
-	table  platform.Table
+	table  ports.Table
 	net    *peernet.Network
 	target *target
 	opts   Options
@@ -77,7 +77,7 @@
 }
 
 type host struct {
-	id          platform.HostID
+	id          ports.HostID
 	incarnation uint64
 	ledger      *Ledger
 	alive       context.Context
@@ -103,7 +103,7 @@
 		w.opts.ClusterKeys = [][]byte{[]byte("secret")}
 	}
 	for i := range n {
-		h := &host{id: platform.HostID(fmt.Sprintf("h%d", i))}
+		h := &host{id: ports.HostID(fmt.Sprintf("h%d", i))}
 		w.hosts = append(w.hosts, h)
 	}
 	return w
@@ -122,7 +122,7 @@
 	h.alive, h.crash = context.WithCancel(context.Background())
 	l := New(Deps{
 		Table: w.table, Link: w.net.Join(h.id), Host: h.id, Incarnation: h.incarnation, Options: w.opts,
-		Coordinator: func() platform.HostID { return w.hosts[h.view.Load()].id },
+		Coordinator: func() ports.HostID { return w.hosts[h.view.Load()].id },
 	})
 	h.ledger = l
 	alive := h.alive
--- a/peer/node.go
+++ b/peer/node.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -149,7 +149,7 @@
 // SetPeers replaces the peers and their addresses; this host itself and hosts
 // without a peer address are passed over. Replies that a removed peer owes are
 // waited for a few seconds more.
-func (n *Node) SetPeers(hosts []platform.Host) {
+func (n *Node) SetPeers(hosts []ports.Host) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const kindEcho = KindMembership + 50
@@ -40,15 +40,15 @@
 	return n
 }
 
-func hostOf(n *Node) platform.Host {
-	return platform.Host{ID: n.Self(), PeerAddr: n.opts.Listener.Addr().String()}
+func hostOf(n *Node) ports.Host {
+	return ports.Host{ID: n.Self(), PeerAddr: n.opts.Listener.Addr().String()}
 }
 
 // newTestPair returns two nodes that know each other.
 func newTestPair(t testing.TB, changeA, changeB func(*Options)) (a, b *Node) {
 	t.Helper()
 	a, b = newTestNode(t, "a", changeA), newTestNode(t, "b", changeB)
-	both := []platform.Host{hostOf(a), hostOf(b)}
+	both := []ports.Host{hostOf(a), hostOf(b)}
 	a.SetPeers(both)
 	b.SetPeers(both)
 	return a, b
@@ -121,8 +121,8 @@
 	_, err := a.Call(t.Context(), "b", kindEcho, nil)
 	assert.ErrorIs(t, err, ErrNotSent)
 	again := newTestNode(t, "b", nil)
-	again.SetPeers([]platform.Host{hostOf(a)})
-	a.SetPeers([]platform.Host{hostOf(again)})
+	again.SetPeers([]ports.Host{hostOf(a)})
+	a.SetPeers([]ports.Host{hostOf(again)})
 	_, err = a.Call(t.Context(), "b", kindEcho, nil)
 	assert.NilError(t, err)
 
@@ -134,7 +134,7 @@
 		o.Listener, err = net.Listen("tcp", hostOf(again).PeerAddr)
 		assert.NilError(t, err)
 	})
-	third.SetPeers([]platform.Host{hostOf(a)})
+	third.SetPeers([]ports.Host{hostOf(a)})
 	_, err = third.Call(t.Context(), "a", kindEcho, nil)
 	assert.NilError(t, err)
 	_, err = a.Call(t.Context(), "b", kindEcho, nil)
@@ -225,7 +225,7 @@
 	a, b := newTestPair(t, nil, nil)
 	old := hostOf(b)
 	old.ID = "old"
-	a.SetPeers([]platform.Host{old})
+	a.SetPeers([]ports.Host{old})
 	_, err := a.Call(t.Context(), "old", kindEcho, nil)
 	assert.ErrorIs(t, err, ErrNotSent)
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,11 +9,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // HostID names an entry host.
-type HostID = platform.HostID
+type HostID = ports.HostID
 
 // ErrNotSent says that no byte of the request left for the peer.
 var ErrNotSent = errors.New("peer request not sent")
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -9,7 +9,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Request asks for a target for one attempt.
@@ -17,7 +17,7 @@
 	Service blackboard.ServiceKey
 	// Avoid lists targets that earlier attempts of the call went to. They are
 	// taken only if there is no other.
-	Avoid []platform.HostID
+	Avoid []ports.HostID
 	// Hedge marks a second attempt while the first is in flight. It is granted
 	// only if a slot is free at once.
 	Hedge bool
--- a/policy/choice/local.go
+++ b/policy/choice/local.go
@@ -11,10 +11,10 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -106,12 +106,12 @@
 	l.targets = next
 }
 
-func (l *Local) index(id platform.HostID) int {
+func (l *Local) index(id ports.HostID) int {
 	return slices.IndexFunc(l.targets, func(t target) bool { return t.info.ID == id })
 }
 
 // Find returns a target, and false if it is unknown or leaving.
-func (l *Local) Find(id platform.HostID) (blackboard.Target, bool) {
+func (l *Local) Find(id ports.HostID) (blackboard.Target, bool) {
 	i := l.index(id)
 	if i < 0 {
 		return blackboard.Target{}, false
@@ -127,7 +127,7 @@
 
 // Pick returns the target for one attempt; false means that none may take one
 // more from this host now.
-func (l *Local) Pick(now time.Time, avoid []platform.HostID, hedge, alone bool) (blackboard.Target, bool) {
+func (l *Local) Pick(now time.Time, avoid []ports.HostID, hedge, alone bool) (blackboard.Target, bool) {
 	n := len(l.targets)
 	if n == 0 {
 		return blackboard.Target{}, false
@@ -168,7 +168,7 @@
 }
 
 // suits reports whether nothing speaks against a target with a slot free.
-func (l *Local) suits(now time.Time, t *target, strict bool, avoid []platform.HostID) bool {
+func (l *Local) suits(now time.Time, t *target, strict bool, avoid []ports.HostID) bool {
 	if t.doubted {
 		if t.health.Ejected(now) || (t.health.Trial() && t.own > 0) {
 			return false
@@ -202,7 +202,7 @@
 	return l.usual + trust*(t.load-l.usual)
 }
 
-func (l *Local) others(now time.Time, avoid []platform.HostID) bool {
+func (l *Local) others(now time.Time, avoid []ports.HostID) bool {
 	for i := range l.targets {
 		t := &l.targets[i]
 		if !t.info.Leaving && !t.health.Ejected(now) && !slices.Contains(avoid, t.info.ID) {
@@ -213,7 +213,7 @@
 }
 
 // Start notes an attempt in flight, whoever chose its target.
-func (l *Local) Start(id platform.HostID, alone bool) {
+func (l *Local) Start(id ports.HostID, alone bool) {
 	if i := l.index(id); i >= 0 {
 		l.targets[i].own++
 		l.targets[i].alone = l.targets[i].alone || alone
@@ -222,7 +222,7 @@
 }
 
 // End notes how an attempt ended. unused means that it was never sent.
-func (l *Local) End(now time.Time, id platform.HostID, alone, unused bool, r pick.Report) {
+func (l *Local) End(now time.Time, id ports.HostID, alone, unused bool, r pick.Report) {
 	i := l.index(id)
 	if i < 0 {
 		return
@@ -296,7 +296,7 @@
 }
 
 // Overdue notes that an attempt of this or another host is overdue.
-func (l *Local) Overdue(now time.Time, id platform.HostID) {
+func (l *Local) Overdue(now time.Time, id ports.HostID) {
 	if i := l.index(id); i >= 0 {
 		l.targets[i].overdue = l.clock.At(now).Add(overdueFor)
 	}
--- a/policy/choice/local_test.go
+++ b/policy/choice/local_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 var noon = time.Unix(1000, 0)
@@ -20,14 +20,14 @@
 	l.Configure(slots, 0)
 	list := make([]blackboard.Target, targets)
 	for i := range list {
-		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%03d", i))}
+		list[i] = blackboard.Target{ID: ports.HostID(fmt.Sprintf("t%03d", i))}
 	}
 	l.SetTargets(list)
 	return l
 }
 
 // call picks a target and ends the attempt at once with this report.
-func (l *Local) call(now time.Time, r pick.Report) platform.HostID {
+func (l *Local) call(now time.Time, r pick.Report) ports.HostID {
 	t, ok := l.Pick(now, nil, false, false)
 	if !ok {
 		return ""
@@ -44,7 +44,7 @@
 		assert.Check(t, l.call(noon, pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1}) != "t001")
 	}
 	later := noon.Add(2 * overdueFor)
-	seen := map[platform.HostID]bool{}
+	seen := map[ports.HostID]bool{}
 	for range 50 {
 		seen[l.call(later, pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})] = true
 	}
--- a/policy/grant/choose.go
+++ b/policy/grant/choose.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/instant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Choice among targets.
@@ -322,7 +322,7 @@
 }
 
 // others reports whether a target that is not to be avoided could serve.
-func (b *Coordinator) others(now time.Time, avoid []platform.HostID) bool {
+func (b *Coordinator) others(now time.Time, avoid []ports.HostID) bool {
 	for _, t := range b.targets {
 		if t.usable() && !t.health.Ejected(now) && !slices.Contains(avoid, t.id) {
 			return true
--- a/policy/grant/coordinator.go
+++ b/policy/grant/coordinator.go
@@ -10,10 +10,10 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/latency"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Times of the protocol between a coordinator and the entry hosts.
@@ -44,9 +44,9 @@
 	rng     *rand.Rand
 	clock   instant.Clock
 	targets []*target
-	byID    map[platform.HostID]*target
+	byID    map[ports.HostID]*target
 	hosts   []*host
-	byHost  map[platform.HostID]*host
+	byHost  map[ports.HostID]*host
 	queued  int
 	calls   map[callKey]*call
 	zones   []string
@@ -54,17 +54,17 @@
 
 	service  latency.Tracker // of attempts that found a slot free
 	failures health.Service
-	gap      time.Duration     // slot time between two calls, see learnGap
-	capacity int               // slots of the usable targets
-	newlyOut []platform.HostID // ejected since Ejected was called
-	reserved *target           // kept free for an ask that must be alone
-	full     bool              // no target has a slot, as dispatch just found
-	offset   int               // where the next choice starts among equals
+	gap      time.Duration  // slot time between two calls, see learnGap
+	capacity int            // slots of the usable targets
+	newlyOut []ports.HostID // ejected since Ejected was called
+	reserved *target        // kept free for an ask that must be alone
+	full     bool           // no target has a slot, as dispatch just found
+	offset   int            // where the next choice starts among equals
 }
 
 // callKey names an attempt among those of all hosts.
 type callKey struct {
-	host platform.HostID
+	host ports.HostID
 	id   CallID
 }
 
@@ -88,8 +88,8 @@
 		key:    key,
 		slots:  1,
 		rng:    rng,
-		byID:   make(map[platform.HostID]*target),
-		byHost: make(map[platform.HostID]*host),
+		byID:   make(map[ports.HostID]*target),
+		byHost: make(map[ports.HostID]*host),
 		calls:  make(map[callKey]*call),
 	}
 }
@@ -161,7 +161,7 @@
 }
 
 // Receive takes a frame of an entry host.
-func (b *Coordinator) Receive(now time.Time, from platform.HostID, f Frame) {
+func (b *Coordinator) Receive(now time.Time, from ports.HostID, f Frame) {
 	h := b.host(from, f)
 	if f.Epoch != h.epoch {
 		return // a late frame of an earlier run
@@ -319,7 +319,7 @@
 }
 
 // DropHost lets the attempts of a host lapse that is known to be gone.
-func (b *Coordinator) DropHost(now time.Time, id platform.HostID) {
+func (b *Coordinator) DropHost(now time.Time, id ports.HostID) {
 	if h := b.byHost[id]; h != nil {
 		b.dropHost(now, h)
 		b.dispatch(now)
--- a/policy/grant/coordinator_test.go
+++ b/policy/grant/coordinator_test.go
@@ -12,23 +12,23 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // fixture drives a coordinator by hand.
 type fixture struct {
 	*Coordinator
 	now   time.Time
-	seq   map[platform.HostID]uint64
-	tells map[platform.HostID]Tell
+	seq   map[ports.HostID]uint64
+	tells map[ports.HostID]Tell
 }
 
 func newFixture(targets, slots int) *fixture {
 	d := &fixture{
 		Coordinator: NewCoordinator(blackboard.ServiceKey{Workspace: "w", Service: "s"}, rand.New(rand.NewPCG(1, 1))),
 		now:         time.Unix(1000, 0),
-		seq:         make(map[platform.HostID]uint64),
-		tells:       make(map[platform.HostID]Tell),
+		seq:         make(map[ports.HostID]uint64),
+		tells:       make(map[ports.HostID]Tell),
 	}
 	d.Configure(&declare.Service{Slots: slots, ColdStart: 0})
 	d.list(targets, -1)
@@ -44,11 +44,11 @@
 	d.SetTargets(d.now, list)
 }
 
-func targetID(i int) platform.HostID { return platform.HostID(fmt.Sprintf("t%03d", i)) }
+func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%03d", i)) }
 
 // tell delivers a frame and returns what the host hears, at once and in the
 // grants that others' frames set free later.
-func (d *fixture) tell(h platform.HostID, f Frame) Tell {
+func (d *fixture) tell(h ports.HostID, f Frame) Tell {
 	d.seq[h]++
 	f.Epoch, f.Seq = 1, d.seq[h]
 	f.Full = f.Full || f.Seq == 1
@@ -56,9 +56,9 @@
 	return d.hear(h)
 }
 
-func (d *fixture) hear(h platform.HostID) Tell {
-	d.tells = make(map[platform.HostID]Tell)
-	d.Flush(d.now, func(to platform.HostID, t Tell) {
+func (d *fixture) hear(h ports.HostID) Tell {
+	d.tells = make(map[ports.HostID]Tell)
+	d.Flush(d.now, func(to ports.HostID, t Tell) {
 		t.Grants = append([]Grant(nil), t.Grants...)
 		t.Refusals = append([]Refusal(nil), t.Refusals...)
 		d.tells[to] = t
@@ -66,9 +66,9 @@
 	return d.tells[h]
 }
 
-func (d *fixture) ask(h platform.HostID, a Ask) Tell { return d.tell(h, Frame{Asks: []Ask{a}}) }
+func (d *fixture) ask(h ports.HostID, a Ask) Tell { return d.tell(h, Frame{Asks: []Ask{a}}) }
 
-func (d *fixture) finish(h platform.HostID, id CallID, class pick.Class) Tell {
+func (d *fixture) finish(h ports.HostID, id CallID, class pick.Class) Tell {
 	return d.tell(h, Frame{Ends: []End{{ID: id, Class: class, Latency: 5 * time.Millisecond, Load: -1}}})
 }
 
@@ -108,7 +108,7 @@
 func TestHedgeGetsAFreeSlotOrNothing(t *testing.T) {
 	d := newFixture(2, 1)
 	first := d.ask("a", Ask{ID: 1}).Grants[0].Target
-	second := d.ask("a", Ask{ID: 2, Hedge: true, Avoid: []platform.HostID{first}}).Grants[0].Target
+	second := d.ask("a", Ask{ID: 2, Hedge: true, Avoid: []ports.HostID{first}}).Grants[0].Target
 	assert.Check(t, second != first)
 	told := d.ask("a", Ask{ID: 3, Hedge: true})
 	assert.Equal(t, len(told.Refusals), 1)
@@ -118,10 +118,10 @@
 func TestAvoidedTargetIsTakenOnlyIfThereIsNoOther(t *testing.T) {
 	d := newFixture(2, 4)
 	for id := CallID(1); id < 4; id++ {
-		assert.Equal(t, d.ask("a", Ask{ID: id, Avoid: []platform.HostID{targetID(0)}}).Grants[0].Target, targetID(1))
+		assert.Equal(t, d.ask("a", Ask{ID: id, Avoid: []ports.HostID{targetID(0)}}).Grants[0].Target, targetID(1))
 	}
 	d.list(2, 1)
-	assert.Equal(t, d.ask("a", Ask{ID: 9, Avoid: []platform.HostID{targetID(0)}}).Grants[0].Target, targetID(0))
+	assert.Equal(t, d.ask("a", Ask{ID: 9, Avoid: []ports.HostID{targetID(0)}}).Grants[0].Target, targetID(0))
 }
 
 func TestTargetThatSaysItLeavesGetsNothingMore(t *testing.T) {
@@ -320,7 +320,7 @@
 	d := newFixture(2, 2)
 	d.warm()
 	next := CallID(1000)
-	call := func(took time.Duration) platform.HostID {
+	call := func(took time.Duration) ports.HostID {
 		next++
 		at := d.ask("h1", Ask{ID: next}).Grants[0].Target
 		d.now = d.now.Add(took)
--- a/policy/grant/host.go
+++ b/policy/grant/host.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // host is an entry host as the coordinator sees it.
 type host struct {
-	id    platform.HostID
+	id    ports.HostID
 	zone  zone
 	epoch uint64
 	seq   uint64
@@ -33,7 +33,7 @@
 
 // host returns the record of a host. A later run of its daemon starts from
 // nothing: the attempts of the earlier run ended with it.
-func (b *Coordinator) host(id platform.HostID, f Frame) *host {
+func (b *Coordinator) host(id ports.HostID, f Frame) *host {
 	h := b.byHost[id]
 	if h != nil && f.Epoch > h.epoch {
 		b.dropHost(h.heard, h)
@@ -48,8 +48,8 @@
 }
 
 // Hosts returns the entry hosts in the state.
-func (b *Coordinator) Hosts() []platform.HostID {
-	ids := make([]platform.HostID, len(b.hosts))
+func (b *Coordinator) Hosts() []ports.HostID {
+	ids := make([]ports.HostID, len(b.hosts))
 	for i, h := range b.hosts {
 		ids[i] = h.id
 	}
@@ -64,7 +64,7 @@
 
 // Flush hands every message that is due to send and forgets it. The slices of
 // the message are only valid during the call.
-func (b *Coordinator) Flush(now time.Time, send func(to platform.HostID, t Tell)) {
+func (b *Coordinator) Flush(now time.Time, send func(to ports.HostID, t Tell)) {
 	for _, h := range b.hosts {
 		if len(h.grants) == 0 && len(h.refusals) == 0 && !h.alive && !h.resync && !h.decline {
 			continue
--- a/policy/grant/messages.go
+++ b/policy/grant/messages.go
@@ -12,7 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // CallID names an attempt among those of one entry host and epoch.
@@ -25,7 +25,7 @@
 	ID CallID
 	// Remaining is the time to the deadline; 0 means none.
 	Remaining time.Duration
-	Avoid     []platform.HostID
+	Avoid     []ports.HostID
 	Hedge     bool
 	Alone     bool
 }
@@ -51,7 +51,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID     CallID
-	Target platform.HostID
+	Target ports.HostID
 	Age    time.Duration
 	Alone  bool
 }
@@ -79,7 +79,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	ID     CallID
-	Target platform.HostID
+	Target ports.HostID
 }
 
 // Refusal ends an ask without a slot.
--- a/policy/grant/stale.go
+++ b/policy/grant/stale.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // staleAfter is the time without the end of an attempt after which nothing is
@@ -12,8 +12,8 @@
 
 // Stale returns the targets of which calls tell nothing: those that had none
 // for a while, and those left out. They are what a probe is worth spending on.
-func (b *Coordinator) Stale(now time.Time) []platform.HostID {
-	var out []platform.HostID
+func (b *Coordinator) Stale(now time.Time) []ports.HostID {
+	var out []ports.HostID
 	for _, t := range b.targets {
 		if !t.usable() {
 			continue
@@ -28,7 +28,7 @@
 
 // Probed takes the result of a probe. A good answer ends an ejection early; a
 // bad one ejects nothing, since health endpoints lag and mislead.
-func (b *Coordinator) Probed(now time.Time, id platform.HostID, ok bool, load int) {
+func (b *Coordinator) Probed(now time.Time, id ports.HostID, ok bool, load int) {
 	t := b.byID[id]
 	if t == nil {
 		return
@@ -43,7 +43,7 @@
 }
 
 // Ejected returns the targets that were ejected since the last call.
-func (b *Coordinator) Ejected() []platform.HostID {
+func (b *Coordinator) Ejected() []ports.HostID {
 	out := b.newlyOut
 	b.newlyOut = nil
 	return out
--- a/policy/grant/target.go
+++ b/policy/grant/target.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/instant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // target is a target as the coordinator sees it.
@@ -26,7 +26,7 @@
 	refusals  health.Refusals
 	slowUntil instant.Time // until then an overdue answer is held against it
 
-	id        platform.HostID
+	id        ports.HostID
 	listed    bool
 	leaving   bool
 	alone     bool // its attempt must stay the only one
--- a/policy/rendezvous/rendezvous.go
+++ b/policy/rendezvous/rendezvous.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Owner returns the live host that has the role. Hosts that are not ready are
@@ -62,7 +62,7 @@
 
 // score mixes the hashes of key and host; the mixing is the finaliser of
 // SplitMix64. Hashing the two separately keeps it free of allocation.
-func score(key uint64, id platform.HostID) uint64 {
+func score(key uint64, id ports.HostID) uint64 {
 	x := key ^ bits.RotateLeft64(xxhash.Sum64String(string(id)), 32)
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/policy/rendezvous/rendezvous_test.go
+++ b/policy/rendezvous/rendezvous_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const roles = 3000
@@ -16,7 +16,7 @@
 	out := make([]blackboard.Member, n)
 	for i := range out {
 		out[i] = blackboard.Member{
-			Host:  platform.Host{ID: platform.HostID(fmt.Sprintf("host-%02d", i)), Zone: string(rune('a' + i%3))},
+			Host:  ports.Host{ID: ports.HostID(fmt.Sprintf("host-%02d", i)), Zone: string(rune('a' + i%3))},
 			State: blackboard.MemberLive,
 			Ready: true,
 		}
@@ -24,9 +24,9 @@
 	return out
 }
 
-func owners(t *testing.T, members []blackboard.Member) map[string]platform.HostID {
+func owners(t *testing.T, members []blackboard.Member) map[string]ports.HostID {
 	t.Helper()
-	out := make(map[string]platform.HostID)
+	out := make(map[string]ports.HostID)
 	for i := range roles {
 		key := fmt.Sprintf("workspace/service-%d", i)
 		m, ok := Owner(key, members)
@@ -37,7 +37,7 @@
 }
 
 func TestRolesSpreadEvenly(t *testing.T) {
-	count := make(map[platform.HostID]int)
+	count := make(map[ports.HostID]int)
 	for _, id := range owners(t, hosts(15)) {
 		count[id]++
 	}
--- a/policy/ring/ring_test.go
+++ b/policy/ring/ring_test.go
@@ -7,13 +7,13 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-func ids(n int) []platform.HostID {
-	out := make([]platform.HostID, n)
+func ids(n int) []ports.HostID {
+	out := make([]ports.HostID, n)
 	for i := range out {
-		out[i] = platform.HostID(fmt.Sprintf("h%d", i))
+		out[i] = ports.HostID(fmt.Sprintf("h%d", i))
 	}
 	return out
 }
@@ -32,11 +32,11 @@
 
 func TestFingersReachAllInFewSteps(t *testing.T) {
 	r := New(ids(150))
-	reached := map[platform.HostID]bool{"h0": true}
-	last := []platform.HostID{"h0"}
+	reached := map[ports.HostID]bool{"h0": true}
+	last := []ports.HostID{"h0"}
 	steps := 0
 	for len(reached) < 150 {
-		var next []platform.HostID
+		var next []ports.HostID
 		for _, id := range last {
 			assert.Equal(t, len(r.Fingers(id)), 8)
 			for _, f := range r.Fingers(id) {
--- a/policy/session/session.go
+++ b/policy/session/session.go
@@ -12,9 +12,9 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/choice"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Times of the protocol.
@@ -46,12 +46,12 @@
 	req      pick.Request
 	since    time.Time
 	deadline time.Time // zero means none
-	avoid    []platform.HostID
+	avoid    []ports.HostID
 }
 
 // attempt is an attempt in flight.
 type attempt struct {
-	target  platform.HostID
+	target  ports.HostID
 	since   time.Time
 	alone   bool
 	noticed bool // its being overdue was told to all
@@ -71,8 +71,8 @@
 	waiting []ask // oldest first
 	open    map[grant.CallID]attempt
 
-	coordinator platform.HostID // empty if there is none
-	silent      bool            // it does not answer: choose here
+	coordinator ports.HostID // empty if there is none
+	silent      bool         // it does not answer: choose here
 	heard       time.Time
 	lastFull    time.Time
 	retryAt     time.Time
@@ -81,7 +81,7 @@
 	frame     grant.Frame // what the coordinator has yet to be told
 	send      bool        // frame is due now
 	decisions []Decision
-	overdue   []platform.HostID
+	overdue   []ports.HostID
 }
 
 // New returns a session without targets or coordinator. The epoch must be
@@ -117,7 +117,7 @@
 }
 
 // SetCoordinator names the host to ask; ok is false if there is none.
-func (s *Session) SetCoordinator(now time.Time, id platform.HostID, ok bool) {
+func (s *Session) SetCoordinator(now time.Time, id ports.HostID, ok bool) {
 	if !ok {
 		id = ""
 	}
@@ -242,7 +242,7 @@
 }
 
 // Told takes a message of a coordinator.
-func (s *Session) Told(now time.Time, from platform.HostID, t grant.Tell) {
+func (s *Session) Told(now time.Time, from ports.HostID, t grant.Tell) {
 	if t.Epoch != s.epoch || from != s.coordinator {
 		return // meant for an earlier run, or from a host that was coordinator
 	}
@@ -298,7 +298,7 @@
 // askAgain repeats an ask whose grant named a target that this host knows to be
 // leaving, or does not know: the host lists of two hosts may differ. The grant
 // goes back in the same frame, before the ask.
-func (s *Session) askAgain(now time.Time, a ask, not platform.HostID) {
+func (s *Session) askAgain(now time.Time, a ask, not ports.HostID) {
 	s.giveBack(a.id)
 	if slices.Contains(a.avoid, not) {
 		// The coordinator knows no other target. Asking on would go round until
--- a/policy/session/tick.go
+++ b/policy/session/tick.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // openTick is how often Tick should run while only attempts are in flight.
@@ -109,7 +109,7 @@
 
 // Overdue takes another host's notice that attempts on these targets are
 // overdue.
-func (s *Session) Overdue(now time.Time, ids []platform.HostID) {
+func (s *Session) Overdue(now time.Time, ids []ports.HostID) {
 	for _, id := range ids {
 		s.local.Overdue(now, id)
 	}
@@ -159,10 +159,10 @@
 type Output struct {
 	Decisions []Decision
 	// To is the host that Frame goes to; empty if there is nothing to send.
-	To    platform.HostID
+	To    ports.HostID
 	Frame grant.Frame
 	// Overdue is to be told to all other hosts.
-	Overdue []platform.HostID
+	Overdue []ports.HostID
 }
 
 // Take returns what is to be done and forgets it.
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Record is what one host tells another of a request. Times are ages, because
@@ -22,9 +22,9 @@
 
 // LossRecord is a Loss as it is told.
 type LossRecord struct {
-	Target platform.HostID `msgpack:"t"`
-	Ago    time.Duration   `msgpack:"a"`
-	Trial  bool            `msgpack:"r"`
+	Target ports.HostID  `msgpack:"t"`
+	Ago    time.Duration `msgpack:"a"`
+	Trial  bool          `msgpack:"r"`
 }
 
 // Record returns what is held of a request, and false if there is nothing.
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -13,7 +13,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Digest identifies a request; equal requests have equal digests.
@@ -89,7 +89,7 @@
 
 // Loss is one target lost while it ran a request.
 type Loss struct {
-	Target platform.HostID
+	Target ports.HostID
 	At     time.Time
 	// Trial tells that the request ran alone.
 	Trial bool
@@ -124,7 +124,7 @@
 
 // trial is the permission to run a suspect.
 type trial struct {
-	holder platform.HostID
+	holder ports.HostID
 	until  time.Time
 }
 
@@ -164,7 +164,7 @@
 // maxLosses bounds the losses kept for one request; two decide.
 const maxLosses = 8
 
-func (e *entry) lost(id platform.HostID) bool {
+func (e *entry) lost(id ports.HostID) bool {
 	for _, l := range e.losses {
 		if l.Target == id {
 			return true
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Tracker is one host's knowledge of suspects. It is not safe for concurrent use.
@@ -11,7 +11,7 @@
 	limits  Limits
 	entries map[Digest]*entry
 	// losses are the targets lost of late, with the last loss of each.
-	losses map[platform.HostID]Loss
+	losses map[ports.HostID]Loss
 	// accused is when each request was accused of late, cleared since or not.
 	accused map[Digest]time.Time
 	// cleared are the requests lately proved innocent: what other hosts still
@@ -24,7 +24,7 @@
 	return &Tracker{
 		limits:  l,
 		entries: make(map[Digest]*entry),
-		losses:  make(map[platform.HostID]Loss),
+		losses:  make(map[ports.HostID]Loss),
 		accused: make(map[Digest]time.Time),
 		cleared: make(map[Digest]time.Time),
 	}
@@ -122,7 +122,7 @@
 }
 
 // Lost takes in that a target can not be reached any more, whatever ran on it.
-func (b *Tracker) Lost(now time.Time, target platform.HostID) {
+func (b *Tracker) Lost(now time.Time, target ports.HostID) {
 	b.noteLoss(now, Loss{Target: target, At: now})
 }
 
@@ -178,7 +178,7 @@
 	return n
 }
 
-func (b *Tracker) explained(id platform.HostID) bool {
+func (b *Tracker) explained(id ports.HostID) bool {
 	for _, e := range b.entries {
 		if e.state == Quarantined && !e.good && e.lost(id) {
 			return true
--- a/policy/suspicion/trial.go
+++ b/policy/suspicion/trial.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Answer tells a host whether it may run a request.
@@ -23,7 +23,7 @@
 
 // Ask asks to run a request. One host keeps the trials of a request, so that
 // two hosts do not lose two targets to it at the same moment.
-func (b *Tracker) Ask(now time.Time, d Digest, holder platform.HostID) Answer {
+func (b *Tracker) Ask(now time.Time, d Digest, holder ports.HostID) Answer {
 	switch b.Sent(now, d) {
 	case Clean:
 		return Free
@@ -43,7 +43,7 @@
 
 // EndTrial gives the permission back. The request may be tried again unless
 // what was seen meanwhile speaks against it.
-func (b *Tracker) EndTrial(d Digest, holder platform.HostID) {
+func (b *Tracker) EndTrial(d Digest, holder ports.HostID) {
 	if e := b.entries[d]; e != nil && e.trial.holder == holder {
 		e.trial = trial{}
 	}
--- a/platform/httpstore/client.go
+++ b/ports/httpstore/client.go
@@ -18,7 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // What a Config stands for where it says nothing.
@@ -130,7 +130,7 @@
 	var s sent
 	req, err := c.build(s.trace(ctx), r)
 	if err != nil {
-		return nil, errors.Mark(err, platform.ErrUnavailable)
+		return nil, errors.Mark(err, ports.ErrUnavailable)
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
@@ -195,16 +195,16 @@
 
 func failure(err error, uncertain bool) error {
 	if uncertain {
-		return errors.Mark(err, platform.ErrUncertain)
+		return errors.Mark(err, ports.ErrUncertain)
 	}
-	return errors.Mark(err, platform.ErrUnavailable)
+	return errors.Mark(err, ports.ErrUnavailable)
 }
 
 // exchange posts a request as JSON and decodes the answer into resp.
 func (c *Client) exchange(ctx context.Context, path string, write bool, req, resp any) error {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, ports.ErrUnavailable)
 	}
 	raw, err := c.do(ctx, request{method: http.MethodPost, path: path, body: body, write: write})
 	if err != nil {
--- a/platform/httpstore/httpstore_test.go
+++ b/ports/httpstore/httpstore_test.go
@@ -18,12 +18,12 @@
 
 	standin "github.com/cactusproxy/cactusproxy/internal/standin/platform"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
-	"github.com/cactusproxy/cactusproxy/platform"
-	"github.com/cactusproxy/cactusproxy/platform/httpstore"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 )
 
-func insert(key string) platform.Op {
-	return platform.Op{Kind: platform.OpInsert, Key: key, Value: []byte("v")}
+func insert(key string) ports.Op {
+	return ports.Op{Kind: ports.OpInsert, Key: key, Value: []byte("v")}
 }
 
 func client(t *testing.T, c httpstore.Config) *httpstore.Client {
@@ -84,8 +84,8 @@
 	defer hs.Close()
 	c := client(t, httpstore.Config{URL: hs.URL, Token: "wrong"})
 	_, err := c.Table().Commit(context.Background(), insert("a"))
-	assert.Check(t, errors.Is(err, platform.ErrUnavailable))
-	assert.Check(t, !errors.Is(err, platform.ErrUncertain))
+	assert.Check(t, errors.Is(err, ports.ErrUnavailable))
+	assert.Check(t, !errors.Is(err, ports.ErrUncertain))
 }
 
 // The writer is told "uncertain" when the connection is cut after the write took
@@ -96,14 +96,14 @@
 	ctx := context.Background()
 	srv.SetFaults(standin.Faults{LoseReplies: 1})
 	_, err := c.Table().Commit(ctx, insert("a"))
-	assert.Check(t, errors.Is(err, platform.ErrUncertain))
+	assert.Check(t, errors.Is(err, ports.ErrUncertain))
 	err = c.Objects().Put(ctx, "o", []byte("x"))
-	assert.Check(t, errors.Is(err, platform.ErrUncertain))
+	assert.Check(t, errors.Is(err, ports.ErrUncertain))
 	srv.SetFaults(standin.Faults{Down: true})
 	_, err = c.Table().Commit(ctx, insert("b"))
-	assert.Check(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Check(t, errors.Is(err, ports.ErrUnavailable))
 	_, err = c.Table().Get(ctx, "a")
-	assert.Check(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Check(t, errors.Is(err, ports.ErrUnavailable))
 	srv.SetFaults(standin.Faults{})
 	rows, err := c.Table().Get(ctx, "a", "b")
 	assert.NilError(t, err)
@@ -118,8 +118,8 @@
 	assert.NilError(t, l.Close())
 	c := client(t, httpstore.Config{URL: "http://" + addr})
 	_, err = c.Table().Commit(context.Background(), insert("a"))
-	assert.Check(t, errors.Is(err, platform.ErrUnavailable))
-	assert.Check(t, !errors.Is(err, platform.ErrUncertain))
+	assert.Check(t, errors.Is(err, ports.ErrUnavailable))
+	assert.Check(t, !errors.Is(err, ports.ErrUncertain))
 }
 
 // Two writers share one connection to a platform that never answers. When both
@@ -146,9 +146,9 @@
 	waiting, stop := context.WithCancel(context.Background())
 	stop()
 	_, err := c.Table().Commit(waiting, insert("b"))
-	assert.Check(t, errors.Is(err, platform.ErrUnavailable))
+	assert.Check(t, errors.Is(err, ports.ErrUnavailable))
 	cancel()
-	assert.Check(t, errors.Is(<-first, platform.ErrUncertain))
+	assert.Check(t, errors.Is(<-first, ports.ErrUncertain))
 	assert.Equal(t, len(arrived), 0)
 }
 
@@ -249,9 +249,9 @@
 				switch {
 				case err == nil:
 					assert.Check(t, n == 1, "%s answered but not applied", key)
-				case errors.Is(err, platform.ErrUncertain):
+				case errors.Is(err, ports.ErrUncertain):
 				default:
-					assert.Check(t, errors.Is(err, platform.ErrUnavailable))
+					assert.Check(t, errors.Is(err, ports.ErrUnavailable))
 					assert.Check(t, n == 0, "%s unavailable but applied", key)
 				}
 			}
--- a/platform/httpstore/wire.go
+++ b/ports/httpstore/wire.go
@@ -1,6 +1,6 @@
 package httpstore
 
-import "github.com/cactusproxy/cactusproxy/platform"
+import "github.com/cactusproxy/cactusproxy/ports"
 
 // Paths of the platform's service. Requests to the table are POST with a JSON
 // body; values of rows are base64 there.
@@ -35,11 +35,11 @@
 
 // RowsResponse answers PathGet and PathScan.
 type RowsResponse struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []ports.Row `json:"rows"`
 }
 
 // CommitRequest is the body of PathCommit; the answer is a
-// platform.CommitResult.
+// ports.CommitResult.
 type CommitRequest struct {
-	Ops []platform.Op `json:"ops"`
+	Ops []ports.Op `json:"ops"`
 }
--- a/platform/objects.go
+++ b/ports/objects.go
@@ -1,4 +1,4 @@
-package platform
+package ports
 
 import "context"
 
--- a/platform/table.go
+++ b/ports/table.go
@@ -1,7 +1,7 @@
-// Package platform holds the ports to what the platform gives: a transactional
+// Package ports holds the ports to what the platform gives: a transactional
 // table, an object store and a lagging list of hosts. The adapters over HTTP
-// are in package platform/httpstore; tests put fakes behind the same ports.
-package platform
+// are in package ports/httpstore; tests put fakes behind the same ports.
+package ports
 
 import (
 	"context"
--- a/probesource.go
+++ b/probesource.go
@@ -5,7 +5,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/probes"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/slots"
 )
 
@@ -26,6 +26,6 @@
 
 // Probed implements probes.Source. The latency of a probe says little of that of
 // calls, so it is left out.
-func (p probeSource) Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int, _ time.Duration) {
+func (p probeSource) Probed(key blackboard.ServiceKey, id ports.HostID, ok bool, load int, _ time.Duration) {
 	p.slots.Probed(key, id, ok, load)
 }
--- a/provision.go
+++ b/provision.go
@@ -17,9 +17,9 @@
 	"github.com/cactusproxy/cactusproxy/entry"
 	"github.com/cactusproxy/cactusproxy/operator"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
-	"github.com/cactusproxy/cactusproxy/platform/httpstore"
 	"github.com/cactusproxy/cactusproxy/policy/rendezvous"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
@@ -129,7 +129,7 @@
 	return nil
 }
 
-func (d *Daemon) id() platform.HostID { return platform.HostID(d.settings.Host.ID) }
+func (d *Daemon) id() ports.HostID { return ports.HostID(d.settings.Host.ID) }
 
 func (d *Daemon) provisionUpstream(options) error {
 	tlsConfig, err := d.settings.Targets.Client()
@@ -221,15 +221,15 @@
 }
 
 // self is this host as the others shall know it.
-func (d *Daemon) self() platform.Host {
+func (d *Daemon) self() ports.Host {
 	peerAddr := d.settings.Peers.Advertise
 	if peerAddr == "" {
 		peerAddr = d.PeersAddr()
 	}
-	return platform.Host{
+	return ports.Host{
 		ID:       d.id(),
-		Role:     platform.RoleEntry,
-		State:    platform.HostLive,
+		Role:     ports.RoleEntry,
+		State:    ports.HostLive,
 		Zone:     d.settings.Host.Zone,
 		Region:   d.settings.Host.Region,
 		Addr:     d.CallersAddr(),
@@ -238,13 +238,13 @@
 }
 
 // coordinator gives a service's slots to one of the live hosts.
-func coordinator(key blackboard.ServiceKey, m *blackboard.Members) (platform.HostID, bool) {
+func coordinator(key blackboard.ServiceKey, m *blackboard.Members) (ports.HostID, bool) {
 	owner, ok := rendezvous.Owner(key.String(), m.Members)
 	return owner.Host.ID, ok
 }
 
-func (d *Daemon) roleHolders() []platform.HostID {
-	var ids []platform.HostID
+func (d *Daemon) roleHolders() []ports.HostID {
+	var ids []ports.HostID
 	for _, m := range d.board.Members.Load().Eligible() {
 		ids = append(ids, m.Host.ID)
 	}
@@ -253,7 +253,7 @@
 
 // markLeaving notes that a target's own answer said that it is to stop; the
 // targets controller tells the other hosts.
-func (d *Daemon) markLeaving(key blackboard.ServiceKey, id platform.HostID) {
+func (d *Daemon) markLeaving(key blackboard.ServiceKey, id ports.HostID) {
 	d.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
 		return old.WithLeaving(key, id, time.Now())
 	})
--- a/provision_ledger.go
+++ b/provision_ledger.go
@@ -8,8 +8,8 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/ledger"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/rendezvous"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
@@ -67,7 +67,7 @@
 
 // ledgerCoordinator is the host that commits the claims of all hosts. No safety
 // hangs on it: the table decides who holds a key.
-func (d *Daemon) ledgerCoordinator() platform.HostID {
+func (d *Daemon) ledgerCoordinator() ports.HostID {
 	owner, _ := rendezvous.Owner("ledger", d.board.Members.Load().Members)
 	return owner.Host.ID
 }
--- a/quarantine/call.go
+++ b/quarantine/call.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Decision tells what to do with an attempt.
@@ -30,7 +30,7 @@
 type Attempt struct {
 	q      *Quarantine
 	digest uint64
-	target platform.HostID
+	target ports.HostID
 	trial  *trial
 	once   sync.Once
 }
@@ -39,7 +39,7 @@
 type trial struct {
 	holder string
 	// keepers are the hosts that may hold the permission as given.
-	keepers []platform.HostID
+	keepers []ports.HostID
 }
 
 // Admit decides on one attempt, first ones, retries and hedges alike. It returns
@@ -129,7 +129,7 @@
 }
 
 // Started tells that the first byte is about to go to this target.
-func (a *Attempt) Started(target platform.HostID) {
+func (a *Attempt) Started(target ports.HostID) {
 	if a == nil {
 		return
 	}
@@ -178,7 +178,7 @@
 	}
 	msg := endTrialMsg{Digest: a.digest, Holder: a.trial.holder}
 	a.q.locked(func(now time.Time) {
-		a.q.tracker.EndTrial(a.digest, platform.HostID(a.trial.holder))
+		a.q.tracker.EndTrial(a.digest, ports.HostID(a.trial.holder))
 		if r, ok := a.q.tracker.Record(now, a.digest); ok {
 			msg.Record = append(msg.Record, r)
 		}
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -22,12 +22,12 @@
 
 // keepers returns the hosts that keep the trials of a request, by rendezvous
 // hashing: the first one does, the next one if it can not be reached.
-func (q *Quarantine) keepers(digest uint64) []platform.HostID {
+func (q *Quarantine) keepers(digest uint64) []ports.HostID {
 	ids := slices.Clone(q.members())
 	if !slices.Contains(ids, q.link.Self()) {
 		ids = append(ids, q.link.Self())
 	}
-	slices.SortFunc(ids, func(a, b platform.HostID) int {
+	slices.SortFunc(ids, func(a, b ports.HostID) int {
 		x, y := weight(a, digest), weight(b, digest)
 		switch {
 		case x > y:
@@ -41,7 +41,7 @@
 	return ids[:min(askHosts, len(ids))]
 }
 
-func weight(id platform.HostID, digest uint64) uint64 {
+func weight(id ports.HostID, digest uint64) uint64 {
 	h := xxhash.NewWithSeed(digest)
 	_, _ = h.WriteString(string(id))
 	return h.Sum64()
@@ -67,12 +67,12 @@
 
 func (q *Quarantine) askSelf(digest uint64, t *trial) (a suspicion.Answer) {
 	q.locked(func(now time.Time) {
-		a = q.tracker.Ask(now, digest, platform.HostID(t.holder))
+		a = q.tracker.Ask(now, digest, ports.HostID(t.holder))
 	})
 	return a
 }
 
-func (q *Quarantine) askKeeper(ctx context.Context, id platform.HostID, digest uint64, t *trial) (suspicion.Answer, bool) {
+func (q *Quarantine) askKeeper(ctx context.Context, id ports.HostID, digest uint64, t *trial) (suspicion.Answer, bool) {
 	req := askReq{Holder: t.holder}
 	suspected := false
 	q.locked(func(now time.Time) { req.Record, suspected = q.tracker.Record(now, digest) })
@@ -101,7 +101,7 @@
 	d := req.Record.Digest
 	q.locked(func(now time.Time) {
 		q.tracker.Merge(now, req.Record, q.answered.has(d))
-		resp.Answer = q.tracker.Ask(now, d, platform.HostID(req.Holder))
+		resp.Answer = q.tracker.Ask(now, d, ports.HostID(req.Holder))
 		if resp.Answer == suspicion.Refused {
 			resp.Record, _ = q.tracker.Record(now, d)
 		}
@@ -112,7 +112,7 @@
 func (q *Quarantine) onEndTrial(_ context.Context, from peer.HostID, msg endTrialMsg) (struct{}, error) {
 	q.merge(from, msg.Record)
 	q.locked(func(time.Time) {
-		q.tracker.EndTrial(msg.Digest, platform.HostID(msg.Holder))
+		q.tracker.EndTrial(msg.Digest, ports.HostID(msg.Holder))
 		q.wake()
 	})
 	return struct{}{}, nil
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -2,8 +2,8 @@
 
 import (
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Kinds of the messages between hosts.
@@ -32,7 +32,7 @@
 
 // lostMsg is the body of kindLost.
 type lostMsg struct {
-	Target platform.HostID `msgpack:"t"`
+	Target ports.HostID `msgpack:"t"`
 }
 
 // askReq is the body of kindAsk. It carries what the asking host holds of the
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,8 +16,8 @@
 
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -47,7 +47,7 @@
 type Deps struct {
 	Link peer.Link
 	// Members returns the entry hosts that hold roles, this one included or not.
-	Members func() []platform.HostID
+	Members func() []ports.HostID
 	Metrics *metrics.Set
 	Log     *zap.Logger
 	// Limits stands for suspicion.DefaultLimits if it is zero.
@@ -57,7 +57,7 @@
 // Quarantine is one host's part. It is safe for concurrent use.
 type Quarantine struct {
 	link    peer.Link
-	members func() []platform.HostID
+	members func() []ports.HostID
 	count   *expvar.Map
 	log     *zap.Logger
 
@@ -168,7 +168,7 @@
 	}
 }
 
-func (q *Quarantine) report(d suspicion.Digest, s suspicion.State, target platform.HostID) {
+func (q *Quarantine) report(d suspicion.Digest, s suspicion.State, target ports.HostID) {
 	event, counter := "request suspected of crashing a target", countSuspected
 	if s == suspicion.Quarantined {
 		event, counter = "request quarantined", countQuarantined
@@ -210,10 +210,10 @@
 
 // Entry is a request that is not clean, for operators.
 type Entry struct {
-	Digest string            `json:"digest"`
-	State  string            `json:"state"`
-	Age    time.Duration     `json:"age"`
-	Lost   []platform.HostID `json:"lost"`
+	Digest string         `json:"digest"`
+	State  string         `json:"state"`
+	Age    time.Duration  `json:"age"`
+	Lost   []ports.HostID `json:"lost"`
 }
 
 // List returns up to n requests that are not clean, the latest sent first.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 const (
@@ -144,7 +144,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
 		defer s.stop()
-		breakOff := func(h *Quarantine, digest uint64, target platform.HostID) {
+		breakOff := func(h *Quarantine, digest uint64, target ports.HostID) {
 			a, _ := h.Admit(context.Background(), digest)
 			a.Started(target)
 			a.BrokeOff()
@@ -183,9 +183,9 @@
 		s := newSim(1)
 		defer s.stop()
 		net := peernet.New()
-		ids := []platform.HostID{"a", "b"}
-		host := func(id platform.HostID) *Quarantine {
-			return New(Deps{Link: net.Join(id), Members: func() []platform.HostID { return ids }, Metrics: metrics.New(), Log: zap.NewNop()})
+		ids := []ports.HostID{"a", "b"}
+		host := func(id ports.HostID) *Quarantine {
+			return New(Deps{Link: net.Join(id), Members: func() []ports.HostID { return ids }, Metrics: metrics.New(), Log: zap.NewNop()})
 		}
 		a, b := host("a"), host("b")
 		ctx, stop := context.WithCancel(context.Background())
@@ -239,7 +239,7 @@
 }
 
 func BenchmarkAdmitClean(b *testing.B) {
-	s := New(Deps{Link: peernet.New().Join("a"), Members: func() []platform.HostID { return nil }, Metrics: metrics.New(), Log: zap.NewNop()})
+	s := New(Deps{Link: peernet.New().Join("a"), Members: func() []ports.HostID { return nil }, Metrics: metrics.New(), Log: zap.NewNop()})
 	ctx := context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -7,18 +7,18 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // reach remembers which targets this host can reach, so that a target's loss is
 // one event however many connections to it fail afterwards.
 type reach struct {
-	targets sync.Map // platform.HostID -> *atomic.Bool
+	targets sync.Map // ports.HostID -> *atomic.Bool
 }
 
 // up notes that a target answered.
-func (r *reach) up(id platform.HostID) {
+func (r *reach) up(id ports.HostID) {
 	if v, ok := r.targets.Load(id); ok {
 		if b := v.(*atomic.Bool); !b.Load() {
 			b.Store(true)
@@ -33,15 +33,15 @@
 // down notes that a target was lost, and reports whether that is news. A target
 // that this host never tried counts as having been up: another host's word of
 // its loss is what this host would go by.
-func (r *reach) down(id platform.HostID) bool {
+func (r *reach) down(id ports.HostID) bool {
 	v, known := r.targets.LoadOrStore(id, new(atomic.Bool))
 	return !known || v.(*atomic.Bool).Swap(false)
 }
 
 // keep forgets all targets but these.
-func (r *reach) keep(known func(platform.HostID) bool) {
+func (r *reach) keep(known func(ports.HostID) bool) {
 	r.targets.Range(func(id, _ any) bool {
-		if !known(id.(platform.HostID)) {
+		if !known(id.(ports.HostID)) {
 			r.targets.Delete(id)
 		}
 		return true
@@ -49,12 +49,12 @@
 }
 
 // KeepTargets forgets what is known of targets that are no more.
-func (q *Quarantine) KeepTargets(known func(platform.HostID) bool) { q.reach.keep(known) }
+func (q *Quarantine) KeepTargets(known func(ports.HostID) bool) { q.reach.keep(known) }
 
 // NotReached tells that no connection to the target could be made. The first
 // time it is taken for lost: idle targets tell in this way alone that a whole
 // zone is failing, and that no request is the cause.
-func (a *Attempt) NotReached(target platform.HostID) {
+func (a *Attempt) NotReached(target ports.HostID) {
 	if a == nil || !a.q.reach.down(target) {
 		return
 	}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // simTarget is a model of a target: a set of runs that all break off when it
 // is lost.
 type simTarget struct {
-	id    platform.HostID
+	id    ports.HostID
 	runs  int
 	alone bool
 	up    bool
@@ -44,16 +44,16 @@
 	s := &sim{rng: rand.New(rand.NewPCG(seed, 0)), killed: make(map[uint64]int)}
 	net := peernet.New()
 	net.Delay = s.delay
-	var ids []platform.HostID
+	var ids []ports.HostID
 	for i := range simHosts {
-		ids = append(ids, platform.HostID(fmt.Sprintf("h%02d", i)))
+		ids = append(ids, ports.HostID(fmt.Sprintf("h%02d", i)))
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	for _, id := range ids {
 		q := New(Deps{
 			Link:    net.Join(id),
-			Members: func() []platform.HostID { return ids },
+			Members: func() []ports.HostID { return ids },
 			Metrics: metrics.New(),
 			Log:     zap.NewNop(),
 		})
@@ -61,14 +61,14 @@
 		go func() { _ = q.Run(ctx) }()
 	}
 	for i := range simTargets {
-		id := platform.HostID(fmt.Sprintf("t%02d", i))
+		id := ports.HostID(fmt.Sprintf("t%02d", i))
 		s.targets = append(s.targets, &simTarget{id: id, up: true, lost: make(chan struct{})})
 	}
 	return s
 }
 
 // delay is one way between two hosts, with some scatter.
-func (s *sim) delay(_, _ platform.HostID) time.Duration {
+func (s *sim) delay(_, _ ports.HostID) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return 100*time.Microsecond + time.Duration(s.rng.Int64N(int64(900*time.Microsecond)))
@@ -126,7 +126,7 @@
 }
 
 // noticeLoss is an attempt of some host that finds the target gone.
-func (s *sim) noticeLoss(id platform.HostID) {
+func (s *sim) noticeLoss(id ports.HostID) {
 	time.Sleep(simTrip)
 	a, _ := s.host().Admit(context.Background(), 1)
 	a.NotReached(id)
--- a/random_test.go
+++ b/random_test.go
@@ -22,7 +22,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
 	"github.com/cactusproxy/cactusproxy/internal/vlab"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -96,7 +96,7 @@
 	lab     *vlab.Lab
 	keyFile string
 	// breakTable puts a broken table in place of the platform's.
-	breakTable func(platform.Table) platform.Table
+	breakTable func(ports.Table) ports.Table
 	wg         sync.WaitGroup
 
 	mu       sync.Mutex
@@ -164,7 +164,7 @@
 	case opBrowse:
 		h.call(o.Host, "GET", "/w/s0/list", "")
 	case opTargetState:
-		h.lab.Fleet.Set(platform.HostID(fmt.Sprintf("t%d", o.Key%randomTargets)), o.State)
+		h.lab.Fleet.Set(ports.HostID(fmt.Sprintf("t%d", o.Key%randomTargets)), o.State)
 	case opStoreDown:
 		h.lab.Store.SetFaults(store.Faults{Down: true, Delay: 5 * time.Millisecond})
 	case opStoreLoses:
@@ -181,7 +181,7 @@
 	case opStop:
 		h.stop(o.Host)
 	case opCut:
-		h.lab.Net.Cut(platform.HostID(h.hosts[o.Host]), platform.HostID(h.hosts[o.Other]))
+		h.lab.Net.Cut(ports.HostID(h.hosts[o.Host]), ports.HostID(h.hosts[o.Other]))
 	case opHeal:
 		h.lab.Net.Heal()
 	case opApply:
@@ -250,7 +250,7 @@
 	h.lab.Net.Heal()
 	h.lab.Store.SetFaults(store.Faults{Delay: 5 * time.Millisecond})
 	for i := range randomTargets {
-		h.lab.Fleet.Set(platform.HostID(fmt.Sprintf("t%d", i)), vlab.Up)
+		h.lab.Fleet.Set(ports.HostID(fmt.Sprintf("t%d", i)), vlab.Up)
 	}
 	h.wg.Wait()
 	time.Sleep(10 * time.Second)
@@ -345,12 +345,12 @@
 }
 
 // forgetfulTable takes every insert, as if no row were there.
-type forgetfulTable struct{ platform.Table }
+type forgetfulTable struct{ ports.Table }
 
-func (f forgetfulTable) Commit(ctx context.Context, ops ...platform.Op) (platform.CommitResult, error) {
+func (f forgetfulTable) Commit(ctx context.Context, ops ...ports.Op) (ports.CommitResult, error) {
 	for i := range ops {
-		if ops[i].Kind == platform.OpInsert {
-			ops[i].Kind = platform.OpPut
+		if ops[i].Kind == ports.OpInsert {
+			ops[i].Kind = ports.OpPut
 		}
 	}
 	return f.Table.Commit(ctx, ops...)
@@ -360,7 +360,7 @@
 // the same claim, the second send of a purchase runs it again, and it says so.
 func TestRandomHistoriesCatchATableThatForgets(t *testing.T) {
 	h := &history{keyFile: clusterKey(t)}
-	h.breakTable = func(inner platform.Table) platform.Table { return forgetfulTable{inner} }
+	h.breakTable = func(inner ports.Table) ports.Table { return forgetfulTable{inner} }
 	var broken atomic.Int64
 	invariant.SetHandler(func(name invariant.Name, _ string) {
 		if name == invariant.AtMostOnce {
--- a/run.go
+++ b/run.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cactusproxy/cactusproxy/controller/config"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // upkeepInterval is the time between two looks at what is not needed any more.
@@ -109,13 +109,13 @@
 }
 
 func (d *Daemon) forgetTargets() {
-	listed := make(map[platform.HostID]bool)
+	listed := make(map[ports.HostID]bool)
 	for _, list := range d.board.Targets.Load().ByService {
 		for _, t := range list {
 			listed[t.ID] = true
 		}
 	}
-	known := func(id platform.HostID) bool { return listed[id] }
+	known := func(id ports.HostID) bool { return listed[id] }
 	d.pools.Retain(known)
 	d.quarantine.KeepTargets(known)
 }
--- a/slots/cluster_test.go
+++ b/slots/cluster_test.go
@@ -17,7 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 var bids = blackboard.ServiceKey{Workspace: "auction", Service: "bids"}
@@ -26,11 +26,11 @@
 type cluster struct {
 	net         *peernet.Network
 	hosts       []*testHost
-	coordinator atomic.Pointer[platform.HostID]
+	coordinator atomic.Pointer[ports.HostID]
 }
 
 type testHost struct {
-	id    platform.HostID
+	id    ports.HostID
 	board *blackboard.Board
 	slots *Slots
 	m     *metrics.Set
@@ -47,12 +47,12 @@
 	}
 	svc.Name = bids.Service
 	for i := range hosts {
-		c.hosts = append(c.hosts, c.newHost(platform.HostID(fmt.Sprint("h", i)), hosts, targets, svc))
+		c.hosts = append(c.hosts, c.newHost(ports.HostID(fmt.Sprint("h", i)), hosts, targets, svc))
 	}
 	return c
 }
 
-func (c *cluster) newHost(id platform.HostID, hosts, targets int, svc declare.Service) *testHost {
+func (c *cluster) newHost(id ports.HostID, hosts, targets int, svc declare.Service) *testHost {
 	b := blackboard.New()
 	b.Config.Store(&declare.Config{Workspaces: []declare.Workspace{
 		{Name: bids.Workspace, Services: []declare.Service{svc}},
@@ -60,14 +60,14 @@
 	members := &blackboard.Members{Self: id}
 	for i := range hosts {
 		members.Members = append(members.Members, blackboard.Member{
-			Host:  platform.Host{ID: platform.HostID(fmt.Sprint("h", i))},
+			Host:  ports.Host{ID: ports.HostID(fmt.Sprint("h", i))},
 			State: blackboard.MemberLive,
 		})
 	}
 	b.Members.Store(members)
 	list := make([]blackboard.Target, targets)
 	for i := range list {
-		list[i] = blackboard.Target{ID: platform.HostID(fmt.Sprintf("t%02d", i)), Addr: "127.0.0.1:1"}
+		list[i] = blackboard.Target{ID: ports.HostID(fmt.Sprintf("t%02d", i)), Addr: "127.0.0.1:1"}
 	}
 	b.Targets.Store(&blackboard.Targets{ByService: map[blackboard.ServiceKey][]blackboard.Target{bids: list}})
 	m := metrics.New()
@@ -78,7 +78,7 @@
 		Metrics:     m,
 		Log:         zap.NewNop(),
 		Seed:        1,
-		OnLeaving: func(key blackboard.ServiceKey, id platform.HostID) {
+		OnLeaving: func(key blackboard.ServiceKey, id ports.HostID) {
 			b.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
 				return old.WithLeaving(key, id, time.Now())
 			})
@@ -87,13 +87,13 @@
 	return &testHost{id: id, board: b, slots: s, m: m}
 }
 
-func (c *cluster) choose(blackboard.ServiceKey, *blackboard.Members) (platform.HostID, bool) {
+func (c *cluster) choose(blackboard.ServiceKey, *blackboard.Members) (ports.HostID, bool) {
 	id := *c.coordinator.Load()
 	return id, id != ""
 }
 
 // name sets what hosts find when they next look for the coordinator.
-func (c *cluster) name(id platform.HostID) { c.coordinator.Store(&id) }
+func (c *cluster) name(id ports.HostID) { c.coordinator.Store(&id) }
 
 func (c *cluster) close(t *testing.T) {
 	time.Sleep(10 * time.Millisecond) // messages on their way arrive
@@ -104,7 +104,7 @@
 }
 
 // setCoordinator changes every host's view at once.
-func (c *cluster) setCoordinator(id platform.HostID) {
+func (c *cluster) setCoordinator(id ports.HostID) {
 	c.name(id)
 	for _, h := range c.hosts {
 		h.touchMembers()
--- a/slots/messages.go
+++ b/slots/messages.go
@@ -10,8 +10,8 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/peer"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // outbox is what one event sends to other hosts.
@@ -19,16 +19,16 @@
 	key     blackboard.ServiceKey
 	frames  []frameTo
 	tells   []tellTo
-	overdue []platform.HostID
+	overdue []ports.HostID
 }
 
 type frameTo struct {
-	to    platform.HostID
+	to    ports.HostID
 	frame grant.Frame
 }
 
 type tellTo struct {
-	to   platform.HostID
+	to   ports.HostID
 	tell grant.Tell
 }
 
@@ -37,7 +37,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 
 	Service blackboard.ServiceKey
-	Targets []platform.HostID
+	Targets []ports.HostID
 }
 
 // none is the reply to a notification.
@@ -60,7 +60,7 @@
 	}
 }
 
-func (s *Slots) notify(to platform.HostID, kind peer.Kind, msg any) {
+func (s *Slots) notify(to ports.HostID, kind peer.Kind, msg any) {
 	if !peer.Notify(s.deps.Link, to, kind, msg) {
 		s.count.dropped.Add(1)
 	}
@@ -90,7 +90,7 @@
 }
 
 // note counts and logs what changed in one event.
-func (v *service) note(overdue []platform.HostID) {
+func (v *service) note(overdue []ports.HostID) {
 	s := v.owner
 	s.count.overdue.Add(int64(len(overdue)))
 	for _, id := range v.coordinator.Ejected() {
--- a/slots/probe.go
+++ b/slots/probe.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // StaleTarget is a target of which calls tell nothing.
@@ -31,9 +31,9 @@
 }
 
 func (v *service) stale(now time.Time, list []blackboard.Target) []StaleTarget {
-	var ids []platform.HostID
+	var ids []ports.HostID
 	v.do(func(time.Time) { ids = v.coordinator.Stale(now) })
-	wanted := make(map[platform.HostID]bool, len(ids))
+	wanted := make(map[ports.HostID]bool, len(ids))
 	for _, id := range ids {
 		wanted[id] = true
 	}
@@ -48,7 +48,7 @@
 
 // Probed takes the result of a probe; a negative load means that none was
 // reported. A bad answer alone never ejects a target.
-func (s *Slots) Probed(key blackboard.ServiceKey, id platform.HostID, ok bool, load int) {
+func (s *Slots) Probed(key blackboard.ServiceKey, id ports.HostID, ok bool, load int) {
 	if svc := s.service(key); svc != nil {
 		svc.do(func(now time.Time) { svc.coordinator.Probed(now, id, ok, load) })
 	}
--- a/slots/random_test.go
+++ b/slots/random_test.go
@@ -16,7 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func TestMain(m *testing.M) {
@@ -77,7 +77,7 @@
 	*cluster
 	mu       sync.Mutex
 	failures []string
-	leaving  map[platform.HostID]time.Time
+	leaving  map[ports.HostID]time.Time
 }
 
 func (p *play) fail(format string, args ...any) {
@@ -90,7 +90,7 @@
 	svc := declare.Service{Slots: 2, MaxQueue: 8, ColdStart: 500 * time.Millisecond}
 	p := &play{
 		cluster: newCluster(scriptHosts, scriptTargets, svc),
-		leaving: make(map[platform.HostID]time.Time),
+		leaving: make(map[ports.HostID]time.Time),
 	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -120,7 +120,7 @@
 // checkState starts one long call on each host and sees whether the state of the
 // coordinator come to hold these and nothing else. The hosts go on sending
 // heartbeats, so that nothing is freed just because a host fell silent.
-func (p *play) checkState(coordinator platform.HostID) {
+func (p *play) checkState(coordinator ports.HostID) {
 	var held []pick.Grant
 	for _, h := range p.hosts {
 		if g, _ := h.pickFor(time.Second, pick.Request{}); g != nil {
@@ -136,7 +136,7 @@
 	p.expectHeld(coordinator, 0)
 }
 
-func (p *play) expectHeld(id platform.HostID, want int) {
+func (p *play) expectHeld(id ports.HostID, want int) {
 	for _, h := range p.hosts {
 		if n := h.held(); h.id == id && n != want {
 			p.fail("%s holds %d slots, want %d", id, n, want)
@@ -165,12 +165,12 @@
 		p.name(id) // only hosts whose view changes later hear of it
 		p.hosts[f.Target%scriptHosts].touchMembers()
 	case "drain":
-		p.drain(platform.HostID(fmt.Sprintf("t%02d", f.Target)))
+		p.drain(ports.HostID(fmt.Sprintf("t%02d", f.Target)))
 	}
 }
 
 // drain tells the hosts of a leaving target one after the other.
-func (p *play) drain(id platform.HostID) {
+func (p *play) drain(id ports.HostID) {
 	p.mu.Lock()
 	if p.leaving[id].IsZero() {
 		p.leaving[id] = time.Now()
--- a/slots/service.go
+++ b/slots/service.go
@@ -14,9 +14,9 @@
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
 	"github.com/cactusproxy/cactusproxy/policy/session"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // leavingGrace is how long after the first sign of leaving a target may still
@@ -138,7 +138,7 @@
 			out.frames = append(out.frames, frameTo{o.To, o.Frame})
 		}
 		own := false
-		v.coordinator.Flush(now, func(to platform.HostID, t grant.Tell) {
+		v.coordinator.Flush(now, func(to ports.HostID, t grant.Tell) {
 			t.Grants = slices.Clone(t.Grants)
 			t.Refusals = slices.Clone(t.Refusals)
 			if to == v.owner.self {
@@ -176,9 +176,9 @@
 
 // checkLeaving asserts that a target which has been leaving for a while is not
 // handed out.
-func (v *service) checkLeaving(now time.Time, id platform.HostID) {
+func (v *service) checkLeaving(now time.Time, id ports.HostID) {
 	list := v.owner.deps.Board.Targets.Load().ByService[v.key]
-	i, found := slices.BinarySearchFunc(list, id, func(t blackboard.Target, id platform.HostID) int {
+	i, found := slices.BinarySearchFunc(list, id, func(t blackboard.Target, id ports.HostID) int {
 		return cmp.Compare(t.ID, id)
 	})
 	if !found || !list[i].Leaving {
@@ -188,7 +188,7 @@
 	invariant.Check(since <= leavingGrace, invariant.LeavingIdle, "%s of %s, leaving for %s", id, v.key, since)
 }
 
-func brokenRelease(id platform.HostID) {
+func brokenRelease(id ports.HostID) {
 	invariant.Broken(invariant.SlotAccount, "grant of "+string(id)+" released twice")
 }
 
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -20,8 +20,8 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/policy/grant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // Messages between hosts.
@@ -32,7 +32,7 @@
 )
 
 // CoordinatorFunc returns the coordinator of a service; false means none.
-type CoordinatorFunc func(blackboard.ServiceKey, *blackboard.Members) (platform.HostID, bool)
+type CoordinatorFunc func(blackboard.ServiceKey, *blackboard.Members) (ports.HostID, bool)
 
 // Deps is what a Slots works with.
 type Deps struct {
@@ -45,13 +45,13 @@
 	Seed uint64
 	// OnLeaving, if set, is called when a target's own answer said that it is
 	// leaving. It must not block.
-	OnLeaving func(blackboard.ServiceKey, platform.HostID)
+	OnLeaving func(blackboard.ServiceKey, ports.HostID)
 }
 
 // Slots is the pick.Picker of one daemon.
 type Slots struct {
 	deps  Deps
-	self  platform.HostID
+	self  ports.HostID
 	epoch uint64
 	count counters
 
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -11,14 +11,14 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 func TestHostsShareTheSlotsOfATarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(3, 2, declare.Service{Slots: 2})
 		defer c.close(t)
-		seen := map[platform.HostID]int{}
+		seen := map[ports.HostID]int{}
 		var grants []pick.Grant
 		for _, h := range c.hosts {
 			g, _ := h.pickFor(time.Second, pick.Request{})
@@ -133,7 +133,7 @@
 		var grants []pick.Grant
 		for range 3 {
 			g, _ := h.pickFor(time.Second, pick.Request{})
-			assert.Equal(t, g.Target().ID, platform.HostID("t01"))
+			assert.Equal(t, g.Target().ID, ports.HostID("t01"))
 			grants = append(grants, g)
 		}
 		for _, g := range grants {
@@ -205,7 +205,7 @@
 		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 2)
 		c.hosts[0].slots.Probed(bids, "t00", true, 0)
 		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 1)
-		g, _ := c.hosts[1].pickFor(time.Second, pick.Request{Avoid: []platform.HostID{"t00"}})
+		g, _ := c.hosts[1].pickFor(time.Second, pick.Request{Avoid: []ports.HostID{"t00"}})
 		g.Release(pick.Report{Class: pick.OK, Latency: time.Millisecond, Load: -1})
 		time.Sleep(10 * time.Millisecond)
 		assert.Equal(t, len(c.hosts[0].slots.Stale(time.Now())), 0, "traffic makes probes needless")
--- a/tls_test.go
+++ b/tls_test.go
@@ -23,7 +23,7 @@
 
 	"github.com/cactusproxy/cactusproxy"
 	"github.com/cactusproxy/cactusproxy/internal/standin/store"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
@@ -104,9 +104,9 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	s.ChangeHosts(func(list []platform.Host) []platform.Host {
-		return append(list, platform.Host{
-			ID: platform.HostID(id), Role: platform.RoleEntry, State: platform.HostLive,
+	s.ChangeHosts(func(list []ports.Host) []ports.Host {
+		return append(list, ports.Host{
+			ID: ports.HostID(id), Role: ports.RoleEntry, State: ports.HostLive,
 			Zone: "a", Addr: d.CallersAddr(), PeerAddr: d.PeersAddr(),
 		})
 	})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,7 +16,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
-	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // ErrConnLimit says that this host holds its share of the target's connections.
@@ -84,7 +84,7 @@
 	transport *http.Transport
 
 	mu    sync.Mutex
-	pools map[platform.HostID]*pool
+	pools map[ports.HostID]*pool
 }
 
 var _ RoundTripper = (*Pools)(nil)
@@ -92,7 +92,7 @@
 // New returns pools without connections.
 func New(o Options) *Pools {
 	o = o.withDefaults()
-	p := &Pools{opts: o, scheme: "http", pools: make(map[platform.HostID]*pool)}
+	p := &Pools{opts: o, scheme: "http", pools: make(map[ports.HostID]*pool)}
 	if o.TLS != nil {
 		p.scheme = "https"
 	}
@@ -151,7 +151,7 @@
 
 // Retain closes the idle connections of targets that are not kept any more and
 // those of all targets that were unused for the idle timeout.
-func (p *Pools) Retain(keep func(platform.HostID) bool) {
+func (p *Pools) Retain(keep func(ports.HostID) bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,5 +167,5 @@
 
 // Close closes all idle connections; those in use close when their answer ends.
 func (p *Pools) Close() {
-	p.Retain(func(platform.HostID) bool { return false })
+	p.Retain(func(ports.HostID) bool { return false })
 }
