--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -5,6 +5,7 @@
 	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 
 	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/routing"
 )
 
 // Sections of the board.
@@ -13,6 +14,7 @@
 	TopicMembers Topic = "members"
 	TopicTargets Topic = "targets"
 	TopicStatus  Topic = "status"
+	TopicRoutes  Topic = "routes"
 )
 
 // Board is the state shared by one daemon's controllers.
@@ -26,6 +28,9 @@
 	// Status is what the host says of itself; controller/config and
 	// controller/leave write it.
 	Status *Section[Status]
+	// Routes is the configuration by routes in force, nil while none is known;
+	// controller/watch writes it on platforms that declare routes.
+	Routes *Section[*routing.Table]
 
 	bus *gochannel.GoChannel
 }
@@ -38,6 +43,7 @@
 		Members: newSection(bus, TopicMembers, &Members{}),
 		Targets: newSection(bus, TopicTargets, &Targets{}),
 		Status:  newSection(bus, TopicStatus, Status{}),
+		Routes:  newSection(bus, TopicRoutes, (*routing.Table)(nil)),
 		bus:     bus,
 	}
 }
--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -84,6 +84,12 @@
 	// FirstSeen is when this host first saw the target; a cold start ramps up
 	// from here.
 	FirstSeen time.Time
+	// Slots is the number of calls the target runs at once, if it tells; else 0
+	// and its service's declaration says so.
+	Slots int
+	// WarmUntil is when the target stops being slow after its start; the zero
+	// time if it tells nothing of it.
+	WarmUntil time.Time
 }
 
 // Targets is the view of all targets by service; each slice is sorted by ID.
--- a/cmd/cactusproxyd/main.go
+++ b/cmd/cactusproxyd/main.go
@@ -12,8 +12,10 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy"
+	"github.com/cactusproxy/cactusproxy/edge"
 	"github.com/cactusproxy/cactusproxy/internal/logging"
 	"github.com/cactusproxy/cactusproxy/internal/version"
+	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
 
@@ -25,7 +27,15 @@
 )
 
 type settingsArg struct {
-	Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
+	Settings string `arg:"positional" help:"settings file, JSON with comments; if left out, the one that the platform names in the environment"`
+}
+
+// file returns the settings file.
+func (a *settingsArg) file() string {
+	if a.Settings != "" {
+		return a.Settings
+	}
+	return platform.SettingsFile()
 }
 
 type args struct {
@@ -46,9 +56,9 @@
 	p := arg.MustParse(&a)
 	switch {
 	case a.Serve != nil:
-		return serve(a.Serve.Settings)
+		return serve(a.Serve.file())
 	case a.Check != nil:
-		return check(a.Check.Settings)
+		return check(a.Check.file())
 	default:
 		p.WriteHelp(os.Stderr)
 		return exitUsage
@@ -70,12 +80,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	log, err := logging.New(os.Stderr, s.LogLevel)
+	log, err := logging.New(os.Stdout, s.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	d, err := cactusproxy.New(s, cactusproxy.WithLog(log))
+	d, err := newDaemon(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -88,3 +98,21 @@
 	}
 	return exitOK
 }
+
+// daemon is an entry host of either kind.
+type daemon interface {
+	Run(ctx context.Context) error
+}
+
+// newDaemon makes the kind of entry host that the settings ask for.
+func newDaemon(s *settings.Settings, log *zap.Logger) (daemon, error) {
+	if s.Directory.Store == "" {
+		return cactusproxy.New(s, cactusproxy.WithLog(log))
+	}
+	store := platform.NewStore(s.Directory.Store)
+	return edge.New(s, edge.Platform{
+		Directory: platform.NewDirectory(store, log),
+		Contract:  platform.Contract(),
+		ReadyPath: platform.ReadyPath,
+	}, log)
+}
--- /dev/null
+++ b/controller/watch/counters.go
@@ -0,0 +1,25 @@
+package watch
+
+import (
+	"expvar"
+
+	"github.com/cactusproxy/cactusproxy/metrics"
+)
+
+// counters are those of the metrics map "watch".
+type counters struct {
+	calls, failed, beats, steps, syncs, dropped, takeovers *expvar.Int
+}
+
+func newCounters(m *metrics.Set) counters {
+	c := m.Counters("watch")
+	return counters{
+		calls:     c("store_calls"),
+		failed:    c("store_calls_failed"),
+		beats:     c("beats_received"),
+		steps:     c("changes_received"),
+		syncs:     c("syncs"),
+		dropped:   c("notifications_dropped"),
+		takeovers: c("takeovers"),
+	}
+}
--- /dev/null
+++ b/controller/watch/messages.go
@@ -0,0 +1,44 @@
+package watch
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/peer"
+)
+
+// Messages between hosts.
+const (
+	kindBeat peer.Kind = peer.KindWatch + iota
+	kindChanges
+	kindSync
+)
+
+// beat is a watcher's heartbeat, to all hosts.
+type beat struct {
+	Host directory.Host `msgpack:"host"`
+	// StoreOK and StoreAge are as in watchers.Beat.
+	StoreOK  bool          `msgpack:"store_ok"`
+	StoreAge time.Duration `msgpack:"store_age"`
+	// Version and Newest say what the watcher knows, so that a host that missed
+	// a change notices.
+	Version uint64             `msgpack:"version"`
+	Newest  directory.Revision `msgpack:"newest"`
+	// Hosts is a digest of the hosts that the watcher knows.
+	Hosts uint64 `msgpack:"hosts"`
+}
+
+// syncRequest asks for all that a host knows.
+type syncRequest struct {
+	// Host is who asks, Hosts whom it knows.
+	Host  directory.Host   `msgpack:"host"`
+	Hosts []directory.Host `msgpack:"hosts"`
+}
+
+// syncReply is all that a host knows.
+type syncReply struct {
+	// Fresh is set if the host hears from a watcher, or is one.
+	Fresh   bool              `msgpack:"fresh"`
+	Changes directory.Changes `msgpack:"changes"`
+	Hosts   []directory.Host  `msgpack:"hosts"`
+}
--- /dev/null
+++ b/controller/watch/publish.go
@@ -0,0 +1,151 @@
+package watch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// publishConfig puts a configuration in force. The lock is held.
+func (c *Controller) publishConfig(old, next *routing.Config, from ports.HostID) {
+	directory.CheckForward(old, next)
+	c.deps.Board.Routes.Store(routing.NewTable(next, c.rng))
+	c.deps.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		changed := !s.ConfigConfirmed
+		s.ConfigConfirmed = true
+		return s, changed
+	})
+	c.deps.Log.Info("configuration in force", zap.Uint64("version", next.Version),
+		zap.Int("routes", len(next.Routes)), zap.String("from", string(from)))
+}
+
+// publishTargets puts the list of targets on the board. The lock is held.
+func (c *Controller) publishTargets(now time.Time) {
+	usable, expiry := c.state.Usable(now)
+	c.expiry = expiry
+	view := &blackboard.Targets{
+		ListVersion: uint64(c.state.Newest()),
+		ByService:   make(map[blackboard.ServiceKey][]blackboard.Target),
+	}
+	old := c.deps.Board.Targets.Load()
+	for _, u := range usable {
+		key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: u.Service}
+		view.ByService[key] = append(view.ByService[key], target(now, u, old.ByService[key]))
+	}
+	c.deps.Board.Targets.Store(view)
+	if !c.state.HasTargets() {
+		return
+	}
+	c.deps.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		changed := s.TargetsUnknown
+		s.TargetsUnknown = false
+		return s, changed
+	})
+}
+
+// target is a target as the board shows it. A mark of leaving that came from the
+// target's own answer stays: the record lags behind it.
+func target(now time.Time, u directory.Usable, old []blackboard.Target) blackboard.Target {
+	t := blackboard.Target{
+		ID:        u.ID,
+		Addr:      u.Addr,
+		Zone:      u.Zone,
+		Slots:     u.Slots,
+		Leaving:   u.Draining,
+		FirstSeen: u.FirstSeen,
+	}
+	if u.WarmUp > 0 {
+		t.WarmUntil = u.FirstSeen.Add(u.WarmUp)
+	}
+	i, found := slices.BinarySearchFunc(old, u.ID, func(t blackboard.Target, id ports.HostID) int {
+		return cmp.Compare(t.ID, id)
+	})
+	if found && old[i].Leaving {
+		t.Leaving, t.LeavingSince = true, old[i].LeavingSince
+	} else if t.Leaving {
+		t.LeavingSince = now
+	}
+	return t
+}
+
+// logTargets tells of targets that leave or are gone: each changes what this
+// host believes.
+func (c *Controller) logTargets(ch directory.Changes, from ports.HostID) {
+	if len(ch.Targets) == 0 || ch.AllTargets {
+		c.deps.Log.Info("targets read", zap.Int("targets", len(ch.Targets)),
+			zap.Uint64("revision", uint64(ch.Revision)), zap.String("from", string(from)))
+		return
+	}
+	for _, t := range ch.Targets {
+		word := "target listed"
+		switch {
+		case t.Removed:
+			word = "target gone"
+		case t.Draining:
+			word = "target leaving"
+		}
+		c.deps.Log.Info(word, zap.String("target", string(t.ID)), zap.String("service", t.Service),
+			zap.Uint64("revision", uint64(t.Revision)), zap.Duration("hold", ch.Hold), zap.String("from", string(from)))
+	}
+}
+
+// addHosts takes in hosts that others know and reports whether any was new. The
+// lock is held.
+func (c *Controller) addHosts(list ...directory.Host) bool {
+	changed := false
+	for _, h := range list {
+		have, ok := c.hosts[h.ID()]
+		if h.Addr == "" || ok && (have.Zone != "" || h.Zone == "") {
+			continue
+		}
+		c.hosts[h.ID()] = h
+		changed = true
+	}
+	if changed {
+		c.publishHosts()
+	}
+	return changed
+}
+
+// publishHosts tells the peer link and the board whom this host knows. The lock
+// is held.
+func (c *Controller) publishHosts() {
+	members := &blackboard.Members{Self: c.self}
+	var list []ports.Host
+	for id, h := range c.hosts {
+		host := ports.Host{ID: id, Role: ports.RoleEntry, State: ports.HostLive, Zone: h.Zone, Region: c.deps.Region, PeerAddr: h.Addr}
+		list = append(list, host)
+		members.Members = append(members.Members, blackboard.Member{Host: host, State: blackboard.MemberLive, Ready: true})
+	}
+	slices.SortFunc(members.Members, func(a, b blackboard.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	if c.deps.Peers != nil {
+		c.deps.Peers.SetPeers(list)
+	}
+	c.deps.Board.Members.Store(members)
+}
+
+// hostList returns the hosts this one knows. The lock is held.
+func (c *Controller) hostList() []directory.Host {
+	list := make([]directory.Host, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		list = append(list, h)
+	}
+	return list
+}
+
+// hostDigest is the same on hosts that know the same hosts. The lock is held.
+func (c *Controller) hostDigest() uint64 {
+	var sum uint64
+	for id := range c.hosts {
+		sum ^= xxhash.Sum64String(string(id))
+	}
+	return sum
+}
--- /dev/null
+++ b/controller/watch/store.go
@@ -0,0 +1,221 @@
+package watch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
+	"github.com/cactusproxy/cactusproxy/policy/watchers"
+)
+
+const (
+	// firstAllowance is the time allowed for an answer of the store beyond the
+	// wait that was asked for; a good answer takes 5 ms.
+	firstAllowance = 300 * time.Millisecond
+	// maxAllowance is for a store that is slow: the allowance doubles with each
+	// answer that does not come, so that a slow store is not taken for one that
+	// is out.
+	maxAllowance = 2 * time.Second
+	// retryPause is the time between tries while the store fails a watcher.
+	retryPause = 200 * time.Millisecond
+	// returnHold is how long after the store's return targets that it dropped
+	// meanwhile are still used: those that live are listed again within about
+	// 2 s of its return.
+	returnHold = 2200 * time.Millisecond
+)
+
+// watching is this host's watch of the store.
+type watching struct {
+	cancel context.CancelFunc
+	// lastOK is when the store last answered each topic, in nanoseconds since
+	// started; 0 is never.
+	lastOK [directory.Topics]atomic.Int64
+	// failing is set for topics whose last call failed.
+	failing [directory.Topics]atomic.Bool
+	started time.Time
+	// backAt is when the store answered again after it had failed.
+	backAt atomic.Int64
+	// beatAt is when the last heartbeat was sent.
+	beatAt time.Time
+}
+
+// storeOK reports whether the store serves this host.
+func (w *watching) storeOK() bool {
+	for t := range directory.Topics {
+		if w.failing[t].Load() || w.lastOK[t].Load() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// storeAge is the age of the older of the topics' last answers.
+func (w *watching) storeAge(now time.Time) time.Duration {
+	oldest := w.lastOK[0].Load()
+	for t := range directory.Topics {
+		oldest = min(oldest, w.lastOK[t].Load())
+	}
+	return now.Sub(w.started) - time.Duration(oldest)
+}
+
+// startWatching begins to watch all topics. The lock is held.
+func (c *Controller) startWatching(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watching{cancel: cancel, started: time.Now()}
+	c.watch = w
+	c.count.takeovers.Add(1)
+	c.deps.Log.Info("watching the store", zap.Int("hosts", len(c.hosts)))
+	for t := range directory.Topics {
+		go c.watchTopic(ctx, w, t)
+	}
+}
+
+// stopWatching ends the watch at the end of Run.
+func (c *Controller) stopWatching(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch != nil {
+		c.endWatching(why)
+	}
+}
+
+// endWatching ends the watch. The lock is held.
+func (c *Controller) endWatching(why string) {
+	c.deps.Log.Info("no longer watching the store", zap.String("why", why))
+	c.watch.cancel()
+	c.watch = nil
+}
+
+// watchTopic follows one topic until ctx ends.
+func (c *Controller) watchTopic(ctx context.Context, w *watching, t directory.Topic) {
+	var after directory.Revision
+	allowance := firstAllowance
+	for ctx.Err() == nil {
+		asked := time.Now()
+		ch, err := c.ask(ctx, t, after, allowance)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, directory.ErrHistoryGone) {
+				c.deps.Log.Warn("history of the store is gone, reading whole", zap.Stringer("topic", t))
+				after = 0
+				continue
+			}
+			if errors.Is(err, context.DeadlineExceeded) {
+				allowance = min(2*allowance, maxAllowance)
+			}
+			c.storeFailed(w, t, asked, err)
+			if !ctxtime.Sleep(ctx, retryPause) {
+				return
+			}
+			continue
+		}
+		if time.Since(asked) < firstAllowance {
+			allowance = firstAllowance
+		}
+		after = ch.Revision
+		c.storeAnswered(w, t, ch)
+	}
+}
+
+// ask makes one call: a reading of the whole topic, or a watch from where the
+// last one ended.
+func (c *Controller) ask(ctx context.Context, t directory.Topic, after directory.Revision, allowance time.Duration) (directory.Changes, error) {
+	c.count.calls.Add(1)
+	if after == 0 {
+		ctx, cancel := context.WithTimeout(ctx, allowance)
+		defer cancel()
+		return c.deps.Source.Read(ctx, t)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchers.Wait+allowance)
+	defer cancel()
+	return c.deps.Source.Watch(ctx, t, after, watchers.Wait)
+}
+
+// storeFailed notes a call that the store did not serve. A host that only tried
+// to take over gives up; a watcher goes on and says so to the others.
+func (c *Controller) storeFailed(w *watching, t directory.Topic, asked time.Time, err error) {
+	c.count.failed.Add(1)
+	first := !w.failing[t].Swap(true)
+	if first {
+		c.deps.Log.Warn("store lost", zap.Stringer("topic", t), zap.Duration("took", time.Since(asked)), zap.Error(err))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch != w {
+		return
+	}
+	if w.lastOK[t].Load() == 0 {
+		c.decider.Failed(time.Now(), len(c.hosts))
+		c.endWatching("store fails this host")
+		c.wakeUp()
+		return
+	}
+	if first {
+		c.beatNow(time.Now())
+	}
+}
+
+// storeAnswered takes in an answer and passes what is new on to all hosts.
+func (c *Controller) storeAnswered(w *watching, t directory.Topic, ch directory.Changes) {
+	now := time.Now()
+	regained := w.failing[t].Swap(false)
+	first := w.lastOK[t].Swap(int64(now.Sub(w.started))) == 0
+	if regained {
+		w.backAt.Store(now.UnixNano())
+		c.deps.Log.Info("store regained", zap.Stringer("topic", t))
+	}
+	ch.Hold = max(0, returnHold-now.Sub(time.Unix(0, w.backAt.Load())))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch != w {
+		return
+	}
+	fresh := !ch.Empty() && c.merge(now, ch, c.self)
+	if t == directory.TopicTargets {
+		c.state.Advance(ch.Revision)
+	}
+	if fresh {
+		c.tellAll(kindChanges, ch)
+	}
+	if fresh && ch.Hold > 0 {
+		c.wakeUp()
+	}
+	if (first || regained) && w.storeOK() {
+		c.beatNow(now)
+	}
+}
+
+// beatIfDue sends a heartbeat if the last one is old. The lock is held.
+func (c *Controller) beatIfDue(now time.Time) {
+	w := c.watch
+	if w.lastOK[0].Load() == 0 && w.lastOK[1].Load() == 0 {
+		return // a try to take over; there is nothing to say yet
+	}
+	if now.Sub(w.beatAt) >= watchers.BeatEvery-time.Millisecond {
+		c.beatNow(now)
+	}
+}
+
+// beatNow tells all hosts that this one watches. The lock is held.
+func (c *Controller) beatNow(now time.Time) {
+	w := c.watch
+	w.beatAt = now
+	b := beat{
+		Host:     c.deps.Self,
+		StoreOK:  w.storeOK(),
+		StoreAge: w.storeAge(now),
+		Newest:   c.state.Newest(),
+		Hosts:    c.hostDigest(),
+	}
+	if cfg := c.state.Config(); cfg != nil {
+		b.Version = cfg.Version
+	}
+	c.tellAll(kindBeat, b)
+}
--- /dev/null
+++ b/controller/watch/watch.go
@@ -0,0 +1,197 @@
+// Package watch keeps what this host knows of the platform's record up to date.
+// A few hosts watch the platform's store and pass every change on to all others;
+// policy/watchers decides which. A host that starts asks another host for all it
+// knows, and reads the store itself only if no other can tell.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// PeerSetter learns the addresses of the other hosts; peer.Node is one.
+type PeerSetter interface {
+	SetPeers(hosts []ports.Host)
+}
+
+// Deps is what a Controller works with.
+type Deps struct {
+	Self   directory.Host
+	Region string
+	// Seeds are peer addresses of other hosts; some may be stale.
+	Seeds   []string
+	Source  directory.Source
+	Link    peer.Link
+	Peers   PeerSetter
+	Board   *blackboard.Board
+	Metrics *metrics.Set
+	Log     *zap.Logger
+	Seed    uint64
+}
+
+// Controller runs on every host.
+type Controller struct {
+	deps  Deps
+	self  ports.HostID
+	count counters
+	wake  chan struct{}
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	state   *directory.State
+	hosts   map[ports.HostID]directory.Host
+	beats   map[ports.HostID]watchers.Beat
+	decider *watchers.Decider
+	// watch is set while this host watches.
+	watch *watching
+	// expiry is when a target that is held stops being usable.
+	expiry time.Time
+	// syncing are the hosts that are being asked for all they know.
+	syncing map[ports.HostID]bool
+}
+
+// New returns a controller and registers its messages with the link.
+func New(d Deps) *Controller {
+	c := &Controller{
+		deps:    d,
+		self:    d.Self.ID(),
+		count:   newCounters(d.Metrics),
+		wake:    make(chan struct{}, 1),
+		rng:     rand.New(rand.NewPCG(d.Seed, 4)),
+		state:   directory.NewState(),
+		hosts:   map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
+		beats:   make(map[ports.HostID]watchers.Beat),
+		decider: watchers.NewDecider(d.Self.ID()),
+		syncing: make(map[ports.HostID]bool),
+	}
+	for _, addr := range d.Seeds {
+		h := directory.Host{Addr: addr}
+		c.hosts[h.ID()] = h
+	}
+	d.Board.Status.Update(func(s blackboard.Status) (blackboard.Status, bool) {
+		s.TargetsUnknown = true
+		return s, true
+	})
+	peer.Handle(d.Link, kindBeat, c.onBeat)
+	peer.Handle(d.Link, kindChanges, c.onChanges)
+	peer.Handle(d.Link, kindSync, c.onSync)
+	return c
+}
+
+// Run keeps the host up to date until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.publishHosts()
+	c.mu.Unlock()
+	if !c.askSeeds(ctx) {
+		c.readHosts(ctx)
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	defer c.stopWatching("stopped")
+	for {
+		next := c.step(ctx)
+		timer.Reset(time.Until(next))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-c.wake:
+		}
+	}
+}
+
+// idleStep is the longest time between two looks at who watches.
+const idleStep = 5 * time.Second
+
+// step takes over or hands over the watch as decided, and returns when to look
+// again.
+func (c *Controller) step(ctx context.Context) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if !c.expiry.IsZero() && !now.Before(c.expiry) {
+		c.publishTargets(now)
+	}
+	wanted, next := c.decider.Decide(now, c.view())
+	switch {
+	case wanted && c.watch == nil:
+		c.startWatching(ctx)
+		next = now.Add(watchers.BeatEvery)
+	case !wanted && c.watch != nil:
+		c.endWatching("others watch")
+	}
+	if c.watch != nil {
+		c.beatIfDue(now)
+	}
+	if !c.expiry.IsZero() && (next.IsZero() || c.expiry.Before(next)) {
+		next = c.expiry
+	}
+	if next.IsZero() || next.After(now.Add(idleStep)) {
+		next = now.Add(idleStep)
+	}
+	return next
+}
+
+func (c *Controller) view() watchers.View {
+	v := watchers.View{Beats: c.beats, Watching: c.watch != nil}
+	for id := range c.hosts {
+		v.Hosts = append(v.Hosts, id)
+	}
+	if c.watch != nil {
+		v.StoreOK = c.watch.storeOK()
+	}
+	return v
+}
+
+// wakeUp has Run look at once.
+func (c *Controller) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// merge takes in a step and puts what is new in force. It reports whether there
+// was anything new. The lock is held.
+func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) bool {
+	had := c.state.Config()
+	if !c.state.Merge(now, ch) && c.known() {
+		return false
+	}
+	if next := c.state.Config(); next != had {
+		c.publishConfig(had, next, from)
+	}
+	c.logTargets(ch, from)
+	c.publishTargets(now)
+	return true
+}
+
+// known reports whether the status already says that the targets are known.
+func (c *Controller) known() bool { return !c.deps.Board.Status.Load().TargetsUnknown }
+
+// tellAll passes a message on to all other hosts, encoded once.
+func (c *Controller) tellAll(kind peer.Kind, msg any) {
+	body, err := msgpack.Marshal(msg)
+	if err != nil {
+		c.deps.Log.Error("message not encoded", zap.Error(err))
+		return
+	}
+	for id := range c.hosts {
+		if id != c.self && !c.deps.Link.Notify(id, kind, body) {
+			c.count.dropped.Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,107 @@
+// Package directory is what all hosts know of the platform's record: the
+// configuration by routes, the targets and the entry hosts. Source is the port
+// to the platform; State merges what comes from it and from other hosts, in any
+// order and any number of times.
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// Revision orders all changes that the platform made. A higher one is newer.
+type Revision uint64
+
+// Topic is a part of the record that is read and watched by itself.
+type Topic uint8
+
+const (
+	// TopicConfig is the configuration.
+	TopicConfig Topic = iota
+	// TopicTargets is the list of targets.
+	TopicTargets
+	// Topics is the number of topics.
+	Topics
+)
+
+// String returns the name of the topic in logs.
+func (t Topic) String() string {
+	if t == TopicConfig {
+		return "config"
+	}
+	return "targets"
+}
+
+// Errors of a Source, to be tested with errors.Is. Any other error, and these,
+// mean that nothing is known.
+var (
+	// ErrHistoryGone says that changes since the revision asked about are no
+	// longer kept: the topic has to be read whole.
+	ErrHistoryGone = errors.New("history of the platform's record is gone")
+	// ErrRefused says that the platform answered and turned the call away.
+	ErrRefused = errors.New("platform refused the call")
+)
+
+// Source is the platform's record. Implementations are safe for concurrent use.
+type Source interface {
+	// Read returns a topic whole, as of one moment.
+	Read(ctx context.Context, t Topic) (Changes, error)
+	// Watch returns what changed in a topic after a revision, as soon as there
+	// is something, or an empty Changes after wait.
+	Watch(ctx context.Context, t Topic, after Revision, wait time.Duration) (Changes, error)
+	// Hosts returns the entry hosts that announced themselves.
+	Hosts(ctx context.Context) ([]Host, error)
+	// Announce writes this host down for the others.
+	Announce(ctx context.Context, h Host) error
+}
+
+// Changes is a step of the record.
+type Changes struct {
+	// Revision is that up to which the step leads.
+	Revision Revision `msgpack:"revision"`
+	// AllTargets is set if Targets was read whole: those that it does not name
+	// are gone.
+	AllTargets bool `msgpack:"all_targets"`
+	// Config is nil if it did not change.
+	Config  *routing.Config `msgpack:"config"`
+	Targets []Target        `msgpack:"targets"`
+	// Hold is how long targets that were removed without notice are still to be
+	// used. See State.Merge.
+	Hold time.Duration `msgpack:"hold"`
+}
+
+// Empty reports whether a step changes nothing.
+func (c Changes) Empty() bool { return c.Config == nil && len(c.Targets) == 0 && !c.AllTargets }
+
+// Target is one target in the record.
+type Target struct {
+	ID       ports.HostID `msgpack:"id"`
+	Revision Revision     `msgpack:"revision"`
+	// Removed is set for a target that left the record; the fields below are
+	// those it had, if known.
+	Removed bool   `msgpack:"removed"`
+	Service string `msgpack:"service"`
+	Addr    string `msgpack:"addr"`
+	Zone    string `msgpack:"zone"`
+	// Slots is the number of requests the target runs at once.
+	Slots int `msgpack:"slots"`
+	// Draining targets get no new request.
+	Draining bool `msgpack:"draining"`
+	// WarmUp is how long the target was still slow when the record was written.
+	WarmUp time.Duration `msgpack:"warm_up"`
+}
+
+// Host is one entry host. Its address on the peer network names it, so that the
+// addresses of a few seeds are enough to begin with.
+type Host struct {
+	Addr string `msgpack:"addr" json:"addr"`
+	Zone string `msgpack:"zone" json:"zone"`
+}
+
+// ID returns the name by which other hosts know the host.
+func (h Host) ID() ports.HostID { return ports.HostID(h.Addr) }
--- /dev/null
+++ b/directory/state.go
@@ -0,0 +1,187 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// forgetAfter is how long a target that is gone is remembered, so that an older
+// word of it from a slow peer does not bring it back. Peers that were silent for
+// longer send their state whole.
+const forgetAfter = time.Minute
+
+// State is what one host knows of the record. Merging is idempotent and does not
+// depend on order: the configuration goes by its version, each target by the
+// revision of its entry. It is not safe for concurrent use.
+type State struct {
+	config  *routing.Config
+	targets map[ports.HostID]*known
+	newest  Revision
+	wholeAt Revision
+}
+
+// known is a target with what happened to it here.
+type known struct {
+	Target
+	firstSeen time.Time
+	// goneAt is when a removed target stops being used; the zero time for one
+	// that is not removed.
+	goneAt time.Time
+}
+
+// NewState returns an empty state.
+func NewState() *State { return &State{targets: make(map[ports.HostID]*known)} }
+
+// Config returns the configuration, or nil if none is known.
+func (s *State) Config() *routing.Config { return s.config }
+
+// Newest returns the highest revision of any entry.
+func (s *State) Newest() Revision { return s.newest }
+
+// HasTargets reports whether the list of targets was ever whole.
+func (s *State) HasTargets() bool { return s.wholeAt > 0 }
+
+// Merge takes in a step and reports whether it told anything new.
+//
+// Failure: targets renew their entries, and while the platform's store is away
+// they can not; the store drops the entries and lists them again some two
+// seconds after its return. Symptom: a host that believes the removal refuses
+// every caller for want of targets that work. So a target whose entry went
+// without a drain is used for Hold longer, unless it was listed as draining; one
+// that is not back by then is gone.
+func (s *State) Merge(now time.Time, c Changes) bool {
+	changed := s.mergeConfig(c.Config)
+	for _, t := range c.Targets {
+		changed = s.mergeTarget(now, t, c.Hold) || changed
+	}
+	if c.AllTargets && c.Revision > s.wholeAt {
+		changed = s.dropUnnamed(now, c) || changed
+		s.wholeAt = c.Revision
+	}
+	s.forget(now)
+	return changed
+}
+
+func (s *State) mergeConfig(c *routing.Config) bool {
+	if c == nil || s.config != nil && c.Version <= s.config.Version {
+		return false
+	}
+	s.config = c
+	return true
+}
+
+func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
+	old := s.targets[t.ID]
+	if old != nil && t.Revision <= old.Revision {
+		return false
+	}
+	s.newest = max(s.newest, t.Revision)
+	if t.Removed {
+		return s.remove(now, t.ID, t.Revision, hold)
+	}
+	k := &known{Target: t, firstSeen: now}
+	if old != nil {
+		k.firstSeen = old.firstSeen
+	}
+	s.targets[t.ID] = k
+	return true
+}
+
+func (s *State) remove(now time.Time, id ports.HostID, rev Revision, hold time.Duration) bool {
+	k := s.targets[id]
+	if k == nil {
+		s.targets[id] = &known{Target: Target{ID: id, Revision: rev, Removed: true}, goneAt: now}
+		return true
+	}
+	if k.Draining {
+		hold = 0
+	}
+	if !k.Removed {
+		k.goneAt = now.Add(hold)
+	}
+	k.Removed = true
+	k.Revision = rev
+	return true
+}
+
+// dropUnnamed removes the targets that a whole reading does not name.
+func (s *State) dropUnnamed(now time.Time, c Changes) bool {
+	named := make(map[ports.HostID]bool, len(c.Targets))
+	for _, t := range c.Targets {
+		named[t.ID] = true
+	}
+	changed := false
+	for id, k := range s.targets {
+		if !named[id] && !k.Removed && k.Revision <= c.Revision {
+			changed = s.remove(now, id, c.Revision, c.Hold) || changed
+			s.newest = max(s.newest, c.Revision)
+		}
+	}
+	return changed
+}
+
+func (s *State) forget(now time.Time) {
+	for id, k := range s.targets {
+		if k.Removed && now.Sub(k.goneAt) > forgetAfter {
+			delete(s.targets, id)
+		}
+	}
+}
+
+// Usable is a target that may be used.
+type Usable struct {
+	Target
+	FirstSeen time.Time
+}
+
+// Usable returns the targets in use at a moment, sorted by ID, and when that
+// changes next by itself; the zero time if it does not.
+func (s *State) Usable(now time.Time) (list []Usable, next time.Time) {
+	for _, k := range s.targets {
+		if k.Removed && !now.Before(k.goneAt) {
+			continue
+		}
+		if k.Removed && (next.IsZero() || k.goneAt.Before(next)) {
+			next = k.goneAt
+		}
+		list = append(list, Usable{Target: k.Target, FirstSeen: k.firstSeen})
+	}
+	slices.SortFunc(list, func(a, b Usable) int { return cmp.Compare(a.ID, b.ID) })
+	return list, next
+}
+
+// Advance notes that every change up to a revision was merged, as after a watch.
+func (s *State) Advance(to Revision) {
+	if s.wholeAt > 0 {
+		s.wholeAt = max(s.wholeAt, to)
+	}
+}
+
+// Whole returns the state as one step, for a host that knows less. Removed
+// targets are in it, so that it brings back none of them.
+func (s *State) Whole(now time.Time) Changes {
+	c := Changes{Revision: s.wholeAt, AllTargets: s.wholeAt > 0, Config: s.config}
+	for _, k := range s.targets {
+		t := k.Target
+		if t.Removed && now.Before(k.goneAt) {
+			c.Hold = max(c.Hold, k.goneAt.Sub(now))
+		}
+		c.Targets = append(c.Targets, t)
+	}
+	slices.SortFunc(c.Targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	return c
+}
+
+// CheckForward asserts that a configuration put in force is newer than the one
+// before it.
+func CheckForward(old, next *routing.Config) {
+	if old == nil {
+		return
+	}
+	invariant.Check(next.Version > old.Version, invariant.ConfigForward, "%d after %d", next.Version, old.Version)
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
@@ -34,6 +35,11 @@
 	// observe learns the latency of a whole answer.
 	observe func(time.Duration)
 
+	ctx      context.Context
+	contract *targetapi.Contract
+	// hold has a small answer read whole before it is passed on.
+	hold bool
+
 	class  pick.Class
 	reason outcome.Reason
 	resp   *http.Response
@@ -59,6 +65,8 @@
 		cancel:  cancel,
 		start:   time.Now(),
 		observe: func(took time.Duration) { d.observe(c.Key, took) },
+		ctx:     ctx,
+		hold:    d.holdAnswers,
 	}
 	if s.claim != nil && !s.claim.Sending() {
 		// The host was held up for so long that the claim's row may be gone, and
@@ -68,7 +76,8 @@
 		return a
 	}
 	s.watch.Started(s.grant.Target().ID)
-	res := d.upstream.RoundTrip(newRequest(ctx, c), s.grant.Target(), upstream.SendOptions{
+	req := d.newRequest(ctx, c, s.grant.Target())
+	res := d.upstream.RoundTrip(req, s.grant.Target(), upstream.SendOptions{
 		MaxConns: d.connShare(c),
 		Once:     c.Repeat == Once,
 	})
@@ -77,19 +86,29 @@
 		a.end(a.class)
 		return a
 	}
-	a.headReceived(res.Response)
+	d.headReceived(a, req, res.Response)
 	return a
 }
 
 // newRequest builds the request of one attempt.
-func newRequest(ctx context.Context, c *Call) *http.Request {
+func (d *Dispatcher) newRequest(ctx context.Context, c *Call, t blackboard.Target) *http.Request {
 	u := *c.URL
 	h := c.Header.Clone()
-	h.Set(HeaderAttempts, strconv.Itoa(c.Attempts))
-	h.Set(HeaderDepth, strconv.Itoa(c.Depth+1))
+	if h["User-Agent"] == nil {
+		h["User-Agent"] = nil // or net/http would send its own
+	}
+	if name := d.contract.Attempts; name != "" {
+		h.Set(name, strconv.Itoa(c.Attempts))
+	}
+	if name := d.contract.Depth; name != "" {
+		h.Set(name, strconv.Itoa(c.Depth+1))
+	}
+	if name := d.contract.Target; name != "" {
+		h.Set(name, string(t.ID))
+	}
 	if at, ok := ctx.Deadline(); ok {
 		left := max(0, time.Until(at)-margin)
-		h.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+		h.Set(d.contract.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
 	}
 	req := &http.Request{
 		Method:        c.Method,
@@ -129,22 +148,74 @@
 }
 
 // headReceived classifies an attempt by the head of its answer.
-func (a *attempt) headReceived(resp *http.Response) {
-	if targetapi.IsShed(resp.StatusCode, resp.Header) {
-		a.class, a.reason = pick.Shed, outcome.ReasonShed
-		if targetapi.IsLeaving(resp.Header) {
-			a.class = pick.Leaving
-		}
-		a.retryAfter = retryAfter(resp)
+func (d *Dispatcher) headReceived(a *attempt, req *http.Request, resp *http.Response) {
+	ct := d.contract
+	a.contract = ct
+	switch {
+	case !ct.Belongs(req.Header, resp.Header, resp.StatusCode):
+		// The target answered an earlier request a second time, and this answer
+		// stands where the one to this request is due. Nothing on the connection
+		// can be told apart any more.
+		a.foreign(resp, outcome.ReasonForeignAnswer)
+	case ct.IsMisdirected(resp.StatusCode):
+		a.class, a.reason = pick.Replaced, outcome.ReasonReplaced
 		a.discard(resp, a.class)
-		return
+	case ct.IsShed(resp.StatusCode, resp.Header):
+		a.shed(resp)
+	case !ct.Sealed(resp.StatusCode, resp.Header), ct.Promises(resp.StatusCode):
+		// A success that no target vouches for, or a status that callers would
+		// take for the promise that the request was not run.
+		a.foreign(resp, outcome.ReasonForeignAnswer)
+	default:
+		a.answer(resp)
 	}
-	a.resp = resp
+}
+
+// shed ends an attempt that the target refused before running it.
+func (a *attempt) shed(resp *http.Response) {
+	a.class, a.reason = pick.Shed, outcome.ReasonShed
+	if a.contract.IsLeaving(resp.Header) {
+		a.class = pick.Leaving
+	}
+	a.retryAfter = retryAfter(resp)
+	a.discard(resp, a.class)
+}
+
+// foreign ends an attempt whose answer is not one to its request. The request may
+// have run all the same.
+func (a *attempt) foreign(resp *http.Response, why outcome.Reason) {
+	a.mayHaveRun = true
+	a.class, a.reason = pick.BrokeOff, why
+	_ = resp.Body.Close()
+	a.end(a.class)
+}
+
+// answer takes an answer to be passed on. A small one is held until it is whole:
+// one that breaks off can then be told from a whole one before the caller has
+// seen any of it, and a call that may be repeated is sent to another target.
+func (a *attempt) answer(resp *http.Response) {
 	a.mayHaveRun = true
 	a.class, a.reason = pick.OK, outcome.ReasonOK
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.class = pick.Failed
 	}
+	if !a.hold {
+		a.resp = resp
+		return
+	}
+	if err := holdBody(resp); err != nil {
+		_ = resp.Body.Close()
+		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
+		if a.ctx.Err() != nil {
+			a.class, a.reason = pick.Canceled, outcome.ReasonCallerGone
+			if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
+				a.class, a.reason = pick.TimedOut, outcome.ReasonTargetTimeout
+			}
+		}
+		a.end(a.class)
+		return
+	}
+	a.resp = resp
 }
 
 // maxDiscard bounds what is read of an answer that is not passed on, so that
@@ -168,8 +239,11 @@
 		a.observe(rep.Latency)
 	}
 	if resp != nil {
-		rep.Load = targetapi.LoadOf(resp.Header)
-		rep.LeavingHint = targetapi.IsLeaving(resp.Header)
+		if work, ok := a.contract.LoadOf(resp.Header); ok {
+			rep.Load = work.Running + work.Waiting
+			rep.Work = work
+		}
+		rep.LeavingHint = a.contract.IsLeaving(resp.Header)
 	}
 	a.tellWatch(class)
 	a.grant.Release(rep)
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -12,19 +12,6 @@
 	"github.com/cactusproxy/cactusproxy/declare"
 )
 
-// Headers by which a call and the calls it leads to share one deadline, one
-// number of attempts and one depth. A caller can only make its own call poorer
-// with them, so they are taken from anyone.
-const (
-	// HeaderTimeout is the time left for the call in milliseconds. It is a
-	// duration and not a point in time, so that clocks need not agree.
-	HeaderTimeout = "Cactusproxy-Timeout-Ms"
-	// HeaderAttempts is the number of attempts left.
-	HeaderAttempts = "Cactusproxy-Attempts"
-	// HeaderDepth counts the calls that led to this one.
-	HeaderDepth = "Cactusproxy-Depth"
-)
-
 // Repeat says whether an attempt that may have run may be followed by another.
 type Repeat uint8
 
@@ -63,6 +50,11 @@
 	Attempts int
 	// Depth is the number of calls that led to this one.
 	Depth int
+	// Objective is the time after Arrived within which an answer is worth most;
+	// 0 if nothing was declared.
+	Objective time.Duration
+	// Priority is the rank of the call; 0 is the most urgent.
+	Priority int
 	// Suspicion identifies the request for quarantine; 0 if not computed.
 	Suspicion uint64
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -22,6 +23,22 @@
 	// Quarantine may be nil.
 	Quarantine Quarantine
 	Metrics    *metrics.Set
+	// Contract names the headers; nil stands for targetapi.Default.
+	Contract *targetapi.Contract
+	// Retries pays for further attempts; nil stands for the ratio that each
+	// workspace declares.
+	Retries RetryBudget
+	// HoldAnswers has small answers read whole before they are passed on.
+	HoldAnswers bool
+}
+
+// RetryBudget pays for further attempts of a service's calls. Implementations are
+// safe for concurrent use.
+type RetryBudget interface {
+	// Call notes a call.
+	Call(service blackboard.ServiceKey, now time.Time)
+	// Take pays for one further attempt and reports whether the budget had it.
+	Take(service blackboard.ServiceKey, now time.Time) bool
 }
 
 // Quarantine keeps requests that crash targets from more of them;
@@ -38,6 +55,10 @@
 	ledger   Ledger
 	suspects Quarantine
 	metrics  *metrics.Set
+	contract *targetapi.Contract
+	retries  RetryBudget
+
+	holdAnswers bool
 
 	workspaces sync.Map // name -> *workspace
 	latencies  sync.Map // blackboard.ServiceKey -> *serviceLatency
@@ -45,7 +66,15 @@
 
 // New returns a dispatcher.
 func New(deps Deps) *Dispatcher {
+	if deps.Contract == nil {
+		deps.Contract = targetapi.Default()
+	}
 	return &Dispatcher{
+		contract: deps.Contract,
+		retries:  deps.Retries,
+
+		holdAnswers: deps.HoldAnswers,
+
 		board:    deps.Board,
 		picker:   deps.Picker,
 		upstream: deps.Upstream,
@@ -66,6 +95,9 @@
 		return nil, outcome.Refuse(outcome.ReasonWorkspaceLimit)
 	}
 	ws.begin(c.Workspace)
+	if d.retries != nil {
+		d.retries.Call(c.Key, time.Now())
+	}
 	return func() { ws.inFlight.Add(-1) }, outcome.Result{}
 }
 
@@ -97,6 +129,11 @@
 			Avoid:   h.tried,
 			Alone:   decision.Alone,
 			Digest:  c.Suspicion,
+
+			Arrived:   c.Arrived,
+			Objective: c.Objective,
+			Priority:  c.Priority,
+			Size:      c.Body.Length(),
 		})
 		if g == nil {
 			watch.Close()
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -32,7 +32,7 @@
 		d.metrics.RetriesRefused.Add(why, 1)
 		return false
 	}
-	if a.class != pick.NotSent && !d.workspace(c.Workspace).takeRetry(time.Now()) {
+	if a.class != pick.NotSent && !d.payRetry(c) {
 		d.metrics.RetriesRefused.Add(noRetryBudget, 1)
 		return false
 	}
@@ -40,6 +40,14 @@
 	return true
 }
 
+// payRetry pays for one further attempt.
+func (d *Dispatcher) payRetry(c *Call) bool {
+	if d.retries != nil {
+		return d.retries.Take(c.Key, time.Now())
+	}
+	return d.workspace(c.Workspace).takeRetry(time.Now())
+}
+
 // refuseRetry returns why there can be no further attempt, or "".
 func refuseRetry(ctx context.Context, c *Call, h *history, a *attempt) string {
 	switch {
--- /dev/null
+++ b/edge/run.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// upkeepInterval is the time between two looks at what is not needed any more.
+const upkeepInterval = 5 * time.Second
+
+// Run serves until ctx ends, then stops without cutting off a call, and returns
+// nil if every call in flight had its whole answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.Close()
+	work, halt := context.WithCancel(context.WithoutCancel(ctx))
+	defer halt()
+	g, work := errgroup.WithContext(work)
+	d.start(work, g)
+	d.log.Info("listening", zap.String("callers", d.CallersAddr()),
+		zap.String("readiness", d.ReadinessAddr()), zap.String("peers", d.PeersAddr()))
+	var stopped error
+	select {
+	case <-ctx.Done():
+		stopped = d.stop(work)
+	case <-work.Done():
+		// A part failed; what it returned ends Run.
+	}
+	halt()
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return stopped
+}
+
+// start runs all parts until work ends.
+func (d *Daemon) start(work context.Context, g *errgroup.Group) {
+	for _, part := range []func(context.Context) error{
+		d.node.Serve,
+		d.watch.Run,
+		d.quarantine.Run,
+		d.upkeep,
+	} {
+		g.Go(func() error { return part(work) })
+	}
+	for _, s := range []struct {
+		server   *http.Server
+		listener net.Listener
+	}{
+		{d.callers, d.listeners.callers},
+		{d.readiness, d.listeners.readiness},
+		{d.operators, d.listeners.operators},
+	} {
+		g.Go(func() error { return serve(s.server, s.listener) })
+		g.Go(func() error {
+			<-work.Done()
+			return s.server.Close()
+		})
+	}
+}
+
+// serve runs a server until it is shut down or closed.
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop leaves gracefully. The error says that calls were cut off.
+func (d *Daemon) stop(ctx context.Context) error {
+	report := d.leave.Stop(ctx)
+	if report.Cut {
+		return errors.Newf("stop cut off %d calls", report.Left)
+	}
+	return nil
+}
+
+// upkeep forgets targets that are gone, and closes connections idle for long.
+func (d *Daemon) upkeep(ctx context.Context) error {
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			d.forgetTargets()
+		}
+	}
+}
+
+func (d *Daemon) forgetTargets() {
+	listed := make(map[ports.HostID]bool)
+	for _, list := range d.board.Targets.Load().ByService {
+		for _, t := range list {
+			listed[t.ID] = true
+		}
+	}
+	known := func(id ports.HostID) bool { return listed[id] }
+	d.pools.Retain(known)
+	d.quarantine.KeepTargets(known)
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,21 +3,21 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // call serves one call of a caller.
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if name := s.deps.Contract.RequestID; name != "" {
+		w.Header().Set(name, r.Header.Get(name))
+	}
 	status := s.deps.Board.Status.Load()
 	if status.Leaving {
 		// The caller opens its next connection through the balancer, to a host
@@ -33,7 +33,7 @@
 		s.refuse(w, outcome.Refuse(outcome.ReasonBadRequest))
 		return
 	}
-	m, ok := s.router().find(r.Host, r.URL.Path)
+	m, ok := s.find(r)
 	if !ok {
 		s.refuse(w, refuseKey(r, outcome.Refuse(outcome.ReasonNoRoute)))
 		return
@@ -41,8 +41,8 @@
 	s.serve(w, r, m)
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, m match) {
-	ctx, cancel := context.WithTimeout(r.Context(), timeout(r, m.service.Timeout))
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, m Match) {
+	ctx, cancel := context.WithTimeout(r.Context(), s.timeout(r, m.Service.Timeout))
 	defer cancel()
 	c, releaseBody, refusal := s.newCall(r, m)
 	if refusal.Outcome != 0 {
@@ -78,8 +78,8 @@
 
 // refuseCall is refuseKey for a request whose service is known: a key means
 // something for at-most-once calls alone.
-func refuseCall(r *http.Request, m match, refusal outcome.Result) outcome.Result {
-	if m.service.IsAtMostOnce(r.Method, m.path) {
+func refuseCall(r *http.Request, m Match, refusal outcome.Result) outcome.Result {
+	if m.Service.IsAtMostOnce(r.Method, m.Path) {
 		return refuseKey(r, refusal)
 	}
 	return refusal
@@ -97,7 +97,7 @@
 	for name, values := range forwardable(r.Header) {
 		h[name] = values
 	}
-	targetapi.Strip(h)
+	s.deps.Contract.Strip(h)
 	if r.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
@@ -163,15 +163,13 @@
 	h := w.Header()
 	setOutcome(h, r)
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(wholeSeconds(r.RetryAfter)))
+		h.Set("Retry-After", s.deps.Contract.RetryAfter(r.RetryAfter))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(r.Status())
 	_, _ = io.WriteString(w, r.Outcome.String()+" "+string(r.Reason)+"\n")
 }
 
-func wholeSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
-
 func setOutcome(h http.Header, r outcome.Result) {
 	h.Set(outcome.HeaderOutcome, r.Outcome.String())
 	h.Set(outcome.HeaderReason, string(r.Reason))
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -24,29 +25,37 @@
 
 // newCall reads and checks a request. The zero Result means that the call is
 // good; the release function gives back the memory of its body.
-func (s *Server) newCall(r *http.Request, m match) (*dispatch.Call, func(), outcome.Result) {
+func (s *Server) newCall(r *http.Request, m Match) (*dispatch.Call, func(), outcome.Result) {
 	c := &dispatch.Call{
-		Workspace: m.workspace,
-		Service:   m.service,
-		Key:       blackboard.ServiceKey{Workspace: m.workspace.Name, Service: m.service.Name},
+		Workspace: m.Workspace,
+		Service:   m.Service,
+		Key:       blackboard.ServiceKey{Workspace: m.Workspace.Name, Service: m.Service.Name},
 		Method:    r.Method,
 		Host:      r.Host,
 		Header:    forwardable(r.Header),
 		Repeat:    dispatch.RepeatOf(r.Method),
-		Attempts:  attemptsLeft(r, m.service.MaxAttempts),
-		Depth:     intHeader(r, dispatch.HeaderDepth, 0),
+		Attempts:  s.attemptsLeft(r, m.Service.MaxAttempts),
+		Depth:     intHeader(r, s.deps.Contract.Depth, 0),
+		Objective: m.Objective,
+		Priority:  m.Priority,
 		Caller:    callerOf(r),
 		Arrived:   time.Now(),
 	}
-	addForwarded(c.Header, r)
+	if s.deps.Contract.Forwarded {
+		addForwarded(c.Header, r)
+	}
+	if m.Repeat != 0 {
+		c.Repeat = m.Repeat
+	}
 	u := *r.URL
-	u.Path = m.path
-	u.RawPath = ""
+	if m.Path != r.URL.Path {
+		u.Path, u.RawPath = m.Path, ""
+	}
 	c.URL = &u
 	if c.Depth >= maxDepth {
 		return nil, nil, outcome.Refuse(outcome.ReasonTooDeep)
 	}
-	if m.service.IsAtMostOnce(r.Method, m.path) {
+	if m.Service.IsAtMostOnce(r.Method, m.Path) {
 		c.AtMostOnce = true
 		c.Repeat = dispatch.Once
 		c.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
@@ -63,14 +72,14 @@
 
 // attemptsLeft returns the attempts of a call: the service's, or what the call
 // that led to this one has left.
-func attemptsLeft(r *http.Request, declared int) int {
-	return max(1, min(declared, intHeader(r, dispatch.HeaderAttempts, declared)))
+func (s *Server) attemptsLeft(r *http.Request, declared int) int {
+	return max(1, min(declared, intHeader(r, s.deps.Contract.Attempts, declared)))
 }
 
 // timeout returns how long a call may take: the service's timeout, or what the
 // caller says is left.
-func timeout(r *http.Request, declared time.Duration) time.Duration {
-	ms := intHeader(r, dispatch.HeaderTimeout, -1)
+func (s *Server) timeout(r *http.Request, declared time.Duration) time.Duration {
+	ms := intHeader(r, s.deps.Contract.Timeout, -1)
 	if ms < 0 {
 		return declared
 	}
@@ -102,8 +111,8 @@
 
 // readBody takes a body into memory if it is small enough to be sent again, and
 // leaves it a stream otherwise.
-func (s *Server) readBody(r *http.Request, m match) (*dispatch.Body, func(), outcome.Result) {
-	limit := m.service.MaxBody
+func (s *Server) readBody(r *http.Request, m Match) (*dispatch.Body, func(), outcome.Result) {
+	limit := m.Service.MaxBody
 	if limit > 0 && r.ContentLength > limit {
 		return nil, nil, outcome.Refuse(outcome.ReasonBodyTooLarge)
 	}
@@ -114,8 +123,11 @@
 	if limit > 0 {
 		stream = http.MaxBytesReader(nil, r.Body, limit)
 	}
-	keep := int64(m.service.MaxReplayBody)
-	if r.ContentLength < 0 || r.ContentLength > keep || !s.memory.TryAcquire(r.ContentLength) {
+	keep := int64(m.Service.MaxReplayBody)
+	if r.ContentLength < 0 {
+		return s.readUnknown(stream, keep)
+	}
+	if r.ContentLength > keep || !s.memory.TryAcquire(r.ContentLength) {
 		return dispatch.StreamBody(stream, r.ContentLength), func() {}, outcome.Result{}
 	}
 	release := func() { s.memory.Release(r.ContentLength) }
@@ -127,6 +139,28 @@
 	return dispatch.MemoryBody(b), release, outcome.Result{}
 }
 
+// readUnknown takes a body whose length was not told into memory, if it turns out
+// to be small enough. The rest of a longer one stays a stream.
+func (s *Server) readUnknown(stream io.ReadCloser, keep int64) (*dispatch.Body, func(), outcome.Result) {
+	if keep == 0 || !s.memory.TryAcquire(keep) {
+		return dispatch.StreamBody(stream, -1), func() {}, outcome.Result{}
+	}
+	release := func() { s.memory.Release(keep) }
+	b, err := io.ReadAll(io.LimitReader(stream, keep))
+	if err != nil {
+		release()
+		return nil, nil, bodyError(err)
+	}
+	if int64(len(b)) < keep {
+		return dispatch.MemoryBody(b), release, outcome.Result{}
+	}
+	whole := struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(b), stream), stream}
+	return dispatch.StreamBody(whole, -1), release, outcome.Result{}
+}
+
 func bodyError(err error) outcome.Result {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/entry/router.go
+++ b/entry/router.go
@@ -7,8 +7,10 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/dispatch"
 )
 
 // router finds the workspace and service of a request. It is built once for
@@ -25,13 +27,19 @@
 	services  []*declare.Service
 }
 
-// match is where a request leads.
-type match struct {
-	workspace *declare.Workspace
-	service   *declare.Service
-	// path is what the service sees: without the workspace's name if that was
+// Match is where a request leads.
+type Match struct {
+	Workspace *declare.Workspace
+	Service   *declare.Service
+	// Path is what the service sees: without the workspace's name if that was
 	// how the workspace was found.
-	path string
+	Path string
+	// Repeat says what may be repeated; 0 leaves it to the method and the
+	// service's declaration.
+	Repeat dispatch.Repeat
+	// Objective and Priority are those of dispatch.Call.
+	Objective time.Duration
+	Priority  int
 }
 
 func newRouter(c *declare.Config) *router {
@@ -63,7 +71,7 @@
 
 // find returns where a request leads. A workspace is found by the host name
 // or, if none declares that name, by the first segment of the path.
-func (r *router) find(host, path string) (match, bool) {
+func (r *router) find(host, path string) (Match, bool) {
 	if routes := r.byHost[hostName(host)]; routes != nil {
 		return routes.find(path)
 	}
@@ -71,16 +79,16 @@
 	if routes := r.byName[name]; routes != nil {
 		return routes.find(rest)
 	}
-	return match{}, false
+	return Match{}, false
 }
 
-func (w *workspaceRoutes) find(path string) (match, bool) {
+func (w *workspaceRoutes) find(path string) (Match, bool) {
 	for _, s := range w.services {
 		if s.Covers(path) {
-			return match{workspace: w.workspace, service: s, path: path}, true
+			return Match{Workspace: w.workspace, Service: s, Path: path}, true
 		}
 	}
-	return match{}, false
+	return Match{}, false
 }
 
 // hostName returns a Host header without its port, in lower case.
--- a/entry/server.go
+++ b/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // Dispatcher carries out calls; dispatch.Dispatcher is one.
@@ -47,6 +48,16 @@
 	// IssueKey makes an idempotency key bound to this host, or returns "" if the
 	// settings name no cluster key.
 	IssueKey func(workspace, service, caller string) string
+	// Contract names the headers; nil stands for targetapi.Default.
+	Contract *targetapi.Contract
+	// Finder finds where a request leads; nil stands for the services that the
+	// workspaces on the board declare.
+	Finder Finder
+}
+
+// Finder finds where a request leads.
+type Finder interface {
+	Find(host, path string) (Match, bool)
 }
 
 // Server is the handler of the callers' listener.
@@ -67,6 +78,9 @@
 
 // New returns a handler.
 func New(deps Deps) *Server {
+	if deps.Contract == nil {
+		deps.Contract = targetapi.Default()
+	}
 	s := &Server{deps: deps, memory: semaphore.NewWeighted(deps.BodyMemory)}
 	s.mux = chi.NewRouter()
 	s.mux.Get(PathReady, s.ready)
@@ -79,6 +93,20 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// Calls serves callers alone: every path leads to a target, none belongs to
+// cactusproxy.
+func (s *Server) Calls() http.Handler { return http.HandlerFunc(s.call) }
+
+// find returns where a request leads.
+func (s *Server) find(r *http.Request) (Match, bool) {
+	if s.deps.Finder != nil {
+		m, ok := s.deps.Finder.Find(r.Host, r.URL.EscapedPath())
+		m.Path = r.URL.Path
+		return m, ok
+	}
+	return s.router().find(r.Host, r.URL.Path)
+}
+
 // InFlight returns the number of calls that have not had their whole reply.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // recorder is a Dispatcher that keeps the last call and gives a fixed reply.
@@ -151,17 +152,17 @@
 func TestCallerCanOnlyShortenItsOwnCall(t *testing.T) {
 	s, d, _ := newServer(t)
 	r := httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil)
-	r.Header.Set(dispatch.HeaderAttempts, "9")
+	r.Header.Set(targetapi.Default().Attempts, "9")
 	do(s, r)
 	assert.Equal(t, d.call.Attempts, 2)
-	r.Header.Set(dispatch.HeaderAttempts, "1")
-	r.Header.Set(dispatch.HeaderTimeout, "100")
+	r.Header.Set(targetapi.Default().Attempts, "1")
+	r.Header.Set(targetapi.Default().Timeout, "100")
 	do(s, r)
 	assert.Equal(t, d.call.Attempts, 1)
-	assert.Equal(t, timeout(r, time.Second), 100*time.Millisecond)
-	r.Header.Set(dispatch.HeaderTimeout, "5000")
-	assert.Equal(t, timeout(r, time.Second), time.Second)
-	r.Header.Set(dispatch.HeaderDepth, "32")
+	assert.Equal(t, s.timeout(r, time.Second), 100*time.Millisecond)
+	r.Header.Set(targetapi.Default().Timeout, "5000")
+	assert.Equal(t, s.timeout(r, time.Second), time.Second)
+	r.Header.Set(targetapi.Default().Depth, "32")
 	assert.Equal(t, do(s, r).Header().Get(outcome.HeaderReason), string(outcome.ReasonTooDeep))
 }
 
@@ -220,7 +221,7 @@
 	} {
 		board.Status.Store(blackboard.Status{ConfigConfirmed: tc.ready})
 		r := httptest.NewRequest(tc.method, "http://auction.example"+tc.path, nil)
-		r.Header.Set(dispatch.HeaderDepth, "32")
+		r.Header.Set(targetapi.Default().Depth, "32")
 		if tc.key != "" {
 			r.Header.Set(HeaderIdempotencyKey, tc.key)
 		}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -69,9 +69,23 @@
 
 // Status returns the HTTP status of a reply that cactusproxy makes itself. A
 // target's own answer keeps the target's status.
+//
+// The outcome goes first. Client libraries repeat on 503 and 429 what they would
+// repeat on nothing else, so these are told of calls that did not run alone; a
+// call that may have run is a bad gateway or a timeout, whatever the reason.
 func (r Result) Status() int {
-	if r.Outcome == Answered {
+	status := r.Reason.info().status
+	switch r.Outcome {
+	case Answered:
 		return http.StatusOK
+	case NotRun:
+		if status == http.StatusBadGateway || status == http.StatusGatewayTimeout {
+			return http.StatusServiceUnavailable
+		}
+	case Unknown:
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			return http.StatusBadGateway
+		}
 	}
-	return r.Reason.info().status
+	return status
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -40,6 +40,12 @@
 	ReasonConnLimit     Reason = "connection-limit"
 	ReasonBrokeOff      Reason = "target-broke-off"
 	ReasonTargetTimeout Reason = "target-timeout"
+	// ReasonForeignAnswer is an answer that does not belong to the request.
+	ReasonForeignAnswer Reason = "foreign-answer"
+	// ReasonReplaced is a refusal by another target that has the address.
+	ReasonReplaced Reason = "target-replaced"
+	// ReasonOverload is a call that could not have been answered in time.
+	ReasonOverload Reason = "overload"
 )
 
 // Reasons about at-most-once calls.
@@ -83,7 +89,7 @@
 	ReasonDeadline:       {status: http.StatusGatewayTimeout},
 	ReasonQueueTimeout:   {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonTooDeep:        {status: http.StatusLoopDetected},
-	ReasonQuarantined:    {status: http.StatusUnprocessableEntity, retryAfter: later},
+	ReasonQuarantined:    {status: http.StatusServiceUnavailable, retryAfter: later},
 	ReasonCallerGone:     {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
@@ -92,6 +98,9 @@
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonBrokeOff:      {status: http.StatusBadGateway},
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
+	ReasonForeignAnswer: {status: http.StatusBadGateway},
+	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonOverload:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 
 	ReasonKeyRequired:      {status: http.StatusBadRequest},
 	ReasonKeyMalformed:     {status: http.StatusBadRequest},
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,8 @@
 	KindLedger
 	KindBudget
 	KindQuarantine
+	KindWatch
+	KindPlace
 )
 
 // Handler answers a message. The body belongs to the handler; an error is
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -10,6 +10,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // Request asks for a target for one attempt.
@@ -26,6 +27,14 @@
 	Alone bool
 	// Digest identifies the request for suspicion; 0 if not computed.
 	Digest uint64
+	// Arrived is when the call arrived, Objective the time after it within which
+	// an answer is worth most; 0 if nothing was declared.
+	Arrived   time.Time
+	Objective time.Duration
+	// Priority is the rank of the call; 0 is the most urgent.
+	Priority int
+	// Size is the length of the request's body in bytes, or -1 if unknown.
+	Size int64
 }
 
 // Picker chooses targets. Implementations are safe for concurrent use.
@@ -63,6 +72,8 @@
 	Canceled
 	// TimedOut means that the deadline passed after the request was sent.
 	TimedOut
+	// Replaced is a refusal by another target that has the address by now.
+	Replaced
 )
 
 // Report tells how an attempt went.
@@ -73,6 +84,9 @@
 	// Load is the target's own report of its calls in flight and queued, from
 	// its answer; it is stale by the time it is read. Negative means none.
 	Load int
+	// Work is the report in full, if the target tells that much; Slots is 0 if
+	// not.
+	Work targetapi.Load
 	// LeavingHint is set if the answer said that the target is draining.
 	LeavingHint bool
 }
--- /dev/null
+++ b/placer/ask.go
@@ -0,0 +1,121 @@
+package placer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// ask asks the targets of a list whose figures are not fresh, all at once, and
+// waits a little for their answers. Choices of the same moment share them.
+func (p *Placer) ask(ctx context.Context, s *service, list []ranked) {
+	path, conns := p.healthPath(s.key)
+	if path == "" {
+		return
+	}
+	var waits []chan struct{}
+	now := time.Now()
+	s.mu.Lock()
+	for _, r := range list {
+		if r.figures.Fresh(now) {
+			continue
+		}
+		if r.asking == nil {
+			if !p.deps.Share.Take(now) {
+				p.count.asksRefused.Add(1)
+				continue
+			}
+			r.asking = make(chan struct{})
+			go p.question(s, r.target, r.info, path, conns)
+		}
+		waits = append(waits, r.asking)
+	}
+	s.mu.Unlock()
+	awaitAll(ctx, waits)
+}
+
+// awaitAll waits until all channels are closed, but no longer than askWait.
+func awaitAll(ctx context.Context, waits []chan struct{}) {
+	if len(waits) == 0 {
+		return
+	}
+	timer := time.NewTimer(askWait)
+	defer timer.Stop()
+	for _, w := range waits {
+		select {
+		case <-w:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// healthPath returns where targets of a service tell their load, and the
+// connections that a target takes from this host.
+func (p *Placer) healthPath(key blackboard.ServiceKey) (path string, conns int) {
+	table := p.deps.Board.Routes.Load()
+	if table == nil {
+		return "", 0
+	}
+	s := table.Service(key.Service)
+	if s == nil {
+		return "", 0
+	}
+	hosts := max(1, len(p.deps.Board.Members.Load().Members))
+	return s.HealthPath, max(1, s.MaxConns/hosts)
+}
+
+// question asks one target for its load.
+func (p *Placer) question(s *service, t *target, info blackboard.Target, path string, conns int) {
+	p.count.asks.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	load, told, reached := p.exchange(ctx, info, path, conns)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if told {
+		t.told(now, load)
+		s.tells = true
+	}
+	if !reached {
+		p.count.asksFailed.Add(1)
+		t.unreachable(now)
+	}
+	close(t.asking)
+	t.asking = nil
+}
+
+// maxHealthBody bounds what is read of an answer, so that its connection can be
+// kept.
+const maxHealthBody = 4 << 10
+
+// exchange sends one question. told is false if the target says nothing of its
+// load, reached if no answer came at all.
+func (p *Placer) exchange(ctx context.Context, info blackboard.Target, path string, conns int) (load targetapi.Load, told, reached bool) {
+	req := &http.Request{
+		Method:     http.MethodGet,
+		URL:        &url.URL{Path: path},
+		Host:       info.Addr,
+		Header:     http.Header{"User-Agent": nil},
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+	res := p.deps.Upstream.RoundTrip(req.WithContext(ctx), info, upstream.SendOptions{MaxConns: conns})
+	if res.Err != nil {
+		return load, false, false
+	}
+	defer res.Response.Body.Close()
+	_, _ = io.CopyN(io.Discard, res.Response.Body, maxHealthBody)
+	load, told = p.deps.Contract.LoadOf(res.Response.Header)
+	return load, told, true
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,193 @@
+// Package placer chooses targets by asking them: of the targets that look best by
+// what is remembered, several are asked for their load at the moment of the choice
+// and the one that would answer first gets the call. The decisions are in
+// policy/placing; here are the lock, the questions and the counters.
+package placer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+const (
+	// askWidth is how many targets are asked for one choice.
+	askWidth = 8
+	// askWait is how long a choice waits for answers; one inside a region takes
+	// 1 to 3 ms.
+	askWait = 12 * time.Millisecond
+	// askTimeout ends a question that gets no answer.
+	askTimeout = 250 * time.Millisecond
+	// goodCost is the cost at which a target is taken at once, waitPause how long
+	// a choice waits for a better one, maxWaits how often.
+	goodCost  = 1.2
+	waitPause = 20 * time.Millisecond
+	maxWaits  = 6
+	// retryAfter is told with a refusal: about the time in which slots get free.
+	retryAfter = 200 * time.Millisecond
+)
+
+// Deps is what a Placer works with.
+type Deps struct {
+	Board    *blackboard.Board
+	Upstream upstream.RoundTripper
+	Contract *targetapi.Contract
+	// Share allows questions to targets.
+	Share *Share
+	// Zone is this host's availability zone.
+	Zone    string
+	Seed    uint64
+	Metrics *metrics.Set
+	Log     *zap.Logger
+	// OnLeaving, if set, is called when a target's own answer said that it is
+	// leaving, or that another has its address. It must not block.
+	OnLeaving func(blackboard.ServiceKey, blackboard.Target)
+}
+
+// Placer is the pick.Picker of one daemon.
+type Placer struct {
+	deps  Deps
+	count counters
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[blackboard.ServiceKey]*service
+}
+
+var _ pick.Picker = (*Placer)(nil)
+
+// New returns a placer that knows no targets.
+func New(d Deps) *Placer {
+	return &Placer{
+		deps:     d,
+		count:    newCounters(d.Metrics),
+		rng:      rand.New(rand.NewPCG(d.Seed, 5)),
+		services: make(map[blackboard.ServiceKey]*service),
+	}
+}
+
+func (p *Placer) service(key blackboard.ServiceKey) *service {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[key]
+	if s == nil {
+		s = &service{key: key, zone: p.deps.Zone, rng: rand.New(rand.NewPCG(p.rng.Uint64(), 6))}
+		p.services[key] = s
+	}
+	return s
+}
+
+// Pick implements pick.Picker.
+func (p *Placer) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
+	s := p.service(req.Service)
+	for waits := 0; ; waits++ {
+		list := p.shortlist(s, req)
+		if len(list) == 0 {
+			return nil, p.refuse(outcome.ReasonNoTarget)
+		}
+		list = list[:min(len(list), askWidth)]
+		p.ask(ctx, s, list)
+		g, last := p.choose(ctx, s, list, waits)
+		if g != nil {
+			return g, outcome.Result{}
+		}
+		if last != "" {
+			return nil, p.refuse(last)
+		}
+		p.count.waits.Add(1)
+		if !ctxtime.Sleep(ctx, waitPause) {
+			return nil, p.refuse(outcome.ReasonQueueTimeout)
+		}
+	}
+}
+
+func (p *Placer) shortlist(s *service, req pick.Request) []ranked {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refresh(p.deps.Board) {
+		p.deps.Share.Update()
+	}
+	return s.shortlist(time.Now(), req)
+}
+
+// choose takes the best target, or returns why there is none; neither means that
+// it is better to wait.
+func (p *Placer) choose(ctx context.Context, s *service, list []ranked, waits int) (pick.Grant, outcome.Reason) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, cost := s.best(now, list)
+	switch {
+	case t == nil && waits >= maxWaits:
+		return nil, outcome.ReasonOverload
+	case t == nil, cost > goodCost && waits < maxWaits:
+		return nil, ""
+	}
+	if at, ok := ctx.Deadline(); ok && time.Duration(cost*float64(s.work)) > at.Sub(now) {
+		return nil, outcome.ReasonOverload
+	}
+	t.start()
+	return &held{placer: p, service: s, target: t, info: t.info, cost: cost}, ""
+}
+
+func (p *Placer) refuse(r outcome.Reason) outcome.Result {
+	p.count.refused.Add(string(r), 1)
+	res := outcome.Refuse(r)
+	res.RetryAfter = retryAfter
+	return res
+}
+
+// held is a grant in the caller's hands.
+type held struct {
+	placer  *Placer
+	service *service
+	target  *target
+	info    blackboard.Target
+	cost    float64
+	once    sync.Once
+}
+
+// Target implements pick.Grant.
+func (h *held) Target() blackboard.Target { return h.info }
+
+// Release implements pick.Grant.
+func (h *held) Release(r pick.Report) {
+	h.once.Do(func() { h.placer.end(h, r) })
+}
+
+// end takes in how a call ended.
+func (p *Placer) end(h *held, r pick.Report) {
+	now := time.Now()
+	s := h.service
+	s.mu.Lock()
+	h.target.end(now, r)
+	s.tells = s.tells || r.Work.Slots > 0
+	ejected := false
+	switch r.Class {
+	case pick.OK:
+		s.learn(r.Latency, h.cost)
+		s.record(now, h.target, false)
+	case pick.Failed, pick.TimedOut, pick.BrokeOff:
+		ejected = s.record(now, h.target, true)
+	}
+	s.mu.Unlock()
+	if ejected {
+		p.count.ejected.Add(1)
+		p.deps.Log.Warn("target left out", zap.String("target", string(h.info.ID)), zap.String("service", s.key.Service))
+	}
+	leaving := r.LeavingHint || r.Class == pick.Leaving || r.Class == pick.Replaced
+	if leaving && p.deps.OnLeaving != nil {
+		p.deps.OnLeaving(s.key, h.info)
+	}
+}
--- /dev/null
+++ b/placer/service.go
@@ -0,0 +1,131 @@
+package placer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// service is one service as this host sees it.
+type service struct {
+	key  blackboard.ServiceKey
+	zone string
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	seen     uint64 // version of the board's targets that was taken in
+	any      bool
+	targets  map[ports.HostID]*target
+	failures health.Service
+	// tells is set once a target told its load.
+	tells bool
+	// work is the learned time of one call at a target that costs 1.
+	work time.Duration
+}
+
+// refresh takes in the platform's list and reports whether it changed. The lock
+// is held.
+func (s *service) refresh(board *blackboard.Board) bool {
+	version := board.Targets.Version()
+	if s.any && version == s.seen {
+		return false
+	}
+	s.seen, s.any = version, true
+	list := board.Targets.Load().ByService[s.key]
+	next := make(map[ports.HostID]*target, len(list))
+	for _, info := range list {
+		t := s.targets[info.ID]
+		if t == nil {
+			t = newTarget(info, s.zone)
+		} else {
+			t.update(info, s.zone)
+		}
+		next[info.ID] = t
+	}
+	s.targets = next
+	return true
+}
+
+// ranked is a target with what it costs.
+type ranked struct {
+	*target
+	cost float64
+}
+
+// shortlist returns the targets that may take a call, by what is remembered of
+// them, the cheapest first. The lock is held.
+func (s *service) shortlist(now time.Time, req pick.Request) []ranked {
+	list := make([]ranked, 0, len(s.targets))
+	for _, t := range s.targets {
+		t.figures.Cold = now.Before(t.info.WarmUntil)
+		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
+			continue
+		}
+		if req.Alone && t.figures.InFlight > 0 {
+			continue
+		}
+		// A small random part keeps hosts from preferring the same of many equals.
+		list = append(list, ranked{t, t.figures.Cost(now) + s.rng.Float64()*tieBreak})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
+	return list
+}
+
+// tieBreak is the most by which chance moves a cost.
+const tieBreak = 0.1
+
+// best returns the cheapest of some targets that can queue one more call, by what
+// they told just now, or nil. The lock is held.
+func (s *service) best(now time.Time, list []ranked) (*target, float64) {
+	var found *target
+	least := 0.0
+	for _, r := range list {
+		if !r.open(now) || r.figures.Full(now) {
+			continue
+		}
+		if cost := r.figures.Cost(now); found == nil || cost < least {
+			found, least = r.target, cost
+		}
+	}
+	return found, least
+}
+
+// workWeight is the weight of one answer in the learned work time.
+const workWeight = 0.05
+
+// learn takes in how long an answer took at a target that cost so much.
+func (s *service) learn(took time.Duration, cost float64) {
+	unit := time.Duration(float64(took) / max(cost, 0.5))
+	if s.work == 0 {
+		s.work = unit
+		return
+	}
+	s.work += time.Duration(workWeight * float64(unit-s.work))
+}
+
+// record takes in whether a call failed at a target, and leaves the target out
+// if it fails more than the others.
+func (s *service) record(now time.Time, t *target, failed bool) bool {
+	s.failures.Record(failed)
+	if !t.health.Record(now, failed, &s.failures) {
+		return false
+	}
+	ejected := 0
+	for _, other := range s.targets {
+		if other.health.Ejected(now) {
+			ejected++
+		}
+	}
+	if !health.Allowed(ejected, len(s.targets)) {
+		return false
+	}
+	t.health.Eject(now, s.rng)
+	return true
+}
--- /dev/null
+++ b/placer/share.go
@@ -0,0 +1,45 @@
+package placer
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+)
+
+// shareUsed is the part of the budget for measuring that hosts use together, so
+// that lists of hosts that disagree for a while do not add up to more than all.
+const shareUsed = 0.8
+
+// Share is this host's part of the questions that all hosts may put to targets.
+// An even part needs no word between the hosts; a lease of it in the platform's
+// store would be paid for at each renewal.
+type Share struct {
+	board *blackboard.Board
+	// perTarget is the questions a target may get in a second, from all hosts.
+	perTarget float64
+	limiter   *rate.Limiter
+}
+
+// NewShare returns the share of a host, from the targets and hosts on its board.
+func NewShare(b *blackboard.Board, perTarget float64) *Share {
+	return &Share{board: b, perTarget: perTarget, limiter: rate.NewLimiter(0, 0)}
+}
+
+// Take pays for one question and reports whether the share had it.
+func (s *Share) Take(now time.Time) bool {
+	return s.limiter.AllowN(now, 1)
+}
+
+// Update takes in the targets and hosts on the board.
+func (s *Share) Update() {
+	targets := 0
+	for _, list := range s.board.Targets.Load().ByService {
+		targets += len(list)
+	}
+	hosts := max(1, len(s.board.Members.Load().Members))
+	limit := shareUsed * s.perTarget * float64(targets) / float64(hosts)
+	s.limiter.SetLimit(rate.Limit(limit))
+	s.limiter.SetBurst(max(1, int(limit)))
+}
--- /dev/null
+++ b/placer/target.go
@@ -0,0 +1,101 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/placing"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+const (
+	// firstRest is how long a target that can not be reached is left alone, and
+	// maxRest the most after further failures.
+	firstRest = 250 * time.Millisecond
+	maxRest   = 2 * time.Second
+	// shedRest is how long a target that refused a call gets no other from this
+	// host: about the work time of one call, after which a slot is free again.
+	shedRest = 50 * time.Millisecond
+)
+
+// target is what this host knows of one target.
+type target struct {
+	info    blackboard.Target
+	figures placing.Figures
+	health  health.State
+	// restUntil is the end of the time in which the target gets no call.
+	restUntil time.Time
+	rests     int
+	// asking is closed when the answer to a question on its way is there; nil if
+	// there is none.
+	asking chan struct{}
+}
+
+func newTarget(info blackboard.Target, zone string) *target {
+	t := &target{info: info}
+	t.update(info, zone)
+	return t
+}
+
+// update takes in what the platform lists.
+func (t *target) update(info blackboard.Target, zone string) {
+	info.Leaving = info.Leaving || t.info.Leaving
+	t.info = info
+	t.figures.Slots = max(info.Slots, 1)
+	t.figures.Far = info.Zone != zone
+}
+
+// open reports whether the target takes calls.
+func (t *target) open(now time.Time) bool {
+	return !t.info.Leaving && !now.Before(t.restUntil) && !t.health.Ejected(now) &&
+		(!t.health.Trial() || t.figures.InFlight == 0)
+}
+
+// told takes in what the target says of itself.
+func (t *target) told(now time.Time, l targetapi.Load) {
+	t.figures.Load = l
+	t.figures.At = now
+	t.figures.Since = 0
+	if l.Slots > 0 {
+		t.figures.Slots = l.Slots
+	}
+}
+
+// start notes a call.
+func (t *target) start() {
+	t.figures.InFlight++
+	t.figures.Since++
+}
+
+// rest leaves the target alone for a while.
+func (t *target) rest(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(t.restUntil) {
+		t.restUntil = until
+	}
+}
+
+// unreachable leaves a target that can not be reached alone, for longer each time.
+func (t *target) unreachable(now time.Time) {
+	t.rest(now, min(firstRest<<min(t.rests, 8), maxRest))
+	t.rests++
+}
+
+// end takes in how a call ended.
+func (t *target) end(now time.Time, r pick.Report) {
+	t.figures.InFlight--
+	if r.Work.Slots > 0 {
+		t.told(now, r.Work)
+	}
+	switch r.Class {
+	case pick.OK:
+		t.rests = 0
+	case pick.Shed:
+		t.rest(now, shedRest)
+	case pick.NotSent:
+		t.unreachable(now)
+	case pick.Leaving, pick.Replaced:
+		t.info.Leaving = true
+	}
+}
--- /dev/null
+++ b/policy/placing/placing.go
@@ -0,0 +1,91 @@
+// Package placing decides which target a call goes to, from figures that targets
+// told a moment ago. It answers a load of many short spells in which a target's
+// neighbours slow it down several times: what was true 100 ms ago says little.
+package placing
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+const (
+	// freshFor is how long a figure is taken as it is. Spells of slowness last
+	// about 150 ms, so that after a tenth of that one in ten has ended.
+	freshFor = 15 * time.Millisecond
+	// paceFor is how long a figure of a target's pace says anything.
+	paceFor = 150 * time.Millisecond
+	// usualPace is the pace reckoned with when nothing is known: a quarter of the
+	// time targets are about five times slower.
+	usualPace = 2.0
+	// farCost is what a target in another availability zone costs more, in usual
+	// work times: its bytes are paid for.
+	farCost = 0.3
+	// coldFactor is how much longer work takes at a target that has just started.
+	coldFactor = 2.0
+	// queueFactor times its slots may wait at a target before it gets no more:
+	// targets refuse, or never answer, what they can not queue.
+	queueFactor = 2
+)
+
+// Figures are what is known of a target.
+type Figures struct {
+	// Load is what the target told last, At when; the zero time is never.
+	Load targetapi.Load
+	At   time.Time
+	// Since counts the calls of this host that went there after At, InFlight all
+	// of them.
+	Since    int
+	InFlight int
+	// Slots is the number of calls it runs at once, as the platform lists it.
+	Slots int
+	Far   bool
+	Cold  bool
+}
+
+// Age returns the age of what the target told.
+func (f *Figures) Age(now time.Time) time.Duration {
+	if f.At.IsZero() {
+		return time.Hour
+	}
+	return now.Sub(f.At)
+}
+
+// Fresh reports whether the figures can be used as they are.
+func (f *Figures) Fresh(now time.Time) bool { return f.Age(now) < freshFor }
+
+// calls returns the calls to reckon with at the target.
+func (f *Figures) calls(now time.Time) int {
+	if f.Age(now) > paceFor {
+		return f.InFlight
+	}
+	return max(f.Load.Running+f.Load.Waiting+f.Since, f.InFlight)
+}
+
+// pace returns the pace to reckon with: the figure, and with age more and more
+// the usual one.
+func (f *Figures) pace(now time.Time) float64 {
+	age := f.Age(now)
+	if age >= paceFor {
+		return usualPace
+	}
+	trust := 1 - float64(age)/float64(paceFor)
+	return usualPace + trust*(f.Load.Pace-usualPace)
+}
+
+// Full reports whether the target may not be able to queue one more call.
+func (f *Figures) Full(now time.Time) bool {
+	return f.calls(now) >= (1+queueFactor)*f.Slots
+}
+
+// Cost is the time until one more call would be answered, in usual work times.
+func (f *Figures) Cost(now time.Time) float64 {
+	cost := float64(f.calls(now)+1) / float64(f.Slots) * f.pace(now)
+	if f.Cold {
+		cost *= coldFactor
+	}
+	if f.Far {
+		cost += farCost
+	}
+	return cost
+}
--- /dev/null
+++ b/policy/watchers/watchers.go
@@ -0,0 +1,188 @@
+// Package watchers decides which entry hosts watch the platform's record for all.
+// Calls to the platform's store are paid for and limited, and every change wakes
+// every watch; so a few hosts watch and pass on what they see, and any other
+// host takes over when too few of them are heard.
+package watchers
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+const (
+	// Wanted is how many hosts watch: with one, its silence would cost all hosts
+	// the time to notice it.
+	Wanted = 2
+	// BeatEvery is the time between two heartbeats of a watcher.
+	BeatEvery = 250 * time.Millisecond
+	// silentAfter is the age of the last heartbeat at which a watcher counts as
+	// gone: two lost or late heartbeats. A leaving target must be known everywhere
+	// within 2 s; noticing the silence, taking over and reading take 1 s of it.
+	silentAfter = 600 * time.Millisecond
+	// Wait is how long the store holds a watch without news. Together with the
+	// time allowed for its answer it bounds how late a watcher notices that the
+	// store has stopped answering it, which has to fit into the same 2 s.
+	Wait = 900 * time.Millisecond
+	// staleAfter is the age of a watcher's last answer from the store at which
+	// its word counts as old: one watch and the time allowed for its answer.
+	staleAfter = Wait + 400*time.Millisecond
+	// stagger is the time between the turns of two hosts to take over, long
+	// enough for the heartbeat of the first to reach the second.
+	stagger = 60 * time.Millisecond
+	// maxStagger bounds the turn of the last host.
+	maxStagger = 800 * time.Millisecond
+	// spare is how long a watcher that is one too many goes on.
+	spare = 2 * time.Second
+)
+
+// Beat is the last heartbeat of a watcher.
+type Beat struct {
+	Heard time.Time
+	// StoreOK is false while the store fails the watcher, StoreAge how old its
+	// last answer was when the heartbeat was sent.
+	StoreOK  bool
+	StoreAge time.Duration
+}
+
+// Fresh reports whether a watcher's word can be relied on at a moment.
+func (b Beat) Fresh(now time.Time) bool {
+	silence := now.Sub(b.Heard)
+	return b.StoreOK && silence < silentAfter && b.StoreAge+silence < staleAfter
+}
+
+// expires returns when a fresh heartbeat stops being fresh.
+func (b Beat) expires() time.Time {
+	return b.Heard.Add(min(silentAfter, staleAfter-b.StoreAge))
+}
+
+// Decider decides for one host. It is not safe for concurrent use.
+type Decider struct {
+	self ports.HostID
+	// shortSince is when too few watchers were left, spareSince when there was
+	// one too many; zero if not so.
+	shortSince time.Time
+	spareSince time.Time
+	// retryAt is the earliest next try after the store failed this host.
+	retryAt time.Time
+}
+
+// NewDecider returns a decider of a host.
+func NewDecider(self ports.HostID) *Decider { return &Decider{self: self} }
+
+// View is what a decision rests on.
+type View struct {
+	// Hosts are all entry hosts known, this one included.
+	Hosts []ports.HostID
+	// Beats are the last heartbeats of others that watch.
+	Beats map[ports.HostID]Beat
+	// Watching is set if this host watches, StoreOK if the store serves it.
+	Watching bool
+	StoreOK  bool
+}
+
+// Decide reports whether this host should watch now, and when to ask again at
+// the latest.
+func (d *Decider) Decide(now time.Time, v View) (watch bool, next time.Time) {
+	fresh, expiry := freshWatchers(now, v.Beats)
+	if v.Watching {
+		return d.keep(now, v, fresh)
+	}
+	d.spareSince = time.Time{}
+	if len(fresh) >= Wanted {
+		d.shortSince = time.Time{}
+		return false, expiry
+	}
+	if d.shortSince.IsZero() {
+		d.shortSince = now
+	}
+	at := d.shortSince.Add(d.turn(v.Hosts, fresh))
+	if at.Before(d.retryAt) {
+		at = d.retryAt
+	}
+	return !now.Before(at), at
+}
+
+// keep decides for a host that watches.
+func (d *Decider) keep(now time.Time, v View, fresh []ports.HostID) (bool, time.Time) {
+	d.shortSince = time.Time{}
+	again := now.Add(BeatEvery)
+	if len(fresh) < Wanted {
+		d.spareSince = time.Time{}
+		return true, again
+	}
+	if !v.StoreOK {
+		return false, again
+	}
+	ahead := 0
+	for _, id := range fresh {
+		if before(id, d.self) {
+			ahead++
+		}
+	}
+	if ahead < Wanted {
+		d.spareSince = time.Time{}
+		return true, again
+	}
+	if d.spareSince.IsZero() {
+		d.spareSince = now
+	}
+	return now.Sub(d.spareSince) < spare, again
+}
+
+// Failed notes that the store did not serve this host's try to take over. While
+// the store is out for everybody all hosts try by turns, so that together they
+// make one call every stagger, however many they are.
+func (d *Decider) Failed(now time.Time, hosts int) {
+	pace := min(max(time.Duration(hosts)*stagger, 4*stagger), maxRetry)
+	d.retryAt = now.Add(pace)
+}
+
+// maxRetry bounds how long a host waits before it tries the store again.
+const maxRetry = 5 * time.Second
+
+// turn returns how long this host lets others go first.
+func (d *Decider) turn(hosts, fresh []ports.HostID) time.Duration {
+	ahead := 0
+	for _, id := range hosts {
+		if id != d.self && !slices.Contains(fresh, id) && before(id, d.self) {
+			ahead++
+		}
+	}
+	return min(time.Duration(ahead)*stagger, maxStagger)
+}
+
+// freshWatchers returns the watchers that can be relied on, and when there will
+// be fewer than wanted unless more is heard.
+func freshWatchers(now time.Time, beats map[ports.HostID]Beat) (ids []ports.HostID, expiry time.Time) {
+	var ends []time.Time
+	for id, b := range beats {
+		if b.Fresh(now) {
+			ids = append(ids, id)
+			ends = append(ends, b.expires())
+		}
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) >= Wanted {
+		expiry = ends[len(ends)-Wanted]
+	}
+	return ids, expiry
+}
+
+// AnyFresh reports whether any watcher can be relied on.
+func AnyFresh(now time.Time, beats map[ports.HostID]Beat) bool {
+	ids, _ := freshWatchers(now, beats)
+	return len(ids) > 0
+}
+
+// before is the order in which hosts take their turns, the same on all of them.
+func before(a, b ports.HostID) bool {
+	ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
+	if ha != hb {
+		return ha < hb
+	}
+	return a < b
+}
--- /dev/null
+++ b/policy/watchers/watchers_test.go
@@ -0,0 +1,120 @@
+package watchers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func hosts(n int) []ports.HostID {
+	out := make([]ports.HostID, n)
+	for i := range out {
+		out[i] = ports.HostID(fmt.Sprintf("10.0.0.%d:8649", i+1))
+	}
+	return out
+}
+
+// firstAsked returns when a host that asks again as told begins to watch.
+func firstWatch(d *Decider, from time.Time, v View) time.Duration {
+	now := from
+	for now.Before(from.Add(10 * time.Second)) {
+		watch, next := d.Decide(now, v)
+		if watch {
+			return now.Sub(from)
+		}
+		now = next
+	}
+	return -1
+}
+
+// Both watchers freeze at the same moment, just after a target began to leave.
+// No heartbeat comes any more; some other host must have taken over soon enough
+// to read of it within 2 s, also if the first three in turn are turned away.
+func TestTakesOverWithinASecondOfSilence(t *testing.T) {
+	all := hosts(14)
+	beats := map[ports.HostID]Beat{
+		all[0]: {Heard: start, StoreOK: true},
+		all[1]: {Heard: start, StoreOK: true},
+	}
+	early := 0
+	for _, id := range all[2:] {
+		took := firstWatch(NewDecider(id), start, View{Hosts: all, Beats: beats})
+		assert.Check(t, took > 0 && took <= silentAfter+maxStagger, "%s after %s", id, took)
+		if took <= time.Second {
+			early++
+		}
+	}
+	assert.Check(t, early >= 4, "%d hosts within a second", early)
+}
+
+// The store turns both watchers away without a word: their watches hang. They
+// say so once their time is up, and others that are served take over.
+func TestTakesOverFromWatchersThatTheStoreFails(t *testing.T) {
+	all := hosts(14)
+	late := at(Wait + 300*time.Millisecond)
+	beats := map[ports.HostID]Beat{
+		all[0]: {Heard: late, StoreOK: false},
+		all[1]: {Heard: late, StoreOK: false},
+	}
+	first := time.Hour
+	for _, id := range all[2:] {
+		first = min(first, firstWatch(NewDecider(id), late, View{Hosts: all, Beats: beats}))
+	}
+	assert.Check(t, first >= 0 && first <= 2*stagger, "first after %s", first)
+}
+
+// While the store is out for all hosts they must not press on it together: calls
+// are paid for, also those that fail.
+func TestHostsTryTheStoreByTurnsWhileItIsOut(t *testing.T) {
+	for _, n := range []int{14, 121} {
+		all := hosts(n)
+		tries := 0
+		for _, id := range all {
+			d := NewDecider(id)
+			now := start
+			for now.Before(at(4500 * time.Millisecond)) {
+				watch, next := d.Decide(now, View{Hosts: all})
+				if watch {
+					tries++
+					d.Failed(now, n)
+					next = now.Add(time.Millisecond)
+				}
+				now = next
+			}
+		}
+		assert.Check(t, tries <= 100+n, "%d tries of %d hosts", tries, n)
+	}
+}
+
+func TestOneTooManyStepsDown(t *testing.T) {
+	all := hosts(14)
+	watching := 0
+	for _, id := range all[:4] {
+		d := NewDecider(id)
+		keep := true
+		for now := start; now.Before(at(5 * time.Second)); now = now.Add(BeatEvery) {
+			beats := make(map[ports.HostID]Beat)
+			for _, other := range all[:4] {
+				if other != id {
+					beats[other] = Beat{Heard: now, StoreOK: true}
+				}
+			}
+			keep, _ = d.Decide(now, View{Hosts: all, Beats: beats, Watching: true, StoreOK: true})
+			if !keep {
+				break
+			}
+		}
+		if keep {
+			watching++
+		}
+	}
+	assert.Equal(t, watching, Wanted)
+}
--- /dev/null
+++ b/routing/check.go
@@ -0,0 +1,48 @@
+package routing
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Check returns what is wrong with a configuration. One that is wrong is never
+// put in force: the last good one stays.
+func (c *Config) Check() error {
+	services := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		if s.Name == "" {
+			return errors.New("service without a name")
+		}
+		services[s.Name] = true
+	}
+	for _, r := range c.Routes {
+		if err := r.check(services); err != nil {
+			return errors.Wrapf(err, "route %q", r.Name)
+		}
+	}
+	return nil
+}
+
+func (r *Route) check(services map[string]bool) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Newf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		return errors.New("no timeout")
+	}
+	total := 0.0
+	for _, p := range r.Parts {
+		if !services[p.Service] {
+			return errors.Newf("unknown service %q", p.Service)
+		}
+		if p.Weight < 0 {
+			return errors.Newf("negative weight of %q", p.Service)
+		}
+		total += p.Weight
+	}
+	if total <= 0 {
+		return errors.New("no service takes its requests")
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/config.go
@@ -0,0 +1,92 @@
+// Package routing holds a configuration by routes, as a platform that keeps one
+// document for all hosts declares it, and finds the route of a request.
+package routing
+
+import "time"
+
+// Workspace is the workspace that all services of a configuration by routes
+// belong to: such a platform serves one customer.
+const Workspace = "platform"
+
+// Kind says what of a route's requests may be repeated.
+type Kind uint8
+
+const (
+	// Safe requests may run any number of times.
+	Safe Kind = iota + 1
+	// Mutating requests run at most once.
+	Mutating
+	// Upload requests carry large bodies and run at most once.
+	Upload
+)
+
+// String returns the name of the kind in logs.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Mutating:
+		return "mutating"
+	case Upload:
+		return "upload"
+	default:
+		return "invalid"
+	}
+}
+
+// Config is one version of the configuration. It is immutable once published.
+type Config struct {
+	// Version is the operator's version; a higher one replaces a lower one and
+	// never the other way round.
+	Version  uint64    `msgpack:"version"`
+	Routes   []Route   `msgpack:"routes"`
+	Services []Service `msgpack:"services"`
+	Limits   Limits    `msgpack:"limits"`
+}
+
+// Route leads the requests of one host name and path prefix to services.
+type Route struct {
+	Name string `msgpack:"name"`
+	// Host is the Host header in lower case, without a port.
+	Host string `msgpack:"host"`
+	// Prefix begins and ends with a slash; among the routes of a host the
+	// longest prefix of the path wins.
+	Prefix string `msgpack:"prefix"`
+	Kind   Kind   `msgpack:"kind"`
+	// Timeout is the longest that a request may take.
+	Timeout time.Duration `msgpack:"timeout"`
+	// Objective is the time within which an answer is worth most to its caller.
+	Objective time.Duration `msgpack:"objective"`
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority int `msgpack:"priority"`
+	// MaxAttempts bounds the targets that one request may be sent to.
+	MaxAttempts int `msgpack:"max_attempts"`
+	// Parts has one entry for each service that takes a share of the requests.
+	Parts []Part `msgpack:"parts"`
+}
+
+// Part is a service's share of a route.
+type Part struct {
+	Service string  `msgpack:"service"`
+	Weight  float64 `msgpack:"weight"`
+}
+
+// Service is what the configuration says of one service.
+type Service struct {
+	Name string `msgpack:"name"`
+	// HealthPath answers probes.
+	HealthPath string `msgpack:"health_path"`
+	// MaxConns is the number of connections a target takes from all hosts.
+	MaxConns int `msgpack:"max_conns"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// MaxHeaderBytes and MaxBodyBytes are sizes in bytes.
+	MaxHeaderBytes int   `msgpack:"max_header_bytes"`
+	MaxBodyBytes   int64 `msgpack:"max_body_bytes"`
+	// HeaderTimeout is how long a header may take to arrive, IdleTimeout how
+	// long a connection may stay without a request.
+	HeaderTimeout time.Duration `msgpack:"header_timeout"`
+	IdleTimeout   time.Duration `msgpack:"idle_timeout"`
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,126 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Table finds the route of a request. It is made once for each version of the
+// configuration and safe for concurrent use.
+type Table struct {
+	Config *Config
+	byHost map[string][]*entry
+	byName map[string]*Service
+}
+
+// entry is a route with the state of its split.
+type entry struct {
+	route *Route
+	split split
+}
+
+// Match is where a request leads.
+type Match struct {
+	Route   *Route
+	Service *Service
+}
+
+// NewTable returns the table of a configuration. rng gives each split a random
+// start, so that many hosts together keep the proportions also in a short time.
+func NewTable(c *Config, rng *rand.Rand) *Table {
+	t := &Table{
+		Config: c,
+		byHost: make(map[string][]*entry),
+		byName: make(map[string]*Service, len(c.Services)),
+	}
+	for i := range c.Services {
+		t.byName[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], &entry{route: r, split: newSplit(r.Parts, rng)})
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *entry) int {
+			return cmp.Compare(len(b.route.Prefix), len(a.route.Prefix))
+		})
+	}
+	return t
+}
+
+// Service returns the service with this name, or nil.
+func (t *Table) Service(name string) *Service { return t.byName[name] }
+
+// Find returns where a request leads; false means that no route covers it. Each
+// call takes one turn of the route's split.
+func (t *Table) Find(host, path string) (Match, bool) {
+	for _, e := range t.byHost[HostName(host)] {
+		if !strings.HasPrefix(path, e.route.Prefix) {
+			continue
+		}
+		s := t.byName[e.route.Parts[e.split.next()].Service]
+		return Match{Route: e.route, Service: s}, s != nil
+	}
+	return Match{}, false
+}
+
+// HostName returns a Host header without its port, in lower case.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// split spreads requests over parts in the proportions of their weights: each
+// turn adds its share to every part's credit and goes to the part with the most.
+// Dice would miss the proportions of a few hundred requests by several percent;
+// this is never more than one request off for each part.
+type split struct {
+	mu     *sync.Mutex
+	shares []float64
+	credit []float64
+}
+
+func newSplit(parts []Part, rng *rand.Rand) split {
+	s := split{mu: new(sync.Mutex), shares: make([]float64, len(parts)), credit: make([]float64, len(parts))}
+	total := 0.0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	for i, p := range parts {
+		s.shares[i] = p.Weight / total
+	}
+	// One turn with a random point for a start: part i goes first as often as its
+	// share says.
+	point := rng.Float64()
+	for i, share := range s.shares {
+		if point < share {
+			s.credit[i] = rng.Float64()
+			break
+		}
+		point -= share
+	}
+	return s
+}
+
+func (s *split) next() int {
+	if len(s.shares) == 1 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := 0
+	for i, share := range s.shares {
+		s.credit[i] += share
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best]--
+	return best
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -29,8 +29,12 @@
 	c.listener("callers", s.Callers.Addr, s.Callers.TLS, false, s.Plaintext)
 	c.listener("operators", s.Operators.Addr, s.Operators.TLS, false, s.Plaintext)
 	c.listener("peers", s.Peers.Addr, s.Peers.TLS, s.Peers.KeyFile != "", s.Plaintext)
-	c.operators(s.Operators)
-	c.platform(s.Platform)
+	if s.Directory.Store == "" {
+		c.operators(s.Operators)
+		c.platform(s.Platform)
+	} else {
+		c.directory(s)
+	}
 	c.notNegative("callers.maxHeaderBytes", int64(s.Callers.MaxHeaderBytes))
 	c.notNegative("callers.bodyMemoryBytes", s.Callers.BodyMemoryBytes)
 	c.notNegative("platform.writesPerSecond", int64(s.Platform.WritesPerSecond))
@@ -107,6 +111,32 @@
 	}
 }
 
+// directory checks what is used with a directory alone.
+func (c *checker) directory(s *Settings) {
+	c.address("directory.store", s.Directory.Store)
+	c.address("readiness.addr", s.Readiness.Addr)
+	for i, seed := range s.Peers.Seeds {
+		c.address(fmt.Sprintf("peers.seeds.%d", i), seed)
+	}
+	c.duration("retries.window", s.Retries.Window)
+	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 {
+		c.add("retries.ratio", "want a share from 0 to 1, have %g", s.Retries.Ratio)
+	}
+	if s.Retries.Reserve < 0 {
+		c.add("retries.reserve", "must not be negative, is %g", s.Retries.Reserve)
+	}
+	if s.Measuring.PerTarget < 0 {
+		c.add("measuring.perTarget", "must not be negative, is %g", s.Measuring.PerTarget)
+	}
+	c.notNegative("memoryMB", int64(s.MemoryMB))
+}
+
+func (c *checker) address(field, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		c.add(field, "want an IP address and port such as 127.0.0.1:8080, have %q", addr)
+	}
+}
+
 func (c *checker) plaintext(words string) {
 	if words != "" && words != AcceptPlaintext {
 		c.add("plaintext", "the only words it takes are %q", AcceptPlaintext)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,19 @@
 	Peers Peers `json:"peers"`
 	// Platform says where the table, the object store and the host list are.
 	Platform Platform `json:"platform"`
+	// Directory says where the platform keeps its record of routes and targets,
+	// on platforms that keep one. Platform and Operators' changes are not used
+	// there.
+	Directory Directory `json:"directory,omitzero"`
+	// Readiness is the listener for the platform's balancer; without it the
+	// callers' listener answers.
+	Readiness Readiness `json:"readiness,omitzero"`
+	// Retries bounds further attempts, Measuring questions to targets; both are
+	// used with a directory alone.
+	Retries   Retries   `json:"retries,omitzero"`
+	Measuring Measuring `json:"measuring,omitzero"`
+	// MemoryMB is the memory that the daemon may use, in megabytes; 0 is no limit.
+	MemoryMB int `json:"memoryMB,omitempty"`
 	// Targets says how to connect to targets.
 	Targets Targets `json:"targets,omitzero"`
 	// Keys is for idempotency keys that hosts issue.
@@ -76,6 +89,9 @@
 	// use, if it differs.
 	Addr      string `json:"addr"`
 	Advertise string `json:"advertise,omitempty"`
+	// Seeds are peer addresses of other hosts, to begin with; used with a
+	// directory alone.
+	Seeds []string `json:"seeds,omitempty"`
 	// TLS with a client CA is mutual TLS.
 	TLS TLS `json:"tls,omitzero"`
 	// KeyFile holds a key shared by all hosts that authenticates frames, in
@@ -96,6 +112,33 @@
 	WritesPerSecond int `json:"writesPerSecond,omitempty"`
 }
 
+// Directory says where the platform's record is.
+type Directory struct {
+	// Store is the IP address and port of the platform's store.
+	Store string `json:"store"`
+}
+
+// Readiness is the listener for the platform's balancer.
+type Readiness struct {
+	Addr string `json:"addr"`
+}
+
+// Retries bounds the further attempts of a service's calls over all hosts: in
+// every span as long as Window, no more than Ratio for each call and Reserve
+// besides.
+type Retries struct {
+	Ratio   float64  `json:"ratio"`
+	Window  Duration `json:"window"`
+	Reserve float64  `json:"reserve"`
+}
+
+// Measuring bounds questions to targets.
+type Measuring struct {
+	// PerTarget is the questions that a target may get in a second, from all hosts
+	// together.
+	PerTarget float64 `json:"perTarget"`
+}
+
 // Targets says how to connect to targets.
 type Targets struct {
 	// CA holds the certificates that targets' certificates are checked
--- /dev/null
+++ b/targetapi/contract.go
@@ -0,0 +1,158 @@
+package targetapi
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Contract is by which headers callers, cactusproxy and targets speak to each
+// other. Default is cactusproxy's own; a platform with a contract of its own
+// hands another one to entry and dispatch. An empty name means that the header
+// does not exist there.
+type Contract struct {
+	// RequestID is set by callers, each request with an ID of its own, and echoed
+	// by targets. It tells an answer from a late one to an earlier request on the
+	// same connection.
+	RequestID string
+	// Timeout is the time left for the call in milliseconds, Attempts the number
+	// of attempts left and Depth the number of calls that led to this one.
+	Timeout  string
+	Attempts string
+	Depth    string
+	// Target names the target that a request is meant for. Any other target that
+	// has its address by now refuses it with status 421.
+	Target string
+	// Seal is set by targets on all they answer. A success without it does not
+	// come from a target that ran the request.
+	Seal string
+	// Shed is set by a target on a refusal of a request that it did not run, with
+	// whatever status unless ShedStatus is set.
+	Shed       string
+	ShedStatus int
+	// Leaving is set by targets that are to stop.
+	Leaving string
+	// Load is read by ReadLoad.
+	Load     string
+	ReadLoad func(value string) (Load, bool)
+	// Own are headers of cactusproxy's own that are passed on neither way.
+	Own []string
+	// Forwarded adds X-Forwarded-For and X-Forwarded-Proto for targets.
+	Forwarded bool
+	// FractionalRetryAfter lets Retry-After carry fractions of a second.
+	FractionalRetryAfter bool
+	// PromiseStatuses are taken by callers for the promise that a request was not
+	// run, whoever sends them.
+	PromiseStatuses []int
+}
+
+// Load is what a target tells of itself.
+type Load struct {
+	// Running and Waiting are requests at the target, Slots how many it runs at
+	// once; Slots is 0 if it does not tell.
+	Running, Waiting, Slots int
+	// Pace is how long work takes there at the moment, 1 being as usual.
+	Pace float64
+}
+
+// Default is the contract of headers.go.
+func Default() *Contract {
+	return &Contract{
+		Timeout:    "Cactusproxy-Timeout-Ms",
+		Attempts:   "Cactusproxy-Attempts",
+		Depth:      "Cactusproxy-Depth",
+		Shed:       HeaderShed,
+		ShedStatus: http.StatusServiceUnavailable,
+		Leaving:    HeaderLeaving,
+		Load:       HeaderLoad,
+		ReadLoad:   readDefaultLoad,
+		Own:        []string{HeaderLoad, HeaderShed, HeaderLeaving},
+		Forwarded:  true,
+	}
+}
+
+func readDefaultLoad(value string) (Load, bool) {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return Load{}, false
+	}
+	return Load{Running: n, Pace: 1}, true
+}
+
+// LoadOf returns the load that an answer reports, and false if it reports none
+// that can be read.
+func (c *Contract) LoadOf(h http.Header) (Load, bool) {
+	value := h.Get(c.Load)
+	if value == "" {
+		return Load{}, false
+	}
+	return c.ReadLoad(value)
+}
+
+// IsShed reports whether an answer says that the target did not run the request.
+func (c *Contract) IsShed(status int, h http.Header) bool {
+	if c.ShedStatus != 0 && status != c.ShedStatus {
+		return false
+	}
+	return h.Get(c.Shed) == Yes
+}
+
+// IsLeaving reports whether an answer says that its target is to stop.
+func (c *Contract) IsLeaving(h http.Header) bool {
+	return c.Leaving != "" && h.Get(c.Leaving) == Yes
+}
+
+// IsMisdirected reports whether another target has the address by now.
+func (c *Contract) IsMisdirected(status int) bool {
+	return c.Target != "" && status == http.StatusMisdirectedRequest
+}
+
+// Belongs reports whether an answer is one to the request with these headers.
+// A refusal may lack the echo: some targets refuse before they read the header.
+func (c *Contract) Belongs(request, answer http.Header, status int) bool {
+	if c.RequestID == "" {
+		return true
+	}
+	want, have := request.Get(c.RequestID), answer.Get(c.RequestID)
+	if have == "" && !success(status) {
+		return true
+	}
+	return have == want
+}
+
+// Sealed reports whether a success comes from a target that ran the request.
+func (c *Contract) Sealed(status int, h http.Header) bool {
+	return c.Seal == "" || !success(status) || h.Get(c.Seal) != ""
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// Promises reports whether callers take a status for the promise that the
+// request was not run.
+func (c *Contract) Promises(status int) bool {
+	for _, s := range c.PromiseStatuses {
+		if s == status {
+			return true
+		}
+	}
+	return false
+}
+
+// Strip removes what targets say to cactusproxy from an answer to a caller. The
+// caller may itself be a target that passes an answer on as it came: a shed
+// signal of the target behind it would then say of the caller's own request
+// that it was not run.
+func (c *Contract) Strip(h http.Header) {
+	for _, name := range c.Own {
+		h.Del(name)
+	}
+}
+
+// RetryAfter writes a time for the header Retry-After.
+func (c *Contract) RetryAfter(d time.Duration) string {
+	if c.FractionalRetryAfter {
+		return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
+	}
+	whole := (d + time.Second - 1) / time.Second
+	return strconv.FormatInt(int64(whole), 10)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,8 @@
 	cc      *http.ClientConn
 	counter *countingConn
 	since   time.Time // when it became idle
+	// keepFor is how long the target keeps the connection idle, 0 if not told.
+	keepFor time.Duration
 	busy    atomic.Bool
 }
 
@@ -56,7 +60,7 @@
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.cc.Available() > 0 {
+		if c.cc.Available() > 0 && !c.expiring() {
 			invariant.Check(c.busy.CompareAndSwap(false, true), invariant.OwnAnswer, "connection to %s used twice", p.addr)
 			return c
 		}
@@ -127,6 +131,26 @@
 
 func (c *conn) close() { _ = c.cc.Close() }
 
+// closeMargin is how long before a target's own time-out a connection is no
+// longer used: a request that crosses with the close is lost, and nobody can say
+// whether it ran. It covers a delay of the process and of the network.
+const closeMargin = time.Second
+
+// expiring reports whether the target may be closing the connection.
+func (c *conn) expiring() bool {
+	return c.keepFor > 0 && time.Since(c.since) > c.keepFor-closeMargin
+}
+
+// readKeepAlive takes in how long the target says that it keeps the connection.
+func (c *conn) readKeepAlive(h http.Header) {
+	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" {
+			c.keepFor = time.Duration(seconds) * time.Second
+		}
+	}
+}
+
 func (p *pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,8 +191,10 @@
 	return c.Conn.Write(b)
 }
 
-func dialCounting(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
-	raw, err := d.DialContext(ctx, network, addr)
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+func dialCounting(ctx context.Context, dial dialFunc, network, addr string) (net.Conn, error) {
+	raw, err := dial(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -96,12 +96,12 @@
 	if o.TLS != nil {
 		p.scheme = "https"
 	}
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	dial := Dialer(o.DialTimeout)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return dialCounting(ctx, dialer, network, addr)
+			return dialCounting(ctx, dial, network, addr)
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    o.DialTimeout,
@@ -131,6 +131,7 @@
 		return Result{Sent: sent, Err: err}
 	}
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
+	c.readKeepAlive(resp.Header)
 	resp.Body = &body{ReadCloser: resp.Body, pool: pl, conn: c}
 	return Result{Response: resp, Sent: true}
 }
