Read the settings again on SIGHUP and when the file changes

Now the file is read again on the signal and when its content changes; a wrong file is logged and changes nothing.

--- a/cmd/cactusproxyd/main.go
+++ b/cmd/cactusproxyd/main.go
@@ -92,6 +92,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go settings.Follow(ctx, file, hup, d.Reload)
 	if err := d.Run(ctx); err != nil {
 		log.Error("stopped", zap.Error(err))
 		return exitFailed
@@ -102,6 +105,8 @@
 // daemon is an entry host of either kind.
 type daemon interface {
 	Run(ctx context.Context) error
+	// Reload takes in a settings file that was read again.
+	Reload(c settings.Change)
 }
 
 // newDaemon makes the kind of entry host that the settings ask for.
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -90,6 +90,15 @@
 	return c
 }
 
+// AddSeeds takes in further addresses of other hosts.
+func (c *Controller) AddSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, addr := range seeds {
+		c.addHosts(directory.Host{Addr: addr})
+	}
+}
+
 // Run keeps the host up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.mu.Lock()
