Let the seeds read the store first, and one watcher write the list of hosts

Seen in the log: 13 of 14 hosts watching for three seconds, since no seed listened yet when they asked.

Now hosts that are no seed ask the seeds until these know; one row holds the list of hosts; news are gathered for 100 ms; one watcher too many steps down after 0.6 s.

--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -15,9 +17,16 @@
 const (
 	// seedTimeout bounds what a start waits for other hosts before it reads the
 	// store itself: a few round trips and the start of a process beside it.
-	seedTimeout = 300 * time.Millisecond
+	seedTimeout = 400 * time.Millisecond
+	// seedPause is the time between two questions to a seed.
+	seedPause = 40 * time.Millisecond
 	// syncTimeout bounds an exchange of all that two hosts know.
 	syncTimeout = time.Second
+	// seedsFirst is how long a start lets the seeds go first: they start within
+	// 0.3 s of any other host, and then read the store in some 10 ms.
+	seedsFirst = 500 * time.Millisecond
+	// announceEvery bounds how often the list of hosts is written down.
+	announceEvery = 2 * time.Second
 )
 
 // onBeat takes in a watcher's heartbeat.
@@ -54,7 +63,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addHosts(append(req.Hosts, req.Host)...)
-	fresh := watchers.AnyFresh(now, c.beats) || c.watch != nil && c.watch.storeOK()
+	fresh := len(watchers.Fresh(now, c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
 	return syncReply{
 		Fresh:   fresh && c.state.HasTargets() && c.state.Config() != nil,
 		Changes: c.state.Whole(now),
@@ -70,17 +79,24 @@
 	}
 	c.syncing[from] = true
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
-		defer cancel()
-		c.sync(ctx, from)
+		_ = c.syncWithin(from, syncTimeout)
 		c.mu.Lock()
 		delete(c.syncing, from)
 		c.mu.Unlock()
 	}()
 }
 
-// sync asks a host for all it knows and reports whether that is up to date.
-func (c *Controller) sync(ctx context.Context, from ports.HostID) bool {
+// syncResult tells whether a host was reached and whether it is up to date.
+type syncResult struct{ reached, fresh bool }
+
+func (c *Controller) syncWithin(from ports.HostID, d time.Duration) syncResult {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return c.sync(ctx, from)
+}
+
+// sync asks a host for all it knows.
+func (c *Controller) sync(ctx context.Context, from ports.HostID) syncResult {
 	c.count.syncs.Add(1)
 	c.mu.Lock()
 	req := syncRequest{Host: c.deps.Self, Hosts: c.hostList()}
@@ -88,21 +104,38 @@
 	reply, err := peer.Call[syncReply](ctx, c.deps.Link, from, kindSync, req)
 	if err != nil {
 		c.deps.Log.Debug("peer did not tell what it knows", zap.String("peer", string(from)), zap.Error(err))
-		return false
+		return syncResult{}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addHosts(reply.Hosts...)
 	c.merge(time.Now(), reply.Changes, from)
-	return reply.Fresh
+	return syncResult{reached: true, fresh: reply.Fresh}
+}
+
+// greetSeeds tells the seeds of this host and takes in what they know. If a seed
+// is up but knows nothing yet, as when all hosts start together, the seeds go
+// first: were every host to read the store at a start, the calls would grow with
+// the number of hosts.
+func (c *Controller) greetSeeds(ctx context.Context) {
+	reached, fresh := c.askSeeds(ctx)
+	switch {
+	case fresh:
+	case !reached:
+		c.readHosts(ctx)
+	case !slices.Contains(c.deps.Seeds, c.deps.Self.Addr):
+		c.mu.Lock()
+		c.decider.Defer(time.Now().Add(seedsFirst))
+		c.mu.Unlock()
+	}
 }
 
-// askSeeds asks the seeds for all they know and reports whether one of them is
-// up to date. The first that is ends the wait.
-func (c *Controller) askSeeds(ctx context.Context) bool {
+// askSeeds asks the seeds for all they know. It reports whether any was reached,
+// and whether one of them is up to date, which ends the wait.
+func (c *Controller) askSeeds(ctx context.Context) (reached, fresh bool) {
 	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
 	defer cancel()
-	answers := make(chan bool, len(c.deps.Seeds))
+	answers := make(chan syncResult, len(c.deps.Seeds))
 	asked := 0
 	for _, addr := range c.deps.Seeds {
 		id := directory.Host{Addr: addr}.ID()
@@ -110,18 +143,36 @@
 			continue
 		}
 		asked++
-		go func() { answers <- c.sync(ctx, id) }()
+		go func() { answers <- c.askSeed(ctx, id) }()
 	}
 	for range asked {
-		if <-answers {
-			return true
+		r := <-answers
+		reached = reached || r.reached
+		if r.fresh {
+			return true, true
+		}
+	}
+	return reached, false
+}
+
+// askSeed asks one seed until it is up to date. At a start of all hosts together
+// it may not listen yet, or know nothing.
+func (c *Controller) askSeed(ctx context.Context, id ports.HostID) syncResult {
+	var last syncResult
+	for {
+		r := c.sync(ctx, id)
+		last.reached = last.reached || r.reached
+		if r.fresh {
+			return r
+		}
+		if slices.Contains(c.deps.Seeds, c.deps.Self.Addr) || !ctxtime.Sleep(ctx, seedPause) {
+			return last
 		}
 	}
-	return false
 }
 
-// readHosts learns the other hosts from the store and writes this one down. Seeds
-// may all be stale, so a start without them has only this.
+// readHosts learns the other hosts from the store, for a start whose seeds are all
+// stale.
 func (c *Controller) readHosts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -136,13 +187,35 @@
 	c.addHosts(hosts...)
 	c.mu.Unlock()
 	for _, h := range hosts {
-		if h == c.deps.Self {
-			return
+		if h != c.deps.Self {
+			go func() { _ = c.syncWithin(h.ID(), syncTimeout) }()
 		}
 	}
-	c.count.calls.Add(1)
-	if err := c.deps.Source.Announce(ctx, c.deps.Self); err != nil {
-		c.count.failed.Add(1)
-		c.deps.Log.Warn("host not written down", zap.Error(err))
+}
+
+// announceIfDue has the first of the watchers write down the hosts that it knows.
+// The lock is held.
+func (c *Controller) announceIfDue(ctx context.Context, now time.Time) {
+	digest := c.hostDigest()
+	if digest == c.announced || now.Before(c.announceAt) || !c.watch.storeOK() {
+		return
+	}
+	if !watchers.First(c.self, watchers.Fresh(now, c.beats)) {
+		return
 	}
+	c.announceAt = now.Add(announceEvery)
+	hosts := c.hostList()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+		defer cancel()
+		c.count.calls.Add(1)
+		if err := c.deps.Source.Announce(ctx, hosts); err != nil {
+			c.count.failed.Add(1)
+			c.deps.Log.Warn("list of hosts not written down", zap.Error(err))
+			return
+		}
+		c.mu.Lock()
+		c.announced = digest
+		c.mu.Unlock()
+	}()
 }
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -21,6 +21,11 @@
 	// answer that does not come, so that a slow store is not taken for one that
 	// is out.
 	maxAllowance = 2 * time.Second
+	// gather is how long a watcher waits after news before it asks for more. News
+	// come in series, as when targets are replaced one after the other, and each
+	// answer is a call that is paid for. It is a twentieth of the time in which a
+	// leaving target must be known.
+	gather = 100 * time.Millisecond
 	// retryPause is the time between tries while the store fails a watcher.
 	retryPause = 200 * time.Millisecond
 	// returnHold is how long after the store's return targets that it dropped
@@ -121,6 +126,9 @@
 		}
 		after = ch.Revision
 		c.storeAnswered(w, t, ch)
+		if !ch.Empty() && !ctxtime.Sleep(ctx, gather) {
+			return
+		}
 	}
 }
 
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -60,6 +60,10 @@
 	expiry time.Time
 	// syncing are the hosts that are being asked for all they know.
 	syncing map[ports.HostID]bool
+	// announced is the digest of the hosts last written down, announceAt the
+	// earliest time of the next writing.
+	announced  uint64
+	announceAt time.Time
 }
 
 // New returns a controller and registers its messages with the link.
@@ -104,9 +108,7 @@
 	c.mu.Lock()
 	c.publishHosts()
 	c.mu.Unlock()
-	if !c.askSeeds(ctx) {
-		c.readHosts(ctx)
-	}
+	c.greetSeeds(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.stopWatching("stopped")
@@ -144,6 +146,7 @@
 	}
 	if c.watch != nil {
 		c.beatIfDue(now)
+		c.announceIfDue(ctx, now)
 	}
 	if !c.expiry.IsZero() && (next.IsZero() || c.expiry.Before(next)) {
 		next = c.expiry
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -54,10 +54,10 @@
 	// Watch returns what changed in a topic after a revision, as soon as there
 	// is something, or an empty Changes after wait.
 	Watch(ctx context.Context, t Topic, after Revision, wait time.Duration) (Changes, error)
-	// Hosts returns the entry hosts that announced themselves.
+	// Hosts returns the entry hosts that were last announced.
 	Hosts(ctx context.Context) ([]Host, error)
-	// Announce writes this host down for the others.
-	Announce(ctx context.Context, h Host) error
+	// Announce writes all entry hosts down for those that start with stale seeds.
+	Announce(ctx context.Context, hosts []Host) error
 }
 
 // Changes is a step of the record.
--- a/policy/watchers/watchers.go
+++ b/policy/watchers/watchers.go
@@ -36,7 +36,7 @@
 	// maxStagger bounds the turn of the last host.
 	maxStagger = 800 * time.Millisecond
 	// spare is how long a watcher that is one too many goes on.
-	spare = 2 * time.Second
+	spare = 600 * time.Millisecond
 )
 
 // Beat is the last heartbeat of a watcher.
@@ -73,6 +73,21 @@
 // NewDecider returns a decider of a host.
 func NewDecider(self ports.HostID) *Decider { return &Decider{self: self} }
 
+// Defer has the host let others go first until a moment, as at a start: seeds are
+// up by then if anybody is.
+func (d *Decider) Defer(until time.Time) { d.retryAt = until }
+
+// First reports whether a host has its turn before all of the others.
+func First(self ports.HostID, others []ports.HostID) bool {
+	return !slices.ContainsFunc(others, func(id ports.HostID) bool { return before(id, self) })
+}
+
+// Fresh returns the watchers that can be relied on.
+func Fresh(now time.Time, beats map[ports.HostID]Beat) []ports.HostID {
+	ids, _ := freshWatchers(now, beats)
+	return ids
+}
+
 // View is what a decision rests on.
 type View struct {
 	// Hosts are all entry hosts known, this one included.
@@ -172,12 +187,6 @@
 	return ids, expiry
 }
 
-// AnyFresh reports whether any watcher can be relied on.
-func AnyFresh(now time.Time, beats map[ports.HostID]Beat) bool {
-	ids, _ := freshWatchers(now, beats)
-	return len(ids) > 0
-}
-
 // before is the order in which hosts take their turns, the same on all of them.
 func before(a, b ports.HostID) bool {
 	ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
