Read the store at once on a restart; tell short Retry-After

A restart now reads the store itself unless a seed answers within 40 ms; a first start still waits. Retry-After of a second was beyond what callers wait: 20 ms where another target may take the call, 0.2 s for want of room.

--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
@@ -18,6 +19,9 @@
 	// seedTimeout bounds what a start waits for other hosts before it reads the
 	// store itself: a few round trips and the start of a process beside it.
 	seedTimeout = 400 * time.Millisecond
+	// hurriedSeedTimeout is that of a start while callers wait: a seed that is up
+	// answers in a few ms.
+	hurriedSeedTimeout = 40 * time.Millisecond
 	// seedPause is the time between two questions to a seed.
 	seedPause = 40 * time.Millisecond
 	// syncTimeout bounds an exchange of all that two hosts know.
@@ -113,27 +117,61 @@
 	return syncResult{reached: true, fresh: reply.Fresh}
 }
 
-// greetSeeds tells the seeds of this host and takes in what they know. If a seed
-// is up but knows nothing yet, as when all hosts start together, the seeds go
-// first: were every host to read the store at a start, the calls would grow with
-// the number of hosts.
-func (c *Controller) greetSeeds(ctx context.Context) {
-	reached, fresh := c.askSeeds(ctx)
-	switch {
-	case fresh:
-	case !reached:
+// begin tells the seeds of this host and takes in what they know. If a seed is up
+// but knows nothing yet, as when all hosts start together, the seeds are the first
+// to watch: were every host to do so, the calls to the store would grow with the
+// number of hosts.
+func (c *Controller) begin(ctx context.Context) {
+	timeout := seedTimeout
+	if c.deps.Hurry {
+		timeout = hurriedSeedTimeout
+	}
+	reached, fresh := c.askSeeds(ctx, timeout)
+	if fresh {
+		return
+	}
+	if c.deps.Hurry {
+		c.readOnce(ctx)
+	}
+	if !reached {
 		c.readHosts(ctx)
-	case !slices.Contains(c.deps.Seeds, c.deps.Self.Addr):
+	}
+	if !slices.Contains(c.deps.Seeds, c.deps.Self.Addr) {
 		c.mu.Lock()
 		c.decider.Defer(time.Now().Add(seedsFirst))
 		c.mu.Unlock()
 	}
 }
 
+// readOnce reads all topics from the store, without watching it.
+//
+// Failure: all hosts lose power at once, and callers wait. Symptom: with the seeds
+// asked for everything, no host served before the first seed was up and had read
+// the store, 0.3 to 0.45 s after most hosts were up. Two calls a host are the
+// price of being ready at once.
+func (c *Controller) readOnce(ctx context.Context) {
+	var g errgroup.Group
+	for t := range directory.Topics {
+		g.Go(func() error {
+			ch, err := c.ask(ctx, t, 0, firstAllowance)
+			if err != nil {
+				c.count.failed.Add(1)
+				c.deps.Log.Warn("store not read at the start", zap.Stringer("topic", t), zap.Error(err))
+				return nil
+			}
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.merge(time.Now(), ch, c.self)
+			return nil
+		})
+	}
+	_ = g.Wait() // failures are logged above; the watch tries again
+}
+
 // askSeeds asks the seeds for all they know. It reports whether any was reached,
 // and whether one of them is up to date, which ends the wait.
-func (c *Controller) askSeeds(ctx context.Context) (reached, fresh bool) {
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+func (c *Controller) askSeeds(ctx context.Context, timeout time.Duration) (reached, fresh bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan syncResult, len(c.deps.Seeds))
 	asked := 0
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -31,7 +31,10 @@
 	Self   directory.Host
 	Region string
 	// Seeds are peer addresses of other hosts; some may be stale.
-	Seeds   []string
+	Seeds []string
+	// Hurry has a start read the store if no seed knows at once, since callers
+	// wait already. Otherwise the seeds have time to read it for all.
+	Hurry   bool
 	Source  directory.Source
 	Link    peer.Link
 	Peers   PeerSetter
@@ -108,7 +111,7 @@
 	c.mu.Lock()
 	c.publishHosts()
 	c.mu.Unlock()
-	c.greetSeeds(ctx)
+	c.begin(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.stopWatching("stopped")
@@ -180,7 +183,7 @@
 // was anything new. The lock is held.
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) bool {
 	had := c.state.Config()
-	if !c.state.Merge(now, ch) && c.known() {
+	if !c.state.Merge(now, ch) && (c.known() || !c.state.HasTargets()) {
 		return false
 	}
 	if next := c.state.Config(); next != had {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -94,6 +94,7 @@
 		Self:    d.self(),
 		Region:  d.settings.Host.Region,
 		Seeds:   d.settings.Peers.Seeds,
+		Hurry:   !d.settings.Directory.FirstStart,
 		Source:  d.platform.Directory,
 		Link:    d.node,
 		Peers:   d.node,
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -72,7 +72,11 @@
 
 // Usual times after which a refused caller may try again.
 const (
-	soon  = time.Second
+	// elsewhere is for what one target or host could not take: another may, at
+	// once. With a second in its place, callers whose deadline is near gave up.
+	elsewhere = 20 * time.Millisecond
+	// soon is for want of room, about the time in which calls in flight end.
+	soon  = 200 * time.Millisecond
 	later = 5 * time.Second
 )
 
@@ -93,13 +97,13 @@
 	ReasonCallerGone:     {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: soon},
-	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
+	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: elsewhere},
+	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonBrokeOff:      {status: http.StatusBadGateway},
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
 	ReasonForeignAnswer: {status: http.StatusBadGateway},
-	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonOverload:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 
 	ReasonKeyRequired:      {status: http.StatusBadRequest},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -116,6 +116,9 @@
 type Directory struct {
 	// Store is the IP address and port of the platform's store.
 	Store string `json:"store"`
+	// FirstStart is set when the whole system starts for the first time, and
+	// there is time before callers come.
+	FirstStart bool `json:"firstStart,omitempty"`
 }
 
 // Readiness is the listener for the platform's balancer.
