Reckon a target's cost as its pace times one, the queue and the crowding

Cause: the cost was (calls + 1) / slots x pace. With four slots that put an idle target five times slower than usual (1.25) beside one with three calls at its usual pace (1.0), though the call begins at once at both and takes five times as long at the first. A call now costs its pace, times one for its own work, the queue before it in slots, and half of the share of slots taken (work slows down near full).

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,7 +31,7 @@
 	askTimeout = 250 * time.Millisecond
 	// goodCost is the cost at which a target is taken at once, waitPause how long
 	// a choice waits for a better one, maxWaits how often.
-	goodCost  = 1.2
+	goodCost  = 1.6
 	waitPause = 20 * time.Millisecond
 	maxWaits  = 6
 	// retryAfter is told with a refusal: about the time in which slots get free.
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -21,6 +21,9 @@
 	// farCost is what a target in another availability zone costs more, in usual
 	// work times: its bytes are paid for.
 	farCost = 0.3
+	// crowding is how much longer work takes at a target with all slots taken but
+	// one, and orders targets that would begin at once.
+	crowding = 0.5
 	// coldFactor is how much longer work takes at a target that has just started.
 	coldFactor = 2.0
 	// queueFactor times its slots may wait at a target before it gets no more:
@@ -80,7 +83,8 @@
 
 // Cost is the time until one more call would be answered, in usual work times.
 func (f *Figures) Cost(now time.Time) float64 {
-	cost := float64(f.calls(now)+1) / float64(f.Slots) * f.pace(now)
+	calls, slots := float64(f.calls(now)), float64(f.Slots)
+	cost := f.pace(now) * (1 + max(0, calls+1-slots)/slots + crowding*calls/slots)
 	if f.Cold {
 		cost *= coldFactor
 	}
