--- /dev/null
+++ b/controller/watch/random_test.go
@@ -0,0 +1,114 @@
+package watch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+)
+
+// history is one random run: faults and changes come in any order and overlap.
+type history struct {
+	*fleet
+	rng     *rand.Rand
+	version uint64
+	seen    map[*host]uint64
+	next    int
+}
+
+// randomSeeds is how many histories a run of the tests plays.
+const randomSeeds = 25
+
+// Hosts are cut off, turned away, stopped and started again, the history is
+// dropped, and meanwhile the configuration and the targets change. No host may ever
+// go back to an older configuration, and once the faults have ended for as long as a
+// take-over takes, every host must know exactly what the record says.
+func TestRandomHistories(t *testing.T) {
+	for seed := range uint64(randomSeeds) {
+		withFleet(t, 7, func(fl *fleet) {
+			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), next: 10}
+			for range 60 {
+				h.step()
+				time.Sleep(time.Duration(h.rng.Int64N(int64(400 * time.Millisecond))))
+				h.checkForward(t, seed)
+			}
+			h.heal()
+			time.Sleep(returnHold + 4*time.Second)
+			h.checkForward(t, seed)
+			h.checkEqual(t, seed)
+		})
+	}
+}
+
+func (h *history) any() *host { return h.hosts[h.rng.IntN(len(h.hosts))] }
+
+func (h *history) step() {
+	switch h.rng.IntN(12) {
+	case 0, 1:
+		h.version++
+		h.record.Configure(config(h.version))
+	case 2, 3:
+		h.record.Put(entryOf(h.next, false))
+		h.next++
+	case 4:
+		h.record.Put(entryOf(h.rng.IntN(h.next), true))
+	case 5:
+		h.record.Remove(targetID(h.rng.IntN(h.next)))
+	case 6:
+		h.any().client.Set(record.Silent)
+	case 7:
+		h.any().client.Set(record.Refuses)
+	case 8:
+		h.any().client.Set(record.Serves)
+	case 9:
+		h.freeze(h.any())
+	case 10:
+		h.record.DropHistory()
+	case 11:
+		h.restart()
+	}
+}
+
+// restart replaces a host by one that starts anew.
+func (h *history) restart() {
+	i := h.rng.IntN(len(h.hosts))
+	old := h.hosts[i]
+	old.stop()
+	delete(h.seen, old)
+	h.hosts = append(h.hosts[:i], h.hosts[i+1:]...)
+	for n := range 7 {
+		if addr(n) == old.addr {
+			h.start(n, true)
+		}
+	}
+}
+
+func (h *history) heal() {
+	h.net.Heal()
+	for _, host := range h.hosts {
+		host.client.Set(record.Serves)
+	}
+}
+
+func (h *history) checkForward(t *testing.T, seed uint64) {
+	for _, host := range h.hosts {
+		v := host.version()
+		assert.Check(t, v >= h.seen[host], "seed %d: %s went from %d to %d", seed, host.addr, h.seen[host], v)
+		h.seen[host] = v
+	}
+}
+
+func (h *history) checkEqual(t *testing.T, seed uint64) {
+	listed := h.record.Targets()
+	for _, host := range h.hosts {
+		assert.Check(t, host.version() == h.version, "seed %d: %s has version %d of %d", seed, host.addr, host.version(), h.version)
+		for i := range h.next {
+			e, ok := listed[targetID(i)]
+			want := ok && !e.Draining
+			assert.Check(t, host.takes(i) == want, "seed %d: %s takes t%02d: %t", seed, host.addr, i, !want)
+		}
+	}
+}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -32,6 +32,10 @@
 	// meanwhile are still used: those that live are listed again within about
 	// 2 s of its return.
 	returnHold = 2200 * time.Millisecond
+	// suspectHold is that time on the word of others alone, suspectFor how long
+	// such a word counts.
+	suspectHold = 700 * time.Millisecond
+	suspectFor  = 3 * time.Second
 )
 
 // watching is this host's watch of the store.
@@ -43,8 +47,6 @@
 	// failing is set for topics whose last call failed.
 	failing [directory.Topics]atomic.Bool
 	started time.Time
-	// backAt is when the store answered again after it had failed.
-	backAt atomic.Int64
 	// beatAt is when the last heartbeat was sent.
 	beatAt time.Time
 }
@@ -156,6 +158,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.storeLost = true
 	if c.watch != w {
 		return
 	}
@@ -176,15 +179,14 @@
 	regained := w.failing[t].Swap(false)
 	first := w.lastOK[t].Swap(int64(now.Sub(w.started))) == 0
 	if regained {
-		w.backAt.Store(now.UnixNano())
 		c.deps.Log.Info("store regained", zap.Stringer("topic", t))
 	}
-	ch.Hold = max(0, returnHold-now.Sub(time.Unix(0, w.backAt.Load())))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.watch != w {
 		return
 	}
+	ch.Hold = c.hold(now)
 	fresh := !ch.Empty() && c.merge(now, ch, c.self)
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
@@ -200,6 +202,29 @@
 	}
 }
 
+// hold returns how long targets that went from the record without a drain are
+// still to be used. The lock is held.
+//
+// The store may just be back, after it dropped the entries of targets that could
+// not renew them. This host knows so if the store failed it, too. If it only heard
+// that the store fails others, the store may as well turn those away and be well:
+// then a removal is meant, and there is no more than suspectHold left of the time
+// in which it must be heeded. If the store was out for all, those others say so
+// themselves as soon as it serves them again, and the time is extended.
+func (c *Controller) hold(now time.Time) time.Duration {
+	if c.storeLost {
+		c.storeLost = false
+		c.storeBackAt = now
+	}
+	hold := max(0, returnHold-now.Sub(c.storeBackAt))
+	for _, b := range c.beats {
+		if !b.StoreOK && now.Sub(b.Heard) < suspectFor {
+			hold = max(hold, suspectHold)
+		}
+	}
+	return hold
+}
+
 // beatIfDue sends a heartbeat if the last one is old. The lock is held.
 func (c *Controller) beatIfDue(now time.Time) {
 	w := c.watch
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -59,6 +59,10 @@
 	decider *watchers.Decider
 	// watch is set while this host watches.
 	watch *watching
+	// storeLost is set while the store failed this host last, storeBackAt is when it
+	// answered again.
+	storeLost   bool
+	storeBackAt time.Time
 	// expiry is when a target that is held stops being usable.
 	expiry time.Time
 	// serving is closed once the host knows enough to serve.
--- /dev/null
+++ b/controller/watch/watch_test.go
@@ -0,0 +1,337 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// bound is the time in which a change must be known everywhere.
+const bound = 2 * time.Second
+
+const service = "bids"
+
+var key = blackboard.ServiceKey{Workspace: routing.Workspace, Service: service}
+
+// fleet is hosts with one record, in virtual time.
+type fleet struct {
+	t      *testing.T
+	net    *peernet.Network
+	record *record.Record
+	hosts  []*host
+	seeds  []string
+}
+
+type host struct {
+	addr   string
+	client *record.Client
+	board  *blackboard.Board
+	c      *Controller
+	stop   context.CancelFunc
+}
+
+// withFleet runs f with n hosts that have been up for five seconds.
+func withFleet(t *testing.T, n int, f func(fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{t: t, net: peernet.New(), record: record.New(5 * time.Millisecond)}
+		fl.net.Delay = func(ports.HostID, ports.HostID) time.Duration { return time.Millisecond }
+		fl.record.Configure(config(1))
+		for i := range 10 {
+			fl.record.Put(entryOf(i, false))
+		}
+		for i := range 3 {
+			fl.seeds = append(fl.seeds, addr(i))
+		}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range n {
+			fl.start(i, false)
+			time.Sleep(time.Duration(rng.Int64N(int64(300*time.Millisecond) / int64(n))))
+		}
+		time.Sleep(5 * time.Second)
+		f(fl)
+		for _, h := range fl.hosts {
+			h.stop()
+		}
+		time.Sleep(5 * time.Second) // messages under way arrive
+		synctest.Wait()
+	})
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.%d.%d:8649", i/200, i%200+1) }
+
+func config(version uint64) *routing.Config {
+	return &routing.Config{Version: version, Services: []routing.Service{{Name: service}}}
+}
+
+func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%02d", i)) }
+
+func entryOf(i int, draining bool) directory.Target {
+	return directory.Target{ID: targetID(i), Service: service, Addr: "10.1.0.1:80", Slots: 2, Draining: draining}
+}
+
+func (fl *fleet) start(i int, hurry bool) *host {
+	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
+	h.c = New(Deps{
+		Self:    directory.Host{Addr: h.addr, Zone: "z"},
+		Seeds:   fl.seeds,
+		Hurry:   hurry,
+		Source:  h.client,
+		Link:    fl.net.Join(ports.HostID(h.addr)),
+		Board:   h.board,
+		Metrics: metrics.New(),
+		Log:     zap.NewNop(),
+		Seed:    uint64(i),
+	})
+	ctx, cancel := context.WithCancel(fl.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.c.Run(ctx)
+	}()
+	h.stop = func() {
+		cancel()
+		<-done
+		_ = h.board.Close()
+	}
+	fl.hosts = append(fl.hosts, h)
+	return h
+}
+
+func (h *host) watches() bool {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	return h.c.watch != nil
+}
+
+func (h *host) version() uint64 {
+	if t := h.board.Routes.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
+}
+
+// takes reports whether the host would send a call to a target.
+func (h *host) takes(i int) bool {
+	for _, t := range h.board.Targets.Load().ByService[key] {
+		if t.ID == targetID(i) {
+			return !t.Leaving
+		}
+	}
+	return false
+}
+
+func (fl *fleet) watching() []*host {
+	var out []*host
+	for _, h := range fl.hosts {
+		if h.watches() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// freeze cuts a host off from everybody, as one that is stopped: nothing it would
+// say arrives, and the store does not hear it either.
+func (fl *fleet) freeze(h *host) {
+	h.client.Set(record.Silent)
+	for _, other := range fl.hosts {
+		fl.net.Cut(ports.HostID(h.addr), ports.HostID(other.addr))
+		fl.net.Cut(ports.HostID(other.addr), ports.HostID(h.addr))
+	}
+}
+
+// await returns how long it takes until all hosts but some satisfy a condition.
+func (fl *fleet) await(but []*host, ok func(h *host) bool) time.Duration {
+	start := time.Now()
+	for time.Since(start) < time.Minute {
+		all := true
+		for _, h := range fl.hosts {
+			if !contains(but, h) && !ok(h) {
+				all = false
+			}
+		}
+		if all {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func contains(list []*host, h *host) bool {
+	for _, other := range list {
+		if other == h {
+			return true
+		}
+	}
+	return false
+}
+
+func TestTwoHostsWatchForAll(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		assert.Equal(t, len(fl.watching()), watchers.Wanted)
+		before := fl.record.Calls()
+		time.Sleep(time.Minute)
+		assert.Check(t, fl.record.Calls()-before < 300, "%d calls in a calm minute", fl.record.Calls()-before)
+		fl.record.Configure(config(2))
+		fl.record.Put(entryOf(3, true))
+		took := fl.await(nil, func(h *host) bool { return h.version() == 2 && !h.takes(3) })
+		assert.Check(t, took < 200*time.Millisecond, "known after %s", took)
+	})
+}
+
+// All hosts start together, and later all lose power and start again at the same
+// moment. Neither may press on the store with calls that grow with the number of
+// hosts squared, and after the second callers are waiting.
+func TestStartOfManyHosts(t *testing.T) {
+	for _, n := range []int{14, 121} {
+		withFleet(t, n, func(fl *fleet) {
+			assert.Check(t, fl.record.Calls() < 60+2*n, "%d calls at the first start of %d", fl.record.Calls(), n)
+			for _, h := range fl.hosts {
+				h.stop()
+			}
+			fl.hosts = nil
+			before := fl.record.Calls()
+			for i := range n {
+				fl.start(i, true)
+			}
+			took := fl.await(nil, func(h *host) bool { return h.version() == 1 && h.takes(0) })
+			assert.Check(t, took < 400*time.Millisecond, "%d hosts ready after %s", n, took)
+			time.Sleep(3 * time.Second)
+			assert.Check(t, fl.record.Calls()-before < 60+3*n, "%d calls at the second start of %d", fl.record.Calls()-before, n)
+		})
+	}
+}
+
+// The hosts that watch freeze, just after a target has begun to leave. Nobody tells
+// the others: they must notice the silence, read the store themselves, and send the
+// target nothing new within the bound.
+func TestDrainIsKnownInTimeThoughWatchersFreeze(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		frozen := fl.watching()
+		for _, h := range frozen {
+			fl.freeze(h)
+		}
+		fl.record.Put(entryOf(3, true))
+		took := fl.await(frozen, func(h *host) bool { return !h.takes(3) })
+		assert.Check(t, took < bound, "known after %s", took)
+	})
+}
+
+// The store turns away the hosts that watch, and three others besides, in each of
+// the ways it has. The rest must know of a leaving target within the bound.
+func TestDrainIsKnownInTimeThoughTheStoreTurnsWatchersAway(t *testing.T) {
+	for _, mode := range []record.Mode{record.Refuses, record.Silent} {
+		withFleet(t, 14, func(fl *fleet) {
+			away := fl.watching()
+			for _, h := range fl.hosts {
+				if len(away) < 5 && !h.watches() {
+					away = append(away, h)
+				}
+			}
+			for _, h := range away {
+				h.client.Set(mode)
+			}
+			fl.record.Put(entryOf(3, true))
+			took := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+			assert.Check(t, took < bound, "mode %d: known after %s", mode, took)
+		})
+	}
+}
+
+// The store holds its watches back for a second, a target begins to leave and
+// another one is gone meanwhile, and then the history is dropped. Both must be
+// known within the bound from the moment they were written.
+func TestDrainIsKnownInTimeThoughHistoryIsDropped(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		fl.record.Mute(true)
+		fl.record.Put(entryOf(3, true))
+		fl.record.Remove(targetID(4))
+		start := time.Now()
+		time.Sleep(time.Second)
+		fl.record.DropHistory()
+		fl.record.Mute(false)
+		fl.await(nil, func(h *host) bool { return !h.takes(3) && !h.takes(4) })
+		assert.Check(t, time.Since(start) < bound, "known after %s", time.Since(start))
+	})
+}
+
+// The store is out for longer than targets' entries live, so that they lapse. When
+// it is back the targets that live list themselves again within two seconds. Until
+// then callers must not be refused for want of targets; after it the one that did
+// not come back must be taken as gone.
+func TestTargetsWhoseEntriesLapsedAreUsedUntilTheyAreBack(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 10 {
+			fl.record.Remove(targetID(i))
+		}
+		time.Sleep(2 * time.Second)
+		for _, h := range fl.hosts {
+			h.client.Set(record.Serves)
+		}
+		back := time.Now()
+		for i := range 9 {
+			time.Sleep(200 * time.Millisecond)
+			for _, h := range fl.hosts {
+				assert.Check(t, h.takes(9) && h.takes(i), "%s after the return", time.Since(back))
+			}
+			fl.record.Put(entryOf(i, false))
+		}
+		time.Sleep(2*time.Second + returnHold - time.Since(back))
+		for _, h := range fl.hosts {
+			assert.Check(t, h.takes(0) && h.takes(8))
+			assert.Check(t, !h.takes(9), "the target that is gone is still used")
+		}
+	})
+}
+
+// All seeds are stale: they name hosts that are gone. A host that starts must find
+// the others all the same, by the list that a watcher wrote down.
+func TestStaleSeedsAreNoObstacle(t *testing.T) {
+	withFleet(t, 6, func(fl *fleet) {
+		fl.seeds = []string{"10.9.0.1:8649", "10.9.0.2:8649"}
+		h := fl.start(7, true)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, h.version(), uint64(1))
+		assert.Check(t, len(h.board.Members.Load().Members) >= 7)
+		fl.record.Put(entryOf(3, true))
+		took := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+		assert.Check(t, took < bound, "known after %s", took)
+	})
+}
+
+// The store is out and a host starts. It must learn the configuration and the
+// targets from the others.
+func TestStartWithoutStore(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(time.Second)
+		h := fl.start(20, true)
+		h.client.Set(record.Refuses)
+		time.Sleep(time.Second)
+		assert.Equal(t, h.version(), uint64(1))
+		assert.Check(t, h.takes(0))
+	})
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -78,7 +78,7 @@
 func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
 	old := s.targets[t.ID]
 	if old != nil && t.Revision <= old.Revision {
-		return false
+		return t.Revision == old.Revision && t.Removed && old.extend(now, hold)
 	}
 	s.newest = max(s.newest, t.Revision)
 	if t.Removed {
@@ -92,6 +92,17 @@
 	return true
 }
 
+// extend lengthens the use of a removed target that is still used, and reports
+// whether it did.
+func (k *known) extend(now time.Time, hold time.Duration) bool {
+	until := now.Add(hold)
+	if k.Draining || !k.Removed || !now.Before(k.goneAt) || !until.After(k.goneAt) {
+		return false
+	}
+	k.goneAt = until
+	return true
+}
+
 func (s *State) remove(now time.Time, id ports.HostID, rev Revision, hold time.Duration) bool {
 	k := s.targets[id]
 	if k == nil {
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -163,3 +163,10 @@
 	_ = r.Body.Close()
 	return string(b), err
 }
+
+type upstreamResult = upstream.Result
+
+// errReader fails each read.
+type errReader struct{ err error }
+
+func (r errReader) Read([]byte) (int, error) { return 0, r.err }
--- /dev/null
+++ b/internal/fakes/record/record.go
@@ -0,0 +1,257 @@
+// Package record is the platform's record in memory, for tests in virtual time. Each
+// host reaches it through a Client of its own, which can be turned away in the ways
+// in which a platform's store fails.
+package record
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// Mode is how the record treats a client.
+type Mode uint8
+
+const (
+	// Serves answers after the record's delay.
+	Serves Mode = iota
+	// Refuses answers every call with a refusal.
+	Refuses
+	// Silent never answers, not even calls that were under way.
+	Silent
+)
+
+// Record holds the configuration and the targets. All methods are safe for
+// concurrent use.
+type Record struct {
+	mu       sync.Mutex
+	delay    time.Duration
+	revision directory.Revision
+	config   *routing.Config
+	configAt directory.Revision
+	targets  map[ports.HostID]directory.Target
+	hosts    []directory.Host
+	// log is the history of targets since cutAt.
+	log   []directory.Target
+	cutAt directory.Revision
+	// changed is closed and replaced at each change of anything, modes included.
+	changed chan struct{}
+	// muted holds watches back, as a store does before it drops its history.
+	muted bool
+	calls int
+}
+
+// New returns an empty record that answers after a delay.
+func New(delay time.Duration) *Record {
+	return &Record{
+		delay:    delay,
+		revision: 1,
+		targets:  make(map[ports.HostID]directory.Target),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Calls returns the number of calls made so far.
+func (r *Record) Calls() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls
+}
+
+// Configure writes a configuration.
+func (r *Record) Configure(c *routing.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	r.config, r.configAt = c, r.revision
+	r.announce()
+}
+
+// Put writes a target's entry.
+func (r *Record) Put(t directory.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	t.Revision = r.revision
+	r.targets[t.ID] = t
+	r.log = append(r.log, t)
+	r.announce()
+}
+
+// Remove drops a target's entry.
+func (r *Record) Remove(id ports.HostID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	delete(r.targets, id)
+	r.log = append(r.log, directory.Target{ID: id, Revision: r.revision, Removed: true})
+	r.announce()
+}
+
+// DropHistory forgets all changes so far: watches from before have to read whole.
+func (r *Record) DropHistory() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log, r.cutAt = nil, r.revision
+	r.announce()
+}
+
+// Mute holds all watches back, or no longer.
+func (r *Record) Mute(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.muted = on
+	r.announce()
+}
+
+// Targets returns the entries.
+func (r *Record) Targets() map[ports.HostID]directory.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.targets)
+}
+
+// announce is called with the lock held.
+func (r *Record) announce() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Client is one host's way to the record.
+type Client struct {
+	record *Record
+	mode   Mode // guarded by the record's lock
+}
+
+var _ directory.Source = (*Client)(nil)
+
+// Client returns a way to the record for one host.
+func (r *Record) Client() *Client { return &Client{record: r} }
+
+// Set changes how the record treats the client.
+func (c *Client) Set(m Mode) {
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	c.mode = m
+	c.record.announce()
+}
+
+// enter begins a call.
+func (c *Client) enter(ctx context.Context) error {
+	r := c.record
+	r.mu.Lock()
+	r.calls++
+	mode, delay := c.mode, r.delay
+	r.mu.Unlock()
+	if mode == Silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if mode == Refuses {
+		return errors.Mark(errors.New("turned away"), directory.ErrRefused)
+	}
+	return nil
+}
+
+// Read implements directory.Source.
+func (c *Client) Read(ctx context.Context, t directory.Topic) (directory.Changes, error) {
+	if err := c.enter(ctx); err != nil {
+		return directory.Changes{}, err
+	}
+	r := c.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ch := directory.Changes{Revision: r.revision}
+	if t == directory.TopicConfig {
+		ch.Config = r.config
+		return ch, nil
+	}
+	ch.AllTargets = true
+	ch.Targets = slices.Collect(maps.Values(r.targets))
+	return ch, nil
+}
+
+// Watch implements directory.Source.
+func (c *Client) Watch(ctx context.Context, t directory.Topic, after directory.Revision, wait time.Duration) (directory.Changes, error) {
+	if err := c.enter(ctx); err != nil {
+		return directory.Changes{}, err
+	}
+	timeout := time.After(wait)
+	for {
+		ch, mode, changed, err := c.look(t, after)
+		if mode == Silent {
+			<-ctx.Done()
+			return directory.Changes{}, ctx.Err()
+		}
+		if err != nil || !ch.Empty() {
+			return ch, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return ch, nil
+		case <-ctx.Done():
+			return directory.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// look returns what changed after a revision, and what tells of the next change.
+func (c *Client) look(t directory.Topic, after directory.Revision) (directory.Changes, Mode, <-chan struct{}, error) {
+	r := c.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ch := directory.Changes{Revision: after}
+	if r.muted {
+		return ch, c.mode, r.changed, nil
+	}
+	if after < r.cutAt {
+		return ch, c.mode, r.changed, errors.Mark(errors.New("too old"), directory.ErrHistoryGone)
+	}
+	ch.Revision = r.revision
+	if t == directory.TopicConfig && r.configAt > after {
+		ch.Config = r.config
+	}
+	if t == directory.TopicTargets {
+		for _, e := range r.log {
+			if e.Revision > after {
+				ch.Targets = append(ch.Targets, e)
+			}
+		}
+	}
+	return ch, c.mode, r.changed, nil
+}
+
+// Hosts implements directory.Source.
+func (c *Client) Hosts(ctx context.Context) ([]directory.Host, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	return slices.Clone(c.record.hosts), nil
+}
+
+// Announce implements directory.Source.
+func (c *Client) Announce(ctx context.Context, hosts []directory.Host) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	c.record.hosts = slices.Clone(hosts)
+	return nil
+}
