--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,349 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/edge"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+	"github.com/cactusproxy/cactusproxy/settings"
+)
+
+const hostName = "auction.example"
+
+// lab is a platform with daemons over loopback.
+type lab struct {
+	t       *testing.T
+	store   *standin.Store
+	storeAt string
+	daemons []*daemon
+	targets map[string]*target
+	seeds   []string
+	ids     int
+	client  *http.Client
+}
+
+type daemon struct {
+	*edge.Daemon
+	stop context.CancelFunc
+	done chan struct{}
+	err  error // of Run, once done is closed
+}
+
+type target struct {
+	*standin.Target
+	server  *httptest.Server
+	service string
+}
+
+func newLab(t *testing.T, daemons int) *lab {
+	l := &lab{t: t, store: standin.NewStore(), targets: make(map[string]*target)}
+	server := httptest.NewServer(l.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	l.storeAt = server.Listener.Addr().String()
+	l.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	l.configure(1)
+	for i := range 3 {
+		l.addTarget(fmt.Sprintf("lots-%d", i), "lots")
+		l.addTarget(fmt.Sprintf("bids-%d", i), "bids")
+	}
+	for range daemons {
+		l.start()
+	}
+	return l
+}
+
+func (l *lab) configure(version uint64, more ...standin.Route) {
+	routes := append([]standin.Route{
+		{Name: "lots", Host: hostName, Prefix: "/lots/", Type: "safe", Service: "lots", Timeout: "2s", MaxAttempts: 2},
+		{Name: "bids", Host: hostName, Prefix: "/bids/", Type: "mutating", Service: "bids", Timeout: "2s", MaxAttempts: 2},
+	}, more...)
+	l.store.Put("op", "config", standin.Config(version, routes...))
+}
+
+func (l *lab) addTarget(id, service string) *target {
+	tg := &target{Target: &standin.Target{ID: id, Slots: 2, Queue: 4, Work: 20 * time.Millisecond}, service: service}
+	tg.server = httptest.NewServer(tg.Target)
+	l.t.Cleanup(func() {
+		tg.server.CloseClientConnections()
+		tg.server.Close()
+	})
+	l.targets[id] = tg
+	l.list(tg, "ready")
+	return tg
+}
+
+func (l *lab) list(tg *target, state string) {
+	l.store.Put("servers", tg.ID, tg.Entry(tg.service, tg.server.Listener.Addr().String(), "a", state))
+}
+
+// start starts a daemon and waits until it is ready.
+func (l *lab) start() *daemon {
+	l.t.Helper()
+	peers := freeAddr(l.t)
+	text := fmt.Sprintf(`{
+		"host": {"id": "h%d", "zone": "a"},
+		"callers": {"addr": "127.0.0.1:0"}, "readiness": {"addr": "127.0.0.1:0"},
+		"operators": {"addr": "127.0.0.1:0"},
+		"peers": {"addr": %q, "seeds": [%s]},
+		"directory": {"store": %q},
+		"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
+		"measuring": {"perTarget": 60},
+		"drain": {"notice": "300ms", "limit": "5s"},
+	}`, len(l.daemons), peers, quoted(l.seeds), l.storeAt)
+	s, err := settings.Parse("test", []byte(text))
+	assert.NilError(l.t, err)
+	d, err := edge.New(s, edge.Platform{
+		Directory: platform.NewDirectory(platform.NewStore(l.storeAt), zap.NewNop()),
+		Contract:  platform.Contract(),
+		ReadyPath: platform.ReadyPath,
+	}, zap.NewNop())
+	assert.NilError(l.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	run := &daemon{Daemon: d, stop: cancel, done: make(chan struct{})}
+	go func() {
+		run.err = d.Run(ctx)
+		close(run.done)
+	}()
+	l.t.Cleanup(func() {
+		run.stop()
+		<-run.done
+	})
+	l.daemons = append(l.daemons, run)
+	l.seeds = append(l.seeds, peers)
+	l.await("ready", func() bool { return run.ready(l) })
+	return run
+}
+
+func (d *daemon) ready(l *lab) bool {
+	resp, err := l.client.Get("http://" + d.ReadinessAddr() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = fmt.Sprintf("%q", s)
+	}
+	return strings.Join(out, ",")
+}
+
+// await waits until a condition holds, for far longer than it should take.
+func (l *lab) await(what string, ok func() bool) {
+	l.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	l.t.Fatalf("not within 10 s: %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	// last is set if the connection is not to be used again.
+	last bool
+	err  error
+}
+
+// send sends a request to a daemon.
+func (l *lab) send(d *daemon, method, path, body string) answer {
+	l.ids++
+	return l.sendAs(fmt.Sprintf("r%d", l.ids), d, method, path, body)
+}
+
+func (l *lab) sendAs(id string, d *daemon, method, path, body string) answer {
+	req, err := http.NewRequest(method, "http://"+d.CallersAddr()+path, strings.NewReader(body))
+	assert.NilError(l.t, err)
+	req.Host = hostName
+	req.Header.Set(standin.HeaderRequestID, id)
+	req.Header.Set(standin.HeaderDeadline, "1500")
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return answer{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{id: id, status: resp.StatusCode, body: string(raw), header: resp.Header, last: resp.Close, err: err}
+}
+
+// runs returns how often a request ran, at all targets together.
+func (l *lab) runs(id string) int {
+	n := 0
+	for _, tg := range l.targets {
+		n += tg.Runs()[id]
+	}
+	return n
+}
+
+func TestWholePath(t *testing.T) {
+	l := newLab(t, 3)
+	for i := range 60 {
+		d := l.daemons[i%3]
+		a := l.send(d, http.MethodGet, "/lots/7?x=1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, http.StatusOK)
+		assert.Equal(t, a.body, standin.Answer(a.id, 0))
+		assert.Equal(t, a.header.Get(standin.HeaderSeal), "seal-"+a.id)
+		b := l.send(d, http.MethodPost, "/bids/7", "roses")
+		assert.Equal(t, b.status, http.StatusOK)
+		assert.Equal(t, b.body, standin.Answer(b.id, 5))
+		assert.Equal(t, l.runs(b.id), 1)
+	}
+	assert.Equal(t, l.send(l.daemons[0], http.MethodGet, "/other/", "").status, http.StatusNotFound)
+}
+
+// The operator adds a route and then takes it away: callers of every host find it,
+// and then no more, within two seconds.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	l := newLab(t, 3)
+	status := func(want int) func() bool {
+		return func() bool {
+			for _, d := range l.daemons {
+				if l.send(d, http.MethodGet, "/new/", "").status != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	start := time.Now()
+	l.configure(2, standin.Route{Name: "new", Host: hostName, Prefix: "/new/", Type: "safe", Service: "lots", Timeout: "1s", MaxAttempts: 1})
+	l.await("the new route", status(http.StatusOK))
+	assert.Check(t, time.Since(start) < 2*time.Second)
+	start = time.Now()
+	l.configure(3)
+	l.await("no more route", status(http.StatusNotFound))
+	assert.Check(t, time.Since(start) < 2*time.Second)
+}
+
+// A target says that it is leaving. Within two seconds no host sends it anything
+// new, and what it runs is answered.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	l := newLab(t, 3)
+	leaving := l.targets["bids-1"]
+	l.list(leaving, "draining")
+	time.Sleep(2 * time.Second)
+	mark := time.Now()
+	for i := range 60 {
+		assert.Equal(t, l.send(l.daemons[i%3], http.MethodPost, "/bids/7", "").status, http.StatusOK)
+	}
+	assert.Check(t, leaving.LastRun().Before(mark))
+}
+
+// A target runs a request and its answer is lost. A read is sent to another target;
+// a bid is told at once that it may have run, never that it did not, and never runs
+// again.
+func TestLostAnswers(t *testing.T) {
+	l := newLab(t, 1)
+	for _, tg := range l.targets {
+		tg.Lose = func(id string) bool { return strings.HasSuffix(id, "-lost") && l.runs(id) == 1 }
+	}
+	for i := range 10 {
+		a := l.sendAs(fmt.Sprintf("read%d-lost", i), l.daemons[0], http.MethodGet, "/lots/7", "")
+		assert.Equal(t, a.status, http.StatusOK)
+		b := l.sendAs(fmt.Sprintf("bid%d-lost", i), l.daemons[0], http.MethodPost, "/bids/7", "")
+		assert.Equal(t, b.status, http.StatusBadGateway)
+		assert.Equal(t, l.runs(b.id), 1)
+	}
+}
+
+// The store is out. Calls go on, and a host that starts meanwhile learns all it
+// needs from the others.
+func TestStoreIsOut(t *testing.T) {
+	l := newLab(t, 2)
+	l.store.Set(standin.Fault{Refuse: true})
+	time.Sleep(500 * time.Millisecond)
+	d := l.start()
+	for range 10 {
+		assert.Equal(t, l.send(d, http.MethodPost, "/bids/7", "").status, http.StatusOK)
+	}
+}
+
+// A host is stopped while callers keep sending on open connections. Every request
+// that it has read gets its whole answer, the balancer sees at once that it is not
+// ready, and callers are told to close their connections.
+func TestStopCutsNothingOff(t *testing.T) {
+	l := newLab(t, 2)
+	d := l.daemons[1]
+	l.client = &http.Client{}
+	var wg sync.WaitGroup
+	failed := make(chan answer, 1000)
+	stopping := make(chan struct{})
+	for w := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				a := l.sendAs(fmt.Sprintf("w%d-%d", w, i), d, http.MethodPost, "/bids/7", "")
+				if a.err != nil || a.status != http.StatusOK {
+					failed <- a
+					return
+				}
+				select {
+				case <-stopping:
+					if a.last {
+						return
+					}
+				default:
+				}
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	d.stop()
+	close(stopping)
+	l.await("not ready", func() bool { return !d.ready(l) })
+	<-d.done
+	assert.NilError(t, d.err)
+	wg.Wait()
+	close(failed)
+	for a := range failed {
+		t.Errorf("%s: status %d, %v", a.id, a.status, a.err)
+	}
+}
+
+// A target dies without a word. Callers of the others' hosts notice nothing but a
+// little time: no bid that was sent may be sent again, but one that found no
+// connection goes to another target.
+func TestTargetDies(t *testing.T) {
+	l := newLab(t, 2)
+	l.send(l.daemons[0], http.MethodPost, "/bids/7", "")
+	dead := l.targets["bids-1"]
+	dead.server.CloseClientConnections()
+	dead.server.Close()
+	for i := range 40 {
+		a := l.send(l.daemons[i%2], http.MethodPost, "/bids/7", "")
+		assert.Equal(t, a.status, http.StatusOK, "%v", a.err)
+	}
+}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -233,6 +233,6 @@
 		Limit:       d.settings.Drain.Limit.Or(defaultLimit),
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Hooks:       []leave.Hook{{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown}},
+		Hooks:       []leave.Hook{{Stage: leave.Close, Name: "callers", Func: d.closeCallers}},
 	})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -83,6 +83,37 @@
 	return nil
 }
 
+const (
+	// closeCheck is the time between two looks for calls in flight at the end of a
+	// stop, closeSettle how long there must have been none.
+	closeCheck  = 20 * time.Millisecond
+	closeSettle = 100 * time.Millisecond
+)
+
+// closeCallers stops listening and waits for the calls in flight. It does not wait
+// for connections on which no request came: http.Server.Shutdown gives each of them
+// five seconds, and a stop took as long though there was nothing to finish.
+func (d *Daemon) closeCallers(ctx context.Context) error {
+	closed := make(chan error, 1)
+	go func() { closed <- d.callers.Shutdown(ctx) }()
+	tick := time.NewTicker(closeCheck)
+	defer tick.Stop()
+	quiet := time.Now()
+	for {
+		select {
+		case err := <-closed:
+			return err
+		case now := <-tick.C:
+			if d.entry.InFlight() > 0 {
+				quiet = now
+			}
+			if now.Sub(quiet) >= closeSettle {
+				return nil
+			}
+		}
+	}
+}
+
 // upkeep forgets targets that are gone, and closes connections idle for long.
 func (d *Daemon) upkeep(ctx context.Context) error {
 	tick := time.NewTicker(upkeepInterval)
