cactusctl explain: what became of a request, from the hosts' logs

Also: a watcher that the store fails tries again after 0.1 s, doubling to 0.4 s, and hosts that tried once leave further tries to it while it is heard. Beliefs about targets that a host comes to by itself are logged.

--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -26,8 +26,11 @@
 	// answer is a call that is paid for. It is a twentieth of the time in which a
 	// leaving target must be known.
 	gather = 100 * time.Millisecond
-	// retryPause is the time between tries while the store fails a watcher.
-	retryPause = 200 * time.Millisecond
+	// retryPause is the time until the first further try while the store fails a
+	// watcher; it doubles up to maxRetryPause. Calls that are refused are paid for,
+	// too, and an outage lasts seconds.
+	retryPause    = 100 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
 	// returnHold is how long after the store's return targets that it dropped
 	// meanwhile are still used: those that live are listed again within about
 	// 2 s of its return.
@@ -102,6 +105,7 @@
 func (c *Controller) watchTopic(ctx context.Context, w *watching, t directory.Topic) {
 	var after directory.Revision
 	allowance := firstAllowance
+	pause := retryPause
 	for ctx.Err() == nil {
 		asked := time.Now()
 		ch, err := c.ask(ctx, t, after, allowance)
@@ -118,11 +122,13 @@
 				allowance = min(2*allowance, maxAllowance)
 			}
 			c.storeFailed(w, t, asked, err)
-			if !ctxtime.Sleep(ctx, retryPause) {
+			if !ctxtime.Sleep(ctx, pause) {
 				return
 			}
+			pause = min(2*pause, maxRetryPause)
 			continue
 		}
+		pause = retryPause
 		if time.Since(asked) < firstAllowance {
 			allowance = firstAllowance
 		}
@@ -163,7 +169,7 @@
 		return
 	}
 	if w.lastOK[t].Load() == 0 {
-		c.decider.Failed(time.Now(), len(c.hosts))
+		c.decider.Failed(time.Now(), c.view())
 		c.endWatching("store fails this host")
 		c.wakeUp()
 		return
--- a/operator/client/cli.go
+++ b/operator/client/cli.go
@@ -57,7 +57,13 @@
 	Limit     int    `arg:"--limit" default:"20"`
 }
 
+type explainArgs struct {
+	ID    string   `arg:"--id,required" placeholder:"REQUEST" help:"the ID that the caller gave the request"`
+	Files []string `arg:"positional,required" placeholder:"LOG" help:"logs of entry hosts"`
+}
+
 type arguments struct {
+	Explain  *explainArgs  `arg:"subcommand:explain" help:"find in logs what became of a request, and why"`
 	Plan     *planArgs     `arg:"subcommand:plan" help:"show what applying a workspace file would change"`
 	Apply    *applyArgs    `arg:"subcommand:apply" help:"apply a workspace file"`
 	Status   *statusArgs   `arg:"subcommand:status" help:"show which hosts have a change in force"`
@@ -119,8 +125,10 @@
 
 func (a *arguments) check() error {
 	switch {
+	case a.Explain != nil:
+		return nil
 	case a.Plan == nil && a.Apply == nil && a.Status == nil && a.History == nil && a.Rollback == nil:
-		return errors.New("want one of plan, apply, status, history, rollback")
+		return errors.New("want one of plan, apply, status, history, rollback, explain")
 	case a.Addr == "":
 		return errors.New("--addr is required")
 	case (a.Apply != nil || a.Rollback != nil) && a.As == "":
@@ -140,6 +148,8 @@
 		c.client.Token = strings.TrimSpace(string(token))
 	}
 	switch {
+	case c.args.Explain != nil:
+		return c.explain(c.args.Explain)
 	case c.args.Plan != nil:
 		return c.plan(ctx, c.args.Plan)
 	case c.args.Apply != nil:
--- a/placer/ask.go
+++ b/placer/ask.go
@@ -79,19 +79,32 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	load, told, reached := p.exchange(ctx, info, path, conns)
+	p.tell(s.answered(t, load, told, reached), s, info.ID)
+	if !reached {
+		p.count.asksFailed.Add(1)
+	}
+}
+
+// answered takes in the answer to a question, and returns what that changed in
+// what this host believes of the target.
+func (s *service) answered(t *target, load targetapi.Load, told, reached bool) (news string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	close(t.asking)
+	t.asking = nil
 	if told {
 		t.told(now, load)
 		s.tells = true
 	}
-	if !reached {
-		p.count.asksFailed.Add(1)
-		t.unreachable(now)
+	switch {
+	case !reached && t.unreachable(now):
+		return newsUnreachable
+	case reached && t.reached():
+		return newsReached
+	default:
+		return ""
 	}
-	close(t.asking)
-	t.asking = nil
 }
 
 // maxHealthBody bounds what is read of an answer, so that its connection can be
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,6 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
@@ -191,26 +192,32 @@
 	h.once.Do(func() { h.placer.end(h, r) })
 }
 
+// tell logs what this host has come to believe of a target, if anything.
+func (p *Placer) tell(news string, s *service, id ports.HostID) {
+	if news != "" {
+		p.deps.Log.Info(news, zap.String("target", string(id)), zap.String("service", s.key.Service))
+	}
+}
+
 // end takes in how a call ended.
 func (p *Placer) end(h *held, r pick.Report) {
 	now := time.Now()
 	s := h.service
 	s.mu.Lock()
-	h.target.end(now, r)
+	news := h.target.end(now, r)
 	s.tells = s.tells || r.Work.Slots > 0
-	ejected := false
 	switch r.Class {
 	case pick.OK:
 		s.learn(r.Latency, h.basis.Cost)
 		s.record(now, h.target, false)
 	case pick.Failed, pick.TimedOut, pick.BrokeOff:
-		ejected = s.record(now, h.target, true)
+		if s.record(now, h.target, true) {
+			p.count.ejected.Add(1)
+			news = newsEjected
+		}
 	}
 	s.mu.Unlock()
-	if ejected {
-		p.count.ejected.Add(1)
-		p.deps.Log.Warn("target left out", zap.String("target", string(h.info.ID)), zap.String("service", s.key.Service))
-	}
+	p.tell(news, s, h.info.ID)
 	leaving := r.LeavingHint || r.Class == pick.Leaving || r.Class == pick.Replaced
 	if leaving && p.deps.OnLeaving != nil {
 		p.deps.OnLeaving(s.key, h.info)
--- a/placer/target.go
+++ b/placer/target.go
@@ -76,26 +76,50 @@
 	}
 }
 
-// unreachable leaves a target that can not be reached alone, for longer each time.
-func (t *target) unreachable(now time.Time) {
+// unreachable leaves a target that can not be reached alone, for longer each time,
+// and reports whether it could be reached before.
+func (t *target) unreachable(now time.Time) bool {
 	t.rest(now, min(firstRest<<min(t.rests, 8), maxRest))
 	t.rests++
+	return t.rests == 1
 }
 
-// end takes in how a call ended.
-func (t *target) end(now time.Time, r pick.Report) {
+// reached notes that the target answers, and reports whether it did not before.
+func (t *target) reached() bool {
+	was := t.rests > 0
+	t.rests = 0
+	return was
+}
+
+// end takes in how a call ended, and returns what that changed in what this host
+// believes of the target, for the log.
+func (t *target) end(now time.Time, r pick.Report) (news string) {
 	t.figures.InFlight--
 	if r.Work.Slots > 0 {
 		t.told(now, r.Work)
 	}
 	switch r.Class {
 	case pick.OK:
-		t.rests = 0
+		if t.reached() {
+			return newsReached
+		}
 	case pick.Shed:
 		t.rest(now, shedRest)
 	case pick.NotSent:
-		t.unreachable(now)
+		if t.unreachable(now) {
+			return newsUnreachable
+		}
 	case pick.Leaving, pick.Replaced:
 		t.info.Leaving = true
+		return newsLeaving
 	}
+	return ""
 }
+
+// What a host may come to believe of a target by itself.
+const (
+	newsReached     = "target reached again"
+	newsUnreachable = "target can not be reached"
+	newsLeaving     = "target leaving by its own answer"
+	newsEjected     = "target left out for its failures"
+)
--- a/policy/watchers/watchers.go
+++ b/policy/watchers/watchers.go
@@ -150,12 +150,27 @@
 
 // Failed notes that the store did not serve this host's try to take over. While
 // the store is out for everybody all hosts try by turns, so that together they
-// make one call every stagger, however many they are.
-func (d *Decider) Failed(now time.Time, hosts int) {
-	pace := min(max(time.Duration(hosts)*stagger, 4*stagger), maxRetry)
+// make one call every stagger, however many they are. Once each has tried, those
+// that watched before go on trying for all, as long as they are heard.
+func (d *Decider) Failed(now time.Time, v View) {
+	if anyHeard(now, v.Beats) {
+		d.retryAt = now.Add(maxRetry)
+		return
+	}
+	pace := min(max(time.Duration(len(v.Hosts))*stagger, 4*stagger), maxRetry)
 	d.retryAt = now.Add(pace)
 }
 
+// anyHeard reports whether a watcher is heard, served by the store or not.
+func anyHeard(now time.Time, beats map[ports.HostID]Beat) bool {
+	for _, b := range beats {
+		if now.Sub(b.Heard) < silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // maxRetry bounds how long a host waits before it tries the store again.
 const maxRetry = 5 * time.Second
 
--- a/policy/watchers/watchers_test.go
+++ b/policy/watchers/watchers_test.go
@@ -84,7 +84,7 @@
 				watch, next := d.Decide(now, View{Hosts: all})
 				if watch {
 					tries++
-					d.Failed(now, n)
+					d.Failed(now, View{Hosts: all})
 					next = now.Add(time.Millisecond)
 				}
 				now = next
