Keep traffic between hosts small where hosts are many

Each host told all 120 others of up to 64 suspected requests every second, for the ten minutes that a suspect is kept; besides, every change of a configuration of hundreds of routes went whole to every host from both watchers, and a heartbeat that overtook its change had all hosts ask for everything. Ruled out: processor time (0.03 cores a host), memory.

Now: suspects are repeated for 2.5 s, and told to their keepers where hosts are more than 32; configurations are passed on as deltas, by one watcher unless it is silent; a host that is behind waits 150 ms and asks a host of its own zone first; whom hosts know is exchanged apart from what they know.

--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -12,6 +12,7 @@
 	kindBeat peer.Kind = peer.KindWatch + iota
 	kindChanges
 	kindSync
+	kindHosts
 )
 
 // beat is a watcher's heartbeat, to all hosts.
@@ -30,8 +31,13 @@
 
 // syncRequest asks for all that a host knows.
 type syncRequest struct {
-	// Host is who asks, Hosts whom it knows.
-	Host  directory.Host   `msgpack:"host"`
+	// Host is who asks, Version the configuration that it has.
+	Host    directory.Host `msgpack:"host"`
+	Version uint64         `msgpack:"version"`
+}
+
+// hostsMessage tells whom a host knows, both ways.
+type hostsMessage struct {
 	Hosts []directory.Host `msgpack:"hosts"`
 }
 
@@ -40,5 +46,6 @@
 	// Fresh is set if the host hears from a watcher, or is one.
 	Fresh   bool              `msgpack:"fresh"`
 	Changes directory.Changes `msgpack:"changes"`
-	Hosts   []directory.Host  `msgpack:"hosts"`
+	// Hosts are those that the host knows.
+	Hosts []directory.Host `msgpack:"hosts"`
 }
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -29,6 +29,10 @@
 	seedPause = 20 * time.Millisecond
 	// syncTimeout bounds an exchange of all that two hosts know.
 	syncTimeout = time.Second
+	// catchUpAfter is how long a host that is behind waits for the change itself.
+	catchUpAfter = 150 * time.Millisecond
+	// exchangeEvery bounds how often a host tells whom it knows.
+	exchangeEvery = time.Second
 	// seedsFirst is how long a start lets the seeds go first: they start within
 	// 0.3 s of any other host, and then read the store in some 10 ms.
 	seedsFirst = 500 * time.Millisecond
@@ -48,13 +52,101 @@
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
 	}
-	behind := c.state.Newest() < b.Newest || b.Version > 0 && (c.state.Config() == nil || c.state.Config().Version < b.Version)
-	if behind || b.Hosts != c.hostDigest() {
-		c.startSync(from)
+	if c.behind(b) {
+		c.checkLater(from, b)
+	}
+	if b.Hosts != c.hostDigest() {
+		c.exchangeHosts(from, now)
 	}
 	return struct{}{}, nil
 }
 
+// behind reports whether a watcher knows more than this host. The lock is held.
+func (c *Controller) behind(b beat) bool {
+	return c.state.Newest() < b.Newest || c.version() < b.Version
+}
+
+// version is that of the configuration at hand, or 0. The lock is held.
+func (c *Controller) version() uint64 {
+	if cfg := c.state.Config(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
+// checkLater has this host ask for all that it missed, if it is still behind after
+// a moment: the change itself may be on its way behind the heartbeat. It asks a host
+// of its own availability zone first, so that a watcher need not answer all hosts at
+// once and the bytes stay inside the zone. The lock is held.
+func (c *Controller) checkLater(from ports.HostID, b beat) {
+	if c.checking {
+		return
+	}
+	c.checking = true
+	time.AfterFunc(catchUpAfter, func() {
+		if near, ok := c.stillBehind(b); ok && near != "" {
+			_ = c.syncWithin(near, syncTimeout/2)
+		}
+		if _, ok := c.stillBehind(b); ok {
+			_ = c.syncWithin(from, syncTimeout)
+		}
+		c.mu.Lock()
+		c.checking = false
+		c.mu.Unlock()
+	})
+}
+
+// stillBehind reports whether this host is behind a heartbeat, and names another
+// host of its zone.
+func (c *Controller) stillBehind(b beat) (near ports.HostID, behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var others []ports.HostID
+	for id, h := range c.hosts {
+		if id != c.self && h.Zone == c.deps.Self.Zone {
+			others = append(others, id)
+		}
+	}
+	if len(others) > 0 {
+		near = others[c.rng.IntN(len(others))]
+	}
+	return near, c.behind(b)
+}
+
+// exchangeHosts tells a watcher whom this host knows and learns whom it knows, not
+// too often. The lock is held.
+func (c *Controller) exchangeHosts(with ports.HostID, now time.Time) {
+	if now.Before(c.exchangeAt) {
+		return
+	}
+	c.exchangeAt = now.Add(exchangeEvery + time.Duration(c.rng.Int64N(int64(exchangeEvery))))
+	c.tellHosts(with)
+}
+
+// tellHosts exchanges with another host whom both know. The lock is held.
+func (c *Controller) tellHosts(with ports.HostID) {
+	msg := hostsMessage{Hosts: c.hostList()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+		defer cancel()
+		reply, err := peer.Call[hostsMessage](ctx, c.deps.Link, with, kindHosts, msg)
+		if err != nil {
+			return // the next heartbeat asks again
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.addHosts(reply.Hosts...)
+	}()
+}
+
+// onHosts takes in whom another host knows, and tells whom this one knows.
+func (c *Controller) onHosts(_ context.Context, _ ports.HostID, msg hostsMessage) (hostsMessage, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addHosts(msg.Hosts...)
+	return hostsMessage{Hosts: c.hostList()}, nil
+}
+
 // onChanges takes in what a watcher saw.
 func (c *Controller) onChanges(_ context.Context, from ports.HostID, ch directory.Changes) (struct{}, error) {
 	c.count.steps.Add(1)
@@ -69,30 +161,15 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.addHosts(append(req.Hosts, req.Host)...)
+	c.addHosts(req.Host)
 	fresh := len(watchers.Fresh(now, c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
 	return syncReply{
 		Fresh:   fresh && c.state.HasTargets() && c.state.Config() != nil,
-		Changes: c.state.Whole(now),
+		Changes: c.state.Whole(now, req.Version),
 		Hosts:   c.hostList(),
 	}, nil
 }
 
-// startSync asks a host for all it knows, in the background and once at a time.
-// The lock is held.
-func (c *Controller) startSync(from ports.HostID) {
-	if c.syncing[from] {
-		return
-	}
-	c.syncing[from] = true
-	go func() {
-		_ = c.syncWithin(from, syncTimeout)
-		c.mu.Lock()
-		delete(c.syncing, from)
-		c.mu.Unlock()
-	}()
-}
-
 // syncResult tells whether a host was reached and whether it is up to date.
 type syncResult struct{ reached, fresh bool }
 
@@ -106,7 +183,7 @@
 func (c *Controller) sync(ctx context.Context, from ports.HostID) syncResult {
 	c.count.syncs.Add(1)
 	c.mu.Lock()
-	req := syncRequest{Host: c.deps.Self, Hosts: c.hostList()}
+	req := syncRequest{Host: c.deps.Self, Version: c.version()}
 	c.mu.Unlock()
 	reply, err := peer.Call[syncReply](ctx, c.deps.Link, from, kindSync, req)
 	if err != nil {
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -11,6 +11,7 @@
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/routing"
 )
 
 const (
@@ -26,6 +27,10 @@
 	// answer is a call that is paid for. It is a twentieth of the time in which a
 	// leaving target must be known.
 	gather = 100 * time.Millisecond
+	// secondAfter is how long the second watcher leaves it to the first to pass a
+	// change on. It takes in what the first passed on, and then has nothing to add:
+	// every host gets a change once and not twice.
+	secondAfter = 60 * time.Millisecond
 	// retryPause is the time until the first further try while the store fails a
 	// watcher; it doubles up to maxRetryPause. Calls that are refused are paid for,
 	// too, and an outage lasts seconds.
@@ -80,6 +85,13 @@
 	c.watch = w
 	c.count.takeovers.Add(1)
 	c.deps.Log.Info("watching the store", zap.Int("hosts", len(c.hosts)))
+	// Whoever watches has to know all hosts, to be heard by them; the seeds know
+	// every host that has started.
+	for _, addr := range c.deps.Seeds {
+		if addr != c.deps.Self.Addr {
+			c.tellHosts(directory.Host{Addr: addr}.ID())
+		}
+	}
 	for t := range directory.Topics {
 		go c.watchTopic(ctx, w, t)
 	}
@@ -133,6 +145,9 @@
 			allowance = firstAllowance
 		}
 		after = ch.Revision
+		if !ch.Empty() && c.isSecond() && !ctxtime.Sleep(ctx, secondAfter) {
+			return
+		}
 		c.storeAnswered(w, t, ch)
 		if !ch.Empty() && !ctxtime.Sleep(ctx, gather) {
 			return
@@ -140,6 +155,14 @@
 	}
 }
 
+// isSecond reports whether another watcher, whose turn comes first, passes changes
+// on.
+func (c *Controller) isSecond() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !watchers.First(c.self, watchers.Fresh(time.Now(), c.beats))
+}
+
 // ask makes one call: a reading of the whole topic, or a watch from where the
 // last one ended.
 func (c *Controller) ask(ctx context.Context, t directory.Topic, after directory.Revision, allowance time.Duration) (directory.Changes, error) {
@@ -193,12 +216,13 @@
 		return
 	}
 	ch.Hold = c.hold(now)
+	had := c.state.Config()
 	fresh := !ch.Empty() && c.merge(now, ch, c.self)
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
 	}
 	if fresh {
-		c.tellAll(kindChanges, ch)
+		c.tellAll(kindChanges, shorter(ch, had))
 	}
 	if fresh && ch.Hold > 0 {
 		c.wakeUp()
@@ -208,6 +232,16 @@
 	}
 }
 
+// shorter puts a delta in place of a configuration if it is known what went before.
+func shorter(ch directory.Changes, had *routing.Config) directory.Changes {
+	if had == nil || ch.Config == nil || ch.Config.Version <= had.Version {
+		return ch
+	}
+	d := routing.Diff(had, ch.Config)
+	ch.Config, ch.Delta = nil, &d
+	return ch
+}
+
 // hold returns how long targets that went from the record without a drain are
 // still to be used. The lock is held.
 //
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -68,8 +68,10 @@
 	// serving is closed once the host knows enough to serve.
 	serving   chan struct{}
 	isServing bool
-	// syncing are the hosts that are being asked for all they know.
-	syncing map[ports.HostID]bool
+	// checking is set while this host finds out whether it is behind, exchangeAt is
+	// the earliest time to tell again whom it knows.
+	checking   bool
+	exchangeAt time.Time
 	// announced is the digest of the hosts last written down, announceAt the
 	// earliest time of the next writing.
 	announced  uint64
@@ -89,7 +91,6 @@
 		beats:   make(map[ports.HostID]watchers.Beat),
 		decider: watchers.NewDecider(d.Self.ID()),
 		serving: make(chan struct{}),
-		syncing: make(map[ports.HostID]bool),
 	}
 	for _, addr := range d.Seeds {
 		h := directory.Host{Addr: addr}
@@ -102,6 +103,7 @@
 	peer.Handle(d.Link, kindBeat, c.onBeat)
 	peer.Handle(d.Link, kindChanges, c.onChanges)
 	peer.Handle(d.Link, kindSync, c.onSync)
+	peer.Handle(d.Link, kindHosts, c.onHosts)
 	return c
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -68,15 +68,18 @@
 	// are gone.
 	AllTargets bool `msgpack:"all_targets"`
 	// Config is nil if it did not change.
-	Config  *routing.Config `msgpack:"config"`
-	Targets []Target        `msgpack:"targets"`
+	Config *routing.Config `msgpack:"config"`
+	// Delta is in place of Config where the receiver is likely to have what it
+	// begins at.
+	Delta   *routing.Delta `msgpack:"delta"`
+	Targets []Target       `msgpack:"targets"`
 	// Hold is how long targets that were removed without notice are still to be
 	// used. See State.Merge.
 	Hold time.Duration `msgpack:"hold"`
 }
 
 // Empty reports whether a step changes nothing.
-func (c Changes) Empty() bool { return c.Config == nil && len(c.Targets) == 0 && !c.AllTargets }
+func (c Changes) Empty() bool { return c.Config == nil && c.Delta == nil && len(c.Targets) == 0 && !c.AllTargets }
 
 // Target is one target in the record.
 type Target struct {
--- a/directory/state.go
+++ b/directory/state.go
@@ -55,7 +55,7 @@
 // without a drain is used for Hold longer, unless it was listed as draining; one
 // that is not back by then is gone.
 func (s *State) Merge(now time.Time, c Changes) bool {
-	changed := s.mergeConfig(c.Config)
+	changed := s.mergeConfig(c.Config) || s.mergeDelta(c.Delta)
 	for _, t := range c.Targets {
 		changed = s.mergeTarget(now, t, c.Hold) || changed
 	}
@@ -75,6 +75,16 @@
 	return true
 }
 
+// mergeDelta applies a delta that begins at the configuration at hand. Any other is
+// passed over: the next heartbeat shows that this host is behind.
+func (s *State) mergeDelta(d *routing.Delta) bool {
+	if d == nil {
+		return false
+	}
+	next, err := s.config.Apply(*d)
+	return err == nil && s.mergeConfig(next)
+}
+
 func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
 	old := s.targets[t.ID]
 	if old != nil && t.Revision <= old.Revision {
@@ -173,10 +183,14 @@
 	}
 }
 
-// Whole returns the state as one step, for a host that knows less. Removed
-// targets are in it, so that it brings back none of them.
-func (s *State) Whole(now time.Time) Changes {
-	c := Changes{Revision: s.wholeAt, AllTargets: s.wholeAt > 0, Config: s.config}
+// Whole returns the state as one step, for a host that has a version of the
+// configuration, or 0, and knows less. Removed targets are in it, so that it brings
+// back none of them.
+func (s *State) Whole(now time.Time, version uint64) Changes {
+	c := Changes{Revision: s.wholeAt, AllTargets: s.wholeAt > 0}
+	if s.config != nil && s.config.Version > version {
+		c.Config = s.config
+	}
 	for _, k := range s.targets {
 		t := k.Target
 		if t.Removed && now.Before(k.goneAt) {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -133,7 +133,11 @@
 
 // self is this host as the others know it.
 func (d *Daemon) self() directory.Host {
-	return directory.Host{Addr: d.PeersAddr(), Zone: d.settings.Host.Zone}
+	addr := d.settings.Peers.Advertise
+	if addr == "" {
+		addr = d.PeersAddr()
+	}
+	return directory.Host{Addr: addr, Zone: d.settings.Host.Zone}
 }
 
 func (d *Daemon) hosts() []ports.HostID {
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+const (
+	hostName = "soak.example"
+	// deadline is what callers say that they will wait.
+	deadline = 2 * time.Second
+	// lateBy is how much later than its deadline an undisturbed host may answer:
+	// far more than it should take, since the machine may be busy.
+	lateBy = 2 * time.Second
+)
+
+// sent is one request and what came of it.
+type sent struct {
+	id       string
+	process  *process
+	run      int // generation of the process when it was sent
+	mutating bool
+	size     int
+	at, end  time.Time
+	status   int
+	body     string
+	seal     string
+	err      error
+}
+
+// caller sends requests one after another until the soak ends.
+func (s *Soak) caller(ctx context.Context, n int) {
+	rng := rand.New(rand.NewPCG(s.seed, uint64(1000+n)))
+	kept := &http.Client{Transport: &http.Transport{}}
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := 0; ctx.Err() == nil; i++ {
+		p := s.balance(rng)
+		if p == nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		c := fresh
+		if n%2 == 0 {
+			c = kept
+		}
+		r := &sent{id: fmt.Sprintf("s%d-c%d-%d", s.seed, n, i), process: p, run: p.generation()}
+		s.sendOne(c, rng, r)
+		s.check(r)
+		time.Sleep(time.Duration(rng.Int64N(int64(30 * time.Millisecond))))
+	}
+}
+
+// uploadSize is the size of large bodies in bytes.
+const uploadSize = 60 << 10
+
+func (s *Soak) sendOne(c *http.Client, rng *rand.Rand, r *sent) {
+	method, path := http.MethodGet, "/lots/7"
+	var body []byte
+	switch rng.IntN(3) {
+	case 0:
+		r.mutating = true
+		method, path = http.MethodPost, "/bids/7"
+	case 1:
+		r.mutating = true
+		method, path = http.MethodPost, "/photos/7"
+		body = make([]byte, uploadSize)
+	}
+	r.size = len(body)
+	// A caller goes away half a second after its deadline, whatever comes.
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+lateBy)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.process.callers+path, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		r.err = err
+		return
+	}
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
+	req.ContentLength = int64(len(body))
+	req.Host = hostName
+	req.Header.Set(standin.HeaderRequestID, r.id)
+	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+	r.at = time.Now()
+	resp, err := c.Do(req)
+	if err == nil {
+		r.status, r.seal = resp.StatusCode, resp.Header.Get(standin.HeaderSeal)
+		var raw []byte
+		raw, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		r.body = string(raw)
+	}
+	r.err, r.end = err, time.Now()
+}
+
+// balance returns a host that the balancer would choose, or nil.
+func (s *Soak) balance(rng *rand.Rand) *process {
+	ready := s.rotation.Load()
+	if ready == nil || len(*ready) == 0 {
+		return nil
+	}
+	return (*ready)[rng.IntN(len(*ready))]
+}
+
+// balancer asks all hosts twice a second whether they are ready; two misses take a
+// host out.
+func (s *Soak) balancer(ctx context.Context) {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	misses := make(map[*process]int)
+	for ctx.Err() == nil {
+		var in []*process
+		for _, p := range s.processes {
+			if p.ready(ctx, c) {
+				misses[p] = 0
+			} else {
+				misses[p]++
+			}
+			if misses[p] < 2 {
+				in = append(in, p)
+			}
+		}
+		s.rotation.Store(&in)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// Promises of statuses: not run, and never will be.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// broken notes a promise that was not kept.
+func (s *Soak) broken(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Since(s.start).Round(time.Millisecond)
+	s.findings = append(s.findings, fmt.Sprintf("%8s  %s", at, fmt.Sprintf(format, args...)))
+}
+
+// check looks at one request that has ended.
+func (s *Soak) check(r *sent) {
+	s.mu.Lock()
+	s.all = append(s.all, r)
+	s.mu.Unlock()
+	switch {
+	case r.err != nil:
+		s.checkCut(r)
+	case r.status == http.StatusOK && r.body != standin.Answer(r.id, r.size):
+		s.broken("request %s: another's or half an answer: %q", r.id, r.body)
+	case r.status == http.StatusOK && r.seal != "seal-"+r.id:
+		s.broken("request %s: success without its seal", r.id)
+	case r.status >= 400 && r.status < 500 && !promises[r.status]:
+		s.broken("request %s: proper, and told %d", r.id, r.status)
+	}
+	if took := r.end.Sub(r.at); took > deadline+lateBy/2 && r.process.calmSince(r.at) {
+		s.broken("request %s: answered after %s by an undisturbed host", r.id, took)
+	}
+}
+
+// checkCut looks at a request that got no answer: that is only for hosts that were
+// killed, paused or cut off, never for one that was told to stop.
+func (s *Soak) checkCut(r *sent) {
+	p := r.process
+	p.mu.Lock()
+	stopping := p.termAt.After(r.at.Add(-endTimeout)) && p.termAt.Before(r.end)
+	disturbed := p.disturbed
+	// A request may leave between the note that the process is to be killed and the
+	// kill itself.
+	killed := p.expected && !stopping
+	p.mu.Unlock()
+	if killed {
+		return
+	}
+	if isRefused(r.err) {
+		return // the host was down; nothing was read
+	}
+	// Ending the process is itself noted as a disturbance; before that there must
+	// have been none for the request to count.
+	if stopping && !s.otherwiseDisturbed(p, r) {
+		s.broken("request %s: cut off by a stop: %v", r.id, r.err)
+		return
+	}
+	if disturbed.Before(r.at) && p.generation() == r.run {
+		s.broken("request %s: no answer from an undisturbed host: %v", r.id, r.err)
+	}
+}
+
+// checkRuns looks at what targets ran, once all is over.
+func (s *Soak) checkRuns() {
+	runs := make(map[string]int)
+	for _, t := range s.targets.all() {
+		for id, n := range t.Runs() {
+			runs[id] += n
+		}
+	}
+	for _, r := range s.all {
+		n := runs[r.id]
+		if r.mutating && n > 1 {
+			s.broken("request %s: ran %d times", r.id, n)
+		}
+		if promises[r.status] && r.err == nil && r.mutating && n > 0 {
+			s.broken("request %s: told %d and ran", r.id, r.status)
+		}
+		delete(runs, r.id)
+	}
+	for id := range runs {
+		s.broken("request %s: ran, and no caller sent it", id)
+	}
+}
+
+// checkRecovered asks each host once all is calm again.
+func (s *Soak) checkRecovered(served int) {
+	if served == 0 {
+		s.broken("nothing was served after the disturbances ended")
+	}
+	for _, p := range s.processes {
+		if p.endedByItself() {
+			s.broken("%s ended by itself; see its log", p.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,192 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one entry host: a real daemon, with wires to the store and from its
+// peers.
+type process struct {
+	name      string
+	dir       string
+	binary    string
+	callers   string
+	readiness string
+	operators string
+	peers     string
+	store     *Wire
+	peer      *Wire
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// run counts starts; a request that spans two was cut by one of them.
+	run int
+	// expected is set while the process is to end.
+	expected bool
+	exited   chan struct{}
+	// disturbed is the end of the last disturbance of this process or its wires.
+	disturbed time.Time
+	paused    bool
+	// termAt is when the process was last told to stop.
+	termAt time.Time
+}
+
+func newProcess(name, dir, binary, storeAddr string) (*process, error) {
+	p := &process{name: name, dir: dir, binary: binary}
+	for _, addr := range []*string{&p.callers, &p.readiness, &p.operators, &p.peers} {
+		free, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		*addr = free
+	}
+	var err error
+	if p.store, err = NewWire(storeAddr); err != nil {
+		return nil, err
+	}
+	p.peer, err = NewWire(p.peers)
+	return p, err
+}
+
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// writeSettings writes the settings file of a process.
+func (p *process) writeSettings(seeds []string, first bool) error {
+	quoted := make([]string, len(seeds))
+	for i, s := range seeds {
+		quoted[i] = fmt.Sprintf("%q", s)
+	}
+	text := fmt.Sprintf(`{
+	"host": {"id": %q, "zone": "a"},
+	"callers": {"addr": %q}, "readiness": {"addr": %q}, "operators": {"addr": %q},
+	"peers": {"addr": %q, "advertise": %q, "seeds": [%s]},
+	"directory": {"store": %q, "firstStart": %t},
+	"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
+	"measuring": {"perTarget": 60},
+	"drain": {"notice": "700ms", "limit": "5s"},
+}`, p.name, p.callers, p.readiness, p.operators, p.peers, p.peer.Addr(), strings.Join(quoted, ","), p.store.Addr(), first)
+	return os.WriteFile(p.settings(), []byte(text), 0o600)
+}
+
+func (p *process) settings() string { return filepath.Join(p.dir, p.name+".jsonc") }
+
+// start starts the process; its log is appended to a file.
+func (p *process) start() error {
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.binary, "serve", p.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited, p.expected, p.run = cmd, exited, false, p.run+1
+	p.disturbed = time.Now()
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this soak started.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s) // it may just have ended
+	}
+}
+
+// end ends the process with a signal and waits; a process that does not end is
+// killed.
+func (p *process) end(s syscall.Signal) {
+	p.mu.Lock()
+	p.expected = true
+	p.disturbed = time.Now()
+	if s == syscall.SIGTERM {
+		p.termAt = time.Now()
+	}
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(s)
+	select {
+	case <-exited:
+	case <-time.After(endTimeout):
+		p.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+// endTimeout is the time from SIGTERM to SIGKILL.
+const endTimeout = 6 * time.Second
+
+// endedByItself reports whether the process ended though nobody ended it.
+func (p *process) endedByItself() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return !p.expected
+	default:
+		return false
+	}
+}
+
+// disturb notes that the process, or a wire of its own, is disturbed now.
+func (p *process) disturb() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disturbed = time.Now()
+}
+
+// calmSince reports whether nothing disturbed the process from a moment on.
+func (p *process) calmSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.paused && p.disturbed.Before(t)
+}
+
+func (p *process) generation() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.run
+}
+
+// ready asks as the platform's balancer does.
+func (p *process) ready(ctx context.Context, c *http.Client) bool {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.readiness+"/-/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/soak/targets.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// backend is a target behind a wire.
+type backend struct {
+	*standin.Target
+	service string
+	server  *http.Server
+	wire    *Wire
+	gone    bool
+}
+
+// targets are all targets of a run, those that are gone included.
+type targets struct {
+	store *standin.Store
+
+	mu   sync.Mutex
+	list []*backend
+	next int
+}
+
+// Figures of the targets.
+const (
+	targetSlots = 4
+	targetQueue = 8
+	targetWork  = 15 * time.Millisecond
+)
+
+// add starts a target and lists it.
+func (t *targets) add(service string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	wire, err := NewWire(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.next++
+	b := &backend{
+		Target:  &standin.Target{ID: fmt.Sprintf("%s-%d", service, t.next), Slots: targetSlots, Queue: targetQueue, Work: targetWork},
+		service: service,
+		wire:    wire,
+	}
+	b.Lose = b.losing
+	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
+	t.list = append(t.list, b)
+	t.mu.Unlock()
+	go func() { _ = b.server.Serve(l) }()
+	t.register(b, "ready")
+	return nil
+}
+
+// losing tells of one run in fifty that its answer is lost.
+func (b *backend) losing(id string) bool {
+	sum := 0
+	for _, c := range id {
+		sum = sum*31 + int(c)
+	}
+	return sum%50 == 0
+}
+
+func (t *targets) register(b *backend, state string) {
+	t.store.Put("servers", b.ID, b.Entry(b.service, b.wire.Addr(), "a", state))
+}
+
+// live returns the targets that are not gone.
+func (t *targets) live() []*backend {
+	return slices.DeleteFunc(t.all(), func(b *backend) bool { return b.gone })
+}
+
+func (t *targets) all() []*backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.list)
+}
+
+// replace has a target drain and leave; another one takes its place first.
+func (t *targets) replace(b *backend) error {
+	if err := t.add(b.service); err != nil {
+		return err
+	}
+	b.gone = true
+	t.register(b, "draining")
+	time.AfterFunc(4*time.Second, func() {
+		t.store.Remove("servers", b.ID)
+		_ = b.server.Close()
+	})
+	return nil
+}
+
+// crash ends a target without a word; its entry lapses later.
+func (t *targets) crash(b *backend) error {
+	if err := t.add(b.service); err != nil {
+		return err
+	}
+	b.gone = true
+	_ = b.server.Close()
+	time.AfterFunc(2*time.Second, func() { t.store.Remove("servers", b.ID) })
+	return nil
+}
+
+func (t *targets) close() {
+	for _, b := range t.all() {
+		_ = b.server.Close()
+		b.wire.Close()
+	}
+}
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -102,6 +102,12 @@
 	return fresh
 }
 
+// Fresh reports whether a record was changed by something that happened since age
+// ago.
+func (r Record) Fresh(age time.Duration) bool {
+	return r.newest() <= age || r.State == Quarantined && r.Age <= age
+}
+
 // Newest returns up to n records, the latest changed ones first.
 func (b *Tracker) Newest(now time.Time, n int) []Record {
 	b.Sweep(now)
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -128,11 +128,16 @@
 func (q *Quarantine) merge(from peer.HostID, records []suspicion.Record) {
 	q.lostWith(records)
 	var behind []suspicion.Digest
-	var vouch []suspicion.Record
+	var vouch, found []suspicion.Record
 	q.locked(func(now time.Time) {
 		for _, r := range records {
 			good := q.answered.has(r.Digest)
-			if q.tracker.Merge(now, r, good) {
+			was := q.tracker.State(now, r.Digest)
+			late := q.tracker.Merge(now, r, good)
+			if rec, ok := q.tracker.Record(now, r.Digest); ok && was != suspicion.Quarantined && r.State == suspicion.Suspect && rec.State == suspicion.Quarantined {
+				found = append(found, rec)
+			}
+			if late {
 				behind = append(behind, r.Digest)
 				continue
 			}
@@ -145,6 +150,9 @@
 	if len(behind) > 0 && !peer.Notify(q.link, from, kindCleared, clearedMsg{Digests: behind}) {
 		q.count.Add(countDropped, 1)
 	}
+	if len(found) > 0 {
+		broadcast(q, kindRecords, recordsMsg{Records: found})
+	}
 	if len(vouch) > 0 {
 		broadcast(q, kindRecords, recordsMsg{Records: vouch})
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,6 +24,12 @@
 	// syncEvery is how often hosts tell each other all that is new, in case
 	// that a message was lost.
 	syncEvery = time.Second
+	// fewHosts is up to how many hosts each tells all others of its suspects. The
+	// messages grow with the square of the hosts: at 32, with ten targets breaking
+	// off in a second, 310 messages of 100 bytes a second over all of them.
+	fewHosts = 32
+	// repeatFor is how long something new is repeated.
+	repeatFor = 2500 * time.Millisecond
 	// syncRecords bounds the requests in one such message.
 	syncRecords = 64
 	// DefaultRetryAfter is told with a refusal.
@@ -116,9 +122,29 @@
 func (q *Quarantine) sync() {
 	var records []suspicion.Record
 	q.locked(func(now time.Time) { records = q.tracker.Newest(now, syncRecords) })
-	if len(records) > 0 {
-		broadcast(q, kindRecords, recordsMsg{Records: records})
+	for _, r := range records {
+		if r.Fresh(repeatFor) {
+			q.tell(r)
+		}
+	}
+}
+
+// tell tells other hosts of a request: of a quarantined one all hosts, of a suspect
+// all hosts too while they are few, which holds back sends of it that are made at
+// the same moment. Where they are many, those that keep its trials are told. They
+// add up what all hosts saw of it, and tell all hosts if that makes it quarantined.
+//
+// Failure: targets break off calls for a reason of their own, as when answers are
+// lost, and hundreds of requests are suspects for minutes. Symptom: told to all hosts
+// again and again, they filled the links of 121 hosts (37 MB/s between availability
+// zones), and calls came too late.
+func (q *Quarantine) tell(r suspicion.Record) {
+	msg := recordsMsg{Records: []suspicion.Record{r}}
+	if r.State == suspicion.Quarantined || len(q.members()) <= fewHosts {
+		broadcast(q, kindRecords, msg)
+		return
 	}
+	notifyAll(q, q.keepers(r.Digest), kindRecords, msg)
 }
 
 // locked runs f under the lock and then publishes what it changed.
@@ -137,7 +163,12 @@
 
 // broadcast notifies the other hosts.
 func broadcast[M any](q *Quarantine, kind peer.Kind, msg M) {
-	for _, id := range q.members() {
+	notifyAll(q, q.members(), kind, msg)
+}
+
+// notifyAll notifies some hosts, this one excepted.
+func notifyAll[M any](q *Quarantine, ids []ports.HostID, kind peer.Kind, msg M) {
+	for _, id := range ids {
 		if id == q.link.Self() {
 			continue
 		}
@@ -162,7 +193,9 @@
 		}
 		q.wake()
 	})
-	broadcast(q, kindRecords, recordsMsg{Records: records})
+	for _, rec := range records {
+		q.tell(rec)
+	}
 	if was != is {
 		q.report(r.Digest, is, r.Target)
 	}
