Answer at the deadline though a body trickles in; keep the length of a HEAD's answer

A caller that sends half a body and then nothing was told only when its connection ended. The body is now read until the call's time is over, and the deadline stays after a refusal: without that the server waits for the rest of the body before it sends the answer (seen: the first try of this test hung).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -37,7 +37,8 @@
 
 	ctx      context.Context
 	contract *targetapi.Contract
-	// hold has a small answer read whole before it is passed on.
+	// hold has a small answer read whole before it is passed on. The answer to a HEAD
+	// has no body, and its length is that of another one.
 	hold bool
 
 	class  pick.Class
@@ -66,7 +67,7 @@
 		start:   time.Now(),
 		observe: func(took time.Duration) { d.observe(c.Key, took) },
 		ctx:     ctx,
-		hold:    d.holdAnswers,
+		hold:    d.holdAnswers && c.Method != http.MethodHead,
 	}
 	if s.claim != nil && !s.claim.Sending() {
 		// The host was held up for so long that the claim's row may be gone, and
--- a/dispatch/contract_test.go
+++ b/dispatch/contract_test.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// The answer to a HEAD tells the length of a body that does not follow.
+func TestHeadKeepsItsLength(t *testing.T) {
+	b := newContractBench(t, func(*http.Request) (r upstreamResult) {
+		r.Sent = true
+		r.Response = response(200, http.NoBody, 4711, headers("Id", "r1", "Seal", "s"))
+		return r
+	})
+	r := b.do(t, t.Context(), contractCall(http.MethodHead))
+	assert.Equal(t, r.Length, int64(4711))
+}
+
 // Whatever the reason, a call that did not run is told by a status that promises
 // so, and one that may have run never is.
 func TestStatusFollowsTheOutcome(t *testing.T) {
--- a/entry/call.go
+++ b/entry/call.go
@@ -90,7 +90,15 @@
 	l.Timeout = s.timeout(r, m.Service.Timeout)
 	ctx, cancel := context.WithTimeout(r.Context(), l.Timeout)
 	defer cancel()
+	// A body that trickles in must not keep the caller waiting beyond its time. After
+	// a refusal the deadline stays: the server would otherwise wait for the rest of
+	// the body before it sends the answer.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(l.Timeout)) // not every writer has one
 	c, releaseBody, refusal := s.newCall(r, m)
+	if refusal.Outcome == 0 {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	if refusal.Outcome != 0 {
 		s.refuse(w, l, refuseCall(r, m, refusal))
 		return
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -149,6 +151,27 @@
 	assert.Equal(t, w.Code, http.StatusRequestEntityTooLarge)
 }
 
+// A caller sends half a body and then nothing. It must be told at its deadline, not
+// when the connection ends, and nothing may be sent to a target.
+func TestBodyThatNeverEndsIsRefusedAtTheDeadline(t *testing.T) {
+	s, d, _ := newServer(t)
+	server := httptest.NewServer(s)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /lots HTTP/1.1\r\nHost: auction.example\r\n"+
+		targetapi.Default().Timeout+": 100\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	start := time.Now()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.Header.Get(outcome.HeaderOutcome), outcome.NotRun.String())
+	assert.Check(t, time.Since(start) < 5*time.Second)
+	assert.Check(t, d.call == nil)
+}
+
 func TestCallerCanOnlyShortenItsOwnCall(t *testing.T) {
 	s, d, _ := newServer(t)
 	r := httptest.NewRequest(http.MethodGet, "http://auction.example/lots", nil)
