Reckon with what is usual in a zone for targets that told nothing, and ask fewer

The call lines of its hosts showed choices that rested on figures 0.15 to 1.3 s old: a host there may put 77 questions a second for its 11 calls, each choice put 7 to 14, and again after each wait, so that most had none to put and took an old figure, or none, for the truth. Targets that told nothing counted as idle, and all were of the own zone, which was full.

Now what targets of the own zone and of others told of late stands for those that told nothing; queues are believed for 0.6 s; a choice asks fewer when the share runs low, three when it waited, and does not wait for guesses.

--- a/placer/ask.go
+++ b/placer/ask.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -13,11 +14,12 @@
 )
 
 // ask asks the targets of a list whose figures are not fresh, all at once, and
-// waits a little for their answers. Choices of the same moment share them.
-func (p *Placer) ask(ctx context.Context, s *service, list []ranked) {
+// waits a little for their answers. Choices of the same moment share them. It reports
+// whether any target of the list told something just now.
+func (p *Placer) ask(ctx context.Context, s *service, list []ranked) bool {
 	path, conns := p.healthPath(s.key)
 	if path == "" {
-		return
+		return false
 	}
 	var waits []chan struct{}
 	now := time.Now()
@@ -38,8 +40,20 @@
 	}
 	s.mu.Unlock()
 	awaitAll(ctx, waits)
+	return s.anyFresh(list)
 }
 
+// anyFresh reports whether any target of a list told something just now.
+func (s *service) anyFresh(list []ranked) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(list, func(r ranked) bool { return r.figures.Age(now) < askWait+freshWithin })
+}
+
+// freshWithin is what a figure may have aged while a choice waited for others.
+const freshWithin = 10 * time.Millisecond
+
 // awaitAll waits until all channels are closed, but no longer than askWait.
 func awaitAll(ctx context.Context, waits []chan struct{}) {
 	if len(waits) == 0 {
@@ -94,8 +108,7 @@
 	close(t.asking)
 	t.asking = nil
 	if told {
-		t.told(now, load)
-		s.tells = true
+		s.told(now, t, load)
 	}
 	switch {
 	case !reached && t.unreachable(now):
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,14 +18,20 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/placing"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 const (
-	// askWidth is how many targets are asked for one choice.
-	askWidth = 8
+	// askWidth is how many targets of the own zone, and then of others, are asked for
+	// one choice.
+	askWidth = 7
+	// askLeast is how many are asked when the share of questions is nearly used up,
+	// askAgain how many by a choice that waited.
+	askLeast = 2
+	askAgain = 3
 	// askWait is how long a choice waits for answers; one inside a region takes
 	// 1 to 3 ms.
 	askWait = 12 * time.Millisecond
@@ -83,7 +90,13 @@
 	defer p.mu.Unlock()
 	s := p.services[key]
 	if s == nil {
-		s = &service{key: key, zone: p.deps.Zone, rng: rand.New(rand.NewPCG(p.rng.Uint64(), 6))}
+		s = &service{
+			key:  key,
+			zone: p.deps.Zone,
+			rng:  rand.New(rand.NewPCG(p.rng.Uint64(), 6)),
+			near: placing.NewUsual(),
+			far:  placing.NewUsual(),
+		}
 		p.services[key] = s
 	}
 	return s
@@ -98,11 +111,14 @@
 		if len(list) == 0 {
 			return nil, p.refuse(outcome.ReasonNoTarget, s.describe())
 		}
-		near, all := firstAsked(list)
-		p.ask(ctx, s, near)
+		near, all := firstAsked(list, p.width(waits))
+		known := p.ask(ctx, s, near)
 		g, last := p.choose(ctx, s, near, min(waits, maxWaits-1))
 		if g == nil && last == "" {
-			p.ask(ctx, s, all)
+			known = p.ask(ctx, s, all) && known
+			if !known {
+				waits = maxWaits // more of the same guesses would be no better
+			}
 			g, last = p.choose(ctx, s, all, waits)
 		}
 		if g != nil {
@@ -123,15 +139,32 @@
 // host's availability zone, and all that are asked if none of these is good.
 //
 // A question to another zone and its answer are bytes that are paid for, and so is
-// the call itself.
-func firstAsked(list []ranked) (near, all []ranked) {
-	all = list[:min(len(list), askWidth)]
-	for _, r := range all {
-		if !r.figures.Far {
+// the call itself. Yet some targets of other zones must be among those asked when the
+// own zone is full: with the eight best of all, in a zone with 40 targets and four
+// tenths of the callers none of another zone was, and half of its calls took 1.7 s
+// while other zones were at 0.3 s.
+func firstAsked(list []ranked, width int) (near, all []ranked) {
+	var far []ranked
+	for _, r := range list {
+		switch {
+		case !r.figures.Far && len(near) < width:
 			near = append(near, r)
+		case r.figures.Far && len(far) < width:
+			far = append(far, r)
 		}
 	}
-	return near, all
+	return near, slices.Concat(near, far)
+}
+
+// width is how many targets of a zone are asked. A choice that waited asks the best
+// few again. When the share of questions runs low each choice asks fewer, so that none
+// has to do without: at 129 hosts a host may put 77 questions a second, and with 14 for
+// each of its 11 calls, and as many after each wait, most calls went by guesses.
+func (p *Placer) width(waits int) int {
+	if waits > 0 {
+		return askAgain
+	}
+	return max(askLeast, int(askWidth*p.deps.Share.Left(time.Now())))
 }
 
 func (p *Placer) shortlist(s *service, req pick.Request) []ranked {
@@ -205,8 +238,10 @@
 	now := time.Now()
 	s := h.service
 	s.mu.Lock()
+	if r.Work.Slots > 0 {
+		s.told(now, h.target, r.Work)
+	}
 	news := h.target.end(now, r)
-	s.tells = s.tells || r.Work.Slots > 0
 	switch r.Class {
 	case pick.OK:
 		s.learn(r.Latency, h.basis.Cost)
--- a/placer/service.go
+++ b/placer/service.go
@@ -12,7 +12,9 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/health"
+	"github.com/cactusproxy/cactusproxy/policy/placing"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // service is one service as this host sees it.
@@ -26,8 +28,8 @@
 	any      bool
 	targets  map[ports.HostID]*target
 	failures health.Service
-	// tells is set once a target told its load.
-	tells bool
+	// near and far are what targets of the own zone and of others told of late.
+	near, far placing.Usual
 	// work is the learned time of one call at a target that costs 1.
 	work time.Duration
 }
@@ -55,6 +57,20 @@
 	return true
 }
 
+// usual is what stands for a target that told nothing for a while.
+func (s *service) usual(t *target) *placing.Usual {
+	if t.figures.Far {
+		return &s.far
+	}
+	return &s.near
+}
+
+// told takes in what a target says of itself. The lock is held.
+func (s *service) told(now time.Time, t *target, l targetapi.Load) {
+	t.told(now, l)
+	s.usual(t).Learn(l, t.figures.Slots)
+}
+
 // ranked is a target with what it costs.
 type ranked struct {
 	*target
@@ -67,6 +83,7 @@
 	list := make([]ranked, 0, len(s.targets))
 	for _, t := range s.targets {
 		t.figures.Cold = now.Before(t.info.WarmUntil)
+		t.figures.Usual = *s.usual(t)
 		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
 			continue
 		}
--- a/placer/share.go
+++ b/placer/share.go
@@ -32,6 +32,15 @@
 	return s.limiter.AllowN(now, 1)
 }
 
+// Left returns how much of a second's questions is left, 1 being half of it or more.
+func (s *Share) Left(now time.Time) float64 {
+	burst := float64(s.limiter.Burst())
+	if burst == 0 {
+		return 0
+	}
+	return min(1, 2*s.limiter.TokensAt(now)/burst)
+}
+
 // Update takes in the targets and hosts on the board.
 func (s *Share) Update() {
 	targets := 0
--- a/placer/target.go
+++ b/placer/target.go
@@ -95,9 +95,6 @@
 // believes of the target, for the log.
 func (t *target) end(now time.Time, r pick.Report) (news string) {
 	t.figures.InFlight--
-	if r.Work.Slots > 0 {
-		t.told(now, r.Work)
-	}
 	switch r.Class {
 	case pick.OK:
 		if t.reached() {
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -15,9 +15,13 @@
 	freshFor = 15 * time.Millisecond
 	// paceFor is how long a figure of a target's pace says anything.
 	paceFor = 150 * time.Millisecond
-	// usualPace is the pace reckoned with when nothing is known: a quarter of the
-	// time targets are about five times slower.
-	usualPace = 2.0
+	// callsFor is how long a figure of the calls at a target says anything: a queue
+	// takes a few work times to form or to empty.
+	callsFor = 600 * time.Millisecond
+	// firstPace is the pace reckoned with before any target told its own.
+	firstPace = 2.0
+	// learnWeight is the weight of one figure in what is usual.
+	learnWeight = 0.02
 	// farCost is what a target in another availability zone costs more, in usual
 	// work times: its bytes are paid for.
 	farCost = 0.3
@@ -31,6 +35,25 @@
 	queueFactor = 2
 )
 
+// Usual is what targets told of late, those of the own availability zone and those
+// of others each for themselves. It stands for a target that told nothing for a
+// while: when one zone has more than it can take, all of its targets are likely to be
+// full.
+type Usual struct {
+	// Share is calls for each slot, Pace as in targetapi.Load.
+	Share float64
+	Pace  float64
+}
+
+// NewUsual returns what to reckon with before any target told anything.
+func NewUsual() Usual { return Usual{Pace: firstPace} }
+
+// Learn takes in what a target with some slots told.
+func (u *Usual) Learn(l targetapi.Load, slots int) {
+	u.Share += learnWeight * (float64(l.Running+l.Waiting)/float64(slots) - u.Share)
+	u.Pace += learnWeight * (l.Pace - u.Pace)
+}
+
 // Figures are what is known of a target.
 type Figures struct {
 	// Load is what the target told last, At when; the zero time is never.
@@ -44,6 +67,8 @@
 	Slots int
 	Far   bool
 	Cold  bool
+	// Usual is what to reckon with in so far as the figures are old.
+	Usual Usual
 }
 
 // Age returns the age of what the target told.
@@ -57,33 +82,34 @@
 // Fresh reports whether the figures can be used as they are.
 func (f *Figures) Fresh(now time.Time) bool { return f.Age(now) < freshFor }
 
+// trust is 1 for what was told just now and 0 for what is older than some time.
+func (f *Figures) trust(now time.Time, whole time.Duration) float64 {
+	return max(0, 1-float64(f.Age(now))/float64(whole))
+}
+
 // calls returns the calls to reckon with at the target.
-func (f *Figures) calls(now time.Time) int {
-	if f.Age(now) > paceFor {
-		return f.InFlight
-	}
-	return max(f.Load.Running+f.Load.Waiting+f.Since, f.InFlight)
+func (f *Figures) calls(now time.Time) float64 {
+	trust := f.trust(now, callsFor)
+	told := float64(f.Load.Running + f.Load.Waiting + f.Since)
+	usual := f.Usual.Share * float64(f.Slots)
+	return max(trust*told+(1-trust)*usual, float64(f.InFlight))
 }
 
 // pace returns the pace to reckon with: the figure, and with age more and more
 // the usual one.
 func (f *Figures) pace(now time.Time) float64 {
-	age := f.Age(now)
-	if age >= paceFor {
-		return usualPace
-	}
-	trust := 1 - float64(age)/float64(paceFor)
-	return usualPace + trust*(f.Load.Pace-usualPace)
+	trust := f.trust(now, paceFor)
+	return trust*f.Load.Pace + (1-trust)*f.Usual.Pace
 }
 
 // Full reports whether the target may not be able to queue one more call.
 func (f *Figures) Full(now time.Time) bool {
-	return f.calls(now) >= (1+queueFactor)*f.Slots
+	return f.calls(now) >= float64((1+queueFactor)*f.Slots)
 }
 
 // Cost is the time until one more call would be answered, in usual work times.
 func (f *Figures) Cost(now time.Time) float64 {
-	calls, slots := float64(f.calls(now)), float64(f.Slots)
+	calls, slots := f.calls(now), float64(f.Slots)
 	cost := f.pace(now) * (1 + max(0, calls+1-slots)/slots + crowding*calls/slots)
 	if f.Cold {
 		cost *= coldFactor
--- /dev/null
+++ b/policy/placing/placing_test.go
@@ -0,0 +1,98 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+var now = time.Unix(1000, 0)
+
+// told is a target of four slots that told its load just now.
+func told(running, waiting int, pace float64) Figures {
+	return Figures{
+		Load:  targetapi.Load{Running: running, Waiting: waiting, Slots: 4, Pace: pace},
+		At:    now,
+		Slots: 4,
+		Usual: NewUsual(),
+	}
+}
+
+func cheaper(t *testing.T, a, b Figures) {
+	t.Helper()
+	assert.Check(t, a.Cost(now) < b.Cost(now), "%.2f, %.2f", a.Cost(now), b.Cost(now))
+}
+
+// A call begins at once at a target with a slot free; there its pace decides, not how
+// many slots are taken.
+func TestPaceGoesBeforeFreeSlots(t *testing.T) {
+	cheaper(t, told(3, 0, 1), told(0, 0, 5))
+	cheaper(t, told(0, 0, 1), told(3, 0, 1))
+	cheaper(t, told(0, 0, 2), told(4, 2, 1))
+}
+
+func TestOwnZoneGoesBeforeAFewCalls(t *testing.T) {
+	far := told(0, 0, 1)
+	far.Far = true
+	cheaper(t, told(1, 0, 1), far)
+	cheaper(t, far, told(4, 4, 1))
+}
+
+func TestCallsOfThisHostCountBeforeTheTargetTellsOfThem(t *testing.T) {
+	f := told(0, 0, 1)
+	f.Since, f.InFlight = 6, 6
+	cheaper(t, told(4, 0, 1), f)
+}
+
+// Every target of the own zone is full, and a host that may ask few of them goes by
+// what is usual for the rest. It must not take the silent ones for idle: their zone is
+// as full as those that told.
+func TestSilentTargetsAreTakenForUsual(t *testing.T) {
+	near, far := NewUsual(), NewUsual()
+	for range 500 {
+		near.Learn(targetapi.Load{Running: 4, Waiting: 9, Pace: 1}, 4)
+		far.Learn(targetapi.Load{Running: 1, Pace: 1}, 4)
+	}
+	silentNear := Figures{Slots: 4, Usual: near}
+	silentFar := Figures{Slots: 4, Usual: far, Far: true}
+	cheaper(t, silentFar, silentNear)
+	assert.Check(t, silentNear.Full(now))
+	assert.Check(t, !silentFar.Full(now))
+}
+
+// A figure loses its weight with age: of the pace within 150 ms, of the queue within
+// 600 ms.
+func TestFiguresAge(t *testing.T) {
+	f := told(4, 4, 5)
+	fresh := f.Cost(now)
+	later := f.Cost(now.Add(100 * time.Millisecond))
+	old := f.Cost(now.Add(time.Second))
+	assert.Check(t, fresh > later && later > old)
+	idle := Figures{Slots: 4, Usual: NewUsual()}
+	assert.Equal(t, old, idle.Cost(now))
+}
+
+// A target must not get more than it can queue, as far as that is known.
+func TestFull(t *testing.T) {
+	f := told(4, 7, 1)
+	assert.Check(t, !f.Full(now))
+	f.Since++
+	assert.Check(t, f.Full(now))
+}
+
+func BenchmarkCostOf100Targets(b *testing.B) {
+	list := make([]Figures, 100)
+	for i := range list {
+		list[i] = told(i%5, i%3, 1+float64(i%4))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		least := list[0].Cost(now)
+		for i := range list {
+			least = min(least, list[i].Cost(now))
+		}
+	}
+}
