Need three losses, and no echo of quarantines, where hosts are many

Three are needed there, two if one ran it alone. The same test's bound on messages then showed that each host that had heard of a quarantine told all others again for 2.5 s (30,000 messages); its keepers alone repeat it now, and a suspect that is cleared is told to its keepers. Upkeep and serving, written twice, stand once in internal/daemon.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -79,7 +79,9 @@
 }
 
 // Empty reports whether a step changes nothing.
-func (c Changes) Empty() bool { return c.Config == nil && c.Delta == nil && len(c.Targets) == 0 && !c.AllTargets }
+func (c Changes) Empty() bool {
+	return c.Config == nil && c.Delta == nil && len(c.Targets) == 0 && !c.AllTargets
+}
 
 // Target is one target in the record.
 type Target struct {
--- a/edge/run.go
+++ b/edge/run.go
@@ -10,12 +10,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 )
 
-// upkeepInterval is the time between two looks at what is not needed any more.
-const upkeepInterval = 5 * time.Second
-
 // Run serves until ctx ends, then stops without cutting off a call, and returns
 // nil if every call in flight had its whole answer.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -46,7 +43,7 @@
 		d.node.Serve,
 		d.watch.Run,
 		d.quarantine.Run,
-		d.upkeep,
+		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
 	} {
 		g.Go(func() error { return part(work) })
 	}
@@ -58,7 +55,7 @@
 		{d.readiness, d.listeners.readiness},
 		{d.operators, d.listeners.operators},
 	} {
-		g.Go(func() error { return serve(s.server, s.listener) })
+		g.Go(func() error { return daemon.Serve(s.server, s.listener) })
 		g.Go(func() error {
 			<-work.Done()
 			return s.server.Close()
@@ -66,14 +63,6 @@
 	}
 }
 
-// serve runs a server until it is shut down or closed.
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // stop leaves gracefully. The error says that calls were cut off.
 func (d *Daemon) stop(ctx context.Context) error {
 	report := d.leave.Stop(ctx)
@@ -113,29 +102,3 @@
 		}
 	}
 }
-
-// upkeep forgets targets that are gone, and closes connections idle for long.
-func (d *Daemon) upkeep(ctx context.Context) error {
-	tick := time.NewTicker(upkeepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			d.forgetTargets()
-		}
-	}
-}
-
-func (d *Daemon) forgetTargets() {
-	listed := make(map[ports.HostID]bool)
-	for _, list := range d.board.Targets.Load().ByService {
-		for _, t := range list {
-			listed[t.ID] = true
-		}
-	}
-	known := func(id ports.HostID) bool { return listed[id] }
-	d.pools.Retain(known)
-	d.quarantine.KeepTargets(known)
-}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,67 @@
+// Package daemon is what both kinds of entry hosts do in the same way while they run.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// Serve runs a server, with TLS if it has a configuration for it, until it is shut
+// down or closed.
+func Serve(s *http.Server, l net.Listener) error {
+	var err error
+	if s.TLSConfig != nil {
+		err = s.ServeTLS(l, "", "")
+	} else {
+		err = s.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// upkeepInterval is the time between two looks at what is not needed any more.
+const upkeepInterval = 5 * time.Second
+
+// Upkeep forgets targets that are gone, and closes connections idle for long.
+type Upkeep struct {
+	Board      *blackboard.Board
+	Pools      *upstream.Pools
+	Quarantine *quarantine.Quarantine
+}
+
+// Run works until ctx ends.
+func (u Upkeep) Run(ctx context.Context) error {
+	tick := time.NewTicker(upkeepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			u.forgetTargets()
+		}
+	}
+}
+
+func (u Upkeep) forgetTargets() {
+	listed := make(map[ports.HostID]bool)
+	for _, list := range u.Board.Targets.Load().ByService {
+		for _, t := range list {
+			listed[t.ID] = true
+		}
+	}
+	known := func(id ports.HostID) bool { return listed[id] }
+	u.Pools.Retain(known)
+	u.Quarantine.KeepTargets(known)
+}
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -68,7 +68,7 @@
 	if r.State == Quarantined {
 		age = r.Age
 	}
-	if e.state == Suspect && e.accused() && (fresh || r.State == Quarantined) {
+	if e.state == Suspect && b.blamed(e) && (fresh || r.State == Quarantined) {
 		b.accuse(r.Digest, e, now.Add(-age))
 		e.settled = age >= b.limits.Settle
 	}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -137,12 +137,15 @@
 	e.settled = false
 }
 
-// accused reports whether the request was lost with two targets, and either was
-// tried alone or was never seen to be answered. One that several targets ran at
-// the same moment and that was answered before is more likely a common request
-// on several failing targets: it gets its trial.
-func (e *entry) accused() bool {
-	return len(e.losses) >= 2 && (e.tried() || !e.good)
+// blamed reports whether the request was lost with two targets, one of which ran it
+// alone, or with as many as Need says and was never seen to be answered. One that
+// several targets ran at the same moment and that was answered before is more likely
+// a common request on several failing targets: it gets its trial.
+func (b *Tracker) blamed(e *entry) bool {
+	if e.tried() {
+		return len(e.losses) >= leastLosses
+	}
+	return len(e.losses) >= b.need && !e.good
 }
 
 // add remembers a loss, and reports whether it is new evidence: not one that is
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -17,12 +17,25 @@
 	// cleared are the requests lately proved innocent: what other hosts still
 	// tell of them is out of date.
 	cleared map[Digest]time.Time
+	// need is how many targets a request must have been lost with, if it was never
+	// tried alone, to be held for the cause.
+	need int
 }
 
+// leastLosses is that number where every host hears of every suspect at once, and
+// sends a suspect to a target that runs nothing else.
+const leastLosses = 2
+
+// Need sets how many targets a request must have been lost with to be held for the
+// cause without a trial, 2 or more. Where not every host hears of a suspect, an
+// innocent request may run beside a guilty one twice.
+func (b *Tracker) Need(losses int) { b.need = max(losses, leastLosses) }
+
 // NewTracker returns an empty tracker.
 func NewTracker(l Limits) *Tracker {
 	return &Tracker{
 		limits:  l,
+		need:    leastLosses,
 		entries: make(map[Digest]*entry),
 		losses:  make(map[ports.HostID]Loss),
 		accused: make(map[Digest]time.Time),
@@ -71,7 +84,7 @@
 	if e.settled || now.Sub(e.since) < b.limits.Settle {
 		return
 	}
-	if !e.accused() || b.unexplained(e) >= b.limits.MassLoss || b.accusedWith(e) > maxAccused {
+	if !b.blamed(e) || b.unexplained(e) >= b.limits.MassLoss || b.accusedWith(e) > maxAccused {
 		e.setState(Suspect, now)
 		e.excused = now
 		return
@@ -104,7 +117,7 @@
 	e := b.ensure(r.Digest, now)
 	e.sent = now
 	e.good = e.good || r.KnownGood
-	if e.add(r.Loss, b.limits.Wave) && e.accused() {
+	if e.add(r.Loss, b.limits.Wave) && b.blamed(e) {
 		b.accuse(r.Digest, e, now)
 	}
 	return e.state
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,11 @@
 	// messages grow with the square of the hosts: at 32, with ten targets breaking
 	// off in a second, 310 messages of 100 bytes a second over all of them.
 	fewHosts = 32
+	// lossesIfFew and lossesIfMany are the targets that a request must have been lost
+	// with. With two at 121 hosts, where suspects are known to few, one run in three
+	// refused eight requests that were innocent.
+	lossesIfFew  = 2
+	lossesIfMany = 3
 	// repeatFor is how long something new is repeated.
 	repeatFor = 2500 * time.Millisecond
 	// syncRecords bounds the requests in one such message.
@@ -123,12 +129,19 @@
 	var records []suspicion.Record
 	q.locked(func(now time.Time) { records = q.tracker.Newest(now, syncRecords) })
 	for _, r := range records {
-		if r.Fresh(repeatFor) {
+		if r.Fresh(repeatFor) && q.repeats(r.Digest) {
 			q.tell(r)
 		}
 	}
 }
 
+// repeats reports whether this host repeats what is new of a request. Where hosts are
+// many its keepers alone do: were all hosts that have heard of a quarantine to tell
+// all others again, one would cost as many messages as the square of the hosts.
+func (q *Quarantine) repeats(d suspicion.Digest) bool {
+	return len(q.members()) <= fewHosts || slices.Contains(q.keepers(d), q.link.Self())
+}
+
 // tell tells other hosts of a request: of a quarantined one all hosts, of a suspect
 // all hosts too while they are few, which holds back sends of it that are made at
 // the same moment. Where they are many, those that keep its trials are told. They
@@ -139,18 +152,27 @@
 // again and again, they filled the links of 121 hosts (37 MB/s between availability
 // zones), and calls came too late.
 func (q *Quarantine) tell(r suspicion.Record) {
-	msg := recordsMsg{Records: []suspicion.Record{r}}
-	if r.State == suspicion.Quarantined || len(q.members()) <= fewHosts {
-		broadcast(q, kindRecords, msg)
-		return
+	notifyAll(q, q.audience(r.Digest, r.State), kindRecords, recordsMsg{Records: []suspicion.Record{r}})
+}
+
+// audience is whom to tell of a request in some state.
+func (q *Quarantine) audience(d suspicion.Digest, s suspicion.State) []ports.HostID {
+	all := q.members()
+	if s == suspicion.Quarantined || len(all) <= fewHosts {
+		return all
 	}
-	notifyAll(q, q.keepers(r.Digest), kindRecords, msg)
+	return q.keepers(d)
 }
 
 // locked runs f under the lock and then publishes what it changed.
 func (q *Quarantine) locked(f func(now time.Time)) {
+	need := lossesIfFew
+	if len(q.members()) > fewHosts {
+		need = lossesIfMany
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.tracker.Need(need)
 	f(time.Now())
 	q.entries.Store(int64(q.tracker.Len()))
 }
@@ -224,7 +246,9 @@
 // had been suspected.
 func (q *Quarantine) clear(d suspicion.Digest) bool {
 	known := false
+	var was suspicion.State
 	q.locked(func(now time.Time) {
+		was = q.tracker.State(now, d)
 		known = q.tracker.Clear(now, d)
 		if known {
 			q.wake()
@@ -233,7 +257,7 @@
 	if known {
 		q.count.Add(countCleared, 1)
 		q.log.Info("request cleared", zap.String("digest", hex(d)))
-		broadcast(q, kindCleared, clearedMsg{Digests: []suspicion.Digest{d}})
+		notifyAll(q, q.audience(d, was), kindCleared, clearedMsg{Digests: []suspicion.Digest{d}})
 	}
 	return known
 }
--- a/run.go
+++ b/run.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cactusproxy/cactusproxy/controller/config"
-	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 )
 
-// upkeepInterval is the time between two looks at what is not needed any more.
-const upkeepInterval = 5 * time.Second
-
 // ErrAborted is what Run returns after Abort.
 var ErrAborted = errors.New("daemon aborted")
 
@@ -63,7 +57,7 @@
 		d.shareWrites,
 		d.ledger.Run,
 		d.quarantine.Run,
-		d.upkeep,
+		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
 	} {
 		g.Go(func() error { return part(work) })
 	}
@@ -71,8 +65,8 @@
 		return
 	}
 	g.Go(func() error { return d.node.Serve(work) })
-	g.Go(func() error { return serve(d.callers, d.listeners.callers) })
-	g.Go(func() error { return serve(d.operators, d.listeners.operators) })
+	g.Go(func() error { return daemon.Serve(d.callers, d.listeners.callers) })
+	g.Go(func() error { return daemon.Serve(d.operators, d.listeners.operators) })
 	g.Go(func() error {
 		<-work.Done()
 		_ = d.callers.Close()
@@ -80,46 +74,6 @@
 	})
 }
 
-// serve runs a server until it is shut down or closed.
-func serve(s *http.Server, l net.Listener) error {
-	var err error
-	if s.TLSConfig != nil {
-		err = s.ServeTLS(l, "", "")
-	} else {
-		err = s.Serve(l)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
-// upkeep forgets targets that are gone, and closes connections idle for long.
-func (d *Daemon) upkeep(ctx context.Context) error {
-	tick := time.NewTicker(upkeepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			d.forgetTargets()
-		}
-	}
-}
-
-func (d *Daemon) forgetTargets() {
-	listed := make(map[ports.HostID]bool)
-	for _, list := range d.board.Targets.Load().ByService {
-		for _, t := range list {
-			listed[t.ID] = true
-		}
-	}
-	known := func(id ports.HostID) bool { return listed[id] }
-	d.pools.Retain(known)
-	d.quarantine.KeepTargets(known)
-}
-
 // InFlight returns the number of calls that have not had their whole reply.
 func (d *Daemon) InFlight() int64 { return d.entry.InFlight() }
 
