Queue no longer at targets than leads to an answer in time

A call is placed if its answer would come within its objective or if a slot is free, and refused at once otherwise; a choice waits for at most half a usual work time.

--- /dev/null
+++ b/placer/overload_test.go
@@ -0,0 +1,154 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// The load: five targets of four slots at 60 ms carry 333 calls a second.
+const (
+	simTargets   = 5
+	simSlots     = 4
+	simWork      = 60 * time.Millisecond
+	simObjective = 140 * time.Millisecond
+	simDeadline  = 1200 * time.Millisecond
+	simCapacity  = float64(simTargets*simSlots) / 0.06
+)
+
+// simTarget runs calls in virtual time, those that wait in order of arrival.
+type simTarget struct {
+	slots chan struct{}
+
+	mu               sync.Mutex
+	running, waiting int
+}
+
+func (t *simTarget) load() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%d,%d", t.running, t.waiting)
+}
+
+func (t *simTarget) add(running, waiting int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running += running
+	t.waiting += waiting
+}
+
+func (t *simTarget) run() {
+	t.add(0, 1)
+	t.slots <- struct{}{}
+	t.add(1, -1)
+	time.Sleep(simWork)
+	t.add(-1, 0)
+	<-t.slots
+}
+
+// simTargetsByID answers questions of the placer.
+type simTargetsByID map[ports.HostID]*simTarget
+
+func (s simTargetsByID) RoundTrip(_ *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
+	time.Sleep(time.Millisecond)
+	h := http.Header{"Load": {s[t.ID].load()}}
+	return upstream.Result{Sent: true, Response: &http.Response{StatusCode: 200, Header: h, Body: io.NopCloser(strings.NewReader(""))}}
+}
+
+func readSimLoad(value string) (targetapi.Load, bool) {
+	var l targetapi.Load
+	_, err := fmt.Sscanf(value, "%d,%d", &l.Running, &l.Waiting)
+	l.Slots, l.Pace = simSlots, 1
+	return l, err == nil
+}
+
+// simResult counts what callers got.
+type simResult struct{ sent, inTime, late, refused int }
+
+// play sends calls for two seconds at a multiple of what the targets carry.
+func play(t *testing.T, times float64) (res simResult) {
+	synctest.Test(t, func(bubble *testing.T) {
+		board := blackboard.New()
+		defer board.Close()
+		key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: "s"}
+		targets := make(simTargetsByID)
+		list := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
+		for i := range simTargets {
+			id := ports.HostID(fmt.Sprintf("t%d", i))
+			targets[id] = &simTarget{slots: make(chan struct{}, simSlots)}
+			list.ByService[key] = append(list.ByService[key], blackboard.Target{ID: id, Slots: simSlots})
+		}
+		board.Targets.Store(list)
+		rng := rand.New(rand.NewPCG(1, 1))
+		board.Routes.Store(routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "s", HealthPath: "/h", MaxConns: 100}}}, rng))
+		p := New(Deps{
+			Board: board, Upstream: targets, Share: NewShare(board, 200), Metrics: metrics.New(), Log: zap.NewNop(),
+			Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad},
+		})
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+			time.Sleep(time.Duration(rng.ExpFloat64() / (times * simCapacity) * float64(time.Second)))
+			res.sent++
+			wg.Go(func() {
+				arrived := time.Now()
+				ctx, cancel := context.WithTimeout(bubble.Context(), simDeadline)
+				defer cancel()
+				g, _ := p.Pick(ctx, pick.Request{Service: key, Arrived: arrived, Objective: simObjective})
+				if g != nil {
+					start := time.Now()
+					targets[g.Target().ID].run()
+					g.Release(pick.Report{Class: pick.OK, Latency: time.Since(start)})
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				switch took := time.Since(arrived); {
+				case g == nil:
+					res.refused++
+				case took <= simObjective:
+					res.inTime++
+				default:
+					res.late++
+				}
+			})
+		}
+		wg.Wait()
+	})
+	t.Logf("%.1f times the capacity: %+v", times, res)
+	return res
+}
+
+// Three times as many calls come as the targets can run. As many are answered as they
+// can run, and most of these in time; the rest is refused. With queues as long as the
+// targets take them, all were answered late.
+func TestMostAnswersAreInTimeUnderOverload(t *testing.T) {
+	r := play(t, 3)
+	carried := 2 * simCapacity
+	assert.Check(t, float64(r.inTime+r.late) > 0.85*carried, "%+v", r)
+	assert.Check(t, float64(r.inTime) > 0.75*carried, "%+v", r)
+}
+
+// Below what the targets carry nothing is refused, and next to nothing is late.
+func TestNothingIsRefusedBelowCapacity(t *testing.T) {
+	r := play(t, 0.8)
+	assert.Equal(t, r.refused, 0)
+	assert.Check(t, r.late < r.sent/50, "%+v", r)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -38,7 +38,9 @@
 	// askTimeout ends a question that gets no answer.
 	askTimeout = 250 * time.Millisecond
 	// goodCost is the cost at which a target is taken at once, waitPause how long
-	// a choice waits for a better one, maxWaits how often.
+	// a choice waits for a better one. It waits for at most half a usual work time,
+	// once at least and maxWaits times at most: beyond that the wait costs more than a
+	// better target saves.
 	goodCost  = 1.6
 	waitPause = 20 * time.Millisecond
 	maxWaits  = 6
@@ -113,13 +115,11 @@
 		}
 		near, all := firstAsked(list, p.width(waits))
 		known := p.ask(ctx, s, near)
-		g, last := p.choose(ctx, s, near, min(waits, maxWaits-1))
+		g, last := p.choose(ctx, s, req, near, false)
 		if g == nil && last == "" {
 			known = p.ask(ctx, s, all) && known
-			if !known {
-				waits = maxWaits // more of the same guesses would be no better
-			}
-			g, last = p.choose(ctx, s, all, waits)
+			// More of the same guesses would be no better.
+			g, last = p.choose(ctx, s, req, all, !known || waits >= s.mayWait())
 		}
 		if g != nil {
 			g.basis.Asked, g.basis.Waited = len(list), time.Since(start)
@@ -177,19 +177,23 @@
 }
 
 // choose takes the best target, or returns why there is none; neither means that
-// it is better to wait.
-func (p *Placer) choose(ctx context.Context, s *service, list []ranked, waits int) (*held, outcome.Reason) {
+// it is better to wait, which is over if final is set.
+func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, final bool) (*held, outcome.Reason) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, cost := s.best(now, list)
 	switch {
-	case t == nil && waits >= maxWaits:
+	case t == nil && final:
 		return nil, outcome.ReasonOverload
-	case t == nil, cost > goodCost && waits < maxWaits:
+	case t == nil, cost > goodCost && !final:
 		return nil, ""
 	}
-	if at, ok := ctx.Deadline(); ok && time.Duration(cost*float64(s.work)) > at.Sub(now) {
+	answer := time.Duration(cost * float64(s.work))
+	if at, ok := ctx.Deadline(); ok && answer > at.Sub(now) {
+		return nil, outcome.ReasonOverload
+	}
+	if req.Objective > 0 && !placing.Worthwhile(&t.figures, now, answer, req.Arrived.Add(req.Objective).Sub(now)) {
 		return nil, outcome.ReasonOverload
 	}
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now)}
--- a/placer/service.go
+++ b/placer/service.go
@@ -141,6 +141,13 @@
 		len(s.targets), open, cheapest, s.work.Round(time.Millisecond), oldest.Round(time.Millisecond), s.seen)
 }
 
+// mayWait is how often a choice may wait for a better target.
+func (s *service) mayWait() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(max(int(s.work/2/waitPause), 1), maxWaits)
+}
+
 // workWeight is the weight of one answer in the learned work time.
 const workWeight = 0.05
 
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -107,6 +107,20 @@
 	return f.calls(now) >= float64((1+queueFactor)*f.Slots)
 }
 
+// Queues reports whether one more call would wait for a slot.
+func (f *Figures) Queues(now time.Time) bool { return f.calls(now) >= float64(f.Slots) }
+
+// Worthwhile reports whether a call should go to a target where its answer would
+// come after some time: in time for its objective, or at once in a slot that is free.
+//
+// It answers a load of more calls than the targets can run. With queues as long as
+// targets take them every call waits for two rounds, and nearly all answers are late;
+// with queues only as long as still leads to an answer in time, most of those that
+// are taken are in time, and as many are answered.
+func Worthwhile(f *Figures, now time.Time, answer, objectiveLeft time.Duration) bool {
+	return answer <= objectiveLeft || !f.Queues(now)
+}
+
 // Cost is the time until one more call would be answered, in usual work times.
 func (f *Figures) Cost(now time.Time) float64 {
 	calls, slots := f.calls(now), float64(f.Slots)
