--- a/placer/placer.go
+++ b/placer/placer.go
@@ -114,15 +114,17 @@
 			return nil, p.refuse(outcome.ReasonNoTarget, s.describe())
 		}
 		near, all := firstAsked(list, p.width(waits))
-		known := p.ask(ctx, s, near)
+		p.ask(ctx, s, near)
+		asked := near
 		g, last := p.choose(ctx, s, req, near, false)
 		if g == nil && last == "" {
-			known = p.ask(ctx, s, all) && known
+			known := p.ask(ctx, s, all)
+			asked = all
 			// More of the same guesses would be no better.
 			g, last = p.choose(ctx, s, req, all, !known || waits >= s.mayWait())
 		}
 		if g != nil {
-			g.basis.Asked, g.basis.Waited = len(list), time.Since(start)
+			g.basis.Asked, g.basis.Waited = len(asked), time.Since(start)
 			return g, outcome.Result{}
 		}
 		if last != "" {
@@ -139,10 +141,8 @@
 // host's availability zone, and all that are asked if none of these is good.
 //
 // A question to another zone and its answer are bytes that are paid for, and so is
-// the call itself. Yet some targets of other zones must be among those asked when the
-// own zone is full: with the eight best of all, in a zone with 40 targets and four
-// tenths of the callers none of another zone was, and half of its calls took 1.7 s
-// while other zones were at 0.3 s.
+// the call itself. As many targets of other zones are asked then, so that a zone that
+// is full has somewhere to send its calls, however many targets it has itself.
 func firstAsked(list []ranked, width int) (near, all []ranked) {
 	var far []ranked
 	for _, r := range list {
