--- a/edge/retries.go
+++ b/edge/retries.go
@@ -17,8 +17,9 @@
 // retries is this host's part of the budget for further attempts: its own calls'
 // share, and an even part of the reserve.
 type retries struct {
-	set   settings.Retries
-	board *blackboard.Board
+	set     settings.Retries
+	board   *blackboard.Board
+	started time.Time
 
 	mu      sync.Mutex
 	windows map[blackboard.ServiceKey]*retry.Window
@@ -27,7 +28,7 @@
 var _ dispatch.RetryBudget = (*retries)(nil)
 
 func newRetries(s settings.Retries, b *blackboard.Board) *retries {
-	return &retries{set: s, board: b, windows: make(map[blackboard.ServiceKey]*retry.Window)}
+	return &retries{set: s, board: b, started: time.Now(), windows: make(map[blackboard.ServiceKey]*retry.Window)}
 }
 
 // Call implements dispatch.RetryBudget.
@@ -42,22 +43,34 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(key)
-	w.SetReserve(r.reserve())
+	w.SetReserve(r.reserve(now))
 	return w.Take(now)
 }
 
-func (r *retries) reserve() float64 {
+// firstReserve is the share of its part of the reserve that a host begins with.
+const firstReserve = 0.25
+
+// reserve is this host's even part of the reserve. It grows to the whole over the
+// first window.
+//
+// Failure: all hosts start at once while the store is out, and each knows only the
+// seeds. Symptom: each takes a quarter of the reserve for its part, and 14 of them
+// spend three times the whole while targets are failing. By the end of the first
+// window hosts have heard of each other, and what was spent before the start is over.
+func (r *retries) reserve(now time.Time) float64 {
 	hosts := max(1, len(r.board.Members.Load().Members))
-	return retriesUsed * r.set.Reserve / float64(hosts)
+	grown := min(1, max(firstReserve, float64(now.Sub(r.started))/float64(r.span())))
+	return grown * retriesUsed * r.set.Reserve / float64(hosts)
 }
 
+func (r *retries) span() time.Duration { return r.set.Window.Or(defaultWindow) }
+
 func (r *retries) window(key blackboard.ServiceKey) *retry.Window {
 	w := r.windows[key]
 	if w == nil {
 		w = retry.NewWindow(retry.WindowLimits{
-			Ratio:   retriesUsed * r.set.Ratio,
-			Reserve: r.reserve(),
-			Span:    r.set.Window.Or(defaultWindow),
+			Ratio: retriesUsed * r.set.Ratio,
+			Span:  r.span(),
 		})
 		r.windows[key] = w
 	}
--- /dev/null
+++ b/edge/retries_test.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/settings"
+)
+
+func members(n int) *blackboard.Members {
+	m := &blackboard.Members{}
+	for i := range n {
+		m.Members = append(m.Members, blackboard.Member{Host: ports.Host{ID: ports.HostID(fmt.Sprint(i))}})
+	}
+	return m
+}
+
+// Fourteen hosts start at once while the store is out, and each knows four at first.
+// Targets fail, and every host wants further attempts without end. All of them together
+// must keep to the reserve of the window, though none knows how many they are.
+func TestHostsThatKnowFewOthersKeepToTheReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 14
+		set := settings.Retries{Ratio: 0.2, Window: "10s", Reserve: 58}
+		key := blackboard.ServiceKey{Service: "s"}
+		var boards []*blackboard.Board
+		var budgets []*retries
+		for range hosts {
+			b := blackboard.New()
+			defer b.Close()
+			b.Members.Store(members(4))
+			boards = append(boards, b)
+			budgets = append(budgets, newRetries(set, b))
+		}
+		spent := 0
+		for range 60 {
+			time.Sleep(50 * time.Millisecond)
+			for _, r := range budgets {
+				if r.Take(key, time.Now()) {
+					spent++
+				}
+			}
+		}
+		for _, b := range boards {
+			b.Members.Store(members(hosts))
+		}
+		for range 140 {
+			time.Sleep(50 * time.Millisecond)
+			for _, r := range budgets {
+				if r.Take(key, time.Now()) {
+					spent++
+				}
+			}
+		}
+		assert.Check(t, spent <= int(set.Reserve), "%d", spent)
+		assert.Check(t, spent > int(set.Reserve)/2, "%d", spent)
+	})
+}
