Give each run of the soak an address of its own

Its port had been free when it was chosen and was taken by another test before the daemon listened. A finding quotes the log's end.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -164,8 +165,11 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// freeAddr returns an address for a daemon to listen on. It is not of 127.0.0.1, where
+// another test could take the port before the daemon does.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
 	assert.NilError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -180,7 +180,7 @@
 	}
 	for _, p := range s.processes {
 		if p.endedByItself() {
-			s.broken("%s ended by itself; see its log", p.name)
+			s.broken("%s ended by itself; its log ends with %q", p.name, p.lastWords())
 		}
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -43,8 +43,9 @@
 
 func newProcess(name, dir, binary, storeAddr string) (*process, error) {
 	p := &process{name: name, dir: dir, binary: binary}
+	ip := ownIP()
 	for _, addr := range []*string{&p.callers, &p.readiness, &p.operators, &p.peers} {
-		free, err := freeAddr()
+		free, err := freeAddr(ip)
 		if err != nil {
 			return nil, err
 		}
@@ -58,8 +59,18 @@
 	return p, err
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// ownIP returns a loopback address for the hosts of this run.
+//
+// Failure: a port that was free a moment ago is taken by another test before the
+// daemon listens on it, or while it is down. Symptom: the daemon ends at its start, and
+// callers get the other test's answers. Everybody else takes ports of 127.0.0.1.
+func ownIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
+}
+
+func freeAddr(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
@@ -143,6 +154,16 @@
 // endTimeout is the time from SIGTERM to SIGKILL.
 const endTimeout = 6 * time.Second
 
+// lastWords returns the end of the process's log.
+func (p *process) lastWords() string {
+	const size = 400
+	text, err := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-size):])
+}
+
 // endedByItself reports whether the process ended though nobody ended it.
 func (p *process) endedByItself() bool {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,7 +10,8 @@
 // regressions are seeds that once broke a promise, or a check, with the cause.
 //
 //	1  a call that left between the note that its host is to be killed and the kill was
-//	   taken for one that an undisturbed host cut off: the check was mended
+//	   taken for one that an undisturbed host cut off: the check was mended; and a host
+//	   found its port taken by another test and ended: each run has an address of its own
 var regressions = []uint64{1}
 
 // shortRun is how long hosts are disturbed in CI.
