Take no calls that a stop may not let finish

What is taken later than 3 s after the signal has to be finished within the platform's grace time.

A stop is announced for 2.8 s; the balancer sees two misses within two. The test sends a call after 2.1 s, which is taken, and one after 3 s, which must not be: taken with 3.2 s.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -33,8 +33,10 @@
 	daemons []*daemon
 	targets map[string]*target
 	seeds   []string
-	ids     int
-	client  *http.Client
+	// drain is the setting of that name.
+	drain  string
+	ids    int
+	client *http.Client
 	// logs has what each daemon logged.
 	logs []*syncBuffer
 }
@@ -71,7 +73,7 @@
 }
 
 func newLab(t *testing.T, daemons int) *lab {
-	l := &lab{t: t, store: standin.NewStore(), targets: make(map[string]*target)}
+	l := &lab{t: t, store: standin.NewStore(), drain: `"notice": "300ms", "limit": "5s"`, targets: make(map[string]*target)}
 	server := httptest.NewServer(l.store)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -126,8 +128,8 @@
 		"directory": {"store": %q},
 		"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
 		"measuring": {"perTarget": 60},
-		"drain": {"notice": "300ms", "limit": "5s"},
-	}`, len(l.daemons), peers, quoted(l.seeds), l.storeAt)
+		"drain": {%s},
+	}`, len(l.daemons), peers, quoted(l.seeds), l.storeAt, l.drain)
 	s, err := settings.Parse("test", []byte(text))
 	assert.NilError(l.t, err)
 	buffer := new(syncBuffer)
@@ -362,6 +364,33 @@
 	}
 }
 
+// A host is stopped with the usual settings while callers go on. It takes new calls
+// until the balancer must have seen that it is not ready, two seconds, and none that
+// come later than three seconds: those might not be finished before the platform kills
+// the process.
+func TestStopTakesNothingThatItMayNotFinish(t *testing.T) {
+	l := newLab(t, 1)
+	l.drain = ""
+	d := l.start()
+	slow := l.targets["bids-0"]
+	slow.Work = 4 * time.Second
+	started := time.Now()
+	done := make(chan answer, 3)
+	for i := range 3 { // one of them is at the slow target
+		go func() { done <- l.sendAs(fmt.Sprintf("slow%d", i), d, http.MethodPost, "/bids/7", "") }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	d.stop()
+	time.Sleep(2100*time.Millisecond - time.Since(started))
+	assert.Equal(t, l.send(d, http.MethodGet, "/lots/7", "").status, http.StatusOK)
+	time.Sleep(3000*time.Millisecond - time.Since(started))
+	assert.Check(t, l.send(d, http.MethodGet, "/lots/7", "").err != nil, "a call was taken 3 s after the stop began")
+	for range 3 {
+		a := <-done
+		assert.Check(t, a.err == nil, "%s: %v", a.id, a.err)
+	}
+}
+
 // A target dies without a word. Callers of the others' hosts notice nothing but a
 // little time: no bid that was sent may be sent again, but one that found no
 // connection goes to another target.
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -43,8 +43,10 @@
 	// collector works harder; the rest is for stacks and socket buffers.
 	heapShare = 60
 	// defaultNotice is how long a stop is announced: the balancer asks once a
-	// second and takes a host out after two misses.
-	defaultNotice = 3200 * time.Millisecond
+	// second and takes a host out after two misses. What is taken later than 3 s
+	// after the signal must be answered before the process ends, and an upload may
+	// take 4 s: with 3.2 s here one that came after 3.04 s was cut off at the end.
+	defaultNotice = 2800 * time.Millisecond
 	// defaultLimit ends a stop before the platform kills the process, 6 s after
 	// the signal.
 	defaultLimit = 5500 * time.Millisecond
