--- /dev/null
+++ b/edge/lab_test.go
@@ -0,0 +1,238 @@
+package edge_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/edge"
+	"github.com/cactusproxy/cactusproxy/internal/logging"
+	"github.com/cactusproxy/cactusproxy/platform"
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+	"github.com/cactusproxy/cactusproxy/settings"
+)
+
+const hostName = "auction.example"
+
+// lab is a platform with daemons over loopback.
+type lab struct {
+	t       *testing.T
+	store   *standin.Store
+	storeAt string
+	daemons []*daemon
+	targets map[string]*target
+	seeds   []string
+	// drain is the setting of that name.
+	drain  string
+	ids    int
+	client *http.Client
+	// logs has what each daemon logged.
+	logs []*syncBuffer
+}
+
+// syncBuffer is a buffer that may be written to and read at once.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+type daemon struct {
+	*edge.Daemon
+	stop context.CancelFunc
+	done chan struct{}
+	err  error // of Run, once done is closed
+}
+
+type target struct {
+	*standin.Target
+	server  *httptest.Server
+	service string
+}
+
+func newLab(t *testing.T, daemons int) *lab {
+	l := &lab{t: t, store: standin.NewStore(), drain: `"notice": "300ms", "limit": "5s"`, targets: make(map[string]*target)}
+	server := httptest.NewServer(l.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	l.storeAt = server.Listener.Addr().String()
+	l.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	l.configure(1)
+	for i := range 3 {
+		l.addTarget(fmt.Sprintf("lots-%d", i), "lots")
+		l.addTarget(fmt.Sprintf("bids-%d", i), "bids")
+	}
+	for range daemons {
+		l.start()
+	}
+	return l
+}
+
+func (l *lab) configure(version uint64, more ...standin.Route) {
+	routes := append([]standin.Route{
+		{Name: "lots", Host: hostName, Prefix: "/lots/", Type: "safe", Service: "lots", Timeout: "2s", MaxAttempts: 2},
+		{Name: "bids", Host: hostName, Prefix: "/bids/", Type: "mutating", Service: "bids", Timeout: "2s", MaxAttempts: 2},
+	}, more...)
+	l.store.Put("op", "config", standin.Config(version, routes...))
+}
+
+func (l *lab) addTarget(id, service string) *target {
+	tg := &target{Target: &standin.Target{ID: id, Slots: 2, Queue: 4, Work: 20 * time.Millisecond}, service: service}
+	tg.server = httptest.NewServer(tg.Target)
+	l.t.Cleanup(func() {
+		tg.server.CloseClientConnections()
+		tg.server.Close()
+	})
+	l.targets[id] = tg
+	l.list(tg, "ready")
+	return tg
+}
+
+func (l *lab) list(tg *target, state string) {
+	l.store.Put("servers", tg.ID, tg.Entry(tg.service, tg.server.Listener.Addr().String(), "a", state))
+}
+
+// start starts a daemon and waits until it is ready.
+func (l *lab) start() *daemon {
+	l.t.Helper()
+	peers := freeAddr(l.t)
+	text := fmt.Sprintf(`{
+		"host": {"id": "h%d", "zone": "a"},
+		"callers": {"addr": "127.0.0.1:0"}, "readiness": {"addr": "127.0.0.1:0"},
+		"operators": {"addr": "127.0.0.1:0"},
+		"peers": {"addr": %q, "seeds": [%s]},
+		"directory": {"store": %q},
+		"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
+		"measuring": {"perTarget": 60},
+		"drain": {%s},
+	}`, len(l.daemons), peers, quoted(l.seeds), l.storeAt, l.drain)
+	s, err := settings.Parse("test", []byte(text))
+	assert.NilError(l.t, err)
+	buffer := new(syncBuffer)
+	l.logs = append(l.logs, buffer)
+	log, err := logging.New(buffer, "info")
+	assert.NilError(l.t, err)
+	d, err := edge.New(s, edge.Platform{
+		Directory: platform.NewDirectory(platform.NewStore(l.storeAt), log),
+		Contract:  platform.Contract(),
+		ReadyPath: platform.ReadyPath,
+	}, log)
+	assert.NilError(l.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	run := &daemon{Daemon: d, stop: cancel, done: make(chan struct{})}
+	go func() {
+		run.err = d.Run(ctx)
+		close(run.done)
+	}()
+	l.t.Cleanup(func() {
+		run.stop()
+		<-run.done
+	})
+	l.daemons = append(l.daemons, run)
+	l.seeds = append(l.seeds, peers)
+	l.await("ready", func() bool { return run.ready(l) })
+	return run
+}
+
+func (d *daemon) ready(l *lab) bool {
+	resp, err := l.client.Get("http://" + d.ReadinessAddr() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// freeAddr returns an address for a daemon to listen on. It is not of 127.0.0.1, where
+// another test could take the port before the daemon does.
+func freeAddr(t *testing.T) string {
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func quoted(list []string) string {
+	out := make([]string, len(list))
+	for i, s := range list {
+		out[i] = fmt.Sprintf("%q", s)
+	}
+	return strings.Join(out, ",")
+}
+
+// await waits until a condition holds, for far longer than it should take.
+func (l *lab) await(what string, ok func() bool) {
+	l.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	l.t.Fatalf("not within 10 s: %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	// last is set if the connection is not to be used again.
+	last bool
+	err  error
+}
+
+// send sends a request to a daemon.
+func (l *lab) send(d *daemon, method, path, body string) answer {
+	l.ids++
+	return l.sendAs(fmt.Sprintf("r%d", l.ids), d, method, path, body)
+}
+
+func (l *lab) sendAs(id string, d *daemon, method, path, body string) answer {
+	req, err := http.NewRequest(method, "http://"+d.CallersAddr()+path, strings.NewReader(body))
+	assert.NilError(l.t, err)
+	req.Host = hostName
+	req.Header.Set(standin.HeaderRequestID, id)
+	req.Header.Set(standin.HeaderDeadline, "1500")
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return answer{id: id, err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{id: id, status: resp.StatusCode, body: string(raw), header: resp.Header, last: resp.Close, err: err}
+}
+
+// runs returns how often a request ran, at all targets together.
+func (l *lab) runs(id string) int {
+	n := 0
+	for _, tg := range l.targets {
+		n += tg.Runs()[id]
+	}
+	return n
+}
