--- a/controller/config/config_test.go
+++ b/controller/config/config_test.go
@@ -294,6 +294,33 @@
 	})
 }
 
+// A start finds a damaged snapshot, reads the workspace rows and asks for a new
+// snapshot. The writer runs before these rows are in force on this host: it must not
+// write the empty configuration of the moment, which every later start would read in
+// vain, and nobody would replace before the next change.
+func TestSnapshotIsOfWhatWasRead(t *testing.T) {
+	onFleet(t, 1, func(t *testing.T, f *confignet.Fleet) {
+		h := f.Hosts()[0]
+		for i := range uint64(40) {
+			change(t, h, fmt.Sprint("c", i), i, int(i)+1, config.ResultApplied)
+		}
+		pass(10 * time.Second)
+		ctx := context.Background()
+		assert.NilError(t, f.Store.Objects().Put(ctx, config.SnapshotName, []byte("damaged")))
+		f.Configure = func(c *config.Controller) {
+			c.BeforeInstall(func() { time.Sleep(100 * time.Millisecond) })
+		}
+		f.CutPeers(f.Start())
+		pass(10 * time.Second)
+		f.Configure = nil
+		n := f.Start()
+		f.CutPeers(n)
+		pass(100 * time.Millisecond)
+		assert.Equal(t, n.Sequence(), uint64(40))
+		assert.Equal(t, n.Reads(), uint64(2), "head row and snapshot")
+	})
+}
+
 // The platform restores its table from an old backup. Hosts keep what is in
 // force, and a change that would use a sequence number twice is refused.
 func TestTableThatLostChangesIsNotFollowed(t *testing.T) {
--- a/controller/config/export_test.go
+++ b/controller/config/export_test.go
@@ -7,6 +7,14 @@
 	c.admit = func(_, _ uint64) bool { return true }
 }
 
+// BeforeInstall has f called right before a configuration is put in force.
+func (c *Controller) BeforeInstall(f func()) {
+	c.admit = func(present, next uint64) bool {
+		f()
+		return isNewer(present, next)
+	}
+}
+
 // PushTo sends a change to one host, out of the usual order.
 func (c *Controller) PushTo(to peer.HostID, ch Change) {
 	peer.Notify(c.Link, to, kindPush, pushMsg{Change: ch})
--- a/controller/config/store.go
+++ b/controller/config/store.go
@@ -129,14 +129,18 @@
 	if err != nil {
 		return err
 	}
-	if cfg == nil || cfg.Sequence <= c.Sequence() {
-		cfg, err = c.readWorkspaces(ctx)
-		if err != nil {
-			return err
-		}
-		c.requestSnapshot()
+	if cfg != nil && cfg.Sequence > c.Sequence() {
+		c.installConfig(cfg, eventStore)
+		return nil
+	}
+	cfg, err = c.readWorkspaces(ctx)
+	if err != nil {
+		return err
 	}
 	c.installConfig(cfg, eventStore)
+	// Asked for before, the snapshot could be of the configuration that these rows
+	// replace, an empty one on a start, and be of no use to later starts.
+	c.requestSnapshot()
 	return nil
 }
 
