Count off a host's own calls as they end; take targets that told before silent ones

And a figure counted this host's own calls as told, and those sent since on top, so that calls that had ended went on counting until the target was asked again.

--- a/placer/overload_test.go
+++ b/placer/overload_test.go
@@ -55,13 +55,16 @@
 	t.waiting += waiting
 }
 
-func (t *simTarget) run() {
+// run runs one call and returns the load told with its answer, which counts the call.
+func (t *simTarget) run() targetapi.Load {
 	t.add(0, 1)
 	t.slots <- struct{}{}
 	t.add(1, -1)
 	time.Sleep(simWork)
+	told, _ := readSimLoad(t.load())
 	t.add(-1, 0)
 	<-t.slots
+	return told
 }
 
 // simTargetsByID answers questions of the placer.
@@ -84,7 +87,10 @@
 type simResult struct{ sent, inTime, late, refused int }
 
 // play sends calls for two seconds at a multiple of what the targets carry.
-func play(t *testing.T, times float64) (res simResult) {
+func play(t *testing.T, times float64) simResult { return playAsking(t, times, 200) }
+
+// playAsking is play with so many questions a second for each target.
+func playAsking(t *testing.T, times, perTarget float64) (res simResult) {
 	synctest.Test(t, func(bubble *testing.T) {
 		board := blackboard.New()
 		defer board.Close()
@@ -100,7 +106,7 @@
 		rng := rand.New(rand.NewPCG(1, 1))
 		board.Routes.Store(routing.NewTable(&routing.Config{Services: []routing.Service{{Name: "s", HealthPath: "/h", MaxConns: 100}}}, rng))
 		p := New(Deps{
-			Board: board, Upstream: targets, Share: NewShare(board, 200), Metrics: metrics.New(), Log: zap.NewNop(),
+			Board: board, Upstream: targets, Share: NewShare(board, perTarget), Metrics: metrics.New(), Log: zap.NewNop(),
 			Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad},
 		})
 		var mu sync.Mutex
@@ -115,8 +121,8 @@
 				g, _ := p.Pick(ctx, pick.Request{Service: key, Arrived: arrived, Objective: simObjective})
 				if g != nil {
 					start := time.Now()
-					targets[g.Target().ID].run()
-					g.Release(pick.Report{Class: pick.OK, Latency: time.Since(start)})
+					work := targets[g.Target().ID].run()
+					g.Release(pick.Report{Class: pick.OK, Latency: time.Since(start), Work: work})
 				}
 				mu.Lock()
 				defer mu.Unlock()
@@ -132,7 +138,7 @@
 		}
 		wg.Wait()
 	})
-	t.Logf("%.1f times the capacity: %+v", times, res)
+	t.Logf("%.1f times the capacity, %.0f questions: %+v", times, perTarget, res)
 	return res
 }
 
@@ -157,3 +163,16 @@
 	assert.Check(t, r.refused <= r.sent/100, "%+v", r)
 	assert.Check(t, r.late < r.sent/50, "%+v", r)
 }
+
+// More calls come than the targets can run, and the host may put one question for every
+// seven calls, so that it goes by figures of some 100 ms ago and by what it knows of its
+// own calls. As many are answered as the targets can run, and most of these in time; with
+// its own calls counted as the targets told them, 498 of 666 were in time, now 622.
+func TestMostAnswersAreInTimeThoughFewTargetsAreAsked(t *testing.T) {
+	for _, questions := range []float64{10, 20} {
+		r := playAsking(t, 1.3, questions)
+		carried := 2 * simCapacity
+		assert.Check(t, float64(r.inTime+r.late) > 0.95*carried, "%+v", r)
+		assert.Check(t, float64(r.inTime) > 0.85*carried, "%+v", r)
+	}
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -198,7 +198,7 @@
 		return nil, outcome.ReasonOverload
 	}
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now)}
-	t.start()
+	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
 }
 
--- a/placer/service.go
+++ b/placer/service.go
@@ -67,8 +67,8 @@
 
 // told takes in what a target says of itself. The lock is held.
 func (s *service) told(now time.Time, t *target, l targetapi.Load) {
-	t.told(now, l)
-	s.usual(t).Learn(l, t.figures.Slots)
+	t.figures.Told(now, l)
+	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
 }
 
 // ranked is a target with what it costs.
@@ -100,8 +100,16 @@
 // tieBreak is the most by which chance moves a cost.
 const tieBreak = 0.1
 
-// best returns the cheapest of some targets that can queue one more call, by what
-// they told just now, or nil. The lock is held.
+// best returns the cheapest of some targets that can queue one more call, or nil: of
+// those that told something of late, and only if there is none, of the others. The
+// lock is held.
+//
+// Failure: targets that are slow or full answer questions late, and hosts that have
+// used up their questions know little; for a target that told nothing stands what is
+// usual. Symptom: when most targets are full, the silent one looks cheaper than those
+// that told the truth, and gets the call; at 121 hosts under one and a half times the
+// load three of four calls went by such guesses. Preferring what was told raised the
+// worth of the two worst windows of 2 s from 0.40 to 0.45.
 func (s *service) best(now time.Time, list []ranked) (*target, float64) {
 	var found *target
 	least := 0.0
@@ -109,13 +117,23 @@
 		if !r.open(now) || r.figures.Full(now) {
 			continue
 		}
-		if cost := r.figures.Cost(now); found == nil || cost < least {
+		cost := r.figures.Cost(now)
+		if found == nil || better(r.known(now), found.known(now), cost, least) {
 			found, least = r.target, cost
 		}
 	}
 	return found, least
 }
 
+// better compares a target with the best so far: first by whether it told anything of
+// late, then by cost.
+func better(known, bestKnown bool, cost, least float64) bool {
+	if known != bestKnown {
+		return known
+	}
+	return cost < least
+}
+
 // describe says what a refusal rests on: how many targets there are, how many take
 // calls and could queue one more, the cheapest of these, and how long a call takes.
 func (s *service) describe() string {
--- a/placer/target.go
+++ b/placer/target.go
@@ -7,7 +7,6 @@
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/placing"
-	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 const (
@@ -53,21 +52,9 @@
 		(!t.health.Trial() || t.figures.InFlight == 0)
 }
 
-// told takes in what the target says of itself.
-func (t *target) told(now time.Time, l targetapi.Load) {
-	t.figures.Load = l
-	t.figures.At = now
-	t.figures.Since = 0
-	if l.Slots > 0 {
-		t.figures.Slots = l.Slots
-	}
-}
-
-// start notes a call.
-func (t *target) start() {
-	t.figures.InFlight++
-	t.figures.Since++
-}
+// known reports whether the target told something of late and owes no answer: one
+// that lets a question wait is slow or full.
+func (t *target) known(now time.Time) bool { return t.asking == nil && t.figures.Known(now) }
 
 // rest leaves the target alone for a while.
 func (t *target) rest(now time.Time, d time.Duration) {
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -44,7 +44,7 @@
 // while: when one zone has more than it can take, all of its targets are likely to be
 // full.
 type Usual struct {
-	// Share is calls for each slot, Pace as in targetapi.Load.
+	// Share is calls of other hosts for each slot, Pace as in targetapi.Load.
 	Share float64
 	Pace  float64
 }
@@ -52,9 +52,10 @@
 // NewUsual returns what to reckon with before any target told anything.
 func NewUsual() Usual { return Usual{Pace: firstPace} }
 
-// Learn takes in what a target with some slots told.
-func (u *Usual) Learn(l targetapi.Load, slots int) {
-	u.Share += learnWeight * (float64(l.Running+l.Waiting)/float64(slots) - u.Share)
+// Learn takes in what a target with some slots told, of which others is calls of other
+// hosts.
+func (u *Usual) Learn(l targetapi.Load, others, slots int) {
+	u.Share += learnWeight * (float64(others)/float64(slots) - u.Share)
 	u.Pace += learnWeight * (l.Pace - u.Pace)
 }
 
@@ -63,9 +64,13 @@
 	// Load is what the target told last, At when; the zero time is never.
 	Load targetapi.Load
 	At   time.Time
-	// Since counts the calls of this host that went there after At, InFlight all
-	// of them.
-	Since    int
+	// Others is how many of the calls it told of were those of other hosts, InFlight
+	// the calls of this host that are there now.
+	//
+	// What this host knows by itself is never out of date: with figures that counted its
+	// own calls as told, and on top of it those sent since, a host that could ask little
+	// refused half of what an otherwise idle service could run.
+	Others   int
 	InFlight int
 	// Slots is the number of calls it runs at once, as the platform lists it.
 	Slots int
@@ -75,6 +80,17 @@
 	Usual Usual
 }
 
+// Told takes in what the target tells of itself. A call counts itself in the answer to
+// it, so that an answer is taken in before its call is counted off.
+func (f *Figures) Told(now time.Time, l targetapi.Load) {
+	f.Load = l
+	f.At = now
+	f.Others = max(0, l.Running+l.Waiting-f.InFlight)
+	if l.Slots > 0 {
+		f.Slots = l.Slots
+	}
+}
+
 // Age returns the age of what the target told.
 func (f *Figures) Age(now time.Time) time.Duration {
 	if f.At.IsZero() {
@@ -86,6 +102,9 @@
 // Fresh reports whether the figures can be used as they are.
 func (f *Figures) Fresh(now time.Time) bool { return f.Age(now) < freshFor }
 
+// Known reports whether the figures say anything of the calls at the target.
+func (f *Figures) Known(now time.Time) bool { return f.Age(now) < callsFor }
+
 // trust is 1 for what was told just now and 0 for what is older than some time.
 func (f *Figures) trust(now time.Time, whole time.Duration) float64 {
 	return max(0, 1-float64(f.Age(now))/float64(whole))
@@ -94,9 +113,8 @@
 // calls returns the calls to reckon with at the target.
 func (f *Figures) calls(now time.Time) float64 {
 	trust := f.trust(now, callsFor)
-	told := float64(f.Load.Running + f.Load.Waiting + f.Since)
 	usual := f.Usual.Share * float64(f.Slots)
-	return max(trust*told+(1-trust)*usual, float64(f.InFlight))
+	return trust*float64(f.Others) + (1-trust)*usual + float64(f.InFlight)
 }
 
 // pace returns the pace to reckon with: the figure, and with age more and more
--- a/policy/placing/placing_test.go
+++ b/policy/placing/placing_test.go
@@ -13,12 +13,9 @@
 
 // told is a target of four slots that told its load just now.
 func told(running, waiting int, pace float64) Figures {
-	return Figures{
-		Load:  targetapi.Load{Running: running, Waiting: waiting, Slots: 4, Pace: pace},
-		At:    now,
-		Slots: 4,
-		Usual: NewUsual(),
-	}
+	f := Figures{Slots: 4, Usual: NewUsual()}
+	f.Told(now, targetapi.Load{Running: running, Waiting: waiting, Slots: 4, Pace: pace})
+	return f
 }
 
 func cheaper(t *testing.T, a, b Figures) {
@@ -43,7 +40,7 @@
 
 func TestCallsOfThisHostCountBeforeTheTargetTellsOfThem(t *testing.T) {
 	f := told(0, 0, 1)
-	f.Since, f.InFlight = 6, 6
+	f.InFlight = 6
 	cheaper(t, told(4, 0, 1), f)
 }
 
@@ -53,8 +50,8 @@
 func TestSilentTargetsAreTakenForUsual(t *testing.T) {
 	near, far := NewUsual(), NewUsual()
 	for range 500 {
-		near.Learn(targetapi.Load{Running: 4, Waiting: 9, Pace: 1}, 4)
-		far.Learn(targetapi.Load{Running: 1, Pace: 1}, 4)
+		near.Learn(targetapi.Load{Running: 4, Waiting: 9, Pace: 1}, 13, 4)
+		far.Learn(targetapi.Load{Running: 1, Pace: 1}, 1, 4)
 	}
 	silentNear := Figures{Slots: 4, Usual: near}
 	silentFar := Figures{Slots: 4, Usual: far, Far: true}
@@ -75,11 +72,24 @@
 	assert.Equal(t, old, idle.Cost(now))
 }
 
+// Of the calls that a target told, those of this host are counted off as they end, and
+// the rest stands for the calls of others.
+func TestOwnCallsAreCountedOffAsTheyEnd(t *testing.T) {
+	f := Figures{Slots: 4, Usual: NewUsual(), InFlight: 3}
+	f.Told(now, targetapi.Load{Running: 4, Waiting: 1, Slots: 4, Pace: 1})
+	full := f.Cost(now)
+	assert.Equal(t, f.Others, 2)
+	f.InFlight = 0
+	assert.Check(t, f.Cost(now) < full)
+	other := told(2, 0, 1)
+	assert.Equal(t, f.Cost(now), other.Cost(now))
+}
+
 // A target must not get more than it can queue, as far as that is known.
 func TestFull(t *testing.T) {
 	f := told(4, 7, 1)
 	assert.Check(t, !f.Full(now))
-	f.Since++
+	f.InFlight++
 	assert.Check(t, f.Full(now))
 }
 
