Notice a change that was lost though a later one arrived

Cause: a heartbeat told the newest revision alone. A host whose message of one change was lost with its connection, and which had the next before the next heartbeat, took itself for up to date and went on using a target that had left, for good. Ruled out as enough: comparing the whole list's revision, which a host only learns by reading. Heartbeats now tell a digest of the targets listed. Test: known after 1 min (the test's limit) before, within 2 s after.

--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -22,10 +22,11 @@
 	StoreOK   bool          `msgpack:"store_ok"`
 	StoreAge  time.Duration `msgpack:"store_age"`
 	StoreWait time.Duration `msgpack:"store_wait"`
-	// Version and Newest say what the watcher knows, so that a host that missed
-	// a change notices.
+	// Version, Newest and Digest say what the watcher knows, so that a host that
+	// missed a change notices.
 	Version uint64             `msgpack:"version"`
 	Newest  directory.Revision `msgpack:"newest"`
+	Digest  uint64             `msgpack:"digest"`
 	// Hosts is a digest of the hosts that the watcher knows.
 	Hosts uint64 `msgpack:"hosts"`
 }
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -64,8 +64,16 @@
 }
 
 // behind reports whether a watcher knows more than this host. The lock is held.
+//
+// Failure: the message of one change is lost with the connection it was on, and that of
+// the next arrives before the next heartbeat. Symptom: with the newest revision alone
+// compared, the host never noticed, and went on using a target that had left. The digest
+// is that of all targets listed, so that any difference shows.
 func (c *Controller) behind(b beat) bool {
-	return c.state.Newest() < b.Newest || c.version() < b.Version
+	newest := c.state.Newest()
+	return newest < b.Newest ||
+		newest == b.Newest && c.state.Digest() != b.Digest ||
+		c.version() < b.Version
 }
 
 // version is that of the configuration at hand, or 0. The lock is held.
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -301,6 +301,7 @@
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
 		Newest:    c.state.Newest(),
+		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
 	}
 	if cfg := c.state.Config(); cfg != nil {
--- a/controller/watch/watch_test.go
+++ b/controller/watch/watch_test.go
@@ -268,6 +268,29 @@
 	})
 }
 
+// The message of one change is lost on its way to one host, and that of the next
+// arrives a moment later. By its newest revision this host is up to date, and it would go
+// on sending calls to the target that left first. It must notice what it lacks.
+func TestLostChangeIsNoticedThoughALaterOneArrives(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		var behind *host
+		for _, h := range fl.hosts {
+			if !h.watches() {
+				behind = h
+			}
+		}
+		for _, h := range fl.watching() {
+			fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
+		}
+		fl.record.Put(entryOf(3, true))
+		time.Sleep(120 * time.Millisecond)
+		fl.net.Heal()
+		fl.record.Put(entryOf(4, true))
+		took := fl.await(nil, func(h *host) bool { return !h.takes(3) && !h.takes(4) })
+		assert.Check(t, took < bound, "known after %s", took)
+	})
+}
+
 // The store turns away the hosts that watch, and three others besides, in each of
 // the ways it has. The rest must know of a leaving target within the bound.
 func TestDrainIsKnownInTimeThoughTheStoreTurnsWatchersAway(t *testing.T) {
--- a/directory/state.go
+++ b/directory/state.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
@@ -23,6 +26,8 @@
 	targets map[ports.HostID]*known
 	newest  Revision
 	wholeAt Revision
+	// digest is that of the targets that are listed; see Digest.
+	digest uint64
 }
 
 // known is a target with what happened to it here.
@@ -43,6 +48,19 @@
 // Newest returns the highest revision of any entry.
 func (s *State) Newest() Revision { return s.newest }
 
+// Digest is the same in states that list the same targets at the same revisions. Two
+// states may have the same newest revision and still differ: a change that was lost on
+// its way is not missed any more once the next one has arrived.
+func (s *State) Digest() uint64 { return s.digest }
+
+// mark is what a listed target adds to the digest.
+func (k *known) mark() uint64 {
+	if k == nil || k.Removed {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprint(k.ID, " ", k.Revision))
+}
+
 // HasTargets reports whether the list of targets was ever whole.
 func (s *State) HasTargets() bool { return s.wholeAt > 0 }
 
@@ -99,6 +117,7 @@
 		k.firstSeen = old.firstSeen
 	}
 	s.targets[t.ID] = k
+	s.digest ^= old.mark() ^ k.mark()
 	return true
 }
 
@@ -124,6 +143,7 @@
 	}
 	if !k.Removed {
 		k.goneAt = now.Add(hold)
+		s.digest ^= k.mark()
 	}
 	k.Removed = true
 	k.Revision = rev
