--- a/controller/watch/random_test.go
+++ b/controller/watch/random_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // history is one random run: faults and changes come in any order and overlap.
@@ -46,7 +47,7 @@
 func (h *history) any() *host { return h.hosts[h.rng.IntN(len(h.hosts))] }
 
 func (h *history) step() {
-	switch h.rng.IntN(12) {
+	switch h.rng.IntN(13) {
 	case 0, 1:
 		h.version++
 		h.record.Configure(config(h.version))
@@ -69,9 +70,26 @@
 		h.record.DropHistory()
 	case 11:
 		h.restart()
+	case 12:
+		h.loseOne()
 	}
 }
 
+// loseOne has one host miss a change, and hear of the next.
+func (h *history) loseOne() {
+	to := h.any()
+	for _, w := range h.watching() {
+		h.net.Cut(ports.HostID(w.addr), ports.HostID(to.addr))
+	}
+	h.record.Put(entryOf(h.rng.IntN(h.next), true))
+	time.Sleep(100 * time.Millisecond)
+	for _, w := range h.hosts {
+		h.net.Restore(ports.HostID(w.addr), ports.HostID(to.addr))
+	}
+	h.record.Put(entryOf(h.next, false))
+	h.next++
+}
+
 // restart replaces a host by one that starts anew.
 func (h *history) restart() {
 	i := h.rng.IntN(len(h.hosts))
--- a/internal/fakes/peernet/peernet.go
+++ b/internal/fakes/peernet/peernet.go
@@ -55,6 +55,13 @@
 	n.cut[[2]peer.HostID{from, to}] = true
 }
 
+// Restore ends the cut in one direction.
+func (n *Network) Restore(from, to peer.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, [2]peer.HostID{from, to})
+}
+
 // Heal ends all cuts.
 func (n *Network) Heal() {
 	n.mu.Lock()
