Pass changes on by relays where hosts are many, and only what is new

Now: a change goes to one host of each other zone, which passes it on; a watcher that reads the record whole passes on only what was new to it; further watchers leave the passing on to those before them; late turns are 8 ms apart. Ruled out: syncs (12 MB at the start, mostly within zones) and heartbeats (9 MB).

--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -13,6 +13,8 @@
 	kindChanges
 	kindSync
 	kindHosts
+	// kindRelay is kindChanges to a host that passes it on within its zone.
+	kindRelay
 )
 
 // beat is a watcher's heartbeat, to all hosts.
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -73,6 +73,7 @@
 	newest := c.state.Newest()
 	return newest < b.Newest ||
 		newest == b.Newest && c.state.Digest() != b.Digest ||
+		!c.state.HasTargets() ||
 		c.version() < b.Version
 }
 
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -78,16 +78,13 @@
 
 // logTargets tells of targets that leave or are gone: each changes what this
 // host believes.
-func (c *Controller) logTargets(ch directory.Changes, from ports.HostID) {
-	if len(ch.Targets) == 0 {
-		return
-	}
-	if ch.AllTargets {
+func (c *Controller) logTargets(ch, news directory.Changes, from ports.HostID) {
+	if ch.AllTargets && len(ch.Targets) > 0 {
 		c.deps.Log.Info("targets read", zap.Int("targets", len(ch.Targets)),
 			zap.Uint64("revision", uint64(ch.Revision)), zap.String("from", string(from)))
 		return
 	}
-	for _, t := range ch.Targets {
+	for _, t := range news.Targets {
 		word := "target listed"
 		switch {
 		case t.Removed:
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -29,8 +29,10 @@
 	gather = 100 * time.Millisecond
 	// secondAfter is how long the second watcher leaves it to the first to pass a
 	// change on. It takes in what the first passed on, and then has nothing to add:
-	// every host gets a change once and not twice.
+	// every host gets a change once and not twice. Further watchers, of which there may
+	// be several for a moment, leave it to those before them; maxRank bounds their wait.
 	secondAfter = 60 * time.Millisecond
+	maxRank     = 5
 	// retryPause is the time until the first further try while the store fails a
 	// watcher; it doubles up to maxRetryPause. Calls that are refused are paid for,
 	// too, and an outage lasts seconds.
@@ -152,7 +154,7 @@
 			allowance = firstAllowance
 		}
 		after = ch.Revision
-		if !ch.Empty() && c.isSecond() && !ctxtime.Sleep(ctx, secondAfter) {
+		if later := time.Duration(min(c.rank(), maxRank)) * secondAfter; !ch.Empty() && !ctxtime.Sleep(ctx, later) {
 			return
 		}
 		c.storeAnswered(w, t, ch)
@@ -162,12 +164,12 @@
 	}
 }
 
-// isSecond reports whether another watcher, whose turn comes first, passes changes
-// on.
-func (c *Controller) isSecond() bool {
+// rank is how many other watchers there are whose turn to pass a change on comes before
+// this host's.
+func (c *Controller) rank() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !watchers.First(c.self, watchers.Fresh(time.Now(), c.beats))
+	return watchers.Rank(c.self, watchers.Fresh(time.Now(), c.beats))
 }
 
 // ask makes one call: a reading of the whole topic, or a watch from where the
@@ -180,7 +182,7 @@
 		return c.deps.Source.Read(ctx, t)
 	}
 	wait := watchers.Wait
-	if c.isSecond() {
+	if c.rank() > 0 {
 		wait = watchers.SecondWait
 	}
 	w.wait.Store(int64(wait))
@@ -232,14 +234,21 @@
 	}
 	ch.Hold = c.hold(now)
 	had := c.state.Config()
-	fresh := !ch.Empty() && c.merge(now, ch, c.self)
+	hadTargets := c.state.HasTargets()
+	var news directory.Changes
+	if !ch.Empty() {
+		news = c.merge(now, ch, c.self)
+	}
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
+		if !hadTargets {
+			news = ch // the others may know none yet, too
+		}
 	}
-	if fresh {
-		c.tellAll(kindChanges, shorter(ch, had))
+	if !news.Empty() {
+		c.pass(shorter(news, had))
 	}
-	if fresh && ch.Hold > 0 {
+	if !news.Empty() && ch.Hold > 0 {
 		c.wakeUp()
 	}
 	if (first || regained) && w.storeOK() {
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -104,6 +103,7 @@
 	peer.Handle(d.Link, kindChanges, c.onChanges)
 	peer.Handle(d.Link, kindSync, c.onSync)
 	peer.Handle(d.Link, kindHosts, c.onHosts)
+	peer.Handle(d.Link, kindRelay, c.onRelay)
 	return c
 }
 
@@ -200,38 +200,24 @@
 	}
 }
 
-// merge takes in a step and puts what is new in force. It reports whether there
-// was anything new. The lock is held.
-func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) bool {
+// merge takes in a step, puts what is new in force and returns that. The lock is held.
+func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	had := c.state.Config()
-	if !c.state.Merge(now, ch) && (c.known() || !c.state.HasTargets()) {
-		return false
+	news := c.state.Take(now, ch)
+	if news.Empty() && (c.known() || !c.state.HasTargets()) {
+		return news
 	}
 	if next := c.state.Config(); next != had {
 		c.publishConfig(had, next, from)
 	}
-	c.logTargets(ch, from)
+	c.logTargets(ch, news, from)
 	c.publishTargets(now)
 	if c.deps.Board.Status.Load().Serving() && !c.isServing {
 		c.isServing = true
 		close(c.serving)
 	}
-	return true
+	return news
 }
 
 // known reports whether the status already says that the targets are known.
 func (c *Controller) known() bool { return !c.deps.Board.Status.Load().TargetsUnknown }
-
-// tellAll passes a message on to all other hosts, encoded once.
-func (c *Controller) tellAll(kind peer.Kind, msg any) {
-	body, err := msgpack.Marshal(msg)
-	if err != nil {
-		c.deps.Log.Error("message not encoded", zap.Error(err))
-		return
-	}
-	for id := range c.hosts {
-		if id != c.self && !c.deps.Link.Notify(id, kind, body) {
-			c.count.dropped.Add(1)
-		}
-	}
-}
--- a/controller/watch/watch_test.go
+++ b/controller/watch/watch_test.go
@@ -81,6 +81,8 @@
 
 func addr(i int) string { return fmt.Sprintf("10.0.%d.%d:8649", i/200, i%200+1) }
 
+func zone(i int) string { return fmt.Sprint("z", i%3) }
+
 func config(version uint64) *routing.Config {
 	return &routing.Config{Version: version, Services: []routing.Service{{Name: service}}}
 }
@@ -94,7 +96,7 @@
 func (fl *fleet) start(i int, hurry bool) *host {
 	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
 	h.c = New(Deps{
-		Self:    directory.Host{Addr: h.addr, Zone: "z"},
+		Self:    directory.Host{Addr: h.addr, Zone: zone(i)},
 		Seeds:   fl.seeds,
 		Hurry:   hurry,
 		Source:  h.client,
@@ -291,6 +293,46 @@
 	})
 }
 
+// Where hosts are many, a watcher sends each change to one host of every other
+// availability zone, and these pass it on. A third of all hosts fall silent, relays among
+// them, and targets begin to leave one after the other. A host whose relay was silent
+// asks once it hears from the watcher that it lacks something.
+func TestDrainIsKnownInTimeThoughRelaysAreSilent(t *testing.T) {
+	withFleet(t, 60, func(fl *fleet) {
+		var silent []*host
+		for i, h := range fl.hosts {
+			if i%3 == 1 && !h.watches() {
+				silent = append(silent, h)
+				fl.freeze(h)
+			}
+		}
+		for i := range 8 {
+			fl.record.Put(entryOf(i, true))
+			took := fl.await(silent, func(h *host) bool { return !h.takes(i) })
+			assert.Check(t, took < bound, "known after %s", took)
+		}
+	})
+}
+
+// The same without a fault: the change is known at once, and a watcher sends less than
+// one message for each host.
+func TestRelaysSpareTheWatcher(t *testing.T) {
+	withFleet(t, 60, func(fl *fleet) {
+		steps := func() (n int64) {
+			for _, h := range fl.hosts {
+				n += h.c.count.steps.Value()
+			}
+			return n
+		}
+		before := steps()
+		fl.record.Put(entryOf(3, true))
+		took := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+		assert.Check(t, took < 50*time.Millisecond, "known after %s", took)
+		time.Sleep(time.Second)
+		assert.Check(t, steps()-before <= 60, "%d messages", steps()-before)
+	})
+}
+
 // The store turns away the hosts that watch, and three others besides, in each of
 // the ways it has. The rest must know of a leaving target within the bound.
 func TestDrainIsKnownInTimeThoughTheStoreTurnsWatchersAway(t *testing.T) {
--- a/directory/state.go
+++ b/directory/state.go
@@ -65,6 +65,10 @@
 func (s *State) HasTargets() bool { return s.wholeAt > 0 }
 
 // Merge takes in a step and reports whether it told anything new.
+func (s *State) Merge(now time.Time, c Changes) bool { return !s.Take(now, c).Empty() }
+
+// Take takes in a step and returns what of it was new, as a step for hosts that knew as
+// much as this one.
 //
 // Failure: targets renew their entries, and while the platform's store is away
 // they can not; the store drops the entries and lists them again some two
@@ -72,17 +76,26 @@
 // every caller for want of targets that work. So a target whose entry went
 // without a drain is used for Hold longer, unless it was listed as draining; one
 // that is not back by then is gone.
-func (s *State) Merge(now time.Time, c Changes) bool {
-	changed := s.mergeConfig(c.Config) || s.mergeDelta(c.Delta)
+func (s *State) Take(now time.Time, c Changes) (news Changes) {
+	news.Revision = c.Revision
+	news.Hold = c.Hold
+	if s.mergeConfig(c.Config) {
+		news.Config = c.Config
+	}
+	if s.mergeDelta(c.Delta) {
+		news.Delta = c.Delta
+	}
 	for _, t := range c.Targets {
-		changed = s.mergeTarget(now, t, c.Hold) || changed
+		if s.mergeTarget(now, t, c.Hold) {
+			news.Targets = append(news.Targets, t)
+		}
 	}
 	if c.AllTargets && c.Revision > s.wholeAt {
-		changed = s.dropUnnamed(now, c) || changed
+		news.Targets = append(news.Targets, s.dropUnnamed(now, c)...)
 		s.wholeAt = c.Revision
 	}
 	s.forget(now)
-	return changed
+	return news
 }
 
 func (s *State) mergeConfig(c *routing.Config) bool {
@@ -110,7 +123,8 @@
 	}
 	s.newest = max(s.newest, t.Revision)
 	if t.Removed {
-		return s.remove(now, t.ID, t.Revision, hold)
+		s.remove(now, t.ID, t.Revision, hold)
+		return true
 	}
 	k := &known{Target: t, firstSeen: now}
 	if old != nil {
@@ -132,11 +146,11 @@
 	return true
 }
 
-func (s *State) remove(now time.Time, id ports.HostID, rev Revision, hold time.Duration) bool {
+func (s *State) remove(now time.Time, id ports.HostID, rev Revision, hold time.Duration) {
 	k := s.targets[id]
 	if k == nil {
 		s.targets[id] = &known{Target: Target{ID: id, Revision: rev, Removed: true}, goneAt: now}
-		return true
+		return
 	}
 	if k.Draining {
 		hold = 0
@@ -147,23 +161,22 @@
 	}
 	k.Removed = true
 	k.Revision = rev
-	return true
 }
 
-// dropUnnamed removes the targets that a whole reading does not name.
-func (s *State) dropUnnamed(now time.Time, c Changes) bool {
+// dropUnnamed removes the targets that a whole reading does not name, and returns them.
+func (s *State) dropUnnamed(now time.Time, c Changes) (dropped []Target) {
 	named := make(map[ports.HostID]bool, len(c.Targets))
 	for _, t := range c.Targets {
 		named[t.ID] = true
 	}
-	changed := false
 	for id, k := range s.targets {
 		if !named[id] && !k.Removed && k.Revision <= c.Revision {
-			changed = s.remove(now, id, c.Revision, c.Hold) || changed
+			s.remove(now, id, c.Revision, c.Hold)
 			s.newest = max(s.newest, c.Revision)
+			dropped = append(dropped, k.Target)
 		}
 	}
-	return changed
+	return dropped
 }
 
 func (s *State) forget(now time.Time) {
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -118,3 +118,27 @@
 	assert.Check(t, s.Merge(now, Changes{Delta: &routing.Delta{Base: 3, Version: 5}}))
 	assert.Equal(t, s.Config().Version, uint64(5))
 }
+
+// A watcher that reads the record whole passes on only what was new to it. A host that
+// knew as much must know the same afterwards, and the two must agree on the digest; a
+// difference must show in it.
+func TestNewsBringAHostAsFarAsTheWholeStep(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		steps := randomSteps(rng)
+		early, whole := steps[:40], merged(steps)
+		watcher, host := merged(early), merged(early)
+		before := host.Digest()
+		reading := Changes{Revision: 80, AllTargets: true, Config: whole.Config()}
+		for _, target := range view(whole) {
+			reading.Targets = append(reading.Targets, target)
+		}
+		news := watcher.Take(now, reading)
+		host.Take(now, news)
+		assert.DeepEqual(t, view(host), view(watcher))
+		assert.Equal(t, host.Digest(), watcher.Digest())
+		assert.Equal(t, host.Digest(), whole.Digest())
+		assert.Check(t, before != host.Digest(), "seed %d", seed)
+		assert.Check(t, watcher.Take(now, reading).Empty(), "nothing of it is new any more")
+	}
+}
--- a/policy/watchers/watchers.go
+++ b/policy/watchers/watchers.go
@@ -5,6 +5,7 @@
 package watchers
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -38,8 +39,16 @@
 	// stagger is the time between the turns of two hosts to take over, long
 	// enough for the heartbeat of the first to reach the second.
 	stagger = 60 * time.Millisecond
-	// maxStagger bounds the turn of the last host.
-	maxStagger = 800 * time.Millisecond
+	// maxStagger is how long hosts take their turns one by one, and then once more how
+	// long those that are left take theirs, lateStagger apart.
+	//
+	// Failure: heartbeats come late because the links are full, and 115 hosts had
+	// waited for the same last turn. Symptom: all of them began to watch and to pass on
+	// each change, which kept the links full. By the time of a late turn the first
+	// ones have had their chance; the last turn comes 1.6 s after the silence was
+	// noticed, which is only reached if nobody before could read the store.
+	maxStagger  = 800 * time.Millisecond
+	lateStagger = 8 * time.Millisecond
 	// spare is how long a watcher that is one too many goes on.
 	spare = 600 * time.Millisecond
 )
@@ -88,8 +97,17 @@
 func (d *Decider) Defer(until time.Time) { d.retryAt = until }
 
 // First reports whether a host has its turn before all of the others.
-func First(self ports.HostID, others []ports.HostID) bool {
-	return !slices.ContainsFunc(others, func(id ports.HostID) bool { return before(id, self) })
+func First(self ports.HostID, others []ports.HostID) bool { return Rank(self, others) == 0 }
+
+// Rank is how many of the others have their turn before a host.
+func Rank(self ports.HostID, others []ports.HostID) int {
+	ahead := 0
+	for _, id := range others {
+		if before(id, self) {
+			ahead++
+		}
+	}
+	return ahead
 }
 
 // Fresh returns the watchers that can be relied on.
@@ -142,13 +160,7 @@
 	if !v.StoreOK {
 		return false, again
 	}
-	ahead := 0
-	for _, id := range fresh {
-		if before(id, d.self) {
-			ahead++
-		}
-	}
-	if ahead < Wanted {
+	if Rank(d.self, fresh) < Wanted {
 		d.spareSince = time.Time{}
 		return true, again
 	}
@@ -192,7 +204,12 @@
 			ahead++
 		}
 	}
-	return min(time.Duration(ahead)*stagger, maxStagger)
+	early := time.Duration(ahead) * stagger
+	if early <= maxStagger {
+		return early
+	}
+	late := time.Duration(ahead)*lateStagger - maxStagger*lateStagger/stagger
+	return maxStagger + min(late, maxStagger)
 }
 
 // freshWatchers returns the watchers that can be relied on, and when there will
@@ -212,6 +229,24 @@
 	return ids, expiry
 }
 
+// relayChoice is how many hosts of an availability zone pass changes on by turns. One
+// alone would lose all changes for as long as its silence is not noticed; with all of them
+// every host would keep connections to every other of its zone.
+const relayChoice = 3
+
+// Relays orders the hosts of an availability zone by who is to pass a change on there.
+func Relays(rng *rand.Rand, hosts []ports.HostID) []ports.HostID {
+	slices.SortFunc(hosts, func(a, b ports.HostID) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	first := hosts[:min(relayChoice, len(hosts))]
+	rng.Shuffle(len(first), func(i, j int) { first[i], first[j] = first[j], first[i] })
+	return hosts
+}
+
 // before is the order in which hosts take their turns, the same on all of them.
 func before(a, b ports.HostID) bool {
 	ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
--- a/policy/watchers/watchers_test.go
+++ b/policy/watchers/watchers_test.go
@@ -118,3 +118,21 @@
 	}
 	assert.Equal(t, watching, Wanted)
 }
+
+// Nobody of 129 hosts hears a watcher any more. Were those that come after the first few
+// to begin at the same moment, all of them would watch, and pass on each change to all.
+func TestTurnsOfManyHostsAreApart(t *testing.T) {
+	all := hosts(129)
+	at := make(map[time.Duration]int)
+	last := time.Duration(0)
+	for _, id := range all {
+		d := NewDecider(id)
+		turn := firstWatch(d, start, View{Hosts: all})
+		at[turn]++
+		last = max(last, turn)
+	}
+	for turn, hosts := range at {
+		assert.Check(t, hosts <= 16, "%d hosts begin after %s", hosts, turn)
+	}
+	assert.Check(t, last <= 1600*time.Millisecond, "the last turn comes after %s", last)
+}
