Take hosts that are gone off the list

Cause, found by reading: a host that was once known stayed on every list for good. A watcher now takes off what it has not reached for 30 s, unless it reaches half of all hosts or less; others hear of it when their lists differ. The start time of a process tells a host that came back.

--- /dev/null
+++ b/controller/watch/hosts.go
@@ -0,0 +1,157 @@
+package watch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// goneFor is how long a host that was taken off the list is remembered as such. Every
+// other host has heard of it long before, by the heartbeats' digest of the list.
+const goneFor = 10 * time.Minute
+
+// sweepEvery is how often a watcher looks for hosts that are gone.
+const sweepEvery = time.Second
+
+// departed is a host that was taken off the list.
+type departed struct {
+	host directory.Host
+	at   time.Time
+}
+
+// addHosts takes in hosts that others know and reports whether any was new. One that
+// was taken off the list comes back only if it has started since, or is heard itself.
+// The lock is held.
+func (c *Controller) addHosts(list ...directory.Host) bool {
+	changed := false
+	for _, h := range list {
+		if g, ok := c.gone[h.ID()]; ok && h.Start <= g.host.Start {
+			continue
+		}
+		have, ok := c.hosts[h.ID()]
+		if h.Addr == "" || ok && have.Zone != "" && h.Start <= have.Start || ok && h.Zone == "" {
+			continue
+		}
+		delete(c.gone, h.ID())
+		c.hosts[h.ID()] = h
+		changed = true
+	}
+	if changed {
+		c.publishHosts()
+	}
+	return changed
+}
+
+// heard takes in a host that spoke for itself. The lock is held.
+func (c *Controller) heard(h directory.Host) {
+	delete(c.gone, h.ID())
+	c.addHosts(h)
+}
+
+// leaveOutIfDue has a watcher take hosts that it has not reached for long off the list.
+// The others hear of it with the list, once a heartbeat shows that theirs differs. The
+// lock is held.
+func (c *Controller) leaveOutIfDue(now time.Time) {
+	w := c.watch
+	// The reach says something of hosts that were sent to all the time.
+	if c.deps.Reach == nil || now.Sub(w.started) < watchers.LeftOutAfter || now.Sub(w.sweptAt) < sweepEvery {
+		return
+	}
+	w.sweptAt = now
+	for _, id := range watchers.LeftOut(c.self, c.hostIDs(), c.deps.Reach.UnreachableFor) {
+		c.leaveOut(now, c.hosts[id], c.self)
+	}
+	for id, g := range c.gone {
+		if now.Sub(g.at) > goneFor {
+			delete(c.gone, id)
+		}
+	}
+}
+
+// leaveOut takes a host off the list. The lock is held.
+func (c *Controller) leaveOut(now time.Time, h directory.Host, from ports.HostID) {
+	id := h.ID()
+	delete(c.hosts, id)
+	delete(c.beats, id)
+	c.gone[id] = departed{host: h, at: now}
+	c.deps.Log.Info("host left out", zap.String("peer", string(id)), zap.String("from", string(from)), zap.Int("hosts", len(c.hosts)))
+	c.publishHosts()
+}
+
+// leaveOutAll takes in which hosts another one took off its list, but for those that
+// have started since or that this host, watching, reaches. The lock is held.
+func (c *Controller) leaveOutAll(now time.Time, list []directory.Host, from ports.HostID) {
+	for _, g := range list {
+		have, ok := c.hosts[g.ID()]
+		if !ok || g.ID() == c.self || have.Start > g.Start || c.reaches(g.ID()) {
+			continue
+		}
+		c.leaveOut(now, have, from)
+	}
+}
+
+// reaches reports whether this host watches, and its heartbeats arrive at another.
+func (c *Controller) reaches(id ports.HostID) bool {
+	return c.watch != nil && c.deps.Reach != nil && c.deps.Reach.UnreachableFor(id) == 0
+}
+
+// goneList returns the hosts that were taken off the list. The lock is held.
+func (c *Controller) goneList() []directory.Host {
+	list := make([]directory.Host, 0, len(c.gone))
+	for _, g := range c.gone {
+		list = append(list, g.host)
+	}
+	return list
+}
+
+// hostIDs returns the names of the hosts this one knows. The lock is held.
+func (c *Controller) hostIDs() []ports.HostID {
+	list := make([]ports.HostID, 0, len(c.hosts))
+	for id := range c.hosts {
+		list = append(list, id)
+	}
+	return list
+}
+
+// publishHosts tells the peer link and the board whom this host knows. The lock
+// is held.
+func (c *Controller) publishHosts() {
+	members := &blackboard.Members{Self: c.self}
+	var list []ports.Host
+	for id, h := range c.hosts {
+		host := ports.Host{ID: id, Role: ports.RoleEntry, State: ports.HostLive, Zone: h.Zone, Region: c.deps.Region, PeerAddr: h.Addr}
+		list = append(list, host)
+		members.Members = append(members.Members, blackboard.Member{Host: host, State: blackboard.MemberLive, Ready: true})
+	}
+	slices.SortFunc(members.Members, func(a, b blackboard.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	if c.deps.Peers != nil {
+		c.deps.Peers.SetPeers(list)
+	}
+	c.deps.Board.Members.Store(members)
+}
+
+// hostList returns the hosts this one knows. The lock is held.
+func (c *Controller) hostList() []directory.Host {
+	list := make([]directory.Host, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		list = append(list, h)
+	}
+	return list
+}
+
+// hostDigest is the same on hosts that know the same hosts. The lock is held.
+func (c *Controller) hostDigest() uint64 {
+	var sum uint64
+	for id := range c.hosts {
+		sum ^= xxhash.Sum64String(string(id))
+	}
+	return sum
+}
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -43,6 +43,8 @@
 // hostsMessage tells whom a host knows, both ways.
 type hostsMessage struct {
 	Hosts []directory.Host `msgpack:"hosts"`
+	// Gone are hosts that were taken off the list.
+	Gone []directory.Host `msgpack:"gone"`
 }
 
 // syncReply is all that a host knows.
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -50,7 +50,7 @@
 	defer c.mu.Unlock()
 	was, had := c.beats[from]
 	c.beats[from] = watchers.Beat{Heard: now, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
-	c.addHosts(b.Host)
+	c.heard(b.Host)
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
 	}
@@ -136,7 +136,7 @@
 
 // tellHosts exchanges with another host whom both know. The lock is held.
 func (c *Controller) tellHosts(with ports.HostID) {
-	msg := hostsMessage{Hosts: c.hostList()}
+	msg := hostsMessage{Hosts: c.hostList(), Gone: c.goneList()}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 		defer cancel()
@@ -147,15 +147,18 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.addHosts(reply.Hosts...)
+		c.leaveOutAll(time.Now(), reply.Gone, with)
 	}()
 }
 
 // onHosts takes in whom another host knows, and tells whom this one knows.
-func (c *Controller) onHosts(_ context.Context, _ ports.HostID, msg hostsMessage) (hostsMessage, error) {
+func (c *Controller) onHosts(_ context.Context, from ports.HostID, msg hostsMessage) (hostsMessage, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.gone, from)
 	c.addHosts(msg.Hosts...)
-	return hostsMessage{Hosts: c.hostList()}, nil
+	c.leaveOutAll(time.Now(), msg.Gone, from)
+	return hostsMessage{Hosts: c.hostList(), Gone: c.goneList()}, nil
 }
 
 // onChanges takes in what a watcher saw.
@@ -172,7 +175,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.addHosts(req.Host)
+	c.heard(req.Host)
 	fresh := len(watchers.Fresh(now, c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
 	return syncReply{
 		Fresh:   fresh && c.state.HasTargets() && c.state.Config() != nil,
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -96,56 +95,3 @@
 			zap.Uint64("revision", uint64(t.Revision)), zap.Duration("hold", ch.Hold), zap.String("from", string(from)))
 	}
 }
-
-// addHosts takes in hosts that others know and reports whether any was new. The
-// lock is held.
-func (c *Controller) addHosts(list ...directory.Host) bool {
-	changed := false
-	for _, h := range list {
-		have, ok := c.hosts[h.ID()]
-		if h.Addr == "" || ok && (have.Zone != "" || h.Zone == "") {
-			continue
-		}
-		c.hosts[h.ID()] = h
-		changed = true
-	}
-	if changed {
-		c.publishHosts()
-	}
-	return changed
-}
-
-// publishHosts tells the peer link and the board whom this host knows. The lock
-// is held.
-func (c *Controller) publishHosts() {
-	members := &blackboard.Members{Self: c.self}
-	var list []ports.Host
-	for id, h := range c.hosts {
-		host := ports.Host{ID: id, Role: ports.RoleEntry, State: ports.HostLive, Zone: h.Zone, Region: c.deps.Region, PeerAddr: h.Addr}
-		list = append(list, host)
-		members.Members = append(members.Members, blackboard.Member{Host: host, State: blackboard.MemberLive, Ready: true})
-	}
-	slices.SortFunc(members.Members, func(a, b blackboard.Member) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
-	if c.deps.Peers != nil {
-		c.deps.Peers.SetPeers(list)
-	}
-	c.deps.Board.Members.Store(members)
-}
-
-// hostList returns the hosts this one knows. The lock is held.
-func (c *Controller) hostList() []directory.Host {
-	list := make([]directory.Host, 0, len(c.hosts))
-	for _, h := range c.hosts {
-		list = append(list, h)
-	}
-	return list
-}
-
-// hostDigest is the same on hosts that know the same hosts. The lock is held.
-func (c *Controller) hostDigest() uint64 {
-	var sum uint64
-	for id := range c.hosts {
-		sum ^= xxhash.Sum64String(string(id))
-	}
-	return sum
-}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -59,8 +59,10 @@
 	started time.Time
 	// wait is the longest that the store may hold a watch that is under way.
 	wait atomic.Int64
-	// beatAt is when the last heartbeat was sent.
-	beatAt time.Time
+	// beatAt is when the last heartbeat was sent, sweptAt when hosts that are gone were
+	// last looked for.
+	beatAt  time.Time
+	sweptAt time.Time
 }
 
 // storeOK reports whether the store serves this host.
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -25,6 +25,12 @@
 	SetPeers(hosts []ports.Host)
 }
 
+// Reach tells how long a host could not be reached though messages were sent to it;
+// peer.Node is one.
+type Reach interface {
+	UnreachableFor(id ports.HostID) time.Duration
+}
+
 // Deps is what a Controller works with.
 type Deps struct {
 	Self   directory.Host
@@ -37,6 +43,7 @@
 	Source  directory.Source
 	Link    peer.Link
 	Peers   PeerSetter
+	Reach   Reach
 	Board   *blackboard.Board
 	Metrics *metrics.Set
 	Log     *zap.Logger
@@ -54,6 +61,7 @@
 	rng     *rand.Rand
 	state   *directory.State
 	hosts   map[ports.HostID]directory.Host
+	gone    map[ports.HostID]departed
 	beats   map[ports.HostID]watchers.Beat
 	decider *watchers.Decider
 	// watch is set while this host watches.
@@ -87,6 +95,7 @@
 		rng:     rand.New(rand.NewPCG(d.Seed, 4)),
 		state:   directory.NewState(),
 		hosts:   map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
+		gone:    make(map[ports.HostID]departed),
 		beats:   make(map[ports.HostID]watchers.Beat),
 		decider: watchers.NewDecider(d.Self.ID()),
 		serving: make(chan struct{}),
@@ -112,7 +121,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, addr := range seeds {
-		c.addHosts(directory.Host{Addr: addr})
+		c.heard(directory.Host{Addr: addr})
 	}
 }
 
@@ -159,6 +168,7 @@
 	}
 	if c.watch != nil {
 		c.beatIfDue(now)
+		c.leaveOutIfDue(now)
 		c.announceIfDue(ctx, now)
 	}
 	if !c.expiry.IsZero() && (next.IsZero() || c.expiry.Before(next)) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -106,6 +106,9 @@
 type Host struct {
 	Addr string `msgpack:"addr" json:"addr"`
 	Zone string `msgpack:"zone" json:"zone"`
+	// Start is when its process started, in nanoseconds since 1970, or 0 if not known.
+	// It tells a host that came back from what was known of it before.
+	Start int64 `msgpack:"start" json:"start"`
 }
 
 // ID returns the name by which other hosts know the host.
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -101,6 +101,7 @@
 		Source:  d.platform.Directory,
 		Link:    d.node,
 		Peers:   d.node,
+		Reach:   d.node,
 		Board:   d.board,
 		Metrics: d.metrics,
 		Log:     d.log,
@@ -139,7 +140,7 @@
 	if addr == "" {
 		addr = d.PeersAddr()
 	}
-	return directory.Host{Addr: addr, Zone: d.settings.Host.Zone}
+	return directory.Host{Addr: addr, Zone: d.settings.Host.Zone, Start: int64(d.incarnation)}
 }
 
 func (d *Daemon) hosts() []ports.HostID {
--- a/internal/fakes/peernet/peernet.go
+++ b/internal/fakes/peernet/peernet.go
@@ -33,7 +33,7 @@
 
 // Join adds a host, or replaces the link of one that was there.
 func (n *Network) Join(id peer.HostID) *Link {
-	l := &Link{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler)}
+	l := &Link{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler), lost: make(map[peer.HostID]time.Time)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.links[id] = l
@@ -102,6 +102,8 @@
 
 	mu       sync.Mutex
 	handlers map[peer.Kind]peer.Handler
+	// lost is since when messages to a host have been lost.
+	lost map[peer.HostID]time.Time
 }
 
 var _ peer.Link = (*Link)(nil)
@@ -147,6 +149,7 @@
 	ctx := context.Background()
 	_ = l.net.wait(ctx, l.id, to)
 	dst := l.net.route(l.id, to)
+	l.note(to, dst != nil)
 	if dst == nil {
 		return
 	}
@@ -165,6 +168,27 @@
 	done <- reply{body: out, err: err}
 }
 
+// note remembers whether a message arrived.
+func (l *Link) note(to peer.HostID, arrived bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if arrived {
+		delete(l.lost, to)
+	} else if l.lost[to].IsZero() {
+		l.lost[to] = time.Now()
+	}
+}
+
+// UnreachableFor returns for how long all messages to a host have been lost.
+func (l *Link) UnreachableFor(to peer.HostID) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost[to].IsZero() {
+		return 0
+	}
+	return time.Since(l.lost[to])
+}
+
 // Notify delivers a message after the delay.
 func (l *Link) Notify(to peer.HostID, kind peer.Kind, body []byte) bool {
 	done := make(chan reply, 1)
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -41,6 +41,7 @@
 	}
 	r.mu.Lock()
 	r.notBefore = time.Time{}
+	r.downSince = time.Time{}
 	r.mu.Unlock()
 	start := time.Now()
 	r.node.count.connections.Add(1)
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -143,6 +144,32 @@
 
 // The peer stops while its handler runs: the request has arrived and the reply
 // will never come, so the caller has to be told that it may have run.
+// A peer ends, and later one listens at its address again. Whoever sends to it all the
+// time can tell for how long it was away.
+func TestUnreachablePeerIsTold(t *testing.T) {
+	a, b := newTestPair(t, nil, nil)
+	_, err := a.Call(t.Context(), "b", kindEcho, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, a.UnreachableFor("b"), time.Duration(0))
+	addr := b.opts.Listener.Addr().String()
+	b.Close()
+	for a.UnreachableFor("b") == 0 {
+		a.Notify("b", kindEcho, nil)
+		time.Sleep(time.Millisecond)
+	}
+	newTestNode(t, "b", func(o *Options) {
+		assert.NilError(t, o.Listener.Close())
+		l, err := net.Listen("tcp", addr)
+		assert.NilError(t, err)
+		o.Listener = l
+	})
+	for a.UnreachableFor("b") > 0 {
+		a.Notify("b", kindEcho, nil)
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, a.UnreachableFor("unknown"), time.Duration(0))
+}
+
 func TestPeerThatStopsMidCallGivesNoReply(t *testing.T) {
 	a, b := newTestPair(t, nil, nil)
 	b.Handle(kindEcho+1, func(ctx context.Context, _ HostID, _ []byte) ([]byte, error) {
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -65,6 +65,9 @@
 	lastID  uint64
 	// notBefore is the earliest time of the next attempt to connect.
 	notBefore time.Time
+	// downSince is when the connection broke or could not be opened, if none could be
+	// opened since.
+	downSince time.Time
 	closed    bool
 }
 
@@ -104,6 +107,21 @@
 	r.notBefore = time.Time{}
 }
 
+// UnreachableFor returns for how long no connection to a peer could be opened; 0 if the
+// last try succeeded. It says something only while messages are sent there all the time.
+func (n *Node) UnreachableFor(id HostID) time.Duration {
+	r := (*n.remotes.Load())[id]
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.downSince.IsZero() {
+		return 0
+	}
+	return time.Since(r.downSince)
+}
+
 // retire ends the remote after the replies that are owed had time to come.
 func (r *remote) retire() { time.AfterFunc(retireLinger, r.stop) }
 
@@ -308,8 +326,12 @@
 // the next attempt. Calls that come before it get ErrNotSent at once in place
 // of waiting for a host that is probably gone.
 func (r *remote) broken(cause error) {
+	now := time.Now()
 	r.mu.Lock()
-	r.notBefore = time.Now().Add(r.wait.NextBackOff())
+	r.notBefore = now.Add(r.wait.NextBackOff())
+	if r.downSince.IsZero() {
+		r.downSince = now
+	}
 	r.mu.Unlock()
 	r.failAll(cause)
 }
--- /dev/null
+++ b/policy/watchers/leftout.go
@@ -0,0 +1,40 @@
+package watchers
+
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// LeftOutAfter is how long a host must be out of a watcher's reach before it is taken off
+// the list of hosts. A planned restart takes up to some 10 s, and 5,100 a day of them must
+// not move the list; a host that failed for good counts in every other host's even share
+// until then.
+const LeftOutAfter = 30 * time.Second
+
+// LeftOut returns the hosts that a watcher takes off the list: those that it has tried in
+// vain for long, unless they are half of all or more.
+//
+// Failure: a few hosts are cut off from all others, and one of them watches. Symptom: it
+// took the others off its list, these took it off theirs, and once the cut was over
+// nobody knew of anybody on the other side. Only the greater part may take off the rest,
+// which then keeps the greater part on its own list and so finds it again.
+func LeftOut(self ports.HostID, hosts []ports.HostID, unreachableFor func(ports.HostID) time.Duration) []ports.HostID {
+	var away, lost []ports.HostID
+	for _, id := range hosts {
+		if id == self {
+			continue
+		}
+		d := unreachableFor(id)
+		if d > 0 {
+			away = append(away, id)
+		}
+		if d >= LeftOutAfter {
+			lost = append(lost, id)
+		}
+	}
+	if 2*len(away) >= len(hosts) {
+		return nil
+	}
+	return lost
+}
