Ask four targets of a zone in place of seven

Cause: under load at 121 hosts the share of questions is used up, and choices go by old figures; more questions for one choice leave none for the next.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,8 +26,11 @@
 
 const (
 	// askWidth is how many targets of the own zone, and then of others, are asked for
-	// one choice.
-	askWidth = 7
+	// one choice. More tell little more about the best of them, and use up the share of
+	// questions under load: with 7 the mean worth was 0.002 lower on the small
+	// deployments (12 days each, noise) and 0.018 lower on three days of 121 hosts; with
+	// 3 the heaviest of these fell from 0.592 to 0.553.
+	askWidth = 4
 	// askLeast is how many are asked when the share of questions is nearly used up,
 	// askAgain how many by a choice that waited.
 	askLeast = 2
