Keep the cheapest few targets of a choice in place of sorting all

Cause: each choice copied the map of targets, sorted it, and copied the few that are asked; a benchmark of the whole choice was missing.

--- /dev/null
+++ b/placer/bench_test.go
@@ -0,0 +1,58 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// unasked fails the benchmark's questions; all figures are fresh enough.
+type unasked struct{}
+
+func (unasked) RoundTrip(*http.Request, blackboard.Target, upstream.SendOptions) upstream.Result {
+	return upstream.Result{Err: upstream.ErrConnLimit}
+}
+
+// One whole choice among 100 targets that all told something just now.
+func BenchmarkPickOf100Targets(b *testing.B) {
+	board := blackboard.New()
+	defer board.Close()
+	key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: "s"}
+	list := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
+	for i := range 100 {
+		zone := fmt.Sprint("z", i%3)
+		list.ByService[key] = append(list.ByService[key], blackboard.Target{ID: ports.HostID(fmt.Sprintf("t%02d", i)), Slots: 2, Zone: zone})
+	}
+	board.Targets.Store(list)
+	p := New(Deps{
+		Board: board, Upstream: unasked{}, Share: NewShare(board, 0), Zone: "z0",
+		Contract: &targetapi.Contract{}, Metrics: metrics.New(), Log: zap.NewNop(),
+	})
+	s := p.service(key)
+	s.refresh(board)
+	for _, t := range s.targets {
+		s.told(time.Now().Add(time.Hour), t, targetapi.Load{Slots: 2, Pace: 1})
+	}
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		g, refusal := p.Pick(ctx, pick.Request{Service: key})
+		if g == nil {
+			assert.Equal(b, refusal.Reason, "")
+		}
+		g.Release(pick.Report{Class: pick.Canceled})
+	}
+}
--- /dev/null
+++ b/placer/candidates.go
@@ -0,0 +1,85 @@
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/pick"
+)
+
+// ranked is a target with what it costs by what is remembered.
+type ranked struct {
+	*target
+	cost float64
+}
+
+// candidates are the targets that are asked for one choice: the cheapest few of this
+// host's availability zone, and after them the cheapest few of others.
+//
+// A question to another zone and its answer are bytes that are paid for, and so is the
+// call itself, so that those of the own zone are asked first. As many of other zones can
+// be asked then, so that a zone that is full has somewhere to send its calls, however many
+// targets it has itself.
+//
+// Keeping the cheapest few on the way through the list, in place of sorting it, takes a
+// choice among 100 targets 5.3 microseconds in place of 15.9 (BenchmarkPickOf100Targets).
+type candidates struct {
+	list      [2 * askWidth]ranked
+	near, far int
+}
+
+// first returns those of the own zone, all those of other zones, too.
+func (c *candidates) first() []ranked { return c.list[:c.near] }
+func (c *candidates) all() []ranked   { return c.list[:c.near+c.far] }
+
+// add takes in a target if it is one of the cheapest of its kind.
+func (c *candidates) add(r ranked, width int) {
+	if r.figures.Far {
+		c.far = insert(c.list[askWidth:askWidth+width], c.far, r)
+		return
+	}
+	c.near = insert(c.list[:width], c.near, r)
+}
+
+// join puts the targets of other zones right behind those of the own one.
+func (c *candidates) join() {
+	copy(c.list[c.near:], c.list[askWidth:askWidth+c.far])
+}
+
+// insert puts a target in its place among the n cheapest, of which as many are kept as
+// there is room for, and returns how many there are then.
+func insert(best []ranked, n int, r ranked) int {
+	if n == len(best) && r.cost >= best[n-1].cost {
+		return n
+	}
+	if n < len(best) {
+		n++
+	}
+	i := n - 1
+	for ; i > 0 && best[i-1].cost > r.cost; i-- {
+		best[i] = best[i-1]
+	}
+	best[i] = r
+	return n
+}
+
+// tieBreak is the most by which chance moves a cost: it keeps hosts from preferring the
+// same of many equals.
+const tieBreak = 0.1
+
+// candidates returns the targets that may take a call. The lock is held.
+func (s *service) candidates(now time.Time, req pick.Request, width int) (c candidates) {
+	for _, t := range s.list {
+		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
+			continue
+		}
+		if req.Alone && t.figures.InFlight > 0 {
+			continue
+		}
+		t.figures.Cold = now.Before(t.info.WarmUntil)
+		t.figures.Usual = *s.usual(t)
+		c.add(ranked{t, t.figures.Cost(now) + s.rng.Float64()*tieBreak}, width)
+	}
+	c.join()
+	return c
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -112,19 +111,18 @@
 	s := p.service(req.Service)
 	start := time.Now()
 	for waits := 0; ; waits++ {
-		list := p.shortlist(s, req)
-		if len(list) == 0 {
+		c := p.candidates(s, req, p.width(waits))
+		asked := c.first()
+		if len(c.all()) == 0 {
 			return nil, p.refuse(outcome.ReasonNoTarget, s.describe())
 		}
-		near, all := firstAsked(list, p.width(waits))
-		p.ask(ctx, s, near)
-		asked := near
-		g, last := p.choose(ctx, s, req, near, false)
+		p.ask(ctx, s, asked)
+		g, last := p.choose(ctx, s, req, asked, false)
 		if g == nil && last == "" {
-			known := p.ask(ctx, s, all)
-			asked = all
+			asked = c.all()
+			known := p.ask(ctx, s, asked)
 			// More of the same guesses would be no better.
-			g, last = p.choose(ctx, s, req, all, !known || waits >= s.mayWait())
+			g, last = p.choose(ctx, s, req, asked, !known || waits >= s.mayWait())
 		}
 		if g != nil {
 			g.basis.Asked, g.basis.Waited = len(asked), time.Since(start)
@@ -140,25 +138,6 @@
 	}
 }
 
-// firstAsked splits a list into the targets that are asked first, those in this
-// host's availability zone, and all that are asked if none of these is good.
-//
-// A question to another zone and its answer are bytes that are paid for, and so is
-// the call itself. As many targets of other zones are asked then, so that a zone that
-// is full has somewhere to send its calls, however many targets it has itself.
-func firstAsked(list []ranked, width int) (near, all []ranked) {
-	var far []ranked
-	for _, r := range list {
-		switch {
-		case !r.figures.Far && len(near) < width:
-			near = append(near, r)
-		case r.figures.Far && len(far) < width:
-			far = append(far, r)
-		}
-	}
-	return near, slices.Concat(near, far)
-}
-
 // width is how many targets of a zone are asked. A choice that waited asks the best
 // few again. When the share of questions runs low each choice asks fewer, so that none
 // has to do without: at 129 hosts a host may put 77 questions a second, and with 14 for
@@ -170,13 +149,13 @@
 	return max(askLeast, int(askWidth*p.deps.Share.Left(time.Now())))
 }
 
-func (p *Placer) shortlist(s *service, req pick.Request) []ranked {
+func (p *Placer) candidates(s *service, req pick.Request, width int) candidates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refresh(p.deps.Board) {
 		p.deps.Share.Update()
 	}
-	return s.shortlist(time.Now(), req)
+	return s.candidates(time.Now(), req, width)
 }
 
 // choose takes the best target, or returns why there is none; neither means that
--- a/placer/service.go
+++ b/placer/service.go
@@ -1,16 +1,13 @@
 package placer
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/placing"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -27,6 +24,7 @@
 	seen     uint64 // version of the board's targets that was taken in
 	any      bool
 	targets  map[ports.HostID]*target
+	list     []*target // the same, for choices
 	failures health.Service
 	// near and far are what targets of the own zone and of others told of late.
 	near, far placing.Usual
@@ -44,6 +42,7 @@
 	s.seen, s.any = version, true
 	list := board.Targets.Load().ByService[s.key]
 	next := make(map[ports.HostID]*target, len(list))
+	s.list = make([]*target, 0, len(list))
 	for _, info := range list {
 		t := s.targets[info.ID]
 		if t == nil {
@@ -52,6 +51,7 @@
 			t.update(info, s.zone)
 		}
 		next[info.ID] = t
+		s.list = append(s.list, t)
 	}
 	s.targets = next
 	return true
@@ -71,35 +71,6 @@
 	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
 }
 
-// ranked is a target with what it costs.
-type ranked struct {
-	*target
-	cost float64
-}
-
-// shortlist returns the targets that may take a call, by what is remembered of
-// them, the cheapest first. The lock is held.
-func (s *service) shortlist(now time.Time, req pick.Request) []ranked {
-	list := make([]ranked, 0, len(s.targets))
-	for _, t := range s.targets {
-		t.figures.Cold = now.Before(t.info.WarmUntil)
-		t.figures.Usual = *s.usual(t)
-		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
-			continue
-		}
-		if req.Alone && t.figures.InFlight > 0 {
-			continue
-		}
-		// A small random part keeps hosts from preferring the same of many equals.
-		list = append(list, ranked{t, t.figures.Cost(now) + s.rng.Float64()*tieBreak})
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
-	return list
-}
-
-// tieBreak is the most by which chance moves a cost.
-const tieBreak = 0.1
-
 // best returns the cheapest of some targets that can queue one more call, or nil: of
 // those that told something of late, and only if there is none, of the others. The
 // lock is held.
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -106,31 +106,34 @@
 func (f *Figures) Known(now time.Time) bool { return f.Age(now) < callsFor }
 
 // trust is 1 for what was told just now and 0 for what is older than some time.
-func (f *Figures) trust(now time.Time, whole time.Duration) float64 {
-	return max(0, 1-float64(f.Age(now))/float64(whole))
+func trust(age, whole time.Duration) float64 {
+	if age >= whole {
+		return 0
+	}
+	return 1 - float64(age)/float64(whole)
 }
 
 // calls returns the calls to reckon with at the target.
-func (f *Figures) calls(now time.Time) float64 {
-	trust := f.trust(now, callsFor)
+func (f *Figures) calls(age time.Duration) float64 {
+	t := trust(age, callsFor)
 	usual := f.Usual.Share * float64(f.Slots)
-	return trust*float64(f.Others) + (1-trust)*usual + float64(f.InFlight)
+	return t*float64(f.Others) + (1-t)*usual + float64(f.InFlight)
 }
 
 // pace returns the pace to reckon with: the figure, and with age more and more
 // the usual one.
-func (f *Figures) pace(now time.Time) float64 {
-	trust := f.trust(now, paceFor)
-	return trust*f.Load.Pace + (1-trust)*f.Usual.Pace
+func (f *Figures) pace(age time.Duration) float64 {
+	t := trust(age, paceFor)
+	return t*f.Load.Pace + (1-t)*f.Usual.Pace
 }
 
 // Full reports whether the target may not be able to queue one more call.
 func (f *Figures) Full(now time.Time) bool {
-	return f.calls(now) >= float64((1+queueFactor)*f.Slots)
+	return f.calls(f.Age(now)) >= float64((1+queueFactor)*f.Slots)
 }
 
 // Queues reports whether one more call would wait for a slot.
-func (f *Figures) Queues(now time.Time) bool { return f.calls(now) >= float64(f.Slots) }
+func (f *Figures) Queues(now time.Time) bool { return f.calls(f.Age(now)) >= float64(f.Slots) }
 
 // Worthwhile reports whether a call should go to a target where its answer would
 // come after some time: in time for its objective, or at once in a slot that is free.
@@ -145,8 +148,9 @@
 
 // Time is how long one more call would take until its answer, in usual work times.
 func (f *Figures) Time(now time.Time) float64 {
-	calls, slots := f.calls(now), float64(f.Slots)
-	t := f.pace(now) * (1 + max(0, calls+1-slots)/slots + crowding*calls/slots)
+	age, slots := f.Age(now), float64(f.Slots)
+	calls := f.calls(age)
+	t := f.pace(age) * (1 + max(0, calls+1-slots)/slots + crowding*calls/slots)
 	if f.Cold {
 		t *= coldFactor
 	}
