--- /dev/null
+++ b/controller/watch/fleet_test.go
@@ -0,0 +1,196 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// fleet is hosts with one record, in virtual time.
+type fleet struct {
+	t      *testing.T
+	net    *peernet.Network
+	record *record.Record
+	hosts  []*host
+	seeds  []string
+	// messages counts those between hosts, replies too.
+	messages atomic.Int64
+}
+
+type host struct {
+	addr   string
+	client *record.Client
+	board  *blackboard.Board
+	c      *Controller
+	stop   context.CancelFunc
+}
+
+// withFleet runs f with n hosts that have been up for five seconds.
+func withFleet(t *testing.T, n int, f func(fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{t: t, net: peernet.New(), record: record.New(5 * time.Millisecond)}
+		fl.net.Delay = func(ports.HostID, ports.HostID) time.Duration {
+			fl.messages.Add(1)
+			return time.Millisecond
+		}
+		fl.record.Configure(config(1))
+		for i := range 10 {
+			fl.record.Put(entryOf(i, false))
+		}
+		for i := range 3 {
+			fl.seeds = append(fl.seeds, addr(i))
+		}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range n {
+			fl.start(i, false)
+			time.Sleep(time.Duration(rng.Int64N(int64(300*time.Millisecond) / int64(n))))
+		}
+		time.Sleep(5 * time.Second)
+		f(fl)
+		for _, h := range fl.hosts {
+			h.stop()
+		}
+		time.Sleep(5 * time.Second) // messages under way arrive
+		synctest.Wait()
+	})
+}
+
+func addr(i int) string { return fmt.Sprintf("10.0.%d.%d:8649", i/200, i%200+1) }
+
+func zone(i int) string { return fmt.Sprint("z", i%3) }
+
+func config(version uint64) *routing.Config {
+	return &routing.Config{Version: version, Services: []routing.Service{{Name: service}}}
+}
+
+func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%02d", i)) }
+
+func entryOf(i int, draining bool) directory.Target {
+	return directory.Target{ID: targetID(i), Service: service, Addr: "10.1.0.1:80", Slots: 2, Draining: draining}
+}
+
+func (fl *fleet) start(i int, hurry bool) *host {
+	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
+	link := fl.net.Join(ports.HostID(h.addr))
+	h.c = New(Deps{
+		Self:    directory.Host{Addr: h.addr, Zone: zone(i), Start: time.Now().UnixNano()},
+		Seeds:   fl.seeds,
+		Hurry:   hurry,
+		Source:  h.client,
+		Link:    link,
+		Reach:   link,
+		Board:   h.board,
+		Metrics: metrics.New(),
+		Log:     zap.NewNop(),
+		Seed:    uint64(i),
+	})
+	ctx, cancel := context.WithCancel(fl.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.c.Run(ctx)
+	}()
+	h.stop = func() {
+		fl.net.Leave(ports.HostID(h.addr))
+		cancel()
+		<-done
+		_ = h.board.Close()
+	}
+	fl.hosts = append(fl.hosts, h)
+	return h
+}
+
+func (h *host) watches() bool {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	return h.c.watch != nil
+}
+
+func (h *host) version() uint64 {
+	if t := h.board.Routes.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
+}
+
+// takes reports whether the host would send a call to a target.
+func (h *host) takes(i int) bool {
+	for _, t := range h.board.Targets.Load().ByService[key] {
+		if t.ID == targetID(i) {
+			return !t.Leaving
+		}
+	}
+	return false
+}
+
+// knows reports whether the host lists another one.
+func (h *host) knows(addr string) bool {
+	for _, m := range h.board.Members.Load().Members {
+		if m.Host.PeerAddr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+func (fl *fleet) watching() []*host {
+	var out []*host
+	for _, h := range fl.hosts {
+		if h.watches() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// freeze cuts a host off from everybody, as one that is stopped: nothing it would
+// say arrives, and the store does not hear it either.
+func (fl *fleet) freeze(h *host) {
+	h.client.Set(record.Silent)
+	for _, other := range fl.hosts {
+		fl.net.Cut(ports.HostID(h.addr), ports.HostID(other.addr))
+		fl.net.Cut(ports.HostID(other.addr), ports.HostID(h.addr))
+	}
+}
+
+// await returns how long it takes until all hosts but some satisfy a condition.
+func (fl *fleet) await(but []*host, ok func(h *host) bool) time.Duration {
+	start := time.Now()
+	for time.Since(start) < time.Minute {
+		all := true
+		for _, h := range fl.hosts {
+			if !contains(but, h) && !ok(h) {
+				all = false
+			}
+		}
+		if all {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func contains(list []*host, h *host) bool {
+	for _, other := range list {
+		if other == h {
+			return true
+		}
+	}
+	return false
+}
--- a/controller/watch/hosts.go
+++ b/controller/watch/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -10,16 +11,22 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-// goneFor is how long a host that was taken off the list is remembered as such. Every
-// other host has heard of it long before, by the heartbeats' digest of the list.
-const goneFor = 10 * time.Minute
-
-// sweepEvery is how often a watcher looks for hosts that are gone.
-const sweepEvery = time.Second
+const (
+	// goneFor is how long a host that was taken off the list is remembered as such. Every
+	// other host has heard of it long before, by the heartbeats' digest of the list.
+	goneFor = 10 * time.Minute
+	// sweepEvery is how often a watcher looks for hosts that are gone.
+	sweepEvery = time.Second
+	// exchangeEvery bounds how often a host tells whom it knows.
+	exchangeEvery = time.Second
+	// announceEvery bounds how often the list of hosts is written down.
+	announceEvery = 2 * time.Second
+)
 
 // departed is a host that was taken off the list.
 type departed struct {
@@ -156,3 +163,67 @@
 	}
 	return sum
 }
+
+// exchangeHosts tells a watcher whom this host knows and learns whom it knows, not
+// too often. The lock is held.
+func (c *Controller) exchangeHosts(with ports.HostID, now time.Time) {
+	if now.Before(c.exchangeAt) {
+		return
+	}
+	c.exchangeAt = now.Add(exchangeEvery + time.Duration(c.rng.Int64N(int64(exchangeEvery))))
+	c.tellHosts(with)
+}
+
+// tellHosts exchanges with another host whom both know. The lock is held.
+func (c *Controller) tellHosts(with ports.HostID) {
+	msg := hostsMessage{Hosts: c.hostList(), Gone: c.goneList()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+		defer cancel()
+		reply, err := peer.Call[hostsMessage](ctx, c.deps.Link, with, kindHosts, msg)
+		if err != nil {
+			return // the next heartbeat asks again
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.addHosts(reply.Hosts...)
+		c.leaveOutAll(time.Now(), reply.Gone, with)
+	}()
+}
+
+// onHosts takes in whom another host knows, and tells whom this one knows.
+func (c *Controller) onHosts(_ context.Context, from ports.HostID, msg hostsMessage) (hostsMessage, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.gone, from)
+	c.addHosts(msg.Hosts...)
+	c.leaveOutAll(time.Now(), msg.Gone, from)
+	return hostsMessage{Hosts: c.hostList(), Gone: c.goneList()}, nil
+}
+
+// announceIfDue has the first of the watchers write down the hosts that it knows.
+// The lock is held.
+func (c *Controller) announceIfDue(ctx context.Context, now time.Time) {
+	digest := c.hostDigest()
+	if digest == c.announced || now.Before(c.announceAt) || !c.watch.storeOK() {
+		return
+	}
+	if !watchers.First(c.self, watchers.Fresh(now, c.beats)) {
+		return
+	}
+	c.announceAt = now.Add(announceEvery)
+	hosts := c.hostList()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+		defer cancel()
+		c.count.calls.Add(1)
+		if err := c.deps.Source.Announce(ctx, hosts); err != nil {
+			c.count.failed.Add(1)
+			c.deps.Log.Warn("list of hosts not written down", zap.Error(err))
+			return
+		}
+		c.mu.Lock()
+		c.announced = digest
+		c.mu.Unlock()
+	}()
+}
--- /dev/null
+++ b/controller/watch/outage_test.go
@@ -0,0 +1,110 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+	"github.com/cactusproxy/cactusproxy/policy/watchers"
+)
+
+// The store is out for all hosts, silent or refusing, for eight seconds. Calls are paid
+// for, and one that is coming back must not meet the calls of all hosts: they are to find
+// out by a few tries that it is out, and then to try it now and then. Once it is back
+// everything must be known soon.
+func TestOutageIsMetWithFewCalls(t *testing.T) {
+	for _, n := range []int{14, 121} {
+		for _, mode := range []record.Mode{record.Refuses, record.Silent} {
+			withFleet(t, n, func(fl *fleet) {
+				for _, h := range fl.hosts {
+					h.client.Set(mode)
+				}
+				before := fl.record.Calls()
+				time.Sleep(8 * time.Second)
+				calls := fl.record.Calls() - before
+				assert.Check(t, calls < 160, "%d calls of %d hosts in mode %d", calls, n, mode)
+				fl.record.Put(entryOf(3, true))
+				for _, h := range fl.hosts {
+					h.client.Set(record.Serves)
+				}
+				took := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+				assert.Check(t, took < time.Second, "known %s after the return", took)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, len(fl.watching()), watchers.Wanted)
+			})
+		}
+	}
+}
+
+// The store turns away every host but four, for long. One of the four must be found soon
+// enough that all know of a leaving target in time.
+func TestOneServedHostIsFoundAmongMany(t *testing.T) {
+	for _, n := range []int{14, 60} {
+		withFleet(t, n, func(fl *fleet) {
+			away := fl.watching()
+			for _, h := range fl.hosts {
+				if len(away) < n-4 && !h.watches() {
+					away = append(away, h)
+				}
+			}
+			for _, h := range away {
+				h.client.Set(record.Silent)
+			}
+			time.Sleep(10 * time.Second)
+			fl.record.Put(entryOf(3, true))
+			took := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+			assert.Check(t, took < bound, "%d hosts: known after %s", n, took)
+		})
+	}
+}
+
+// The store is out for longer than targets' entries live, so that they lapse. When
+// it is back the targets that live list themselves again within two seconds. Until
+// then callers must not be refused for want of targets; after it the one that did
+// not come back must be taken as gone.
+func TestTargetsWhoseEntriesLapsedAreUsedUntilTheyAreBack(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 10 {
+			fl.record.Remove(targetID(i))
+		}
+		time.Sleep(2 * time.Second)
+		for _, h := range fl.hosts {
+			h.client.Set(record.Serves)
+		}
+		back := time.Now()
+		for i := range 9 {
+			time.Sleep(200 * time.Millisecond)
+			for _, h := range fl.hosts {
+				assert.Check(t, h.takes(9) && h.takes(i), "%s after the return", time.Since(back))
+			}
+			fl.record.Put(entryOf(i, false))
+		}
+		time.Sleep(2*time.Second + returnHold - time.Since(back))
+		for _, h := range fl.hosts {
+			assert.Check(t, h.takes(0) && h.takes(8))
+			assert.Check(t, !h.takes(9), "the target that is gone is still used")
+		}
+	})
+}
+
+// The store is out and a host starts. It must learn the configuration and the
+// targets from the others.
+func TestStartWithoutStore(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(time.Second)
+		h := fl.start(20, true)
+		h.client.Set(record.Refuses)
+		time.Sleep(time.Second)
+		assert.Equal(t, h.version(), uint64(1))
+		assert.Check(t, h.takes(0))
+	})
+}
--- a/policy/watchers/watchers.go
+++ b/policy/watchers/watchers.go
@@ -5,12 +5,8 @@
 package watchers
 
 import (
-	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -18,75 +14,15 @@
 	// Wanted is how many hosts watch: with one, its silence would cost all hosts
 	// the time to notice it.
 	Wanted = 2
-	// BeatEvery is the time between two heartbeats of a watcher.
-	BeatEvery = 250 * time.Millisecond
-	// silentAfter is the age of the last heartbeat at which a watcher counts as
-	// gone: two lost or late heartbeats. A leaving target must be known everywhere
-	// within 2 s; noticing the silence, taking over and reading take 1 s of it.
-	silentAfter = 600 * time.Millisecond
-	// Wait is how long the store holds a watch without news. Together with the
-	// time allowed for its answer it bounds how late a watcher notices that the
-	// store has stopped answering it, which has to fit into the same 2 s.
-	Wait = 900 * time.Millisecond
-	// SecondWait is how long the store holds a watch of the second watcher. Changes
-	// reach it at once all the same; it only notices later that the store has stopped
-	// answering it, and as soon as the first one is missed a third host takes over. It
-	// saves a third of the calls on a calm minute.
-	SecondWait = 2500 * time.Millisecond
-	// answerTime is the time allowed for an answer of the store beyond the wait; a
-	// watcher's word is old when its last answer is older than both together.
-	answerTime = 400 * time.Millisecond
-	// stagger is the time between the turns of two hosts to take over, long
-	// enough for the heartbeat of the first to reach the second.
-	stagger = 60 * time.Millisecond
-	// maxStagger is how long hosts take their turns one by one, and then once more how
-	// long those that are left take theirs, lateStagger apart.
-	//
-	// Failure: heartbeats come late because the links are full, and 115 hosts had
-	// waited for the same last turn. Symptom: all of them began to watch and to pass on
-	// each change, which kept the links full. By the time of a late turn the first
-	// ones have had their chance; the last turn comes 1.6 s after the silence was
-	// noticed, which is only reached if nobody before could read the store.
-	maxStagger  = 800 * time.Millisecond
-	lateStagger = 8 * time.Millisecond
 	// outageTries is how many hosts must have tried the store in vain before it counts as
 	// out for all, refusedFor how long such a try counts. With 60% of all hosts turned
 	// away ten in a row are met once in 165 times.
 	outageTries = 10
 	refusedFor  = 10 * time.Second
-	// outageStagger is the time between two turns while the store is out for all. At
-	// 121 hosts they made 489 to 555 calls in an outage of 8 s with turns as close as
-	// otherwise, and fewer than 160 so (controller/watch, TestOutageIsMetWithFewCalls).
-	outageStagger = 400 * time.Millisecond
 	// spare is how long a watcher that is one too many goes on.
 	spare = 600 * time.Millisecond
 )
 
-// Beat is the last heartbeat of a watcher.
-type Beat struct {
-	Heard time.Time
-	// StoreOK is false while the store fails the watcher, StoreAge how old its
-	// last answer was when the heartbeat was sent.
-	StoreOK  bool
-	StoreAge time.Duration
-	// StoreWait is how long the store holds the watcher's watches.
-	StoreWait time.Duration
-}
-
-// staleAfter is the age of the last answer at which the watcher's word is old.
-func (b Beat) staleAfter() time.Duration { return max(b.StoreWait, Wait) + answerTime }
-
-// Fresh reports whether a watcher's word can be relied on at a moment.
-func (b Beat) Fresh(now time.Time) bool {
-	silence := now.Sub(b.Heard)
-	return b.StoreOK && silence < silentAfter && b.StoreAge+silence < b.staleAfter()
-}
-
-// expires returns when a fresh heartbeat stops being fresh.
-func (b Beat) expires() time.Time {
-	return b.Heard.Add(min(silentAfter, b.staleAfter()-b.StoreAge))
-}
-
 // Decider decides for one host. It is not safe for concurrent use.
 type Decider struct {
 	self ports.HostID
@@ -107,26 +43,6 @@
 // up by then if anybody is.
 func (d *Decider) Defer(until time.Time) { d.retryAt = until }
 
-// First reports whether a host has its turn before all of the others.
-func First(self ports.HostID, others []ports.HostID) bool { return Rank(self, others) == 0 }
-
-// Rank is how many of the others have their turn before a host.
-func Rank(self ports.HostID, others []ports.HostID) int {
-	ahead := 0
-	for _, id := range others {
-		if before(id, self) {
-			ahead++
-		}
-	}
-	return ahead
-}
-
-// Fresh returns the watchers that can be relied on.
-func Fresh(now time.Time, beats map[ports.HostID]Beat) []ports.HostID {
-	ids, _ := freshWatchers(now, beats)
-	return ids
-}
-
 // View is what a decision rests on.
 type View struct {
 	// Hosts are all entry hosts known, this one included.
@@ -218,78 +134,5 @@
 	}
 }
 
-// anyHeard reports whether a watcher is heard, served by the store or not.
-func anyHeard(now time.Time, beats map[ports.HostID]Beat) bool {
-	for _, b := range beats {
-		if now.Sub(b.Heard) < silentAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // maxRetry bounds how long a host waits before it tries the store again.
 const maxRetry = 5 * time.Second
-
-// turn returns how long this host lets others go first.
-func (d *Decider) turn(hosts, fresh []ports.HostID, outage bool) time.Duration {
-	ahead := 0
-	for _, id := range hosts {
-		if id != d.self && !slices.Contains(fresh, id) && before(id, d.self) {
-			ahead++
-		}
-	}
-	if outage {
-		return time.Duration(ahead) * outageStagger
-	}
-	early := time.Duration(ahead) * stagger
-	if early <= maxStagger {
-		return early
-	}
-	late := time.Duration(ahead)*lateStagger - maxStagger*lateStagger/stagger
-	return maxStagger + min(late, maxStagger)
-}
-
-// freshWatchers returns the watchers that can be relied on, and when there will
-// be fewer than wanted unless more is heard.
-func freshWatchers(now time.Time, beats map[ports.HostID]Beat) (ids []ports.HostID, expiry time.Time) {
-	var ends []time.Time
-	for id, b := range beats {
-		if b.Fresh(now) {
-			ids = append(ids, id)
-			ends = append(ends, b.expires())
-		}
-	}
-	slices.SortFunc(ends, time.Time.Compare)
-	if len(ends) >= Wanted {
-		expiry = ends[len(ends)-Wanted]
-	}
-	return ids, expiry
-}
-
-// relayChoice is how many hosts of an availability zone pass changes on by turns. One
-// alone would lose all changes for as long as its silence is not noticed; with all of them
-// every host would keep connections to every other of its zone.
-const relayChoice = 3
-
-// Relays orders the hosts of an availability zone by who is to pass a change on there.
-func Relays(rng *rand.Rand, hosts []ports.HostID) []ports.HostID {
-	slices.SortFunc(hosts, func(a, b ports.HostID) int {
-		if before(a, b) {
-			return -1
-		}
-		return 1
-	})
-	first := hosts[:min(relayChoice, len(hosts))]
-	rng.Shuffle(len(first), func(i, j int) { first[i], first[j] = first[j], first[i] })
-	return hosts
-}
-
-// before is the order in which hosts take their turns, the same on all of them.
-func before(a, b ports.HostID) bool {
-	ha, hb := xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))
-	if ha != hb {
-		return ha < hb
-	}
-	return a < b
-}
