--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -45,11 +45,10 @@
 	termAt time.Time
 }
 
-func newProcess(name, dir, binary, storeAddr string) (*process, error) {
+func newProcess(name, dir, binary, storeAddr string, addrs *addresses) (*process, error) {
 	p := &process{name: name, dir: dir, binary: binary}
-	ip := ownIP()
 	for _, addr := range []*string{&p.callers, &p.readiness, &p.operators, &p.peers} {
-		free, err := freeAddr(ip)
+		free, err := addrs.draw()
 		if err != nil {
 			return nil, err
 		}
@@ -73,13 +72,33 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
 }
 
-func freeAddr(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// addresses gives the processes of a run addresses to listen on.
+type addresses struct {
+	ip    string
+	drawn map[string]bool
+}
+
+func newAddresses() *addresses { return &addresses{ip: ownIP(), drawn: make(map[string]bool)} }
+
+// draw returns an address that is free and that no process of the run was given.
+//
+// Failure: an address is free again as soon as it was drawn, until a process listens
+// there. Symptom: two hosts were given the same one, and one of them ended at its start.
+func (a *addresses) draw() (string, error) {
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(a.ip, "0"))
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if !a.drawn[addr] {
+			a.drawn[addr] = true
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // writeSettings writes the settings file of a process.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -138,8 +138,9 @@
 		}
 	}
 	var seeds []string
+	addrs := newAddresses()
 	for i := range s.Processes {
-		p, err := newProcess(fmt.Sprintf("host-%d", i), s.Dir, s.Binary, l.Addr().String())
+		p, err := newProcess(fmt.Sprintf("host-%d", i), s.Dir, s.Binary, l.Addr().String(), addrs)
 		if err != nil {
 			return err
 		}
