Compare lists with each change, so that a lost one shows while others keep coming

Cause: a heartbeat's digest can be compared only by a host that has the same newest revision; with a change every 0.1 s the next one had always come, and a check 0.15 s later took the host for up to date. Each change now tells the digest of the sender's list after it, and a host whose list differs asks the sender; it is asked before a host of the own zone, which may lack the same.

--- a/controller/watch/pass.go
+++ b/controller/watch/pass.go
@@ -75,6 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.merge(time.Now(), ch, from)
+	c.compare(ch, from)
 	body, ok := c.encode(ch)
 	if !ok {
 		return struct{}{}, nil
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -15,6 +15,10 @@
 const (
 	// syncTimeout bounds an exchange of all that two hosts know.
 	syncTimeout = time.Second
+	// checkTimeout bounds an exchange of what a host missed: some KB, a few ms on a good
+	// day. Two in a row and the wait before them leave a second of the 2 s in which a
+	// leaving target must be known.
+	checkTimeout = 400 * time.Millisecond
 	// catchUpAfter is how long a host that is behind waits for the change itself.
 	catchUpAfter = 150 * time.Millisecond
 )
@@ -35,7 +39,7 @@
 		c.wakeUp()
 	}
 	if c.behind(b) {
-		c.checkLater(from, b)
+		c.checkLater(from, func() bool { return c.behind(b) })
 	}
 	if b.Hosts != c.hostDigest() {
 		c.exchangeHosts(from, now)
@@ -85,31 +89,39 @@
 	return 0
 }
 
-// checkLater has this host ask for all that it missed, if it is still behind after
-// a moment: the change itself may be on its way behind the heartbeat. It asks a host
-// of its own availability zone first, so that a watcher need not answer all hosts at
-// once and the bytes stay inside the zone. The lock is held.
-func (c *Controller) checkLater(from ports.HostID, b beat) {
+// checkLater has this host ask for what it missed, if it is still behind after a moment:
+// the change itself may be on its way behind the heartbeat. It asks the watcher whose
+// heartbeat told so, and only if that does not answer another host of its zone, so that
+// neither a silent host nor one that lacks the same costs it the time in which a leaving
+// target must be known. What it is told is small: the parts that differ. The lock is held.
+//
+// The function tells whether the host still lacks something; it is called with the lock
+// held.
+func (c *Controller) checkLater(from ports.HostID, still func() bool) {
 	if c.checking {
 		return
 	}
 	c.checking = true
 	time.AfterFunc(catchUpAfter, func() {
-		if near, ok := c.stillBehind(b); ok && near != "" {
-			_ = c.syncWithin(near, syncTimeout/2)
-		}
-		if _, ok := c.stillBehind(b); ok {
-			_ = c.syncWithin(from, syncTimeout)
-		}
+		c.catchUp(from, still)
 		c.mu.Lock()
 		c.checking = false
 		c.mu.Unlock()
 	})
 }
 
-// stillBehind reports whether this host is behind a heartbeat, and names another
-// host of its zone.
-func (c *Controller) stillBehind(b beat) (near ports.HostID, behind bool) {
+func (c *Controller) catchUp(from ports.HostID, still func() bool) {
+	if _, behind := c.stillBehind(still); !behind || c.syncWithin(from, checkTimeout).reached {
+		return
+	}
+	if near, behind := c.stillBehind(still); behind && near != "" {
+		_ = c.syncWithin(near, checkTimeout)
+	}
+}
+
+// stillBehind reports whether this host still lacks something, and names another host of
+// its zone.
+func (c *Controller) stillBehind(still func() bool) (near ports.HostID, behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var others []ports.HostID
@@ -121,7 +133,7 @@
 	if len(others) > 0 {
 		near = others[c.rng.IntN(len(others))]
 	}
-	return near, c.behind(b)
+	return near, still()
 }
 
 // onChanges takes in what a watcher saw.
@@ -130,9 +142,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.merge(time.Now(), ch, from)
+	c.compare(ch, from)
 	return struct{}{}, nil
 }
 
+// compare has this host ask for what it lacks if its list is not what the sender's was
+// after a step. The lock is held.
+//
+// Failure: one change is lost while others keep coming, as when targets are replaced one
+// after the other. Symptom: a heartbeat's digest could hardly ever be compared, since the
+// next change had come meanwhile, and a target that had left was used for 2.6 s.
+func (c *Controller) compare(ch directory.Changes, from ports.HostID) {
+	if ch.Digest != 0 && c.state.Newest() == ch.DigestAt && c.state.Digest() != ch.Digest {
+		c.checkLater(from, func() bool { return true })
+	}
+}
+
 // onSync tells another host all that this one knows.
 func (c *Controller) onSync(_ context.Context, _ ports.HostID, req syncRequest) (syncReply, error) {
 	now := time.Now()
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -250,6 +250,7 @@
 		}
 	}
 	if !news.Empty() {
+		news.Digest, news.DigestAt = c.state.Digest(), c.state.Newest()
 		c.pass(shorter(news, had))
 	}
 	if !news.Empty() && ch.Hold > 0 {
--- a/controller/watch/watch_test.go
+++ b/controller/watch/watch_test.go
@@ -121,6 +121,32 @@
 	})
 }
 
+// The message of one change is lost on its way to one host while targets are replaced one
+// after the other, so that the next change always comes before a heartbeat can be compared.
+// Each change tells what the list is to be after it, and the gap shows with the next one.
+func TestLostChangeIsNoticedWhileOthersKeepComing(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		var behind *host
+		for _, h := range fl.hosts {
+			if !h.watches() {
+				behind = h
+			}
+		}
+		for _, h := range fl.watching() {
+			fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
+		}
+		fl.record.Put(entryOf(3, true))
+		start := time.Now()
+		time.Sleep(120 * time.Millisecond)
+		fl.net.Heal()
+		for i := 10; behind.takes(3) && time.Since(start) < 2*bound; i++ {
+			fl.record.Put(entryOf(i, false))
+			time.Sleep(30 * time.Millisecond)
+		}
+		assert.Check(t, time.Since(start) < bound, "known after %s", time.Since(start))
+	})
+}
+
 // Where hosts are many, a watcher sends each change to one host of every other
 // availability zone, and these pass it on. A third of all hosts fall silent, relays among
 // them, and targets begin to leave one after the other. A host whose relay was silent
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -81,6 +81,10 @@
 	// begins at.
 	Delta   *routing.Delta `msgpack:"delta"`
 	Targets []Target       `msgpack:"targets"`
+	// Digest is that of the sender's list after the step, DigestAt the newest revision in
+	// it; 0 if not told.
+	Digest   uint64   `msgpack:"digest"`
+	DigestAt Revision `msgpack:"digest_at"`
 	// Hold is how long targets that were removed without notice are still to be
 	// used. See State.Merge.
 	Hold time.Duration `msgpack:"hold"`
