--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -194,3 +194,20 @@
 	}
 	return false
 }
+
+// loseChange has a target begin to leave, and the message of it lost on its way to one
+// host, which it returns.
+func (fl *fleet) loseChange(i int) (behind *host) {
+	for _, h := range fl.hosts {
+		if !h.watches() {
+			behind = h
+		}
+	}
+	for _, h := range fl.watching() {
+		fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
+	}
+	fl.record.Put(entryOf(i, true))
+	time.Sleep(120 * time.Millisecond)
+	fl.net.Heal()
+	return behind
+}
--- a/controller/watch/watch_test.go
+++ b/controller/watch/watch_test.go
@@ -9,7 +9,6 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
-	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
@@ -103,18 +102,7 @@
 // on sending calls to the target that left first. It must notice what it lacks.
 func TestLostChangeIsNoticedThoughALaterOneArrives(t *testing.T) {
 	withFleet(t, 14, func(fl *fleet) {
-		var behind *host
-		for _, h := range fl.hosts {
-			if !h.watches() {
-				behind = h
-			}
-		}
-		for _, h := range fl.watching() {
-			fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
-		}
-		fl.record.Put(entryOf(3, true))
-		time.Sleep(120 * time.Millisecond)
-		fl.net.Heal()
+		fl.loseChange(3)
 		fl.record.Put(entryOf(4, true))
 		took := fl.await(nil, func(h *host) bool { return !h.takes(3) && !h.takes(4) })
 		assert.Check(t, took < bound, "known after %s", took)
@@ -126,19 +114,8 @@
 // Each change tells what the list is to be after it, and the gap shows with the next one.
 func TestLostChangeIsNoticedWhileOthersKeepComing(t *testing.T) {
 	withFleet(t, 14, func(fl *fleet) {
-		var behind *host
-		for _, h := range fl.hosts {
-			if !h.watches() {
-				behind = h
-			}
-		}
-		for _, h := range fl.watching() {
-			fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
-		}
-		fl.record.Put(entryOf(3, true))
 		start := time.Now()
-		time.Sleep(120 * time.Millisecond)
-		fl.net.Heal()
+		behind := fl.loseChange(3)
 		for i := 10; behind.takes(3) && time.Since(start) < 2*bound; i++ {
 			fl.record.Put(entryOf(i, false))
 			time.Sleep(30 * time.Millisecond)
