Tell the runs of a target apart, and take no target from an entry that none wrote

Cause: a target may start again under its name. Its leaving, rests, failures, figures, calls in flight, the connections to it and the crashes it suffered were kept by name, so that one that had drained was never used again, and a request that crashed the only target of a service time and again counted as one loss. A write of the former run that arrives late drained the new one.

Now a word belongs to a run (ports.Incarnation, ports.RunID), from the adapter through directory, blackboard, placer, connections, quarantine and log lines. A later run replaces an earlier one whatever the revision; an earlier one's word is held back for 5 s, since the time of day of a target's host may have been set back, and then nothing replaces it.

An entry that can not be read names no target any more, whatever stood there before: it was left out, and the last good word stayed in force. Entries of services that no configuration names no longer add to the share of questions.

Tests failed before; broken on purpose (late words believed, leaving mark kept, beliefs kept by name) they fail again.

--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -73,9 +73,11 @@
 // its leaving. Load and health that change within milliseconds are not here:
 // they belong to whoever picks.
 type Target struct {
-	ID   ports.HostID
-	Addr string
-	Zone string
+	ID ports.HostID
+	// Incarnation is the target's run that the rest speaks of.
+	Incarnation ports.Incarnation
+	Addr        string
+	Zone        string
 	// Leaving targets get no new call. It is set by the list, by the target's
 	// own answers, or by another host's word, whichever comes first.
 	Leaving bool
@@ -92,6 +94,9 @@
 	WarmUntil time.Time
 }
 
+// Run returns the name of the target's run.
+func (t Target) Run() ports.RunID { return ports.Run(t.ID, t.Incarnation) }
+
 // Targets is the view of all targets by service; each slice is sorted by ID.
 type Targets struct {
 	// ListVersion is the version of the platform's list it was made from.
@@ -119,11 +124,12 @@
 // Ready reports whether the balancer should send new calls.
 func (s Status) Ready() bool { return s.Serving() && !s.Leaving }
 
-// WithLeaving returns the view with one target marked as leaving, and whether
-// that changed anything.
-func (t *Targets) WithLeaving(key ServiceKey, id ports.HostID, now time.Time) (*Targets, bool) {
+// WithLeaving returns the view with one run of a target marked as leaving, and whether
+// that changed anything. A sign of leaving that comes late does not drain the run that
+// has begun since.
+func (t *Targets) WithLeaving(key ServiceKey, run ports.RunID, now time.Time) (*Targets, bool) {
 	list := t.ByService[key]
-	i := slices.IndexFunc(list, func(tg Target) bool { return tg.ID == id })
+	i := slices.IndexFunc(list, func(tg Target) bool { return tg.Run() == run })
 	if i < 0 || list[i].Leaving {
 		return t, false
 	}
--- a/cmd/cactusproxyd/main.go
+++ b/cmd/cactusproxyd/main.go
@@ -12,10 +12,12 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy"
+	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/edge"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/internal/logging"
 	"github.com/cactusproxy/cactusproxy/internal/version"
+	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/settings"
 )
@@ -124,7 +126,9 @@
 	}
 	store := platform.NewStore(s.Directory.Store)
 	return edge.New(s, edge.Platform{
-		Directory: platform.NewDirectory(store, log),
+		Directory: func(m *metrics.Set, log *zap.Logger) directory.Source {
+			return platform.NewDirectory(store, m, log)
+		},
 		Contract:  platform.Contract(),
 		ReadyPath: platform.ReadyPath,
 	}, log)
--- a/controller/targets/controller.go
+++ b/controller/targets/controller.go
@@ -154,7 +154,7 @@
 // view is not on the board yet, so it may be changed.
 func (c *Controller) withMarks(t *blackboard.Targets, now time.Time) *blackboard.Targets {
 	for m := range c.marks.at {
-		if next, changed := t.WithLeaving(m.key(), m.ID, now); changed {
+		if next, changed := t.WithLeaving(m.key(), ports.RunID(m.ID), now); changed {
 			t = next
 		}
 	}
@@ -191,7 +191,7 @@
 	c.opts.Board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
 		next, changed := old, false
 		for _, m := range fresh {
-			t, ok := next.WithLeaving(m.key(), m.ID, now)
+			t, ok := next.WithLeaving(m.key(), ports.RunID(m.ID), now)
 			next, changed = t, changed || ok
 		}
 		return next, changed
--- a/controller/targets/targets_test.go
+++ b/controller/targets/targets_test.go
@@ -71,7 +71,7 @@
 // mark is what a picker does when a target answers that it is draining.
 func (h *testHost) mark(i int) {
 	h.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
-		return old.WithLeaving(testKey, targetID(i), time.Now())
+		return old.WithLeaving(testKey, ports.RunID(targetID(i)), time.Now())
 	})
 }
 
--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -81,7 +81,7 @@
 func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%02d", i)) }
 
 func entryOf(i int, draining bool) directory.Target {
-	return directory.Target{ID: targetID(i), Service: service, Addr: "10.1.0.1:80", Slots: 2, Draining: draining}
+	return directory.Target{ID: targetID(i), Service: service, Addr: "10.1.0.1:80", Slots: 2, Draining: draining, Incarnation: 1}
 }
 
 func (fl *fleet) start(i int, hurry bool) *host {
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -22,6 +22,9 @@
 		s.ConfigConfirmed = true
 		return s, changed
 	})
+	if n := next.Unknown(); n > 0 {
+		c.deps.Log.Error("routes of an unknown kind, taken as at most once", zap.Uint64("version", next.Version), zap.Int("routes", n))
+	}
 	c.deps.Log.Info("configuration in force", zap.Uint64("version", next.Version),
 		zap.Int("routes", len(next.Routes)), zap.String("from", string(from)))
 }
@@ -51,15 +54,16 @@
 }
 
 // target is a target as the board shows it. A mark of leaving that came from the
-// target's own answer stays: the record lags behind it.
+// target's own answer stays for that run of it: the record lags behind it.
 func target(now time.Time, u directory.Usable, old []blackboard.Target) blackboard.Target {
 	t := blackboard.Target{
-		ID:        u.ID,
-		Addr:      u.Addr,
-		Zone:      u.Zone,
-		Slots:     u.Slots,
-		Leaving:   u.Draining,
-		FirstSeen: u.FirstSeen,
+		ID:          u.ID,
+		Incarnation: u.Incarnation,
+		Addr:        u.Addr,
+		Zone:        u.Zone,
+		Slots:       u.Slots,
+		Leaving:     u.Draining,
+		FirstSeen:   u.FirstSeen,
 	}
 	if u.WarmUp > 0 {
 		t.WarmUntil = u.FirstSeen.Add(u.WarmUp)
@@ -67,7 +71,7 @@
 	i, found := slices.BinarySearchFunc(old, u.ID, func(t blackboard.Target, id ports.HostID) int {
 		return cmp.Compare(t.ID, id)
 	})
-	if found && old[i].Leaving {
+	if found && old[i].Leaving && !u.Incarnation.Replaces(old[i].Incarnation) {
 		t.Leaving, t.LeavingSince = true, old[i].LeavingSince
 	} else if t.Leaving {
 		t.LeavingSince = now
@@ -90,12 +94,14 @@
 	for _, t := range news.Targets {
 		word := "target listed"
 		switch {
+		case t.Unreadable:
+			word = "target's entry names none"
 		case t.Removed:
 			word = "target gone"
 		case t.Draining:
 			word = "target leaving"
 		}
-		c.deps.Log.Info(word, zap.String("target", string(t.ID)), zap.String("service", t.Service),
+		c.deps.Log.Info(word, zap.String("target", string(ports.Run(t.ID, t.Incarnation))), zap.String("service", t.Service),
 			zap.Uint64("revision", uint64(t.Revision)), zap.Duration("hold", ch.Hold), zap.String("from", string(from)))
 	}
 }
--- a/controller/watch/random_test.go
+++ b/controller/watch/random_test.go
@@ -18,6 +18,8 @@
 	version uint64
 	seen    map[*host]uint64
 	next    int
+	// born is how often each target was started again under its name.
+	born map[int]ports.Incarnation
 }
 
 // randomSeeds is how many histories a run of the tests plays.
@@ -30,7 +32,7 @@
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
 		withFleet(t, 7, func(fl *fleet) {
-			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), next: 10}
+			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), next: 10, born: make(map[int]ports.Incarnation)}
 			for range 60 {
 				h.step()
 				time.Sleep(time.Duration(h.rng.Int64N(int64(400 * time.Millisecond))))
@@ -47,7 +49,7 @@
 func (h *history) any() *host { return h.hosts[h.rng.IntN(len(h.hosts))] }
 
 func (h *history) step() {
-	switch h.rng.IntN(13) {
+	switch h.rng.IntN(15) {
 	case 0, 1:
 		h.version++
 		h.record.Configure(config(h.version))
@@ -55,7 +57,7 @@
 		h.record.Put(entryOf(h.next, false))
 		h.next++
 	case 4:
-		h.record.Put(entryOf(h.rng.IntN(h.next), true))
+		h.put(h.rng.IntN(h.next), true)
 	case 5:
 		h.record.Remove(targetID(h.rng.IntN(h.next)))
 	case 6:
@@ -72,6 +74,30 @@
 		h.restart()
 	case 12:
 		h.loseOne()
+	case 13, 14:
+		h.restartTarget(h.rng.IntN(h.next))
+	}
+}
+
+// put writes the entry of a target's present run.
+func (h *history) put(i int, draining bool) {
+	e := entryOf(i, draining)
+	e.Incarnation += h.born[i]
+	h.record.Put(e)
+}
+
+// restartTarget has a target drain and start again under its name. At times a write of its
+// former run arrives after that, until the present one renews its entry.
+func (h *history) restartTarget(i int) {
+	h.put(i, true)
+	former := entryOf(i, true)
+	former.Incarnation += h.born[i]
+	h.born[i]++
+	h.put(i, false)
+	if h.rng.IntN(2) == 0 {
+		h.record.Put(former)
+		time.Sleep(time.Duration(h.rng.Int64N(int64(time.Second))))
+		h.put(i, false)
 	}
 }
 
@@ -81,7 +107,7 @@
 	for _, w := range h.watching() {
 		h.net.Cut(ports.HostID(w.addr), ports.HostID(to.addr))
 	}
-	h.record.Put(entryOf(h.rng.IntN(h.next), true))
+	h.put(h.rng.IntN(h.next), true)
 	time.Sleep(100 * time.Millisecond)
 	for _, w := range h.hosts {
 		h.net.Restore(ports.HostID(w.addr), ports.HostID(to.addr))
--- a/controller/watch/watch_test.go
+++ b/controller/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
@@ -216,3 +217,23 @@
 		assert.Check(t, took < bound, "known after %s", took)
 	})
 }
+
+// A target's own answer told one host that it is leaving. The target starts again under
+// its name: the host takes it at once, as the others do, though it never heard of the
+// former run's entry going.
+func TestHintOfLeavingEndsWithTheRun(t *testing.T) {
+	withFleet(t, 4, func(fl *fleet) {
+		h := fl.hosts[3]
+		h.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+			return old.WithLeaving(key, ports.Run(targetID(2), 1), time.Now())
+		})
+		fl.record.Put(entryOf(7, false))
+		time.Sleep(time.Second)
+		assert.Check(t, !h.takes(2), "the record lags behind the target's own word")
+		next := entryOf(2, false)
+		next.Incarnation = 2
+		fl.record.Put(next)
+		time.Sleep(time.Second)
+		assert.Check(t, h.takes(2))
+	})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -101,7 +101,13 @@
 	Revision Revision     `msgpack:"revision"`
 	// Removed is set for a target that left the record; the fields below are
 	// those it had, if known.
-	Removed bool   `msgpack:"removed"`
+	Removed bool `msgpack:"removed"`
+	// Unreadable is set for one that was removed because its entry can not be read: it
+	// names no target, whatever it named before.
+	Unreadable bool `msgpack:"unreadable"`
+	// Incarnation tells the target's runs apart.
+	Incarnation ports.Incarnation `msgpack:"incarnation"`
+
 	Service string `msgpack:"service"`
 	Addr    string `msgpack:"addr"`
 	Zone    string `msgpack:"zone"`
--- /dev/null
+++ b/directory/incarnation.go
@@ -0,0 +1,64 @@
+package directory
+
+import "time"
+
+// lateFor is how long a word of an earlier run stands in the record before it is believed.
+// A target renews its entry every 1.5 s, and with three renewals missing the platform drops
+// it: if the later run lives, its own word is back within that time.
+const lateFor = 5 * time.Second
+
+// lateWord is what the record says of an earlier run of a target.
+//
+// Failure: a target starts again under its name, and a write of its former run arrives at
+// the store after the first of the new one. Symptom: the target is drained, or used at its
+// former address, by the word of a process that is no more. On the other hand the time of
+// day of a target's host may have been set back, so that its new run seems to be the
+// earlier one: then nothing replaces its word, and after lateFor it is believed.
+type lateWord struct {
+	Target
+	until time.Time
+}
+
+// beginsAfter reports whether a word tells of a later run than another one did.
+func (t Target) beginsAfter(old Target) bool {
+	return !t.Removed && t.Incarnation.Replaces(old.Incarnation) && t.Incarnation > old.Incarnation
+}
+
+// ended reports whether a word tells of a run that had ended when the known one began.
+func (k *known) ended(t Target) bool {
+	return !t.Removed && t.Incarnation.Replaces(k.Incarnation) && t.Incarnation < k.Incarnation
+}
+
+// keepLate notes a word of an earlier run, and reports whether it is news.
+func (k *known) keepLate(now time.Time, t Target) bool {
+	if t.Revision <= k.Revision || k.late != nil && t.Revision <= k.late.Revision {
+		return false
+	}
+	until := now.Add(lateFor)
+	if k.late != nil && k.late.Incarnation == t.Incarnation {
+		until = k.late.until
+	}
+	k.late = &lateWord{Target: t, until: until}
+	return true
+}
+
+// acceptLate believes words of earlier runs that nothing replaced for lateFor.
+func (s *State) acceptLate(now time.Time) {
+	for _, k := range s.targets {
+		if k.late != nil && !now.Before(k.late.until) {
+			s.put(now, k, k.late.Target)
+		}
+	}
+}
+
+// learnRun notes which run an older word told of, if the newer one did not tell, and
+// reports whether that is news. Hosts hear both in any order.
+func (s *State) learnRun(k *known, t Target) bool {
+	if k.Incarnation != 0 || t.Incarnation == 0 {
+		return false
+	}
+	before := k.mark()
+	k.Incarnation = t.Incarnation
+	s.buckets[bucketOf(t.ID)] ^= before ^ k.mark()
+	return true
+}
--- a/directory/state.go
+++ b/directory/state.go
@@ -43,6 +43,8 @@
 	// goneAt is when a removed target stops being used; the zero time for one
 	// that is not removed.
 	goneAt time.Time
+	// late is a word of an earlier run that stands in the record; nil if there is none.
+	late *lateWord
 }
 
 // NewState returns an empty state.
@@ -79,7 +81,7 @@
 	if k == nil || k.Removed {
 		return 0
 	}
-	return xxhash.Sum64String(fmt.Sprint(k.ID, " ", k.Revision))
+	return xxhash.Sum64String(fmt.Sprint(k.ID, " ", k.Revision, " ", k.Incarnation))
 }
 
 // HasTargets reports whether the list of targets was ever whole.
@@ -117,6 +119,7 @@
 	}
 	s.newest = max(s.newest, c.Newest)
 	s.forget(now)
+	s.acceptLate(now)
 	return news
 }
 
@@ -140,49 +143,74 @@
 
 func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
 	old := s.targets[t.ID]
-	if old != nil && t.Revision <= old.Revision {
-		return t.Revision == old.Revision && t.Removed && old.extend(now, hold)
+	switch {
+	case old == nil:
+	case old.ended(t):
+		s.newest = max(s.newest, t.Revision)
+		return old.keepLate(now, t)
+	case t.beginsAfter(old.Target):
+		t.Revision = max(t.Revision, old.Revision)
+	case t.Revision <= old.Revision:
+		return s.learnRun(old, t) || t.Revision == old.Revision && t.Removed && old.extend(now, hold)
 	}
 	s.newest = max(s.newest, t.Revision)
 	if t.Removed {
-		s.remove(now, t.ID, t.Revision, hold)
+		s.remove(now, t, hold)
 		return true
 	}
+	s.put(now, old, t)
+	return true
+}
+
+// put lists a target. What is known of the same run stays.
+func (s *State) put(now time.Time, old *known, t Target) {
 	k := &known{Target: t, firstSeen: now}
-	if old != nil {
+	if old != nil && !t.Incarnation.Replaces(old.Incarnation) {
 		k.firstSeen = old.firstSeen
+		k.Incarnation = max(t.Incarnation, old.Incarnation)
+	}
+	if old != nil && old.late != nil && old.late.Revision > t.Revision {
+		k.late = old.late
 	}
 	s.targets[t.ID] = k
 	s.buckets[bucketOf(t.ID)] ^= old.mark() ^ k.mark()
-	return true
 }
 
 // extend lengthens the use of a removed target that is still used, and reports
 // whether it did.
 func (k *known) extend(now time.Time, hold time.Duration) bool {
 	until := now.Add(hold)
-	if k.Draining || !k.Removed || !now.Before(k.goneAt) || !until.After(k.goneAt) {
+	if k.Draining || k.Unreadable || !k.Removed || !now.Before(k.goneAt) || !until.After(k.goneAt) {
 		return false
 	}
 	k.goneAt = until
 	return true
 }
 
-func (s *State) remove(now time.Time, id ports.HostID, rev Revision, hold time.Duration) {
-	k := s.targets[id]
+// remove takes in that a target's entry is gone, or names no target any more. One that
+// can not be read holds no target in use: it does not come from an outage of the store.
+func (s *State) remove(now time.Time, t Target, hold time.Duration) {
+	k := s.targets[t.ID]
 	if k == nil {
-		s.targets[id] = &known{Target: Target{ID: id, Revision: rev, Removed: true}, goneAt: now}
+		t.Removed = true
+		s.targets[t.ID] = &known{Target: t, goneAt: now}
 		return
 	}
-	if k.Draining {
+	if k.Draining || t.Unreadable {
 		hold = 0
 	}
 	if !k.Removed {
 		k.goneAt = now.Add(hold)
-		s.buckets[bucketOf(id)] ^= k.mark()
+		s.buckets[bucketOf(t.ID)] ^= k.mark()
+	}
+	if t.Unreadable {
+		k.goneAt = now
 	}
 	k.Removed = true
-	k.Revision = rev
+	k.Unreadable = t.Unreadable
+	k.Revision = t.Revision
+	k.Incarnation = max(k.Incarnation, t.Incarnation)
+	k.late = nil
 }
 
 // dropUnnamed removes the targets that a whole reading does not name, and returns them.
@@ -193,7 +221,7 @@
 	}
 	for id, k := range s.targets {
 		if !named[id] && !k.Removed && k.Revision <= c.Revision && c.names(id) {
-			s.remove(now, id, c.Revision, c.Hold)
+			s.remove(now, Target{ID: id, Revision: c.Revision}, c.Hold)
 			s.newest = max(s.newest, c.Revision)
 			dropped = append(dropped, k.Target)
 		}
@@ -218,7 +246,11 @@
 // Usable returns the targets in use at a moment, sorted by ID, and when that
 // changes next by itself; the zero time if it does not.
 func (s *State) Usable(now time.Time) (list []Usable, next time.Time) {
+	s.acceptLate(now)
 	for _, k := range s.targets {
+		if k.late != nil && (next.IsZero() || k.late.until.Before(next)) {
+			next = k.late.until
+		}
 		if k.Removed && !now.Before(k.goneAt) {
 			continue
 		}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,7 +30,8 @@
 
 // Platform is what a daemon needs from the platform.
 type Platform struct {
-	Directory directory.Source
+	// Directory opens the platform's record for a daemon with these counters and log.
+	Directory func(m *metrics.Set, log *zap.Logger) directory.Source
 	Contract  *targetapi.Contract
 	// ReadyPath is where the platform's balancer asks for readiness.
 	ReadyPath string
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -181,3 +181,56 @@
 		assert.Equal(t, a.status, http.StatusOK, "%v", a.err)
 	}
 }
+
+// A target drains, ends, and starts again under its name at another address; a write of
+// its former run that was on its way arrives after that. Callers are served by the new run
+// within two seconds, and go on being served.
+func TestTargetStartsAgainUnderItsName(t *testing.T) {
+	l := newLab(t, 3)
+	for i := range 2 {
+		l.list(l.targets[fmt.Sprint("bids-", i)], "draining")
+	}
+	old := l.targets["bids-2"]
+	old.Born = 1000
+	l.list(old, "ready")
+	l.list(old, "draining")
+	status := func(want int) func() bool {
+		return func() bool {
+			for _, d := range l.daemons {
+				if l.send(d, http.MethodPost, "/bids/7", "").status != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	l.await("no target", status(http.StatusServiceUnavailable))
+	next := l.restartTarget("bids-2", 2000)
+	begun := time.Now()
+	l.await("the new run", status(http.StatusOK))
+	assert.Check(t, time.Since(begun) < 2*time.Second)
+	l.list(old, "draining")
+	time.Sleep(500 * time.Millisecond)
+	assert.Check(t, status(http.StatusOK)())
+	l.list(next, "draining")
+	l.await("the new run's own drain", status(http.StatusServiceUnavailable))
+}
+
+// Another writer puts entries into the table of targets: of a target that is there, of
+// one that is not, and of one that has the address of a listener of its own. Callers are
+// served by the targets that are left, and nothing else gets their requests.
+func TestForeignEntriesGetNoRequests(t *testing.T) {
+	l := newLab(t, 2)
+	stray := l.addTarget("stray", "bids")
+	addr := stray.server.Listener.Addr().String()
+	l.store.Put("servers", "stray", fmt.Appendf(nil, `{"service":"bids","address":%q,"zone":"a","capacity":2,"state":"ready"}`, addr))
+	l.store.Put("servers", "odd", fmt.Appendf(nil, `{"service":"bids","address":%q,"zone":"a","version":"v1","capacity":2,"state":"sleeping","warmup_left":"0ms","seq":1}`, addr))
+	l.store.Put("servers", "bids-0", []byte{0xff, 0xfe})
+	time.Sleep(2 * time.Second)
+	mark := time.Now()
+	for i := range 60 {
+		assert.Equal(t, l.send(l.daemons[i%2], http.MethodPost, "/bids/7", "").status, http.StatusOK)
+	}
+	assert.Check(t, stray.LastRun().Before(mark))
+	assert.Check(t, l.targets["bids-0"].LastRun().Before(mark))
+}
--- a/edge/lab_test.go
+++ b/edge/lab_test.go
@@ -14,10 +14,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/edge"
 	"github.com/cactusproxy/cactusproxy/internal/logging"
+	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/platform"
 	"github.com/cactusproxy/cactusproxy/platform/standin"
 	"github.com/cactusproxy/cactusproxy/settings"
@@ -112,6 +115,21 @@
 	return tg
 }
 
+// restartTarget has a target start again under its name, at another address. The former
+// run is still there, and may be listed once more.
+func (l *lab) restartTarget(id string, born int64) *target {
+	old := l.targets[id]
+	tg := &target{Target: &standin.Target{ID: id, Born: born, Slots: 2, Queue: 4, Work: old.Work}, service: old.service}
+	tg.server = httptest.NewServer(tg.Target)
+	l.t.Cleanup(func() {
+		tg.server.CloseClientConnections()
+		tg.server.Close()
+	})
+	l.targets[id] = tg
+	l.list(tg, "ready")
+	return tg
+}
+
 func (l *lab) list(tg *target, state string) {
 	l.store.Put("servers", tg.ID, tg.Entry(tg.service, tg.server.Listener.Addr().String(), "a", state))
 }
@@ -137,7 +155,9 @@
 	log, err := logging.New(buffer, "info")
 	assert.NilError(l.t, err)
 	d, err := edge.New(s, edge.Platform{
-		Directory: platform.NewDirectory(platform.NewStore(l.storeAt), log),
+		Directory: func(m *metrics.Set, log *zap.Logger) directory.Source {
+			return platform.NewDirectory(platform.NewStore(l.storeAt), m, log)
+		},
 		Contract:  platform.Contract(),
 		ReadyPath: platform.ReadyPath,
 	}, log)
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -98,7 +98,7 @@
 		Region:  d.settings.Host.Region,
 		Seeds:   d.settings.Peers.Seeds,
 		Hurry:   !d.settings.Directory.FirstStart,
-		Source:  d.platform.Directory,
+		Source:  d.platform.Directory(d.metrics, d.log),
 		Link:    d.node,
 		Peers:   d.node,
 		Reach:   d.node,
@@ -156,7 +156,7 @@
 // another has its address.
 func (d *Daemon) markLeaving(key blackboard.ServiceKey, t blackboard.Target) {
 	d.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
-		return old.WithLeaving(key, t.ID, time.Now())
+		return old.WithLeaving(key, t.Run(), time.Now())
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,12 +56,13 @@
 
 func (u Upkeep) forgetTargets() {
 	listed := make(map[ports.HostID]bool)
+	runs := make(map[ports.RunID]bool)
 	for _, list := range u.Board.Targets.Load().ByService {
 		for _, t := range list {
 			listed[t.ID] = true
+			runs[t.Run()] = true
 		}
 	}
-	known := func(id ports.HostID) bool { return listed[id] }
-	u.Pools.Retain(known)
-	u.Quarantine.KeepTargets(known)
+	u.Pools.Retain(func(id ports.HostID) bool { return listed[id] })
+	u.Quarantine.KeepTargets(func(run ports.RunID) bool { return runs[run] })
 }
--- a/placer/ask.go
+++ b/placer/ask.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	load, told, reached := p.exchange(ctx, info, path, conns)
-	p.tell(s.answered(t, load, told, reached), s, info.ID)
+	p.tell(s.answered(t, load, told, reached), s, info.Run())
 	if !reached {
 		p.count.asksFailed.Add(1)
 	}
@@ -107,6 +107,9 @@
 	defer s.mu.Unlock()
 	close(t.asking)
 	t.asking = nil
+	if !s.holds(t) {
+		return ""
+	}
 	if told {
 		s.told(now, t, load)
 	}
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -9,6 +9,8 @@
 // counters are those of the metrics maps "placer" and "placer_refused".
 type counters struct {
 	asks, asksFailed, asksRefused, waits, ejected *expvar.Int
+	// late counts ends of calls to targets that are no longer listed, or have started anew.
+	late *expvar.Int
 	// refused counts by reason.
 	refused *expvar.Map
 }
@@ -21,6 +23,7 @@
 		asksRefused: c("questions_over_share"),
 		waits:       c("waits"),
 		ejected:     c("ejected"),
+		late:        c("late_ends"),
 		refused:     m.Map("placer_refused"),
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -216,21 +216,20 @@
 }
 
 // tell logs what this host has come to believe of a target, if anything.
-func (p *Placer) tell(news string, s *service, id ports.HostID) {
+func (p *Placer) tell(news string, s *service, run ports.RunID) {
 	if news != "" {
-		p.deps.Log.Info(news, zap.String("target", string(id)), zap.String("service", s.key.Service))
+		p.deps.Log.Info(news, zap.String("target", string(run)), zap.String("service", s.key.Service))
 	}
 }
 
-// end takes in how a call ended.
-func (p *Placer) end(h *held, r pick.Report) {
-	now := time.Now()
+// learn takes in what the end of a call shows of its target, and returns what that changed
+// in what this host believes. The service's lock is held.
+func (p *Placer) learn(now time.Time, h *held, r pick.Report) (news string) {
 	s := h.service
-	s.mu.Lock()
 	if r.Work.Slots > 0 {
 		s.told(now, h.target, r.Work)
 	}
-	news := h.target.end(now, r)
+	news = h.target.end(now, r)
 	switch r.Class {
 	case pick.OK:
 		s.learn(r.Latency, h.takes)
@@ -241,8 +240,22 @@
 			news = newsEjected
 		}
 	}
+	return news
+}
+
+// end takes in how a call ended.
+func (p *Placer) end(h *held, r pick.Report) {
+	now := time.Now()
+	s := h.service
+	s.mu.Lock()
+	news := ""
+	if s.holds(h.target) {
+		news = p.learn(now, h, r)
+	} else {
+		p.count.late.Add(1)
+	}
 	s.mu.Unlock()
-	p.tell(news, s, h.info.ID)
+	p.tell(news, s, h.info.Run())
 	leaving := r.LeavingHint || r.Class == pick.Leaving || r.Class == pick.Replaced
 	if leaving && p.deps.OnLeaving != nil {
 		p.deps.OnLeaving(s.key, h.info)
--- a/placer/service.go
+++ b/placer/service.go
@@ -45,7 +45,7 @@
 	s.list = make([]*target, 0, len(list))
 	for _, info := range list {
 		t := s.targets[info.ID]
-		if t == nil {
+		if t == nil || info.Incarnation.Replaces(t.info.Incarnation) {
 			t = newTarget(info, s.zone)
 		} else {
 			t.update(info, s.zone)
@@ -57,6 +57,14 @@
 	return true
 }
 
+// holds reports whether what a call or a question to a target shows still says something:
+// the target is listed, and has not started anew since. The lock is held.
+//
+// Failure: a target starts again under its name while calls of its former run end.
+// Symptom: their errors and times counted against the new run. The new run is another
+// *target, so that comparing the two is enough.
+func (s *service) holds(t *target) bool { return s.targets[t.info.ID] == t }
+
 // usual is what stands for a target that told nothing for a while.
 func (s *service) usual(t *target) *placing.Usual {
 	if t.figures.Far {
--- a/placer/share.go
+++ b/placer/share.go
@@ -44,8 +44,12 @@
 // Update takes in the targets and hosts on the board.
 func (s *Share) Update() {
 	targets := 0
-	for _, list := range s.board.Targets.Load().ByService {
-		targets += len(list)
+	routes := s.board.Routes.Load()
+	for key, list := range s.board.Targets.Load().ByService {
+		// Entries of services that no configuration names may be anyone's.
+		if routes == nil || routes.Service(key.Service) != nil {
+			targets += len(list)
+		}
 	}
 	hosts := max(1, len(s.board.Members.Load().Members))
 	limit := shareUsed * s.perTarget * float64(targets) / float64(hosts)
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -22,7 +22,7 @@
 
 // LossRecord is a Loss as it is told.
 type LossRecord struct {
-	Target ports.HostID  `msgpack:"t"`
+	Target ports.RunID   `msgpack:"t"`
 	Ago    time.Duration `msgpack:"a"`
 	Trial  bool          `msgpack:"r"`
 }
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -89,7 +89,7 @@
 
 // Loss is one target lost while it ran a request.
 type Loss struct {
-	Target ports.HostID
+	Target ports.RunID
 	At     time.Time
 	// Trial tells that the request ran alone.
 	Trial bool
@@ -167,7 +167,7 @@
 // maxLosses bounds the losses kept for one request; two decide.
 const maxLosses = 8
 
-func (e *entry) lost(id ports.HostID) bool {
+func (e *entry) lost(id ports.RunID) bool {
 	for _, l := range e.losses {
 		if l.Target == id {
 			return true
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -14,7 +14,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // lose feeds the tracker with a break-off at this moment.
-func lose(b *Tracker, when time.Duration, d Digest, target ports.HostID, trial bool) State {
+func lose(b *Tracker, when time.Duration, d Digest, target ports.RunID, trial bool) State {
 	return b.BrokeOff(at(when), Run{Digest: d, Loss: Loss{Target: target, At: at(when), Trial: trial}})
 }
 
@@ -76,7 +76,7 @@
 // answered, it gets a trial; a request never seen answered does not.
 func TestKnownGoodRequestGetsItsTrial(t *testing.T) {
 	b := NewTracker(DefaultLimits())
-	for _, target := range []ports.HostID{"t1", "t2"} {
+	for _, target := range []ports.RunID{"t1", "t2"} {
 		loss := Loss{Target: target, At: at(0)}
 		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
 		b.BrokeOff(at(0), Run{Digest: 2, Loss: loss})
@@ -99,7 +99,7 @@
 // losses are the zone's, and neither is refused.
 func TestCommonRequestInADyingZone(t *testing.T) {
 	b := NewTracker(DefaultLimits())
-	for i, target := range []ports.HostID{"t1", "t2", "t3"} {
+	for i, target := range []ports.RunID{"t1", "t2", "t3"} {
 		loss := Loss{Target: target, At: at(0), Trial: i == 2}
 		b.BrokeOff(at(0), Run{Digest: 1, Loss: loss, KnownGood: true})
 	}
@@ -115,7 +115,7 @@
 func TestManyAccusedAtOnceExcuseEachOther(t *testing.T) {
 	for n, want := range map[Digest]State{2: Quarantined, 3: Suspect} {
 		b := NewTracker(DefaultLimits())
-		targets := []ports.HostID{"t1", "t2", "t3", "t4", "t5", "t6"}
+		targets := []ports.RunID{"t1", "t2", "t3", "t4", "t5", "t6"}
 		for d := range n {
 			lose(b, 0, d+1, targets[2*d], false)
 			lose(b, 0, d+1, targets[2*d+1], true)
@@ -166,3 +166,14 @@
 	}
 	assert.Equal(t, b.Len(), 0)
 }
+
+// A request crashes the only target of its service, which is back under its name in a
+// moment and gets the request once more, tried alone. Both crashes count: with the losses
+// taken for one by the target's name the request was never held, and took the target down
+// each time that it was back.
+func TestCrashesOfOneTargetsRunsCount(t *testing.T) {
+	b := NewTracker(DefaultLimits())
+	first, second := ports.Run("t1", 100), ports.Run("t1", 200)
+	assert.Equal(t, lose(b, 0, 1, first, false), Suspect)
+	assert.Equal(t, lose(b, 100*time.Millisecond, 1, second, true), Quarantined)
+}
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -11,7 +11,7 @@
 	limits  Limits
 	entries map[Digest]*entry
 	// losses are the targets lost of late, with the last loss of each.
-	losses map[ports.HostID]Loss
+	losses map[ports.RunID]Loss
 	// accused is when each request was accused of late, cleared since or not.
 	accused map[Digest]time.Time
 	// cleared are the requests lately proved innocent: what other hosts still
@@ -37,7 +37,7 @@
 		limits:  l,
 		need:    leastLosses,
 		entries: make(map[Digest]*entry),
-		losses:  make(map[ports.HostID]Loss),
+		losses:  make(map[ports.RunID]Loss),
 		accused: make(map[Digest]time.Time),
 		cleared: make(map[Digest]time.Time),
 	}
@@ -135,7 +135,7 @@
 }
 
 // Lost takes in that a target can not be reached any more, whatever ran on it.
-func (b *Tracker) Lost(now time.Time, target ports.HostID) {
+func (b *Tracker) Lost(now time.Time, target ports.RunID) {
 	b.noteLoss(now, Loss{Target: target, At: now})
 }
 
@@ -191,7 +191,7 @@
 	return n
 }
 
-func (b *Tracker) explained(id ports.HostID) bool {
+func (b *Tracker) explained(id ports.RunID) bool {
 	for _, e := range b.entries {
 		if e.state == Quarantined && !e.good && e.lost(id) {
 			return true
--- a/provision.go
+++ b/provision.go
@@ -255,7 +255,7 @@
 // targets controller tells the other hosts.
 func (d *Daemon) markLeaving(key blackboard.ServiceKey, id ports.HostID) {
 	d.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
-		return old.WithLeaving(key, id, time.Now())
+		return old.WithLeaving(key, ports.RunID(id), time.Now())
 	})
 }
 
--- a/quarantine/call.go
+++ b/quarantine/call.go
@@ -30,7 +30,7 @@
 type Attempt struct {
 	q      *Quarantine
 	digest uint64
-	target ports.HostID
+	target ports.RunID
 	trial  *trial
 	once   sync.Once
 }
@@ -129,7 +129,7 @@
 }
 
 // Started tells that the first byte is about to go to this target.
-func (a *Attempt) Started(target ports.HostID) {
+func (a *Attempt) Started(target ports.RunID) {
 	if a == nil {
 		return
 	}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -32,7 +32,7 @@
 
 // lostMsg is the body of kindLost.
 type lostMsg struct {
-	Target ports.HostID `msgpack:"t"`
+	Target ports.RunID `msgpack:"t"`
 }
 
 // askReq is the body of kindAsk. It carries what the asking host holds of the
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -223,7 +223,7 @@
 	}
 }
 
-func (q *Quarantine) report(d suspicion.Digest, s suspicion.State, target ports.HostID) {
+func (q *Quarantine) report(d suspicion.Digest, s suspicion.State, target ports.RunID) {
 	event, counter := "request suspected of crashing a target", countSuspected
 	if s == suspicion.Quarantined {
 		event, counter = "request quarantined", countQuarantined
@@ -267,10 +267,10 @@
 
 // Entry is a request that is not clean, for operators.
 type Entry struct {
-	Digest string         `json:"digest"`
-	State  string         `json:"state"`
-	Age    time.Duration  `json:"age"`
-	Lost   []ports.HostID `json:"lost"`
+	Digest string        `json:"digest"`
+	State  string        `json:"state"`
+	Age    time.Duration `json:"age"`
+	Lost   []ports.RunID `json:"lost"`
 }
 
 // List returns up to n requests that are not clean, the latest sent first.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -164,7 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
 		defer s.stop()
-		breakOff := func(h *Quarantine, digest uint64, target ports.HostID) {
+		breakOff := func(h *Quarantine, digest uint64, target ports.RunID) {
 			a, _ := h.Admit(context.Background(), digest)
 			a.Started(target)
 			a.BrokeOff()
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -14,11 +14,11 @@
 // reach remembers which targets this host can reach, so that a target's loss is
 // one event however many connections to it fail afterwards.
 type reach struct {
-	targets sync.Map // ports.HostID -> *atomic.Bool
+	targets sync.Map // ports.RunID -> *atomic.Bool
 }
 
 // up notes that a target answered.
-func (r *reach) up(id ports.HostID) {
+func (r *reach) up(id ports.RunID) {
 	if v, ok := r.targets.Load(id); ok {
 		if b := v.(*atomic.Bool); !b.Load() {
 			b.Store(true)
@@ -33,15 +33,15 @@
 // down notes that a target was lost, and reports whether that is news. A target
 // that this host never tried counts as having been up: another host's word of
 // its loss is what this host would go by.
-func (r *reach) down(id ports.HostID) bool {
+func (r *reach) down(id ports.RunID) bool {
 	v, known := r.targets.LoadOrStore(id, new(atomic.Bool))
 	return !known || v.(*atomic.Bool).Swap(false)
 }
 
 // keep forgets all targets but these.
-func (r *reach) keep(known func(ports.HostID) bool) {
+func (r *reach) keep(known func(ports.RunID) bool) {
 	r.targets.Range(func(id, _ any) bool {
-		if !known(id.(ports.HostID)) {
+		if !known(id.(ports.RunID)) {
 			r.targets.Delete(id)
 		}
 		return true
@@ -49,12 +49,12 @@
 }
 
 // KeepTargets forgets what is known of targets that are no more.
-func (q *Quarantine) KeepTargets(known func(ports.HostID) bool) { q.reach.keep(known) }
+func (q *Quarantine) KeepTargets(known func(ports.RunID) bool) { q.reach.keep(known) }
 
 // NotReached tells that no connection to the target could be made. The first
 // time it is taken for lost: idle targets tell in this way alone that a whole
 // zone is failing, and that no request is the cause.
-func (a *Attempt) NotReached(target ports.HostID) {
+func (a *Attempt) NotReached(target ports.RunID) {
 	if a == nil || !a.q.reach.down(target) {
 		return
 	}
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -123,7 +123,7 @@
 		}
 		t.up = false
 		close(t.lost)
-		go s.noticeLoss(t.id)
+		go s.noticeLoss(ports.RunID(t.id))
 		time.AfterFunc(simRestart, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -133,7 +133,7 @@
 }
 
 // noticeLoss is an attempt of some host that finds the target gone.
-func (s *sim) noticeLoss(id ports.HostID) {
+func (s *sim) noticeLoss(id ports.RunID) {
 	time.Sleep(simTrip)
 	a, _ := s.host().Admit(context.Background(), 1)
 	a.NotReached(id)
@@ -144,7 +144,7 @@
 func (s *sim) run(a *Attempt, digest uint64, alone, poison bool, work time.Duration) bool {
 	t := s.take(alone)
 	lost := t.lost
-	a.Started(t.id)
+	a.Started(ports.RunID(t.id))
 	select {
 	case <-time.After(work):
 	case <-lost:
--- a/slots/cluster_test.go
+++ b/slots/cluster_test.go
@@ -80,7 +80,7 @@
 		Seed:        1,
 		OnLeaving: func(key blackboard.ServiceKey, id ports.HostID) {
 			b.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
-				return old.WithLeaving(key, id, time.Now())
+				return old.WithLeaving(key, ports.RunID(id), time.Now())
 			})
 		},
 	})
--- a/slots/random_test.go
+++ b/slots/random_test.go
@@ -179,7 +179,7 @@
 	for i, h := range p.hosts {
 		time.AfterFunc(time.Duration(i)*300*time.Millisecond, func() {
 			h.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
-				return old.WithLeaving(bids, id, time.Now())
+				return old.WithLeaving(bids, ports.RunID(id), time.Now())
 			})
 		})
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,12 +11,16 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // pool is this host's connections to one target.
 type pool struct {
 	owner *Pools
 	addr  string
+	// run is the target's run that the connections were made to: those to an earlier one
+	// are dead, also where no reset said so.
+	run ports.Incarnation
 
 	mu     sync.Mutex
 	open   int // connections open or being opened
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -140,11 +140,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl := p.pools[t.ID]
-	if pl == nil || pl.addr != t.Addr {
+	if pl == nil || pl.addr != t.Addr || t.Incarnation.Replaces(pl.run) {
 		if pl != nil {
 			pl.closeIdle()
 		}
-		pl = &pool{owner: p, addr: t.Addr}
+		pl = &pool{owner: p, addr: t.Addr, run: t.Incarnation}
 		p.pools[t.ID] = pl
 	}
 	return pl
