--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -37,13 +37,31 @@
 	{"target crashes", (*Soak).crashTarget},
 	{"configuration", (*Soak).changeConfig},
 	{"configurations", (*Soak).stormConfig},
+	{"target starts again", (*Soak).startTargetAgain},
+	{"entry of another writer", (*Soak).scribble},
+}
+
+// firstDisturbances is how many of them seeds below firstSeedOfAll play: such seeds stand
+// among the regressions, and must go on playing what they played when they were found.
+const (
+	firstDisturbances = 19
+	firstSeedOfAll    = 1000
+)
+
+// played returns the disturbances that a seed plays.
+func played(seed uint64) []disturbance {
+	if seed < firstSeedOfAll {
+		return disturbances[:firstDisturbances]
+	}
+	return disturbances
 }
 
 // disturb does one thing after another for as long as the run lasts.
 func (s *Soak) disturb(ctx context.Context) {
 	rng := s.rngFor()
+	list := played(s.seed)
 	for end := time.Now().Add(s.For); time.Now().Before(end) && ctx.Err() == nil; {
-		d := disturbances[rng.IntN(len(disturbances))]
+		d := list[rng.IntN(len(list))]
 		on := d.do(s, ctx, rng)
 		s.mu.Lock()
 		s.actions = append(s.actions, fmt.Sprintf("%8s  %s %s", time.Since(s.start).Round(time.Millisecond), d.name, on))
@@ -234,6 +252,25 @@
 	return b.ID + failure(s.targets.crash(b))
 }
 
+func (s *Soak) startTargetAgain(_ context.Context, rng *rand.Rand) string {
+	b := s.anyTarget(rng)
+	return b.ID + failure(s.targets.startAgain(b))
+}
+
+// scribbles are entries that name no target.
+var scribbles = []string{
+	"{half", "null", `{"service":"bids"}`, "\xff\xfe",
+	`{"service":"bids","address":"127.0.0.1:9","zone":"a","version":"v1","capacity":4,"state":"asleep","warmup_left":"0ms","seq":1}`,
+	`{"service":"bids","address":"127.0.0.1:9","zone":"a","version":"v1","capacity":"many","state":"ready","warmup_left":"0ms","seq":1}`,
+}
+
+func (s *Soak) scribble(_ context.Context, rng *rand.Rand) string {
+	b := s.anyTarget(rng)
+	text := scribbles[rng.IntN(len(scribbles))]
+	s.targets.scribble(b, text, rng.IntN(2) == 0)
+	return b.ID + " " + text
+}
+
 func failure(err error) string {
 	if err == nil {
 		return ""
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -40,6 +40,15 @@
 
 // add starts a target and lists it.
 func (t *targets) add(service string) error {
+	t.mu.Lock()
+	t.next++
+	id := fmt.Sprintf("%s-%d", service, t.next)
+	t.mu.Unlock()
+	return t.begin(id, service)
+}
+
+// begin starts a run of a target and lists it.
+func (t *targets) begin(id, service string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -48,15 +57,14 @@
 	if err != nil {
 		return err
 	}
-	t.mu.Lock()
-	t.next++
 	b := &backend{
-		Target:  &standin.Target{ID: fmt.Sprintf("%s-%d", service, t.next), Slots: targetSlots, Queue: targetQueue, Work: targetWork},
+		Target:  &standin.Target{ID: id, Born: time.Now().UnixMilli(), Slots: targetSlots, Queue: targetQueue, Work: targetWork},
 		service: service,
 		wire:    wire,
 	}
 	b.Lose = b.losing
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
+	t.mu.Lock()
 	t.list = append(t.list, b)
 	t.mu.Unlock()
 	go func() { _ = b.server.Serve(l) }()
@@ -114,6 +122,40 @@
 	return nil
 }
 
+// startAgain ends a run of a target without a word; the next begins under its name, at
+// another address, and a last write of the former run arrives after that.
+func (t *targets) startAgain(b *backend) error {
+	b.gone = true
+	_ = b.server.Close()
+	time.Sleep(2 * time.Millisecond) // the next run's start is another millisecond
+	if err := t.begin(b.ID, b.service); err != nil {
+		return err
+	}
+	t.register(b, "draining")
+	time.AfterFunc(500*time.Millisecond, func() { t.renew(b.ID) })
+	return nil
+}
+
+// renew has the present run of a target write its entry once more, as all do now and then.
+func (t *targets) renew(id string) {
+	for _, b := range t.live() {
+		if b.ID == id && b.drainAt.IsZero() {
+			t.register(b, "ready")
+		}
+	}
+}
+
+// scribble puts an entry that no target wrote: in the place of one that is there, until
+// that renews it, or beside the others.
+func (t *targets) scribble(b *backend, text string, over bool) {
+	if !over {
+		t.store.Put("servers", "scribble", []byte(text))
+		return
+	}
+	t.store.Put("servers", b.ID, []byte(text))
+	time.AfterFunc(500*time.Millisecond, func() { t.renew(b.ID) })
+}
+
 func (t *targets) close() {
 	for _, b := range t.all() {
 		_ = b.server.Close()
