Place calls to targets that tell nothing, and weigh the bytes of a call against its wait

One price of another availability zone stood for a lookup of 400 bytes and a download of 90 kB.

Answers to questions were thrown away if they told no load, so that each choice waited for eight and went by guesses. Their times say whether a slot was free, and the pace. Where a service is silent, a request that may be repeated goes to a second target when the second answer can still be in time, out of 0.8 of the budget.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/policy/sizes"
 )
 
 // Repeat says whether an attempt that may have run may be followed by another.
@@ -57,10 +58,21 @@
 	Objective time.Duration
 	// Priority is the rank of the call; 0 is the most urgent.
 	Priority int
+	// Sizes, if set, learns how large the answers to such calls are.
+	Sizes *sizes.Usual
 	// Suspicion identifies the request for quarantine; 0 if not computed.
 	Suspicion uint64
 }
 
+// bytes returns how many bytes the body and the answer are likely to have together.
+func (c *Call) bytes() float64 {
+	n := float64(max(0, c.Body.Length()))
+	if c.Sizes != nil {
+		n += c.Sizes.Bytes()
+	}
+	return n
+}
+
 // RepeatOf returns the class of a method as HTTP defines it (RFC 9110, 9.2.2).
 func RepeatOf(method string) Repeat {
 	switch method {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 	Call(service blackboard.ServiceKey, now time.Time)
 	// Take pays for one further attempt and reports whether the budget had it.
 	Take(service blackboard.ServiceKey, now time.Time) bool
+	// TakeSecond pays for a second attempt while the first is in flight, and reports
+	// whether the part of the budget for these had it.
+	TakeSecond(service blackboard.ServiceKey, now time.Time) bool
 }
 
 // Quarantine keeps requests that crash targets from more of them;
@@ -133,7 +136,7 @@
 			Arrived:   c.Arrived.Add(-c.Waited),
 			Objective: c.Objective,
 			Priority:  c.Priority,
-			Size:      c.Body.Length(),
+			Bytes:     c.bytes(),
 		})
 		if g == nil {
 			watch.Close()
@@ -168,6 +171,9 @@
 // accept returns the reply that an attempt leads to, or nil if there is to be
 // another attempt.
 func (d *Dispatcher) accept(ctx context.Context, c *Call, h *history, a *attempt) *Reply {
+	if a.good() && c.Sizes != nil {
+		c.Sizes.Learn(a.resp.ContentLength)
+	}
 	if a.good() || a.answered() && !a.keepable() {
 		return h.reply(a.stream())
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -164,6 +165,55 @@
 	})
 }
 
+// budgetOf is a budget of some second attempts.
+type budgetOf struct{ seconds int }
+
+func (*budgetOf) Call(blackboard.ServiceKey, time.Time)      {}
+func (*budgetOf) Take(blackboard.ServiceKey, time.Time) bool { return false }
+
+func (b *budgetOf) TakeSecond(blackboard.ServiceKey, time.Time) bool {
+	b.seconds--
+	return b.seconds >= 0
+}
+
+// A target fell silent while it ran a request. Where targets tell nothing of their load the
+// request goes to a second one in time for its objective, if the budget has room; where
+// they do, the caller waits for the first, and a request that may not be repeated does so
+// everywhere.
+func TestSecondTargetIsAskedWhereTheFirstWasChosenBlindly(t *testing.T) {
+	for _, c := range []struct {
+		silent bool
+		budget int
+		method string
+		second bool
+	}{
+		{true, 1, http.MethodGet, true},
+		{true, 0, http.MethodGet, false},
+		{false, 1, http.MethodGet, false},
+		{true, 1, http.MethodPost, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, slow(time.Minute, answers(200, "late", nil)), slow(50*time.Millisecond, answers(200, "second", nil)))
+			b.d.retries = &budgetOf{seconds: c.budget}
+			b.picker.silent = c.silent
+			for range 100 {
+				b.d.observe(call(c.method).Key, 50*time.Millisecond)
+			}
+			req := call(c.method)
+			req.Arrived, req.Objective = time.Now(), 200*time.Millisecond
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			body, err := readReply(t, b.do(t, ctx, req))
+			assert.NilError(t, err)
+			assert.Equal(t, body == "second", c.second, "%+v", c)
+			if c.second {
+				assert.Check(t, time.Since(req.Arrived) <= req.Objective, "%s", time.Since(req.Arrived))
+			}
+			synctest.Wait()
+		})
+	}
+}
+
 func TestWorkspaceLimitRefuses(t *testing.T) {
 	b := newBench(t)
 	c := call(http.MethodGet)
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -27,6 +27,8 @@
 	targets  int
 	granted  int
 	released []pick.Class
+	// silent is told as the basis of grants.
+	silent bool
 }
 
 func (p *fakePicker) Pick(context.Context, pick.Request) (pick.Grant, outcome.Result) {
@@ -50,6 +52,9 @@
 	id     ports.HostID
 }
 
+// Basis implements pick.Explained.
+func (g *fakeGrant) Basis() pick.Basis { return pick.Basis{Silent: g.picker.silent} }
+
 func (g *fakeGrant) Target() blackboard.Target { return blackboard.Target{ID: g.id} }
 
 func (g *fakeGrant) Release(r pick.Report) {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -10,6 +10,7 @@
 	"github.com/cactusproxy/cactusproxy/policy/latency"
 	"github.com/cactusproxy/cactusproxy/policy/retry"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/quarantine"
 )
 
 // serviceLatency is the latency of whole answers of one service.
@@ -24,10 +25,15 @@
 	l.tracker.Observe(took)
 }
 
-func (l *serviceLatency) hedgeDelay(left time.Duration) (time.Duration, bool) {
+// hedgeDelay returns when to send a second attempt; objective is the time left until the
+// call's objective, 0 if it has none.
+func (l *serviceLatency) hedgeDelay(objective, left time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return retry.HedgeDelay(l.tracker.High(), l.tracker.Median(), left)
+	if objective == 0 {
+		return retry.HedgeDelay(l.tracker.High(), l.tracker.Median(), left)
+	}
+	return retry.SecondSend(l.tracker.Median(), l.tracker.High(), objective, left)
 }
 
 func (d *Dispatcher) latency(key blackboard.ServiceKey) *serviceLatency {
@@ -42,7 +48,7 @@
 // a second one to another target. It returns the first attempt that has an
 // answer, or the last to fail; the other one is canceled.
 func (d *Dispatcher) race(ctx context.Context, c *Call, s send, h *history) *attempt {
-	delay, ok := d.hedgeDelay(ctx, c, h)
+	delay, ok := d.hedgeDelay(ctx, c, s, h)
 	if !ok {
 		a := d.attempt(ctx, c, s)
 		h.add(a)
@@ -53,18 +59,36 @@
 
 // hedgeDelay returns when to send a second attempt. Only a call that may be
 // repeated, whose body is in memory and that was not tried before is hedged.
-func (d *Dispatcher) hedgeDelay(ctx context.Context, c *Call, h *history) (time.Duration, bool) {
-	if c.Workspace.HedgeRatio == 0 || c.Repeat != Idempotent || h.attempts > 0 || c.Attempts < 2 {
+func (d *Dispatcher) hedgeDelay(ctx context.Context, c *Call, s send, h *history) (time.Duration, bool) {
+	if !d.mayHedge(c, s) || c.Repeat != Idempotent || h.attempts > 0 || c.Attempts < 2 {
 		return 0, false
 	}
 	if _, ok := c.Body.Bytes(); !ok {
 		return 0, false
 	}
-	var left time.Duration
+	var left, objective time.Duration
 	if at, ok := ctx.Deadline(); ok {
 		left = time.Until(at)
 	}
-	return d.latency(c.Key).hedgeDelay(left)
+	if c.Objective > 0 {
+		objective = max(time.Nanosecond, time.Until(c.Arrived.Add(c.Objective-c.Waited)))
+	}
+	return d.latency(c.Key).hedgeDelay(objective, left)
+}
+
+// mayHedge reports whether second attempts are wanted: where the workspace declares a
+// share of them, or the target was chosen blindly.
+//
+// Targets that tell their load are asked at the choice, and a call that takes long there
+// mostly has more work: with second attempts for these, too, the mean worth of 20 heavy
+// days was 0.7448 in place of 0.7500 on one deployment and 0.7834 in place of 0.7867 on
+// another, and the slots that they took were missed after a restart of all hosts.
+func (d *Dispatcher) mayHedge(c *Call, s send) bool {
+	if d.retries == nil {
+		return c.Workspace.HedgeRatio > 0
+	}
+	g, ok := s.grant.(pick.Explained)
+	return ok && g.Basis().Silent
 }
 
 // hedged sends the first attempt from this goroutine, so that a call whose answer
@@ -85,36 +109,42 @@
 // hedgeSend returns the right to a second attempt, or nil if the budget or the
 // targets have no room, or the request is suspected of crashing targets.
 func (d *Dispatcher) hedgeSend(ctx context.Context, c *Call, g pick.Grant) *send {
-	ws := d.workspace(c.Workspace)
-	if !ws.takeHedge(time.Now()) {
-		d.metrics.RetriesRefused.Add("hedge-budget", 1)
-		return nil
-	}
 	watch, decision := d.admitAttempt(ctx, c)
 	if decision.Refuse || decision.Alone {
-		watch.Close()
-		return d.noHedge(ws, "hedge-suspected")
+		return d.noHedge(watch, "hedge-suspected")
 	}
 	g2, _ := d.picker.Pick(ctx, pick.Request{
 		Service: c.Key,
 		Avoid:   []ports.HostID{g.Target().ID},
 		Hedge:   true,
+		Bytes:   c.bytes(),
 		Digest:  c.Suspicion,
 	})
 	if g2 == nil {
-		watch.Close()
-		return d.noHedge(ws, "hedge-no-slot")
+		return d.noHedge(watch, "hedge-no-slot")
+	}
+	if !d.payHedge(c) {
+		g2.Release(pick.Report{Class: pick.Canceled, Load: -1})
+		return d.noHedge(watch, "hedge-budget")
 	}
 	return &send{grant: g2, watch: watch}
 }
 
-// noHedge gives back a hedge that was paid for.
-func (d *Dispatcher) noHedge(ws *workspace, why string) *send {
-	ws.returnHedge()
+// noHedge notes why a second attempt is not made.
+func (d *Dispatcher) noHedge(watch *quarantine.Attempt, why string) *send {
+	watch.Close()
 	d.metrics.RetriesRefused.Add(why, 1)
 	return nil
 }
 
+// payHedge pays for a second attempt while the first is in flight.
+func (d *Dispatcher) payHedge(c *Call) bool {
+	if d.retries != nil {
+		return d.retries.TakeSecond(c.Key, time.Now())
+	}
+	return d.workspace(c.Workspace).takeHedge(time.Now())
+}
+
 // addCancel has another context canceled when the attempt ends.
 func (a *attempt) addCancel(f context.CancelFunc) {
 	old := a.cancel
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -49,13 +49,6 @@
 	return w.hedges.Take(now)
 }
 
-// returnHedge gives back a hedge that was not sent.
-func (w *workspace) returnHedge() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.hedges.Return()
-}
-
 // workspace returns the state of a workspace, making it at first use.
 func (d *Dispatcher) workspace(decl *declare.Workspace) *workspace {
 	if w, ok := d.workspaces.Load(decl.Name); ok {
--- a/edge/retries.go
+++ b/edge/retries.go
@@ -47,6 +47,19 @@
 	return w.Take(now)
 }
 
+// secondsPart is the part of the budget that second attempts may use up: what is left is
+// for requests that were refused or failed, which have no answer otherwise.
+const secondsPart = 0.8
+
+// TakeSecond implements dispatch.RetryBudget.
+func (r *retries) TakeSecond(key blackboard.ServiceKey, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(key)
+	w.SetReserve(r.reserve(now))
+	return w.TakePart(now, secondsPart)
+}
+
 // firstReserve is the share of its part of the reserve that a host begins with.
 const firstReserve = 0.25
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -41,6 +41,7 @@
 		Caller:    callerOf(r),
 		Arrived:   time.Now(),
 		Waited:    s.waited(r, m),
+		Sizes:     m.Sizes,
 	}
 	if s.deps.Contract.Forwarded {
 		addForwarded(c.Header, r)
--- a/entry/router.go
+++ b/entry/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/policy/sizes"
 	"github.com/cactusproxy/cactusproxy/policy/waited"
 )
 
@@ -43,6 +44,8 @@
 	Priority  int
 	// Patience, if set, tells how long callers of the route have been waiting.
 	Patience *waited.Patience
+	// Sizes, if set, learns how large answers of the route are.
+	Sizes *sizes.Usual
 	// ConfigVersion is the version of the configuration that was asked.
 	ConfigVersion uint64
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -6,6 +6,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/policy/sizes"
 	"github.com/cactusproxy/cactusproxy/policy/waited"
 	"github.com/cactusproxy/cactusproxy/routing"
 )
@@ -23,8 +24,14 @@
 	// table is the one that services was made for.
 	table    *routing.Table
 	services map[routing.Match]*declare.Service
-	// patience is kept by the route's name, beyond a change of the configuration.
-	patience map[string]*waited.Patience
+	// learned is kept by the route's name, beyond a change of the configuration.
+	learned map[string]*learned
+}
+
+// learned is what the requests of one route have shown.
+type learned struct {
+	patience waited.Patience
+	sizes    sizes.Usual
 }
 
 var _ Finder = (*RouteFinder)(nil)
@@ -48,11 +55,12 @@
 	if m.Route.Kind.Repeatable() {
 		repeat = dispatch.Idempotent
 	}
-	service, patience := f.service(table, m)
+	service, learned := f.service(table, m)
 	return Match{
 		Workspace: f.workspace,
 		Service:   service,
-		Patience:  patience,
+		Patience:  &learned.patience,
+		Sizes:     &learned.sizes,
 		Repeat:    repeat,
 		Objective: m.Route.Objective,
 		Priority:  m.Route.Priority,
@@ -62,8 +70,8 @@
 }
 
 // service returns the declaration of a service as one route uses it, which is made
-// once for each configuration, and the patience of the route's callers.
-func (f *RouteFinder) service(table *routing.Table, m routing.Match) (*declare.Service, *waited.Patience) {
+// once for each configuration, and what the route's requests have shown.
+func (f *RouteFinder) service(table *routing.Table, m routing.Match) (*declare.Service, *learned) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.table != table {
@@ -82,20 +90,20 @@
 		}
 		f.services[m] = s
 	}
-	return s, f.patience[m.Route.Name]
+	return s, f.learned[m.Route.Name]
 }
 
 // renew begins anew for a configuration. The lock is held.
 func (f *RouteFinder) renew(table *routing.Table) {
 	f.table = table
 	f.services = make(map[routing.Match]*declare.Service)
-	patience := make(map[string]*waited.Patience, len(table.Config.Routes))
+	next := make(map[string]*learned, len(table.Config.Routes))
 	for _, r := range table.Config.Routes {
-		p := f.patience[r.Name]
-		if p == nil {
-			p = new(waited.Patience)
+		l := f.learned[r.Name]
+		if l == nil {
+			l = new(learned)
 		}
-		patience[r.Name] = p
+		next[r.Name] = l
 	}
-	f.patience = patience
+	f.learned = next
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -33,8 +33,8 @@
 	Objective time.Duration
 	// Priority is the rank of the call; 0 is the most urgent.
 	Priority int
-	// Size is the length of the request's body in bytes, or -1 if unknown.
-	Size int64
+	// Bytes is how many bytes the request's body and its answer are likely to have.
+	Bytes float64
 }
 
 // Picker chooses targets. Implementations are safe for concurrent use.
@@ -58,6 +58,8 @@
 	// times, and Age how old the target's own word was.
 	Cost float64
 	Age  time.Duration
+	// Silent is set if the targets of the service tell nothing of their load.
+	Silent bool
 	// Asked is how many targets were asked for the choice, Waited how long the
 	// choice took.
 	Asked  int
--- a/placer/ask.go
+++ b/placer/ask.go
@@ -92,8 +92,9 @@
 	p.count.asks.Add(1)
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
+	asked := time.Now()
 	load, told, reached := p.exchange(ctx, info, path, conns)
-	p.tell(s.answered(t, load, told, reached), s, info.Run())
+	p.tell(s.answered(t, load, told, reached, time.Since(asked)), s, info.Run())
 	if !reached {
 		p.count.asksFailed.Add(1)
 	}
@@ -101,7 +102,7 @@
 
 // answered takes in the answer to a question, and returns what that changed in
 // what this host believes of the target.
-func (s *service) answered(t *target, load targetapi.Load, told, reached bool) (news string) {
+func (s *service) answered(t *target, load targetapi.Load, told, reached bool, took time.Duration) (news string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,8 +111,11 @@
 	if !s.holds(t) {
 		return ""
 	}
-	if told {
+	switch {
+	case told:
 		s.told(now, t, load)
+	case reached:
+		s.answeredSilently(now, t, took)
 	}
 	switch {
 	case !reached && t.unreachable(now):
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/placing"
 )
 
 // ranked is a target with what it costs by what is remembered.
@@ -69,6 +70,7 @@
 
 // candidates returns the targets that may take a call. The lock is held.
 func (s *service) candidates(now time.Time, req pick.Request, width int) (c candidates) {
+	way := placing.Way(req.Bytes)
 	for _, t := range s.list {
 		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
 			continue
@@ -78,7 +80,7 @@
 		}
 		t.figures.Cold = now.Before(t.info.WarmUntil)
 		t.figures.Usual = *s.usual(t)
-		c.add(ranked{t, t.figures.Cost(now) + s.rng.Float64()*tieBreak}, width)
+		c.add(ranked{t, t.figures.Cost(now, way) + s.rng.Float64()*tieBreak}, width)
 	}
 	c.join()
 	return c
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -122,7 +122,7 @@
 			asked = c.all()
 			known := p.ask(ctx, s, asked)
 			// More of the same guesses would be no better.
-			g, last = p.choose(ctx, s, req, asked, !known || waits >= s.mayWait())
+			g, last = p.choose(ctx, s, req, asked, !req.Hedge && (!known || waits >= s.mayWait()))
 		}
 		if g != nil {
 			g.basis.Asked, g.basis.Waited = len(asked), time.Since(start)
@@ -131,6 +131,11 @@
 		if last != "" {
 			return nil, p.refuse(last, s.describe())
 		}
+		if req.Hedge {
+			// The first attempt may still be answered: a second one that waits, or takes
+			// a slot that others want, costs more than it gains.
+			return nil, p.refuse(outcome.ReasonOverload, "no spare slot")
+		}
 		p.count.waits.Add(1)
 		if !ctxtime.Sleep(ctx, waitPause) {
 			return nil, p.refuse(outcome.ReasonQueueTimeout, s.describe())
@@ -164,7 +169,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, cost := s.best(now, list)
+	t, cost := s.best(now, placing.Way(req.Bytes), list)
 	switch {
 	case t == nil && final:
 		return nil, outcome.ReasonOverload
@@ -179,7 +184,7 @@
 	if req.Objective > 0 && !placing.Worthwhile(&t.figures, now, answer, req.Arrived.Add(req.Objective).Sub(now)) {
 		return nil, outcome.ReasonOverload
 	}
-	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now)}
+	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
 }
--- a/placer/service.go
+++ b/placer/service.go
@@ -28,6 +28,11 @@
 	failures health.Service
 	// near and far are what targets of the own zone and of others told of late.
 	near, far placing.Usual
+	// nearAsked and farAsked are how long targets that tell nothing take to answer.
+	nearAsked, farAsked placing.Questions
+	// silent counts answers to questions that told nothing of the load, up to silentFrom,
+	// and is 0 again once one did.
+	silent int
 	// work is the learned time of one call at an idle target at its usual pace.
 	work time.Duration
 }
@@ -75,10 +80,32 @@
 
 // told takes in what a target says of itself. The lock is held.
 func (s *service) told(now time.Time, t *target, l targetapi.Load) {
+	s.silent = 0
 	t.figures.Told(now, l)
 	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
 }
 
+// silentFrom is how many answers to questions that told no load it takes for a service to
+// count as one whose targets tell nothing.
+const silentFrom = 8
+
+// isSilent reports whether the targets of the service tell nothing of their load. The lock
+// is held.
+func (s *service) isSilent() bool { return s.silent >= silentFrom }
+
+// answeredSilently takes in that a target answered a question and told nothing of its load.
+// The lock is held.
+func (s *service) answeredSilently(now time.Time, t *target, took time.Duration) {
+	s.silent = min(s.silent+1, silentFrom)
+	asked := &s.nearAsked
+	if t.figures.Far {
+		asked = &s.farAsked
+	}
+	asked.Learn(took)
+	l := t.figures.Answered(now, took, asked.Usual())
+	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
+}
+
 // best returns the cheapest of some targets that can queue one more call, or nil: of
 // those that told something of late, and only if there is none, of the others. The
 // lock is held.
@@ -89,14 +116,14 @@
 // that told the truth, and gets the call; at 121 hosts under one and a half times the
 // load three of four calls went by such guesses. Preferring what was told raised the
 // worth of the two worst windows of 2 s from 0.40 to 0.45.
-func (s *service) best(now time.Time, list []ranked) (*target, float64) {
+func (s *service) best(now time.Time, way float64, list []ranked) (*target, float64) {
 	var found *target
 	least := 0.0
 	for _, r := range list {
 		if !r.open(now) || r.figures.Full(now) {
 			continue
 		}
-		cost := r.figures.Cost(now)
+		cost := r.figures.Cost(now, way)
 		if found == nil || better(r.known(now), found.known(now), cost, least) {
 			found, least = r.target, cost
 		}
@@ -131,7 +158,7 @@
 		room = append(room, ranked{target: t})
 	}
 	cheapest := "none"
-	if t, cost := s.best(now, room); t != nil {
+	if t, cost := s.best(now, placing.Way(0), room); t != nil {
 		cheapest = strconv.FormatFloat(cost, 'f', 2, 64)
 	}
 	return fmt.Sprintf("targets=%d open=%d cheapest=%s work=%s oldest_figure=%s list=%d",
--- a/placer/service_test.go
+++ b/placer/service_test.go
@@ -34,9 +34,9 @@
 	s := &service{targets: map[ports.HostID]*target{}}
 	told, notAsked, owing := fullTarget("told", now), silentTarget("not asked"), fullTarget("owing", now)
 	owing.asking = make(chan struct{})
-	assert.Check(t, notAsked.figures.Cost(now) < told.figures.Cost(now))
-	got, _ := s.best(now, []ranked{{target: notAsked}, {target: owing}, {target: told}})
+	assert.Check(t, notAsked.figures.Cost(now, 0) < told.figures.Cost(now, 0))
+	got, _ := s.best(now, 0, []ranked{{target: notAsked}, {target: owing}, {target: told}})
 	assert.Equal(t, got, told)
-	got, _ = s.best(now, []ranked{{target: notAsked}, {target: owing}})
+	got, _ = s.best(now, 0, []ranked{{target: notAsked}, {target: owing}})
 	assert.Equal(t, got, notAsked, "better than none")
 }
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -22,9 +22,11 @@
 	firstPace = 2.0
 	// learnWeight is the weight of one figure in what is usual.
 	learnWeight = 0.02
-	// farCost is what a target in another availability zone costs more, in usual
-	// work times: its bytes are paid for.
-	farCost = 0.3
+	// farCost is what a target in another availability zone costs more whatever is sent
+	// there, and bytesForWork how many bytes between zones cost as much as one usual work
+	// time, both in usual work times.
+	farCost      = 0.15
+	bytesForWork = 32 << 10
 	// crowding is how much longer work takes at a target with all slots taken but
 	// one, and orders targets that would begin at once.
 	crowding = 0.5
@@ -157,11 +159,16 @@
 	return t
 }
 
+// Way is what sending some bytes to another availability zone and back costs, in usual work
+// times. A large answer stays in its zone unless the wait there is long; a small one goes
+// where it is soonest.
+func Way(bytes float64) float64 { return farCost + bytes/bytesForWork }
+
 // Cost is what a choice goes by: the time until the answer, and the price of the way
-// there in the same unit.
-func (f *Figures) Cost(now time.Time) float64 {
+// there in the same unit; way is that of another availability zone.
+func (f *Figures) Cost(now time.Time, way float64) float64 {
 	if f.Far {
-		return f.Time(now) + farCost
+		return f.Time(now) + way
 	}
 	return f.Time(now)
 }
--- a/policy/placing/placing_test.go
+++ b/policy/placing/placing_test.go
@@ -20,7 +20,7 @@
 
 func cheaper(t *testing.T, a, b Figures) {
 	t.Helper()
-	assert.Check(t, a.Cost(now) < b.Cost(now), "%.2f, %.2f", a.Cost(now), b.Cost(now))
+	assert.Check(t, a.Cost(now, Way(5000)) < b.Cost(now, Way(5000)), "%.2f, %.2f", a.Cost(now, Way(5000)), b.Cost(now, Way(5000)))
 }
 
 // A call begins at once at a target with a slot free; there its pace decides, not how
@@ -64,12 +64,12 @@
 // 600 ms.
 func TestFiguresAge(t *testing.T) {
 	f := told(4, 4, 5)
-	fresh := f.Cost(now)
-	later := f.Cost(now.Add(100 * time.Millisecond))
-	old := f.Cost(now.Add(time.Second))
+	fresh := f.Cost(now, Way(5000))
+	later := f.Cost(now.Add(100*time.Millisecond), Way(5000))
+	old := f.Cost(now.Add(time.Second), Way(5000))
 	assert.Check(t, fresh > later && later > old)
 	idle := Figures{Slots: 4, Usual: NewUsual()}
-	assert.Equal(t, old, idle.Cost(now))
+	assert.Equal(t, old, idle.Cost(now, Way(5000)))
 }
 
 // Of the calls that a target told, those of this host are counted off as they end, and
@@ -77,12 +77,12 @@
 func TestOwnCallsAreCountedOffAsTheyEnd(t *testing.T) {
 	f := Figures{Slots: 4, Usual: NewUsual(), InFlight: 3}
 	f.Told(now, targetapi.Load{Running: 4, Waiting: 1, Slots: 4, Pace: 1})
-	full := f.Cost(now)
+	full := f.Cost(now, Way(5000))
 	assert.Equal(t, f.Others, 2)
 	f.InFlight = 0
-	assert.Check(t, f.Cost(now) < full)
+	assert.Check(t, f.Cost(now, Way(5000)) < full)
 	other := told(2, 0, 1)
-	assert.Equal(t, f.Cost(now), other.Cost(now))
+	assert.Equal(t, f.Cost(now, Way(5000)), other.Cost(now, Way(5000)))
 }
 
 // A target must not get more than it can queue, as far as that is known.
@@ -100,9 +100,9 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		least := list[0].Cost(now)
+		least := list[0].Cost(now, Way(5000))
 		for i := range list {
-			least = min(least, list[i].Cost(now))
+			least = min(least, list[i].Cost(now, Way(5000)))
 		}
 	}
 }
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -53,9 +53,6 @@
 	return true
 }
 
-// Return gives back an attempt that was paid for and not made.
-func (b *Budget) Return() { b.tokens = min(b.tokens+1, maxSaved) }
-
 func (b *Budget) earn(now time.Time) {
 	if b.ratio > 0 && now.After(b.last) {
 		b.tokens = min(b.tokens+reserve*now.Sub(b.last).Seconds(), math.Max(b.tokens, 1))
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -44,9 +44,12 @@
 func (w *Window) Call(now time.Time) { w.calls.add(now) }
 
 // Take pays for one further attempt and reports whether the window had it.
-func (w *Window) Take(now time.Time) bool {
+func (w *Window) Take(now time.Time) bool { return w.TakePart(now, 1) }
+
+// TakePart is Take as long as no more than a part of the window, 0 to 1, is used up.
+func (w *Window) TakePart(now time.Time, part float64) bool {
 	allowed := w.limits.Ratio*float64(w.calls.sum(now)) + w.limits.Reserve
-	if float64(w.spent.sum(now)+1) > allowed {
+	if float64(w.spent.sum(now)+1) > part*allowed {
 		return false
 	}
 	w.spent.add(now)
