Refuse a call at once when the best target of all leads to a late answer

Now the targets of other zones are asked, and if the best of all is not worth it the caller hears so.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -39,11 +39,9 @@
 	askWait = 12 * time.Millisecond
 	// askTimeout ends a question that gets no answer.
 	askTimeout = 250 * time.Millisecond
-	// goodCost is the cost at which a target is taken at once, waitPause how long
-	// a choice waits for a better one. It waits for at most half a usual work time,
-	// once at least and maxWaits times at most: beyond that the wait costs more than a
-	// better target saves.
-	goodCost  = 1.6
+	// waitPause is how long a choice waits for a better target. It waits for at most half
+	// a usual work time, once at least and maxWaits times at most: beyond that the wait
+	// costs more than a better target saves.
 	waitPause = 20 * time.Millisecond
 	maxWaits  = 6
 	// retryAfter is told with a refusal: about the time in which slots get free.
@@ -117,12 +115,15 @@
 			return nil, p.refuse(outcome.ReasonNoTarget, s.describe())
 		}
 		p.ask(ctx, s, asked)
-		g, last := p.choose(ctx, s, req, asked, false)
+		g, last := p.choose(ctx, s, req, asked, placing.MayAsk)
 		if g == nil && last == "" {
 			asked = c.all()
-			known := p.ask(ctx, s, asked)
+			next := placing.MayWait
 			// More of the same guesses would be no better.
-			g, last = p.choose(ctx, s, req, asked, !req.Hedge && (!known || waits >= s.mayWait()))
+			if known := p.ask(ctx, s, asked); !req.Hedge && (!known || waits >= s.mayWait()) {
+				next = placing.Last
+			}
+			g, last = p.choose(ctx, s, req, asked, next)
 		}
 		if g != nil {
 			g.basis.Asked, g.basis.Waited = len(asked), time.Since(start)
@@ -164,31 +165,39 @@
 }
 
 // choose takes the best target, or returns why there is none; neither means that
-// it is better to wait, which is over if final is set.
-func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, final bool) (*held, outcome.Reason) {
+// it is better to do what may come next.
+func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, next placing.Next) (*held, outcome.Reason) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, cost := s.best(now, placing.Way(req.Bytes), list)
-	switch {
-	case t == nil && final:
-		return nil, outcome.ReasonOverload
-	case t == nil, cost > goodCost && !final:
-		return nil, ""
+	if t == nil {
+		return nil, overloadIf(next == placing.Last)
 	}
 	takes := t.figures.Time(now)
 	answer := time.Duration(takes * float64(s.work))
+	worthwhile := req.Objective == 0 || placing.Worthwhile(&t.figures, now, answer, req.Arrived.Add(req.Objective).Sub(now))
 	if at, ok := ctx.Deadline(); ok && answer > at.Sub(now) {
-		return nil, outcome.ReasonOverload
+		worthwhile = false
 	}
-	if req.Objective > 0 && !placing.Worthwhile(&t.figures, now, answer, req.Arrived.Add(req.Objective).Sub(now)) {
+	switch placing.Decide(cost, worthwhile, next) {
+	case placing.Refuse:
 		return nil, outcome.ReasonOverload
+	case placing.GoOn:
+		return nil, ""
 	}
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
 }
 
+func overloadIf(refused bool) outcome.Reason {
+	if refused {
+		return outcome.ReasonOverload
+	}
+	return ""
+}
+
 func (p *Placer) refuse(r outcome.Reason, why string) outcome.Result {
 	p.count.refused.Add(string(r), 1)
 	res := outcome.Refuse(r)
--- /dev/null
+++ b/policy/placing/decide.go
@@ -0,0 +1,54 @@
+package placing
+
+// goodCost is the cost at which a target is taken at once: a slot is free there, and the
+// work takes little longer than usual.
+const goodCost = 1.6
+
+// Next is what a choice can do if it does not take the best target it has seen.
+type Next uint8
+
+const (
+	// MayAsk: targets of other availability zones were not asked yet.
+	MayAsk Next = iota
+	// MayWait: a better target may turn up in a moment.
+	MayWait
+	// Last: nothing.
+	Last
+)
+
+// Decision is what becomes of a call.
+type Decision uint8
+
+const (
+	// Take sends the call to the best target.
+	Take Decision = iota
+	// GoOn does what may come next.
+	GoOn
+	// Refuse tells the caller at once that the call does not run.
+	Refuse
+)
+
+// Decide decides from the cost of the best target that was asked, and whether a call there
+// would be answered in time.
+//
+// It answers more calls than the targets can run. Then the best target of all that could
+// be asked has a queue that leads to a late answer, and a call that waits for a better one
+// takes the slot that another would have got in time, or is refused later. Refused at once
+// it comes again sooner, or elsewhere. With targets of one slot under twice what they can
+// run, 0.644 of all requests were in time in place of 0.592, and the mean worth of 8 heavy
+// days was 0.427 in place of 0.379; on two other deployments 0.742 in place of 0.735, and
+// 0.795 in place of 0.796.
+func Decide(cost float64, worthwhile bool, next Next) Decision {
+	switch {
+	case cost <= goodCost && worthwhile:
+		return Take
+	case next == MayAsk:
+		return GoOn
+	case !worthwhile:
+		return Refuse
+	case next == MayWait:
+		return GoOn
+	default:
+		return Take
+	}
+}
