Bound the memory of answers that are held until they are whole

Cause, by reading: each answer of up to 256 kB was held whole, however many there were at once; only the bodies of requests were bounded. An eighth of the memory limit is for them now, and answers beyond it pass through as they come. Tests: no more is held than the bound while 100 callers read nothing, all are whole, and the memory is given back however an answer ends.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -37,9 +37,9 @@
 
 	ctx      context.Context
 	contract *targetapi.Contract
-	// hold has a small answer read whole before it is passed on. The answer to a HEAD
-	// has no body, and its length is that of another one.
-	hold bool
+	// held, if set, has a small answer read whole before it is passed on. The answer to a
+	// HEAD has no body, and its length is that of another one.
+	held *heldAnswers
 
 	class  pick.Class
 	reason outcome.Reason
@@ -67,7 +67,9 @@
 		start:   time.Now(),
 		observe: func(took time.Duration) { d.observe(c.Key, took) },
 		ctx:     ctx,
-		hold:    d.holdAnswers && c.Method != http.MethodHead,
+	}
+	if c.Method != http.MethodHead {
+		a.held = d.held
 	}
 	if s.claim != nil && !s.claim.Sending() {
 		// The host was held up for so long that the claim's row may be gone, and
@@ -200,11 +202,11 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		a.class = pick.Failed
 	}
-	if !a.hold {
+	if a.held == nil {
 		a.resp = resp
 		return
 	}
-	if err := holdBody(resp); err != nil {
+	if err := a.held.hold(resp); err != nil {
 		_ = resp.Body.Close()
 		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
 		if a.ctx.Err() != nil {
--- a/dispatch/contract_test.go
+++ b/dispatch/contract_test.go
@@ -29,7 +29,7 @@
 func newContractBench(t *testing.T, targets ...behaviour) *bench {
 	b := newBench(t, targets...)
 	b.d.contract = testContract()
-	b.d.holdAnswers = true
+	b.d.held = newHeldAnswers(64 << 20)
 	return b
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,8 +28,9 @@
 	// Retries pays for further attempts; nil stands for the ratio that each
 	// workspace declares.
 	Retries RetryBudget
-	// HoldAnswers has small answers read whole before they are passed on.
-	HoldAnswers bool
+	// HoldAnswers, if not 0, has small answers read whole before they are passed on, as
+	// many as fit into this memory in bytes.
+	HoldAnswers int64
 }
 
 // RetryBudget pays for further attempts of a service's calls. Implementations are
@@ -61,7 +62,7 @@
 	contract *targetapi.Contract
 	retries  RetryBudget
 
-	holdAnswers bool
+	held *heldAnswers
 
 	workspaces sync.Map // name -> *workspace
 	latencies  sync.Map // blackboard.ServiceKey -> *serviceLatency
@@ -76,7 +77,7 @@
 		contract: deps.Contract,
 		retries:  deps.Retries,
 
-		holdAnswers: deps.HoldAnswers,
+		held: newHeldAnswers(deps.HoldAnswers),
 
 		board:    deps.Board,
 		picker:   deps.Picker,
--- a/dispatch/reply.go
+++ b/dispatch/reply.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
 
 	"github.com/cactusproxy/cactusproxy/outcome"
@@ -80,39 +79,6 @@
 	}
 }
 
-// maxHeld bounds an answer that is held until it is whole, in bytes. A longer one
-// is passed on as it comes.
-const maxHeld = 256 << 10
-
-// holdBody reads a small answer whole. A longer one keeps its rest as a stream.
-func holdBody(resp *http.Response) error {
-	if resp.ContentLength > maxHeld {
-		return nil
-	}
-	var b bytes.Buffer
-	if resp.ContentLength > 0 {
-		b.Grow(int(resp.ContentLength))
-	}
-	n, err := io.CopyN(&b, resp.Body, maxHeld+1)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return err
-	}
-	if n > maxHeld {
-		rest := resp.Body
-		resp.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.MultiReader(&b, rest), rest}
-		return nil
-	}
-	if err := resp.Body.Close(); err != nil {
-		return err
-	}
-	resp.ContentLength = n
-	resp.Body = io.NopCloser(&b)
-	return nil
-}
-
 // maxKeptFailure bounds a failed answer that is kept while another attempt is
 // made, in bytes. A larger one is passed on without another attempt.
 const maxKeptFailure = 64 << 10
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -39,6 +39,11 @@
 	defaultBodyMemory = 64 << 20
 	// bodyMemoryShare is the part of the memory limit that bodies may take.
 	bodyMemoryShare = 4
+	// defaultAnswerMemory holds 256 answers of the largest size that is held.
+	defaultAnswerMemory = 64 << 20
+	// answerMemoryShare is the part of the memory limit that answers may take which are
+	// held until they are whole: with bodies, three eighths of it.
+	answerMemoryShare = 8
 	// heapShare is the part of the memory limit, in percent, at which the garbage
 	// collector works harder; the rest is for stacks and socket buffers.
 	heapShare = 60
@@ -169,7 +174,7 @@
 		Metrics:     d.metrics,
 		Contract:    d.platform.Contract,
 		Retries:     newRetries(d.settings.Retries, d.board),
-		HoldAnswers: true,
+		HoldAnswers: d.answerMemory(),
 	})
 	d.entry = entry.New(entry.Deps{
 		Board:      d.board,
@@ -194,6 +199,13 @@
 	return defaultBodyMemory
 }
 
+func (d *Daemon) answerMemory() int64 {
+	if mb := d.settings.MemoryMB; mb > 0 {
+		return int64(mb) << 20 / answerMemoryShare
+	}
+	return defaultAnswerMemory
+}
+
 func (d *Daemon) provisionServers() {
 	header := d.settings.Callers.MaxHeaderBytes
 	if header == 0 {
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -257,16 +257,10 @@
 	return b.ID + failure(s.targets.startAgain(b))
 }
 
-// scribbles are entries that name no target.
-var scribbles = []string{
-	"{half", "null", `{"service":"bids"}`, "\xff\xfe",
-	`{"service":"bids","address":"127.0.0.1:9","zone":"a","version":"v1","capacity":4,"state":"asleep","warmup_left":"0ms","seq":1}`,
-	`{"service":"bids","address":"127.0.0.1:9","zone":"a","version":"v1","capacity":"many","state":"ready","warmup_left":"0ms","seq":1}`,
-}
-
 func (s *Soak) scribble(_ context.Context, rng *rand.Rand) string {
 	b := s.anyTarget(rng)
-	text := scribbles[rng.IntN(len(scribbles))]
+	foreign := standin.ForeignEntries()
+	text := foreign[rng.IntN(len(foreign))]
 	s.targets.scribble(b, text, rng.IntN(2) == 0)
 	return b.ID + " " + text
 }
