Begin with a full share of questions

The share of questions began empty and filled at some 100 a second, so that the calls that had waited for the hosts went by guesses, several to one target.

An idle host had as many questions saved up before, so that no span holds more than it could.

--- a/placer/share.go
+++ b/placer/share.go
@@ -12,6 +12,15 @@
 // that lists of hosts that disagree for a while do not add up to more than all.
 const shareUsed = 0.8
 
+// firstBurst is more questions than any host may have saved up: a share begins with as many
+// as it can hold, a second's.
+//
+// Failure: all hosts start at the same moment, and callers that were waiting come at once.
+// Symptom: a share that began empty had its first question after some ms and its tenth
+// after 70, so that the calls of the first moment went by guesses, several to one target.
+// What may be asked is bounded over minutes, and a start is rare beside that.
+const firstBurst = 1 << 20
+
 // Share is this host's part of the questions that all hosts may put to targets.
 // An even part needs no word between the hosts; a lease of it in the platform's
 // store would be paid for at each renewal.
@@ -24,7 +33,7 @@
 
 // NewShare returns the share of a host, from the targets and hosts on its board.
 func NewShare(b *blackboard.Board, perTarget float64) *Share {
-	return &Share{board: b, perTarget: perTarget, limiter: rate.NewLimiter(0, 0)}
+	return &Share{board: b, perTarget: perTarget, limiter: rate.NewLimiter(0, firstBurst)}
 }
 
 // Take pays for one question and reports whether the share had it.
