Ask seeds for 15 ms in place of 40 when callers wait

At a start of all hosts no seed knows anything, and each host waited 40 ms before it read the store itself.

--- a/controller/watch/start.go
+++ b/controller/watch/start.go
@@ -19,7 +19,7 @@
 	seedTimeout = 400 * time.Millisecond
 	// hurriedSeedTimeout is that of a start while callers wait: a seed that is up
 	// answers in a few ms.
-	hurriedSeedTimeout = 40 * time.Millisecond
+	hurriedSeedTimeout = 15 * time.Millisecond
 	// busySeedTimeout is how long such a start goes on asking a seed that is up but
 	// has yet to read the store, which takes it 30 to 80 ms.
 	busySeedTimeout = 200 * time.Millisecond
