Ask hosts that a seed named one beside the other

Cause, by reading: a start asked them in turn, up to 0.4 s each. Callers wait for a host that starts.

--- a/controller/watch/scale_test.go
+++ b/controller/watch/scale_test.go
@@ -152,3 +152,25 @@
 		assert.Check(t, took < 500*time.Millisecond, "known after %s", took)
 	})
 }
+
+// All hosts of an availability zone but the seeds are dark, and nobody has noticed yet. A
+// host that starts there is referred to them by the seeds; it must not wait for each in turn,
+// since callers wait for it.
+func TestStartIsReferredToHostsThatAreDark(t *testing.T) {
+	withFleet(t, 40, func(fl *fleet) {
+		const next = 50
+		begun := time.Now()
+		h := fl.start(next, true)
+		for i, dark := range fl.hosts {
+			if i >= len(fl.seeds) && dark != h && zone(i) == zone(next) {
+				fl.freeze(dark)
+			}
+		}
+		for !h.takes(0) && time.Since(begun) < 5*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		took := time.Since(begun)
+		t.Logf("knows all after %s", took)
+		assert.Check(t, took < 600*time.Millisecond)
+	})
+}
--- a/controller/watch/start.go
+++ b/controller/watch/start.go
@@ -115,7 +115,7 @@
 	for range asked {
 		r := <-answers
 		reached = reached || r.reached
-		if r.fresh && (len(r.ask) == 0 || c.askReferred(ctx, r.ask)) {
+		if r.fresh && (len(r.ask) == 0 || c.askReferred(r.ask)) {
 			return true, true
 		}
 	}
@@ -138,18 +138,34 @@
 	}
 }
 
-// askReferred asks hosts that a seed named one after the other until one tells all it
-// knows, and reports whether one did.
-func (c *Controller) askReferred(ctx context.Context, ids []ports.HostID) bool {
+// referStagger is how long a start waits for one host that a seed named before it asks the
+// next, too: all that 100 hosts know takes 0.06 s of a link of 10 Mbit/s.
+const referStagger = 100 * time.Millisecond
+
+// askReferred asks hosts that a seed named until one tells all it knows, and reports whether
+// one did. Some may be down, and are silent: the next is asked meanwhile.
+func (c *Controller) askReferred(ids []ports.HostID) bool {
+	c.mu.Lock()
 	for _, id := range ids {
-		c.mu.Lock()
 		c.addHosts(directory.Host{Addr: string(id)})
-		c.mu.Unlock()
-		if c.syncWithin(id, checkTimeout).fresh {
-			return true
+	}
+	c.mu.Unlock()
+	answers := make(chan bool, len(ids))
+	for asked, open := 0, 0; asked < len(ids) || open > 0; {
+		var stagger <-chan time.Time
+		if asked < len(ids) {
+			id := ids[asked]
+			asked, open = asked+1, open+1
+			go func() { answers <- c.syncWithin(id, checkTimeout).fresh }()
+			stagger = time.After(referStagger)
 		}
-		if ctx.Err() != nil {
-			return false
+		select {
+		case fresh := <-answers:
+			open--
+			if fresh {
+				return true
+			}
+		case <-stagger:
 		}
 	}
 	return false
