Close the connection that was dialed, not one that a failed handshake made nil

Cause: the closure that ends a handshake with its node read a variable that a failed TLS handshake had set to nil in the meantime; the process ended. The fault is old and concerns hosts with TLS between them, at a stop or after 3 s of a silent peer. The test failed each of three times before and passes, also with the race detector.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -65,14 +65,14 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(r.ctx, handshakeTimeout)
 	defer cancel()
-	conn, err := r.node.opts.Dial(ctx, addr)
+	raw, err := r.node.opts.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	tuneConn(conn)
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	tuneConn(raw)
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
-	conn, err = r.secure(ctx, conn, addr)
+	conn, err := r.secure(ctx, raw, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -285,3 +286,19 @@
 		})
 	}
 }
+
+// A host is stopped while it waits for the TLS handshake of a peer that says nothing. Its
+// process must end as it was told to, and not by a fault: the end of the handshake and that
+// of the node close the same connection at the same moment.
+func TestStopDuringAHandshake(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	for range 200 {
+		n := NewNode(Options{Self: "a", TLS: &tls.Config{InsecureSkipVerify: true}})
+		n.SetPeers([]ports.Host{{ID: "b", PeerAddr: silent.Addr().String()}})
+		n.Notify("b", 1, nil)
+		time.Sleep(500 * time.Microsecond)
+		n.Close()
+	}
+}
