--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -11,6 +11,8 @@
 	calls, failed, beats, steps, syncs, dropped, takeovers *expvar.Int
 	// repeats counts large changes that were not passed on since they brought nothing new.
 	repeats *expvar.Int
+	// lateWords counts words of earlier runs of targets that were held back.
+	lateWords *expvar.Int
 }
 
 func newCounters(m *metrics.Set) counters {
@@ -24,5 +26,6 @@
 		dropped:   c("notifications_dropped"),
 		takeovers: c("takeovers"),
 		repeats:   c("repeats_not_passed_on"),
+		lateWords: c("late_words"),
 	}
 }
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -218,6 +218,7 @@
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	had := c.state.Config()
 	news := c.state.Take(now, ch)
+	c.count.lateWords.Set(c.state.LateWords())
 	if news.Empty() && (c.known() || !c.state.HasTargets()) {
 		return news
 	}
--- a/directory/incarnation_test.go
+++ b/directory/incarnation_test.go
@@ -65,6 +65,7 @@
 	s := NewState()
 	merge(s, now, word(1, 100, "x:1"), word(2, 200, "y:1"), draining(word(3, 100, "x:1")))
 	assert.Check(t, !only(t, s, now).Draining)
+	assert.Equal(t, s.LateWords(), int64(1))
 	merge(s, now.Add(time.Second), word(4, 200, "y:1"))
 	got := only(t, s, now.Add(time.Minute))
 	assert.Check(t, !got.Draining)
--- a/directory/state.go
+++ b/directory/state.go
@@ -26,6 +26,8 @@
 	targets map[ports.HostID]*known
 	newest  Revision
 	wholeAt Revision
+	// lateWords counts words of earlier runs of targets that were held back.
+	lateWords int64
 	// buckets are digests of the targets that are listed; see Buckets.
 	buckets [bucketCount]uint64
 }
@@ -84,6 +86,9 @@
 	return xxhash.Sum64String(fmt.Sprint(k.ID, " ", k.Revision, " ", k.Incarnation))
 }
 
+// LateWords returns how many words of earlier runs of targets were held back so far.
+func (s *State) LateWords() int64 { return s.lateWords }
+
 // HasTargets reports whether the list of targets was ever whole.
 func (s *State) HasTargets() bool { return s.wholeAt > 0 }
 
@@ -147,6 +152,7 @@
 	case old == nil:
 	case old.ended(t):
 		s.newest = max(s.newest, t.Revision)
+		s.lateWords++
 		return old.keepLate(now, t)
 	case t.beginsAfter(old.Target):
 		t.Revision = max(t.Revision, old.Revision)
--- a/placer/restart_test.go
+++ b/placer/restart_test.go
@@ -1,9 +1,11 @@
 package placer
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -30,6 +32,7 @@
 		Board:   l.board,
 		Share:   NewShare(l.board, 60),
 		Metrics: metrics.New(),
+		Log:     zap.NewNop(),
 		OnLeaving: func(_ blackboard.ServiceKey, t blackboard.Target) {
 			l.hints = append(l.hints, t)
 		},
@@ -97,3 +100,43 @@
 	assert.Equal(t, l.list(100, false), first)
 	assert.Equal(t, l.list(0, false), first)
 }
+
+// A target starts again under its name while calls begin, end in every way and its words
+// come and go. The calls reckoned with at it are always those of its present run, and after
+// each start it takes calls at once.
+func TestRandomHistoriesOfRestarts(t *testing.T) {
+	classes := []pick.Class{pick.OK, pick.Failed, pick.TimedOut, pick.BrokeOff, pick.Shed, pick.NotSent, pick.Canceled, pick.Leaving}
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		l := newRestartLab(t)
+		run := ports.Incarnation(1)
+		now := l.list(run, false)
+		var calls []*held
+		for range 100 {
+			switch rng.IntN(5) {
+			case 0:
+				run++
+				now = l.list(run, false)
+				assert.Check(t, now.open(time.Now()), "seed %d: run %d", seed, run)
+			case 1:
+				assert.Equal(t, l.list(run, false), now, "seed %d: the same run", seed)
+			case 2, 3:
+				calls = append(calls, l.hold(now))
+			case 4:
+				if len(calls) == 0 {
+					continue
+				}
+				i := rng.IntN(len(calls))
+				calls[i].Release(pick.Report{Class: classes[rng.IntN(len(classes))], Latency: time.Millisecond})
+				calls = append(calls[:i], calls[i+1:]...)
+			}
+			own := 0
+			for _, c := range calls {
+				if c.info.Incarnation == run {
+					own++
+				}
+			}
+			assert.Equal(t, now.figures.InFlight, own, "seed %d: run %d", seed, run)
+		}
+	}
+}
