Test that a host which is behind denies no route; it fails

A caller of a route that was added seconds ago is told 404, and repeats nothing. Four tests play it in virtual time: a full link, a change that is lost while heartbeats arrive, a host that is cut off, and random histories (cuts, outages, freezes) in which no host may deny a route 2 s after it was accepted.

The bound of 2 s is the one in which a configuration must be in force.

--- /dev/null
+++ b/controller/watch/denial_test.go
@@ -0,0 +1,158 @@
+package watch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+// full is a Dispatcher whose targets have no room: a caller whose request has a route is
+// told 503.
+type full struct{}
+
+func (full) Admit(*dispatch.Call) (func(), outcome.Result) { return func() {}, outcome.Result{} }
+
+func (full) Do(context.Context, *dispatch.Call) *dispatch.Reply {
+	return &dispatch.Reply{Result: outcome.Refuse(outcome.ReasonNoTarget)}
+}
+
+// newCallers returns the handler of a host's callers.
+func newCallers(board *blackboard.Board) http.Handler {
+	return entry.New(entry.Deps{
+		Board:      board,
+		Dispatcher: full{},
+		Metrics:    metrics.New(),
+		Fresh:      func() bool { return true },
+		Contract:   &targetapi.Contract{},
+		Finder:     entry.NewRouteFinder(board),
+	}).Calls()
+}
+
+// denies reports whether a caller of a path is told that there is no such route.
+func (h *host) denies(path string) bool {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Host = callersHost
+	w := httptest.NewRecorder()
+	h.callers.ServeHTTP(w, r)
+	return w.Code == http.StatusNotFound
+}
+
+// denials counts, once the bound has passed since a change was accepted, how often callers of
+// the route that it added are told by a host that there is none.
+func (h *host) denials(version uint64) (n int) {
+	time.Sleep(bound)
+	for range 100 {
+		if h.denies(added(version)) {
+			n++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return n
+}
+
+// crawlingLink is the rate of a link in bytes a second on which heartbeats alone, some 2 kB a
+// second, wait for longer and longer.
+const crawlingLink = 100
+
+// Callers of a route that was added seconds ago are told 404, which no caller repeats. A
+// host's link is full: heartbeats and the change wait behind each other, later and later. The
+// host finds no route in the table that it has, and answers as if that were the newest one.
+//
+// Seen with 302 hosts on links of 10 Mbit/s: 2.5 s after version 5 was accepted hosts still
+// went by version 2, and 20 requests were answered so.
+func TestHostOnAFullLinkDeniesNothingThatWasAdded(t *testing.T) {
+	var slow atomic.Pointer[host]
+	setUp := func(fl *fleet) {
+		fl.net.Rate = func(id ports.HostID) float64 {
+			if h := slow.Load(); h != nil && h.addr == string(id) {
+				return crawlingLink
+			}
+			return slowLink
+		}
+	}
+	withNetwork(t, 14, setUp, func(fl *fleet) {
+		h := fl.idle()
+		slow.Store(h)
+		h.client.Set(record.Silent)
+		time.Sleep(time.Second)
+		fl.record.Configure(config(2))
+		assert.Check(t, h.denials(2) == 0)
+		assert.Check(t, h.version() == 1, "the host is no longer behind, and the test shows nothing")
+		slow.Store(nil)
+		time.Sleep(10 * time.Minute) // the link carries what waits
+	})
+}
+
+// Every message of a change is lost on its way to one host, and so is all that it asks for
+// after that. It hears from heartbeats that there is a newer version, and that its table is
+// not the one to deny anything by.
+func TestHostThatHeardOfANewerVersionDeniesNothing(t *testing.T) {
+	var behind atomic.Pointer[host]
+	setUp := func(fl *fleet) {
+		fl.net.Lost = func(from, to peer.HostID, kind peer.Kind) bool {
+			h := behind.Load()
+			return h != nil && kind != kindBeat && (h.addr == string(to) || h.addr == string(from))
+		}
+	}
+	withNetwork(t, 14, setUp, func(fl *fleet) {
+		h := fl.idle()
+		behind.Store(h)
+		fl.record.Configure(config(2))
+		time.Sleep(300 * time.Millisecond)
+		assert.Check(t, !h.denies(added(2)), "told by a heartbeat")
+		assert.Check(t, h.denials(2) == 0)
+		assert.Check(t, h.version() == 1, "the host is no longer behind, and the test shows nothing")
+	})
+}
+
+// A host is cut off from all others and from the store, and callers still reach it.
+func TestHostThatIsCutOffDeniesNothingThatWasAdded(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		cut := fl.hosts[4]
+		fl.freeze(cut)
+		fl.record.Configure(config(2))
+		assert.Check(t, cut.denials(2) == 0)
+	})
+}
+
+// All hosts hear that the store serves the watchers, and callers of paths that no
+// configuration has are told so at once: 503 would have them come again in vain.
+func TestRouteThatNeverWasIsDenied(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		told := 0
+		for range 300 {
+			for _, h := range fl.hosts {
+				if h.denies("/never/") {
+					told++
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, told, 300*len(fl.hosts))
+	})
+}
+
+// idle returns a host that does not watch.
+func (fl *fleet) idle() *host {
+	for _, h := range fl.hosts {
+		if !h.watches() {
+			return h
+		}
+	}
+	return nil
+}
--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,8 @@
 	board  *blackboard.Board
 	c      *Controller
 	stop   context.CancelFunc
+	// callers is the handler of the host's callers.
+	callers http.Handler
 }
 
 // withFleet runs f with n hosts that have been up for five seconds.
@@ -81,10 +84,24 @@
 
 func zone(i int) string { return fmt.Sprint("z", i%3) }
 
+// config is a version of the configuration; each adds a route to those before it.
 func config(version uint64) *routing.Config {
-	return &routing.Config{Version: version, Services: []routing.Service{{Name: service}}}
+	c := &routing.Config{Version: version, Services: []routing.Service{{Name: service}}}
+	for v := uint64(1); v <= version; v++ {
+		c.Routes = append(c.Routes, routing.Route{
+			Name: fmt.Sprint("added-", v), Host: callersHost, Prefix: added(v), Kind: routing.Safe,
+			Timeout: time.Second, MaxAttempts: 1, Parts: []routing.Part{{Service: service, Weight: 1}},
+		})
+	}
+	return c
 }
 
+// callersHost is the host name of all routes.
+const callersHost = "auction.example"
+
+// added is the prefix of the route that a version adds.
+func added(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
 func targetID(i int) ports.HostID { return ports.HostID(fmt.Sprintf("t%02d", i)) }
 
 func entryOf(i int, draining bool) directory.Target {
@@ -93,6 +110,7 @@
 
 func (fl *fleet) start(i int, hurry bool) *host {
 	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
+	h.callers = newCallers(h.board)
 	link := fl.net.Join(ports.HostID(h.addr))
 	h.c = New(Deps{
 		Self:    directory.Host{Addr: h.addr, Zone: zone(i), Start: time.Now().UnixNano()},
@@ -205,11 +223,7 @@
 // loseChange has a target begin to leave, and the message of it lost on its way to one
 // host, which it returns.
 func (fl *fleet) loseChange(i int) (behind *host) {
-	for _, h := range fl.hosts {
-		if !h.watches() {
-			behind = h
-		}
-	}
+	behind = fl.idle()
 	for _, h := range fl.watching() {
 		fl.net.Cut(ports.HostID(h.addr), ports.HostID(behind.addr))
 	}
--- a/controller/watch/random_test.go
+++ b/controller/watch/random_test.go
@@ -17,7 +17,9 @@
 	rng     *rand.Rand
 	version uint64
 	seen    map[*host]uint64
-	next    int
+	// acceptedAt is when each version was accepted.
+	acceptedAt map[uint64]time.Time
+	next       int
 	// born is how often each target was started again under its name.
 	born map[int]ports.Incarnation
 }
@@ -27,16 +29,18 @@
 
 // Hosts are cut off, turned away, stopped and started again, the history is
 // dropped, and meanwhile the configuration and the targets change. No host may ever
-// go back to an older configuration, and once the faults have ended for as long as a
+// go back to an older configuration, or deny a route that was added longer ago than the bound,
+// and once the faults have ended for as long as a
 // take-over takes, every host must know exactly what the record says.
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
 		withFleet(t, 7, func(fl *fleet) {
-			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), next: 10, born: make(map[int]ports.Incarnation)}
+			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), acceptedAt: make(map[uint64]time.Time), next: 10, born: make(map[int]ports.Incarnation)}
 			for range 60 {
 				h.step()
 				time.Sleep(time.Duration(h.rng.Int64N(int64(400 * time.Millisecond))))
 				h.checkForward(t, seed)
+				h.checkDenials(t, seed)
 			}
 			h.heal()
 			time.Sleep(returnHold + 4*time.Second)
@@ -53,6 +57,7 @@
 	case 0, 1:
 		h.version++
 		h.record.Configure(config(h.version))
+		h.acceptedAt[h.version] = time.Now()
 	case 2, 3:
 		h.record.Put(entryOf(h.next, false))
 		h.next++
@@ -145,9 +150,23 @@
 	}
 }
 
+// checkDenials checks that no host tells callers of a route that there is none once the
+// bound has passed since the configuration that added it was accepted. A host that denies no
+// route of one version denies none of those before it.
+func (h *history) checkDenials(t *testing.T, seed uint64) {
+	version := h.version
+	for version > 1 && time.Since(h.acceptedAt[version]) < bound {
+		version--
+	}
+	for _, host := range h.hosts {
+		assert.Check(t, !host.denies(added(version)), "seed %d: %s denies the route of version %d", seed, host.addr, version)
+	}
+}
+
 func (h *history) checkEqual(t *testing.T, seed uint64) {
 	listed := h.record.Targets()
 	for _, host := range h.hosts {
+		assert.Check(t, host.denies("/never/"), "seed %d: %s does not know that there is no such route", seed, host.addr)
 		assert.Check(t, host.version() == h.version, "seed %d: %s has version %d of %d", seed, host.addr, host.version(), h.version)
 		for i := range h.next {
 			e, ok := listed[targetID(i)]
--- a/internal/fakes/peernet/peernet.go
+++ b/internal/fakes/peernet/peernet.go
@@ -24,6 +24,9 @@
 	// Sent, if set, hears of each message and reply as it is sent. It is set before the
 	// first message.
 	Sent func(from, to peer.HostID, kind peer.Kind, size int)
+	// Lost, if set, tells of each message whether it is lost on its way. It is set before the
+	// first message.
+	Lost func(from, to peer.HostID, kind peer.Kind) bool
 
 	mu    sync.Mutex
 	links map[peer.HostID]*Link
@@ -182,6 +185,9 @@
 	ctx := context.Background()
 	l.net.wait(l.id, to, kind, len(body))
 	dst := l.net.route(l.id, to)
+	if l.net.Lost != nil && l.net.Lost(l.id, to, kind) {
+		dst = nil
+	}
 	l.note(to, dst != nil)
 	if dst == nil {
 		return
