Tell from the line of a denied call what the host knew of the configuration

The line had config=0 and nothing else: which version denied the call, whether the host had heard of a newer one and how old its knowledge was could not be told, and so not whether the caller was wrong or the host. The board now has what was heard: the highest version that any host told of, and when the store last had none newer, by the word of a host that watches it, less the time that its heartbeat waited on the way. Lines, a metric and 'behind, asking others' show it.

A host that knows no table refused with 404 by the code of the finder; before it is serving it does not come that far, so that callers never saw it. It is not-ready now.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -15,6 +15,7 @@
 	TopicTargets Topic = "targets"
 	TopicStatus  Topic = "status"
 	TopicRoutes  Topic = "routes"
+	TopicConfirm Topic = "confirmation"
 )
 
 // Board is the state shared by one daemon's controllers.
@@ -31,6 +32,9 @@
 	// Routes is the configuration by routes in force, nil while none is known;
 	// controller/watch writes it on platforms that declare routes.
 	Routes *Section[*routing.Table]
+	// Confirmation is what this host has heard of how new those routes are;
+	// controller/watch writes it.
+	Confirmation *Section[Confirmation]
 
 	bus *gochannel.GoChannel
 }
@@ -44,7 +48,10 @@
 		Targets: newSection(bus, TopicTargets, &Targets{}),
 		Status:  newSection(bus, TopicStatus, Status{}),
 		Routes:  newSection(bus, TopicRoutes, (*routing.Table)(nil)),
-		bus:     bus,
+
+		Confirmation: newSection(bus, TopicConfirm, Confirmation{}),
+
+		bus: bus,
 	}
 }
 
--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -104,6 +104,15 @@
 	ByService   map[ServiceKey][]Target
 }
 
+// Confirmation is what this host has heard of the newest configuration by routes.
+type Confirmation struct {
+	// Newest is the highest version that any host told of.
+	Newest uint64
+	// At is when the platform's store last had none that is newer, by the word of a host that
+	// watches it; the zero time if there was no such word.
+	At time.Time
+}
+
 // Status is what this host says of itself to the platform's balancer and to
 // operators.
 type Status struct {
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -32,8 +32,10 @@
 	was, had := c.beats[from]
 	c.beats[from] = watchers.Beat{Heard: now, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
 	c.heard(b.Host)
+	c.hear(b.Version)
 	if b.StoreOK {
 		c.storeServed(now.Add(-b.StoreAge))
+		c.confirm(now.Add(-b.StoreAge - c.lateness(now, b)))
 	}
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
@@ -116,6 +118,9 @@
 
 func (c *Controller) catchUp(from ports.HostID, still func() bool) {
 	near, many, behind := c.stillBehind(still)
+	if behind {
+		c.logBehind(from)
+	}
 	order := []ports.HostID{from, near}
 	if many {
 		order = []ports.HostID{near, from}
@@ -170,6 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heard(req.Host)
+	c.hear(req.Version)
 	fresh := len(watchers.Fresh(now, c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
 	if !fresh || !c.state.HasTargets() || c.state.Config() == nil {
 		// At a start of all hosts the seeds are asked by all of them every 20 ms.
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -256,6 +256,9 @@
 	if !news.Empty() && ch.Hold > 0 {
 		c.wakeUp()
 	}
+	if w.serves() {
+		c.confirm(now.Add(-w.storeAge(now)))
+	}
 	if (first || regained) && w.storeOK() {
 		c.beatNow(now)
 	}
@@ -314,6 +317,7 @@
 		StoreOK:   w.storeOK(),
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
+		Sent:      time.Since(c.born),
 		Newest:    c.state.Newest(),
 		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -54,16 +54,19 @@
 type Controller struct {
 	deps  Deps
 	self  ports.HostID
+	born  time.Time
 	count counters
 	wake  chan struct{}
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	state   *directory.State
-	hosts   map[ports.HostID]directory.Host
-	gone    map[ports.HostID]departed
-	beats   map[ports.HostID]watchers.Beat
-	decider *watchers.Decider
+	mu    sync.Mutex
+	rng   *rand.Rand
+	state *directory.State
+	hosts map[ports.HostID]directory.Host
+	gone  map[ports.HostID]departed
+	beats map[ports.HostID]watchers.Beat
+	// transits are how late the heartbeats of each watcher are; see confirm.go.
+	transits map[directory.Host]*watchers.Transit
+	decider  *watchers.Decider
 	// refused is when others last told that the store did not serve their try to watch.
 	refused map[ports.HostID]time.Time
 	// watch is set while this host watches.
@@ -90,18 +93,20 @@
 // New returns a controller and registers its messages with the link.
 func New(d Deps) *Controller {
 	c := &Controller{
-		deps:    d,
-		self:    d.Self.ID(),
-		count:   newCounters(d.Metrics),
-		wake:    make(chan struct{}, 1),
-		rng:     rand.New(rand.NewPCG(d.Seed, 4)),
-		state:   directory.NewState(),
-		hosts:   map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
-		gone:    make(map[ports.HostID]departed),
-		beats:   make(map[ports.HostID]watchers.Beat),
-		decider: watchers.NewDecider(d.Self.ID()),
-		refused: make(map[ports.HostID]time.Time),
-		serving: make(chan struct{}),
+		deps:     d,
+		self:     d.Self.ID(),
+		born:     time.Now(),
+		count:    newCounters(d.Metrics),
+		wake:     make(chan struct{}, 1),
+		rng:      rand.New(rand.NewPCG(d.Seed, 4)),
+		state:    directory.NewState(),
+		hosts:    map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
+		gone:     make(map[ports.HostID]departed),
+		beats:    make(map[ports.HostID]watchers.Beat),
+		decider:  watchers.NewDecider(d.Self.ID()),
+		transits: make(map[directory.Host]*watchers.Transit),
+		refused:  make(map[ports.HostID]time.Time),
+		serving:  make(chan struct{}),
 	}
 	for _, addr := range d.Seeds {
 		h := directory.Host{Addr: addr}
@@ -111,6 +116,7 @@
 		s.TargetsUnknown = true
 		return s, true
 	})
+	d.Metrics.Func("configuration", c.confirmationMetrics)
 	peer.Handle(d.Link, kindBeat, c.onBeat)
 	peer.Handle(d.Link, kindChanges, c.onChanges)
 	peer.Handle(d.Link, kindSync, c.onSync)
@@ -218,6 +224,10 @@
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	had := c.state.Config()
 	news := c.state.Take(now, ch)
+	if ch.Delta != nil {
+		c.hear(ch.Delta.Version)
+	}
+	c.hear(c.version())
 	c.count.lateWords.Set(c.state.LateWords())
 	if news.Empty() && (c.known() || !c.state.HasTargets()) {
 		return news
--- a/entry/call.go
+++ b/entry/call.go
@@ -56,12 +56,13 @@
 		s.refuse(w, c, outcome.Refuse(outcome.ReasonBadRequest))
 		return
 	}
-	m, ok := s.find(r)
-	if !ok {
-		s.refuse(w, c, refuseKey(r, outcome.Refuse(outcome.ReasonNoRoute)))
+	m, refusal := s.find(r)
+	c.ConfigVersion = m.ConfigVersion
+	if refusal.Outcome != 0 {
+		s.refuse(w, c, refuseKey(r, refusal))
 		return
 	}
-	c.Service, c.ConfigVersion = m.Service.Name, m.ConfigVersion
+	c.Service = m.Service.Name
 	s.serve(w, r, m, c)
 }
 
--- /dev/null
+++ b/entry/denial_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/calllog"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// calls is a CallLog that keeps the last call.
+type calls struct{ last calllog.Call }
+
+func (c *calls) Ended(call calllog.Call) { c.last = call }
+
+// newRouteServer returns a server of a platform that declares routes; the version is 0 if it
+// knows no configuration.
+func newRouteServer(t *testing.T, version uint64, heard blackboard.Confirmation) (*Server, *calls) {
+	t.Helper()
+	s, _, board := newServer(t)
+	if version > 0 {
+		board.Routes.Store(routing.NewTable(&routing.Config{Version: version}, rand.New(rand.NewPCG(1, 1))))
+	}
+	board.Confirmation.Store(heard)
+	log := new(calls)
+	s.deps.Finder = NewRouteFinder(board)
+	s.deps.Calls = log
+	return s, log
+}
+
+func askNowhere(s *Server) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Calls().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://auction.example/nowhere/", nil))
+	return w
+}
+
+// An operator must see from the line of a call that was denied by which version it was, and
+// whether the host had heard of a newer one.
+func TestLineOfADeniedCallTellsWhatTheHostKnew(t *testing.T) {
+	s, log := newRouteServer(t, 2, blackboard.Confirmation{Newest: 2, At: time.Now()})
+	assert.Equal(t, askNowhere(s).Code, http.StatusNotFound)
+	assert.Equal(t, log.last.ConfigVersion, uint64(2))
+	assert.Equal(t, log.last.Result.Reason, outcome.ReasonNoRoute)
+	assert.Equal(t, log.last.Result.Why, "newest=2 confirmed 0s ago")
+}
+
+// A host that knows no configuration can not say that a request has no route: another host may
+// have one.
+func TestHostWithoutAConfigurationDeniesNothing(t *testing.T) {
+	s, log := newRouteServer(t, 0, blackboard.Confirmation{Newest: 2, At: time.Now()})
+	w := askNowhere(s)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, log.last.Result.Reason, outcome.ReasonNotReady)
+	assert.Check(t, w.Header().Get("Retry-After") != "")
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -2,10 +2,13 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/denial"
 	"github.com/cactusproxy/cactusproxy/policy/sizes"
 	"github.com/cactusproxy/cactusproxy/policy/waited"
 	"github.com/cactusproxy/cactusproxy/routing"
@@ -42,14 +45,14 @@
 }
 
 // Find implements Finder.
-func (f *RouteFinder) Find(host, path string) (Match, bool) {
+func (f *RouteFinder) Find(host, path string) (Match, outcome.Result) {
 	table := f.board.Routes.Load()
 	if table == nil {
-		return Match{}, false
+		return Match{}, outcome.Refuse(outcome.ReasonNotReady)
 	}
 	m, ok := table.Find(host, path)
 	if !ok {
-		return Match{}, false
+		return Match{ConfigVersion: table.Config.Version}, f.refuse(table.Config.Version)
 	}
 	repeat := dispatch.Once
 	if m.Route.Kind.Repeatable() {
@@ -66,7 +69,25 @@
 		Priority:  m.Route.Priority,
 
 		ConfigVersion: table.Config.Version,
-	}, true
+	}, outcome.Result{}
+}
+
+// refuse returns what a caller is told whose request no route of a version covers.
+func (f *RouteFinder) refuse(version uint64) outcome.Result {
+	k := f.knowledge(version)
+	r := outcome.Refuse(outcome.ReasonNoRoute)
+	r.Why = k.String()
+	return r
+}
+
+// knowledge returns how much is known of whether a version is the newest.
+func (f *RouteFinder) knowledge(version uint64) denial.Knowledge {
+	c := f.board.Confirmation.Load()
+	k := denial.Knowledge{Version: version, Newest: max(version, c.Newest), Age: denial.Never}
+	if !c.At.IsZero() {
+		k.Age = max(0, time.Since(c.At))
+	}
+	return k
 }
 
 // service returns the declaration of a service as one route uses it, which is made
--- a/entry/server.go
+++ b/entry/server.go
@@ -68,7 +68,9 @@
 
 // Finder finds where a request leads.
 type Finder interface {
-	Find(host, path string) (Match, bool)
+	// Find returns the zero Result if it does. Else that is what the caller is told, and of
+	// the match the version of the configuration holds alone.
+	Find(host, path string) (Match, outcome.Result)
 }
 
 // Server is the handler of the callers' listener.
@@ -108,14 +110,18 @@
 // cactusproxy.
 func (s *Server) Calls() http.Handler { return http.HandlerFunc(s.call) }
 
-// find returns where a request leads.
-func (s *Server) find(r *http.Request) (Match, bool) {
+// find returns where a request leads, or what its caller is told.
+func (s *Server) find(r *http.Request) (Match, outcome.Result) {
 	if s.deps.Finder != nil {
-		m, ok := s.deps.Finder.Find(r.Host, r.URL.EscapedPath())
+		m, refusal := s.deps.Finder.Find(r.Host, r.URL.EscapedPath())
 		m.Path = r.URL.Path
-		return m, ok
+		return m, refusal
 	}
-	return s.router().find(r.Host, r.URL.Path)
+	m, ok := s.router().find(r.Host, r.URL.Path)
+	if !ok {
+		return m, outcome.Refuse(outcome.ReasonNoRoute)
+	}
+	return m, outcome.Result{}
 }
 
 // InFlight returns the number of calls that have not had their whole reply.
--- /dev/null
+++ b/policy/denial/denial.go
@@ -0,0 +1,52 @@
+// Package denial decides whether a host may tell a caller that no route covers its request.
+//
+// The load it answers: a configuration has just added routes, and some hosts do not have it
+// yet, for their links are full, they are cut off, or those that watch the store for them died.
+package denial
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// MaxAge is the age of the last confirmation up to which a host denies routes. A configuration
+// must be in force everywhere 2 s after it was accepted. A calm store confirms each 0.9 s, and
+// heartbeats tell of it each 0.25 s; the rest is for the store's answer, the network and a
+// busy host.
+const MaxAge = 1600 * time.Millisecond
+
+// Knowledge is what a host knows of the configuration that it finds routes by.
+type Knowledge struct {
+	// Version is the one at hand, Newest the highest that the host has heard of.
+	Version, Newest uint64
+	// Age is how long ago the platform's store had none that is newer than Newest, or Never.
+	Age time.Duration
+}
+
+// Never is the age of a confirmation that there never was.
+const Never time.Duration = math.MaxInt64
+
+// String returns the knowledge as the line of a call shows it.
+func (k Knowledge) String() string {
+	if k.Age == Never {
+		return fmt.Sprintf("newest=%d never confirmed", k.Newest)
+	}
+	return fmt.Sprintf("newest=%d confirmed %s ago", k.Newest, k.Age.Round(time.Millisecond))
+}
+
+// Allowed reports whether a request without a route may be answered as one that no
+// configuration allows.
+//
+// Failure: a host finds no route in an old table and takes it for the newest. Symptom: callers
+// of a route that was added 2.5 s ago are told 404, which says that the request is wrong, and
+// which nobody repeats; with 302 hosts on links of 10 Mbit/s 20 were. A host that can not tell
+// refuses instead, which says that the request did not run and may be sent again. It is enough
+// since a host that hears nothing has no confirmation that is young, and one that hears of a
+// newer version knows that it lacks it.
+func (k Knowledge) Allowed() bool {
+	if k.Version < k.Newest {
+		return false
+	}
+	return k.Age <= MaxAge
+}
