Deny a route only by a configuration that is known to be the newest

Cause: a host that found no route in its table said 404, whatever it had heard and however old the table was. The daemon for platforms with one record never asked whether its configuration is the newest (the other daemon does, before every call). A 404 says that the request is wrong, and no caller repeats it: callers of a route that was added seconds ago were turned away by hosts that were behind.

Now such a host answers 503 with Retry-After, 'route-unconfirmed': the request did not run, and any other host may know the route.

Ruled out as cause: a host without any table (refused before, with 503).

--- a/entry/denial_test.go
+++ b/entry/denial_test.go
@@ -12,6 +12,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/calllog"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/denial"
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
@@ -60,3 +61,22 @@
 	assert.Equal(t, log.last.Result.Reason, outcome.ReasonNotReady)
 	assert.Check(t, w.Header().Get("Retry-After") != "")
 }
+
+// A host is behind: it heard of a newer configuration, or nothing for too long. Callers of a
+// route that it does not know are told to come again, at any host, and that their request did
+// not run; a 404 would have them give up.
+func TestHostThatIsBehindHasCallersComeAgain(t *testing.T) {
+	for name, heard := range map[string]blackboard.Confirmation{
+		"a newer one was heard of": {Newest: 5, At: time.Now()},
+		"confirmed too long ago":   {Newest: 2, At: time.Now().Add(-2 * denial.MaxAge)},
+		"never confirmed":          {},
+	} {
+		s, log := newRouteServer(t, 2, heard)
+		w := askNowhere(s)
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable, name)
+		assert.Equal(t, w.Header().Get(outcome.HeaderOutcome), outcome.NotRun.String(), name)
+		assert.Check(t, w.Header().Get("Retry-After") != "", name)
+		assert.Equal(t, log.last.Result.Reason, outcome.ReasonRouteUnconfirmed, name)
+		assert.Check(t, log.last.Result.Why != "", name)
+	}
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -72,10 +72,14 @@
 	}, outcome.Result{}
 }
 
-// refuse returns what a caller is told whose request no route of a version covers.
+// refuse returns what a caller is told whose request no route of a version covers: that the
+// request is wrong, if the version is known to be the newest, and else to come again.
 func (f *RouteFinder) refuse(version uint64) outcome.Result {
 	k := f.knowledge(version)
 	r := outcome.Refuse(outcome.ReasonNoRoute)
+	if !k.Allowed() {
+		r = outcome.Refuse(outcome.ReasonRouteUnconfirmed)
+	}
 	r.Why = k.String()
 	return r
 }
