Call no body too large by a configuration that may be old

The same cause elsewhere: the limit of bodies is the configuration's, too, and a 413 is not repeated either. A host that is behind a change which allows larger bodies answered 413 (the test fails without the change: 413 for a body of 11 bytes with version 2 at hand and version 5 heard of). Both go by one rule now, and the reason has the name that fits both, config-unconfirmed.

Looked at and left: a host that is behind goes on serving the routes that it has. It can not tell which of them changed, and refusing them all would make an outage of a change that is late.

--- a/entry/denial_test.go
+++ b/entry/denial_test.go
@@ -4,9 +4,11 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -21,13 +23,23 @@
 
 func (c *calls) Ended(call calllog.Call) { c.last = call }
 
+// smallBodies is a configuration with one route, whose bodies may have ten bytes.
+func smallBodies(version uint64) *routing.Config {
+	return &routing.Config{
+		Version:  version,
+		Routes:   []routing.Route{{Name: "lots", Host: "auction.example", Prefix: "/lots/", Kind: routing.Upload, Timeout: time.Second, Parts: []routing.Part{{Service: "lots", Weight: 1}}}},
+		Services: []routing.Service{{Name: "lots"}},
+		Limits:   routing.Limits{MaxBodyBytes: 10},
+	}
+}
+
 // newRouteServer returns a server of a platform that declares routes; the version is 0 if it
 // knows no configuration.
 func newRouteServer(t *testing.T, version uint64, heard blackboard.Confirmation) (*Server, *calls) {
 	t.Helper()
 	s, _, board := newServer(t)
 	if version > 0 {
-		board.Routes.Store(routing.NewTable(&routing.Config{Version: version}, rand.New(rand.NewPCG(1, 1))))
+		board.Routes.Store(routing.NewTable(smallBodies(version), rand.New(rand.NewPCG(1, 1))))
 	}
 	board.Confirmation.Store(heard)
 	log := new(calls)
@@ -76,7 +88,24 @@
 		assert.Equal(t, w.Code, http.StatusServiceUnavailable, name)
 		assert.Equal(t, w.Header().Get(outcome.HeaderOutcome), outcome.NotRun.String(), name)
 		assert.Check(t, w.Header().Get("Retry-After") != "", name)
-		assert.Equal(t, log.last.Result.Reason, outcome.ReasonRouteUnconfirmed, name)
+		assert.Equal(t, log.last.Result.Reason, outcome.ReasonConfigUnconfirmed, name)
 		assert.Check(t, log.last.Result.Why != "", name)
 	}
 }
+
+// The operator has just allowed larger bodies. A host that is behind must not tell the caller
+// of one that it is too large: 413 is not repeated, as 404 is not.
+func TestHostThatIsBehindCallsNoBodyTooLarge(t *testing.T) {
+	for _, length := range []int64{11, -1} {
+		for newest, want := range map[uint64]int{2: http.StatusRequestEntityTooLarge, 5: http.StatusServiceUnavailable} {
+			s, log := newRouteServer(t, 2, blackboard.Confirmation{Newest: newest, At: time.Now()})
+			s.memory = semaphore.NewWeighted(2 * maxReplayBody)
+			r := httptest.NewRequest(http.MethodPost, "http://auction.example/lots/", strings.NewReader("eleven byte"))
+			r.ContentLength = length
+			w := httptest.NewRecorder()
+			s.Calls().ServeHTTP(w, r)
+			assert.Equal(t, w.Code, want, "length %d, newest %d", length, newest)
+			assert.Equal(t, log.last.ConfigVersion, uint64(2))
+		}
+	}
+}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -52,7 +52,8 @@
 	}
 	m, ok := table.Find(host, path)
 	if !ok {
-		return Match{ConfigVersion: table.Config.Version}, f.refuse(table.Config.Version)
+		version := table.Config.Version
+		return Match{ConfigVersion: version}, f.Deny(version, outcome.ReasonNoRoute)
 	}
 	repeat := dispatch.Once
 	if m.Route.Kind.Repeatable() {
@@ -72,13 +73,13 @@
 	}, outcome.Result{}
 }
 
-// refuse returns what a caller is told whose request no route of a version covers: that the
-// request is wrong, if the version is known to be the newest, and else to come again.
-func (f *RouteFinder) refuse(version uint64) outcome.Result {
+// Deny implements Finder. A request that the newest configuration does not allow is wrong; one
+// that any other does not allow is to come again.
+func (f *RouteFinder) Deny(version uint64, reason outcome.Reason) outcome.Result {
 	k := f.knowledge(version)
-	r := outcome.Refuse(outcome.ReasonNoRoute)
+	r := outcome.Refuse(reason)
 	if !k.Allowed() {
-		r = outcome.Refuse(outcome.ReasonRouteUnconfirmed)
+		r = outcome.Refuse(outcome.ReasonConfigUnconfirmed)
 	}
 	r.Why = k.String()
 	return r
--- a/entry/server.go
+++ b/entry/server.go
@@ -71,6 +71,9 @@
 	// Find returns the zero Result if it does. Else that is what the caller is told, and of
 	// the match the version of the configuration holds alone.
 	Find(host, path string) (Match, outcome.Result)
+	// Deny returns what a caller is told whose request a version of the configuration does
+	// not allow, for the reason given.
+	Deny(version uint64, reason outcome.Reason) outcome.Result
 }
 
 // Server is the handler of the callers' listener.
@@ -124,6 +127,15 @@
 	return m, outcome.Result{}
 }
 
+// deny returns what a caller is told whose request the configuration that a match is from
+// does not allow.
+func (s *Server) deny(m Match, reason outcome.Reason) outcome.Result {
+	if s.deps.Finder == nil {
+		return outcome.Refuse(reason)
+	}
+	return s.deps.Finder.Deny(m.ConfigVersion, reason)
+}
+
 // InFlight returns the number of calls that have not had their whole reply.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -20,19 +20,19 @@
 // Reasons that refuse a call before any target is chosen.
 const (
 	ReasonNoRoute Reason = "no-route"
-	// ReasonRouteUnconfirmed is a call that no route covers, at a host that can not tell
-	// whether its configuration is the newest.
-	ReasonRouteUnconfirmed Reason = "route-unconfirmed"
-	ReasonBadRequest       Reason = "bad-request"
-	ReasonBodyTooLarge     Reason = "body-too-large"
-	ReasonNotReady         Reason = "not-ready"
-	ReasonWorkspaceLimit   Reason = "workspace-limit"
-	ReasonQueueFull        Reason = "queue-full"
-	ReasonDeadline         Reason = "deadline-too-short"
-	ReasonQueueTimeout     Reason = "queue-timeout"
-	ReasonTooDeep          Reason = "too-deep"
-	ReasonQuarantined      Reason = "quarantined"
-	ReasonCallerGone       Reason = "caller-gone"
+	// ReasonConfigUnconfirmed is a call that the configuration at hand does not allow, at a
+	// host that can not tell whether that is the newest.
+	ReasonConfigUnconfirmed Reason = "config-unconfirmed"
+	ReasonBadRequest        Reason = "bad-request"
+	ReasonBodyTooLarge      Reason = "body-too-large"
+	ReasonNotReady          Reason = "not-ready"
+	ReasonWorkspaceLimit    Reason = "workspace-limit"
+	ReasonQueueFull         Reason = "queue-full"
+	ReasonDeadline          Reason = "deadline-too-short"
+	ReasonQueueTimeout      Reason = "queue-timeout"
+	ReasonTooDeep           Reason = "too-deep"
+	ReasonQuarantined       Reason = "quarantined"
+	ReasonCallerGone        Reason = "caller-gone"
 )
 
 // Reasons about targets.
@@ -90,17 +90,17 @@
 	ReasonNoRoute: {status: http.StatusNotFound},
 	// A host that is behind catches up in about this time: it waits 0.15 s for the change and
 	// then asks for it.
-	ReasonRouteUnconfirmed: {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonBadRequest:       {status: http.StatusBadRequest},
-	ReasonBodyTooLarge:     {status: http.StatusRequestEntityTooLarge},
-	ReasonNotReady:         {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonWorkspaceLimit:   {status: http.StatusTooManyRequests, retryAfter: soon},
-	ReasonQueueFull:        {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonDeadline:         {status: http.StatusGatewayTimeout},
-	ReasonQueueTimeout:     {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonTooDeep:          {status: http.StatusLoopDetected},
-	ReasonQuarantined:      {status: http.StatusServiceUnavailable, retryAfter: later},
-	ReasonCallerGone:       {status: http.StatusServiceUnavailable},
+	ReasonConfigUnconfirmed: {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonBadRequest:        {status: http.StatusBadRequest},
+	ReasonBodyTooLarge:      {status: http.StatusRequestEntityTooLarge},
+	ReasonNotReady:          {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonWorkspaceLimit:    {status: http.StatusTooManyRequests, retryAfter: soon},
+	ReasonQueueFull:         {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonDeadline:          {status: http.StatusGatewayTimeout},
+	ReasonQueueTimeout:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonTooDeep:           {status: http.StatusLoopDetected},
+	ReasonQuarantined:       {status: http.StatusServiceUnavailable, retryAfter: later},
+	ReasonCallerGone:        {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
--- a/policy/denial/denial.go
+++ b/policy/denial/denial.go
@@ -1,4 +1,4 @@
-// Package denial decides whether a host may tell a caller that no route covers its request.
+// Package denial decides whether a host may tell a caller that its request is not allowed.
 //
 // The load it answers: a configuration has just added routes, and some hosts do not have it
 // yet, for their links are full, they are cut off, or those that watch the store for them died.
@@ -35,8 +35,8 @@
 	return fmt.Sprintf("newest=%d confirmed %s ago", k.Newest, k.Age.Round(time.Millisecond))
 }
 
-// Allowed reports whether a request without a route may be answered as one that no
-// configuration allows.
+// Allowed reports whether a request that the configuration at hand does not allow, since it has
+// no route for it or its body is larger than it says, may be answered as one that none allows.
 //
 // Failure: a host finds no route in an old table and takes it for the newest. Symptom: callers
 // of a route that was added 2.5 s ago are told 404, which says that the request is wrong, and
