Take no configuration for the newest while the store holds one that can not be read

Watchers know that they could not read it and say so in their heartbeats; nothing is denied until one is read again.

--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
@@ -23,6 +24,26 @@
 	})
 }
 
+// confirmByWatch takes in an answer of the store to this host's own watch. A configuration that
+// can not be read is newer than the one at hand: until one is read again, answers that tell of
+// no change confirm nothing.
+func (c *Controller) confirmByWatch(now time.Time, w *watching, ch directory.Changes) {
+	if ch.ConfigUnread || ch.Config != nil {
+		w.configUnread.Store(ch.ConfigUnread)
+	}
+	if w.serves() && !w.configUnread.Load() {
+		c.confirm(now.Add(-w.storeAge(now)))
+	}
+}
+
+// confirmByBeat takes in a watcher's heartbeat. The lock is held.
+func (c *Controller) confirmByBeat(now time.Time, b beat) {
+	late := c.lateness(now, b)
+	if b.StoreOK && !b.ConfigUnread {
+		c.confirm(now.Add(-b.StoreAge - late))
+	}
+}
+
 // confirm takes in that at a moment the store had no configuration newer than the newest that
 // this host has heard of.
 func (c *Controller) confirm(at time.Time) {
--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -156,3 +156,19 @@
 	}
 	return nil
 }
+
+// The operator has a configuration accepted that this program can not read, as it may with a
+// format that is newer than the program. The old one stays in force; the store goes on
+// answering, but its word that nothing has changed since is no word that the old one is the
+// newest. Once there is one that can be read again, unknown paths are denied as ever.
+func TestUnreadConfigurationLeavesNothingToDenyBy(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		fl.record.ConfigureUnread()
+		for _, h := range fl.hosts {
+			assert.Check(t, h.denials(2) == 0, "%s", h.addr)
+		}
+		fl.record.Configure(config(3))
+		took := fl.await(nil, func(h *host) bool { return h.denies("/never/") })
+		assert.Check(t, took < bound, "denied again after %s", took)
+	})
+}
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -29,6 +29,8 @@
 	StoreOK   bool          `msgpack:"store_ok"`
 	StoreAge  time.Duration `msgpack:"store_age"`
 	StoreWait time.Duration `msgpack:"store_wait"`
+	// ConfigUnread is set while the store holds a configuration that the sender can not read.
+	ConfigUnread bool `msgpack:"config_unread"`
 	// Sent is the sender's steady clock since it started; 0 from one that does not tell.
 	Sent time.Duration `msgpack:"sent"`
 	// Version, Newest and Digest say what the watcher knows, so that a host that
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -35,8 +35,8 @@
 	c.hear(b.Version)
 	if b.StoreOK {
 		c.storeServed(now.Add(-b.StoreAge))
-		c.confirm(now.Add(-b.StoreAge - c.lateness(now, b)))
 	}
+	c.confirmByBeat(now, b)
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
 	}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -54,6 +54,8 @@
 	// lastOK is when the store last answered each topic, in nanoseconds since
 	// started; 0 is never.
 	lastOK [directory.Topics]atomic.Int64
+	// configUnread is set while the store holds a configuration that can not be read.
+	configUnread atomic.Bool
 	// failing is set for topics whose last call failed.
 	failing [directory.Topics]atomic.Bool
 	started time.Time
@@ -256,9 +258,7 @@
 	if !news.Empty() && ch.Hold > 0 {
 		c.wakeUp()
 	}
-	if w.serves() {
-		c.confirm(now.Add(-w.storeAge(now)))
-	}
+	c.confirmByWatch(now, w, ch)
 	if (first || regained) && w.storeOK() {
 		c.beatNow(now)
 	}
@@ -318,9 +318,11 @@
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
 		Sent:      time.Since(c.born),
-		Newest:    c.state.Newest(),
-		Digest:    c.state.Digest(),
-		Hosts:     c.hostDigest(),
+
+		ConfigUnread: w.configUnread.Load(),
+		Newest:       c.state.Newest(),
+		Digest:       c.state.Digest(),
+		Hosts:        c.hostDigest(),
 	}
 	if cfg := c.state.Config(); cfg != nil {
 		b.Version = cfg.Version
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -77,6 +77,9 @@
 	Newest Revision `msgpack:"newest"`
 	// Config is nil if it did not change.
 	Config *routing.Config `msgpack:"config"`
+	// ConfigUnread is set in an answer of the platform whose configuration can not be read:
+	// the one at hand is not the newest.
+	ConfigUnread bool `msgpack:"-"`
 	// Delta is in place of Config where the receiver is likely to have what it
 	// begins at.
 	Delta   *routing.Delta `msgpack:"delta"`
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -75,6 +75,9 @@
 	r.announce()
 }
 
+// ConfigureUnread writes a configuration that no client can read.
+func (r *Record) ConfigureUnread() { r.Configure(nil) }
+
 // Put writes a target's entry.
 func (r *Record) Put(t directory.Target) {
 	r.mu.Lock()
@@ -178,7 +181,7 @@
 	defer r.mu.Unlock()
 	ch := directory.Changes{Revision: r.revision}
 	if t == directory.TopicConfig {
-		ch.Config = r.config
+		r.addConfig(&ch)
 		return ch, nil
 	}
 	ch.AllTargets = true
@@ -198,7 +201,7 @@
 			<-ctx.Done()
 			return directory.Changes{}, ctx.Err()
 		}
-		if err != nil || !ch.Empty() {
+		if err != nil || !ch.Empty() || ch.ConfigUnread {
 			return ch, err
 		}
 		select {
@@ -225,7 +228,7 @@
 	}
 	ch.Revision = r.revision
 	if t == directory.TopicConfig && r.configAt > after {
-		ch.Config = r.config
+		r.addConfig(&ch)
 	}
 	if t == directory.TopicTargets {
 		for _, e := range r.log {
@@ -237,6 +240,12 @@
 	return ch, c.mode, r.changed, nil
 }
 
+// addConfig adds the configuration to an answer. It is called with the lock held.
+func (r *Record) addConfig(ch *directory.Changes) {
+	ch.Config = r.config
+	ch.ConfigUnread = r.config == nil && r.configAt > 0
+}
+
 // Hosts implements directory.Source.
 func (c *Client) Hosts(ctx context.Context) ([]directory.Host, error) {
 	if err := c.enter(ctx); err != nil {
