Make one table of one configuration at every host

Three things together: Diff compared routes by names as if these were unique, Apply put changed routes last, and a table went by the order of the document among routes of one host and prefix.

A table has a total order of the routes of one host and prefix (by name, then by all that they say), so that it does not depend on how the configuration came; the platform's pages say nothing of which one counts.

Ruled out: telling the document's order in the difference. Hosts whose program lacks that would still differ during an update, and for a document in another order each difference grows with all routes.

Conclusion: the hypothesis is a real fault, but one that needs a name or a host and prefix that stands twice.

--- a/routing/config.go
+++ b/routing/config.go
@@ -72,7 +72,7 @@
 	// Host is the Host header in lower case, without a port.
 	Host string `msgpack:"host"`
 	// Prefix begins and ends with a slash; among the routes of a host the
-	// longest prefix of the path wins.
+	// longest prefix of the path wins. See byPrecedence for routes of one host and prefix.
 	Prefix string `msgpack:"prefix"`
 	Kind   Kind   `msgpack:"kind"`
 	// Timeout is the longest that a request may take.
--- /dev/null
+++ b/routing/digest_test.go
@@ -0,0 +1,134 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+)
+
+// fullConfig has a value in every field.
+func fullConfig() *Config {
+	return &Config{
+		Version: 7,
+		Routes: []Route{{
+			Name: "r", Host: "h", Prefix: "/a/", Kind: Safe, Timeout: 3 * time.Second, Objective: time.Second,
+			Priority: 1, MaxAttempts: 2, Parts: []Part{{Service: "a", Weight: 1.5}, {Service: "b", Weight: 1}},
+		}},
+		Services: []Service{{Name: "a", HealthPath: "/healthz", MaxConns: 64}, {Name: "b"}},
+		Limits:   Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second},
+	}
+}
+
+// During an update, hosts compare digests that two versions of this program made. If this
+// value changes, each takes every difference of the other for a wrong one, and is told the
+// configuration whole each time: give Delta.Digest another name on the wire then.
+func TestDigestStaysAcrossVersionsOfTheProgram(t *testing.T) {
+	assert.Equal(t, fullConfig().Digest(), uint64(10435342373318955124))
+}
+
+// A field that is not in the digest is one in which hosts may differ unnoticed.
+func TestDigestCoversEveryField(t *testing.T) {
+	for path, change := range changesOf(t, reflect.ValueOf(fullConfig()).Elem(), "config") {
+		c := fullConfig()
+		change(reflect.ValueOf(c).Elem())
+		assert.Check(t, c.Digest() != fullConfig().Digest(), path)
+	}
+}
+
+// changesOf returns a change of each field of a value, by its path; the function is called
+// with another value of the same shape.
+func changesOf(t *testing.T, v reflect.Value, path string) map[string]func(reflect.Value) {
+	t.Helper()
+	out := make(map[string]func(reflect.Value))
+	take := func(path string, inner reflect.Value, step func(reflect.Value) reflect.Value) {
+		for p, change := range changesOf(t, inner, path) {
+			out[p] = func(v reflect.Value) { change(step(v)) }
+		}
+	}
+	switch {
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			take(path+"."+v.Type().Field(i).Name, v.Field(i), func(v reflect.Value) reflect.Value { return v.Field(i) })
+		}
+	case v.Kind() == reflect.Slice:
+		out[path] = func(v reflect.Value) { v.SetLen(v.Len() - 1) }
+		take(path+"[0]", v.Index(0), func(v reflect.Value) reflect.Value { return v.Index(0) })
+	case v.Kind() == reflect.String:
+		out[path] = func(v reflect.Value) { v.SetString(v.String() + "x") }
+	case v.CanInt():
+		out[path] = func(v reflect.Value) { v.SetInt(v.Int() + 1) }
+	case v.CanUint():
+		out[path] = func(v reflect.Value) { v.SetUint(v.Uint() + 1) }
+	case v.CanFloat():
+		out[path] = func(v reflect.Value) { v.SetFloat(v.Float() + 1) }
+	default:
+		t.Fatalf("%s: no change for a %s", path, v.Kind())
+	}
+	return out
+}
+
+func TestDigestDoesNotDependOnTheOrderOfRoutes(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 6))
+		c := anyConfig(rng, 1)
+		want := c.Digest()
+		rng.Shuffle(len(c.Routes), func(i, j int) { c.Routes[i], c.Routes[j] = c.Routes[j], c.Routes[i] })
+		assert.Equal(t, c.Digest(), want)
+		if len(c.Routes) > 0 {
+			c.Routes = append(c.Routes, c.Routes[0])
+			assert.Check(t, c.Digest() != want, "a route that stands twice")
+		}
+	}
+}
+
+// A caller is told 404 by one host alone. It has another configuration of the version at
+// which a difference begins, without a route that the sender has and that did not change.
+// It must not take the result for the operator's configuration.
+func TestDeltaThatLeadsElsewhereIsRefused(t *testing.T) {
+	services := []Service{{Name: "a"}, {Name: "b"}}
+	x, y := route("x", "h", "/a/", "a"), route("y", "h", "/c/", "a")
+	theirs := &Config{Version: 1, Routes: []Route{x, y}, Services: services}
+	ours := &Config{Version: 1, Routes: []Route{x}, Services: services}
+	next := &Config{Version: 2, Routes: []Route{route("x", "h", "/a/", "b"), y}, Services: services}
+	d := Diff(theirs, next)
+	_, err := ours.Apply(d)
+	assert.Check(t, errors.Is(err, ErrOtherResult), "%v", err)
+	_, err = theirs.Apply(d)
+	assert.NilError(t, err)
+}
+
+// olderDelta is a difference as programs know it that lack the digest.
+type olderDelta struct {
+	Base     uint64    `msgpack:"base"`
+	Version  uint64    `msgpack:"version"`
+	Put      []Route   `msgpack:"put"`
+	Drop     []string  `msgpack:"drop"`
+	Services []Service `msgpack:"services"`
+	Limits   Limits    `msgpack:"limits"`
+}
+
+// While hosts are updated one after the other, those of both programs tell each other
+// differences. Each must take what the other sends.
+func TestDeltasPassBetweenProgramsWithAndWithoutDigest(t *testing.T) {
+	from, next := fullConfig(), fullConfig()
+	next.Version = 8
+	next.Routes[0].Prefix = "/c/"
+	raw, err := msgpack.Marshal(Diff(from, next))
+	assert.NilError(t, err)
+	var older olderDelta
+	assert.NilError(t, msgpack.Unmarshal(raw, &older))
+	assert.Equal(t, older.Version, uint64(8))
+	assert.DeepEqual(t, older.Put, next.Routes)
+	raw, err = msgpack.Marshal(older)
+	assert.NilError(t, err)
+	var back Delta
+	assert.NilError(t, msgpack.Unmarshal(raw, &back))
+	got, err := from.Apply(back)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, next)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"cmp"
 	"math/rand/v2"
 	"net"
@@ -45,13 +46,32 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], &entry{route: r, split: newSplit(r.Parts, rng)})
 	}
 	for _, list := range t.byHost {
-		slices.SortStableFunc(list, func(a, b *entry) int {
-			return cmp.Compare(len(b.route.Prefix), len(a.route.Prefix))
-		})
+		slices.SortFunc(list, byPrecedence)
 	}
 	return t
 }
 
+// byPrecedence puts the route first that takes a request: the one of the longest prefix. Of
+// several with the same prefix it is the one whose name is first in the order of bytes, of
+// several with that name, too, the first by all that they say.
+//
+// Failure: an operator's document has two routes of one host and prefix, and nothing says
+// which counts. Symptom: by their order in the document, hosts that read it whole and hosts
+// that were told a difference sent a caller to different services. What the routes
+// say is the same at every host, whatever way it came.
+func byPrecedence(a, b *entry) int {
+	if c := cmp.Compare(len(b.route.Prefix), len(a.route.Prefix)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.route.Prefix, b.route.Prefix); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.route.Name, b.route.Name); c != 0 {
+		return c
+	}
+	return bytes.Compare(a.route.appendTo(nil), b.route.appendTo(nil))
+}
+
 // Service returns the service with this name, or nil.
 func (t *Table) Service(name string) *Service { return t.byName[name] }
 
