--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -1,11 +1,16 @@
 package routing
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
 )
 
 func table(routes ...Route) *Table {
@@ -61,3 +66,46 @@
 		assert.Check(t, math.Abs(share-0.1) < 0.03, "seed %d: share %.3f", seed, share)
 	}
 }
+
+// A caller was told 404 as if no route covered the request, though one did: the service
+// that it leads to was not in the table. A table is made of a configuration that was
+// checked, so that this can not be; if it is, the process stops in place of telling
+// callers what is not true.
+func TestTableOfARouteWithoutItsServiceBreaksTheInvariant(t *testing.T) {
+	for name, parts := range map[string][]Part{
+		"one part":       to("missing"),
+		"the first part": {{Service: "missing", Weight: 1}, {Service: "a", Weight: 1}},
+		"the last part":  {{Service: "a", Weight: 1}, {Service: "missing", Weight: 1}},
+		"no part":        nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			invariant.SetHandler(invariant.Panic)
+			defer invariant.SetHandler(nil)
+			defer func() {
+				assert.Check(t, strings.Contains(fmt.Sprint(recover()), "route-service"))
+			}()
+			table(Route{Name: "r", Host: "h", Prefix: "/", Parts: parts})
+		})
+	}
+}
+
+// Every route of a configuration that Check accepts takes requests of its prefix, or
+// another of its host does that comes before it; all lead to one of their services.
+func TestEveryRouteOfACheckedConfigurationLeadsToAService(t *testing.T) {
+	for seed := range uint64(1000) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		c := anyConfig(rng, 1)
+		assert.NilError(t, c.Check())
+		tb := NewTable(c, rng)
+		for _, r := range c.Routes {
+			if r.Host != HostName(r.Host) {
+				continue // the decoder makes no such host
+			}
+			m, ok := tb.Find(r.Host, r.Prefix)
+			assert.Assert(t, ok, "seed %d", seed)
+			assert.Equal(t, m.Route.Prefix, r.Prefix)
+			named := slices.ContainsFunc(m.Route.Parts, func(p Part) bool { return p.Service == m.Service.Name })
+			assert.Check(t, named, "seed %d: %q is no service of %q", seed, m.Service.Name, m.Route.Name)
+		}
+	}
+}
