Have a table lead every route to a service

Cause: Find looked a route's service up with each request and said "no route" if the table lacks it; a configuration that came whole from another host was put in force unchecked.

Mend: services are looked up once, when the table is made, and a route without one breaks the invariant route-service (NewTable keeps its signature; Find says false only where no route covers a request). State checks every configuration before it takes it: what Check refuses stays out, so the invariant can not be broken from outside. Configurations told by other hosts and not taken are counted (watch.configs_refused), also differences that lead elsewhere.

Ruled out: an error of NewTable. Its callers hold a configuration that was checked and have nothing to do with an error but to stop.

--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -13,6 +13,8 @@
 	repeats *expvar.Int
 	// lateWords counts words of earlier runs of targets that were held back.
 	lateWords *expvar.Int
+	// refusedConfigs counts configurations that other hosts told and that were not taken in.
+	refusedConfigs *expvar.Int
 }
 
 func newCounters(m *metrics.Set) counters {
@@ -27,5 +29,7 @@
 		takeovers: c("takeovers"),
 		repeats:   c("repeats_not_passed_on"),
 		lateWords: c("late_words"),
+
+		refusedConfigs: c("configs_refused"),
 	}
 }
--- a/controller/watch/random_test.go
+++ b/controller/watch/random_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/routing"
 )
 
 // history is one random run: faults and changes come in any order and overlap.
@@ -16,8 +17,11 @@
 	*fleet
 	rng     *rand.Rand
 	version uint64
-	seen    map[*host]uint64
-	next    int
+	config  *routing.Config
+	// routes draws those of configurations, apart from rng.
+	routes *rand.Rand
+	seen   map[*host]uint64
+	next   int
 	// born is how often each target was started again under its name.
 	born map[int]ports.Incarnation
 }
@@ -32,7 +36,16 @@
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
 		withFleet(t, 7, func(fl *fleet) {
-			h := &history{fleet: fl, rng: rand.New(rand.NewPCG(seed, 9)), version: 1, seen: make(map[*host]uint64), next: 10, born: make(map[int]ports.Incarnation)}
+			h := &history{
+				fleet:   fl,
+				rng:     rand.New(rand.NewPCG(seed, 9)),
+				version: 1,
+				config:  config(1),
+				routes:  rand.New(rand.NewPCG(seed, 10)),
+				seen:    make(map[*host]uint64),
+				next:    10,
+				born:    make(map[int]ports.Incarnation),
+			}
 			for range 60 {
 				h.step()
 				time.Sleep(time.Duration(h.rng.Int64N(int64(400 * time.Millisecond))))
@@ -52,7 +65,8 @@
 	switch h.rng.IntN(15) {
 	case 0, 1:
 		h.version++
-		h.record.Configure(config(h.version))
+		h.config = h.anyRoutes(h.version)
+		h.record.Configure(h.config)
 	case 2, 3:
 		h.record.Put(entryOf(h.next, false))
 		h.next++
@@ -79,6 +93,15 @@
 	}
 }
 
+// anyRoutes is a configuration in which names, and pairs of host and prefix, may stand twice.
+func (h *history) anyRoutes(version uint64) *routing.Config {
+	var names []string
+	for range h.routes.IntN(4) {
+		names = append(names, []string{"", "r", "x"}[h.routes.IntN(3)])
+	}
+	return routed(version, time.Duration(1+h.routes.IntN(2))*time.Second, names...)
+}
+
 // put writes the entry of a target's present run.
 func (h *history) put(i int, draining bool) {
 	e := entryOf(i, draining)
@@ -149,6 +172,7 @@
 	listed := h.record.Targets()
 	for _, host := range h.hosts {
 		assert.Check(t, host.version() == h.version, "seed %d: %s has version %d of %d", seed, host.addr, host.version(), h.version)
+		assert.Check(t, host.goesBy(h.config), "seed %d: %s goes by other routes", seed, host.addr)
 		for i := range h.next {
 			e, ok := listed[targetID(i)]
 			want := ok && !e.Draining
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -219,6 +219,7 @@
 	had := c.state.Config()
 	news := c.state.Take(now, ch)
 	c.count.lateWords.Set(c.state.LateWords())
+	c.count.refusedConfigs.Set(c.state.RefusedConfigs())
 	if news.Empty() && (c.known() || !c.state.HasTargets()) {
 		return news
 	}
--- a/directory/config_test.go
+++ b/directory/config_test.go
@@ -39,6 +39,7 @@
 	s.Merge(now, Changes{Config: good})
 	assert.Check(t, !s.Merge(now, Changes{Config: configOf(4, "missing")}))
 	assert.Equal(t, s.Config(), good)
+	assert.Equal(t, s.RefusedConfigs(), int64(1))
 	assert.Check(t, s.Merge(now, Changes{Config: configOf(5, "b")}))
 }
 
@@ -72,6 +73,7 @@
 		had := s.Config()
 		assert.Check(t, !s.Merge(now, late))
 		assert.Equal(t, s.Config(), had)
+		assert.Equal(t, s.RefusedConfigs(), int64(0))
 	}
 }
 
@@ -87,6 +89,7 @@
 	assert.Check(t, ahead.Merge(now, step))
 	assert.Check(t, !odd.Merge(now, step))
 	assert.Equal(t, odd.Config().Version, uint64(3))
+	assert.Equal(t, odd.RefusedConfigs(), int64(1))
 	assert.Check(t, odd.Merge(now, ahead.Whole(now, odd.Config().Version, odd.Buckets())))
 	assert.Equal(t, odd.Config().Digest(), to.Digest())
 }
--- a/directory/state.go
+++ b/directory/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -28,6 +29,9 @@
 	wholeAt Revision
 	// lateWords counts words of earlier runs of targets that were held back.
 	lateWords int64
+	// refusedConfigs counts configurations that were wrong, and deltas that led to another
+	// one than their sender's.
+	refusedConfigs int64
 	// buckets are digests of the targets that are listed; see Buckets.
 	buckets [bucketCount]uint64
 }
@@ -89,6 +93,10 @@
 // LateWords returns how many words of earlier runs of targets were held back so far.
 func (s *State) LateWords() int64 { return s.lateWords }
 
+// RefusedConfigs returns how many configurations were not taken in since they were wrong or
+// not the one that their sender had.
+func (s *State) RefusedConfigs() int64 { return s.refusedConfigs }
+
 // HasTargets reports whether the list of targets was ever whole.
 func (s *State) HasTargets() bool { return s.wholeAt > 0 }
 
@@ -128,22 +136,39 @@
 	return news
 }
 
+// mergeConfig takes in a newer configuration. Versions are unique: another one of the
+// version at hand is passed over, and so is what a stale reading tells.
+//
+// Failure: another host, whose program knows fewer checks, passes on a configuration with a
+// route to a service that it lacks. Symptom: callers of the route are told 404. The last
+// good one stays.
 func (s *State) mergeConfig(c *routing.Config) bool {
 	if c == nil || s.config != nil && c.Version <= s.config.Version {
 		return false
 	}
+	if c.Check() != nil {
+		s.refusedConfigs++
+		return false
+	}
 	s.config = c
 	return true
 }
 
 // mergeDelta applies a delta that begins at the configuration at hand. Any other is
-// passed over: the next heartbeat shows that this host is behind.
+// passed over: the next heartbeat shows that this host is behind, and it is told the
+// configuration whole.
 func (s *State) mergeDelta(d *routing.Delta) bool {
 	if d == nil {
 		return false
 	}
 	next, err := s.config.Apply(*d)
-	return err == nil && s.mergeConfig(next)
+	if err != nil {
+		if !errors.Is(err, routing.ErrOtherBase) {
+			s.refusedConfigs++
+		}
+		return false
+	}
+	return s.mergeConfig(next)
 }
 
 func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -30,6 +30,8 @@
 	ConfigForward Name = "config-forward"
 	// SlotAccount: the slots granted match the calls holding them.
 	SlotAccount Name = "slot-account"
+	// RouteService: every route of a table leads to services that the table has.
+	RouteService Name = "route-service"
 )
 
 var broken = expvar.NewMap("invariants_broken")
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -61,8 +61,8 @@
 // Apply returns the configuration that a delta leads to.
 //
 // Failure: the sender of a delta has another configuration of the same version, or its
-// program makes deltas in another way. Symptom: this host would tell callers of a route
-// that it alone lacks 404 for as long as the routes of that name do not change again. The
+// program makes deltas in another way. Symptom: this host tells callers of a route that
+// it alone lacks 404 for as long as the routes of that name do not change again. The
 // digest shows it; the host keeps what it has, the next heartbeat shows that it is behind,
 // and it is told the configuration whole.
 func (c *Config) Apply(d Delta) (*Config, error) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"sync"
+
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
 )
 
 // Table finds the route of a request. It is made once for each version of the
@@ -18,10 +20,11 @@
 	byName map[string]*Service
 }
 
-// entry is a route with the state of its split.
+// entry is a route with the services of its parts and the state of its split.
 type entry struct {
-	route *Route
-	split split
+	route    *Route
+	services []*Service
+	split    split
 }
 
 // Match is where a request leads.
@@ -30,8 +33,9 @@
 	Service *Service
 }
 
-// NewTable returns the table of a configuration. rng gives each split a random
-// start, so that many hosts together keep the proportions also in a short time.
+// NewTable returns the table of a configuration that Check accepted: each route has a
+// service for every part. rng gives each split a random start, so that many hosts together
+// keep the proportions also in a short time.
 func NewTable(c *Config, rng *rand.Rand) *Table {
 	t := &Table{
 		Config: c,
@@ -43,7 +47,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		t.byHost[r.Host] = append(t.byHost[r.Host], &entry{route: r, split: newSplit(r.Parts, rng)})
+		t.byHost[r.Host] = append(t.byHost[r.Host], t.newEntry(r, rng))
 	}
 	for _, list := range t.byHost {
 		slices.SortFunc(list, byPrecedence)
@@ -51,14 +55,29 @@
 	return t
 }
 
+// newEntry returns a route with its services.
+//
+// Failure: a route leads to a service that the table does not have. Symptom: callers are
+// told 404, as if no route covered their requests. Services are looked up here alone, and
+// Check accepts no such configuration.
+func (t *Table) newEntry(r *Route, rng *rand.Rand) *entry {
+	invariant.Check(len(r.Parts) > 0, invariant.RouteService, "route=%s has no part", r.Name)
+	e := &entry{route: r, services: make([]*Service, len(r.Parts)), split: newSplit(r.Parts, rng)}
+	for i, p := range r.Parts {
+		e.services[i] = t.byName[p.Service]
+		invariant.Check(e.services[i] != nil, invariant.RouteService, "route=%s service=%s", r.Name, p.Service)
+	}
+	return e
+}
+
 // byPrecedence puts the route first that takes a request: the one of the longest prefix. Of
 // several with the same prefix it is the one whose name is first in the order of bytes, of
 // several with that name, too, the first by all that they say.
 //
 // Failure: an operator's document has two routes of one host and prefix, and nothing says
 // which counts. Symptom: by their order in the document, hosts that read it whole and hosts
-// that were told a difference sent a caller to different services. What the routes
-// say is the same at every host, whatever way it came.
+// that were told a difference send a caller to different services. What the routes say is
+// the same at every host, whatever way it came.
 func byPrecedence(a, b *entry) int {
 	if c := cmp.Compare(len(b.route.Prefix), len(a.route.Prefix)); c != 0 {
 		return c
@@ -75,20 +94,20 @@
 // Service returns the service with this name, or nil.
 func (t *Table) Service(name string) *Service { return t.byName[name] }
 
-// Find returns where a request leads; false means that no route covers it. Each
-// call takes one turn of the route's split.
+// Find returns where a request leads; false means that no route covers it, and nothing
+// else. Each call takes one turn of the route's split.
 func (t *Table) Find(host, path string) (Match, bool) {
 	for _, e := range t.byHost[HostName(host)] {
 		if !strings.HasPrefix(path, e.route.Prefix) {
 			continue
 		}
-		s := t.byName[e.route.Parts[e.split.next()].Service]
-		return Match{Route: e.route, Service: s}, s != nil
+		return Match{Route: e.route, Service: e.services[e.split.next()]}, true
 	}
 	return Match{}, false
 }
 
-// HostName returns a Host header without its port, in lower case.
+// HostName returns a Host header without its port, in lower case. The names in a
+// configuration are read by it, too: one that is read otherwise is never found.
 func HostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
