--- a/controller/watch/config_test.go
+++ b/controller/watch/config_test.go
@@ -63,12 +63,15 @@
 				odd = h
 			}
 		}
+		other := routed(2, time.Second)
 		odd.c.mu.Lock()
-		odd.c.merge(time.Now(), directory.Changes{Config: routed(2, time.Second)}, ports.HostID("other"))
+		odd.c.merge(time.Now(), directory.Changes{Config: other}, ports.HostID("other"))
 		odd.c.mu.Unlock()
 		fl.record.Configure(routed(2, time.Second, "kept"))
 		took := fl.await(nil, func(h *host) bool { return h.version() == 2 })
 		assert.Check(t, took < bound, "%s", took)
+		time.Sleep(time.Second)
+		assert.Check(t, odd.goesBy(other), "heartbeats of one version are not compared any further")
 		next := routed(3, time.Second, "kept", "more")
 		fl.record.Configure(next)
 		took = fl.await(nil, func(h *host) bool { return h.goesBy(next) })
