--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -229,6 +229,7 @@
 	}
 	c.hear(c.version())
 	c.count.lateWords.Set(c.state.LateWords())
+	c.count.refusedConfigs.Set(c.state.RefusedConfigs())
 	if news.Empty() && (c.known() || !c.state.HasTargets()) {
 		return news
 	}
