Test: a request after an early answer is served, failing

The second test reads an answer, 503, that nobody asked for: content of an upload was read as a request.

Order of events for 400: a large upload is a stream, so that EnableFullDuplex is on. The target's answer is passed on while the goroutine that sends the upload is in a read of the caller's connection. The handler returns; finishRequest breaks that read off by a deadline in the past (abortPendingRead). The reader of chunks keeps the error for good, so that closing the body skips nothing, and finishRequest ignores the error of that. Without full duplex the same error closes the connection (writeHeader); with it the connection is used again, in the middle of a chunk. The same broken read cancels the context of the whole connection: hence caller-gone for the next request.

Order of events for the ended connection: with a length, closing the body reads its rest to the end, whose hook starts the background read after the point at which it would have been stopped; the next read panics ("invalid concurrent Body.Read call" in the log of the host).

Ruled out: refusals before the answer's stream begins (no-route, and others without full duplex) read the rest first or say Connection: close; none of them led to 400.

--- /dev/null
+++ b/entry/early_test.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/declare"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/upstream"
+)
+
+// earlyTarget answers each upload before it has read it. Under /lots/reads it reads on
+// after that and keeps the connection, under /lots/waits it does nothing for a while and
+// closes it, elsewhere it closes it at once. It counts requests for /lots/inside.
+type earlyTarget struct{ inside atomic.Int32 }
+
+const earlyAnswer = "early"
+
+func (e *earlyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/lots/inside" {
+		e.inside.Add(1)
+	}
+	if r.Method == http.MethodGet {
+		_, _ = io.WriteString(w, r.URL.Path)
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	if r.URL.Path != "/lots/reads" {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("Content-Length", fmt.Sprint(len(earlyAnswer)))
+	_, _ = io.WriteString(w, earlyAnswer)
+	_ = control.Flush()
+	switch r.URL.Path {
+	case "/lots/reads":
+		_, _ = io.Copy(io.Discard, r.Body)
+	case "/lots/waits":
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// oneTarget grants the target at an address to each call.
+type oneTarget string
+
+func (o oneTarget) Pick(context.Context, pick.Request) (pick.Grant, outcome.Result) {
+	return o, outcome.Result{}
+}
+
+func (o oneTarget) Target() blackboard.Target { return blackboard.Target{ID: "t1", Addr: string(o)} }
+
+func (o oneTarget) Release(pick.Report) {}
+
+// startEntry starts a target and a server in front of it, and returns the server's address.
+func startEntry(t *testing.T, target http.Handler) string {
+	t.Helper()
+	back := httptest.NewServer(target)
+	board := blackboard.New()
+	board.Config.Store(&declare.Config{Sequence: 1, Workspaces: []declare.Workspace{{
+		Name: "auction", HostNames: []string{"auction.example"},
+		Services: []declare.Service{{
+			Name: "lots", PathPrefix: "/lots", Timeout: 10 * time.Second, MaxAttempts: 1, MaxReplayBody: 16, MaxBody: 8 << 20,
+		}},
+	}}})
+	board.Status.Store(blackboard.Status{ConfigConfirmed: true})
+	m := metrics.New()
+	pools := upstream.New(upstream.Options{})
+	d := dispatch.New(dispatch.Deps{
+		Board: board, Picker: oneTarget(back.Listener.Addr().String()), Upstream: pools, Metrics: m, HoldAnswers: 1 << 20,
+	})
+	s := New(Deps{Board: board, Dispatcher: d, Metrics: m, BodyMemory: 1 << 20, Fresh: func() bool { return true }})
+	front := httptest.NewServer(s)
+	t.Cleanup(func() {
+		front.CloseClientConnections()
+		front.Close()
+		pools.Close()
+		back.CloseClientConnections()
+		back.Close()
+		_ = board.Close()
+	})
+	return front.Listener.Addr().String()
+}
+
+// caller is one connection to a server.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func newCaller(t *testing.T, addr string) *caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return &caller{t: t, conn: conn, r: bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) error {
+	_, err := io.WriteString(c.conn, text)
+	return err
+}
+
+// answer reads an answer and its body.
+func (c *caller) answer(method string) (*http.Response, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	assert.NilError(c.t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(c.t, err)
+	return resp, string(body)
+}
+
+// upload returns the head and the body of an upload as they go over the wire.
+func upload(path, content string, chunked bool) (head, body string) {
+	head = "POST " + path + " HTTP/1.1\r\nHost: auction.example\r\n"
+	if !chunked {
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(content)), content
+	}
+	const chunk = 1000 // bytes
+	var b strings.Builder
+	for len(content) > 0 {
+		n := min(chunk, len(content))
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, content[:n])
+		content = content[n:]
+	}
+	return head + "Transfer-Encoding: chunked\r\n\r\n", b.String() + "0\r\n\r\n"
+}
+
+// The caller sends a proper request on the connection on which its upload was answered,
+// and gets 400 of net/http's own, without a reason and without a line.
+// The target answers the upload early; the caller has the whole answer, sends the rest of
+// the upload and then the next request. The answer's end breaks off the reading of the
+// upload in the middle of a chunk, and net/http takes the rest for a request.
+func TestRequestAfterAnEarlyAnswerIsServed(t *testing.T) {
+	addr := startEntry(t, new(earlyTarget))
+	for _, path := range []string{"/lots/reads", "/lots/waits", "/lots/ends"} {
+		for _, chunked := range []bool{false, true} {
+			for _, size := range []int{100, 5000, 255 << 10, 300 << 10, 2 << 20} {
+				for _, percent := range []int{50, 99, 100} {
+					name := fmt.Sprintf("%s/chunked=%v/%d/%d", path[6:], chunked, size, percent)
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						head, body := upload(path, strings.Repeat("x", size), chunked)
+						playEarlyAnswer(t, addr, head, body, len(body)*percent/100)
+					})
+				}
+			}
+		}
+	}
+}
+
+// playEarlyAnswer sends an upload up to a byte, reads the answer, sends the rest and then
+// another request, on a new connection if the answer asks for one.
+func playEarlyAnswer(t *testing.T, addr, head, body string, first int) {
+	c := newCaller(t, addr)
+	assert.NilError(t, c.send(head+body[:first]))
+	resp, text := c.answer(http.MethodPost)
+	assert.Equal(t, text, earlyAnswer)
+	err := c.send(body[first:])
+	if resp.Close {
+		c = newCaller(t, addr)
+	} else {
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, c.send("GET /lots/next HTTP/1.1\r\nHost: auction.example\r\n\r\n"))
+	resp, text = c.answer(http.MethodGet)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, "%s", text)
+	assert.Equal(t, text, "/lots/next")
+}
+
+// The caller gets an answer that it did not ask for, and takes it for the one to its next
+// request.
+// The target answers the upload early, and the caller goes on sending. The rest of the
+// upload begins, by chance or by intent, as a request does, and is read as one.
+func TestContentOfAnUploadIsNeverARequest(t *testing.T) {
+	target := new(earlyTarget)
+	addr := startEntry(t, target)
+	const inside = "GET /lots/inside HTTP/1.1\r\nHost: auction.example\r\n\r\n"
+	c := newCaller(t, addr)
+	head := "POST /lots/reads HTTP/1.1\r\nHost: auction.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+	first := fmt.Sprintf("%x\r\n%s", 100+len(inside), strings.Repeat("x", 100))
+	assert.NilError(t, c.send(head+first))
+	c.answer(http.MethodPost)
+	time.Sleep(50 * time.Millisecond) // until the host has done with the upload
+	_ = c.send(inside)                // the connection may be closed by now
+	resp, err := http.ReadResponse(c.r, nil)
+	assert.Check(t, err != nil, "%v", resp)
+	assert.Equal(t, target.inside.Load(), int32(0))
+}
