An answer that begins before its upload has ended closes the connection

In full duplex net/http breaks off the read of the upload that is under way when the handler returns, and uses the connection again.

Mended in entry alone: a writer around the call's own knows whether the upload was read to its end when the answer's head is written. If not, the answer says Connection: close, so that no byte after it is read as a request; once the answer is whole, it waits for the read under way and reads 256 kB or 0.5 s of the rest, so that the caller finds its answer and not a reset. Uploads that were read before their answer keep their connection, requests without a body are not touched. A refusal states its length, as it may be flushed before its end.

Ruled out: draining the upload and keeping the connection: at the time of the head nobody knows whether the rest will come, and a connection that then has to be closed takes the caller's next request with it, unannounced.

--- a/entry/call.go
+++ b/entry/call.go
@@ -17,6 +17,17 @@
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	if r.ContentLength == 0 || r.ProtoMajor != 1 {
+		s.logged(w, r)
+		return
+	}
+	u := newUploadWriter(w, r)
+	s.logged(u, u.request)
+	u.end()
+}
+
+// logged serves a call and tells the log of calls about it.
+func (s *Server) logged(w http.ResponseWriter, r *http.Request) {
 	if s.deps.Calls == nil {
 		s.route(w, r, &calllog.Call{})
 		return
@@ -222,9 +233,11 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", s.deps.Contract.RetryAfter(r.RetryAfter))
 	}
+	text := r.Outcome.String() + " " + string(r.Reason) + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(r.Status())
-	_, _ = io.WriteString(w, r.Outcome.String()+" "+string(r.Reason)+"\n")
+	_, _ = io.WriteString(w, text)
 }
 
 func setOutcome(h http.Header, r outcome.Result) {
--- a/entry/early_test.go
+++ b/entry/early_test.go
@@ -21,6 +21,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -204,3 +205,72 @@
 	assert.Check(t, err != nil, "%v", resp)
 	assert.Equal(t, target.inside.Load(), int32(0))
 }
+
+// An upload is refused by its target, and a host says so before the upload has ended. The
+// caller's next request is served.
+func TestRequestAfterAnUploadRefusedEarlyIsServed(t *testing.T) {
+	addr := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			return
+		}
+		w.Header().Set(targetapi.HeaderShed, targetapi.Yes)
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	for _, chunked := range []bool{false, true} {
+		c := newCaller(t, addr)
+		head, body := upload("/lots/7", strings.Repeat("x", 300<<10), chunked)
+		assert.NilError(t, c.send(head+body[:300]))
+		resp, text := c.answer(http.MethodPost)
+		assert.Equal(t, text, "not-run shed\n")
+		assert.Check(t, resp.Close)
+		_ = c.send(body[300:]) // it may be closed by now
+		c = newCaller(t, addr)
+		assert.NilError(t, c.send("GET /lots/next HTTP/1.1\r\nHost: auction.example\r\n\r\n"))
+		resp, _ = c.answer(http.MethodGet)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+}
+
+// A connection stays in use after an upload that was read whole before its answer, however
+// it was sent.
+func TestConnectionStaysAfterAnUpload(t *testing.T) {
+	addr := startEntry(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		assert.Check(t, err)
+		_, _ = fmt.Fprint(w, n)
+	}))
+	c := newCaller(t, addr)
+	for _, chunked := range []bool{false, true} {
+		for _, size := range []int{0, 1, 16, 17, 5000, 300 << 10, 2 << 20} {
+			head, body := upload("/lots/7", strings.Repeat("x", size), chunked)
+			assert.NilError(t, c.send(head+body))
+			resp, text := c.answer(http.MethodPost)
+			assert.Equal(t, text, fmt.Sprint(size))
+			assert.Check(t, !resp.Close)
+		}
+	}
+}
+
+// A caller stops in the middle of its upload once it has the answer, or does not begin one
+// that it was to be asked for. Its connection is closed within a second.
+func TestUploadThatStopsAtItsAnswerHoldsNothing(t *testing.T) {
+	addr := startEntry(t, new(earlyTarget))
+	for _, sent := range []string{
+		"Content-Length: 5000\r\n\r\nsome",
+		"Transfer-Encoding: chunked\r\n\r\n40\r\nenough to be a stream",
+		"Expect: 100-continue\r\nContent-Length: 5000\r\n\r\n",
+	} {
+		c := newCaller(t, addr)
+		assert.NilError(t, c.send("POST /lots/ends HTTP/1.1\r\nHost: auction.example\r\n"+sent))
+		resp, err := http.ReadResponse(c.r, nil)
+		for err == nil && resp.StatusCode == http.StatusContinue {
+			resp, err = http.ReadResponse(c.r, nil)
+		}
+		assert.NilError(t, err)
+		assert.Check(t, resp.Close)
+		start := time.Now()
+		_, _ = io.Copy(io.Discard, c.r) // the answer's body, and then the connection's end
+		assert.Check(t, time.Since(start) < 2*restTime, "%v", time.Since(start))
+	}
+}
--- /dev/null
+++ b/entry/upload.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// restTime and restBytes bound what is read of an upload after its answer, so that the
+	// caller finds the answer and not a reset connection. 256 kB are what net/http reads
+	// in such a case, and take 0.2 s on a link of 10 Mbit/s.
+	restTime  = 500 * time.Millisecond
+	restBytes = 256 << 10
+)
+
+// errAnswered ends the sending of an upload to a target that has answered it.
+var errAnswered = errors.New("upload was answered before its end")
+
+// uploadWriter is a request over HTTP/1 with a body, and the writer of its answer.
+//
+// Failure: in full duplex, net/http ends a read of the body that is under way when the
+// handler returns, and uses the connection again although the rest of the body is unread.
+// Symptom: the caller's next request on the connection is answered with 400 or caller-gone,
+// or the connection ends without an answer; content of the upload is read as a request.
+// An answer that begins before the upload has ended says Connection: close, so that nothing
+// is read as a request after it, and no read is under way when the handler returns.
+type uploadWriter struct {
+	http.ResponseWriter
+	request *http.Request
+	body    *uploadBody
+	// duplex is set if the answer may begin before the upload has ended.
+	duplex bool
+}
+
+func newUploadWriter(w http.ResponseWriter, r *http.Request) *uploadWriter {
+	body := &uploadBody{src: r.Body}
+	request := *r // net/http looks at the body of its own one
+	request.Body = body
+	return &uploadWriter{ResponseWriter: w, request: &request, body: body}
+}
+
+// Unwrap is for http.ResponseController.
+func (u *uploadWriter) Unwrap() http.ResponseWriter { return u.ResponseWriter }
+
+// EnableFullDuplex is for http.ResponseController.
+func (u *uploadWriter) EnableFullDuplex() error {
+	u.duplex = true
+	return http.NewResponseController(u.ResponseWriter).EnableFullDuplex()
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (u *uploadWriter) WriteHeader(status int) {
+	if u.early() {
+		u.Header().Set("Connection", "close")
+	}
+	u.ResponseWriter.WriteHeader(status)
+}
+
+// early reports whether net/http would use the connection again with a part of the upload
+// unread.
+func (u *uploadWriter) early() bool { return u.duplex && !u.body.ended.Load() }
+
+// end returns once nothing reads the upload any more. It follows a whole answer: one that
+// broke off has to break the connection at once.
+func (u *uploadWriter) end() {
+	if !u.early() {
+		return
+	}
+	u.body.answered.Store(true)
+	control := http.NewResponseController(u.ResponseWriter)
+	_ = control.Flush() // the caller is gone if this fails, and so does the reading
+	_ = control.SetReadDeadline(time.Now().Add(restTime))
+	if u.expected() {
+		_, _ = io.CopyN(io.Discard, u.body.rest(), restBytes)
+	}
+}
+
+// expected reports whether the caller sends its upload. One that waits for 100 Continue and
+// got an answer in its place does not.
+func (u *uploadWriter) expected() bool {
+	return u.body.begun.Load() || u.request.Header.Get("Expect") == ""
+}
+
+// uploadBody notes how far a body was read.
+type uploadBody struct {
+	mu  sync.Mutex // held by the one that reads
+	src io.ReadCloser
+	// begun and ended are set once a part or all of it was read.
+	begun, ended atomic.Bool
+	// answered is set once no more of it is passed on.
+	answered atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *uploadBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.answered.Load() {
+		return 0, errAnswered
+	}
+	b.begun.Store(true)
+	n, err := b.src.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// rest waits for the read under way and returns what is left. Nobody else reads any more.
+func (b *uploadBody) rest() io.Reader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.src
+}
+
+// Close implements io.Closer.
+func (b *uploadBody) Close() error { return b.src.Close() }
