Answers that net/http gives by itself are counted and logged

net/http writes these answers on the connection before a handler has taken the request; entry.OwnAnswers wraps accepted connections and notices such writes. A hook on StateActive does not do by itself: a request that comes in one piece on an idle connection is refused without that state (readRequest then reads nothing off the wire; there is a test). Under TLS the status can not be read below the encryption: counted as "encrypted".

Ruled out: wrapping above TLS. net/http then shakes no hands and speaks no HTTP/2.

--- a/entry/early_test.go
+++ b/entry/early_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -68,6 +69,7 @@
 func (o oneTarget) Release(pick.Report) {}
 
 // startEntry starts a target and a server in front of it, and returns the server's address.
+// The test fails if net/http answers anything by itself: all requests are proper.
 func startEntry(t *testing.T, target http.Handler) string {
 	t.Helper()
 	back := httptest.NewServer(target)
@@ -85,7 +87,11 @@
 		Board: board, Picker: oneTarget(back.Listener.Addr().String()), Upstream: pools, Metrics: m, HoldAnswers: 1 << 20,
 	})
 	s := New(Deps{Board: board, Dispatcher: d, Metrics: m, BodyMemory: 1 << 20, Fresh: func() bool { return true }})
-	front := httptest.NewServer(s)
+	front := httptest.NewUnstartedServer(s)
+	own := NewOwnAnswers(zap.NewNop(), m, "")
+	front.Listener = own.Listener(front.Listener)
+	own.Watch(front.Config)
+	front.Start()
 	t.Cleanup(func() {
 		front.CloseClientConnections()
 		front.Close()
@@ -93,6 +99,8 @@
 		back.CloseClientConnections()
 		back.Close()
 		_ = board.Close()
+		own := m.Map("answers_of_http").String()
+		assert.Check(t, own == "{}", own)
 	})
 	return front.Listener.Addr().String()
 }
