Both daemons watch for answers of net/http's own

On the callers' listener, in package edge and in the root package, there under TLS too. Edge's line names the request before it on the connection. Tests: a malformed request to a daemon of each kind is counted; a proper one is not.

--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -106,6 +106,7 @@
 	probes     *probes.Controller
 
 	callers   *http.Server
+	answers   *entry.OwnAnswers
 	operators *http.Server
 
 	aborted chan struct{}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -57,6 +57,7 @@
 	leave      *leave.Controller
 
 	callers   *http.Server
+	answers   *entry.OwnAnswers
 	readiness *http.Server
 	operators *http.Server
 }
--- /dev/null
+++ b/edge/ownanswers_test.go
@@ -0,0 +1,51 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// A caller is told 400 and there is no line of its request, as none could be read. The
+// operator finds the answer in the counters, and in the log by the caller's address and the
+// request before it on the connection.
+func TestExplainAnswerOfHTTP(t *testing.T) {
+	l := newLab(t, 1)
+	d := l.daemons[0]
+	conn, err := net.Dial("tcp", d.CallersAddr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	r := bufio.NewReader(conn)
+	request(t, conn, r, "", http.StatusOK)
+	request(t, conn, r, "Bad Name: 1\r\n", http.StatusBadRequest)
+	counted := d.Metrics().Map("answers_of_http").String()
+	assert.Equal(t, counted, `{"400": 1}`)
+	_, line, ok := strings.Cut(l.logs[0].String(), `level=warn msg="answered by net/http alone"`)
+	assert.Assert(t, ok, l.logs[0].String())
+	line, _, _ = strings.Cut(line, "\n")
+	t.Log(counted, line)
+	want := fmt.Sprintf(` host=h0 status=400 answer="400 Bad Request: invalid header name" caller=%s calls=1 after=before`, conn.LocalAddr())
+	assert.Equal(t, line, want)
+}
+
+// request sends a request with another line in its header and reads its answer.
+func request(t *testing.T, conn io.Writer, r *bufio.Reader, line string, status int) {
+	t.Helper()
+	_, err := fmt.Fprintf(conn, "GET /lots/7 HTTP/1.1\r\nHost: %s\r\n%s: before\r\n%s\r\n", hostName, standin.HeaderRequestID, line)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status)
+}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -218,6 +218,8 @@
 		IdleTimeout:       d.settings.Callers.IdleTimeout.Or(defaultIdle),
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
+	d.answers = entry.NewOwnAnswers(d.log, d.metrics, d.platform.Contract.RequestID)
+	d.answers.Watch(d.callers)
 	d.readiness = d.smallServer(d.platform.ReadyPath, http.HandlerFunc(d.ready))
 	d.operators = d.smallServer(PathMetrics, d.metrics)
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -51,7 +51,7 @@
 		server   *http.Server
 		listener net.Listener
 	}{
-		{d.callers, d.listeners.callers},
+		{d.callers, d.answers.Listener(d.listeners.callers)},
 		{d.readiness, d.listeners.readiness},
 		{d.operators, d.listeners.operators},
 	} {
--- a/provision.go
+++ b/provision.go
@@ -23,6 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -295,6 +296,8 @@
 		IdleTimeout:       d.settings.Callers.IdleTimeout.Or(defaultIdle),
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
+	d.answers = entry.NewOwnAnswers(d.log, d.metrics, targetapi.Default().RequestID)
+	d.answers.Watch(d.callers)
 }
 
 func (d *Daemon) provisionOperators() error {
--- a/tls_test.go
+++ b/tls_test.go
@@ -11,6 +11,7 @@
 	"encoding/pem"
 	"expvar"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
@@ -138,6 +139,16 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, resp.Header.Get("Cactusproxy-Reason"), "no-route")
+	assert.Equal(t, one.Metrics().Map("answers_of_http").String(), "{}")
+
+	conn, err := tls.Dial("tcp", one.CallersAddr(), &tls.Config{RootCAs: pool})
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "nonsense\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, one.Metrics().Map("answers_of_http").String(), `{"encrypted": 1}`)
 }
 
 func (a *authority) parsed() *x509.Certificate {
