An early answer reaches a caller that closes its connection

Cause, met while the body limit was tested: a request with Connection: close whose answer comes before its upload has ended (413, 404, or a target's early answer). net/http then closes the connection with bytes of the upload unread, and the kernel resets it: the caller loses the answer.

--- a/entry/early_test.go
+++ b/entry/early_test.go
@@ -282,3 +282,23 @@
 		assert.Check(t, time.Since(start) < 2*restTime, "%v", time.Since(start))
 	}
 }
+
+// A caller closes its connection after each request, sends its whole upload and then reads
+// the answer: its connection is reset, and the answer lost.
+// The answer comes early, and net/http closes the connection at once after a request that
+// says Connection: close, though the rest of the upload is on its way.
+func TestEarlyAnswerReachesCallerThatCloses(t *testing.T) {
+	addr := startEntry(t, new(earlyTarget))
+	for path, want := range map[string]int{"/none": http.StatusNotFound, "/lots/ends": http.StatusOK} {
+		for _, chunked := range []bool{false, true} {
+			for _, size := range []int{5000, 300 << 10, 4 << 20} {
+				c := newCaller(t, addr)
+				head, body := upload(path, strings.Repeat("x", size), chunked)
+				head = strings.Replace(head, "\r\n", "\r\nConnection: close\r\n", 1)
+				assert.NilError(t, c.send(head+body), "%s %v %d", path, chunked, size)
+				resp, _ := c.answer(http.MethodPost)
+				assert.Equal(t, resp.StatusCode, want)
+			}
+		}
+	}
+}
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 // or the connection ends without an answer; content of the upload is read as a request.
 // An answer that begins before the upload has ended says Connection: close, so that nothing
 // is read as a request after it, and no read is under way when the handler returns.
+//
+// Failure: after a request that says Connection: close, net/http closes at once, with a part
+// of the upload on its way. Symptom: the caller's connection is reset, and the answer lost.
+// Some of the rest is read first, for as long as net/http waits in other cases.
 type uploadWriter struct {
 	http.ResponseWriter
 	request *http.Request
@@ -60,9 +65,11 @@
 	u.ResponseWriter.WriteHeader(status)
 }
 
-// early reports whether net/http would use the connection again with a part of the upload
-// unread.
-func (u *uploadWriter) early() bool { return u.duplex && !u.body.ended.Load() }
+// early reports whether net/http leaves a part of the upload unread: in full duplex, and
+// where the caller said Connection: close, after which it closes at once.
+func (u *uploadWriter) early() bool {
+	return (u.duplex || u.request.Close) && !u.body.ended.Load()
+}
 
 // end returns once nothing reads the upload any more. It follows a whole answer: one that
 // broke off has to break the connection at once.
@@ -75,8 +82,17 @@
 	_ = control.Flush() // the caller is gone if this fails, and so does the reading
 	_ = control.SetReadDeadline(time.Now().Add(restTime))
 	if u.expected() {
-		_, _ = io.CopyN(io.Discard, u.body.rest(), restBytes)
+		_, _ = io.CopyN(io.Discard, u.body.rest(), u.restBytes())
+	}
+}
+
+// restBytes returns how much of the rest is read. After more than that net/http ends the
+// connection gently, but not if the caller said Connection: close.
+func (u *uploadWriter) restBytes() int64 {
+	if u.request.Close {
+		return math.MaxInt64
 	}
+	return restBytes
 }
 
 // expected reports whether the caller sends its upload. One that waits for 100 Continue and
