OPTIONS * has no route and is told so

Cause, seen by the watch for net/http's own answers: net/http answers OPTIONS * with 200 by itself, before any handler: a success that no target gave. Both daemons now take it as a request like any other: 404, no-route.

--- a/edge/ownanswers_test.go
+++ b/edge/ownanswers_test.go
@@ -49,3 +49,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, status)
 }
+
+// A caller asks OPTIONS *, for which there is no route, and must not be told of a success
+// that no target gave: net/http would say 200 by itself.
+func TestOptionsOfTheWholeServerHaveNoRoute(t *testing.T) {
+	l := newLab(t, 1)
+	assert.Equal(t, l.exchange("OPTIONS * HTTP/1.1\r\nHost: "+hostName+"\r\n\r\n", 0), http.StatusNotFound)
+	assert.Equal(t, l.daemons[0].Metrics().Map("answers_of_http").String(), "{}")
+}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -214,6 +214,8 @@
 		ReadHeaderTimeout: d.settings.Callers.ReadHeaderTimeout.Or(defaultCallerHeader),
 		IdleTimeout:       d.settings.Callers.IdleTimeout.Or(defaultIdle),
 		ErrorLog:          zap.NewStdLog(d.log),
+		// OPTIONS * is a request like any other: net/http would answer it with 200.
+		DisableGeneralOptionsHandler: true,
 	}
 	d.answers = entry.NewOwnAnswers(d.log, d.metrics, d.platform.Contract.RequestID)
 	d.answers.Watch(d.callers)
--- a/provision.go
+++ b/provision.go
@@ -295,6 +295,8 @@
 		ReadHeaderTimeout: d.settings.Callers.ReadHeaderTimeout.Or(defaultReadHeader),
 		IdleTimeout:       d.settings.Callers.IdleTimeout.Or(defaultIdle),
 		ErrorLog:          zap.NewStdLog(d.log),
+		// OPTIONS * is a request like any other: net/http would answer it with 200.
+		DisableGeneralOptionsHandler: true,
 	}
 	d.answers = entry.NewOwnAnswers(d.log, d.metrics, targetapi.Default().RequestID)
 	d.answers.Watch(d.callers)
--- a/tls_test.go
+++ b/tls_test.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,10 +145,11 @@
 	conn, err := tls.Dial("tcp", one.CallersAddr(), &tls.Config{RootCAs: pool})
 	assert.NilError(t, err)
 	defer conn.Close()
-	_, err = io.WriteString(conn, "nonsense\r\n\r\n")
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n")
 	assert.NilError(t, err)
-	_, err = io.ReadAll(conn)
+	got, err := io.ReadAll(conn)
 	assert.NilError(t, err)
+	assert.Check(t, strings.HasPrefix(string(got), "HTTP/1.1 404 "), "%s", got)
 	assert.Equal(t, one.Metrics().Map("answers_of_http").String(), `{"encrypted": 1}`)
 }
 
