--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,12 +62,13 @@
 	// Addr is an IP address and port.
 	Addr string `json:"addr"`
 	TLS  TLS    `json:"tls,omitzero"`
-	// MaxHeaderBytes bounds a request's header; 64 KiB if 0.
+	// MaxHeaderBytes bounds a request's header; 64 KiB if 0, with a directory 256 KiB.
 	MaxHeaderBytes int `json:"maxHeaderBytes,omitempty"`
 	// BodyMemoryBytes bounds the bodies kept in memory for retries over all
 	// calls; 128 MiB if 0.
 	BodyMemoryBytes int64 `json:"bodyMemoryBytes,omitempty"`
-	// ReadHeaderTimeout bounds the arrival of a request's header; "5s" if empty.
+	// ReadHeaderTimeout bounds the arrival of a request's header; "5s" if empty, with a
+	// directory "15s".
 	ReadHeaderTimeout Duration `json:"readHeaderTimeout,omitempty"`
 	// IdleTimeout closes a caller's connection unused for this long; "120s" if
 	// empty.
