--- /dev/null
+++ b/edge/early_test.go
@@ -0,0 +1,91 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// earlyTarget answers uploads before it has read them, and reads on.
+type earlyTarget struct{ *standin.Target }
+
+func (e earlyTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		e.Target.ServeHTTP(w, r)
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	id := r.Header.Get(standin.HeaderRequestID)
+	w.Header().Set(standin.HeaderRequestID, id)
+	w.Header().Set(standin.HeaderSeal, "seal-"+id)
+	w.Header().Set("Content-Length", "5")
+	_, _ = io.WriteString(w, "early")
+	_ = control.Flush()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// A caller's uploads are answered early, and after each it sends a proper request, on the
+// same connection unless it was told that this one is closed. All are served: none is
+// answered 400 by net/http, which would take the rest of an upload for a request.
+func TestRequestsBetweenUploadsAnsweredEarlyAreServed(t *testing.T) {
+	l := newLab(t, 1)
+	tg := &standin.Target{ID: "early-0", Slots: 8, Queue: 8, Work: time.Millisecond}
+	server := httptest.NewServer(earlyTarget{tg})
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	l.store.Put("servers", tg.ID, tg.Entry("early", server.Listener.Addr().String(), "a", "ready"))
+	l.configure(2, standin.Route{Name: "early", Host: hostName, Prefix: "/early/", Type: "upload", Service: "early", Timeout: "2s", MaxAttempts: 1})
+	l.await("the route", func() bool { return l.send(l.daemons[0], http.MethodGet, "/early/", "").status == http.StatusOK })
+	statuses := make(map[int]int)
+	for i := range 20 {
+		statuses[l.afterUpload(i)]++
+	}
+	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: 20})
+	assert.Equal(t, l.daemons[0].Metrics().Map("answers_of_http").String(), "{}")
+}
+
+// afterUpload returns the status of a request that follows an upload in chunks, 0 if its
+// connection ends.
+func (l *lab) afterUpload(i int) int {
+	conn, r := l.dial()
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("x", 64<<10))
+	const chunks = 40 // 2.5 MiB: more than is kept for another attempt
+	_, err := fmt.Fprintf(conn, "POST /early/ HTTP/1.1\r\nHost: %s\r\n%s: up%d\r\nTransfer-Encoding: chunked\r\n\r\n%s",
+		hostName, standin.HeaderRequestID, i, strings.Repeat(chunk, chunks))
+	assert.NilError(l.t, err)
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(l.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(l.t, err)
+	_, _ = io.WriteString(conn, chunk+"0\r\n\r\n") // may be closed by now
+	if resp.Close {
+		conn, r = l.dial()
+	}
+	_, _ = fmt.Fprintf(conn, "GET /lots/7 HTTP/1.1\r\nHost: %s\r\n%s: next%d\r\n\r\n", hostName, standin.HeaderRequestID, i)
+	resp, err = http.ReadResponse(r, nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func (l *lab) dial() (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", l.daemons[0].CallersAddr())
+	assert.NilError(l.t, err)
+	l.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(l.t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn, bufio.NewReader(conn)
+}
