--- a/edge/run.go
+++ b/edge/run.go
@@ -43,6 +43,7 @@
 		d.node.Serve,
 		d.watch.Run,
 		d.quarantine.Run,
+		d.watchLimits,
 		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
 	} {
 		g.Go(func() error { return part(work) })
@@ -51,7 +52,7 @@
 		server   *http.Server
 		listener net.Listener
 	}{
-		{d.callers, d.listeners.callers},
+		{d.callers, d.answers.Listener(d.listeners.callers)},
 		{d.readiness, d.listeners.readiness},
 		{d.operators, d.listeners.operators},
 	} {
--- a/tls_test.go
+++ b/tls_test.go
@@ -11,11 +11,13 @@
 	"encoding/pem"
 	"expvar"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +140,17 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, resp.Header.Get("Cactusproxy-Reason"), "no-route")
+	assert.Equal(t, one.Metrics().Map("answers_of_http").String(), "{}")
+
+	conn, err := tls.Dial("tcp", one.CallersAddr(), &tls.Config{RootCAs: pool})
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n")
+	assert.NilError(t, err)
+	got, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Check(t, strings.HasPrefix(string(got), "HTTP/1.1 404 "), "%s", got)
+	assert.Equal(t, one.Metrics().Map("answers_of_http").String(), `{"encrypted": 1}`)
 }
 
 func (a *authority) parsed() *x509.Certificate {
