Count lost answers of a test with an atomic counter

The counter of the random histories' store was written by several goroutines: the race detector fails the test. Its histories are the same; -race passes.

--- a/random_test.go
+++ b/random_test.go
@@ -168,11 +168,8 @@
 	case opStoreDown:
 		h.lab.Store.SetFaults(store.Faults{Down: true, Delay: 5 * time.Millisecond})
 	case opStoreLoses:
-		n := 0
-		h.lab.Store.SetFaults(store.Faults{Delay: 5 * time.Millisecond, LoseReply: func() bool {
-			n++
-			return n%3 == 0
-		}})
+		var n atomic.Int64
+		h.lab.Store.SetFaults(store.Faults{Delay: 5 * time.Millisecond, LoseReply: func() bool { return n.Add(1)%3 == 0 }})
 	case opStoreUp:
 		h.lab.Store.SetFaults(store.Faults{Delay: 5 * time.Millisecond})
 	case opCrash:
