--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -172,3 +172,59 @@
 		assert.Check(t, took < bound, "denied again after %s", took)
 	})
 }
+
+// A link has been full for over a minute, with the same wait of 3 s all the time: no heartbeat
+// in memory was any faster, and none must be taken for punctual.
+func TestHostOnALinkThatIsFullForLongDeniesNothingThatWasAdded(t *testing.T) {
+	const wait = 3 * time.Second
+	var slow atomic.Pointer[host]
+	setUp := func(fl *fleet) {
+		fl.net.Delay = func(_, to ports.HostID) time.Duration {
+			if h := slow.Load(); h != nil && h.addr == string(to) {
+				return wait
+			}
+			return time.Millisecond
+		}
+	}
+	withNetwork(t, 14, setUp, func(fl *fleet) {
+		h := fl.idle()
+		h.client.Set(record.Silent)
+		slow.Store(h)
+		time.Sleep(70 * time.Second)
+		fl.record.Configure(config(2))
+		time.Sleep(bound)
+		denied := 0
+		for end := time.Now().Add(wait - bound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if h.denies(added(2)) {
+				denied++
+			}
+		}
+		assert.Check(t, denied == 0, "%d denied", denied)
+	})
+}
+
+// Answers of the store are long on their way to the hosts that watch it. What one says held
+// when the store made it, or when it was asked for, and not when it came: a host that reckons
+// from its arrival denies routes that were added before that.
+func TestAnswerThatWasLongOnItsWayIsOld(t *testing.T) {
+	for _, lag := range []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		denied := 0
+		withFleet(t, 14, func(fl *fleet) {
+			fl.record.SetLag(lag)
+			time.Sleep(20 * time.Second)
+			for v := uint64(2); v < 12; v++ {
+				fl.record.Configure(config(v))
+				time.Sleep(bound)
+				for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					for _, h := range fl.hosts {
+						if h.denies(added(v)) {
+							denied++
+						}
+					}
+				}
+				time.Sleep(time.Duration(v) * 173 * time.Millisecond) // another moment of the watches
+			}
+		})
+		assert.Check(t, denied == 0, "answers %s on their way: %d denied", lag, denied)
+	}
+}
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -32,8 +32,10 @@
 // Record holds the configuration and the targets. All methods are safe for
 // concurrent use.
 type Record struct {
-	mu       sync.Mutex
-	delay    time.Duration
+	mu    sync.Mutex
+	delay time.Duration
+	// lag is how long answers are on their way back.
+	lag      time.Duration
 	revision directory.Revision
 	config   *routing.Config
 	configAt directory.Revision
@@ -59,6 +61,13 @@
 	}
 }
 
+// SetLag changes how long an answer is on its way after it was made.
+func (r *Record) SetLag(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lag = d
+}
+
 // Calls returns the number of calls made so far.
 func (r *Record) Calls() int {
 	r.mu.Lock()
@@ -176,21 +185,47 @@
 	if err := c.enter(ctx); err != nil {
 		return directory.Changes{}, err
 	}
-	r := c.record
+	return c.record.whole(t), c.travel(ctx)
+}
+
+// whole returns a topic whole.
+func (r *Record) whole(t directory.Topic) directory.Changes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ch := directory.Changes{Revision: r.revision}
 	if t == directory.TopicConfig {
 		r.addConfig(&ch)
-		return ch, nil
+		return ch
 	}
 	ch.AllTargets = true
 	ch.Targets = slices.Collect(maps.Values(r.targets))
-	return ch, nil
+	return ch
 }
 
 // Watch implements directory.Source.
 func (c *Client) Watch(ctx context.Context, t directory.Topic, after directory.Revision, wait time.Duration) (directory.Changes, error) {
+	ch, err := c.await(ctx, t, after, wait)
+	if err != nil {
+		return directory.Changes{}, err
+	}
+	return ch, c.travel(ctx)
+}
+
+// travel takes as long as an answer is on its way back.
+func (c *Client) travel(ctx context.Context) error {
+	c.record.mu.Lock()
+	lag := c.record.lag
+	c.record.mu.Unlock()
+	select {
+	case <-time.After(lag):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// await returns what changes in a topic, as soon as something does.
+func (c *Client) await(ctx context.Context, t directory.Topic, after directory.Revision, wait time.Duration) (directory.Changes, error) {
 	if err := c.enter(ctx); err != nil {
 		return directory.Changes{}, err
 	}
