Ask hosts that watch the store before a request is denied, and date answers by their asking

Cause: heartbeats and the store's answers were dated by their arrival, so that one which had waited for seconds passed for news. The estimate of how late a heartbeat is knew no better where all had been late for a minute, and took a watcher that had been suspended for late for half a minute more.

A host that would deny a request now asks the hosts that watch whether its configuration is the newest, if the last such word is over 1.9 s old; what they say is dated by the moment of asking, less the age that they tell of the store's word, which in turn is dated by its asking. A word is kept by the longer of the two clocks, as the other daemon has it (one copy now), and a heartbeat vouches for nothing any more. A store's stale reading confirms nothing.

Ruled out: an upper bound of each heartbeat's way from an exchange of clocks, which needs a new exchange after each pause of either host.

--- a/controller/config/confirm.go
+++ b/controller/config/confirm.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 )
 
 // Counters of the ways in which a configuration was confirmed.
@@ -22,14 +23,7 @@
 // pause, while Status.ConfigConfirmed follows within Timings.Tick.
 func (c *Controller) Fresh() bool {
 	at := c.evidence.Load()
-	return at != nil && elapsed(*at, c.Now()) < c.Timings.Lapse
-}
-
-// elapsed returns the time between two instants, as the monotonic or the wall
-// clock has it, whichever is longer. A suspended machine stops the monotonic
-// clock, and a host that trusted it alone would wake up and serve an old view.
-func elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+	return at != nil && instant.Elapsed(*at, c.Now()) < c.Timings.Lapse
 }
 
 // confirm records that the configuration was the newest when it was asked for.
@@ -88,8 +82,8 @@
 		case <-ticker.C:
 		}
 		now := c.Now()
-		if elapsed(last, now) > c.Timings.Pause {
-			c.noticePause(now, elapsed(last, now))
+		if instant.Elapsed(last, now) > c.Timings.Pause {
+			c.noticePause(now, instant.Elapsed(last, now))
 		}
 		last = now
 		c.updateStatus()
@@ -116,5 +110,5 @@
 		return true
 	}
 	seen := c.storeSeen.Load()
-	return seen == nil || elapsed(*seen, now) > c.Timings.StoreQuiet
+	return seen == nil || instant.Elapsed(*seen, now) > c.Timings.StoreQuiet
 }
--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -1,19 +1,23 @@
 package watch
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/policy/denial"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-// maxTransits bounds the watchers whose heartbeats are measured. Two watch at a time; more are
-// left from hosts that watched before.
-const maxTransits = 64
+// confirmTimeout bounds what a caller waits until hosts that watch the store have said whether
+// the configuration at hand is the newest: a round trip takes 1 to 3 ms inside a region.
+const confirmTimeout = 100 * time.Millisecond
 
 // hear takes in that some host told of a version of the configuration.
 func (c *Controller) hear(version uint64) {
@@ -24,24 +28,112 @@
 	})
 }
 
-// confirmByWatch takes in an answer of the store to this host's own watch. A configuration that
-// can not be read is newer than the one at hand: until one is read again, answers that tell of
-// no change confirm nothing.
-func (c *Controller) confirmByWatch(now time.Time, w *watching, ch directory.Changes) {
-	if ch.ConfigUnread || ch.Config != nil {
-		w.configUnread.Store(ch.ConfigUnread)
+// certainAt returns when what an answer of the store says was certainly so. An answer without
+// any change was made when the wait was over, but for a twentieth of it by which the store's
+// timer and this host's may differ; for any other the moment of asking counts.
+//
+// Failure: answers are 1.5 s on their way. Symptom: dated by their arrival, they had hosts
+// deny routes that were added 2.9 s before. What was so at the moment of asking is known
+// whatever the answer met on its way.
+func certainAt(asked, now time.Time, ch directory.Changes) time.Time {
+	held := ch.Waited - ch.Waited/20
+	if now.Sub(asked) < held {
+		return asked
 	}
-	if w.serves() && !w.configUnread.Load() {
-		c.confirm(now.Add(-w.storeAge(now)))
+	return asked.Add(held)
+}
+
+// noteConfig takes in when an answer on the configuration was certainly so. One that holds
+// another configuration than the one at hand confirms nothing: it was refused here, or the
+// answer is a stale one. Neither do answers after it that tell of no change, until one holds
+// the configuration at hand. The lock is held.
+func (c *Controller) noteConfig(w *watching, ch directory.Changes, at time.Time) {
+	other := ch.ConfigUnread || ch.Config != nil && ch.Config.Version != c.version()
+	switch {
+	case other:
+		w.configAt = time.Time{}
+	case ch.Config != nil || !w.configAt.IsZero():
+		w.configAt = at
+	}
+}
+
+// Confirm finds out whether the configuration at hand is the newest, and puts what it learns on
+// the board. It returns once it knows, at the latest after confirmTimeout, or when ctx ends.
+//
+// Heartbeats would tell without asking, but not how long they were on their way: on a link that
+// was full they had hosts deny routes that were added 3 s before.
+func (c *Controller) Confirm(ctx context.Context) {
+	done := c.asking.DoChan("", func() (any, error) {
+		c.askWatchers()
+		return nil, nil
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// askWatchers asks the hosts that watch, this one first, until one has had word from the store
+// that is young enough to deny requests by.
+func (c *Controller) askWatchers() {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	now := time.Now()
+	c.mu.Lock()
+	reply := c.howNew(now)
+	ids := watchers.Fresh(now, c.beats)
+	c.mu.Unlock()
+	if c.confirmed(now, reply) {
+		return
+	}
+	answers := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() { answers <- c.askWatcher(ctx, id) }()
+	}
+	for range ids {
+		if <-answers {
+			return
+		}
 	}
 }
 
-// confirmByBeat takes in a watcher's heartbeat. The lock is held.
-func (c *Controller) confirmByBeat(now time.Time, b beat) {
-	late := c.lateness(now, b)
-	if b.StoreOK && !b.ConfigUnread {
-		c.confirm(now.Add(-b.StoreAge - late))
+// askWatcher asks one host, and reports whether its word is young enough. What it says was so
+// by its age before the moment of asking, whatever the question and the reply met on their way.
+func (c *Controller) askWatcher(ctx context.Context, id ports.HostID) bool {
+	asked := time.Now()
+	reply, err := peer.Call[confirmReply](ctx, c.deps.Link, id, kindConfirm, confirmRequest{})
+	if err != nil {
+		c.deps.Log.Debug("peer did not tell how new its configuration is", zap.String("peer", string(id)), zap.Error(err))
+		return false
 	}
+	return c.confirmed(asked, reply)
+}
+
+// confirmed takes in how new the configuration of a host was at a moment, and reports whether
+// one that is as new may deny requests.
+func (c *Controller) confirmed(at time.Time, r confirmReply) bool {
+	c.hear(r.Version)
+	if !r.Known {
+		return false
+	}
+	c.confirm(at.Add(-r.Age))
+	return r.Age <= denial.MaxAge
+}
+
+// onConfirm tells another host how new this one's configuration is.
+func (c *Controller) onConfirm(context.Context, ports.HostID, confirmRequest) (confirmReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.howNew(time.Now()), nil
+}
+
+// howNew returns how new this host's configuration is. The lock is held.
+func (c *Controller) howNew(now time.Time) confirmReply {
+	r := confirmReply{Version: c.version()}
+	if c.watch != nil && !c.watch.configAt.IsZero() {
+		r.Known, r.Age = true, instant.Elapsed(c.watch.configAt, now)
+	}
+	return r
 }
 
 // confirm takes in that at a moment the store had no configuration newer than the newest that
@@ -56,22 +148,6 @@
 	})
 }
 
-// lateness returns how long a heartbeat waited on its way. The lock is held.
-func (c *Controller) lateness(now time.Time, b beat) time.Duration {
-	if b.Sent == 0 {
-		return 0
-	}
-	t := c.transits[b.Host]
-	if t == nil {
-		if len(c.transits) >= maxTransits {
-			clear(c.transits)
-		}
-		t = new(watchers.Transit)
-		c.transits[b.Host] = t
-	}
-	return t.Late(now, b.Sent)
-}
-
 // logBehind tells that this host lacks something that another one has, and asks for it.
 func (c *Controller) logBehind(heardFrom ports.HostID) {
 	heard := c.deps.Board.Confirmation.Load()
@@ -97,7 +173,7 @@
 		m.Version = table.Config.Version
 	}
 	if !heard.At.IsZero() {
-		m.ConfirmedMS = time.Since(heard.At).Milliseconds()
+		m.ConfirmedMS = instant.Elapsed(heard.At, time.Now()).Milliseconds()
 	}
 	return m
 }
--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -32,14 +32,14 @@
 }
 
 // newCallers returns the handler of a host's callers.
-func newCallers(board *blackboard.Board) http.Handler {
+func newCallers(board *blackboard.Board, c entry.Confirmer) http.Handler {
 	return entry.New(entry.Deps{
 		Board:      board,
 		Dispatcher: full{},
 		Metrics:    metrics.New(),
 		Fresh:      func() bool { return true },
 		Contract:   &targetapi.Contract{},
-		Finder:     entry.NewRouteFinder(board),
+		Finder:     entry.NewRouteFinder(board, c),
 	}).Calls()
 }
 
--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -110,7 +110,6 @@
 
 func (fl *fleet) start(i int, hurry bool) *host {
 	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
-	h.callers = newCallers(h.board)
 	link := fl.net.Join(ports.HostID(h.addr))
 	h.c = New(Deps{
 		Self:    directory.Host{Addr: h.addr, Zone: zone(i), Start: time.Now().UnixNano()},
@@ -124,6 +123,7 @@
 		Log:     zap.NewNop(),
 		Seed:    uint64(i),
 	})
+	h.callers = newCallers(h.board, h.c)
 	ctx, cancel := context.WithCancel(fl.t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -20,6 +20,8 @@
 	kindRelay
 	// kindRefused tells that the store did not serve the sender's try to take over.
 	kindRefused
+	// kindConfirm asks a host that watches the store how new its configuration is.
+	kindConfirm
 )
 
 // beat is a watcher's heartbeat, to all hosts.
@@ -29,10 +31,6 @@
 	StoreOK   bool          `msgpack:"store_ok"`
 	StoreAge  time.Duration `msgpack:"store_age"`
 	StoreWait time.Duration `msgpack:"store_wait"`
-	// ConfigUnread is set while the store holds a configuration that the sender can not read.
-	ConfigUnread bool `msgpack:"config_unread"`
-	// Sent is the sender's steady clock since it started; 0 from one that does not tell.
-	Sent time.Duration `msgpack:"sent"`
 	// Version, Newest and Digest say what the watcher knows, so that a host that
 	// missed a change notices.
 	Version uint64             `msgpack:"version"`
@@ -58,6 +56,19 @@
 // refused is the empty body of kindRefused.
 type refused struct{}
 
+// confirmRequest is the empty body of kindConfirm.
+type confirmRequest struct{}
+
+// confirmReply tells how new the configuration of a host is that watches the store.
+type confirmReply struct {
+	// Version is the one that it has.
+	Version uint64 `msgpack:"version"`
+	// Known is set if the store told it so, Age how long before the reply there was certainly
+	// none newer.
+	Known bool          `msgpack:"known"`
+	Age   time.Duration `msgpack:"age"`
+}
+
 // syncRequest asks for all that a host knows.
 type syncRequest struct {
 	// Refer is set by a host that knows nothing yet: if there are many hosts, it is told of
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -36,7 +36,6 @@
 	if b.StoreOK {
 		c.storeServed(now.Add(-b.StoreAge))
 	}
-	c.confirmByBeat(now, b)
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
 	}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -54,8 +54,6 @@
 	// lastOK is when the store last answered each topic, in nanoseconds since
 	// started; 0 is never.
 	lastOK [directory.Topics]atomic.Int64
-	// configUnread is set while the store holds a configuration that can not be read.
-	configUnread atomic.Bool
 	// failing is set for topics whose last call failed.
 	failing [directory.Topics]atomic.Bool
 	started time.Time
@@ -65,6 +63,9 @@
 	// last looked for.
 	beatAt  time.Time
 	sweptAt time.Time
+	// configAt is when the store certainly had no configuration newer than the one at hand;
+	// the zero time if that is not known.
+	configAt time.Time
 }
 
 // storeOK reports whether the store serves this host.
@@ -158,10 +159,11 @@
 			allowance = firstAllowance
 		}
 		after = ch.Revision
+		now := time.Now()
 		if later := time.Duration(min(c.rank(), maxRank)) * secondAfter; !ch.Empty() && !ctxtime.Sleep(ctx, later) {
 			return
 		}
-		c.storeAnswered(w, t, ch)
+		c.storeAnswered(w, t, ch, certainAt(asked, now, ch))
 		if !ch.Empty() && !ctxtime.Sleep(ctx, gather) {
 			return
 		}
@@ -221,8 +223,9 @@
 	}
 }
 
-// storeAnswered takes in an answer and passes what is new on to all hosts.
-func (c *Controller) storeAnswered(w *watching, t directory.Topic, ch directory.Changes) {
+// storeAnswered takes in an answer, which holds for a moment, and passes what is new on to all
+// hosts.
+func (c *Controller) storeAnswered(w *watching, t directory.Topic, ch directory.Changes, at time.Time) {
 	now := time.Now()
 	regained := w.failing[t].Swap(false)
 	first := w.lastOK[t].Swap(int64(now.Sub(w.started))) == 0
@@ -245,6 +248,9 @@
 	if !ch.Empty() {
 		news = c.merge(now, ch, c.self)
 	}
+	if t == directory.TopicConfig {
+		c.noteConfig(w, ch, at)
+	}
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
 		if !hadTargets {
@@ -258,7 +264,6 @@
 	if !news.Empty() && ch.Hold > 0 {
 		c.wakeUp()
 	}
-	c.confirmByWatch(now, w, ch)
 	if (first || regained) && w.storeOK() {
 		c.beatNow(now)
 	}
@@ -317,12 +322,9 @@
 		StoreOK:   w.storeOK(),
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
-		Sent:      time.Since(c.born),
-
-		ConfigUnread: w.configUnread.Load(),
-		Newest:       c.state.Newest(),
-		Digest:       c.state.Digest(),
-		Hosts:        c.hostDigest(),
+		Newest:    c.state.Newest(),
+		Digest:    c.state.Digest(),
+		Hosts:     c.hostDigest(),
 	}
 	if cfg := c.state.Config(); cfg != nil {
 		b.Version = cfg.Version
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
@@ -54,19 +55,18 @@
 type Controller struct {
 	deps  Deps
 	self  ports.HostID
-	born  time.Time
 	count counters
 	wake  chan struct{}
-
-	mu    sync.Mutex
-	rng   *rand.Rand
-	state *directory.State
-	hosts map[ports.HostID]directory.Host
-	gone  map[ports.HostID]departed
-	beats map[ports.HostID]watchers.Beat
-	// transits are how late the heartbeats of each watcher are; see confirm.go.
-	transits map[directory.Host]*watchers.Transit
-	decider  *watchers.Decider
+	// asking has one question at a time under way about how new the configuration is.
+	asking singleflight.Group
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	state   *directory.State
+	hosts   map[ports.HostID]directory.Host
+	gone    map[ports.HostID]departed
+	beats   map[ports.HostID]watchers.Beat
+	decider *watchers.Decider
 	// refused is when others last told that the store did not serve their try to watch.
 	refused map[ports.HostID]time.Time
 	// watch is set while this host watches.
@@ -93,20 +93,18 @@
 // New returns a controller and registers its messages with the link.
 func New(d Deps) *Controller {
 	c := &Controller{
-		deps:     d,
-		self:     d.Self.ID(),
-		born:     time.Now(),
-		count:    newCounters(d.Metrics),
-		wake:     make(chan struct{}, 1),
-		rng:      rand.New(rand.NewPCG(d.Seed, 4)),
-		state:    directory.NewState(),
-		hosts:    map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
-		gone:     make(map[ports.HostID]departed),
-		beats:    make(map[ports.HostID]watchers.Beat),
-		decider:  watchers.NewDecider(d.Self.ID()),
-		transits: make(map[directory.Host]*watchers.Transit),
-		refused:  make(map[ports.HostID]time.Time),
-		serving:  make(chan struct{}),
+		deps:    d,
+		self:    d.Self.ID(),
+		count:   newCounters(d.Metrics),
+		wake:    make(chan struct{}, 1),
+		rng:     rand.New(rand.NewPCG(d.Seed, 4)),
+		state:   directory.NewState(),
+		hosts:   map[ports.HostID]directory.Host{d.Self.ID(): d.Self},
+		gone:    make(map[ports.HostID]departed),
+		beats:   make(map[ports.HostID]watchers.Beat),
+		decider: watchers.NewDecider(d.Self.ID()),
+		refused: make(map[ports.HostID]time.Time),
+		serving: make(chan struct{}),
 	}
 	for _, addr := range d.Seeds {
 		h := directory.Host{Addr: addr}
@@ -123,6 +121,7 @@
 	peer.Handle(d.Link, kindHosts, c.onHosts)
 	peer.Handle(d.Link, kindRelay, c.onRelay)
 	peer.Handle(d.Link, kindRefused, c.onRefused)
+	peer.Handle(d.Link, kindConfirm, c.onConfirm)
 	return c
 }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -80,6 +80,9 @@
 	// ConfigUnread is set in an answer of the platform whose configuration can not be read:
 	// the one at hand is not the newest.
 	ConfigUnread bool `msgpack:"-"`
+	// Waited is the time for which the platform held a watch that it then answered with no
+	// change at all; 0 for other answers.
+	Waited time.Duration `msgpack:"-"`
 	// Delta is in place of Config where the receiver is likely to have what it
 	// begins at.
 	Delta   *routing.Delta `msgpack:"delta"`
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -180,7 +180,7 @@
 		BodyMemory: d.bodyMemory(),
 		Fresh:      func() bool { return true },
 		Contract:   d.platform.Contract,
-		Finder:     entry.NewRouteFinder(d.board),
+		Finder:     entry.NewRouteFinder(d.board, d.watch),
 		Calls:      calllog.New(d.log, d.metrics),
 		AwaitStart: d.watch.AwaitStart,
 	})
--- a/entry/denial_test.go
+++ b/entry/denial_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -43,7 +44,7 @@
 	}
 	board.Confirmation.Store(heard)
 	log := new(calls)
-	s.deps.Finder = NewRouteFinder(board)
+	s.deps.Finder = NewRouteFinder(board, nobody{})
 	s.deps.Calls = log
 	return s, log
 }
@@ -109,3 +110,8 @@
 		}
 	}
 }
+
+// nobody is a Confirmer that learns nothing.
+type nobody struct{}
+
+func (nobody) Confirm(context.Context) {}
--- a/entry/request.go
+++ b/entry/request.go
@@ -125,7 +125,7 @@
 func (s *Server) readBody(r *http.Request, m Match) (*dispatch.Body, func(), outcome.Result) {
 	limit := m.Service.MaxBody
 	if limit > 0 && r.ContentLength > limit {
-		return nil, nil, s.deny(m, outcome.ReasonBodyTooLarge)
+		return nil, nil, s.deny(r, m, outcome.ReasonBodyTooLarge)
 	}
 	if r.ContentLength == 0 {
 		return dispatch.MemoryBody(nil), func() {}, outcome.Result{}
@@ -136,7 +136,7 @@
 	}
 	keep := int64(m.Service.MaxReplayBody)
 	if r.ContentLength < 0 {
-		return s.readUnknown(stream, keep, m)
+		return s.readUnknown(r, stream, keep, m)
 	}
 	if r.ContentLength > keep || !s.memory.TryAcquire(r.ContentLength) {
 		return dispatch.StreamBody(stream, r.ContentLength), func() {}, outcome.Result{}
@@ -145,14 +145,14 @@
 	b := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(stream, b); err != nil {
 		release()
-		return nil, nil, s.bodyError(err, m)
+		return nil, nil, s.bodyError(r, m, err)
 	}
 	return dispatch.MemoryBody(b), release, outcome.Result{}
 }
 
 // readUnknown takes a body whose length was not told into memory, if it turns out
 // to be small enough. The rest of a longer one stays a stream.
-func (s *Server) readUnknown(stream io.ReadCloser, keep int64, m Match) (*dispatch.Body, func(), outcome.Result) {
+func (s *Server) readUnknown(r *http.Request, stream io.ReadCloser, keep int64, m Match) (*dispatch.Body, func(), outcome.Result) {
 	if keep == 0 || !s.memory.TryAcquire(keep) {
 		return dispatch.StreamBody(stream, -1), func() {}, outcome.Result{}
 	}
@@ -160,7 +160,7 @@
 	b, err := io.ReadAll(io.LimitReader(stream, keep))
 	if err != nil {
 		release()
-		return nil, nil, s.bodyError(err, m)
+		return nil, nil, s.bodyError(r, m, err)
 	}
 	if int64(len(b)) < keep {
 		return dispatch.MemoryBody(b), release, outcome.Result{}
@@ -172,10 +172,10 @@
 	return dispatch.StreamBody(whole, -1), release, outcome.Result{}
 }
 
-func (s *Server) bodyError(err error, m Match) outcome.Result {
+func (s *Server) bodyError(r *http.Request, m Match, err error) outcome.Result {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return s.deny(m, outcome.ReasonBodyTooLarge)
+		return s.deny(r, m, outcome.ReasonBodyTooLarge)
 	}
 	return outcome.Refuse(outcome.ReasonCallerGone)
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/policy/denial"
+	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/sizes"
 	"github.com/cactusproxy/cactusproxy/policy/waited"
 	"github.com/cactusproxy/cactusproxy/routing"
@@ -22,6 +24,7 @@
 type RouteFinder struct {
 	board     *blackboard.Board
 	workspace *declare.Workspace
+	confirmer Confirmer
 
 	mu sync.Mutex
 	// table is the one that services was made for.
@@ -39,21 +42,32 @@
 
 var _ Finder = (*RouteFinder)(nil)
 
+// Confirmer finds out whether the routes on the board are the newest.
+type Confirmer interface {
+	// Confirm puts what it learns on the board. It returns soon, also if nobody can tell, and
+	// when ctx ends.
+	Confirm(ctx context.Context)
+}
+
 // NewRouteFinder returns a finder over the routes on a board.
-func NewRouteFinder(b *blackboard.Board) *RouteFinder {
-	return &RouteFinder{board: b, workspace: &declare.Workspace{Name: routing.Workspace}}
+func NewRouteFinder(b *blackboard.Board, c Confirmer) *RouteFinder {
+	return &RouteFinder{board: b, confirmer: c, workspace: &declare.Workspace{Name: routing.Workspace}}
 }
 
 // Find implements Finder.
-func (f *RouteFinder) Find(host, path string) (Match, outcome.Result) {
+func (f *RouteFinder) Find(ctx context.Context, host, path string) (Match, outcome.Result) {
 	table := f.board.Routes.Load()
 	if table == nil {
 		return Match{}, outcome.Refuse(outcome.ReasonNotReady)
 	}
 	m, ok := table.Find(host, path)
+	if !ok && f.confirm(ctx, table.Config.Version) {
+		table = f.board.Routes.Load() // a newer one may have come meanwhile
+		m, ok = table.Find(host, path)
+	}
 	if !ok {
 		version := table.Config.Version
-		return Match{ConfigVersion: version}, f.Deny(version, outcome.ReasonNoRoute)
+		return Match{ConfigVersion: version}, f.judge(version, outcome.ReasonNoRoute)
 	}
 	repeat := dispatch.Once
 	if m.Route.Kind.Repeatable() {
@@ -73,9 +87,27 @@
 	}, outcome.Result{}
 }
 
-// Deny implements Finder. A request that the newest configuration does not allow is wrong; one
-// that any other does not allow is to come again.
-func (f *RouteFinder) Deny(version uint64, reason outcome.Reason) outcome.Result {
+// Deny implements Finder.
+func (f *RouteFinder) Deny(ctx context.Context, version uint64, reason outcome.Reason) outcome.Result {
+	f.confirm(ctx, version)
+	return f.judge(version, reason)
+}
+
+// confirm finds out whether a version is the newest, if that is not known, and reports whether
+// it had to. A version that is older than one that was heard of needs no asking.
+func (f *RouteFinder) confirm(ctx context.Context, version uint64) bool {
+	k := f.knowledge(version)
+	if k.Allowed() || k.Behind() {
+		return false
+	}
+	f.confirmer.Confirm(ctx)
+	return true
+}
+
+// judge returns what a caller is told whose request a version does not allow. One that the
+// newest configuration does not allow is wrong; one that any other does not allow is to come
+// again.
+func (f *RouteFinder) judge(version uint64, reason outcome.Reason) outcome.Result {
 	k := f.knowledge(version)
 	r := outcome.Refuse(reason)
 	if !k.Allowed() {
@@ -90,7 +122,7 @@
 	c := f.board.Confirmation.Load()
 	k := denial.Knowledge{Version: version, Newest: max(version, c.Newest), Age: denial.Never}
 	if !c.At.IsZero() {
-		k.Age = max(0, time.Since(c.At))
+		k.Age = max(0, instant.Elapsed(c.At, time.Now()))
 	}
 	return k
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -70,10 +70,10 @@
 type Finder interface {
 	// Find returns the zero Result if it does. Else that is what the caller is told, and of
 	// the match the version of the configuration holds alone.
-	Find(host, path string) (Match, outcome.Result)
+	Find(ctx context.Context, host, path string) (Match, outcome.Result)
 	// Deny returns what a caller is told whose request a version of the configuration does
 	// not allow, for the reason given.
-	Deny(version uint64, reason outcome.Reason) outcome.Result
+	Deny(ctx context.Context, version uint64, reason outcome.Reason) outcome.Result
 }
 
 // Server is the handler of the callers' listener.
@@ -116,7 +116,7 @@
 // find returns where a request leads, or what its caller is told.
 func (s *Server) find(r *http.Request) (Match, outcome.Result) {
 	if s.deps.Finder != nil {
-		m, refusal := s.deps.Finder.Find(r.Host, r.URL.EscapedPath())
+		m, refusal := s.deps.Finder.Find(r.Context(), r.Host, r.URL.EscapedPath())
 		m.Path = r.URL.Path
 		return m, refusal
 	}
@@ -129,11 +129,11 @@
 
 // deny returns what a caller is told whose request the configuration that a match is from
 // does not allow.
-func (s *Server) deny(m Match, reason outcome.Reason) outcome.Result {
+func (s *Server) deny(r *http.Request, m Match, reason outcome.Reason) outcome.Result {
 	if s.deps.Finder == nil {
 		return outcome.Refuse(reason)
 	}
-	return s.deps.Finder.Deny(m.ConfigVersion, reason)
+	return s.deps.Finder.Deny(r.Context(), m.ConfigVersion, reason)
 }
 
 // InFlight returns the number of calls that have not had their whole reply.
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -276,7 +276,7 @@
 		Routes:   []routing.Route{{Name: "r", Host: "a.example", Prefix: "/", Kind: routing.Safe, Timeout: time.Second, Objective: time.Second, Parts: []routing.Part{{Service: "s", Weight: 1}}}},
 		Services: []routing.Service{{Name: "s"}},
 	}, rand.New(rand.NewPCG(1, 1))))
-	s.deps.Finder = NewRouteFinder(board)
+	s.deps.Finder = NewRouteFinder(board, nobody{})
 	send := func(ms string) *dispatch.Call {
 		r := httptest.NewRequest(http.MethodGet, "http://a.example/x", nil)
 		r.Header.Set(s.deps.Contract.Timeout, ms)
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -242,6 +242,7 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			ch.Waited = wait
 			return ch, nil
 		case <-ctx.Done():
 			return directory.Changes{}, ctx.Err()
--- a/policy/denial/denial.go
+++ b/policy/denial/denial.go
@@ -10,11 +10,10 @@
 	"time"
 )
 
-// MaxAge is the age of the last confirmation up to which a host denies routes. A configuration
-// must be in force everywhere 2 s after it was accepted. A calm store confirms each 0.9 s, and
-// heartbeats tell of it each 0.25 s; the rest is for the store's answer, the network and a
-// busy host.
-const MaxAge = 1600 * time.Millisecond
+// MaxAge is the age of a confirmation up to which a host denies requests by it. A configuration
+// must be in force everywhere 2 s after it was accepted; the rest of these is for the answer. A
+// calm store confirms each 0.9 s, and again each 0.9 s after a change that it told of.
+const MaxAge = 1900 * time.Millisecond
 
 // Knowledge is what a host knows of the configuration that it finds routes by.
 type Knowledge struct {
@@ -45,8 +44,8 @@
 // since a host that hears nothing has no confirmation that is young, and one that hears of a
 // newer version knows that it lacks it.
 func (k Knowledge) Allowed() bool {
-	if k.Version < k.Newest {
-		return false
-	}
-	return k.Age <= MaxAge
+	return !k.Behind() && k.Age <= MaxAge
 }
+
+// Behind reports whether the host has heard of a newer configuration than it has.
+func (k Knowledge) Behind() bool { return k.Version < k.Newest }
