Tests: failures that no target vouches for (they fail)

Cause, by reading: targetapi.Contract.Sealed asks for a seal on successes alone, and Belongs takes any answer that is no success and has no request ID for one to the request at hand. So bytes that read as 400, 404 or 301 reach the caller of a proper request as if they were the host's word, and callers don't ask again after these.

Seen beside: a request that got an answer without seal from two targets, a success included, was taken for one that crashes targets and refused with 503.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -85,6 +86,31 @@
 	}
 }
 
+// Bytes that read as a failure stand where a target's answer is due, without its seal. The
+// caller of a read gets the answer of another target; the caller of a bid is told that it
+// may have run. Neither is told that its proper request was wrong.
+func TestFailureWithoutSealIsNoWordToCallers(t *testing.T) {
+	l := newLab(t, 1)
+	statuses := []int{301, 400, 404, 413, 431}
+	for _, tg := range l.targets {
+		tg.Spoil = func(id string) int {
+			_, suffix, _ := strings.Cut(id, "-spoilt-")
+			status, _ := strconv.Atoi(suffix)
+			if l.runs(id) > 1 {
+				return 0
+			}
+			return status
+		}
+	}
+	for _, status := range statuses {
+		a := l.sendAs(fmt.Sprintf("read-spoilt-%d", status), l.daemons[0], http.MethodGet, "/lots/7", "")
+		assert.Equal(t, a.status, http.StatusOK)
+		b := l.sendAs(fmt.Sprintf("bid-spoilt-%d", status), l.daemons[0], http.MethodPost, "/bids/7", "")
+		assert.Equal(t, b.status, http.StatusBadGateway)
+		assert.Equal(t, l.runs(b.id), 1)
+	}
+}
+
 // The store is out. Calls go on, and a host that starts meanwhile learns all it
 // needs from the others.
 func TestStoreIsOut(t *testing.T) {
