Soak: no proper caller is told 3xx or 4xx

Cause: the soak looked for 4xx alone, on routes that every configuration has, and no target of its own ever sent an answer without seal. A redirect, a garbled failure and a 404 for an added route went unseen.

Now targets put an answer of status 301, 400, 404, 413 or 431 without seal and echo in the place of about one in a hundred. Each configuration adds a route that stays, and a sixth of the calls go there. A broken promise is: any 3xx or 4xx but 408, 421 and 429 on a route of all configurations; any but 404 on an added route; 404 there from a host in touch 2.5 s after it was added (2 s, and half a second for a busy machine), or from a run of a host that served the route before. The check of 4xx that was there is kept within the new one.

Conclusion: had such answers come from our hosts in the soak, it would show now.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -27,6 +27,7 @@
 	process  *process
 	run      int // generation of the process when it was sent
 	mutating bool
+	route    route
 	size     int
 	at, end  time.Time
 	status   int
@@ -38,8 +39,8 @@
 // caller sends requests one after another until the soak ends.
 func (s *Soak) caller(ctx context.Context, n int) {
 	rng := rand.New(rand.NewPCG(s.seed, uint64(1000+n)))
-	kept := &http.Client{Transport: &http.Transport{}}
-	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	kept := &http.Client{Transport: &http.Transport{}, CheckRedirect: asAnswered}
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: asAnswered}
 	for i := 0; ctx.Err() == nil; i++ {
 		p := s.balance(rng)
 		if p == nil {
@@ -51,32 +52,36 @@
 			c = kept
 		}
 		r := &sent{id: fmt.Sprintf("s%d-c%d-%d", s.seed, n, i), process: p, run: p.generation()}
-		s.sendOne(c, rng, r)
+		s.sendOne(c, rng, r, s.readRoute(n+i))
 		s.check(r)
 		time.Sleep(time.Duration(rng.Int64N(int64(30 * time.Millisecond))))
 	}
 }
 
+// asAnswered has a caller take a redirect for the answer that it is.
+func asAnswered(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // uploadSize is the size of large bodies in bytes.
 const uploadSize = 60 << 10
 
-func (s *Soak) sendOne(c *http.Client, rng *rand.Rand, r *sent) {
-	method, path := http.MethodGet, "/lots/7"
+func (s *Soak) sendOne(c *http.Client, rng *rand.Rand, r *sent, reads route) {
+	method := http.MethodGet
+	r.route = reads
 	var body []byte
 	switch rng.IntN(3) {
 	case 0:
 		r.mutating = true
-		method, path = http.MethodPost, "/bids/7"
+		method, r.route = http.MethodPost, route{name: "bids"}
 	case 1:
 		r.mutating = true
-		method, path = http.MethodPost, "/photos/7"
+		method, r.route = http.MethodPost, route{name: "photos"}
 		body = make([]byte, uploadSize)
 	}
 	r.size = len(body)
 	// A caller goes away half a second after its deadline, whatever comes.
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+lateBy)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.process.callers+path, io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.process.callers+"/"+r.route.name+"/7", io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		r.err = err
 		return
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,14 +37,67 @@
 		s.broken("request %s: another's or half an answer: %q", r.id, r.body)
 	case r.status == http.StatusOK && r.seal != "seal-"+r.id:
 		s.broken("request %s: success without its seal", r.id)
-	case r.status >= 400 && r.status < 500 && !promises[r.status]:
-		s.broken("request %s: proper, and told %d", r.id, r.status)
+	case r.status == http.StatusOK:
+		s.noteKnown(r)
+	case s.denied(r):
+		s.broken("request %s: proper, and told %d by %s", r.id, r.status, r.process.name)
 	}
 	if took := r.end.Sub(r.at); took > deadline+lateBy/2 && r.process.calmSince(r.at) {
 		s.broken("request %s: answered after %s by an undisturbed host", r.id, took)
 	}
 }
 
+// denied reports whether a proper request was told that it is wrong. No target of a soak
+// says so, and each request asks for a route that every configuration has, or has had since
+// it was added.
+func (s *Soak) denied(r *sent) bool {
+	if r.status < 300 || r.status >= 500 || promises[r.status] {
+		return false
+	}
+	return r.status != http.StatusNotFound || s.mustKnow(r) || s.knew(r)
+}
+
+// mustKnow reports whether a host must know a request's route: always if every
+// configuration has it, and else in time after it was added, if the host is in touch.
+func (s *Soak) mustKnow(r *sent) bool {
+	if r.route.added.IsZero() {
+		return true
+	}
+	return r.at.Sub(r.route.added) >= inForce && s.inTouch(r)
+}
+
+// knowing is a route that one run of a host knows.
+type knowing struct {
+	process *process
+	run     int
+	route   string
+}
+
+// noteKnown notes that a host served a request's route.
+func (s *Soak) noteKnown(r *sent) {
+	if r.process.generation() != r.run {
+		return // it may have come from the next run
+	}
+	key := knowing{process: r.process, run: r.run, route: r.route.name}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.known[key]; !ok {
+		s.known[key] = r.end
+	}
+}
+
+// knew reports whether the same run of the host served the route before. It never forgets
+// one that stays, however much it is disturbed.
+func (s *Soak) knew(r *sent) bool {
+	if r.process.generation() != r.run {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since, ok := s.known[knowing{process: r.process, run: r.run, route: r.route.name}]
+	return ok && since.Before(r.at)
+}
+
 // checkCut looks at a request that got no answer: that is only for hosts that were
 // killed, paused or cut off, never for one that was told to stop.
 func (s *Soak) checkCut(r *sent) {
@@ -126,6 +179,25 @@
 // ownRoute is the route that one version of the configuration alone has.
 func ownRoute(version uint64) string { return fmt.Sprintf("only-%d", version) }
 
+// keptRoute is the route that one version adds and that all later ones keep.
+func keptRoute(version uint64) string { return fmt.Sprintf("since-%d", version) }
+
+// route is a route that stays, and when it was added: zero if every configuration has it.
+type route struct {
+	name  string
+	added time.Time
+}
+
+// readRoute returns the route of a caller's next read: every other time one that was added.
+func (s *Soak) readRoute(n int) route {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n%2 == 0 || len(s.added) == 0 {
+		return route{name: "lots"}
+	}
+	return s.added[n/2%len(s.added)]
+}
+
 // watchConfig asks undisturbed hosts for the newest version's own route once it must
 // be in force.
 func (s *Soak) watchConfig(ctx context.Context) {
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -127,6 +128,23 @@
 	return !p.expected && p.disturbed.Before(from.Add(-markTolerance))
 }
 
+// inTouch reports whether neither the store nor a request's host was disturbed from
+// markTolerance before the request to its end. What goes on for longer than that has a
+// mark within it: no disturbance lasts markTolerance, and both its ends are marked.
+func (s *Soak) inTouch(r *sent) bool {
+	from := r.at.Add(-markTolerance)
+	disturbed := func(at time.Time) bool { return at.After(from) && at.Before(r.end) }
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.ContainsFunc(s.storeMarks, disturbed) || slices.ContainsFunc(s.marks[r.process], disturbed) {
+		return false
+	}
+	p := r.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.expected && p.disturbed.Before(from)
+}
+
 // storeMemory is longer than any disturbance and the recovery from it.
 const storeMemory = 3*time.Second + markTolerance
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -57,6 +58,10 @@
 	version uint64
 	// configuredAt is when the version was written.
 	configuredAt time.Time
+	// added are the routes that configurations have added so far.
+	added []route
+	// known is when a run of a host first served a route.
+	known map[knowing]time.Time
 }
 
 // Result is what a run found.
@@ -73,7 +78,14 @@
 
 // Run plays one soak.
 func Run(ctx context.Context, o Options) (Result, error) {
-	s := &Soak{Options: o, seed: o.Seed, start: time.Now(), store: standin.NewStore(), marks: make(map[*process][]time.Time)}
+	s := &Soak{
+		Options: o,
+		seed:    o.Seed,
+		start:   time.Now(),
+		store:   standin.NewStore(),
+		marks:   make(map[*process][]time.Time),
+		known:   make(map[knowing]time.Time),
+	}
 	s.targets = &targets{store: s.store}
 	if err := s.setUp(); err != nil {
 		return Result{}, err
@@ -159,19 +171,30 @@
 }
 
 // configure writes the next version of the configuration. Each has a route of its
-// own, by which a host shows that it has it in force.
+// own, by which a host shows that it has it in force, and adds one that stays.
 func (s *Soak) configure() {
 	s.mu.Lock()
 	s.version += 1 + s.version%3
 	version := s.version
 	s.configuredAt = time.Now()
+	s.added = append(s.added, route{name: keptRoute(version), added: s.configuredAt})
+	added := slices.Clone(s.added)
 	s.mu.Unlock()
-	route := func(name, kind string) standin.Route {
-		return standin.Route{Name: name, Host: hostName, Prefix: "/" + name + "/", Type: kind, Service: name, Timeout: "3s", MaxAttempts: 2}
+	routes := []standin.Route{
+		entry("lots", "safe", "lots"),
+		entry("bids", "mutating", "bids"),
+		entry("photos", "upload", "photos"),
+		entry(ownRoute(version), "safe", "lots"),
+	}
+	for _, r := range added {
+		routes = append(routes, entry(r.name, "safe", "lots"))
 	}
-	own := route("lots", "safe")
-	own.Name, own.Prefix = ownRoute(version), "/"+ownRoute(version)+"/"
-	s.store.Put("op", "config", standin.Config(version, route("lots", "safe"), route("bids", "mutating"), route("photos", "upload"), own))
+	s.store.Put("op", "config", standin.Config(version, routes...))
+}
+
+// entry is a route as the configuration has it.
+func entry(name, kind, service string) standin.Route {
+	return standin.Route{Name: name, Host: hostName, Prefix: "/" + name + "/", Type: kind, Service: service, Timeout: "3s", MaxAttempts: 2}
 }
 
 func (s *Soak) tearDown() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,6 +34,47 @@
 	}
 }
 
+// A proper request is told that it is wrong. That is a promise broken, unless a host that
+// was disturbed, or that need not have heard of it yet, does not find its route. A host that
+// served the route before has no such excuse.
+func TestDeniedRequestsAreFound(t *testing.T) {
+	now := time.Now()
+	long, justNow := now.Add(-time.Minute), now.Add(-time.Second)
+	young := route{name: "young", added: justNow}
+	old := route{name: "old", added: long}
+	for _, c := range []struct {
+		name      string
+		status    int
+		route     route
+		disturbed time.Time
+		served    bool
+		want      bool
+	}{
+		{"a route of all configurations", 404, route{name: "lots"}, justNow, false, true},
+		{"a redirect", 301, route{name: "lots"}, justNow, false, true},
+		{"a bad request on a young route", 400, young, justNow, false, true},
+		{"a young route", 404, young, long, false, false},
+		{"a young route served before", 404, young, long, true, true},
+		{"an old route", 404, old, long, false, true},
+		{"an old route at a disturbed host", 404, old, justNow, false, false},
+		{"an old route at a disturbed host that served it", 404, old, justNow, true, true},
+		{"refused", 503, old, long, true, false},
+		{"too many", 429, old, long, true, false},
+		{"served", 200, old, long, true, false},
+	} {
+		p := &process{}
+		s := &Soak{known: make(map[knowing]time.Time), marks: map[*process][]time.Time{p: {c.disturbed}}}
+		if c.served {
+			s.noteKnown(&sent{process: p, route: c.route, end: now.Add(-500 * time.Millisecond)})
+		}
+		r := &sent{process: p, route: c.route, status: c.status, at: now, end: now.Add(time.Millisecond)}
+		assert.Equal(t, s.denied(r), c.want, c.name)
+	}
+	p := &process{}
+	s := &Soak{known: make(map[knowing]time.Time), storeMarks: []time.Time{justNow}}
+	assert.Check(t, !s.denied(&sent{process: p, route: old, status: 404, at: now, end: now}), "the store is disturbed")
+}
+
 // Real hosts are paused, killed, stopped and cut off from store and peers, while
 // callers go on. No promise to callers may be broken.
 func TestSeeds(t *testing.T) {
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -62,7 +62,7 @@
 		service: service,
 		wire:    wire,
 	}
-	b.Lose = b.losing
+	b.Lose, b.Spoil = b.losing, spoiling
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
 	t.mu.Lock()
 	t.list = append(t.list, b)
@@ -73,12 +73,27 @@
 }
 
 // losing tells of one run in fifty that its answer is lost.
-func (b *backend) losing(id string) bool {
+func (b *backend) losing(id string) bool { return digest(id)%50 == 0 }
+
+// spoilt are the statuses of answers that no target vouches for.
+var spoilt = []int{301, 400, 404, 413, 431}
+
+// spoiling has an answer that no target vouches for stand in the place of one in a hundred.
+func spoiling(id string) int {
+	sum := digest(id)
+	if sum%50 != 1 { // never so for the half of the digests below zero
+		return 0
+	}
+	return spoilt[sum/50%len(spoilt)]
+}
+
+// digest tells requests apart by their IDs, the same way in each run of a seed.
+func digest(id string) int {
 	sum := 0
 	for _, c := range id {
 		sum = sum*31 + int(c)
 	}
-	return sum%50 == 0
+	return sum
 }
 
 func (t *targets) register(b *backend, state string) {
