Test that a slow store is taken over; it fails

The logs say 'store lost topic=config took=301ms error=read store reply: context deadline exceeded', by ten and more hosts in turn.

In virtual time, with the hosts that watched gone and answers that take 0.5 or 1 s, at 14 and 121 hosts: not in force after a minute, in all four.

--- a/controller/watch/outage_test.go
+++ b/controller/watch/outage_test.go
@@ -38,6 +38,32 @@
 	}
 }
 
+// Callers of routes that were added are turned away by all hosts, for as long as links are full:
+// the hosts that watched are gone, and answers of the store take half a second to all others.
+// Each that took over gave up after 0.3 s, and the next began with 0.3 s again, so that nobody
+// heard of anything. Later tries must wait for longer, at whatever host they are made.
+func TestSlowStoreIsTakenOver(t *testing.T) {
+	for _, lag := range []time.Duration{500 * time.Millisecond, time.Second} {
+		for _, n := range []int{14, 121} {
+			withFleet(t, n, func(fl *fleet) {
+				frozen := fl.watching()
+				for _, h := range frozen {
+					fl.freeze(h)
+				}
+				fl.record.SetLag(lag)
+				fl.record.Configure(config(2))
+				took := fl.await(frozen, func(h *host) bool { return h.version() == 2 })
+				t.Logf("%d hosts, answers after %s: in force after %s", n, lag, took)
+				assert.Check(t, took < slowBound, "%d hosts, answers after %s: in force after %s", n, lag, took)
+			})
+		}
+	}
+}
+
+// slowBound is the time in which a change must be known everywhere while the store is slow, which
+// the platform allows to be 5 s more.
+const slowBound = bound + 5*time.Second
+
 // The store turns away every host but four, for long. One of the four must be found soon
 // enough that all know of a leaving target in time.
 func TestOneServedHostIsFoundAmongMany(t *testing.T) {
