Wait longer for a slow store whoever asks it, and as long as an answer keeps coming

Cause: a host that took the watch over gave up after 0.3 s, and only a watch that had once been served learned to wait longer. Where links are full, or the store takes over 0.3 s, each host in turn gave up as the first had, and no host had any news. Besides, an answer was cut off in its middle after that time, however well it was coming: 375 kB of configuration take 0.3 s of an empty link of 10 Mbit/s.

Now hosts keep how long they wait beyond a watch and tell it with each try that failed, so that it doubles from try to try up to 2 s, and is forgotten once the store answers at once or 6 s after; and a call ends when the store has been silent for that time, before its answer or between two pieces of it.

Ruled out: only the second (answers of 0.5 s as a whole are still given up by all); telling of a try only when it ends (194 calls of 121 hosts in an outage of 8 s; the bound is 160).

An answer in ten pieces over 0.3 s with 0.2 s allowed is taken (not run on the code before, whose interface differs).

--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -53,8 +53,12 @@
 	To   []ports.HostID `msgpack:"to"`
 }
 
-// refused is the empty body of kindRefused.
-type refused struct{}
+// refused is the body of kindRefused.
+type refused struct {
+	// Patience is how long the sender will wait for the store next time; 0 from one that
+	// does not tell.
+	Patience time.Duration `msgpack:"patience"`
+}
 
 // confirmRequest is the empty body of kindConfirm.
 type confirmRequest struct{}
--- a/controller/watch/start.go
+++ b/controller/watch/start.go
@@ -82,7 +82,7 @@
 	var g errgroup.Group
 	for t := range directory.Topics {
 		g.Go(func() error {
-			ch, err := c.ask(ctx, nil, t, 0, firstAllowance)
+			ch, err := c.ask(ctx, nil, t, 0, c.patience.allowance(time.Now()))
 			if err != nil {
 				c.count.failed.Add(1)
 				c.deps.Log.Warn("store not read at the start", zap.Stringer("topic", t), zap.Error(err))
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -15,13 +15,6 @@
 )
 
 const (
-	// firstAllowance is the time allowed for an answer of the store beyond the
-	// wait that was asked for; a good answer takes 5 ms.
-	firstAllowance = 300 * time.Millisecond
-	// maxAllowance is for a store that is slow: the allowance doubles with each
-	// answer that does not come, so that a slow store is not taken for one that
-	// is out.
-	maxAllowance = 2 * time.Second
 	// gather is how long a watcher waits after news before it asks for more. News
 	// come in series, as when targets are replaced one after the other, and each
 	// answer is a call that is paid for. It is a twentieth of the time in which a
@@ -130,11 +123,13 @@
 // watchTopic follows one topic until ctx ends.
 func (c *Controller) watchTopic(ctx context.Context, w *watching, t directory.Topic) {
 	var after directory.Revision
-	allowance := firstAllowance
 	pause := retryPause
 	for ctx.Err() == nil {
 		asked := time.Now()
+		allowance := c.patience.allowance(asked)
+		slow := c.tellIfSlow(w, t)
 		ch, err := c.ask(ctx, w, t, after, allowance)
+		slow.Stop()
 		if ctx.Err() != nil {
 			return
 		}
@@ -145,7 +140,7 @@
 				continue
 			}
 			if errors.Is(err, context.DeadlineExceeded) {
-				allowance = min(2*allowance, maxAllowance)
+				c.patience.ranOut(time.Now(), allowance)
 			}
 			c.storeFailed(w, t, asked, err)
 			if !ctxtime.Sleep(ctx, pause) {
@@ -156,7 +151,7 @@
 		}
 		pause = retryPause
 		if time.Since(asked) < firstAllowance {
-			allowance = firstAllowance
+			c.patience.answeredSoon()
 		}
 		after = ch.Revision
 		now := time.Now()
@@ -190,9 +185,26 @@
 		wait = watchers.SecondWait
 	}
 	w.wait.Store(int64(wait))
-	ctx, cancel := context.WithTimeout(ctx, wait+allowance)
-	defer cancel()
-	return c.deps.Source.Watch(ctx, t, after, wait)
+	return c.deps.Source.Watch(ctx, t, after, wait, allowance)
+}
+
+// tellIfSlow has a try to take over tell the others that the store does not serve it, once
+// firstAllowance has passed, while it goes on waiting: were they told only when it gives up, an
+// outage would be met with 194 calls of 121 hosts in 8 s, in place of fewer than 160.
+func (c *Controller) tellIfSlow(w *watching, t directory.Topic) *time.Timer {
+	return time.AfterFunc(firstAllowance, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.watch == w && w.lastOK[t].Load() == 0 {
+			c.tellRefused(time.Now())
+		}
+	})
+}
+
+// tellRefused tells all hosts that the store does not serve this one. The lock is held.
+func (c *Controller) tellRefused(now time.Time) {
+	c.refused[c.self] = now
+	c.tellAll(kindRefused, refused{Patience: c.patience.allowance(now)})
 }
 
 // storeFailed notes a call that the store did not serve. A host that only tried
@@ -211,8 +223,7 @@
 	}
 	if w.lastOK[t].Load() == 0 {
 		now := time.Now()
-		c.refused[c.self] = now
-		c.tellAll(kindRefused, refused{})
+		c.tellRefused(now)
 		c.decider.Failed(now, c.view())
 		c.endWatching("store fails this host")
 		c.wakeUp()
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -53,10 +53,11 @@
 
 // Controller runs on every host.
 type Controller struct {
-	deps  Deps
-	self  ports.HostID
-	count counters
-	wake  chan struct{}
+	deps     Deps
+	self     ports.HostID
+	count    counters
+	wake     chan struct{}
+	patience storePatience
 	// asking has one question at a time under way about how new the configuration is.
 	asking singleflight.Group
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,12 +49,13 @@
 
 // Source is the platform's record. Implementations are safe for concurrent use.
 type Source interface {
-	// Read returns a topic whole, as of one moment. Each page of it may take as long as
-	// page: how many there are grows with the record.
-	Read(ctx context.Context, t Topic, page time.Duration) (Changes, error)
+	// Read returns a topic whole, as of one moment. It fails with context.DeadlineExceeded
+	// once the platform has been silent for a time: an answer that keeps coming is awaited,
+	// however long it is.
+	Read(ctx context.Context, t Topic, silence time.Duration) (Changes, error)
 	// Watch returns what changed in a topic after a revision, as soon as there
-	// is something, or an empty Changes after wait.
-	Watch(ctx context.Context, t Topic, after Revision, wait time.Duration) (Changes, error)
+	// is something, or an empty Changes after wait. Silence is that of Read, beyond wait.
+	Watch(ctx context.Context, t Topic, after Revision, wait, silence time.Duration) (Changes, error)
 	// Hosts returns the entry hosts that were last announced.
 	Hosts(ctx context.Context) ([]Host, error)
 	// Announce writes all entry hosts down for those that start with stale seeds.
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -179,8 +179,8 @@
 }
 
 // Read implements directory.Source.
-func (c *Client) Read(ctx context.Context, t directory.Topic, page time.Duration) (directory.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, page)
+func (c *Client) Read(ctx context.Context, t directory.Topic, silence time.Duration) (directory.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
 	if err := c.enter(ctx); err != nil {
 		return directory.Changes{}, err
@@ -203,7 +203,9 @@
 }
 
 // Watch implements directory.Source.
-func (c *Client) Watch(ctx context.Context, t directory.Topic, after directory.Revision, wait time.Duration) (directory.Changes, error) {
+func (c *Client) Watch(ctx context.Context, t directory.Topic, after directory.Revision, wait, silence time.Duration) (directory.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+silence)
+	defer cancel()
 	ch, err := c.await(ctx, t, after, wait)
 	if err != nil {
 		return directory.Changes{}, err
