Test: a stop answers what arrives as it stops listening; fails

Cause: net/http's Shutdown has a connection that reads a request after it close without an answer (server.go, conn.serve: a look at shuttingDown right after readRequest), and closes idle connections at once.

Ruled out: a connection cut off by the exit of the process, which resets one with an unread request and does not end it with EOF.

--- /dev/null
+++ b/edge/stop_test.go
@@ -0,0 +1,103 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// A caller that no refusal reaches finds its connection closed, with no answer to a bid
+// that the host has read.
+//
+// The caller's connection is open when a host that was told to stop closes its listener, and
+// the request arrives in the moment after that. net/http's Shutdown has the server read
+// such a request and then close the connection without a word.
+func TestStopAnswersWhatArrivesAsItStopsListening(t *testing.T) {
+	for _, before := range []struct {
+		name  string
+		calls int
+	}{{"on a fresh connection", 0}, {"on a kept connection", 1}} {
+		t.Run(before.name, func(t *testing.T) {
+			l := newLab(t, 1)
+			d := l.daemons[0]
+			c := dialCaller(t, d)
+			for range before.calls {
+				resp, err := c.bid()
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+			}
+			d.stop()
+			awaitNoListener(t, d)
+			resp, err := c.bid()
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Check(t, resp.Close, "the caller was not told to close its connection")
+			<-d.done
+			assert.NilError(t, d.err)
+		})
+	}
+}
+
+// A caller has a connection open, and sends nothing. A stop with nothing to finish does not
+// wait for it.
+func TestStopDoesNotWaitForAnEmptyConnection(t *testing.T) {
+	l := newLab(t, 1)
+	d := l.daemons[0]
+	dialCaller(t, d)
+	begun := time.Now()
+	d.stop()
+	<-d.done
+	assert.NilError(t, d.err)
+	// The notice is 300 ms; the host may take a fifth of a second beyond it.
+	assert.Check(t, time.Since(begun) < 500*time.Millisecond, "the stop took %v", time.Since(begun))
+}
+
+// callerConn is a caller that writes its requests byte for byte.
+type callerConn struct {
+	net.Conn
+	reader *bufio.Reader
+	sent   int
+}
+
+func dialCaller(t *testing.T, d *daemon) *callerConn {
+	nc, err := net.Dial("tcp", d.CallersAddr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	return &callerConn{Conn: nc, reader: bufio.NewReader(nc)}
+}
+
+// bid sends a bid and reads its answer.
+func (c *callerConn) bid() (*http.Response, error) {
+	c.sent++
+	_, err := fmt.Fprintf(c, "POST /bids/7 HTTP/1.1\r\nHost: %s\r\n%s: %s-%d\r\n%s: 2000\r\nContent-Length: 0\r\n\r\n",
+		hostName, standin.HeaderRequestID, c.LocalAddr(), c.sent, standin.HeaderDeadline)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	return resp, resp.Body.Close()
+}
+
+// awaitNoListener waits until a host that stops refuses connections.
+func awaitNoListener(t *testing.T, d *daemon) {
+	end := time.Now().Add(5 * time.Second)
+	for time.Now().Before(end) {
+		nc, err := net.DialTimeout("tcp", d.CallersAddr(), time.Second)
+		if err != nil {
+			return
+		}
+		_ = nc.Close()
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("still listening")
+}
