Stop: answer what arrives on open connections for 60 ms after listening ends

Cause: http.Server.Shutdown was the first step of the close. From its first moment net/http closes a connection on which it has just read a request, without an answer, and one that is idle. A caller whose connection was open in time lost its bid, and may not send it again.

Now the listener is closed first, requests on open connections are answered as ever for 60 ms, with "Connection: close", and then Shutdown and the wait for calls in flight follow as before. Both daemons close in this way, in one place: the other one called Shutdown alone, which by net/http's code waits five seconds for a connection without a request (not run).

Left: a connection that the kernel has not handed over when the listener closes is reset.

--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -24,6 +24,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/probes"
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
@@ -105,7 +106,7 @@
 	budget     *budget.Shares
 	probes     *probes.Controller
 
-	callers   *http.Server
+	callers   daemon.Callers
 	answers   *entry.OwnAnswers
 	operators *http.Server
 
@@ -180,7 +181,7 @@
 }
 
 // Handler serves callers.
-func (d *Daemon) Handler() http.Handler { return d.callers.Handler }
+func (d *Daemon) Handler() http.Handler { return d.callers.Server.Handler }
 
 // Operators serves operators.
 func (d *Daemon) Operators() http.Handler { return d.operators.Handler }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/watch"
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/placer"
@@ -56,7 +57,7 @@
 	watch      *watch.Controller
 	leave      *leave.Controller
 
-	callers   *http.Server
+	callers   daemon.Callers
 	answers   *entry.OwnAnswers
 	readiness *http.Server
 	operators *http.Server
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -42,7 +42,7 @@
 }
 
 func (d *Daemon) checkLimits(version uint64, l routing.Limits) {
-	s := d.callers
+	s := d.callers.Server
 	if l.MaxHeaderBytes <= s.MaxHeaderBytes && l.HeaderTimeout <= s.ReadHeaderTimeout && l.IdleTimeout <= s.IdleTimeout {
 		return
 	}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -17,6 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/placer"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -208,7 +209,7 @@
 	if header == 0 {
 		header = defaultMaxHeader
 	}
-	d.callers = &http.Server{
+	callers := &http.Server{
 		Handler:           d.entry.Calls(),
 		MaxHeaderBytes:    header,
 		ReadHeaderTimeout: d.settings.Callers.ReadHeaderTimeout.Or(defaultCallerHeader),
@@ -218,7 +219,12 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	d.answers = entry.NewOwnAnswers(d.log, d.metrics, d.platform.Contract.RequestID)
-	d.answers.Watch(d.callers)
+	d.answers.Watch(callers)
+	d.callers = daemon.Callers{
+		Server:   callers,
+		Listener: d.answers.Listener(d.listeners.callers),
+		InFlight: d.entry.InFlight,
+	}
 	d.readiness = d.smallServer(d.platform.ReadyPath, http.HandlerFunc(d.ready))
 	d.operators = d.smallServer(PathMetrics, d.metrics)
 }
@@ -253,6 +259,6 @@
 		Limit:       d.settings.Drain.Limit.Or(defaultLimit),
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Hooks:       []leave.Hook{{Stage: leave.Close, Name: "callers", Func: d.closeCallers}},
+		Hooks:       []leave.Hook{{Stage: leave.Close, Name: "callers", Func: d.callers.Close}},
 	})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -48,11 +47,15 @@
 	} {
 		g.Go(func() error { return part(work) })
 	}
+	g.Go(d.callers.Serve)
+	g.Go(func() error {
+		<-work.Done()
+		return d.callers.Server.Close()
+	})
 	for _, s := range []struct {
 		server   *http.Server
 		listener net.Listener
 	}{
-		{d.callers, d.answers.Listener(d.listeners.callers)},
 		{d.readiness, d.listeners.readiness},
 		{d.operators, d.listeners.operators},
 	} {
@@ -72,34 +75,3 @@
 	}
 	return nil
 }
-
-const (
-	// closeCheck is the time between two looks for calls in flight at the end of a
-	// stop, closeSettle how long there must have been none.
-	closeCheck  = 20 * time.Millisecond
-	closeSettle = 100 * time.Millisecond
-)
-
-// closeCallers stops listening and waits for the calls in flight. It does not wait
-// for connections on which no request came: http.Server.Shutdown gives each of them
-// five seconds, and a stop took as long though there was nothing to finish.
-func (d *Daemon) closeCallers(ctx context.Context) error {
-	closed := make(chan error, 1)
-	go func() { closed <- d.callers.Shutdown(ctx) }()
-	tick := time.NewTicker(closeCheck)
-	defer tick.Stop()
-	quiet := time.Now()
-	for {
-		select {
-		case err := <-closed:
-			return err
-		case now := <-tick.C:
-			if d.entry.InFlight() > 0 {
-				quiet = now
-			}
-			if now.Sub(quiet) >= closeSettle {
-				return nil
-			}
-		}
-	}
-}
--- a/leave.go
+++ b/leave.go
@@ -21,7 +21,7 @@
 		Log:         d.log,
 		Metrics:     d.metrics,
 		Hooks: []leave.Hook{
-			{Stage: leave.Close, Name: "callers", Func: d.callers.Shutdown},
+			{Stage: leave.Close, Name: "callers", Func: d.callers.Close},
 			{Stage: leave.Release, Name: "claims", Func: d.releaseClaims},
 		},
 	})
--- a/provision.go
+++ b/provision.go
@@ -15,6 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/operator"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/rendezvous"
@@ -289,7 +290,7 @@
 	if header == 0 {
 		header = defaultMaxHeader
 	}
-	d.callers = &http.Server{
+	callers := &http.Server{
 		Handler:           d.entry,
 		MaxHeaderBytes:    header,
 		ReadHeaderTimeout: d.settings.Callers.ReadHeaderTimeout.Or(defaultReadHeader),
@@ -299,7 +300,11 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	d.answers = entry.NewOwnAnswers(d.log, d.metrics, targetapi.Default().RequestID)
-	d.answers.Watch(d.callers)
+	d.answers.Watch(callers)
+	d.callers = daemon.Callers{Server: callers, InFlight: d.entry.InFlight}
+	if l := d.listeners.callers; l != nil {
+		d.callers.Listener = d.answers.Listener(l)
+	}
 }
 
 func (d *Daemon) provisionOperators() error {
@@ -319,7 +324,7 @@
 		IdleTimeout:       defaultIdle,
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
-	if d.callers.TLSConfig, err = d.settings.Callers.TLS.Server(); err != nil {
+	if d.callers.Server.TLSConfig, err = d.settings.Callers.TLS.Server(); err != nil {
 		return err
 	}
 	d.operators.TLSConfig, err = d.settings.Operators.TLS.Server()
--- a/run.go
+++ b/run.go
@@ -65,11 +65,11 @@
 		return
 	}
 	g.Go(func() error { return d.node.Serve(work) })
-	g.Go(func() error { return daemon.Serve(d.callers, d.answers.Listener(d.listeners.callers)) })
+	g.Go(d.callers.Serve)
 	g.Go(func() error { return daemon.Serve(d.operators, d.listeners.operators) })
 	g.Go(func() error {
 		<-work.Done()
-		_ = d.callers.Close()
+		_ = d.callers.Server.Close()
 		return d.operators.Close()
 	})
 }
