--- a/controller/config/pause_test.go
+++ b/controller/config/pause_test.go
@@ -82,3 +82,31 @@
 		assertReady(t, true, f.Hosts()[1:]...)
 	})
 }
+
+// Two hosts of five are cut off from the store and from the three others, but not from
+// each other. Each asks the other, which is confirmed by the first, and takes that for
+// news of this moment: callers of both are served by the configuration of the day of the
+// cut, without an end. What one passes on is no younger than what it heard.
+func TestTwoHostsThatAreCutOffTogetherLapse(t *testing.T) {
+	onFleet(t, 5, func(t *testing.T, f *confignet.Fleet) {
+		cut, others := f.Hosts()[:2], f.Hosts()[2:]
+		cutOffTogether(f, cut, others)
+		pass(config.DefaultTimings().Lapse + config.DefaultTimings().Tick)
+		assertReady(t, false, cut...)
+		change(t, others[0], "c1", 0, 7, config.ResultApplied)
+		pass(10 * config.DefaultTimings().Lapse)
+		assertReady(t, false, cut...)
+		assertReady(t, true, others...)
+	})
+}
+
+// cutOffTogether cuts hosts off from the store and from others, not from one another.
+func cutOffTogether(f *confignet.Fleet, cut, others []*confignet.Host) {
+	for _, h := range cut {
+		h.CutPlatform()
+		for _, o := range others {
+			f.CutLink(h, o)
+			f.CutLink(o, h)
+		}
+	}
+}
