Take a peer's word on the configuration for no younger than its evidence

Cause: a host took a peer's "confirmed" for evidence of the moment of asking, whatever the peer's own evidence was. Hosts cut off together from the store and from all others confirmed one another without an end: two of five, and two of four, were still ready 33 s after the cut, with a change accepted elsewhere.

Now the reply tells the age of the evidence, and the asker confirms at its question less that age. More than half of all listed hosts are evidence of the moment of asking, as they were for unconfirmed hosts; one of them has to hold something or be confirmed. A reply without an age (old release; a missing field decodes as zero, hence a pointer) counts only among more than half.

In an outage of the store only the majority makes new evidence, so a host in a large fleet asks all others if that of its sample is older than 0.7 s. Ruled out: asking all only above 3 s (60 and 75 hosts were unready for a moment); asking 32 at a time (75 hosts, 37 lost: the same, one PeerTimeout for each group of dead hosts); the age in the confirmation of hosts after a pause (the question, not the evidence, has to be younger than the pause). Broken on purpose: a missing age read as zero fails TestWordWithoutAnAgeIsNotNews; no questions to the rest fails the two tests of hosts that stay ready.

Price, in the design: in an outage of the store that also cuts off half of the listed hosts or more, the others stop after 3.25 s.

--- a/controller/config/config.go
+++ b/controller/config/config.go
@@ -54,6 +54,11 @@
 	// Lapse is how long a confirmation holds: a host that serves has confirmed
 	// its configuration within Lapse.
 	Lapse time.Duration
+	// PeerAge is the age of evidence above which a host that has it from a few peers
+	// asks all others. With a round of questions every Poll and a tenth, begun up to a
+	// Tick late, and two PeerTimeouts in a round, it has to be a little below a quarter
+	// of Lapse, so that the new evidence is there before the old lapses.
+	PeerAge time.Duration
 	// Tick is the time between two looks at the host's own clock.
 	Tick time.Duration
 	// Pause is the gap between two ticks that counts as a pause of the host.
@@ -75,6 +80,7 @@
 		PeerTimeout: 400 * time.Millisecond,
 		StoreQuiet:  1500 * time.Millisecond,
 		Lapse:       3 * time.Second,
+		PeerAge:     700 * time.Millisecond,
 		Tick:        250 * time.Millisecond,
 		Pause:       2 * time.Second,
 		Resolve:     10 * time.Second,
--- a/controller/config/confirm.go
+++ b/controller/config/confirm.go
@@ -22,19 +22,29 @@
 // It is exact at the moment of the call, also in the first instant after a
 // pause, while Status.ConfigConfirmed follows within Timings.Tick.
 func (c *Controller) Fresh() bool {
+	_, fresh := c.evidenceAge()
+	return fresh
+}
+
+// evidenceAge returns how old the confirmation is, and whether it holds.
+func (c *Controller) evidenceAge() (age time.Duration, fresh bool) {
 	at := c.evidence.Load()
-	return at != nil && instant.Elapsed(*at, c.Now()) < c.Timings.Lapse
+	if at == nil {
+		return 0, false
+	}
+	age = instant.Elapsed(*at, c.Now())
+	return age, age < c.Timings.Lapse
 }
 
-// confirm records that the configuration was the newest when it was asked for.
-// The instant of asking counts, not that of the answer: a host may be paused
-// between the two, and the answer would look new though it is old.
-func (c *Controller) confirm(asked time.Time, how string) {
+// confirm records that the configuration was the newest when it was asked for, less
+// the age of the evidence. The instant of asking counts, not that of the answer: a host
+// may be paused between the two, and the answer would look new though it is old.
+func (c *Controller) confirm(asked time.Time, e evidence) {
 	if woke := c.wokeAt.Load(); woke != nil && asked.Before(*woke) {
 		return
 	}
-	advance(&c.evidence, asked)
-	c.events.Add(how, 1)
+	advance(&c.evidence, asked.Add(-e.age))
+	c.events.Add(e.how, 1)
 	c.updateStatus()
 }
 
--- a/controller/config/export_test.go
+++ b/controller/config/export_test.go
@@ -1,6 +1,10 @@
 package config
 
-import "github.com/cactusproxy/cactusproxy/peer"
+import (
+	"context"
+
+	"github.com/cactusproxy/cactusproxy/peer"
+)
 
 // ApplyWithoutComparing breaks the rule that only higher sequences are applied.
 func (c *Controller) ApplyWithoutComparing() {
@@ -19,3 +23,15 @@
 func (c *Controller) PushTo(to peer.HostID, ch Change) {
 	peer.Notify(c.Link, to, kindPush, pushMsg{Change: ch})
 }
+
+// AnswerWithoutAge makes the host answer as one of a release that does not tell the age
+// of its evidence.
+func (c *Controller) AnswerWithoutAge() {
+	type oldReply struct {
+		Sequence  uint64 `msgpack:"sequence"`
+		Confirmed bool   `msgpack:"confirmed"`
+	}
+	peer.Handle(c.Link, kindHead, func(context.Context, peer.HostID, headRequest) (oldReply, error) {
+		return oldReply{Sequence: c.Sequence(), Confirmed: c.Fresh()}, nil
+	})
+}
--- a/controller/config/peers.go
+++ b/controller/config/peers.go
@@ -46,6 +46,19 @@
 	Sequence uint64 `msgpack:"sequence"`
 	// Confirmed is set if the sender's own confirmation holds at this moment.
 	Confirmed bool `msgpack:"confirmed"`
+	// Age is how old the sender's evidence is, nil by a host of a release that does
+	// not tell it. Such a host may have its evidence from another of its kind, and
+	// that from it: its word counts only among those of more than half of all hosts.
+	Age *time.Duration `msgpack:"age"`
+}
+
+// evidenceAge returns the age of the sender's evidence, or false if it has none or
+// does not tell.
+func (r headReply) evidenceAge() (time.Duration, bool) {
+	if !r.Confirmed || r.Age == nil || *r.Age < 0 {
+		return 0, false
+	}
+	return *r.Age, true
 }
 
 type fetchRequest struct {
@@ -62,7 +75,11 @@
 const (
 	// smallFleet is the number of hosts up to which each may speak to all.
 	smallFleet = 32
-	// peerSample is the number of hosts asked in one round of a large fleet by
+	// maxAsked is the number of hosts that a host asks at a time. It is above the 150
+	// hosts of the largest fleet measured: if many hosts are lost, each further group
+	// would wait a PeerTimeout for them, and the evidence would lapse meanwhile.
+	maxAsked = 256
+	// peerSample is the number of hosts asked first in one round of a large fleet by
 	// a host that is confirmed.
 	peerSample = 8
 )
@@ -91,7 +108,8 @@
 
 func (c *Controller) onHead(_ context.Context, from peer.HostID, req headRequest) (headReply, error) {
 	c.hint(from, req.Sequence)
-	return headReply{Sequence: c.Sequence(), Confirmed: c.Fresh()}, nil
+	age, fresh := c.evidenceAge()
+	return headReply{Sequence: c.Sequence(), Confirmed: fresh, Age: &age}, nil
 }
 
 func (c *Controller) onFetch(_ context.Context, _ peer.HostID, req fetchRequest) (fetchReply, error) {
--- a/controller/config/round.go
+++ b/controller/config/round.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -17,15 +18,46 @@
 	headReply
 }
 
+// evidence is how a configuration was confirmed by peers, and how long before the
+// question.
+type evidence struct {
+	how string
+	age time.Duration
+}
+
 // askPeers asks other hosts what they have in force, fetches the newest and,
 // if the answers allow it, confirms.
 func (c *Controller) askPeers(ctx context.Context) {
 	asked := c.Now()
 	hosts := c.peers()
-	answers := c.heads(ctx, c.sample(hosts))
-	if len(answers) == 0 {
+	answers := c.enoughHeads(ctx, hosts)
+	if !c.takeNewest(ctx, answers) {
 		return
 	}
+	if e, ok := c.evidenceIn(answers, len(hosts)+1); ok {
+		c.confirm(asked, e)
+	}
+}
+
+// enoughHeads asks a sample of the hosts and, if their evidence is old, the rest too:
+// without the store only more than half of all hosts make new evidence, and a host
+// that waited for its own to lapse would refuse calls in between.
+func (c *Controller) enoughHeads(ctx context.Context, hosts []peer.HostID) []answer {
+	first := c.sample(hosts)
+	answers := c.heads(ctx, first)
+	if e, ok := c.evidenceIn(answers, len(hosts)+1); ok && e.age <= c.Timings.PeerAge {
+		return answers
+	}
+	rest := slices.DeleteFunc(slices.Clone(hosts), func(h peer.HostID) bool { return slices.Contains(first, h) })
+	return append(answers, c.heads(ctx, rest)...)
+}
+
+// takeNewest applies the newest configuration among the answers, and reports whether
+// there were any and the host has it.
+func (c *Controller) takeNewest(ctx context.Context, answers []answer) bool {
+	if len(answers) == 0 {
+		return false
+	}
 	slices.SortFunc(answers, func(a, b answer) int { return cmp.Compare(b.Sequence, a.Sequence) })
 	before, newest := c.Sequence(), answers[0].Sequence
 	for _, a := range answers {
@@ -37,30 +69,30 @@
 	if c.Sequence() > before {
 		c.announce()
 	}
-	if c.Sequence() < newest {
-		return
-	}
-	if how, ok := c.sufficient(answers, len(hosts)+1); ok {
-		c.confirm(asked, how)
-	}
+	return c.Sequence() >= newest
 }
 
-// sufficient reports whether the answers confirm the newest among them. One
-// host that is itself confirmed does. If none is, because all were paused
-// together in an outage of the store, more than half of all hosts do: no change
-// can have been in force everywhere that none of them holds. Hosts that hold
-// nothing at all never confirm one another.
-func (c *Controller) sufficient(answers []answer, fleet int) (how string, ok bool) {
-	if slices.ContainsFunc(answers, func(a answer) bool { return a.Confirmed }) {
-		return confirmedByPeer, true
+// evidenceIn returns what the answers say for the newest among them. The answers of
+// more than half of all hosts are evidence of the moment of asking: no change can have
+// been in force everywhere that none of them holds. Hosts that hold nothing, and of
+// which none is confirmed, may all be new, and prove nothing. Fewer hosts are as good
+// as the youngest evidence of one of them: taken for evidence of the moment of asking,
+// it would let hosts that are cut off together confirm one another for ever.
+func (c *Controller) evidenceIn(answers []answer, fleet int) (evidence, bool) {
+	confirmed := slices.ContainsFunc(answers, func(a answer) bool { return a.Confirmed })
+	if 2*(len(answers)+1) > fleet && (c.Sequence() > 0 || confirmed) {
+		return evidence{how: confirmedByMost}, true
 	}
-	if c.Sequence() > 0 && 2*(len(answers)+1) > fleet {
-		return confirmedByMost, true
+	youngest, found := evidence{how: confirmedByPeer}, false
+	for _, a := range answers {
+		if age, ok := a.evidenceAge(); ok && (!found || age < youngest.age) {
+			youngest.age, found = age, true
+		}
 	}
-	return "", false
+	return youngest, found
 }
 
-// sample returns the hosts to ask: all by a host that is not confirmed, a few
+// sample returns the hosts to ask first: all by a host that is not confirmed, a few
 // at random by a confirmed one in a large fleet.
 func (c *Controller) sample(hosts []peer.HostID) []peer.HostID {
 	if len(hosts) <= smallFleet || !c.Fresh() {
@@ -69,12 +101,12 @@
 	return c.pickHosts(slices.Clone(hosts), peerSample)
 }
 
-// heads asks hosts at once, at most smallFleet at a time.
+// heads asks hosts at once, at most maxAsked at a time.
 func (c *Controller) heads(ctx context.Context, hosts []peer.HostID) []answer {
 	var mu sync.Mutex
 	var out []answer
 	var g errgroup.Group
-	g.SetLimit(smallFleet)
+	g.SetLimit(maxAsked)
 	for _, h := range hosts {
 		g.Go(func() error {
 			reply, err := c.head(ctx, h)
--- a/controller/config/store.go
+++ b/controller/config/store.go
@@ -47,7 +47,7 @@
 		return
 	}
 	c.storeFailed.Store(false)
-	c.confirm(asked, confirmedByStore)
+	c.confirm(asked, evidence{how: confirmedByStore})
 	if c.Sequence() > before {
 		c.announce()
 	}
