Leave a target that answered 421 alone for a while, not for good

Cause: an answer 421 needs no echo of the request's ID (a target may refuse before it reads the header), and marked that run of the target as leaving, in the placer and on the board, for as long as it is listed.

Now such an answer rests the target for 2 s, the time in which every host knows what the record says, doubled with each further one up to 32 s; a good answer starts over. What the record says lasts as before. Ruled out: to need the echo (some targets refuse before they read it, and their address would be tried with each call); a mark on the board that lapses (another host's word and the record would have to be told apart from it, for the same gain).

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -154,8 +154,7 @@
 	return ids
 }
 
-// markLeaving notes that a target's own answer said that it is to stop, or that
-// another has its address.
+// markLeaving notes that a target's own answer said that it is to stop.
 func (d *Daemon) markLeaving(key blackboard.ServiceKey, t blackboard.Target) {
 	d.board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
 		return old.WithLeaving(key, t.Run(), time.Now())
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,7 +43,7 @@
 	Metrics *metrics.Set
 	Log     *zap.Logger
 	// OnLeaving, if set, is called when a target's own answer said that it is
-	// leaving, or that another has its address. It must not block.
+	// leaving. It must not block.
 	OnLeaving func(blackboard.ServiceKey, blackboard.Target)
 }
 
@@ -241,7 +241,7 @@
 	}
 	s.mu.Unlock()
 	p.tell(news, s, h.info.Run())
-	leaving := r.LeavingHint || r.Class == pick.Leaving || r.Class == pick.Replaced
+	leaving := r.LeavingHint || r.Class == pick.Leaving
 	if leaving && p.deps.OnLeaving != nil {
 		p.deps.OnLeaving(s.key, h.info)
 	}
--- a/placer/target.go
+++ b/placer/target.go
@@ -14,6 +14,11 @@
 	// maxRest the most after further failures.
 	firstRest = 250 * time.Millisecond
 	maxRest   = 2 * time.Second
+	// firstReplacedRest is how long a target is left alone whose address answered that it
+	// is another's: the time in which each host knows what the record says of that. It
+	// doubles with each such answer up to maxReplacedRest, for when the store is out.
+	firstReplacedRest = 2 * time.Second
+	maxReplacedRest   = 32 * time.Second
 	// shedRest is how long a target that refused a call gets no other from this
 	// host: about the work time of one call, after which a slot is free again.
 	shedRest = 50 * time.Millisecond
@@ -27,6 +32,8 @@
 	// restUntil is the end of the time in which the target gets no call.
 	restUntil time.Time
 	rests     int
+	// replacements counts answers that the address is another's, since the last good one.
+	replacements int
 	// asking is closed when the answer to a question on its way is there; nil if
 	// there is none.
 	asking chan struct{}
@@ -74,10 +81,23 @@
 // reached notes that the target answers, and reports whether it did not before.
 func (t *target) reached() bool {
 	was := t.rests > 0
-	t.rests = 0
+	t.rests, t.replacements = 0, 0
 	return was
 }
 
+// replaced leaves a target alone whose address answered that it is another's, for longer
+// each time, and reports whether that is news.
+//
+// Failure: such an answer needs no echo of the request, and garbled bytes read as one.
+// Symptom: a sound target got no call from this host for as long as it ran. If the answer
+// is true the record soon says so, which lasts; until then the other target refuses what is
+// sent there, so that trying again after a while costs one attempt and runs nothing.
+func (t *target) replaced(now time.Time) bool {
+	t.rest(now, min(firstReplacedRest<<min(t.replacements, 8), maxReplacedRest))
+	t.replacements++
+	return t.replacements == 1
+}
+
 // end takes in how a call ended, and returns what that changed in what this host
 // believes of the target, for the log.
 func (t *target) end(now time.Time, r pick.Report) (news string) {
@@ -93,9 +113,13 @@
 		if t.unreachable(now) {
 			return newsUnreachable
 		}
-	case pick.Leaving, pick.Replaced:
+	case pick.Leaving:
 		t.info.Leaving = true
 		return newsLeaving
+	case pick.Replaced:
+		if t.replaced(now) {
+			return newsLeaving
+		}
 	}
 	return ""
 }
