--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +87,25 @@
 	}
 }
 
+// Each target's answer to one read is garbled, and reads as 421 without seal and echo: the
+// word of another target that has the address. All are listed as before, and take calls
+// again. Left out for as long as they run, they would leave this host none all day.
+func TestGarbledAnswersTakeNoTargetAwayForGood(t *testing.T) {
+	l := newLab(t, 1)
+	for _, tg := range l.targets {
+		var once atomic.Bool
+		tg.Spoil = func(string) int {
+			if once.Swap(true) {
+				return 0
+			}
+			return http.StatusMisdirectedRequest
+		}
+	}
+	read := func() int { return l.send(l.daemons[0], http.MethodGet, "/lots/7", "").status }
+	l.await("no target left", func() bool { return read() == http.StatusServiceUnavailable })
+	l.await("a target that takes calls", func() bool { return read() == http.StatusOK })
+}
+
 // Bytes that read as a failure stand where a target's answer is due, without its seal. The
 // caller of a read gets the answer of another target; the caller of a bid is told that it
 // may have run. Neither is told that its proper request was wrong.
