Apply what a sample of peers holds before the rest is asked

Cause: a round that asked the rest as well took in the newest configuration only when all had answered or timed out, so that a host with cut links had it up to a PeerTimeout later, and announced it later.

--- a/controller/config/round.go
+++ b/controller/config/round.go
@@ -27,29 +27,31 @@
 
 // askPeers asks other hosts what they have in force, fetches the newest and,
 // if the answers allow it, confirms.
+//
+// A sample of the hosts is asked first and, if its evidence is old, the rest too: without
+// the store only more than half of all hosts make new evidence, and a host that waited for
+// its own to lapse would refuse calls in between. What the sample holds is applied before
+// the rest is asked: questions to hosts that are lost take a PeerTimeout.
 func (c *Controller) askPeers(ctx context.Context) {
 	asked := c.Now()
 	hosts := c.peers()
-	answers := c.enoughHeads(ctx, hosts)
-	if !c.takeNewest(ctx, answers) {
-		return
+	first := c.sample(hosts)
+	answers := c.heads(ctx, first)
+	isNewest := c.takeNewest(ctx, answers)
+	e, ok := c.evidenceIn(answers, len(hosts)+1)
+	if !ok || e.age > c.Timings.PeerAge {
+		answers = append(answers, c.heads(ctx, without(hosts, first))...)
+		isNewest = c.takeNewest(ctx, answers)
+		e, ok = c.evidenceIn(answers, len(hosts)+1)
 	}
-	if e, ok := c.evidenceIn(answers, len(hosts)+1); ok {
+	if isNewest && ok {
 		c.confirm(asked, e)
 	}
 }
 
-// enoughHeads asks a sample of the hosts and, if their evidence is old, the rest too:
-// without the store only more than half of all hosts make new evidence, and a host
-// that waited for its own to lapse would refuse calls in between.
-func (c *Controller) enoughHeads(ctx context.Context, hosts []peer.HostID) []answer {
-	first := c.sample(hosts)
-	answers := c.heads(ctx, first)
-	if e, ok := c.evidenceIn(answers, len(hosts)+1); ok && e.age <= c.Timings.PeerAge {
-		return answers
-	}
-	rest := slices.DeleteFunc(slices.Clone(hosts), func(h peer.HostID) bool { return slices.Contains(first, h) })
-	return append(answers, c.heads(ctx, rest)...)
+// without returns the hosts that are not among others.
+func without(hosts, others []peer.HostID) []peer.HostID {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h peer.HostID) bool { return slices.Contains(others, h) })
 }
 
 // takeNewest applies the newest configuration among the answers, and reports whether
