--- a/edge/run.go
+++ b/edge/run.go
@@ -16,24 +16,19 @@
 // nil if every call in flight had its whole answer.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.Close()
-	work, halt := context.WithCancel(context.WithoutCancel(ctx))
-	defer halt()
-	g, work := errgroup.WithContext(work)
-	d.start(work, g)
+	return daemon.Run(ctx, d.start, func(work context.Context) error { return d.await(ctx, work) })
+}
+
+// await returns once the daemon has stopped, or a part has failed.
+func (d *Daemon) await(ctx, work context.Context) error {
 	d.log.Info("listening", zap.String("callers", d.CallersAddr()),
 		zap.String("readiness", d.ReadinessAddr()), zap.String("peers", d.PeersAddr()))
-	var stopped error
 	select {
 	case <-ctx.Done():
-		stopped = d.stop(work)
+		return d.stop(work)
 	case <-work.Done():
-		// A part failed; what it returned ends Run.
-	}
-	halt()
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
+		return nil // what the part returned ends Run
 	}
-	return stopped
 }
 
 // start runs all parts until work ends.
