--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -19,6 +19,10 @@
 // the configuration at hand is the newest: a round trip takes 1 to 3 ms inside a region.
 const confirmTimeout = 100 * time.Millisecond
 
+// timerShare is the part of a wait, one in so many, by which the store's timer and this host's
+// may differ: far more than timers do, and 45 ms of a wait of 0.9 s.
+const timerShare = 20
+
 // hear takes in that some host told of a version of the configuration.
 func (c *Controller) hear(version uint64) {
 	c.deps.Board.Confirmation.Update(func(old blackboard.Confirmation) (blackboard.Confirmation, bool) {
@@ -29,14 +33,14 @@
 }
 
 // certainAt returns when what an answer of the store says was certainly so. An answer without
-// any change was made when the wait was over, but for a twentieth of it by which the store's
-// timer and this host's may differ; for any other the moment of asking counts.
+// any change was made when the wait was over, but for what the two timers may differ; for any
+// other the moment of asking counts.
 //
 // Failure: answers are 1.5 s on their way. Symptom: dated by their arrival, they had hosts
 // deny routes that were added 2.9 s before. What was so at the moment of asking is known
 // whatever the answer met on its way.
 func certainAt(asked, now time.Time, ch directory.Changes) time.Time {
-	held := ch.Waited - ch.Waited/20
+	held := ch.Waited - ch.Waited/timerShare
 	if now.Sub(asked) < held {
 		return asked
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,7 +51,7 @@
 // says so, and each request asks for a route that every configuration has, or has had since
 // it was added.
 func (s *Soak) denied(r *sent) bool {
-	if r.status < 300 || r.status >= 500 || promises[r.status] {
+	if r.status < http.StatusMultipleChoices || r.status >= http.StatusInternalServerError || promises[r.status] {
 		return false
 	}
 	return r.status != http.StatusNotFound || s.mustKnow(r) || s.knew(r)
--- a/placer/target.go
+++ b/placer/target.go
@@ -32,8 +32,9 @@
 	// restUntil is the end of the time in which the target gets no call.
 	restUntil time.Time
 	rests     int
-	// replacements counts answers that the address is another's, since the last good one.
-	replacements int
+	// replacedRest is the last rest after an answer that the address is another's; 0 after a
+	// good answer.
+	replacedRest time.Duration
 	// asking is closed when the answer to a question on its way is there; nil if
 	// there is none.
 	asking chan struct{}
@@ -81,7 +82,7 @@
 // reached notes that the target answers, and reports whether it did not before.
 func (t *target) reached() bool {
 	was := t.rests > 0
-	t.rests, t.replacements = 0, 0
+	t.rests, t.replacedRest = 0, 0
 	return was
 }
 
@@ -93,9 +94,10 @@
 // is true the record soon says so, which lasts; until then the other target refuses what is
 // sent there, so that trying again after a while costs one attempt and runs nothing.
 func (t *target) replaced(now time.Time) bool {
-	t.rest(now, min(firstReplacedRest<<min(t.replacements, 8), maxReplacedRest))
-	t.replacements++
-	return t.replacements == 1
+	first := t.replacedRest == 0
+	t.replacedRest = min(max(2*t.replacedRest, firstReplacedRest), maxReplacedRest)
+	t.rest(now, t.replacedRest)
+	return first
 }
 
 // end takes in how a call ended, and returns what that changed in what this host
