--- a/peer/batch.go
+++ b/peer/batch.go
@@ -12,9 +12,9 @@
 	frames []span
 }
 
-// keepBuffer is the largest buffer that is kept for the next batch. A single
-// configuration snapshot would otherwise hold megabytes for every peer.
-const keepBuffer = 256 << 10
+// keepBuffer is the largest buffer that is kept for the next batch. A list of targets
+// that is told to all hosts would otherwise be held once for each of them.
+const keepBuffer = 4 << 10
 
 func (b *batch) add(enc *frameEncoder, h header, body []byte, tagLen int) {
 	start := len(b.buf)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -103,9 +103,12 @@
 	return d
 }
 
-// split returns the header and the body, which shares the payload's memory.
+// split returns the header and the body, which shares the payload's memory. The decoder
+// lets go of the payload: it lives as long as its connection, and would otherwise hold the
+// largest list that came last on each.
 func (d *frameDecoder) split(payload []byte) (header, []byte, error) {
 	d.r.Reset(payload)
+	defer d.r.Reset(nil)
 	d.dec.Reset(&d.r)
 	var h header
 	n, err := d.dec.DecodeArrayLen()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,7 +65,7 @@
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if c.cc.Available() > 0 && !c.expiring() {
+		if c.usable() {
 			invariant.Check(c.busy.CompareAndSwap(false, true), invariant.OwnAnswer, "connection to %s used twice", p.addr)
 			return c
 		}
@@ -145,6 +146,9 @@
 	return c.keepFor > 0 && time.Since(c.since) > c.keepFor-closeMargin
 }
 
+// usable reports whether an idle connection may carry another request.
+func (c *conn) usable() bool { return c.cc.Available() > 0 && !c.expiring() }
+
 // readKeepAlive takes in how long the target says that it keeps the connection.
 func (c *conn) readKeepAlive(h http.Header) {
 	for param := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
@@ -166,18 +170,24 @@
 	p.idle = nil
 }
 
-// closeOlder closes the connections that became idle before t. They stand at
-// the front, since the one used last is taken first.
-func (p *pool) closeOlder(t time.Time) {
+// closeUnusable closes the idle connections that became idle before t, that their target
+// closed, or that it is about to close.
+//
+// Failure: targets close what is idle, and a host that asks hundreds of them now and then
+// keeps mostly such connections. Symptom: their buffers fill its memory, and they count
+// against its part of each target's connections. Idle connections are all looked at, so
+// none stays for longer than the pause between two calls.
+func (p *pool) closeUnusable(t time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for n < len(p.idle) && p.idle[n].since.Before(t) {
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.usable() && !c.since.Before(t) {
+			return false
+		}
 		p.open--
-		go p.idle[n].close()
-		n++
-	}
-	p.idle = append(p.idle[:0], p.idle[n:]...)
+		go c.close()
+		return true
+	})
 }
 
 type counterKey struct{}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -22,6 +22,10 @@
 // ErrConnLimit says that this host holds its share of the target's connections.
 var ErrConnLimit = errors.New("connection limit of the target reached")
 
+// connBufferSize holds the header of a request or an answer. A host keeps connections to
+// hundreds of targets, and bodies pass by the buffer.
+const connBufferSize = 4 << 10
+
 // Result is how one attempt went. Either Response or Err is set.
 type Result struct {
 	// Response's body must be closed.
@@ -107,8 +111,8 @@
 		TLSHandshakeTimeout:    o.DialTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: o.MaxResponseHeader,
-		ReadBufferSize:         16 << 10,
-		WriteBufferSize:        16 << 10,
+		ReadBufferSize:         connBufferSize,
+		WriteBufferSize:        connBufferSize,
 		Protocols:              protocols,
 	}
 	return p
@@ -150,8 +154,8 @@
 	return pl
 }
 
-// Retain closes the idle connections of targets that are not kept any more and
-// those of all targets that were unused for the idle timeout.
+// Retain closes the idle connections of targets that are not kept any more, those of all
+// targets that were unused for the idle timeout, and those that can not be used again.
 func (p *Pools) Retain(keep func(ports.HostID) bool) {
 	now := time.Now()
 	p.mu.Lock()
@@ -162,7 +166,7 @@
 			delete(p.pools, id)
 			continue
 		}
-		pl.closeOlder(now.Add(-p.opts.IdleTimeout))
+		pl.closeUnusable(now.Add(-p.opts.IdleTimeout))
 	}
 }
 
