--- a/controller/watch/starts_test.go
+++ b/controller/watch/starts_test.go
@@ -56,5 +56,3 @@
 		assert.Check(t, calls < startingHosts/2, "%d calls", calls)
 	})
 }
-
-const startingHosts = 472
