--- a/controller/config/peers.go
+++ b/controller/config/peers.go
@@ -75,9 +75,9 @@
 const (
 	// smallFleet is the number of hosts up to which each may speak to all.
 	smallFleet = 32
-	// maxAsked is the number of hosts that a host asks at a time. It is above the 150
-	// hosts of the largest fleet measured: if many hosts are lost, each further group
-	// would wait a PeerTimeout for them, and the evidence would lapse meanwhile.
+	// maxAsked is the number of hosts that a host asks at a time. If many hosts are lost,
+	// each further group waits a PeerTimeout for them, and the evidence lapses meanwhile:
+	// fleets of this platform fit into one group.
 	maxAsked = 256
 	// peerSample is the number of hosts asked first in one round of a large fleet by
 	// a host that is confirmed.
--- a/controller/watch/patience.go
+++ b/controller/watch/patience.go
@@ -23,8 +23,7 @@
 // Failure: the hosts that watch are gone, and answers take 0.5 s. Symptom: each host that took
 // over gave up after 0.3 s, and began with 0.3 s again at its next turn: no change was known by
 // any host for as long as the store was slow. With the patience kept, the second try of a host
-// waits for 0.6 s, and a change is known after 1.25 s, at 14 and at 121 hosts. To tell it other
-// hosts gained nothing. It is safe for concurrent use.
+// waits for long enough, however many hosts there are. It is safe for concurrent use.
 type storePatience struct {
 	mu     sync.Mutex
 	raised time.Duration
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -196,8 +196,8 @@
 
 // referTo returns hosts of the asker's zone, this one last. The lock is held.
 //
-// Failure: half of 300 hosts lost power and start again. Symptom: each asked the three
-// seeds for all that they know, and 150 times 80 kB take 3 s of three links of 10 Mbit/s.
+// Failure: half of all hosts lost power and start again. Symptom: each asked the three
+// seeds for all that they know, and the seeds' links were full of it for seconds.
 func (c *Controller) referTo(asker directory.Host) []ports.HostID {
 	var ids []ports.HostID
 	for id, h := range c.hosts {
--- a/controller/watch/start.go
+++ b/controller/watch/start.go
@@ -93,10 +93,9 @@
 //
 // Failure: all hosts lose power at once, and callers wait. Symptom: with the seeds
 // asked for everything, no host served before the first seed was up and had read
-// the store, 0.3 to 0.45 s after most hosts were up. Two calls a host are the
-// price of being ready at once. When a seed is up it is asked for longer instead:
-// the store answers one reading after the other, some 9 ms each, and 15 hosts that
-// read at the same moment waited 0.3 s for it.
+// the store, long after most hosts were up. Two calls a host are the price of being
+// ready at once. When a seed is up it is asked for longer instead: the store answers
+// one reading after the other, and hosts that read at the same moment wait for it.
 func (c *Controller) readOnce(ctx context.Context) {
 	var g errgroup.Group
 	for t := range directory.Topics {
@@ -181,7 +180,7 @@
 }
 
 // referStagger is how long a start waits for one host that a seed named before it asks the
-// next, too: all that 100 hosts know takes 0.06 s of a link of 10 Mbit/s.
+// next, too. The answer is the whole list of targets, over a slow link.
 const referStagger = 100 * time.Millisecond
 
 // askReferred asks hosts that a seed named until one tells all it knows, and reports whether
@@ -228,9 +227,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addHosts(hosts...)
-	// A few of them are told of this one; what they know spreads by heartbeats. Asking
-	// all of them for all they know, as 121 hosts that had started together did, filled
-	// the links for two seconds: 0.4 GB between availability zones.
+	// A few of them are told of this one; what they know spreads by heartbeats. Hosts that
+	// start together and ask all others for all they know fill the links.
 	c.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	for _, h := range hosts[:min(len(hosts), greeted)] {
 		if h.ID() != c.self {
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -189,8 +189,8 @@
 }
 
 // tellIfSlow has a try to take over tell the others that the store does not serve it, once
-// firstAllowance has passed, while it goes on waiting: were they told only when it gives up, an
-// outage would be met with 194 calls of 121 hosts in 8 s, in place of fewer than 160.
+// firstAllowance has passed, while it goes on waiting: were they told only when it gives up,
+// more of them would try meanwhile.
 func (c *Controller) tellIfSlow(w *watching, t directory.Topic) *time.Timer {
 	return time.AfterFunc(firstAllowance, func() {
 		c.mu.Lock()
--- a/directory/state.go
+++ b/directory/state.go
@@ -76,10 +76,9 @@
 // Buckets returns the digests of the parts of the list of targets: a host that lacks
 // something tells them, and hears only of the parts that differ.
 //
-// Failure: many hosts miss a change of 3,000 targets. Symptom: each was told all of them,
-// 0.4 MB, on links of 10 Mbit/s, most in vain after the time for it had passed, and asked
-// again: 120 MB a second between 300 hosts for as long as the day lasted, and
-// configurations in force after 4 s.
+// Failure: many hosts miss a change of thousands of targets. Symptom: each was told all of
+// them over a slow link, most in vain after the time for it had passed, and asked again:
+// the links stayed full, and configurations came into force seconds late.
 func (s *State) Buckets() []uint64 { return slices.Clone(s.buckets[:]) }
 
 // mark is what a listed target adds to the digest.
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -80,9 +80,8 @@
 // share of them, or the target was chosen blindly.
 //
 // Targets that tell their load are asked at the choice, and a call that takes long there
-// mostly has more work: with second attempts for these, too, the mean worth of 20 heavy
-// days was 0.7448 in place of 0.7500 on one deployment and 0.7834 in place of 0.7867 on
-// another, and the slots that they took were missed after a restart of all hosts.
+// mostly has more work: second attempts for these, too, take slots from others, which are
+// missed most after a restart of all hosts.
 func (d *Dispatcher) mayHedge(c *Call, s send) bool {
 	if d.retries == nil {
 		return c.Workspace.HedgeRatio > 0
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -89,8 +89,8 @@
 	ReasonStored: {status: http.StatusOK},
 
 	ReasonNoRoute: {status: http.StatusNotFound},
-	// A host that is behind catches up in about this time: it waits 0.15 s for the change and
-	// then asks for it.
+	// A host that is behind catches up in about this time: it waits for the change for a
+	// moment and then asks for it.
 	ReasonConfigUnconfirmed: {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonBadRequest:        {status: http.StatusBadRequest},
 	ReasonBodyTooLarge:      {status: http.StatusRequestEntityTooLarge},
--- a/peer/packed.go
+++ b/peer/packed.go
@@ -8,10 +8,10 @@
 
 // Packed is a part of a message that travels compressed if it is large.
 //
-// Failure: a change of 1,400 routes goes to 100 hosts over links of 10 Mbit/s. Symptom:
-// 250 kB for each of 25 hosts of a zone take 5 s of one link, heartbeats behind them come
-// late, others take over the watch and send the same once more. Routes and targets are
-// much alike: compressed they are an eighth (TestListsShrinkWhenPacked).
+// Failure: a change of many routes goes to all hosts of a zone over slow links. Symptom: it
+// takes seconds of one link, heartbeats behind it come late, others take over the watch
+// and send the same once more. Routes and targets are much alike: compressed they are an
+// eighth (TestListsShrinkWhenPacked).
 type Packed[T any] struct{ Value T }
 
 // Pack returns a value to be sent compressed.
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -22,8 +22,8 @@
 // be asked then, so that a zone that is full has somewhere to send its calls, however many
 // targets it has itself.
 //
-// Keeping the cheapest few on the way through the list, in place of sorting it, takes a
-// choice among 100 targets 5.3 microseconds in place of 15.9 (BenchmarkPickOf100Targets).
+// The cheapest few are kept on the way through the list: sorting it takes three times as
+// long (BenchmarkPickOf100Targets).
 type candidates struct {
 	list      [2 * placing.AskWidth]ranked
 	near, far int
--- a/placer/service.go
+++ b/placer/service.go
@@ -113,9 +113,8 @@
 // Failure: targets that are slow or full answer questions late, and hosts that have
 // used up their questions know little; for a target that told nothing stands what is
 // usual. Symptom: when most targets are full, the silent one looks cheaper than those
-// that told the truth, and gets the call; at 121 hosts under one and a half times the
-// load three of four calls went by such guesses. Preferring what was told raised the
-// worth of the two worst windows of 2 s from 0.40 to 0.45.
+// that told the truth, and gets the call; most calls go by such guesses where hosts are
+// many.
 func (s *service) best(now time.Time, way float64, list []ranked) (*target, float64) {
 	var found *target
 	least := 0.0
--- a/policy/denial/denial.go
+++ b/policy/denial/denial.go
@@ -38,9 +38,8 @@
 // no route for it or its body is larger than it says, may be answered as one that none allows.
 //
 // Failure: a host finds no route in an old table and takes it for the newest. Symptom: callers
-// of a route that was added 2.5 s ago are told 404, which says that the request is wrong, and
-// which nobody repeats; with 302 hosts on links of 10 Mbit/s 20 were. A host that can not tell
-// refuses instead, which says that the request did not run and may be sent again. It is enough
+// of a route that was added seconds ago are told 404, which says that the request is wrong, and
+// which nobody repeats. A host that can not tell refuses instead, which says that the request did not run and may be sent again. It is enough
 // since a host that hears nothing has no confirmation that is young, and one that hears of a
 // newer version knows that it lacks it.
 func (k Knowledge) Allowed() bool {
--- a/policy/placing/asking.go
+++ b/policy/placing/asking.go
@@ -5,9 +5,7 @@
 const (
 	// AskWidth is how many targets of the own zone, and then of others, are asked for
 	// one choice. More tell little more about the best of them, and use up the share of
-	// questions under load: with 7 the mean worth was 0.002 lower on the small
-	// deployments (12 days each, noise) and 0.018 lower on three days of 121 hosts; with
-	// 3 the heaviest of these fell from 0.592 to 0.553.
+	// questions under load; fewer miss the free ones.
 	AskWidth = 4
 	// askLeast is how many are asked when the share of questions is nearly used up,
 	// askAgain how many by a choice that waited.
@@ -26,9 +24,7 @@
 // again.
 //
 // It answers more calls than there are questions. When the share runs low each choice asks
-// fewer, so that none has to do without: at 129 hosts a host may put 77 questions a second,
-// and with 14 for each of its 11 calls, and as many after each wait, most calls went by
-// guesses.
+// fewer, so that none has to do without and goes by a guess.
 func Width(waits int, left float64) int {
 	if waits > 0 {
 		return askAgain
@@ -38,8 +34,7 @@
 
 // Waits is how often a choice may wait for a better target where a call usually takes
 // some time: for half of that, once at least. Beyond that the wait costs more than a better
-// target saves: at most three waits whatever the work took 0.746 in place of 0.755 on one
-// deployment, and half a work time 0.760 there and 0.794 in place of 0.790 on another.
+// target saves.
 func Waits(work time.Duration) int {
 	return min(max(int(work/2/WaitPause), 1), maxWaits)
 }
--- a/policy/placing/decide.go
+++ b/policy/placing/decide.go
@@ -34,10 +34,7 @@
 // It answers more calls than the targets can run. Then the best target of all that could
 // be asked has a queue that leads to a late answer, and a call that waits for a better one
 // takes the slot that another would have got in time, or is refused later. Refused at once
-// it comes again sooner, or elsewhere. With targets of one slot under twice what they can
-// run, 0.644 of all requests were in time in place of 0.592, and the mean worth of 8 heavy
-// days was 0.427 in place of 0.379; on two other deployments 0.742 in place of 0.735, and
-// 0.795 in place of 0.796.
+// it comes again sooner, or elsewhere.
 func Decide(cost float64, worthwhile bool, next Next) Decision {
 	switch {
 	case cost <= goodCost && worthwhile:
--- a/policy/waited/waited.go
+++ b/policy/waited/waited.go
@@ -34,9 +34,7 @@
 //
 // One that came again is thereby reckoned with less time until its objective, so that it
 // gets a slot that is free but does not queue before callers that can still be answered in
-// time. On 12 heavy days each of two deployments, without processor time, 0.880 of all
-// requests were in time in place of 0.877, 0.031 failed as before; the worth went from 0.713
-// to 0.720 and from 0.787 to 0.789.
+// time.
 func (p *Patience) Waited(left time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/policy/watchers/spread.go
+++ b/policy/watchers/spread.go
@@ -3,11 +3,11 @@
 import "github.com/cactusproxy/cactusproxy/ports"
 
 const (
-	// flatBytes is what one host sends of a change by itself: 0.05 s of a link of
-	// 10 Mbit/s, the slowest in use. Beyond it others help.
+	// flatBytes is what one host sends of a change by itself: a moment of the slowest links
+	// in use. Beyond it others help.
 	flatBytes = 64 << 10
-	// fanOut is how many hosts each host sends a large change to. 75 hosts of a zone are
-	// reached in three steps, each of which is as long as four copies take.
+	// fanOut is how many hosts each host sends a large change to. A step is as long as so
+	// many copies take.
 	fanOut = 4
 )
 
--- a/policy/watchers/turns.go
+++ b/policy/watchers/turns.go
@@ -17,16 +17,15 @@
 	// maxStagger is how long hosts take their turns one by one, and then once more how
 	// long those that are left take theirs, lateStagger apart.
 	//
-	// Failure: heartbeats come late because the links are full, and 115 hosts had
+	// Failure: heartbeats come late because the links are full, and most hosts had
 	// waited for the same last turn. Symptom: all of them began to watch and to pass on
 	// each change, which kept the links full. By the time of a late turn the first
-	// ones have had their chance; the last turn comes 1.6 s after the silence was
-	// noticed, which is only reached if nobody before could read the store.
+	// ones have had their chance; it is only reached if nobody before could read the
+	// store.
 	maxStagger  = 800 * time.Millisecond
 	lateStagger = 8 * time.Millisecond
-	// outageStagger is the time between two turns while the store is out for all. At
-	// 121 hosts they made 489 to 555 calls in an outage of 8 s with turns as close as
-	// otherwise, and fewer than 160 so (controller/watch, TestOutageIsMetWithFewCalls).
+	// outageStagger is the time between two turns while the store is out for all: each is
+	// a call in vain.
 	outageStagger = 400 * time.Millisecond
 )
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,12 +26,11 @@
 	// that a message was lost.
 	syncEvery = time.Second
 	// fewHosts is up to how many hosts each tells all others of its suspects. The
-	// messages grow with the square of the hosts: at 32, with ten targets breaking
-	// off in a second, 310 messages of 100 bytes a second over all of them.
+	// messages grow with the square of the hosts.
 	fewHosts = 32
 	// lossesIfFew and lossesIfMany are the targets that a request must have been lost
-	// with. With two at 121 hosts, where suspects are known to few, one run in three
-	// refused eight requests that were innocent.
+	// with. Where hosts are many suspects are known to few of them, and two losses are
+	// met by requests that are innocent.
 	lossesIfFew  = 2
 	lossesIfMany = 3
 	// repeatFor is how long something new is repeated.
@@ -149,8 +148,7 @@
 //
 // Failure: targets break off calls for a reason of their own, as when answers are
 // lost, and hundreds of requests are suspects for minutes. Symptom: told to all hosts
-// again and again, they filled the links of 121 hosts (37 MB/s between availability
-// zones), and calls came too late.
+// again and again, they filled the links, and calls came too late.
 func (q *Quarantine) tell(r suspicion.Record) {
 	notifyAll(q, q.audience(r.Digest, r.State), kindRecords, recordsMsg{Records: []suspicion.Record{r}})
 }
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -76,9 +76,8 @@
 	return next, next.Check()
 }
 
-// routes returns the routes that a delta leads to. The names go into a set: with 1,400 of
-// 1,500 routes dropped, to look each up in the list makes Apply take 3.3 ms of a core in place
-// of 0.2 ms (BenchmarkApply), and a host may have a sixth of one.
+// routes returns the routes that a delta leads to. The names go into a set: where most of
+// many routes are dropped, to look each up in the list takes far longer (BenchmarkApply).
 func (d *Delta) routes(from *Config) []Route {
 	gone := make(map[string]bool, len(d.Put)+len(d.Drop))
 	for i := range d.Put {
