--- a/cmd/cactusdemo/changes.go
+++ b/cmd/cactusdemo/changes.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"net/http"
-	"os"
-	"path/filepath"
+	"path"
 	"strings"
 	"time"
 
@@ -22,8 +22,8 @@
 
 // changedAuction returns the auction's workspace with another timeout.
 func (d *demo) changedAuction() (config.File, error) {
-	name := filepath.Join(d.examples, "auction", "workspace.jsonc")
-	text, err := os.ReadFile(name)
+	name := path.Join("auction", "workspace.jsonc")
+	text, err := fs.ReadFile(d.examples, name)
 	if err != nil {
 		return config.File{}, err
 	}
--- a/cmd/cactusdemo/demo.go
+++ b/cmd/cactusdemo/demo.go
@@ -4,7 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"path/filepath"
+	"io/fs"
+	"path"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/controller/config"
@@ -21,7 +22,7 @@
 // demo runs the steps and remembers whether all went well.
 type demo struct {
 	lab      *lab.Lab
-	examples string
+	examples fs.FS
 	out      io.Writer
 	hosts    []string
 }
@@ -83,8 +84,7 @@
 
 func (d *demo) applyBoth(ctx context.Context) (string, error) {
 	for _, name := range []string{"auction", "repairs"} {
-		dir := filepath.Join(d.examples, name)
-		r, err := d.lab.Apply(ctx, d.hosts[0], filepath.Join(dir, "template.jsonc"), filepath.Join(dir, "workspace.jsonc"))
+		r, err := d.lab.ApplyFS(ctx, d.hosts[0], d.examples, path.Join(name, "template.jsonc"), path.Join(name, "workspace.jsonc"))
 		if err != nil {
 			return "", err
 		}
--- a/cmd/cactusdemo/main.go
+++ b/cmd/cactusdemo/main.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,6 +15,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/cactusproxy/cactusproxy/examples"
 	"github.com/cactusproxy/cactusproxy/internal/lab"
 	"github.com/cactusproxy/cactusproxy/internal/logging"
 	"github.com/cactusproxy/cactusproxy/internal/version"
@@ -21,7 +23,7 @@
 
 type args struct {
 	Stay     bool   `arg:"--stay" help:"keep everything running afterwards and print addresses for curl"`
-	Examples string `arg:"--examples" default:"examples" help:"folder with the declarations"`
+	Examples string `arg:"--examples" help:"folder with other declarations than those built in"`
 	Log      string `arg:"--log" default:"error" help:"level of the hosts' logs on standard error: debug, info, warn or error"`
 }
 
@@ -29,6 +31,14 @@
 	return "cactusdemo starts a small deployment in one process and shows what it promises."
 }
 
+// files returns the declarations that the demo applies.
+func (a args) files() fs.FS {
+	if a.Examples == "" {
+		return examples.Files
+	}
+	return os.DirFS(a.Examples)
+}
+
 func (args) Version() string { return "cactusdemo " + version.String() }
 
 // limit bounds the whole show.
@@ -52,7 +62,7 @@
 	defer l.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	d := &demo{lab: l, examples: a.Examples, out: os.Stdout}
+	d := &demo{lab: l, examples: a.files(), out: os.Stdout}
 	ok := d.run(ctx)
 	if a.Stay && ok {
 		d.stay()
--- a/internal/lab/wait.go
+++ b/internal/lab/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"io/fs"
 	"net/http"
 	"os"
 	"time"
@@ -74,14 +75,25 @@
 	return &client.Client{Addr: h.OperatorsAddr(), Token: Token}
 }
 
-// Apply applies a workspace and its template, given as files, through a host and
-// waits until it is in force on every host.
+// Apply is ApplyFS with files of this machine.
 func (l *Lab) Apply(ctx context.Context, host, templateFile, workspaceFile string) (operator.ChangeReply, error) {
-	template, err := os.ReadFile(templateFile)
+	return l.ApplyFS(ctx, host, osFiles{}, templateFile, workspaceFile)
+}
+
+// osFiles opens files by any path, those outside the folder of the process included.
+type osFiles struct{}
+
+// Open implements fs.FS.
+func (osFiles) Open(name string) (fs.File, error) { return os.Open(name) }
+
+// ApplyFS applies a workspace and its template, given as files, through a host and
+// waits until it is in force on every host.
+func (l *Lab) ApplyFS(ctx context.Context, host string, files fs.FS, templateFile, workspaceFile string) (operator.ChangeReply, error) {
+	template, err := fs.ReadFile(files, templateFile)
 	if err != nil {
 		return operator.ChangeReply{}, err
 	}
-	workspace, err := os.ReadFile(workspaceFile)
+	workspace, err := fs.ReadFile(files, workspaceFile)
 	if err != nil {
 		return operator.ChangeReply{}, err
 	}
