Read callers' bodies at a part of the link, least where the store is watched

The news come in to a host that watches the store and go out from it, behind the bodies of uploads, each of which crosses its link twice. The link's rate stood in the settings and nothing used it.

Now bodies are read at 0.7 of the link's rate, at 0.2 on a host that watches the store; callers whose bytes are not read stop sending. linkMbps is a checked setting.

--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -88,6 +88,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watching{cancel: cancel, started: time.Now()}
 	c.watch = w
+	c.watches.Store(true)
 	c.count.takeovers.Add(1)
 	// Whoever watches has to know all hosts, to be heard by them; the seeds know
 	// every host that has started.
@@ -118,6 +119,7 @@
 	}
 	c.watch.cancel()
 	c.watch = nil
+	c.watches.Store(false)
 }
 
 // watchTopic follows one topic until ctx ends.
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,7 +72,8 @@
 	// refused is when others last told that the store did not serve their try to watch.
 	refused map[ports.HostID]time.Time
 	// watch is set while this host watches.
-	watch *watching
+	watch   *watching
+	watches atomic.Bool
 	// storeLost is set while the store failed this host last, storeBackAt is when it
 	// answered again.
 	storeLost   bool
@@ -190,6 +192,9 @@
 	return next
 }
 
+// Watches reports whether this host watches the store.
+func (c *Controller) Watches() bool { return c.watches.Load() }
+
 func (c *Controller) view() watchers.View {
 	v := watchers.View{Beats: c.beats, Watching: c.watch != nil, Refused: c.refused}
 	for id := range c.hosts {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -178,6 +178,8 @@
 		Dispatcher: dispatcher,
 		Metrics:    d.metrics,
 		BodyMemory: d.bodyMemory(),
+		LinkBytes:  d.settings.LinkMbps * 1e6 / 8,
+		Watches:    d.watch.Watches,
 		Fresh:      func() bool { return true },
 		Contract:   d.platform.Contract,
 		Finder:     entry.NewRouteFinder(d.board, d.watch),
--- a/entry/call.go
+++ b/entry/call.go
@@ -21,7 +21,7 @@
 		s.logged(w, r)
 		return
 	}
-	u := newUploadWriter(w, r)
+	u := newUploadWriter(w, r, s.bodies)
 	s.logged(u, u.request)
 	u.end()
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -46,6 +46,11 @@
 	// BodyMemory bounds the bodies kept in memory for further attempts, in
 	// bytes over all calls of this host.
 	BodyMemory int64
+	// LinkBytes is what this host's link carries each way, in bytes a second; 0 if not
+	// known.
+	LinkBytes float64
+	// Watches reports whether this host watches the store for all others.
+	Watches func() bool
 	// IssueKey makes an idempotency key bound to this host, or returns "" if the
 	// settings name no cluster key.
 	IssueKey func(workspace, service, caller string) string
@@ -80,6 +85,7 @@
 type Server struct {
 	deps   Deps
 	memory *semaphore.Weighted
+	bodies *bodyPace
 	routes atomic.Pointer[routesOf]
 	mux    *chi.Mux
 
@@ -97,7 +103,11 @@
 	if deps.Contract == nil {
 		deps.Contract = targetapi.Default()
 	}
-	s := &Server{deps: deps, memory: semaphore.NewWeighted(deps.BodyMemory)}
+	s := &Server{
+		deps:   deps,
+		memory: semaphore.NewWeighted(deps.BodyMemory),
+		bodies: newBodyPace(deps.LinkBytes, deps.Watches),
+	}
 	s.mux = chi.NewRouter()
 	s.mux.Get(PathReady, s.ready)
 	s.mux.Post(PathKeys, s.issueKey)
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -41,8 +42,8 @@
 	duplex bool
 }
 
-func newUploadWriter(w http.ResponseWriter, r *http.Request) *uploadWriter {
-	body := &uploadBody{src: r.Body}
+func newUploadWriter(w http.ResponseWriter, r *http.Request, pace *bodyPace) *uploadWriter {
+	body := &uploadBody{src: r.Body, ctx: r.Context(), pace: pace}
 	request := *r // net/http looks at the body of its own one
 	request.Body = body
 	return &uploadWriter{ResponseWriter: w, request: &request, body: body}
@@ -105,6 +106,9 @@
 type uploadBody struct {
 	mu  sync.Mutex // held by the one that reads
 	src io.ReadCloser
+	// ctx is the request's.
+	ctx  context.Context
+	pace *bodyPace
 	// begun and ended are set once a part or all of it was read.
 	begun, ended atomic.Bool
 	// answered is set once no more of it is passed on.
@@ -123,6 +127,9 @@
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
 	}
+	if left := b.pace.wait(b.ctx, n); left != nil {
+		return n, left
+	}
 	return n, err
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -129,6 +129,9 @@
 		c.add("measuring.perTarget", "must not be negative, is %g", s.Measuring.PerTarget)
 	}
 	c.notNegative("memoryMB", int64(s.MemoryMB))
+	if s.LinkMbps < 0 {
+		c.add("linkMbps", "must not be negative, is %g", s.LinkMbps)
+	}
 }
 
 func (c *checker) address(field, addr string) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,9 @@
 	Measuring Measuring `json:"measuring,omitzero"`
 	// MemoryMB is the memory that the daemon may use, in megabytes; 0 is no limit.
 	MemoryMB int `json:"memoryMB,omitempty"`
+	// LinkMbps is what the host's link carries each way, in megabits a second; 0 if not
+	// known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// Targets says how to connect to targets.
 	Targets Targets `json:"targets,omitzero"`
 	// Keys is for idempotency keys that hosts issue.
