--- a/controller/watch/start.go
+++ b/controller/watch/start.go
@@ -49,7 +49,7 @@
 		c.beginHurried(ctx)
 		return
 	}
-	if c.isSeed() {
+	if c.isSeed() || len(c.deps.Seeds) == 0 {
 		c.askSeeds(ctx, seedsSeedTimeout, 0)
 		return
 	}
--- a/controller/watch/starts_test.go
+++ b/controller/watch/starts_test.go
@@ -56,3 +56,14 @@
 		assert.Check(t, calls < startingHosts/2, "%d calls", calls)
 	})
 }
+
+// The settings of a host name no others, as on a deployment of one. There is nobody to
+// leave the store to, and callers must not wait for it.
+func TestFirstStartWithoutSeedsReadsTheStoreAtOnce(t *testing.T) {
+	withFleet(t, 0, func(fl *fleet) {
+		fl.seeds = nil
+		fl.start(0, false)
+		took := fl.await(nil, func(h *host) bool { return h.takes(0) })
+		assert.Check(t, took < 200*time.Millisecond, "known after %s", took)
+	})
+}
