--- a/controller/watch/start.go
+++ b/controller/watch/bootstrap.go
@@ -20,40 +20,40 @@
 	seedTimeout = 1500 * time.Millisecond
 	// seedsSeedTimeout is that of a seed, which the others wait for.
 	seedsSeedTimeout = 200 * time.Millisecond
-	// hurriedSeedTimeout is that of a start while callers wait: a seed that is up
+	// loadedSeedTimeout is that of a start while callers wait: a seed that is up
 	// answers in a few ms.
-	hurriedSeedTimeout = 15 * time.Millisecond
+	loadedSeedTimeout = 15 * time.Millisecond
 	// busySeedTimeout is how long such a start goes on asking a seed that is up but
 	// has yet to read the store, which takes it 30 to 80 ms.
 	busySeedTimeout = 200 * time.Millisecond
-	// greeted is how many hosts of the list a start tells of itself.
-	greeted = 3
-	// seedPause is the time between the first two questions to a seed; it doubles up to
-	// maxSeedPause.
-	seedPause    = 20 * time.Millisecond
-	maxSeedPause = 300 * time.Millisecond
-	// seedStagger is how long a first start waits for one seed before it asks the next,
-	// too.
+	// contacted is how many hosts of the list a start tells of itself.
+	contacted = 3
+	// seedBackoff is the time between the first two queries to a seed; it doubles up to
+	// maxSeedBackoff.
+	seedBackoff    = 20 * time.Millisecond
+	maxSeedBackoff = 300 * time.Millisecond
+	// seedStagger is how long a first start waits for one seed before it queries the
+	// next, too.
 	seedStagger = 300 * time.Millisecond
-	// seedsFirst is how long a first start then lets the seeds watch before it does: their
+	// seedLead is how long a first start then lets the seeds watch before it does: their
 	// heartbeats have to wait behind the connections of hundreds of hosts.
-	seedsFirst = 1500 * time.Millisecond
+	seedLead = 1500 * time.Millisecond
 )
 
-// begin tells the seeds of this host and takes in what they know. If a seed is up
+// bootstrap tells the seeds of this host and takes in what they know. If a seed is up
 // but knows nothing yet, as when all hosts start together, the seeds are the first
 // to watch: were every host to do so, the calls to the store would grow with the
 // number of hosts.
-func (c *Controller) begin(ctx context.Context) {
-	if c.deps.Hurry {
-		c.beginHurried(ctx)
+func (c *Controller) bootstrap(ctx context.Context) {
+	if c.deps.UnderLoad {
+		c.bootstrapUnderLoad(ctx)
 		return
 	}
 	if c.isSeed() || len(c.deps.Seeds) == 0 {
-		c.askSeeds(ctx, seedsSeedTimeout, 0)
+		c.querySeeds(ctx, seedsSeedTimeout, 0)
 		return
 	}
-	reached, fresh := c.askSeeds(ctx, seedTimeout, seedStagger)
+	reached, fresh := c.querySeeds(ctx, seedTimeout, seedStagger)
 	if fresh {
 		return
 	}
@@ -61,15 +61,15 @@
 		c.readHosts(ctx)
 	}
 	c.mu.Lock()
-	c.decider.Defer(time.Now().Add(seedsFirst))
+	c.decider.Defer(time.Now().Add(seedLead))
 	c.mu.Unlock()
 }
 
-// beginHurried is begin while callers wait.
-func (c *Controller) beginHurried(ctx context.Context) {
-	reached, fresh := c.askSeeds(ctx, hurriedSeedTimeout, 0)
+// bootstrapUnderLoad is bootstrap while callers wait.
+func (c *Controller) bootstrapUnderLoad(ctx context.Context) {
+	reached, fresh := c.querySeeds(ctx, loadedSeedTimeout, 0)
 	if !fresh && reached && !c.isSeed() {
-		_, fresh = c.askSeeds(ctx, busySeedTimeout, 0)
+		_, fresh = c.querySeeds(ctx, busySeedTimeout, 0)
 	}
 	if fresh {
 		return
@@ -115,15 +115,15 @@
 	_ = g.Wait() // failures are logged above; the watch tries again
 }
 
-// askSeeds asks the seeds for all they know, one after the other, stagger apart. It
+// querySeeds queries the seeds for all they know, one after the other, stagger apart. It
 // reports whether any was reached, and whether one of them is up to date, which ends the
 // wait.
 //
-// Failure: hundreds of hosts start together, and each asks all seeds again and again.
+// Failure: hundreds of hosts start together, and each queries all seeds again and again.
 // Symptom: the seeds' processors are taken by it for seconds, no answer and no heartbeat
 // of theirs gets out, and every host reads the store by itself and begins to watch it.
-// Each host begins with a seed of its own choice, and asks ever less often.
-func (c *Controller) askSeeds(ctx context.Context, timeout, stagger time.Duration) (reached, fresh bool) {
+// Each host begins with a seed of its own choice, and queries it ever less often.
+func (c *Controller) querySeeds(ctx context.Context, timeout, stagger time.Duration) (reached, fresh bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	seeds := c.otherSeeds()
@@ -134,13 +134,13 @@
 				answers <- syncResult{}
 				return
 			}
-			answers <- c.askSeed(ctx, id)
+			answers <- c.querySeed(ctx, id)
 		}()
 	}
 	for range seeds {
 		r := <-answers
 		reached = reached || r.reached
-		if r.fresh && (len(r.ask) == 0 || c.askReferred(r.ask)) {
+		if r.fresh && (len(r.ask) == 0 || c.queryReferred(r.ask)) {
 			return true, true
 		}
 	}
@@ -161,11 +161,11 @@
 	return seeds
 }
 
-// askSeed asks one seed until it is up to date. At a start of all hosts together
+// querySeed asks one seed until it is up to date. At a start of all hosts together
 // it may not listen yet, or know nothing.
-func (c *Controller) askSeed(ctx context.Context, id ports.HostID) syncResult {
+func (c *Controller) querySeed(ctx context.Context, id ports.HostID) syncResult {
 	var last syncResult
-	pause := seedPause
+	pause := seedBackoff
 	for {
 		r := c.sync(ctx, id, true)
 		last.reached = last.reached || r.reached
@@ -175,7 +175,7 @@
 		if c.isSeed() || !ctxtime.Sleep(ctx, pause) {
 			return last
 		}
-		pause = min(2*pause, maxSeedPause)
+		pause = min(2*pause, maxSeedBackoff)
 	}
 }
 
@@ -183,9 +183,9 @@
 // next, too. The answer is the whole list of targets, over a slow link.
 const referStagger = 100 * time.Millisecond
 
-// askReferred asks hosts that a seed named until one tells all it knows, and reports whether
+// queryReferred asks hosts that a seed named until one tells all it knows, and reports whether
 // one did. Some may be down, and are silent: the next is asked meanwhile.
-func (c *Controller) askReferred(ids []ports.HostID) bool {
+func (c *Controller) queryReferred(ids []ports.HostID) bool {
 	c.mu.Lock()
 	for _, id := range ids {
 		c.addHosts(directory.Host{Addr: string(id)})
@@ -230,7 +230,7 @@
 	// A few of them are told of this one; what they know spreads by heartbeats. Hosts that
 	// start together and ask all others for all they know fill the links.
 	c.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	for _, h := range hosts[:min(len(hosts), greeted)] {
+	for _, h := range hosts[:min(len(hosts), contacted)] {
 		if h.ID() != c.self {
 			c.tellHosts(h.ID())
 		}
--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -108,20 +108,20 @@
 	return directory.Target{ID: targetID(i), Service: service, Addr: "10.1.0.1:80", Slots: 2, Draining: draining, Incarnation: 1}
 }
 
-func (fl *fleet) start(i int, hurry bool) *host {
+func (fl *fleet) start(i int, underLoad bool) *host {
 	h := &host{addr: addr(i), client: fl.record.Client(), board: blackboard.New()}
 	link := fl.net.Join(ports.HostID(h.addr))
 	h.c = New(Deps{
-		Self:    directory.Host{Addr: h.addr, Zone: zone(i), Start: time.Now().UnixNano()},
-		Seeds:   fl.seeds,
-		Hurry:   hurry,
-		Source:  h.client,
-		Link:    link,
-		Reach:   link,
-		Board:   h.board,
-		Metrics: metrics.New(),
-		Log:     zap.NewNop(),
-		Seed:    uint64(i),
+		Self:      directory.Host{Addr: h.addr, Zone: zone(i), Start: time.Now().UnixNano()},
+		Seeds:     fl.seeds,
+		UnderLoad: underLoad,
+		Source:    h.client,
+		Link:      link,
+		Reach:     link,
+		Board:     h.board,
+		Metrics:   metrics.New(),
+		Log:       zap.NewNop(),
+		Seed:      uint64(i),
 	})
 	h.callers = newCallers(h.board, h.c)
 	ctx, cancel := context.WithCancel(fl.t.Context())
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -39,17 +39,17 @@
 	Region string
 	// Seeds are peer addresses of other hosts; some may be stale.
 	Seeds []string
-	// Hurry has a start read the store if no seed knows at once, since callers
+	// UnderLoad has a start read the store if no seed knows at once, since callers
 	// wait already. Otherwise the seeds have time to read it for all.
-	Hurry   bool
-	Source  directory.Source
-	Link    peer.Link
-	Peers   PeerSetter
-	Reach   Reach
-	Board   *blackboard.Board
-	Metrics *metrics.Set
-	Log     *zap.Logger
-	Seed    uint64
+	UnderLoad bool
+	Source    directory.Source
+	Link      peer.Link
+	Peers     PeerSetter
+	Reach     Reach
+	Board     *blackboard.Board
+	Metrics   *metrics.Set
+	Log       *zap.Logger
+	Seed      uint64
 }
 
 // Controller runs on every host.
@@ -142,7 +142,7 @@
 	c.mu.Lock()
 	c.publishHosts()
 	c.mu.Unlock()
-	c.begin(ctx)
+	c.bootstrap(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.stopWatching("stopped")
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -97,18 +97,18 @@
 	})
 	d.cleanup = append(d.cleanup, d.pools.Close)
 	d.watch = watch.New(watch.Deps{
-		Self:    d.self(),
-		Region:  d.settings.Host.Region,
-		Seeds:   d.settings.Peers.Seeds,
-		Hurry:   !d.settings.Directory.FirstStart,
-		Source:  d.platform.Directory(d.metrics, d.log),
-		Link:    d.node,
-		Peers:   d.node,
-		Reach:   d.node,
-		Board:   d.board,
-		Metrics: d.metrics,
-		Log:     d.log,
-		Seed:    d.incarnation,
+		Self:      d.self(),
+		Region:    d.settings.Host.Region,
+		Seeds:     d.settings.Peers.Seeds,
+		UnderLoad: !d.settings.Directory.FirstStart,
+		Source:    d.platform.Directory(d.metrics, d.log),
+		Link:      d.node,
+		Peers:     d.node,
+		Reach:     d.node,
+		Board:     d.board,
+		Metrics:   d.metrics,
+		Log:       d.log,
+		Seed:      d.incarnation,
 	})
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Link:    d.node,
