--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,17 +39,17 @@
 	Region string
 	// Seeds are peer addresses of other hosts; some may be stale.
 	Seeds []string
-	// Hurry has a start read the store if no seed knows at once, since callers
+	// UnderLoad has a start read the store if no seed knows at once, since callers
 	// wait already. Otherwise the seeds have time to read it for all.
-	Hurry   bool
-	Source  directory.Source
-	Link    peer.Link
-	Peers   PeerSetter
-	Reach   Reach
-	Board   *blackboard.Board
-	Metrics *metrics.Set
-	Log     *zap.Logger
-	Seed    uint64
+	UnderLoad bool
+	Source    directory.Source
+	Link      peer.Link
+	Peers     PeerSetter
+	Reach     Reach
+	Board     *blackboard.Board
+	Metrics   *metrics.Set
+	Log       *zap.Logger
+	Seed      uint64
 }
 
 // Controller runs on every host.
@@ -71,7 +72,8 @@
 	// refused is when others last told that the store did not serve their try to watch.
 	refused map[ports.HostID]time.Time
 	// watch is set while this host watches.
-	watch *watching
+	watch   *watching
+	watches atomic.Bool
 	// storeLost is set while the store failed this host last, storeBackAt is when it
 	// answered again.
 	storeLost   bool
@@ -140,7 +142,7 @@
 	c.mu.Lock()
 	c.publishHosts()
 	c.mu.Unlock()
-	c.begin(ctx)
+	c.bootstrap(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	defer c.stopWatching("stopped")
@@ -190,6 +192,9 @@
 	return next
 }
 
+// Watches reports whether this host watches the store.
+func (c *Controller) Watches() bool { return c.watches.Load() }
+
 func (c *Controller) view() watchers.View {
 	v := watchers.View{Beats: c.beats, Watching: c.watch != nil, Refused: c.refused}
 	for id := range c.hosts {
