--- a/controller/watch/pass.go
+++ b/controller/watch/pass.go
@@ -106,8 +106,9 @@
 	// relayTimeout is how long a relay has to confirm a change before the next gets it,
 	// too; it doubles with each.
 	relayTimeout = 100 * time.Millisecond
-	// relayTries is how many late relays of an availability zone are not waited for.
-	relayTries = 3
+	// maxLateRelays is how many late relays of an availability zone are gone round for one
+	// change; beyond that its hosts notice by the heartbeats.
+	maxLateRelays = 3
 )
 
 // tellRelay sends a change to the first of some hosts that confirms it.
@@ -124,7 +125,7 @@
 		_, err := peer.Call[struct{}](ctx, c.deps.Link, id, kindRelay, r)
 		timedOut := ctx.Err() != nil
 		cancel()
-		if err == nil || late == relayTries {
+		if err == nil || late == maxLateRelays {
 			return
 		}
 		if timedOut {
