--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -11,8 +11,6 @@
 	calls, failed, beats, steps, syncs, dropped, takeovers *expvar.Int
 	// repeats counts large changes that were not passed on since they brought nothing new.
 	repeats *expvar.Int
-	// relaysLate counts changes that a relay did not confirm in time.
-	relaysLate *expvar.Int
 	// lateWords counts words of earlier runs of targets that were held back.
 	lateWords *expvar.Int
 	// refusedConfigs counts configurations that other hosts told and that were not taken in.
@@ -32,8 +30,6 @@
 		repeats:   c("repeats_not_passed_on"),
 		lateWords: c("late_words"),
 
-		relaysLate: c("relays_late"),
-
 		refusedConfigs: c("configs_refused"),
 	}
 }
--- a/controller/watch/pass.go
+++ b/controller/watch/pass.go
@@ -59,7 +59,7 @@
 		}
 	}
 	for _, ids := range zones {
-		go c.tellRelay(watchers.Relays(c.rng, ids), relayed{Step: body, Zone: true})
+		c.tellOne(watchers.Relays(c.rng, ids), relayed{Step: body, Zone: true})
 	}
 	c.spread(body, c.neighbours())
 }
@@ -102,37 +102,16 @@
 	}
 }
 
-const (
-	// relayTimeout is how long a relay has to confirm a change before the next gets it,
-	// too; it doubles with each.
-	relayTimeout = 100 * time.Millisecond
-	// maxLateRelays is how many late relays of an availability zone are gone round for one
-	// change; beyond that its hosts notice by the heartbeats.
-	maxLateRelays = 3
-)
-
-// tellRelay sends a change to the first of some hosts that confirms it.
-//
-// Failure: the link of a relay is full, and what is sent to it arrives seconds later.
-// Symptom: all hosts of its availability zone went on using a target that had left; they
-// noticed by the heartbeats, and asked each other in vain. A relay that confirms has passed
-// the change on, and one that is late takes in a change that is there already.
-func (c *Controller) tellRelay(relays []ports.HostID, r relayed) {
-	timeout := relayTimeout
-	late := 0
+// tellOne sends a change to the first of some hosts that can be reached.
+func (c *Controller) tellOne(relays []ports.HostID, r relayed) {
+	body, ok := c.encode(r)
+	if !ok {
+		return
+	}
 	for _, id := range relays {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		_, err := peer.Call[struct{}](ctx, c.deps.Link, id, kindRelay, r)
-		timedOut := ctx.Err() != nil
-		cancel()
-		if err == nil || late == maxLateRelays {
+		if c.tell(id, kindRelay, body) {
 			return
 		}
-		if timedOut {
-			c.count.relaysLate.Add(1)
-			late++
-			timeout *= 2
-		}
 	}
 }
 
