--- a/comments_test.go
+++ b/comments_test.go
@@ -18,8 +18,8 @@
 // unit of time, how many hosts there were, that one figure replaced another.
 var figures = regexp.MustCompile(`\b0\.\d{2,}\b|\b\d{2,} hosts\b|\bin place of \d|, measured\b|\bfleetbench\b`)
 
-// unplayed are folders whose programs are benchmarks: their comments name what they vary.
-var unplayed = []string{"internal/bench", "cmd/cactusbench"}
+// benchmarks are folders of programs that measure: their comments name what they vary.
+var benchmarks = []string{"internal/bench", "cmd/cactusbench"}
 
 func TestCommentsTellNoFiguresOfRuns(t *testing.T) {
 	for path, comments := range shippedComments(t) {
@@ -39,7 +39,7 @@
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
-		for _, folder := range unplayed {
+		for _, folder := range benchmarks {
 			if strings.HasPrefix(path, folder) {
 				return nil
 			}
