Orders to evacuate zones are known on every host

op/evacuate/ZONE was never read.

A target's warm-up is reckoned from the entry that tells it, not from the first of its run: one that turned cold later was never cold here.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -16,6 +16,8 @@
 	TopicStatus  Topic = "status"
 	TopicRoutes  Topic = "routes"
 	TopicConfirm Topic = "confirmation"
+
+	TopicEvacuations Topic = "evacuations"
 )
 
 // Board is the state shared by one daemon's controllers.
@@ -32,6 +34,9 @@
 	// Routes is the configuration by routes in force, nil while none is known;
 	// controller/watch writes it on platforms that declare routes.
 	Routes *Section[*routing.Table]
+	// Evacuations are the orders to evacuate availability zones; controller/watch writes
+	// it.
+	Evacuations *Section[*Evacuations]
 	// Confirmation is what this host has heard of how new those routes are;
 	// controller/watch writes it.
 	Confirmation *Section[Confirmation]
@@ -49,6 +54,7 @@
 		Status:  newSection(bus, TopicStatus, Status{}),
 		Routes:  newSection(bus, TopicRoutes, (*routing.Table)(nil)),
 
+		Evacuations:  newSection(bus, TopicEvacuations, &Evacuations{}),
 		Confirmation: newSection(bus, TopicConfirm, Confirmation{}),
 
 		bus: bus,
--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -89,9 +89,14 @@
 	// Slots is the number of calls the target runs at once, if it tells; else 0
 	// and its service's declaration says so.
 	Slots int
-	// WarmUntil is when the target stops being slow after its start; the zero
-	// time if it tells nothing of it.
+	// WarmUntil is when the target stops being cold by its entry; the zero time if that
+	// tells nothing of it.
 	WarmUntil time.Time
+	// Evacuated targets get no new call: their availability zone is to be empty.
+	Evacuated bool
+	// ReturnedAt is when this host heard that the evacuation of the target's zone had ended;
+	// the zero time if there was none. The target may be cold since.
+	ReturnedAt time.Time
 }
 
 // Run returns the name of the target's run.
@@ -104,6 +109,18 @@
 	ByService   map[ServiceKey][]Target
 }
 
+// Evacuation is an operator's order that the targets of an availability zone get no call.
+type Evacuation struct {
+	// Since is when this host heard of it.
+	Since    time.Time
+	Revision uint64
+}
+
+// Evacuations is the view of the orders in force, by zone.
+type Evacuations struct {
+	Zones map[string]Evacuation
+}
+
 // Confirmation is what this host has heard of the newest configuration by routes.
 type Confirmation struct {
 	// Newest is the highest version that any host told of.
--- a/controller/watch/beats.go
+++ b/controller/watch/beats.go
@@ -29,6 +29,9 @@
 		Newest:    c.state.Newest(),
 		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
+
+		Evacuations:   c.state.Evacuations().Digest(),
+		EvacuationsAt: c.state.Evacuations().Newest(),
 	}
 	if cfg := c.state.Config(); cfg != nil {
 		b.Version = cfg.Version
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -36,6 +36,11 @@
 	Version uint64             `msgpack:"version"`
 	Newest  directory.Revision `msgpack:"newest"`
 	Digest  uint64             `msgpack:"digest"`
+	// Evacuations and EvacuationsAt are the digest of the orders to evacuate zones and the
+	// newest revision of one. They stand apart from the targets, which change all the time:
+	// a lost order would hide behind the next change of a target.
+	Evacuations   uint64             `msgpack:"evacuations"`
+	EvacuationsAt directory.Revision `msgpack:"evacuations_at"`
 	// Hosts is a digest of the hosts that the watcher knows.
 	Hosts uint64 `msgpack:"hosts"`
 }
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -79,7 +79,8 @@
 	return newest < b.Newest ||
 		newest == b.Newest && c.state.Digest() != b.Digest ||
 		!c.state.HasTargets() ||
-		c.version() < b.Version
+		c.version() < b.Version ||
+		c.state.Evacuations().Lacks(b.EvacuationsAt, b.Evacuations)
 }
 
 // version is that of the configuration at hand, or 0. The lock is held.
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -40,7 +40,10 @@
 	old := c.deps.Board.Targets.Load()
 	for _, u := range usable {
 		key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: u.Service}
-		view.ByService[key] = append(view.ByService[key], target(now, u, old.ByService[key]))
+		t := target(now, u, old.ByService[key])
+		t.Evacuated = c.state.Evacuations().Active(u.Zone)
+		t.ReturnedAt = c.state.Evacuations().EndedAt(u.Zone)
+		view.ByService[key] = append(view.ByService[key], t)
 	}
 	c.deps.Board.Targets.Store(view)
 	if !c.state.HasTargets() {
@@ -66,7 +69,7 @@
 		FirstSeen:   u.FirstSeen,
 	}
 	if u.WarmUp > 0 {
-		t.WarmUntil = u.FirstSeen.Add(u.WarmUp)
+		t.WarmUntil = u.ListedAt.Add(u.WarmUp)
 	}
 	i, found := slices.BinarySearchFunc(old, u.ID, func(t blackboard.Target, id ports.HostID) int {
 		return cmp.Compare(t.ID, id)
--- a/controller/watch/random_test.go
+++ b/controller/watch/random_test.go
@@ -20,6 +20,8 @@
 	config  *routing.Config
 	// routes draws those of configurations, apart from rng.
 	routes *rand.Rand
+	// orders draws evacuations, apart from rng.
+	orders *rand.Rand
 	seen   map[*host]uint64
 	// acceptedAt is when each version was accepted.
 	acceptedAt map[uint64]time.Time
@@ -33,8 +35,8 @@
 
 // Hosts are cut off, turned away, stopped and started again, the history is
 // dropped, and meanwhile the configuration and the targets change. No host may ever
-// go back to an older configuration, or deny a route that was added longer ago than the bound,
-// and once the faults have ended for as long as a
+// go back to an older configuration, or deny a route that was added longer ago than the bound.
+// Zones are evacuated and taken back. Once the faults have ended for as long as a
 // take-over takes, every host must know exactly what the record says.
 func TestRandomHistories(t *testing.T) {
 	for seed := range uint64(randomSeeds) {
@@ -45,6 +47,7 @@
 				version:    1,
 				config:     config(1),
 				routes:     rand.New(rand.NewPCG(seed, 10)),
+				orders:     rand.New(rand.NewPCG(seed, 11)),
 				seen:       make(map[*host]uint64),
 				acceptedAt: make(map[uint64]time.Time),
 				next:       10,
@@ -97,6 +100,33 @@
 	case 13, 14:
 		h.restartTarget(h.rng.IntN(h.next))
 	}
+	if h.orders.IntN(4) == 0 {
+		h.order()
+	}
+}
+
+// order evacuates a zone or takes it back, with the order at times lost to one host.
+func (h *history) order() {
+	zone := zone(h.orders.IntN(3))
+	to := h.hosts[h.orders.IntN(len(h.hosts))]
+	lost := h.orders.IntN(2) == 0
+	for _, w := range h.watching() {
+		if lost {
+			h.net.Cut(ports.HostID(w.addr), ports.HostID(to.addr))
+		}
+	}
+	if h.record.Evacuated(zone) {
+		h.record.TakeBack(zone)
+	} else {
+		h.record.Evacuate(zone)
+	}
+	if !lost {
+		return
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, w := range h.hosts {
+		h.net.Restore(ports.HostID(w.addr), ports.HostID(to.addr))
+	}
 }
 
 // anyRoutes is a configuration in which names, and pairs of host and prefix, may stand twice.
@@ -193,6 +223,11 @@
 		assert.Check(t, host.denies("/never/"), "seed %d: %s does not know that there is no such route", seed, host.addr)
 		assert.Check(t, host.version() == h.version, "seed %d: %s has version %d of %d", seed, host.addr, host.version(), h.version)
 		assert.Check(t, host.goesBy(h.config), "seed %d: %s goes by other routes", seed, host.addr)
+		for i := range 3 {
+			_, evacuated := host.board.Evacuations.Load().Zones[zone(i)]
+			want := h.record.Evacuated(zone(i))
+			assert.Check(t, evacuated == want, "seed %d: %s takes %s for evacuated: %t", seed, host.addr, zone(i), evacuated)
+		}
 		for i := range h.next {
 			e, ok := listed[targetID(i)]
 			want := ok && !e.Draining
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -87,6 +87,9 @@
 	// the earliest time to tell again whom it knows.
 	checking   bool
 	exchangeAt time.Time
+	// wordAt is when a watcher of the store was last heard, or this host was one, keptAt when
+	// it last told that it keeps to orders without that.
+	wordAt, keptAt time.Time
 	// announced is the digest of the hosts last written down, announceAt the
 	// earliest time of the next writing.
 	announced  uint64
@@ -170,6 +173,7 @@
 	if !c.expiry.IsZero() && !now.Before(c.expiry) {
 		c.publishTargets(now)
 	}
+	c.keepEvacuations(now)
 	wanted, next := c.decider.Decide(now, c.view())
 	switch {
 	case wanted && c.watch == nil:
@@ -241,6 +245,7 @@
 	if next := c.state.Config(); next != had {
 		c.publishConfig(had, next, from)
 	}
+	c.publishEvacuations(now, news.Evacuations, from)
 	c.logTargets(ch, news, from)
 	c.publishTargets(now)
 	if c.deps.Board.Status.Load().Serving() && !c.isServing {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -21,7 +21,7 @@
 type Topic uint8
 
 const (
-	// TopicConfig is the configuration.
+	// TopicConfig is the configuration, and the orders to evacuate zones.
 	TopicConfig Topic = iota
 	// TopicTargets is the list of targets.
 	TopicTargets
@@ -88,6 +88,10 @@
 	// begins at.
 	Delta   *routing.Delta `msgpack:"delta"`
 	Targets []Target       `msgpack:"targets"`
+	// Evacuations are orders to evacuate zones, and their ends. AllEvacuations, if not 0, is
+	// the revision as of which they are all: older orders that it does not name have ended.
+	Evacuations    []Evacuation `msgpack:"evacuations"`
+	AllEvacuations Revision     `msgpack:"all_evacuations"`
 	// Digest is that of the sender's list after the step, DigestAt the newest revision in
 	// it; 0 if not told.
 	Digest   uint64   `msgpack:"digest"`
@@ -99,7 +103,7 @@
 
 // Empty reports whether a step changes nothing.
 func (c Changes) Empty() bool {
-	return c.Config == nil && c.Delta == nil && len(c.Targets) == 0 && !c.AllTargets
+	return c.Config == nil && c.Delta == nil && len(c.Targets) == 0 && !c.AllTargets && len(c.Evacuations) == 0 && c.AllEvacuations == 0
 }
 
 // Target is one target in the record.
--- a/directory/state.go
+++ b/directory/state.go
@@ -23,10 +23,12 @@
 // depend on order: the configuration goes by its version, each target by the
 // revision of its entry. It is not safe for concurrent use.
 type State struct {
-	config  *routing.Config
-	targets map[ports.HostID]*known
-	newest  Revision
-	wholeAt Revision
+	config *routing.Config
+	// evacuations are the orders to evacuate zones.
+	evacuations Evacuations
+	targets     map[ports.HostID]*known
+	newest      Revision
+	wholeAt     Revision
 	// lateWords counts words of earlier runs of targets that were held back.
 	lateWords int64
 	// refusedConfigs counts configurations that were wrong, and deltas that led to another
@@ -46,6 +48,8 @@
 type known struct {
 	Target
 	firstSeen time.Time
+	// listedAt is when the entry at hand was first heard of.
+	listedAt time.Time
 	// goneAt is when a removed target stops being used; the zero time for one
 	// that is not removed.
 	goneAt time.Time
@@ -59,7 +63,10 @@
 // Config returns the configuration, or nil if none is known.
 func (s *State) Config() *routing.Config { return s.config }
 
-// Newest returns the highest revision of any entry.
+// Evacuations returns the orders to evacuate zones, for reading.
+func (s *State) Evacuations() *Evacuations { return &s.evacuations }
+
+// Newest returns the highest revision of any target's entry.
 func (s *State) Newest() Revision { return s.newest }
 
 // Digest is the same in states that list the same targets at the same revisions. Two
@@ -120,6 +127,7 @@
 	if s.mergeDelta(c.Delta) {
 		news.Delta = c.Delta
 	}
+	news.Evacuations = s.evacuations.take(now, c.Evacuations, c.AllEvacuations)
 	for _, t := range c.Targets {
 		if s.mergeTarget(now, t, c.Hold) {
 			news.Targets = append(news.Targets, t)
@@ -194,7 +202,7 @@
 
 // put lists a target. What is known of the same run stays.
 func (s *State) put(now time.Time, old *known, t Target) {
-	k := &known{Target: t, firstSeen: now}
+	k := &known{Target: t, firstSeen: now, listedAt: now}
 	if old != nil && !t.Incarnation.Replaces(old.Incarnation) {
 		k.firstSeen = old.firstSeen
 		k.Incarnation = max(t.Incarnation, old.Incarnation)
@@ -270,7 +278,10 @@
 // Usable is a target that may be used.
 type Usable struct {
 	Target
+	// FirstSeen is when this host first heard of the target's run, ListedAt of the entry at
+	// hand.
 	FirstSeen time.Time
+	ListedAt  time.Time
 }
 
 // Usable returns the targets in use at a moment, sorted by ID, and when that
@@ -287,7 +298,7 @@
 		if k.Removed && (next.IsZero() || k.goneAt.Before(next)) {
 			next = k.goneAt
 		}
-		list = append(list, Usable{Target: k.Target, FirstSeen: k.firstSeen})
+		list = append(list, Usable{Target: k.Target, FirstSeen: k.firstSeen, ListedAt: k.listedAt})
 	}
 	slices.SortFunc(list, func(a, b Usable) int { return cmp.Compare(a.ID, b.ID) })
 	return list, next
@@ -310,6 +321,7 @@
 	if s.config != nil && s.config.Version > version {
 		c.Config = s.config
 	}
+	c.Evacuations, c.AllEvacuations = s.evacuations.whole()
 	for _, k := range s.targets {
 		t := k.Target
 		if differ&(1<<bucketOf(t.ID)) == 0 {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -114,6 +114,7 @@
 	"listening", "leaving", "left", "configuration in force", "targets read",
 	"store lost", "store regained", "watching the store", "no longer watching the store",
 	"settings read again",
+	"zone evacuated", "evacuation ended", "evacuation kept, no word of the store",
 }
 
 // concerns reports whether a line may have to do with the request.
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -40,7 +40,10 @@
 	config   *routing.Config
 	configAt directory.Revision
 	targets  map[ports.HostID]directory.Target
-	hosts    []directory.Host
+	// evacuations are the orders in force, by zone, evacuationLog their history since cutAt.
+	evacuations   map[string]directory.Evacuation
+	evacuationLog []directory.Evacuation
+	hosts         []directory.Host
 	// log is the history of targets since cutAt.
 	log   []directory.Target
 	cutAt directory.Revision
@@ -57,7 +60,10 @@
 		delay:    delay,
 		revision: 1,
 		targets:  make(map[ports.HostID]directory.Target),
-		changed:  make(chan struct{}),
+
+		evacuations: make(map[string]directory.Evacuation),
+
+		changed: make(chan struct{}),
 	}
 }
 
@@ -108,11 +114,40 @@
 	r.announce()
 }
 
+// Evacuate writes an order to evacuate a zone.
+func (r *Record) Evacuate(zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	o := directory.Evacuation{Zone: zone, Revision: r.revision}
+	r.evacuations[zone] = o
+	r.evacuationLog = append(r.evacuationLog, o)
+	r.announce()
+}
+
+// TakeBack drops the order to evacuate a zone.
+func (r *Record) TakeBack(zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	delete(r.evacuations, zone)
+	r.evacuationLog = append(r.evacuationLog, directory.Evacuation{Zone: zone, Revision: r.revision, Ended: true})
+	r.announce()
+}
+
+// Evacuated reports whether an order for a zone is in force.
+func (r *Record) Evacuated(zone string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.evacuations[zone]
+	return ok
+}
+
 // DropHistory forgets all changes so far: watches from before have to read whole.
 func (r *Record) DropHistory() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log, r.cutAt = nil, r.revision
+	r.log, r.evacuationLog, r.cutAt = nil, nil, r.revision
 	r.announce()
 }
 
@@ -195,6 +230,8 @@
 	ch := directory.Changes{Revision: r.revision}
 	if t == directory.TopicConfig {
 		r.addConfig(&ch)
+		ch.AllEvacuations = r.revision
+		ch.Evacuations = slices.Collect(maps.Values(r.evacuations))
 		return ch
 	}
 	ch.AllTargets = true
@@ -268,6 +305,13 @@
 	if t == directory.TopicConfig && r.configAt > after {
 		r.addConfig(&ch)
 	}
+	if t == directory.TopicConfig {
+		for _, o := range r.evacuationLog {
+			if o.Revision > after {
+				ch.Evacuations = append(ch.Evacuations, o)
+			}
+		}
+	}
 	if t == directory.TopicTargets {
 		for _, e := range r.log {
 			if e.Revision > after {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -28,6 +28,10 @@
 	GracefulStop Name = "graceful-stop"
 	// ConfigForward: the applied configuration sequence never goes back.
 	ConfigForward Name = "config-forward"
+	// EvacuationForward: an order to evacuate a zone never goes back to an older revision.
+	EvacuationForward Name = "evacuation-forward"
+	// EvacuatedIdle: no target of an evacuated zone is chosen.
+	EvacuatedIdle Name = "evacuated-idle"
 	// SlotAccount: the slots granted match the calls holding them.
 	SlotAccount Name = "slot-account"
 	// RouteService: every route of a table leads to services that the table has.
