Evacuated zones get nothing, cold targets what they bear, bound routes their regions

The placer leaves targets of evacuated zones out of choices and probes, on retries and hedges too; if all are evacuated the caller is refused at once (reason evacuated, Retry-After 1 s).

A host believes a target to be cold by its record, by the end of its zone's evacuation, and before both by its own health answer; what is only presumed is asked.

The digest of a configuration covers the new fields, so that Delta.Digest has another name on the wire.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -58,6 +58,8 @@
 	Objective time.Duration
 	// Priority is the rank of the call; 0 is the most urgent.
 	Priority int
+	// Regions are the only ones whose targets may get the call; all if empty.
+	Regions []string
 	// Sizes, if set, learns how large the answers to such calls are.
 	Sizes *sizes.Usual
 	// Suspicion identifies the request for quarantine; 0 if not computed.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -138,6 +138,7 @@
 			Objective: c.Objective,
 			Priority:  c.Priority,
 			Bytes:     c.bytes(),
+			Regions:   c.Regions,
 		})
 		if g == nil {
 			watch.Close()
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -117,6 +117,7 @@
 		Avoid:   []ports.HostID{g.Target().ID},
 		Hedge:   true,
 		Bytes:   c.bytes(),
+		Regions: c.Regions,
 		Digest:  c.Suspicion,
 	})
 	if g2 == nil {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -122,6 +122,7 @@
 		Contract:  d.platform.Contract,
 		Share:     placer.NewShare(d.board, d.settings.Measuring.PerTarget),
 		Zone:      d.settings.Host.Zone,
+		Regions:   d.settings.Zones,
 		Seed:      d.incarnation,
 		Metrics:   d.metrics,
 		Log:       d.log,
--- a/entry/request.go
+++ b/entry/request.go
@@ -38,6 +38,7 @@
 		Depth:     intHeader(r, s.deps.Contract.Depth, 0),
 		Objective: m.Objective,
 		Priority:  m.Priority,
+		Regions:   m.Regions,
 		Caller:    callerOf(r),
 		Arrived:   time.Now(),
 		Waited:    s.waited(r, m),
--- a/entry/router.go
+++ b/entry/router.go
@@ -42,6 +42,8 @@
 	// Objective and Priority are those of dispatch.Call.
 	Objective time.Duration
 	Priority  int
+	// Regions are the only ones whose targets may get the request; all if empty.
+	Regions []string
 	// Patience, if set, tells how long callers of the route have been waiting.
 	Patience *waited.Patience
 	// Sizes, if set, learns how large answers of the route are.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -82,6 +82,7 @@
 		Repeat:    repeat,
 		Objective: m.Route.Objective,
 		Priority:  m.Route.Priority,
+		Regions:   m.Route.Regions,
 
 		ConfigVersion: table.Config.Version,
 	}, outcome.Result{}
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -37,7 +37,9 @@
 
 // Reasons about targets.
 const (
-	ReasonNoTarget      Reason = "no-target"
+	ReasonNoTarget Reason = "no-target"
+	// ReasonEvacuated is a call whose service has targets in evacuated zones alone.
+	ReasonEvacuated     Reason = "evacuated"
 	ReasonShed          Reason = "shed"
 	ReasonConnect       Reason = "connect-failed"
 	ReasonConnLimit     Reason = "connection-limit"
@@ -80,8 +82,11 @@
 	// once. With a second in its place, callers whose deadline is near gave up.
 	elsewhere = 20 * time.Millisecond
 	// soon is for want of room, about the time in which calls in flight end.
-	soon  = 200 * time.Millisecond
-	later = 5 * time.Second
+	soon = 200 * time.Millisecond
+	// untilOrdered is for what an operator has to take back; callers that have long may
+	// come again.
+	untilOrdered = time.Second
+	later        = 5 * time.Second
 )
 
 var infos = map[Reason]info{
@@ -104,6 +109,7 @@
 	ReasonCallerGone:        {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonEvacuated:     {status: http.StatusServiceUnavailable, retryAfter: untilOrdered},
 	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: elsewhere},
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -35,6 +35,8 @@
 	Priority int
 	// Bytes is how many bytes the request's body and its answer are likely to have.
 	Bytes float64
+	// Regions are the only ones whose targets may get the call; all if empty.
+	Regions []string
 }
 
 // Picker chooses targets. Implementations are safe for concurrent use.
--- a/placer/ask.go
+++ b/placer/ask.go
@@ -94,16 +94,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	asked := time.Now()
-	load, told, reached := p.exchange(ctx, info, path, conns)
-	p.tell(s.answered(t, load, told, reached, time.Since(asked)), s, info.Run())
-	if !reached {
+	a := p.exchange(ctx, info, path, conns)
+	p.tell(s.answered(t, a, time.Since(asked)), s, info.Run())
+	if !a.reached {
 		p.count.asksFailed.Add(1)
 	}
 }
 
+// answer is what came of a question. It is told if the target said what its load is, reached
+// if any answer came at all.
+type answer struct {
+	load          targetapi.Load
+	told, reached bool
+	// coldFor is how much longer the target is cold.
+	coldFor time.Duration
+}
+
 // answered takes in the answer to a question, and returns what that changed in
 // what this host believes of the target.
-func (s *service) answered(t *target, load targetapi.Load, told, reached bool, took time.Duration) (news string) {
+func (s *service) answered(t *target, a answer, took time.Duration) (news string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,15 +122,17 @@
 		return ""
 	}
 	switch {
-	case told:
-		s.told(now, t, load)
-	case reached:
+	case a.told:
+		s.told(now, t, a.load)
+	case a.reached:
 		s.answeredSilently(now, t, took)
 	}
 	switch {
-	case !reached && t.unreachable(now):
+	case !a.reached && t.unreachable(now):
 		return newsUnreachable
-	case reached && t.reached():
+	case a.reached && s.hearCold(now, t, a.coldFor):
+		return newsCold
+	case a.reached && t.reached():
 		return newsReached
 	default:
 		return ""
@@ -132,9 +143,8 @@
 // kept.
 const maxHealthBody = 4 << 10
 
-// exchange sends one question. told is false if the target says nothing of its
-// load, reached if no answer came at all.
-func (p *Placer) exchange(ctx context.Context, info blackboard.Target, path string, conns int) (load targetapi.Load, told, reached bool) {
+// exchange sends one question.
+func (p *Placer) exchange(ctx context.Context, info blackboard.Target, path string, conns int) (a answer) {
 	req := &http.Request{
 		Method:     http.MethodGet,
 		URL:        &url.URL{Path: path},
@@ -146,10 +156,12 @@
 	}
 	res := p.deps.Upstream.RoundTrip(req.WithContext(ctx), info, upstream.SendOptions{MaxConns: conns})
 	if res.Err != nil {
-		return load, false, false
+		return a
 	}
 	defer res.Response.Body.Close()
 	_, _ = io.CopyN(io.Discard, res.Response.Body, maxHealthBody)
-	load, told = p.deps.Contract.LoadOf(res.Response.Header)
-	return load, told, true
+	a.load, a.told = p.deps.Contract.LoadOf(res.Response.Header)
+	a.coldFor = p.deps.Contract.WarmUpOf(res.Response.Header)
+	a.reached = true
+	return a
 }
--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -42,7 +42,7 @@
 		Contract: &targetapi.Contract{}, Metrics: metrics.New(), Log: zap.NewNop(),
 	})
 	s := p.service(key)
-	s.refresh(board)
+	s.refresh(time.Now())
 	for _, t := range s.targets {
 		s.told(time.Now().Add(time.Hour), t, targetapi.Load{Slots: 2, Pace: 1})
 	}
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -27,6 +27,9 @@
 type candidates struct {
 	list      [2 * placing.AskWidth]ranked
 	near, far int
+	// coldSpent is how many targets were left out since they are cold and this host's part
+	// of their calls is used up.
+	coldSpent int
 }
 
 // first returns those of the own zone, all those of other zones, too.
@@ -72,13 +75,18 @@
 func (s *service) candidates(now time.Time, req pick.Request, width int) (c candidates) {
 	way := placing.Way(req.Bytes)
 	for _, t := range s.list {
-		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) {
+		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) || !s.regions.Allow(t.info.Zone, req.Regions) {
 			continue
 		}
 		if req.Alone && t.figures.InFlight > 0 {
 			continue
 		}
-		t.figures.Cold = now.Before(t.info.WarmUntil)
+		// One that is only presumed to be cold is asked: it may say that it is not.
+		if t.cold.Certain() && s.spent(now, t) {
+			c.coldSpent++
+			continue
+		}
+		t.figures.Cold = t.cold.Cold(now)
 		t.figures.Usual = *s.usual(t)
 		c.add(ranked{t, t.figures.Cost(now, way) + s.rng.Float64()*tieBreak}, width)
 	}
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -11,6 +11,10 @@
 	asks, asksFailed, asksRefused, waits, ejected *expvar.Int
 	// late counts ends of calls to targets that are no longer listed, or have started anew.
 	late *expvar.Int
+	// evacuated counts choices made while a zone of the service's targets is evacuated,
+	// coldCalls calls sent to cold targets, coldSpent choices for which cold targets were left
+	// out since this host's part of their calls was used up.
+	evacuated, coldCalls, coldSpent *expvar.Int
 	// refused counts by reason.
 	refused *expvar.Map
 }
@@ -24,6 +28,9 @@
 		waits:       c("waits"),
 		ejected:     c("ejected"),
 		late:        c("late_ends"),
+		evacuated:   c("choices_without_zone"),
+		coldCalls:   c("cold_calls"),
+		coldSpent:   c("cold_quota_spent"),
 		refused:     m.Map("placer_refused"),
 	}
 }
--- a/placer/foreign_test.go
+++ b/placer/foreign_test.go
@@ -23,7 +23,7 @@
 	s := l.p.service(restartKey)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(l.board)
+	s.refresh(time.Now())
 	return s.list
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -14,6 +14,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
@@ -37,6 +38,8 @@
 	Contract *targetapi.Contract
 	// Share allows questions to targets.
 	Share *Share
+	// Regions are the regions of the availability zones.
+	Regions Regions
 	// Zone is this host's availability zone.
 	Zone    string
 	Seed    uint64
@@ -75,11 +78,13 @@
 	s := p.services[key]
 	if s == nil {
 		s = &service{
-			key:  key,
-			zone: p.deps.Zone,
-			rng:  rand.New(rand.NewPCG(p.rng.Uint64(), 6)),
-			near: placing.NewUsual(),
-			far:  placing.NewUsual(),
+			key:     key,
+			zone:    p.deps.Zone,
+			board:   p.deps.Board,
+			regions: p.deps.Regions,
+			rng:     rand.New(rand.NewPCG(p.rng.Uint64(), 6)),
+			near:    placing.NewUsual(),
+			far:     placing.NewUsual(),
 		}
 		p.services[key] = s
 	}
@@ -94,7 +99,7 @@
 		c := p.candidates(s, req, placing.Width(waits, p.deps.Share.Left(time.Now())))
 		asked := c.first()
 		if len(c.all()) == 0 {
-			return nil, p.refuse(outcome.ReasonNoTarget, s.describe())
+			return nil, p.refuse(s.whyNone(c), s.describe())
 		}
 		p.ask(ctx, s, asked)
 		g, last := p.choose(ctx, s, req, asked, placing.MayAsk)
@@ -129,10 +134,18 @@
 func (p *Placer) candidates(s *service, req pick.Request, width int) candidates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.refresh(p.deps.Board) {
+	now := time.Now()
+	if s.refresh(now) {
 		p.deps.Share.Update()
 	}
-	return s.candidates(time.Now(), req, width)
+	c := s.candidates(now, req, width)
+	if s.evacuated > 0 {
+		p.count.evacuated.Add(1)
+	}
+	if c.coldSpent > 0 {
+		p.count.coldSpent.Add(1)
+	}
+	return c
 }
 
 // choose takes the best target, or returns why there is none; neither means that
@@ -157,6 +170,11 @@
 	case placing.GoOn:
 		return nil, ""
 	}
+	invariant.Check(!t.info.Evacuated, invariant.EvacuatedIdle, "%s", t.info.Run())
+	if s.limited(now, t) {
+		s.quotaOf(t).Take(now)
+		p.count.coldCalls.Add(1)
+	}
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
@@ -172,7 +190,9 @@
 func (p *Placer) refuse(r outcome.Reason, why string) outcome.Result {
 	p.count.refused.Add(string(r), 1)
 	res := outcome.Refuse(r)
-	res.RetryAfter = retryAfter
+	if r != outcome.ReasonEvacuated {
+		res.RetryAfter = retryAfter
+	}
 	res.Why = why
 	return res
 }
--- a/placer/restart_test.go
+++ b/placer/restart_test.go
@@ -47,7 +47,7 @@
 	s := l.p.service(restartKey)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refresh(l.board)
+	s.refresh(time.Now())
 	return s.list[0]
 }
 
--- a/placer/service.go
+++ b/placer/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/placing"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -16,16 +17,22 @@
 
 // service is one service as this host sees it.
 type service struct {
-	key  blackboard.ServiceKey
-	zone string
-
-	mu       sync.Mutex
-	rng      *rand.Rand
-	seen     uint64 // version of the board's targets that was taken in
-	any      bool
-	targets  map[ports.HostID]*target
-	list     []*target // the same, for choices
-	failures health.Service
+	key   blackboard.ServiceKey
+	zone  string
+	board *blackboard.Board
+	// regions are those of the availability zones.
+	regions Regions
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	seen    uint64 // version of the board's targets that was taken in
+	any     bool
+	targets map[ports.HostID]*target
+	list    []*target // the same, for choices
+	limits  coldLimits
+	// evacuated is how many of them are in zones that are to be empty.
+	evacuated int
+	failures  health.Service
 	// near and far are what targets of the own zone and of others told of late.
 	near, far placing.Usual
 	// nearAsked and farAsked are how long targets that tell nothing take to answer.
@@ -37,24 +44,31 @@
 	work time.Duration
 }
 
-// refresh takes in the platform's list and reports whether it changed. The lock
-// is held.
-func (s *service) refresh(board *blackboard.Board) bool {
-	version := board.Targets.Version()
+// refresh takes in the configuration and the platform's list, and reports whether the list
+// changed. The lock is held.
+func (s *service) refresh(now time.Time) bool {
+	s.limits = limitsOf(s.board, s.key.Service)
+	version := s.board.Targets.Version()
 	if s.any && version == s.seen {
 		return false
 	}
 	s.seen, s.any = version, true
-	list := board.Targets.Load().ByService[s.key]
+	list := s.board.Targets.Load().ByService[s.key]
 	next := make(map[ports.HostID]*target, len(list))
 	s.list = make([]*target, 0, len(list))
+	s.evacuated = 0
 	for _, info := range list {
 		t := s.targets[info.ID]
 		if t == nil || info.Incarnation.Replaces(t.info.Incarnation) {
 			t = newTarget(info, s.zone)
+			t.presumeCold(now, blackboard.Target{}, info, s.limits)
 		} else {
+			t.presumeCold(now, t.info, info, s.limits)
 			t.update(info, s.zone)
 		}
+		if info.Evacuated {
+			s.evacuated++
+		}
 		next[info.ID] = t
 		s.list = append(s.list, t)
 	}
@@ -119,7 +133,7 @@
 	var found *target
 	least := 0.0
 	for _, r := range list {
-		if !r.open(now) || r.figures.Full(now) {
+		if !r.open(now) || r.figures.Full(now) || s.spent(now, r.target) {
 			continue
 		}
 		cost := r.figures.Cost(now, way)
@@ -146,13 +160,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var room []ranked
-	open := 0
+	open, cold := 0, 0
 	oldest := time.Duration(0)
 	for _, t := range s.targets {
 		if !t.open(now) {
 			continue
 		}
 		open++
+		if s.limited(now, t) {
+			cold++
+		}
 		oldest = max(oldest, t.figures.Age(now))
 		room = append(room, ranked{target: t})
 	}
@@ -160,8 +177,22 @@
 	if t, cost := s.best(now, placing.Way(0), room); t != nil {
 		cheapest = strconv.FormatFloat(cost, 'f', 2, 64)
 	}
-	return fmt.Sprintf("targets=%d open=%d cheapest=%s work=%s oldest_figure=%s list=%d",
-		len(s.targets), open, cheapest, s.work.Round(time.Millisecond), oldest.Round(time.Millisecond), s.seen)
+	return fmt.Sprintf("targets=%d open=%d evacuated=%d cold=%d cheapest=%s work=%s oldest_figure=%s list=%d",
+		len(s.targets), open, s.evacuated, cold, cheapest, s.work.Round(time.Millisecond), oldest.Round(time.Millisecond), s.seen)
+}
+
+// whyNone returns why there is no target to choose from.
+func (s *service) whyNone(c candidates) outcome.Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case len(s.list) > 0 && s.evacuated == len(s.list):
+		return outcome.ReasonEvacuated
+	case c.coldSpent > 0:
+		return outcome.ReasonOverload
+	default:
+		return outcome.ReasonNoTarget
+	}
 }
 
 // mayWait is how often a choice may wait for a better target.
--- a/placer/share.go
+++ b/placer/share.go
@@ -41,6 +41,17 @@
 	return s.limiter.AllowN(now, 1)
 }
 
+// probed returns how many targets of a list are asked for their load: those of evacuated zones
+// get no probes, which would take slots from the calls that end there.
+func probed(list []blackboard.Target) (n int) {
+	for i := range list {
+		if !list[i].Evacuated {
+			n++
+		}
+	}
+	return n
+}
+
 // Left returns how much of a second's questions is left, 1 being half of it or more.
 func (s *Share) Left(now time.Time) float64 {
 	burst := float64(s.limiter.Burst())
@@ -57,7 +68,7 @@
 	for key, list := range s.board.Targets.Load().ByService {
 		// Entries of services that no configuration names may be anyone's.
 		if routes == nil || routes.Service(key.Service) != nil {
-			targets += len(list)
+			targets += probed(list)
 		}
 	}
 	hosts := max(1, len(s.board.Members.Load().Members))
--- a/placer/target.go
+++ b/placer/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/placing"
 )
@@ -29,6 +30,10 @@
 	info    blackboard.Target
 	figures placing.Figures
 	health  health.State
+	// cold is what this host believes of the target's being cold, quota what it may send
+	// there meanwhile.
+	cold  coldstart.Belief
+	quota quota
 	// restUntil is the end of the time in which the target gets no call.
 	restUntil time.Time
 	rests     int
@@ -56,7 +61,7 @@
 
 // open reports whether the target takes calls.
 func (t *target) open(now time.Time) bool {
-	return !t.info.Leaving && !now.Before(t.restUntil) && !t.health.Ejected(now) &&
+	return !t.info.Leaving && !t.info.Evacuated && !now.Before(t.restUntil) && !t.health.Ejected(now) &&
 		(!t.health.Trial() || t.figures.InFlight == 0)
 }
 
@@ -132,4 +137,5 @@
 	newsUnreachable = "target can not be reached"
 	newsLeaving     = "target leaving by its own answer"
 	newsEjected     = "target left out for its failures"
+	newsCold        = "target cold by its own answer"
 )
--- /dev/null
+++ b/policy/coldstart/belief.go
@@ -0,0 +1,62 @@
+// Package coldstart decides how many calls a host sends to targets that are cold. It answers
+// a load of which many targets are cold at once, as after a zone was evacuated or lost power:
+// they are idle and look best to every host at the same moment, bear a few requests a second
+// from all hosts together, and fall over well above that.
+package coldstart
+
+import "time"
+
+// Source is what a belief about a target rests on.
+type Source uint8
+
+const (
+	// None: nothing says that the target is cold.
+	None Source = iota
+	// Record is the target's entry in the platform's record, written some seconds ago.
+	Record
+	// Return is the end of the evacuation of the target's zone: it may have turned cold
+	// meanwhile, unnoticed by its entry.
+	Return
+	// Answer is the target's own health answer.
+	Answer
+)
+
+// String returns the name of the source in logs.
+func (s Source) String() string {
+	switch s {
+	case Record:
+		return "record"
+	case Return:
+		return "zone-returned"
+	case Answer:
+		return "answer"
+	default:
+		return "none"
+	}
+}
+
+// Belief is until when a target is taken for cold, what that rests on, and since when. The zero
+// value says that it is not.
+type Belief struct {
+	Until  time.Time
+	Source Source
+	At     time.Time
+}
+
+// Cold reports whether the target is taken for cold.
+func (b Belief) Cold(now time.Time) bool { return now.Before(b.Until) }
+
+// Certain reports whether the target itself said so: asking it again tells nothing more.
+func (b Belief) Certain() bool { return b.Source == Answer }
+
+// Presume takes in a sign other than the target's own word. It never shortens what is believed.
+func (b *Belief) Presume(now, until time.Time, s Source) {
+	if now.Before(until) && until.After(b.Until) {
+		*b = Belief{Until: until, Source: s, At: now}
+	}
+}
+
+// Hear takes in how much longer the target is cold by its own answer, 0 if it is not.
+func (b *Belief) Hear(now time.Time, left time.Duration) {
+	*b = Belief{Until: now.Add(left), Source: Answer, At: now}
+}
--- a/policy/rendezvous/rendezvous.go
+++ b/policy/rendezvous/rendezvous.go
@@ -71,3 +71,25 @@
 	x ^= x >> 31
 	return x
 }
+
+// Among reports whether a host is one of the n live hosts of a zone with the highest scores for
+// a key; of all zones if zone is empty. It allocates nothing.
+func Among(self ports.HostID, key, zone string, n int, members []blackboard.Member) bool {
+	k := xxhash.Sum64String(key)
+	own := score(k, self)
+	above, present := 0, false
+	for i := range members {
+		m := &members[i]
+		if m.State != blackboard.MemberLive || zone != "" && m.Host.Zone != zone {
+			continue
+		}
+		if m.Host.ID == self {
+			present = true
+			continue
+		}
+		if s := score(k, m.Host.ID); s > own || s == own && m.Host.ID < self {
+			above++
+		}
+	}
+	return present && above < n
+}
--- a/routing/check.go
+++ b/routing/check.go
@@ -14,6 +14,9 @@
 		if s.Name == "" {
 			return errors.New("service without a name")
 		}
+		if s.WarmUp < 0 || s.ColdRate < 0 {
+			return errors.Newf("service %q has a negative time or rate for cold targets", s.Name)
+		}
 		services[s.Name] = true
 	}
 	for _, r := range c.Routes {
--- a/routing/config.go
+++ b/routing/config.go
@@ -83,6 +83,8 @@
 	Priority int `msgpack:"priority"`
 	// MaxAttempts bounds the targets that one request may be sent to.
 	MaxAttempts int `msgpack:"max_attempts"`
+	// Regions are the only ones whose targets may get the requests; all if empty.
+	Regions []string `msgpack:"regions"`
 	// Parts has one entry for each service that takes a share of the requests.
 	Parts []Part `msgpack:"parts"`
 }
@@ -100,6 +102,11 @@
 	HealthPath string `msgpack:"health_path"`
 	// MaxConns is the number of connections a target takes from all hosts.
 	MaxConns int `msgpack:"max_conns"`
+	// WarmUp is how long a target is cold after its start, or once it has turned cold.
+	WarmUp time.Duration `msgpack:"warm_up"`
+	// ColdRate is the requests a second, from all hosts together, that a cold target bears:
+	// well above it the target crashes. 0 means no bound.
+	ColdRate float64 `msgpack:"cold_rate"`
 }
 
 // Limits bound what a caller may send.
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -22,7 +22,7 @@
 	Limits   Limits    `msgpack:"limits"`
 	// Digest is that of the configuration that the delta leads to; 0 if not told, as by
 	// hosts whose program lacks it.
-	Digest uint64 `msgpack:"digest"`
+	Digest uint64 `msgpack:"digest_2"`
 }
 
 // Reasons why a delta is not applied, to be tested with errors.Is.
--- a/routing/digest.go
+++ b/routing/digest.go
@@ -43,6 +43,10 @@
 	b = binary.AppendVarint(b, int64(r.Objective))
 	b = binary.AppendVarint(b, int64(r.Priority))
 	b = binary.AppendVarint(b, int64(r.MaxAttempts))
+	b = binary.AppendUvarint(b, uint64(len(r.Regions)))
+	for _, region := range r.Regions {
+		b = appendText(b, region)
+	}
 	for _, p := range r.Parts {
 		b = appendText(b, p.Service)
 		b = binary.BigEndian.AppendUint64(b, math.Float64bits(p.Weight))
@@ -58,6 +62,8 @@
 		b = appendText(b, s.Name)
 		b = appendText(b, s.HealthPath)
 		b = binary.AppendVarint(b, int64(s.MaxConns))
+		b = binary.AppendVarint(b, int64(s.WarmUp))
+		b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.ColdRate))
 	}
 	b = binary.AppendVarint(b, int64(c.Limits.MaxHeaderBytes))
 	b = binary.AppendVarint(b, c.Limits.MaxBodyBytes)
--- a/routing/digest_test.go
+++ b/routing/digest_test.go
@@ -18,8 +18,9 @@
 		Routes: []Route{{
 			Name: "r", Host: "h", Prefix: "/a/", Kind: Safe, Timeout: 3 * time.Second, Objective: time.Second,
 			Priority: 1, MaxAttempts: 2, Parts: []Part{{Service: "a", Weight: 1.5}, {Service: "b", Weight: 1}},
+			Regions: []string{"s"},
 		}},
-		Services: []Service{{Name: "a", HealthPath: "/healthz", MaxConns: 64}, {Name: "b"}},
+		Services: []Service{{Name: "a", HealthPath: "/healthz", MaxConns: 64, WarmUp: time.Second, ColdRate: 4.5}, {Name: "b"}},
 		Limits:   Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second},
 	}
 }
@@ -28,7 +29,7 @@
 // value changes, each takes every difference of the other for a wrong one, and is told the
 // configuration whole each time: give Delta.Digest another name on the wire then.
 func TestDigestStaysAcrossVersionsOfTheProgram(t *testing.T) {
-	assert.Equal(t, fullConfig().Digest(), uint64(10435342373318955124))
+	assert.Equal(t, fullConfig().Digest(), uint64(1704431446688252450))
 }
 
 // A field that is not in the digest is one in which hosts may differ unnoticed.
--- a/routing/hosts_test.go
+++ b/routing/hosts_test.go
@@ -236,6 +236,8 @@
 			field.SetInt(field.Int() + 1)
 		case field.CanUint():
 			field.SetUint(field.Uint() + 1)
+		case field.Type() == reflect.TypeFor[[]string]():
+			field.Set(reflect.ValueOf([]string{"b"}))
 		default:
 			field.Set(reflect.ValueOf([]Part{{Service: "a", Weight: 2}}))
 		}
--- a/settings/check.go
+++ b/settings/check.go
@@ -128,6 +128,9 @@
 	if s.Measuring.PerTarget < 0 {
 		c.add("measuring.perTarget", "must not be negative, is %g", s.Measuring.PerTarget)
 	}
+	if region, ok := s.Zones[s.Host.Zone]; ok && s.Host.Region != "" && region != s.Host.Region {
+		c.add("zones", "the host's zone %q is in region %q by host.region, here in %q", s.Host.Zone, s.Host.Region, region)
+	}
 	c.notNegative("memoryMB", int64(s.MemoryMB))
 	if s.LinkMbps < 0 {
 		c.add("linkMbps", "must not be negative, is %g", s.LinkMbps)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,9 @@
 	// LinkMbps is what the host's link carries each way, in megabits a second; 0 if not
 	// known.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// Zones are the regions of all availability zones, by zone; needed where routes are
+	// bound to regions.
+	Zones map[string]string `json:"zones,omitempty"`
 	// Targets says how to connect to targets.
 	Targets Targets `json:"targets,omitzero"`
 	// Keys is for idempotency keys that hosts issue.
--- a/targetapi/contract.go
+++ b/targetapi/contract.go
@@ -35,6 +35,9 @@
 	// Load is read by ReadLoad.
 	Load     string
 	ReadLoad func(value string) (Load, bool)
+	// WarmUp tells in a health answer how much longer the target is cold, as a number with
+	// its unit.
+	WarmUp string
 	// Own are headers of cactusproxy's own that are passed on neither way.
 	Own []string
 	// Forwarded adds X-Forwarded-For and X-Forwarded-Proto for targets.
@@ -89,6 +92,19 @@
 	return c.ReadLoad(value)
 }
 
+// WarmUpOf returns how much longer a target is cold by its health answer: 0 if it does not say
+// so, or what it says can not be read.
+func (c *Contract) WarmUpOf(h http.Header) time.Duration {
+	if c.WarmUp == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(h.Get(c.WarmUp))
+	if err != nil {
+		return 0 // what can not be read says nothing; the record still does
+	}
+	return max(0, d)
+}
+
 // IsShed reports whether an answer says that the target did not run the request.
 func (c *Contract) IsShed(status int, h http.Header) bool {
 	if c.ShedStatus != 0 && status != c.ShedStatus {
