A host that starts heeds the orders it read before it serves

TestOrderOutlivesAllHosts failed in one of some dozen runs beside busy processes: a host that had read its targets first put the configuration in force, and said that it serves, some microseconds before the orders that it had read with it. Orders and targets go on the board before the configuration now.

--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -242,12 +242,14 @@
 	if news.Empty() && (c.known() || !c.state.HasTargets()) {
 		return news
 	}
-	if next := c.state.Config(); next != had {
-		c.publishConfig(had, next, from)
-	}
+	// The configuration comes last: with it a host that starts begins to serve, and by then it
+	// must heed the orders that it read beside it.
 	c.publishEvacuations(now, news.Evacuations, from)
 	c.logTargets(ch, news, from)
 	c.publishTargets(now)
+	if next := c.state.Config(); next != had {
+		c.publishConfig(had, next, from)
+	}
 	if c.deps.Board.Status.Load().Serving() && !c.isServing {
 		c.isServing = true
 		close(c.serving)
