A target's word that it is warm counts for a moment

Cause: hosts that have used up their probes go by what they knew; the record and their own probes told them later that it was cold. Ruled out: the owners' quotas (at most 8 a second).

Now a target of a service that declares what cold ones bear is used freely only within 250 ms of its own word that it is warm, and for one call within a second of it; else its owners' quota holds. A host that may hardly probe looks at no others.

--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -71,8 +71,9 @@
 // same of many equals.
 const tieBreak = 0.1
 
-// candidates returns the targets that may take a call. The lock is held.
-func (s *service) candidates(now time.Time, req pick.Request, width int) (c candidates) {
+// candidates returns the targets that may take a call. Blind is set while the host may not
+// probe. The lock is held.
+func (s *service) candidates(now time.Time, req pick.Request, width int, blind bool) (c candidates) {
 	way := placing.Way(req.Bytes)
 	for _, t := range s.list {
 		if !t.open(now) || slices.Contains(req.Avoid, t.info.ID) || !s.regions.Allow(t.info.Zone, req.Regions) {
@@ -81,8 +82,8 @@
 		if req.Alone && t.figures.InFlight > 0 {
 			continue
 		}
-		// One that is only presumed to be cold is asked: it may say that it is not.
-		if t.cold.Certain() && s.spent(now, t) {
+		// One of which it is not certain is asked, if that may be: it may say that it is warm.
+		if (blind || t.cold.Certain() && t.cold.Cold(now)) && s.spent(now, t) {
 			c.coldSpent++
 			continue
 		}
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -75,13 +75,14 @@
 	return t.quota.Quota
 }
 
-// limited reports whether the target is cold and may get only so many calls. The lock is held.
+// limited reports whether the target is cold, or may be, and gets only so many calls. The lock is
+// held.
 func (s *service) limited(now time.Time, t *target) bool {
-	return s.limits.bounded() && t.cold.Cold(now)
+	return s.limits.bounded() && !t.cold.Warm(now)
 }
 
-// spent reports whether a target may get no call from this host now since it is cold and the
-// host's part of its calls is used up. The lock is held.
+// spent reports whether a target may get no call from this host now since it is cold, or may be,
+// and the host's part of its calls is used up. The lock is held.
 //
 // Failure: a zone is taken back, or its power returns, and its targets are cold and idle.
 // Symptom: to every host they look better than all others, each sends its calls there at the
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -91,7 +91,8 @@
 	placers []*Placer
 }
 
-func newColdLab(t *testing.T) *coldLab {
+// newColdLab lets a target be probed so often in a second by all hosts.
+func newColdLab(t *testing.T, probes float64) *coldLab {
 	l := &coldLab{board: blackboard.New(), targets: make(coldTargets)}
 	rng := rand.New(rand.NewPCG(1, 1))
 	l.board.Routes.Store(routing.NewTable(&routing.Config{Services: []routing.Service{
@@ -111,7 +112,7 @@
 		own.Targets.Store(l.board.Targets.Load())
 		t.Cleanup(func() { _ = own.Close() })
 		l.placers = append(l.placers, New(Deps{
-			Board: own, Upstream: l.targets, Share: NewShare(own, 40), Zone: members[i].Host.Zone, Seed: uint64(i),
+			Board: own, Upstream: l.targets, Share: NewShare(own, probes), Zone: members[i].Host.Zone, Seed: uint64(i),
 			Metrics: metrics.New(), Log: zap.NewNop(),
 			Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad, WarmUp: "Warm-Up"},
 		}))
@@ -175,7 +176,7 @@
 // warm, the zone has its part of the load again.
 func TestZoneThatIsTakenBackIsNotFlooded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newColdLab(t)
+		l := newColdLab(t, 40)
 		defer l.board.Close()
 		rng := rand.New(rand.NewPCG(7, 7))
 		inZone := func(tg *blackboard.Target) bool { return tg.Zone == "z1" }
@@ -221,7 +222,7 @@
 // cold asks them, and has its calls there at once.
 func TestZoneThatIsWarmIsUsedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newColdLab(t)
+		l := newColdLab(t, 40)
 		defer l.board.Close()
 		rng := rand.New(rand.NewPCG(8, 8))
 		back := time.Now()
@@ -246,7 +247,7 @@
 // refused at once, and no target gets more.
 func TestAllTargetsColdRefusesWhatTheyDoNotBear(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newColdLab(t)
+		l := newColdLab(t, 40)
 		defer l.board.Close()
 		begin := time.Now()
 		for _, tg := range l.targets {
@@ -264,3 +265,28 @@
 		assert.Check(t, served > 0.6*coldRate*2*coldZone*coldFor.Seconds(), "%v served", served)
 	})
 }
+
+// A zone loses power under load and is back cold, with the record a second behind. Hosts have
+// used up what they may probe, and what they knew says that its targets are well. Their calls
+// must not flood it all the same.
+func TestColdTargetsAreNotFloodedByHostsThatMayNotProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newColdLab(t, 5)
+		defer l.board.Close()
+		rng := rand.New(rand.NewPCG(10, 10))
+		l.play(t, rng, 600, 2*time.Second)
+		back := time.Now()
+		for id, tg := range l.targets {
+			if id[len(id)-1]%2 == 1 {
+				tg.coldUntil = back.Add(coldFor)
+			}
+		}
+		sent, refused := l.play(t, rng, 900, coldFor)
+		worst := 0
+		for _, tg := range l.targets {
+			worst = max(worst, tg.worst(back))
+		}
+		t.Logf("%d calls, %d refused, one target had %d in a second", sent, refused, worst)
+		assert.Check(t, worst <= coldAtMost)
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -96,7 +96,7 @@
 	s := p.service(req.Service)
 	start := time.Now()
 	for waits := 0; ; waits++ {
-		c := p.candidates(s, req, placing.Width(waits, p.deps.Share.Left(time.Now())))
+		c := p.candidates(s, req, waits)
 		asked := c.first()
 		if len(c.all()) == 0 {
 			return nil, p.refuse(s.whyNone(c), s.describe())
@@ -131,14 +131,15 @@
 	}
 }
 
-func (p *Placer) candidates(s *service, req pick.Request, width int) candidates {
+func (p *Placer) candidates(s *service, req pick.Request, waits int) candidates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if s.refresh(now) {
 		p.deps.Share.Update()
 	}
-	c := s.candidates(now, req, width)
+	left := p.deps.Share.Left(now)
+	c := s.candidates(now, req, placing.Width(waits, left), placing.Blind(left))
 	if s.evacuated > 0 {
 		p.count.evacuated.Add(1)
 	}
@@ -175,6 +176,7 @@
 		s.quotaOf(t).Take(now)
 		p.count.coldCalls.Add(1)
 	}
+	t.cold.Use()
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
--- a/policy/coldstart/belief.go
+++ b/policy/coldstart/belief.go
@@ -35,28 +35,57 @@
 	}
 }
 
+// How long a target's own word that it is warm counts: a target that falls over, or turns cold
+// where it is, is back sooner than the record tells of it. A word is good for any calls for
+// freshFor, and for one call until wordFor.
+const (
+	freshFor = 250 * time.Millisecond
+	wordFor  = time.Second
+)
+
 // Belief is until when a target is taken for cold, what that rests on, and since when. The zero
-// value says that it is not.
+// value says that nothing is known.
 type Belief struct {
 	Until  time.Time
 	Source Source
 	At     time.Time
+	// heardAt is when the target itself last said whether it is cold, used is set once a call
+	// was sent by that word.
+	heardAt time.Time
+	used    bool
 }
 
 // Cold reports whether the target is taken for cold.
 func (b Belief) Cold(now time.Time) bool { return now.Before(b.Until) }
 
+// Warm reports whether the target said a moment ago that it is not cold, and nothing speaks
+// against it since.
+//
+// Failure: a zone without power is back, its targets cold, and hosts that may not probe any more
+// for now go by what they knew. Symptom: each sends the calls of a warm target, and those of all
+// hosts are more than the cold one bears.
+func (b Belief) Warm(now time.Time) bool {
+	counts := freshFor
+	if !b.used {
+		counts = wordFor
+	}
+	return !b.Cold(now) && !b.heardAt.IsZero() && now.Sub(b.heardAt) < counts
+}
+
+// Use notes that a call is sent to a target that is taken for warm.
+func (b *Belief) Use() { b.used = true }
+
 // Certain reports whether the target itself said so: asking it again tells nothing more.
 func (b Belief) Certain() bool { return b.Source == Answer }
 
 // Presume takes in a sign other than the target's own word. It never shortens what is believed.
 func (b *Belief) Presume(now, until time.Time, s Source) {
 	if now.Before(until) && until.After(b.Until) {
-		*b = Belief{Until: until, Source: s, At: now}
+		*b = Belief{Until: until, Source: s, At: now, heardAt: b.heardAt, used: b.used}
 	}
 }
 
 // Hear takes in how much longer the target is cold by its own answer, 0 if it is not.
 func (b *Belief) Hear(now time.Time, left time.Duration) {
-	*b = Belief{Until: now.Add(left), Source: Answer, At: now}
+	*b = Belief{Until: now.Add(left), Source: Answer, At: now, heardAt: now}
 }
--- a/policy/placing/asking.go
+++ b/policy/placing/asking.go
@@ -32,6 +32,12 @@
 	return max(askLeast, int(AskWidth*left))
 }
 
+// leastLeft is the part of a second's questions below which nearly every one is refused.
+const leastLeft = 0.05
+
+// Blind reports whether a host with some part of a second's questions left may hardly ask.
+func Blind(left float64) bool { return left < leastLeft }
+
 // Waits is how often a choice may wait for a better target where a call usually takes
 // some time: for half of that, once at least. Beyond that the wait costs more than a better
 // target saves.
