--- a/cmd/cactusdemo/demo.go
+++ b/cmd/cactusdemo/demo.go
@@ -47,6 +47,7 @@
 		{"a change against an old version is a conflict", d.conflict},
 		{"a host stops while a call is in flight", d.stopDuringCall},
 		{"a target leaves and gets no new call", d.targetLeaves},
+		{"a zone is emptied and taken back", d.emptyZones},
 	}
 	ok := true
 	for i, s := range steps {
--- a/edge/lab_test.go
+++ b/edge/lab_test.go
@@ -73,6 +73,7 @@
 	*standin.Target
 	server  *httptest.Server
 	service string
+	zone    string
 }
 
 func newLab(t *testing.T, daemons int) *lab {
@@ -119,7 +120,7 @@
 
 // startTarget starts a run of a target and lists it.
 func (l *lab) startTarget(id, service string, born int64) *target {
-	tg := &target{Target: &standin.Target{ID: id, Born: born, Slots: 2, Queue: 4, Work: 20 * time.Millisecond}, service: service}
+	tg := &target{Target: &standin.Target{ID: id, Born: born, Slots: 2, Queue: 4, Work: 20 * time.Millisecond}, service: service, zone: "a"}
 	tg.server = httptest.NewServer(tg.Target)
 	l.t.Cleanup(func() {
 		tg.server.CloseClientConnections()
@@ -131,7 +132,7 @@
 }
 
 func (l *lab) list(tg *target, state string) {
-	l.store.Put("servers", tg.ID, tg.Entry(tg.service, tg.server.Listener.Addr().String(), "a", state))
+	l.store.Put("servers", tg.ID, tg.Entry(tg.service, tg.server.Listener.Addr().String(), tg.zone, state))
 }
 
 // start starts a daemon and waits until it is ready.
