While slots are scarce they go to calls that can be answered in time

Traced: choices that saw 2 running and 1 to 2 waiting at every target asked queued there all the same, since the answer was reckoned to be just in time; other hosts had seen the same target. Calls that had been refused once came back too late and took what slots were free. Now, while targets tell of half a call or more for each slot, a call is sent only where it is reckoned to be in time and need not queue.

--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -36,6 +36,9 @@
 	// as much the reckoning is too long for targets that do not slow down when they are
 	// nearly full. Without it one call in 70 was refused at 0.8 of the capacity.
 	slack = 1.1
+	// scarce is the calls for each slot, by what targets told of late, from which on slots
+	// are for calls that can be answered in time.
+	scarce = 0.5
 	// queueFactor times its slots may wait at a target before it gets no more:
 	// targets refuse, or never answer, what they can not queue.
 	queueFactor = 2
@@ -138,14 +141,20 @@
 func (f *Figures) Queues(now time.Time) bool { return f.calls(f.Age(now)) >= float64(f.Slots) }
 
 // Worthwhile reports whether a call should go to a target where its answer would
-// come after some time: in time for its objective, or at once in a slot that is free.
+// come after some time: in time for its objective, or at once in a slot that is free; while
+// slots are scarce only if both hold.
 //
 // It answers a load of more calls than the targets can run. With queues as long as
-// targets take them every call waits for two rounds, and nearly all answers are late;
-// with queues only as long as still leads to an answer in time, most of those that
-// are taken are in time, and as many are answered.
+// targets take them every call waits for two rounds, and nearly all answers are late. A call
+// that is late already, most of all one that was refused before, takes the slot of one that
+// could still be in time; and a queue is longer when a call gets there than it was reckoned, since other
+// hosts see the same target.
 func Worthwhile(f *Figures, now time.Time, answer, objectiveLeft time.Duration) bool {
-	return float64(answer) <= slack*float64(objectiveLeft) || !f.Queues(now)
+	inTime := float64(answer) <= slack*float64(objectiveLeft)
+	if f.Usual.Share < scarce {
+		return inTime || !f.Queues(now)
+	}
+	return inTime && !f.Queues(now)
 }
 
 // Time is how long one more call would take until its answer, in usual work times.
