--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -144,7 +144,7 @@
 	return f
 }
 
-// attempts writes attempts as "target:reason/status took=… cost=… age=… asked=…",
+// attempts writes attempts as "target:reason/status took=… cost=… age=… probed=…",
 // separated by semicolons.
 func attempts(list []dispatch.AttemptRecord) string {
 	var b strings.Builder
@@ -160,7 +160,7 @@
 		b.WriteString(" ran=" + ran(a))
 		b.WriteString(" cost=" + strconv.FormatFloat(a.Basis.Cost, 'f', 2, 64))
 		b.WriteString(" age=" + a.Basis.Age.Round(time.Microsecond).String())
-		b.WriteString(" asked=" + strconv.Itoa(a.Basis.Asked))
+		b.WriteString(" probed=" + strconv.Itoa(a.Basis.Probed))
 		b.WriteString(" waited=" + a.Basis.Waited.Round(time.Microsecond).String())
 	}
 	return b.String()
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -120,7 +120,7 @@
 		Board:     d.board,
 		Upstream:  d.pools,
 		Contract:  d.platform.Contract,
-		Share:     placer.NewShare(d.board, d.settings.Measuring.PerTarget),
+		Probes:    placer.NewProbeQuota(d.board, d.settings.Measuring.PerTarget),
 		Zone:      d.settings.Host.Zone,
 		Regions:   d.settings.Zones,
 		Seed:      d.incarnation,
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -9,7 +9,7 @@
 )
 
 const hostA = `ts=2026-03-03T10:00:00.000Z level=info msg="target leaving" host=a target=t1 service=bids from=10.0.0.2:1
-ts=2026-03-03T10:00:01.500Z level=info msg=call host=a request=r7 outcome=unknown reason=target-broke-off status=502 service=bids took=300ms attempts="t1:target-broke-off took=290ms ran=maybe cost=1.00 age=2ms asked=3 waited=4ms"
+ts=2026-03-03T10:00:01.500Z level=info msg=call host=a request=r7 outcome=unknown reason=target-broke-off status=502 service=bids took=300ms attempts="t1:target-broke-off took=290ms ran=maybe cost=1.00 age=2ms probed=3 waited=4ms"
 ts=2026-03-03T10:00:01.600Z level=info msg=call host=a request=r8 outcome=answered reason=ok status=200 service=bids took=30ms
 not a line of ours
 `
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -62,9 +62,9 @@
 	Age  time.Duration
 	// Silent is set if the targets of the service tell nothing of their load.
 	Silent bool
-	// Asked is how many targets were asked for the choice, Waited how long the
+	// Probed is how many targets were probed for the choice, Waited how long the
 	// choice took.
-	Asked  int
+	Probed  int
 	Waited time.Duration
 }
 
--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -19,7 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
-// unasked fails the benchmark's questions; all figures are fresh enough.
+// unasked fails the benchmark's probes; all figures are fresh enough.
 type unasked struct{}
 
 func (unasked) RoundTrip(*http.Request, blackboard.Target, upstream.SendOptions) upstream.Result {
@@ -38,7 +38,7 @@
 	}
 	board.Targets.Store(list)
 	p := New(Deps{
-		Board: board, Upstream: unasked{}, Share: NewShare(board, 0), Zone: "z0",
+		Board: board, Upstream: unasked{}, Probes: NewProbeQuota(board, 0), Zone: "z0",
 		Contract: &targetapi.Contract{}, Metrics: metrics.New(), Log: zap.NewNop(),
 	})
 	s := p.service(key)
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -14,18 +14,18 @@
 	cost float64
 }
 
-// candidates are the targets that are asked for one choice: the cheapest few of this
+// candidates are the targets that are probed for one choice: the cheapest few of this
 // host's availability zone, and after them the cheapest few of others.
 //
-// A question to another zone and its answer are bytes that are paid for, and so is the
-// call itself, so that those of the own zone are asked first. As many of other zones can
-// be asked then, so that a zone that is full has somewhere to send its calls, however many
+// A probe to another zone and its answer are bytes that are paid for, and so is the
+// call itself, so that those of the own zone are probed first. As many of other zones can
+// be probed then, so that a zone that is full has somewhere to send its calls, however many
 // targets it has itself.
 //
 // The cheapest few are kept on the way through the list: sorting it takes three times as
 // long (BenchmarkPickOf100Targets).
 type candidates struct {
-	list      [2 * placing.AskWidth]ranked
+	list      [2 * placing.ProbeWidth]ranked
 	near, far int
 	// coldSpent is how many targets were left out since they are cold and this host's part
 	// of their calls is used up.
@@ -39,7 +39,7 @@
 // add takes in a target if it is one of the cheapest of its kind.
 func (c *candidates) add(r ranked, width int) {
 	if r.figures.Far {
-		c.far = insert(c.list[placing.AskWidth:placing.AskWidth+width], c.far, r)
+		c.far = insert(c.list[placing.ProbeWidth:placing.ProbeWidth+width], c.far, r)
 		return
 	}
 	c.near = insert(c.list[:width], c.near, r)
@@ -47,7 +47,7 @@
 
 // join puts the targets of other zones right behind those of the own one.
 func (c *candidates) join() {
-	copy(c.list[c.near:], c.list[placing.AskWidth:placing.AskWidth+c.far])
+	copy(c.list[c.near:], c.list[placing.ProbeWidth:placing.ProbeWidth+c.far])
 }
 
 // insert puts a target in its place among the n cheapest, of which as many are kept as
@@ -82,7 +82,7 @@
 		if req.Alone && t.figures.InFlight > 0 {
 			continue
 		}
-		// One of which it is not certain is asked, if that may be: it may say that it is warm.
+		// One of which it is not certain is probed, if that may be: it may say that it is warm.
 		if (blind || t.cold.Certain() && t.cold.Cold(now)) && s.spent(now, t) {
 			c.coldSpent++
 			continue
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -112,7 +112,7 @@
 		own.Targets.Store(l.board.Targets.Load())
 		t.Cleanup(func() { _ = own.Close() })
 		l.placers = append(l.placers, New(Deps{
-			Board: own, Upstream: l.targets, Share: NewShare(own, probes), Zone: members[i].Host.Zone, Seed: uint64(i),
+			Board: own, Upstream: l.targets, Probes: NewProbeQuota(own, probes), Zone: members[i].Host.Zone, Seed: uint64(i),
 			Metrics: metrics.New(), Log: zap.NewNop(),
 			Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad, WarmUp: "Warm-Up"},
 		}))
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -8,7 +8,7 @@
 
 // counters are those of the metrics maps "placer" and "placer_refused".
 type counters struct {
-	asks, asksFailed, asksRefused, waits, ejected *expvar.Int
+	probes, probesFailed, probesRefused, waits, ejected *expvar.Int
 	// late counts ends of calls to targets that are no longer listed, or have started anew.
 	late *expvar.Int
 	// evacuated counts choices made while a zone of the service's targets is evacuated,
@@ -22,15 +22,15 @@
 func newCounters(m *metrics.Set) counters {
 	c := m.Counters("placer")
 	return counters{
-		asks:        c("questions"),
-		asksFailed:  c("questions_failed"),
-		asksRefused: c("questions_over_share"),
-		waits:       c("waits"),
-		ejected:     c("ejected"),
-		late:        c("late_ends"),
-		evacuated:   c("choices_without_zone"),
-		coldCalls:   c("cold_calls"),
-		coldSpent:   c("cold_quota_spent"),
-		refused:     m.Map("placer_refused"),
+		probes:        c("probes"),
+		probesFailed:  c("probes_failed"),
+		probesRefused: c("probes_over_quota"),
+		waits:         c("waits"),
+		ejected:       c("ejected"),
+		late:          c("late_ends"),
+		evacuated:     c("choices_without_zone"),
+		coldCalls:     c("cold_calls"),
+		coldSpent:     c("cold_quota_spent"),
+		refused:       m.Map("placer_refused"),
 	}
 }
--- a/placer/evacuation_test.go
+++ b/placer/evacuation_test.go
@@ -92,7 +92,7 @@
 func TestShareGoesByTheTargetsThatAreLeft(t *testing.T) {
 	l := newRestartLab(t)
 	left := func() float64 {
-		s := NewShare(l.board, 10)
+		s := NewProbeQuota(l.board, 10)
 		s.Update()
 		return float64(s.limiter.Limit())
 	}
--- a/placer/overload_test.go
+++ b/placer/overload_test.go
@@ -67,7 +67,7 @@
 	return told
 }
 
-// simTargetsByID answers questions of the placer.
+// simTargetsByID answers probes of the placer.
 type simTargetsByID map[ports.HostID]*simTarget
 
 func (s simTargetsByID) RoundTrip(_ *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
@@ -88,15 +88,15 @@
 
 // play sends calls for two seconds at a multiple of what the targets carry.
 func play(t *testing.T, times float64) simResult {
-	return load{times: times, questions: 200}.play(t)
+	return load{times: times, probes: 200}.play(t)
 }
 
 // load is what callers do, and what the host may ask.
 type load struct {
 	// times is how many calls come, as a multiple of what the targets carry.
 	times float64
-	// questions is how many a target may get in a second.
-	questions float64
+	// probes is how many a target may get in a second.
+	probes float64
 	// hosts is how many there are, each of which gets an even part of the calls; 0 is one.
 	hosts int
 	// again has a refused caller come once more as told, known lets the choice know that
@@ -123,7 +123,7 @@
 		var placers []*Placer
 		for i := range max(l.hosts, 1) {
 			placers = append(placers, New(Deps{
-				Board: board, Upstream: targets, Share: NewShare(board, l.questions), Metrics: metrics.New(), Log: zap.NewNop(),
+				Board: board, Upstream: targets, Probes: NewProbeQuota(board, l.probes), Metrics: metrics.New(), Log: zap.NewNop(),
 				Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad}, Seed: uint64(i),
 			}))
 		}
@@ -194,13 +194,13 @@
 	assert.Check(t, r.late < r.sent/50, "%+v", r)
 }
 
-// More calls come than the targets can run, and the host may put one question for every
+// More calls come than the targets can run, and the host may put one probe for every
 // seven calls, so that it goes by figures of some 100 ms ago and by what it knows of its
 // own calls. As many are answered as the targets can run, and most of these in time; with
 // its own calls counted as the targets told them, 498 of 666 were in time, now 622.
 func TestMostAnswersAreInTimeThoughFewTargetsAreAsked(t *testing.T) {
-	for _, questions := range []float64{10, 20} {
-		r := load{times: 1.3, questions: questions}.play(t)
+	for _, probes := range []float64{10, 20} {
+		r := load{times: 1.3, probes: probes}.play(t)
 		carried := 2 * simCapacity
 		assert.Check(t, float64(r.inTime+r.late) > 0.95*carried, "%+v", r)
 		assert.Check(t, float64(r.inTime) > 0.85*carried, "%+v", r)
@@ -212,8 +212,8 @@
 // that have just asked: 668 in place of 474 are answered in time, 717 in place of 752 in
 // all.
 func TestCallersThatComeAgainDoNotQueueBeforeNewOnes(t *testing.T) {
-	unknown := load{times: 1.5, questions: 200, again: true}.play(t)
-	known := load{times: 1.5, questions: 200, again: true, known: true}.play(t)
+	unknown := load{times: 1.5, probes: 200, again: true}.play(t)
+	known := load{times: 1.5, probes: 200, again: true, known: true}.play(t)
 	assert.Check(t, known.inTime > unknown.inTime*11/10, "%+v, %+v", known, unknown)
 	answered := func(r simResult) int { return r.inTime + r.late }
 	assert.Check(t, answered(known) > answered(unknown)*9/10, "%+v, %+v", known, unknown)
@@ -223,11 +223,11 @@
 // other's calls, and the refused ones come back when it is too late for them. Those that can
 // still be in time get the slots.
 func TestScarceSlotsGoToCallsThatCanBeInTime(t *testing.T) {
-	for _, questions := range []float64{40, 100} {
-		r := load{times: 1.5, questions: questions, hosts: 8, again: true, known: true}.play(t)
+	for _, probes := range []float64{40, 100} {
+		r := load{times: 1.5, probes: probes, hosts: 8, again: true, known: true}.play(t)
 		assert.Check(t, float64(r.inTime) > 0.9*2*simCapacity, "%+v", r)
 		assert.Check(t, r.late < r.sent/50, "%+v", r)
 	}
-	r := load{times: 0.6, questions: 100, hosts: 8}.play(t)
+	r := load{times: 0.6, probes: 100, hosts: 8}.play(t)
 	assert.Check(t, r.refused <= r.sent/100, "%+v", r)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,7 +1,7 @@
-// Package placer chooses targets by asking them: of the targets that look best by
-// what is remembered, several are asked for their load at the moment of the choice
+// Package placer chooses targets by probing them: of the targets that look best by
+// what is remembered, several are probed for their load at the moment of the choice
 // and the one that would answer first gets the call. The decisions are in
-// policy/placing; here are the lock, the questions and the counters.
+// policy/placing; here are the lock, the probes and the counters.
 package placer
 
 import (
@@ -25,8 +25,8 @@
 )
 
 const (
-	// askTimeout ends a question that gets no answer.
-	askTimeout = 250 * time.Millisecond
+	// probeTimeout ends a probe that gets no answer.
+	probeTimeout = 250 * time.Millisecond
 	// retryAfter is told with a refusal: about the time in which slots get free.
 	retryAfter = 200 * time.Millisecond
 )
@@ -36,8 +36,8 @@
 	Board    *blackboard.Board
 	Upstream upstream.RoundTripper
 	Contract *targetapi.Contract
-	// Share allows questions to targets.
-	Share *Share
+	// Probes allows probes to targets.
+	Probes *ProbeQuota
 	// Regions are the regions of the availability zones.
 	Regions Regions
 	// Zone is this host's availability zone.
@@ -97,23 +97,23 @@
 	start := time.Now()
 	for waits := 0; ; waits++ {
 		c := p.candidates(s, req, waits)
-		asked := c.first()
+		probed := c.first()
 		if len(c.all()) == 0 {
 			return nil, p.refuse(s.whyNone(c), s.describe())
 		}
-		p.ask(ctx, s, asked)
-		g, last := p.choose(ctx, s, req, asked, placing.MayAsk)
+		p.probe(ctx, s, probed)
+		g, last := p.choose(ctx, s, req, probed, placing.MayProbeFar)
 		if g == nil && last == "" {
-			asked = c.all()
+			probed = c.all()
 			next := placing.MayWait
 			// More of the same guesses would be no better.
-			if known := p.ask(ctx, s, asked); !req.Hedge && (!known || waits >= s.mayWait()) {
+			if known := p.probe(ctx, s, probed); !req.Hedge && (!known || waits >= s.mayWait()) {
 				next = placing.Last
 			}
-			g, last = p.choose(ctx, s, req, asked, next)
+			g, last = p.choose(ctx, s, req, probed, next)
 		}
 		if g != nil {
-			g.basis.Asked, g.basis.Waited = len(asked), time.Since(start)
+			g.basis.Probed, g.basis.Waited = len(probed), time.Since(start)
 			return g, outcome.Result{}
 		}
 		if last != "" {
@@ -136,9 +136,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if s.refresh(now) {
-		p.deps.Share.Update()
+		p.deps.Probes.Update()
 	}
-	left := p.deps.Share.Left(now)
+	left := p.deps.Probes.Left(now)
 	c := s.candidates(now, req, placing.Width(waits, left), placing.Blind(left))
 	if s.evacuated > 0 {
 		p.count.evacuated.Add(1)
--- a/placer/ask.go
+++ b/placer/probe.go
@@ -14,10 +14,10 @@
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
-// ask asks the targets of a list whose figures are not fresh, all at once, and
+// probe probes the targets of a list whose figures are not fresh, all at once, and
 // waits a little for their answers. Choices of the same moment share them. It reports
 // whether any target of the list told something just now.
-func (p *Placer) ask(ctx context.Context, s *service, list []ranked) bool {
+func (p *Placer) probe(ctx context.Context, s *service, list []ranked) bool {
 	path, conns := p.healthPath(s.key)
 	if path == "" {
 		return false
@@ -29,15 +29,15 @@
 		if r.figures.Fresh(now) {
 			continue
 		}
-		if r.asking == nil {
-			if !p.deps.Share.Take(now) {
-				p.count.asksRefused.Add(1)
+		if r.probing == nil {
+			if !p.deps.Probes.Take(now) {
+				p.count.probesRefused.Add(1)
 				continue
 			}
-			r.asking = make(chan struct{})
-			go p.question(s, r.target, r.info, path, conns)
+			r.probing = make(chan struct{})
+			go p.probeTarget(s, r.target, r.info, path, conns)
 		}
-		waits = append(waits, r.asking)
+		waits = append(waits, r.probing)
 	}
 	s.mu.Unlock()
 	awaitAll(ctx, waits)
@@ -49,18 +49,18 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(list, func(r ranked) bool { return r.figures.Age(now) < placing.AskWait+freshWithin })
+	return slices.ContainsFunc(list, func(r ranked) bool { return r.figures.Age(now) < placing.ProbeWait+freshWithin })
 }
 
 // freshWithin is what a figure may have aged while a choice waited for others.
 const freshWithin = 10 * time.Millisecond
 
-// awaitAll waits until all channels are closed, but no longer than placing.AskWait.
+// awaitAll waits until all channels are closed, but no longer than placing.ProbeWait.
 func awaitAll(ctx context.Context, waits []chan struct{}) {
 	if len(waits) == 0 {
 		return
 	}
-	timer := time.NewTimer(placing.AskWait)
+	timer := time.NewTimer(placing.ProbeWait)
 	defer timer.Stop()
 	for _, w := range waits {
 		select {
@@ -88,20 +88,20 @@
 	return s.HealthPath, max(1, s.MaxConns/hosts)
 }
 
-// question asks one target for its load.
-func (p *Placer) question(s *service, t *target, info blackboard.Target, path string, conns int) {
-	p.count.asks.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+// probeTarget asks one target for its load.
+func (p *Placer) probeTarget(s *service, t *target, info blackboard.Target, path string, conns int) {
+	p.count.probes.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	asked := time.Now()
+	sent := time.Now()
 	a := p.exchange(ctx, info, path, conns)
-	p.tell(s.answered(t, a, time.Since(asked)), s, info.Run())
+	p.tell(s.answered(t, a, time.Since(sent)), s, info.Run())
 	if !a.reached {
-		p.count.asksFailed.Add(1)
+		p.count.probesFailed.Add(1)
 	}
 }
 
-// answer is what came of a question. It is told if the target said what its load is, reached
+// answer is what came of a probe. It is told if the target said what its load is, reached
 // if any answer came at all.
 type answer struct {
 	load          targetapi.Load
@@ -110,14 +110,14 @@
 	coldFor time.Duration
 }
 
-// answered takes in the answer to a question, and returns what that changed in
+// answered takes in the answer to a probe, and returns what that changed in
 // what this host believes of the target.
 func (s *service) answered(t *target, a answer, took time.Duration) (news string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	close(t.asking)
-	t.asking = nil
+	close(t.probing)
+	t.probing = nil
 	if !s.holds(t) {
 		return ""
 	}
@@ -143,7 +143,7 @@
 // kept.
 const maxHealthBody = 4 << 10
 
-// exchange sends one question.
+// exchange sends one probe.
 func (p *Placer) exchange(ctx context.Context, info blackboard.Target, path string, conns int) (a answer) {
 	req := &http.Request{
 		Method:     http.MethodGet,
--- a/placer/share.go
+++ b/placer/probequota.go
@@ -8,40 +8,40 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 )
 
-// shareUsed is the part of the budget for measuring that hosts use together, so
+// quotaUsed is the part of the budget for measuring that hosts use together, so
 // that lists of hosts that disagree for a while do not add up to more than all.
-const shareUsed = 0.8
+const quotaUsed = 0.8
 
-// firstBurst is more questions than any host may have saved up: a share begins with as many
+// firstBurst is more probes than any host may have saved up: a quota begins with as many
 // as it can hold, a second's.
 //
 // Failure: all hosts start at the same moment, and callers that were waiting come at once.
-// Symptom: a share that began empty had its first question after some ms and its tenth
+// Symptom: a quota that began empty had its first probe after some ms and its tenth
 // after 70, so that the calls of the first moment went by guesses, several to one target.
-// What may be asked is bounded over minutes, and a start is rare beside that.
+// Probes are bounded over minutes, and a start is rare beside that.
 const firstBurst = 1 << 20
 
-// Share is this host's part of the questions that all hosts may put to targets.
+// ProbeQuota is this host's part of the probes that all hosts may put to targets.
 // An even part needs no word between the hosts; a lease of it in the platform's
 // store would be paid for at each renewal.
-type Share struct {
+type ProbeQuota struct {
 	board *blackboard.Board
-	// perTarget is the questions a target may get in a second, from all hosts.
+	// perTarget is the probes a target may get in a second, from all hosts.
 	perTarget float64
 	limiter   *rate.Limiter
 }
 
-// NewShare returns the share of a host, from the targets and hosts on its board.
-func NewShare(b *blackboard.Board, perTarget float64) *Share {
-	return &Share{board: b, perTarget: perTarget, limiter: rate.NewLimiter(0, firstBurst)}
+// NewProbeQuota returns the quota of a host, from the targets and hosts on its board.
+func NewProbeQuota(b *blackboard.Board, perTarget float64) *ProbeQuota {
+	return &ProbeQuota{board: b, perTarget: perTarget, limiter: rate.NewLimiter(0, firstBurst)}
 }
 
-// Take pays for one question and reports whether the share had it.
-func (s *Share) Take(now time.Time) bool {
+// Take pays for one probe and reports whether the quota had it.
+func (s *ProbeQuota) Take(now time.Time) bool {
 	return s.limiter.AllowN(now, 1)
 }
 
-// probed returns how many targets of a list are asked for their load: those of evacuated zones
+// probed returns how many targets of a list are probed: those of evacuated zones
 // get no probes, which would take slots from the calls that end there.
 func probed(list []blackboard.Target) (n int) {
 	for i := range list {
@@ -52,8 +52,8 @@
 	return n
 }
 
-// Left returns how much of a second's questions is left, 1 being half of it or more.
-func (s *Share) Left(now time.Time) float64 {
+// Left returns how much of a second's probes is left, 1 being half of it or more.
+func (s *ProbeQuota) Left(now time.Time) float64 {
 	burst := float64(s.limiter.Burst())
 	if burst == 0 {
 		return 0
@@ -62,7 +62,7 @@
 }
 
 // Update takes in the targets and hosts on the board.
-func (s *Share) Update() {
+func (s *ProbeQuota) Update() {
 	targets := 0
 	routes := s.board.Routes.Load()
 	for key, list := range s.board.Targets.Load().ByService {
@@ -72,7 +72,7 @@
 		}
 	}
 	hosts := max(1, len(s.board.Members.Load().Members))
-	limit := shareUsed * s.perTarget * float64(targets) / float64(hosts)
+	limit := quotaUsed * s.perTarget * float64(targets) / float64(hosts)
 	s.limiter.SetLimit(rate.Limit(limit))
 	s.limiter.SetBurst(max(1, int(limit)))
 }
--- a/placer/restart_test.go
+++ b/placer/restart_test.go
@@ -30,7 +30,7 @@
 	t.Cleanup(func() { _ = l.board.Close() })
 	l.p = New(Deps{
 		Board:   l.board,
-		Share:   NewShare(l.board, 60),
+		Probes:  NewProbeQuota(l.board, 60),
 		Metrics: metrics.New(),
 		Log:     zap.NewNop(),
 		OnLeaving: func(_ blackboard.ServiceKey, t blackboard.Target) {
--- a/placer/service.go
+++ b/placer/service.go
@@ -35,9 +35,9 @@
 	failures  health.Service
 	// near and far are what targets of the own zone and of others told of late.
 	near, far placing.Usual
-	// nearAsked and farAsked are how long targets that tell nothing take to answer.
-	nearAsked, farAsked placing.Questions
-	// silent counts answers to questions that told nothing of the load, up to silentFrom,
+	// nearProbes and farProbes are how long targets that tell nothing take to answer.
+	nearProbes, farProbes placing.ProbeTimes
+	// silent counts answers to probes that told nothing of the load, up to silentFrom,
 	// and is 0 again once one did.
 	silent int
 	// work is the learned time of one call at an idle target at its usual pace.
@@ -76,7 +76,7 @@
 	return true
 }
 
-// holds reports whether what a call or a question to a target shows still says something:
+// holds reports whether what a call or a probe to a target shows still says something:
 // the target is listed, and has not started anew since. The lock is held.
 //
 // Failure: a target starts again under its name while calls of its former run end.
@@ -99,7 +99,7 @@
 	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
 }
 
-// silentFrom is how many answers to questions that told no load it takes for a service to
+// silentFrom is how many answers to probes that told no load it takes for a service to
 // count as one whose targets tell nothing.
 const silentFrom = 8
 
@@ -107,16 +107,16 @@
 // is held.
 func (s *service) isSilent() bool { return s.silent >= silentFrom }
 
-// answeredSilently takes in that a target answered a question and told nothing of its load.
+// answeredSilently takes in that a target answered a probe and told nothing of its load.
 // The lock is held.
 func (s *service) answeredSilently(now time.Time, t *target, took time.Duration) {
 	s.silent = min(s.silent+1, silentFrom)
-	asked := &s.nearAsked
+	times := &s.nearProbes
 	if t.figures.Far {
-		asked = &s.farAsked
+		times = &s.farProbes
 	}
-	asked.Learn(took)
-	l := t.figures.Answered(now, took, asked.Usual())
+	times.Learn(took)
+	l := t.figures.Answered(now, took, times.Usual())
 	s.usual(t).Learn(l, t.figures.Others, t.figures.Slots)
 }
 
@@ -124,8 +124,8 @@
 // those that told something of late, and only if there is none, of the others. The
 // lock is held.
 //
-// Failure: targets that are slow or full answer questions late, and hosts that have
-// used up their questions know little; for a target that told nothing stands what is
+// Failure: targets that are slow or full answer probes late, and hosts that have
+// used up their probes know little; for a target that told nothing stands what is
 // usual. Symptom: when most targets are full, the silent one looks cheaper than those
 // that told the truth, and gets the call; most calls go by such guesses where hosts are
 // many.
--- a/placer/service_test.go
+++ b/placer/service_test.go
@@ -26,14 +26,14 @@
 	return t
 }
 
-// All targets are full, and two of three let this host's questions wait or were not
+// All targets are full, and two of three let this host's probes wait or were not
 // asked. By what is usual these two look cheaper. The caller is better served by the one
 // that told how full it is: the silent ones are as full, or slow.
 func TestTargetThatToldIsTakenBeforeASilentOne(t *testing.T) {
 	now := time.Now()
 	s := &service{targets: map[ports.HostID]*target{}}
 	told, notAsked, owing := fullTarget("told", now), silentTarget("not asked"), fullTarget("owing", now)
-	owing.asking = make(chan struct{})
+	owing.probing = make(chan struct{})
 	assert.Check(t, notAsked.figures.Cost(now, 0) < told.figures.Cost(now, 0))
 	got, _ := s.best(now, 0, []ranked{{target: notAsked}, {target: owing}, {target: told}})
 	assert.Equal(t, got, told)
--- a/placer/silent_test.go
+++ b/placer/silent_test.go
@@ -9,7 +9,7 @@
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
-// Targets that tell nothing of their load answer questions all the same: a quick answer
+// Targets that tell nothing of their load answer probes all the same: a quick answer
 // is one of a target with a slot free, a late one that of a slow or full one. The caller
 // gets the quick one.
 func TestSilentTargetsAreToldApartByTheirAnswersTimes(t *testing.T) {
--- a/placer/target.go
+++ b/placer/target.go
@@ -40,9 +40,9 @@
 	// replacedRest is the last rest after an answer that the address is another's; 0 after a
 	// good answer.
 	replacedRest time.Duration
-	// asking is closed when the answer to a question on its way is there; nil if
+	// probing is closed when the answer to a probe on its way is there; nil if
 	// there is none.
-	asking chan struct{}
+	probing chan struct{}
 }
 
 func newTarget(info blackboard.Target, zone string) *target {
@@ -66,8 +66,8 @@
 }
 
 // known reports whether the target told something of late and owes no answer: one
-// that lets a question wait is slow or full.
-func (t *target) known(now time.Time) bool { return t.asking == nil && t.figures.Known(now) }
+// that lets a probe wait is slow or full.
+func (t *target) known(now time.Time) bool { return t.probing == nil && t.figures.Known(now) }
 
 // rest leaves the target alone for a while.
 func (t *target) rest(now time.Time, d time.Duration) {
--- a/policy/placing/decide.go
+++ b/policy/placing/decide.go
@@ -8,8 +8,8 @@
 type Next uint8
 
 const (
-	// MayAsk: targets of other availability zones were not asked yet.
-	MayAsk Next = iota
+	// MayProbeFar: targets of other availability zones were not probed yet.
+	MayProbeFar Next = iota
 	// MayWait: a better target may turn up in a moment.
 	MayWait
 	// Last: nothing.
@@ -28,18 +28,18 @@
 	Refuse
 )
 
-// Decide decides from the cost of the best target that was asked, and whether a call there
+// Decide decides from the cost of the best target that was probed, and whether a call there
 // would be answered in time.
 //
 // It answers more calls than the targets can run. Then the best target of all that could
-// be asked has a queue that leads to a late answer, and a call that waits for a better one
+// be probed has a queue that leads to a late answer, and a call that waits for a better one
 // takes the slot that another would have got in time, or is refused later. Refused at once
 // it comes again sooner, or elsewhere.
 func Decide(cost float64, worthwhile bool, next Next) Decision {
 	switch {
 	case cost <= goodCost && worthwhile:
 		return Take
-	case next == MayAsk:
+	case next == MayProbeFar:
 		return GoOn
 	case !worthwhile:
 		return Refuse
--- a/policy/placing/decide_test.go
+++ b/policy/placing/decide_test.go
@@ -15,14 +15,14 @@
 		next       Next
 		want       Decision
 	}{
-		{1, true, MayAsk, Take},
+		{1, true, MayProbeFar, Take},
 		{1, true, Last, Take},
-		{1, false, MayAsk, GoOn},
+		{1, false, MayProbeFar, GoOn},
 		{1, false, MayWait, Refuse},
-		{3, true, MayAsk, GoOn},
+		{3, true, MayProbeFar, GoOn},
 		{3, true, MayWait, GoOn},
 		{3, true, Last, Take},
-		{3, false, MayAsk, GoOn},
+		{3, false, MayProbeFar, GoOn},
 		{3, false, MayWait, Refuse},
 		{3, false, Last, Refuse},
 	} {
--- a/policy/placing/placing.go
+++ b/policy/placing/placing.go
@@ -73,7 +73,7 @@
 	// the calls of this host that are there now.
 	//
 	// What this host knows by itself is never out of date: with figures that counted its
-	// own calls as told, and on top of it those sent since, a host that could ask little
+	// own calls as told, and on top of it those sent since, a host that could probe little
 	// refused half of what an otherwise idle service could run.
 	Others   int
 	InFlight int
--- a/policy/placing/asking_test.go
+++ b/policy/placing/probing_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// With plenty of questions left a choice asks four, with few left two and never none; one
+// With plenty of probes left a choice asks four, with few left two and never none; one
 // that has waited asks the best three again.
 func TestWidth(t *testing.T) {
 	assert.Equal(t, Width(0, 1), 4)
--- a/policy/placing/silent.go
+++ b/policy/placing/silent.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// usualShare is the share of answers to questions that come sooner than the usual
+	// usualShare is the share of answers to probes that come sooner than the usual
 	// time: most targets are well most of the time, and those that are not take longer.
 	usualShare = 0.4
 	// usualStep is by how much one answer moves the usual time: 20 answers of one kind
@@ -18,12 +18,12 @@
 	leastUsual = 500 * time.Microsecond
 )
 
-// Questions learns how long targets that tell nothing of their load usually take to answer
-// a question. The zero value knows nothing.
-type Questions struct{ usual time.Duration }
+// ProbeTimes learns how long targets that tell nothing of their load usually take to answer
+// a probe. The zero value knows nothing.
+type ProbeTimes struct{ usual time.Duration }
 
 // Learn takes in how long an answer took, or how long one that did not come was waited for.
-func (q *Questions) Learn(took time.Duration) {
+func (q *ProbeTimes) Learn(took time.Duration) {
 	switch {
 	case q.usual == 0:
 		q.usual = took
@@ -36,11 +36,11 @@
 }
 
 // Usual returns the usual time, 0 if no answer came yet.
-func (q *Questions) Usual() time.Duration { return q.usual }
+func (q *ProbeTimes) Usual() time.Duration { return q.usual }
 
-// Answered takes in that a target which tells nothing of its load answered a question.
+// Answered takes in that a target which tells nothing of its load answered a probe.
 //
-// It answers services whose targets are silent. A question waits for a slot there and takes
+// It answers services whose targets are silent. A probe waits for a slot there and takes
 // as much longer than usual as the target is slower, so that its time says what the load
 // would: that a slot was free, and the pace. The pace is not learned from calls, whose work
 // differs from one to the next.
--- a/policy/placing/silent_test.go
+++ b/policy/placing/silent_test.go
@@ -12,7 +12,7 @@
 // must stay near that of the many, whatever the order, and follow when all become slower.
 func TestUsualTimeOfQuestions(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
-	var q Questions
+	var q ProbeTimes
 	assert.Equal(t, q.Usual(), time.Duration(0))
 	for range 500 {
 		if rng.IntN(4) == 0 {
@@ -31,7 +31,7 @@
 // One answer of a liar, or of a host that was paused, moves the usual time by a twentieth
 // at most; answers at no time at all do not make every other look endless.
 func TestUsualTimeIsNotLedAstray(t *testing.T) {
-	var q Questions
+	var q ProbeTimes
 	for range 50 {
 		q.Learn(4 * time.Millisecond)
 	}
