A cold answer ends a target's rests; no allocation for the check of a choice

Found on reading the diff: a target that was back and cold kept the rests of its silence (test first).

--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -118,7 +118,7 @@
 //
 // Failure: the word of the second watcher, which hears of the store less often, comes first and is
 // within a moment of being too old. Symptom: once in some thousand times a caller of a path that
-// never was is told 503 in place of 404, since the word is too old when the answer is written.
+// never was is told 503 where 404 is due, since the word is too old when the answer is written.
 func (c *Controller) confirmed(at time.Time, r confirmReply) bool {
 	c.hear(r.Version)
 	if !r.Known {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -83,10 +83,9 @@
 	elsewhere = 20 * time.Millisecond
 	// soon is for want of room, about the time in which calls in flight end.
 	soon = 200 * time.Millisecond
-	// untilOrdered is for what an operator has to take back; callers that have long may
-	// come again.
-	untilOrdered = time.Second
-	later        = 5 * time.Second
+	// untilTakenBack is for what lasts until an operator ends it.
+	untilTakenBack = time.Second
+	later          = 5 * time.Second
 )
 
 var infos = map[Reason]info{
@@ -109,7 +108,7 @@
 	ReasonCallerGone:        {status: http.StatusServiceUnavailable},
 
 	ReasonNoTarget:      {status: http.StatusServiceUnavailable, retryAfter: soon},
-	ReasonEvacuated:     {status: http.StatusServiceUnavailable, retryAfter: untilOrdered},
+	ReasonEvacuated:     {status: http.StatusServiceUnavailable, retryAfter: untilTakenBack},
 	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: elsewhere},
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -290,3 +290,17 @@
 		assert.Check(t, worst <= coldAtMost)
 	})
 }
+
+// A target that could not be reached is back, and says that it is cold. It rests no longer the next
+// time that it can not be reached for a moment.
+func TestColdAnswerEndsTheRests(t *testing.T) {
+	now := time.Now()
+	tg := silentTarget("a")
+	s := &service{targets: map[ports.HostID]*target{"a": tg}, limits: coldLimits{warmUp: coldFor, perSecond: coldRate}}
+	tg.unreachable(now)
+	tg.probing = make(chan struct{})
+	news := s.answered(tg, answer{reached: true, told: true, load: targetapi.Load{Slots: 2, Pace: 1}, coldFor: time.Second}, time.Millisecond)
+	assert.Equal(t, news, newsCold)
+	assert.Equal(t, tg.rests, 0)
+	assert.Check(t, tg.cold.Cold(time.Now()) && tg.cold.Certain())
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -171,7 +171,9 @@
 	case placing.GoOn:
 		return nil, ""
 	}
-	invariant.Check(!t.info.Evacuated, invariant.EvacuatedIdle, "%s", t.info.Run())
+	if t.info.Evacuated {
+		invariant.Check(false, invariant.EvacuatedIdle, "%s", t.info.Run())
+	}
 	if s.limited(now, t) {
 		s.quotaOf(t).Take(now)
 		p.count.coldCalls.Add(1)
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -127,12 +127,17 @@
 	case a.reached:
 		s.answeredSilently(now, t, took)
 	}
+	if !a.reached {
+		if t.unreachable(now) {
+			return newsUnreachable
+		}
+		return ""
+	}
+	back := t.reached()
 	switch {
-	case !a.reached && t.unreachable(now):
-		return newsUnreachable
-	case a.reached && s.hearCold(now, t, a.coldFor):
+	case s.hearCold(now, t, a.coldFor):
 		return newsCold
-	case a.reached && t.reached():
+	case back:
 		return newsReached
 	default:
 		return ""
