Soak: a zone is emptied, and the check of drains can fail

With the order not heeded on purpose the check found nothing: whether a host was in touch was judged at the end of a run, after every host had been marked as disturbed by the healing, so that no host ever was. The check of draining targets had the same fault and never could fire. It is noted when a request ends now.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,6 +34,9 @@
 	body     string
 	seal     string
 	err      error
+	// touched is what inTouch said of it when it ended: a later disturbance hides what the
+	// host was then.
+	touched bool
 }
 
 // caller sends requests one after another until the soak ends.
@@ -103,6 +106,7 @@
 		r.body = string(raw)
 	}
 	r.err, r.end = err, time.Now()
+	r.touched = s.inTouch(r)
 }
 
 // balance returns a host that the balancer would choose, or nil.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -153,13 +153,19 @@
 // platform allows, and some for a busy machine.
 const inForce = 2*time.Second + 500*time.Millisecond
 
-// checkDrains looks for requests that undisturbed hosts sent to a target long after
-// it had said that it was leaving.
-func (s *Soak) checkDrains() {
+// byID returns the requests that were sent, by their IDs.
+func (s *Soak) byID() map[string]*sent {
 	byID := make(map[string]*sent, len(s.all))
 	for _, r := range s.all {
 		byID[r.id] = r
 	}
+	return byID
+}
+
+// checkDrains looks for requests that undisturbed hosts sent to a target long after
+// it had said that it was leaving.
+func (s *Soak) checkDrains() {
+	byID := s.byID()
 	for _, b := range s.targets.all() {
 		if b.drainAt.IsZero() {
 			continue
@@ -169,7 +175,7 @@
 			if r == nil || at.Before(b.drainAt.Add(inForce)) || r.at.Before(b.drainAt.Add(inForce)) {
 				continue
 			}
-			if s.calm(r.process, b.drainAt, at) {
+			if r.touched {
 				s.broken("request %s: run by %s %s after it said that it drains", id, b.ID, at.Sub(b.drainAt))
 			}
 		}
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -40,6 +40,7 @@
 	{"configurations", (*Soak).stormConfig},
 	{"target starts again", (*Soak).startTargetAgain},
 	{"entry of another writer", (*Soak).scribble},
+	{"zone evacuated", (*Soak).evacuate},
 }
 
 // firstDisturbances is how many of them seeds below firstSeedOfAll play: such seeds stand
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,8 @@
 	version uint64
 	// configuredAt is when the version was written.
 	configuredAt time.Time
+	// evacuations are the orders to empty the near zone so far.
+	evacuations []evacuation
 	// added are the routes that configurations have added so far.
 	added []route
 	// known is when a run of a host first served a route.
@@ -86,7 +88,7 @@
 		marks:   make(map[*process][]time.Time),
 		known:   make(map[knowing]time.Time),
 	}
-	s.targets = &targets{store: s.store}
+	s.targets = &targets{store: s.store, zones: s.seed >= firstSeedOfAll}
 	if err := s.setUp(); err != nil {
 		return Result{}, err
 	}
@@ -114,6 +116,7 @@
 	time.Sleep(deadline) // what targets still run ends
 	s.checkRuns()
 	s.checkDrains()
+	s.checkEvacuations()
 	served := 0
 	for _, r := range s.all {
 		if r.status == http.StatusOK && r.at.After(calm) {
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -15,6 +15,7 @@
 type backend struct {
 	*standin.Target
 	service string
+	zone    string
 	server  *http.Server
 	wire    *Wire
 	gone    bool
@@ -25,6 +26,8 @@
 // targets are all targets of a run, those that are gone included.
 type targets struct {
 	store *standin.Store
+	// zones has some of the targets in the far zone.
+	zones bool
 
 	mu   sync.Mutex
 	list []*backend
@@ -42,13 +45,16 @@
 func (t *targets) add(service string) error {
 	t.mu.Lock()
 	t.next++
-	id := fmt.Sprintf("%s-%d", service, t.next)
+	id, zone := fmt.Sprintf("%s-%d", service, t.next), nearZone
+	if t.zones && t.next%farEach == 0 {
+		zone = farZone
+	}
 	t.mu.Unlock()
-	return t.begin(id, service)
+	return t.begin(id, service, zone)
 }
 
 // begin starts a run of a target and lists it.
-func (t *targets) begin(id, service string) error {
+func (t *targets) begin(id, service, zone string) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -60,6 +66,7 @@
 	b := &backend{
 		Target:  &standin.Target{ID: id, Born: time.Now().UnixMilli(), Slots: targetSlots, Queue: targetQueue, Work: targetWork},
 		service: service,
+		zone:    zone,
 		wire:    wire,
 	}
 	b.Lose, b.Spoil = b.losing, spoiling
@@ -97,7 +104,7 @@
 }
 
 func (t *targets) register(b *backend, state string) {
-	t.store.Put("servers", b.ID, b.Entry(b.service, b.wire.Addr(), "a", state))
+	t.store.Put("servers", b.ID, b.Entry(b.service, b.wire.Addr(), b.zone, state))
 }
 
 // live returns the targets that are not gone.
@@ -143,7 +150,7 @@
 	b.gone = true
 	_ = b.server.Close()
 	time.Sleep(2 * time.Millisecond) // the next run's start is another millisecond
-	if err := t.begin(b.ID, b.service); err != nil {
+	if err := t.begin(b.ID, b.service, b.zone); err != nil {
 		return err
 	}
 	t.register(b, "draining")
