--- a/pick/pick.go
+++ b/pick/pick.go
@@ -64,7 +64,7 @@
 	Silent bool
 	// Probed is how many targets were probed for the choice, Waited how long the
 	// choice took.
-	Probed  int
+	Probed int
 	Waited time.Duration
 }
 
