Reasons in place of stories, in what this change touches

The stories of the safeguards in directory, controller/watch, placer and coldstart, moved here:

- digest of parts: many hosts missed a change of thousands of targets, each was told all of them over a slow link, in vain after its time, and asked again; configurations came into force seconds late.
- hold of removed targets: the store drops entries that targets could not renew while it was away; a host that believed the removal refused every caller for want of targets that worked.
- a refused configuration: a host with fewer checks passed on a route to a service that it lacked; callers of the route were told 404.
- ends of orders remembered: a host that was cut off told others of an order that had been taken back; a zone that worked got no requests until the next whole reading.
- digest of orders: one was lost, the next arrived, and the host went on sending to an emptied zone.
- whole as of a revision: an order was taken back while no host watched, the next to watch had just started and had no end to tell; a host that knew the order kept to it for good.
- words of earlier runs: a write of a former run arrived after the first of the new one, and the target was drained, or used at its former address, by a process that was no more.
- digest in heartbeats, and in steps: a change was lost and others kept coming; with revisions alone the host never noticed, and a target that had left was used for 2.6 s.
- referral: half of the hosts started again, each asked three seeds for all, and their links were full for seconds.
Seeds queried ever less often: hundreds of hosts took the seeds' processors, no answer and no heartbeat got out, and every host read and watched the store by itself.
Reading at the start: no host served before the first seed was up and had read the store.
- dates of answers: answers 1.5 s on their way, dated by arrival, had hosts deny routes added 2.9 s before.
Young words: a caller was told 503 where 404 was due, when the first watcher to answer had a word that was within a moment of being too old.
- relays: a watcher sent every change of many starts to each host; its link was full, its heartbeats came late, others took over and sent the same once more.
- timeout kept between turns: answers took 0.5 s, each host that took over gave up after 0.3 s and began with 0.3 s again; no change was known for as long as the store was slow.
- cold quota: targets of a zone that was taken back looked best to every host, and fell over.
Words that count for a moment: hosts that could not probe went by what they knew of a zone that was back cold.
- runs told apart: errors and times of a former run counted against the next.
Known before guessed: with most targets full a silent one looked cheaper and got the call.
Replaced: garbled bytes read as 421, and a sound target got no call from a host as long as it ran.
Quota that begins full: a quota that began empty had its first probe after some ms and its tenth after 70, and calls went by guesses.

No code changed.

--- a/controller/watch/bootstrap.go
+++ b/controller/watch/bootstrap.go
@@ -91,11 +91,9 @@
 
 // readOnce reads all topics from the store, without watching it.
 //
-// Failure: all hosts lose power at once, and callers wait. Symptom: with the seeds
-// asked for everything, no host served before the first seed was up and had read
-// the store, long after most hosts were up. Two calls a host are the price of being
-// ready at once. When a seed is up it is asked for longer instead: the store answers
-// one reading after the other, and hosts that read at the same moment wait for it.
+// Were the seeds asked for everything after all hosts lost power, none would serve before the first
+// seed had read the store. Two calls a host are the price of being ready at once. A seed that is up
+// is asked for longer instead: hosts that read at the same moment wait for each other.
 func (c *Controller) readOnce(ctx context.Context) {
 	var g errgroup.Group
 	for t := range directory.Topics {
@@ -119,10 +117,9 @@
 // reports whether any was reached, and whether one of them is up to date, which ends the
 // wait.
 //
-// Failure: hundreds of hosts start together, and each queries all seeds again and again.
-// Symptom: the seeds' processors are taken by it for seconds, no answer and no heartbeat
-// of theirs gets out, and every host reads the store by itself and begins to watch it.
-// Each host begins with a seed of its own choice, and queries it ever less often.
+// Hundreds of hosts that start together and query all seeds again and again would take the seeds'
+// processors, so that no answer gets out. Each host begins with a seed of its own choice, and
+// queries it ever less often.
 func (c *Controller) querySeeds(ctx context.Context, timeout, stagger time.Duration) (reached, fresh bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -36,9 +36,8 @@
 // any change was made when the wait was over, but for what the two timers may differ; for any
 // other the moment of asking counts.
 //
-// Failure: answers are 1.5 s on their way. Symptom: dated by their arrival, they had hosts
-// deny routes that were added 2.9 s before. What was so at the moment of asking is known
-// whatever the answer met on its way.
+// What was so at the moment of asking is known whatever the answer met on its way; dated by its
+// arrival, a late one would have hosts deny routes that were added meanwhile.
 func certainAt(asked, now time.Time, ch directory.Changes) time.Time {
 	held := ch.Waited - ch.Waited/timerShare
 	if now.Sub(asked) < held {
@@ -116,9 +115,8 @@
 // confirmed takes in how new the configuration of a host was at a moment, and reports whether
 // nobody else needs to be asked.
 //
-// Failure: the word of the second watcher, which hears of the store less often, comes first and is
-// within a moment of being too old. Symptom: once in some thousand times a caller of a path that
-// never was is told 503 where 404 is due, since the word is too old when the answer is written.
+// A word that is about to be too old does not end the asking: it would be too old when the answer is
+// written.
 func (c *Controller) confirmed(at time.Time, r confirmReply) bool {
 	c.hear(r.Version)
 	if !r.Known {
--- a/controller/watch/pass.go
+++ b/controller/watch/pass.go
@@ -33,11 +33,9 @@
 
 // pass passes a change on to all other hosts. The lock is held.
 //
-// Failure: many hosts start, and each of their targets is listed. Symptom: a watcher sent
-// every change to each host, most of them in other availability zones; its link was
-// full, its heartbeats came late, others took over the watch and sent the same once
-// more. A host that a relay does not reach notices by the next heartbeat, which comes
-// from the watcher itself, and asks.
+// Sent to each host by the watcher, changes of many targets would fill its link and hold up its
+// heartbeats. A host that a relay does not reach notices by the next heartbeat, which comes from the
+// watcher itself, and asks.
 func (c *Controller) pass(ch directory.Changes) {
 	body, ok := c.encode(peer.Pack(ch))
 	if !ok {
--- a/controller/watch/patience.go
+++ b/controller/watch/patience.go
@@ -20,10 +20,8 @@
 
 // storePatience is how long this host waits for the store. It outlasts a watch.
 //
-// Failure: the hosts that watch are gone, and answers take 0.5 s. Symptom: each host that took
-// over gave up after 0.3 s, and began with 0.3 s again at its next turn: no change was known by
-// any host for as long as the store was slow. With the patience kept, the second try of a host
-// waits for long enough, however many hosts there are. It is safe for concurrent use.
+// It is kept from one turn to the next: a host that takes over while the store is slow would else
+// begin anew each time, and never wait for long enough. It is safe for concurrent use.
 type storePatience struct {
 	mu     sync.Mutex
 	raised time.Duration
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -70,10 +70,8 @@
 
 // behind reports whether a watcher knows more than this host. The lock is held.
 //
-// Failure: the message of one change is lost with the connection it was on, and that of
-// the next arrives before the next heartbeat. Symptom: with the newest revision alone
-// compared, the host never noticed, and went on using a target that had left. The digest
-// is that of all targets listed, so that any difference shows.
+// The newest revisions alone may be the same after one of two changes was lost. The digest is that
+// of all targets listed, so that any difference shows.
 func (c *Controller) behind(b beat) bool {
 	newest := c.state.Newest()
 	return newest < b.Newest ||
@@ -160,9 +158,7 @@
 // compare has this host ask for what it lacks if its list is not what the sender's was
 // after a step. The lock is held.
 //
-// Failure: one change is lost while others keep coming, as when targets are replaced one
-// after the other. Symptom: a heartbeat's digest could hardly ever be compared, since the
-// next change had come meanwhile, and a target that had left was used for 2.6 s.
+// While changes keep coming the digest of a heartbeat can hardly ever be compared.
 func (c *Controller) compare(ch directory.Changes, from ports.HostID) {
 	if ch.Digest != 0 && c.state.Newest() == ch.DigestAt && c.state.Digest() != ch.Digest {
 		c.checkLater(from, func() bool { return true })
@@ -197,8 +193,8 @@
 
 // referTo returns hosts of the asker's zone, this one last. The lock is held.
 //
-// Failure: half of all hosts lost power and start again. Symptom: each asked the three
-// seeds for all that they know, and the seeds' links were full of it for seconds.
+// Were all hosts that start together to ask the seeds for all they know, the seeds' links would be
+// full of it.
 func (c *Controller) referTo(asker directory.Host) []ports.HostID {
 	var ids []ports.HostID
 	for id, h := range c.hosts {
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -43,9 +43,8 @@
 // Evacuations are the orders that one host knows, by zone. Merging is idempotent and does not
 // depend on order. It is not safe for concurrent use. The zero value knows none.
 //
-// Failure: an order is taken back, and a host that was cut off tells others of it later.
-// Symptom: a zone that works gets no requests until the next reading of the whole record.
-// So the end of an order is remembered like the order itself.
+// The end of an order is remembered like the order itself, so that a host that was cut off
+// does not bring it back.
 type Evacuations struct {
 	zones  map[string]EvacuationState
 	newest Revision
@@ -70,9 +69,8 @@
 // Lacks reports whether another host, whose newest revision and digest are given, knows of an
 // order or of the end of one that this one does not.
 //
-// Failure: one order is lost on its way, and the next one arrives. Symptom: the newest revisions
-// are the same, and the host goes on sending to a zone that is to be empty. The digest shows it.
-// Hosts that know the same orders to be in force have nothing to tell each other.
+// The newest revisions alone may be the same after one of two orders was lost. Hosts that know the
+// same orders to be in force have nothing to tell each other.
 func (e *Evacuations) Lacks(newest Revision, digest uint64) bool {
 	return e.newest <= newest && e.Digest() != digest
 }
@@ -129,9 +127,8 @@
 // endUnnamed ends the orders that are not among all those in force as of a revision, and
 // returns their ends.
 //
-// Failure: an order is taken back while no host watches, and the next to watch has just started.
-// Symptom: it never knew the order and has no end to tell; a host that still knows the order
-// keeps to it for good.
+// A host that has just started to watch never knew an order that was taken back before: what it
+// does not name tells the others of the end.
 func (e *Evacuations) endUnnamed(now time.Time, list []Evacuation, at Revision) (news []Evacuation) {
 	stands := make(map[string]bool, len(list))
 	for _, o := range list {
--- a/directory/incarnation.go
+++ b/directory/incarnation.go
@@ -9,11 +9,9 @@
 
 // lateWord is what the record says of an earlier run of a target.
 //
-// Failure: a target starts again under its name, and a write of its former run arrives at
-// the store after the first of the new one. Symptom: the target is drained, or used at its
-// former address, by the word of a process that is no more. On the other hand the time of
-// day of a target's host may have been set back, so that its new run seems to be the
-// earlier one: then nothing replaces its word, and after lateFor it is believed.
+// A write of a former run may arrive at the store after the first of the next, so that it is held
+// back. The time of day of a target's host may also have been set back, and its new run seem to
+// be the earlier one: then nothing replaces its word, and after lateFor it is believed.
 type lateWord struct {
 	Target
 	until time.Time
--- a/directory/state.go
+++ b/directory/state.go
@@ -83,9 +83,8 @@
 // Buckets returns the digests of the parts of the list of targets: a host that lacks
 // something tells them, and hears only of the parts that differ.
 //
-// Failure: many hosts miss a change of thousands of targets. Symptom: each was told all of
-// them over a slow link, most in vain after the time for it had passed, and asked again:
-// the links stayed full, and configurations came into force seconds late.
+// A host that misses a change of thousands of targets would else be told all of them, which
+// fills slow links.
 func (s *State) Buckets() []uint64 { return slices.Clone(s.buckets[:]) }
 
 // mark is what a listed target adds to the digest.
@@ -112,12 +111,9 @@
 // Take takes in a step and returns what of it was new, as a step for hosts that knew as
 // much as this one.
 //
-// Failure: targets renew their entries, and while the platform's store is away
-// they can not; the store drops the entries and lists them again some two
-// seconds after its return. Symptom: a host that believes the removal refuses
-// every caller for want of targets that work. So a target whose entry went
-// without a drain is used for Hold longer, unless it was listed as draining; one
-// that is not back by then is gone.
+// While the store is away targets can not renew their entries: it drops them, and lists them
+// again after its return. So a target whose entry went without a drain is used for Hold longer,
+// unless it was listed as draining.
 func (s *State) Take(now time.Time, c Changes) (news Changes) {
 	news.Revision = c.Revision
 	news.Hold = c.Hold
@@ -146,8 +142,7 @@
 // mergeConfig takes in a newer configuration. Versions are unique: another one of the
 // version at hand is passed over, and so is what a stale reading tells.
 //
-// Failure: another host, whose program knows fewer checks, passes on a configuration with a
-// route to a service that it lacks. Symptom: callers of the route are told 404. The last
+// One that fails the check, as from a host whose program knows fewer checks, is refused: the last
 // good one stays.
 func (s *State) mergeConfig(c *routing.Config) bool {
 	if c == nil || s.config != nil && c.Version <= s.config.Version {
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -84,10 +84,8 @@
 // spent reports whether a target may get no call from this host now since it is cold, or may be,
 // and the host's part of its calls is used up. The lock is held.
 //
-// Failure: a zone is taken back, or its power returns, and its targets are cold and idle.
-// Symptom: to every host they look better than all others, each sends its calls there at the
-// same moment, and they fall over together with what they run. The parts of all hosts add up
-// to what a target bears.
+// Cold targets are idle, and so look best to every host at the same moment. The parts of all hosts
+// add up to what a target bears.
 func (s *service) spent(now time.Time, t *target) bool {
 	return s.limited(now, t) && !s.quotaOf(t).Has(now)
 }
--- a/placer/probequota.go
+++ b/placer/probequota.go
@@ -15,10 +15,8 @@
 // firstBurst is more probes than any host may have saved up: a quota begins with as many
 // as it can hold, a second's.
 //
-// Failure: all hosts start at the same moment, and callers that were waiting come at once.
-// Symptom: a quota that began empty had its first probe after some ms and its tenth
-// after 70, so that the calls of the first moment went by guesses, several to one target.
-// Probes are bounded over minutes, and a start is rare beside that.
+// After a start of all hosts the callers that waited come at once, and their calls would else go by
+// guesses. Probes are bounded over minutes, and a start is rare beside that.
 const firstBurst = 1 << 20
 
 // ProbeQuota is this host's part of the probes that all hosts may put to targets.
--- a/placer/service.go
+++ b/placer/service.go
@@ -79,8 +79,7 @@
 // holds reports whether what a call or a probe to a target shows still says something:
 // the target is listed, and has not started anew since. The lock is held.
 //
-// Failure: a target starts again under its name while calls of its former run end.
-// Symptom: their errors and times counted against the new run. The new run is another
+// Errors and times of calls of a former run say nothing of the next. The new run is another
 // *target, so that comparing the two is enough.
 func (s *service) holds(t *target) bool { return s.targets[t.info.ID] == t }
 
@@ -124,11 +123,8 @@
 // those that told something of late, and only if there is none, of the others. The
 // lock is held.
 //
-// Failure: targets that are slow or full answer probes late, and hosts that have
-// used up their probes know little; for a target that told nothing stands what is
-// usual. Symptom: when most targets are full, the silent one looks cheaper than those
-// that told the truth, and gets the call; most calls go by such guesses where hosts are
-// many.
+// A target that let a probe wait is slow or full, and by what is usual it would look cheaper than
+// those that told the truth.
 func (s *service) best(now time.Time, way float64, list []ranked) (*target, float64) {
 	var found *target
 	least := 0.0
--- a/placer/target.go
+++ b/placer/target.go
@@ -94,10 +94,9 @@
 // replaced leaves a target alone whose address answered that it is another's, for longer
 // each time, and reports whether that is news.
 //
-// Failure: such an answer needs no echo of the request, and garbled bytes read as one.
-// Symptom: a sound target got no call from this host for as long as it ran. If the answer
-// is true the record soon says so, which lasts; until then the other target refuses what is
-// sent there, so that trying again after a while costs one attempt and runs nothing.
+// Such an answer needs no echo of the request, and garbled bytes read as one. If it is true the
+// record soon says so, which lasts; until then the other target refuses what is sent there, so that
+// trying again after a while costs one attempt and runs nothing.
 func (t *target) replaced(now time.Time) bool {
 	first := t.replacedRest == 0
 	t.replacedRest = min(max(2*t.replacedRest, firstReplacedRest), maxReplacedRest)
--- a/policy/coldstart/belief.go
+++ b/policy/coldstart/belief.go
@@ -61,9 +61,8 @@
 // Warm reports whether the target said a moment ago that it is not cold, and nothing speaks
 // against it since.
 //
-// Failure: a zone without power is back, its targets cold, and hosts that may not probe any more
-// for now go by what they knew. Symptom: each sends the calls of a warm target, and those of all
-// hosts are more than the cold one bears.
+// Without it, hosts that may not probe any more for now would send a target that is back cold the
+// calls of a warm one.
 func (b Belief) Warm(now time.Time) bool {
 	counts := freshFor
 	if !b.used {
