A host that has just read the store may deny by it

Traced: a start reads the configuration itself and serves, and a moment later begins to watch; until the watch's first answer it had no word of how new that configuration is, though it had read it. The reading counts now, from the moment of asking.

--- a/controller/watch/bootstrap.go
+++ b/controller/watch/bootstrap.go
@@ -98,7 +98,8 @@
 	var g errgroup.Group
 	for t := range directory.Topics {
 		g.Go(func() error {
-			ch, err := c.ask(ctx, nil, t, 0, c.patience.allowance(time.Now()))
+			asked := time.Now()
+			ch, err := c.ask(ctx, nil, t, 0, c.patience.allowance(asked))
 			if err != nil {
 				c.count.failed.Add(1)
 				c.deps.Log.Warn("store not read at the start", zap.Stringer("topic", t), zap.Error(err))
@@ -106,6 +107,9 @@
 			}
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			if ch.Config != nil && ch.Config.Version >= c.version() {
+				c.confirm(asked) // a caller may come before this host watches
+			}
 			c.merge(time.Now(), ch, c.self)
 			return nil
 		})
--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -148,6 +148,22 @@
 	})
 }
 
+// A host that starts has just read the configuration by itself, and does not watch yet. A caller of
+// a path that never was is told so from the first moment.
+func TestHostThatHasJustReadTheStoreDenies(t *testing.T) {
+	withFleet(t, 3, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.stop()
+		}
+		fl.hosts = nil
+		h := fl.start(0, true)
+		for !h.board.Status.Load().Serving() {
+			time.Sleep(100 * time.Microsecond)
+		}
+		assert.Check(t, h.denies("/never/"))
+	})
+}
+
 // A word that is about to be too old comes first, and a younger one a moment later. The caller
 // waits for that one: by the first it would be told 503 when the answer is written.
 func TestWordThatIsNearlyTooOldDoesNotEndTheAsking(t *testing.T) {
