Refusals keep their reason's Retry-After; a call tells why its target counted as cold

The placer overrode the time to come back of every reason but one with the same 200 ms that the reasons have: constant and special case are gone. The moment of a belief was never read: gone; its source stands in the line of a call (cold=). No decision changed.

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -160,6 +160,9 @@
 		b.WriteString(" ran=" + ran(a))
 		b.WriteString(" cost=" + strconv.FormatFloat(a.Basis.Cost, 'f', 2, 64))
 		b.WriteString(" age=" + a.Basis.Age.Round(time.Microsecond).String())
+		if a.Basis.Cold != "" {
+			b.WriteString(" cold=" + a.Basis.Cold)
+		}
 		b.WriteString(" probed=" + strconv.Itoa(a.Basis.Probed))
 		b.WriteString(" waited=" + a.Basis.Waited.Round(time.Microsecond).String())
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -62,6 +62,9 @@
 	Age  time.Duration
 	// Silent is set if the targets of the service tell nothing of their load.
 	Silent bool
+	// Cold is set if the target was taken for cold, or may have been, and says what that
+	// rested on.
+	Cold string
 	// Probed is how many targets were probed for the choice, Waited how long the
 	// choice took.
 	Probed int
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -304,3 +304,27 @@
 	assert.Equal(t, tg.rests, 0)
 	assert.Check(t, tg.cold.Cold(time.Now()) && tg.cold.Certain())
 }
+
+// An operator reads in the line of a call why its cold target got it: by its own word, or since
+// nobody had heard of it.
+func TestCallToAColdTargetTellsWhatThatRestedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, want := range []string{"answer", ""} {
+			l := newColdLab(t, 40)
+			for _, tg := range l.targets {
+				if want != "" {
+					tg.coldUntil = time.Now().Add(coldFor)
+				}
+			}
+			seen := make(map[string]int)
+			for _, p := range l.placers {
+				if g, _ := p.Pick(t.Context(), pick.Request{Service: restartKey}); g != nil {
+					seen[g.(pick.Explained).Basis().Cold]++
+				}
+			}
+			assert.Equal(t, len(seen), 1, "%v", seen)
+			assert.Check(t, seen[want] > 0, "%v", seen)
+			_ = l.board.Close()
+		}
+	})
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,12 +24,8 @@
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
-const (
-	// probeTimeout ends a probe that gets no answer.
-	probeTimeout = 250 * time.Millisecond
-	// retryAfter is told with a refusal: about the time in which slots get free.
-	retryAfter = 200 * time.Millisecond
-)
+// probeTimeout ends a probe that gets no answer.
+const probeTimeout = 250 * time.Millisecond
 
 // Deps is what a Placer works with.
 type Deps struct {
@@ -174,12 +170,13 @@
 	if t.info.Evacuated {
 		invariant.Check(false, invariant.EvacuatedIdle, "%s", t.info.Run())
 	}
+	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	if s.limited(now, t) {
 		s.quotaOf(t).Take(now)
 		p.count.coldCalls.Add(1)
+		basis.Cold = t.cold.Basis(now).String()
 	}
 	t.cold.Use()
-	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), Silent: s.isSilent()}
 	t.figures.InFlight++
 	return &held{placer: p, service: s, target: t, info: t.info, takes: takes, basis: basis}, ""
 }
@@ -194,9 +191,6 @@
 func (p *Placer) refuse(r outcome.Reason, why string) outcome.Result {
 	p.count.refused.Add(string(r), 1)
 	res := outcome.Refuse(r)
-	if r != outcome.ReasonEvacuated {
-		res.RetryAfter = retryAfter
-	}
 	res.Why = why
 	return res
 }
--- a/policy/coldstart/belief.go
+++ b/policy/coldstart/belief.go
@@ -10,8 +10,8 @@
 type Source uint8
 
 const (
-	// None: nothing says that the target is cold.
-	None Source = iota
+	// Unheard: nothing says whether the target is cold.
+	Unheard Source = iota
 	// Record is the target's entry in the platform's record, written some seconds ago.
 	Record
 	// Return is the end of the evacuation of the target's zone: it may have turned cold
@@ -31,7 +31,7 @@
 	case Answer:
 		return "answer"
 	default:
-		return "none"
+		return "unheard"
 	}
 }
 
@@ -43,12 +43,11 @@
 	wordFor  = time.Second
 )
 
-// Belief is until when a target is taken for cold, what that rests on, and since when. The zero
-// value says that nothing is known.
+// Belief is until when a target is taken for cold, and what that rests on. The zero value says that
+// nothing is known.
 type Belief struct {
 	Until  time.Time
 	Source Source
-	At     time.Time
 	// heardAt is when the target itself last said whether it is cold, used is set once a call
 	// was sent by that word.
 	heardAt time.Time
@@ -74,17 +73,26 @@
 // Use notes that a call is sent to a target that is taken for warm.
 func (b *Belief) Use() { b.used = true }
 
+// Basis returns what a target that is not taken for warm is held to: Unheard if its last word that
+// it is warm is too old.
+func (b Belief) Basis(now time.Time) Source {
+	if !b.Cold(now) {
+		return Unheard
+	}
+	return b.Source
+}
+
 // Certain reports whether the target itself said so: asking it again tells nothing more.
 func (b Belief) Certain() bool { return b.Source == Answer }
 
 // Presume takes in a sign other than the target's own word. It never shortens what is believed.
 func (b *Belief) Presume(now, until time.Time, s Source) {
 	if now.Before(until) && until.After(b.Until) {
-		*b = Belief{Until: until, Source: s, At: now, heardAt: b.heardAt, used: b.used}
+		*b = Belief{Until: until, Source: s, heardAt: b.heardAt, used: b.used}
 	}
 }
 
 // Hear takes in how much longer the target is cold by its own answer, 0 if it is not.
 func (b *Belief) Hear(now time.Time, left time.Duration) {
-	*b = Belief{Until: now.Add(left), Source: Answer, At: now, heardAt: now}
+	*b = Belief{Until: now.Add(left), Source: Answer, heardAt: now}
 }
--- a/policy/coldstart/quota_test.go
+++ b/policy/coldstart/quota_test.go
@@ -196,5 +196,7 @@
 	assert.Check(t, b.Cold(start))
 	b.Hear(start, 2*time.Second)
 	b.Presume(start, start.Add(time.Second), Record)
+	assert.Equal(t, b.Basis(start), Answer)
+	assert.Equal(t, b.Basis(start.Add(3*time.Second)), Unheard)
 	assert.Check(t, b.Certain() && b.Cold(start.Add(1900*time.Millisecond)), "a sign does not shorten it")
 }
