A resting peer connection holds a read buffer of 1 KB

TestRestingConnectionsHoldLittle failed in 1 of 2 runs of the README's test command on 16 cores, and in 1 of 20 alone (16,705 and 16,770 bytes an end, bound 16,384; never on 4 cores). Printed at rest, eight collections in a row: 16,606 bytes, the same each time, so that nothing was still ending: an end holds two goroutines of some 4 KB of stack, 4 KB of read buffer, and 4 KB beside. In a fresh process the runtime's own stacks are in the figure after, not in the one before, and that is what put it over the bound.

A heartbeat has 120 bytes, and larger frames are read past the buffer: 1 KB is enough. At 984 hosts it is 6 MB less for a host that all connect to.

--- a/peer/session.go
+++ b/peer/session.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// readBufferSize holds the frames of a heartbeat. Each host has a connection with every
+// readBufferSize holds some heartbeats, in bytes. Each host has a connection with every
 // other at worst; larger frames are read past the buffer.
-const readBufferSize = 4 << 10
+const readBufferSize = 1 << 10
 
 // session is one connection after its handshake. One goroutine reads and one
 // writes.
