A configuration's tenants: keys as digests, priorities, quotas

The platform's configuration has tenants with API keys; they were decoded nowhere. Keys become digests where the document is decoded, so that no message between hosts, log line or dump can hold one (TestConfigurationHoldsNoKey). Differences between configurations carry tenants by name; their digest covers them and has another name on the wire. A difference by a program that knows no tenants opens no routes (TestDeltaOfAProgramWithoutTenantsOpensNoRoutes). A key of two tenants is refused with the whole document, an empty key opens nothing, a document whose tenants are all gone still needs keys.

--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -24,15 +24,21 @@
 	// host that can not tell whether that is the newest.
 	ReasonConfigUnconfirmed Reason = "config-unconfirmed"
 	ReasonBadRequest        Reason = "bad-request"
-	ReasonBodyTooLarge      Reason = "body-too-large"
-	ReasonNotReady          Reason = "not-ready"
-	ReasonWorkspaceLimit    Reason = "workspace-limit"
-	ReasonQueueFull         Reason = "queue-full"
-	ReasonDeadline          Reason = "deadline-too-short"
-	ReasonQueueTimeout      Reason = "queue-timeout"
-	ReasonTooDeep           Reason = "too-deep"
-	ReasonQuarantined       Reason = "quarantined"
-	ReasonCallerGone        Reason = "caller-gone"
+	// ReasonUnknownKey is a call without the API key of a tenant.
+	ReasonUnknownKey Reason = "unknown-api-key"
+	// ReasonOverQuota is a call beyond its tenant's quota.
+	ReasonOverQuota Reason = "over-quota"
+	// ReasonQuotaUnknown is a call of which no host can tell whether it is within the quota.
+	ReasonQuotaUnknown   Reason = "quota-unknown"
+	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonNotReady       Reason = "not-ready"
+	ReasonWorkspaceLimit Reason = "workspace-limit"
+	ReasonQueueFull      Reason = "queue-full"
+	ReasonDeadline       Reason = "deadline-too-short"
+	ReasonQueueTimeout   Reason = "queue-timeout"
+	ReasonTooDeep        Reason = "too-deep"
+	ReasonQuarantined    Reason = "quarantined"
+	ReasonCallerGone     Reason = "caller-gone"
 )
 
 // Reasons about targets.
@@ -97,6 +103,9 @@
 	// moment and then asks for it.
 	ReasonConfigUnconfirmed: {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonBadRequest:        {status: http.StatusBadRequest},
+	ReasonUnknownKey:        {status: http.StatusUnauthorized},
+	ReasonOverQuota:         {status: http.StatusTooManyRequests, retryAfter: soon},
+	ReasonQuotaUnknown:      {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonBodyTooLarge:      {status: http.StatusRequestEntityTooLarge},
 	ReasonNotReady:          {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonWorkspaceLimit:    {status: http.StatusTooManyRequests, retryAfter: soon},
--- a/routing/check.go
+++ b/routing/check.go
@@ -19,6 +19,9 @@
 		}
 		services[s.Name] = true
 	}
+	if err := c.checkTenants(); err != nil {
+		return err
+	}
 	for _, r := range c.Routes {
 		if err := r.check(services); err != nil {
 			return errors.Wrapf(err, "route %q", r.Name)
--- a/routing/config.go
+++ b/routing/config.go
@@ -54,6 +54,9 @@
 	Routes   []Route   `msgpack:"routes"`
 	Services []Service `msgpack:"services"`
 	Limits   Limits    `msgpack:"limits"`
+	// Keyed is set if requests need the key of a tenant, but for those of public routes.
+	Keyed   bool     `msgpack:"keyed"`
+	Tenants []Tenant `msgpack:"tenants"`
 }
 
 // Unknown returns how many routes are of a kind that this program has never heard of.
@@ -81,6 +84,8 @@
 	Objective time.Duration `msgpack:"objective"`
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int `msgpack:"priority"`
+	// Public requests need no key.
+	Public bool `msgpack:"public"`
 	// MaxAttempts bounds the targets that one request may be sent to.
 	MaxAttempts int `msgpack:"max_attempts"`
 	// Regions are the only ones whose targets may get the requests; all if empty.
--- a/routing/delta.go
+++ b/routing/delta.go
@@ -8,8 +8,8 @@
 
 // Delta leads from one configuration to another. Most changes touch a few of
 // hundreds of routes; passed on whole, each would cost every host tens of
-// kilobytes and the time to decode them. It leads to the same routes, in some other
-// order; a Table does not depend on the order.
+// kilobytes and the time to decode them. It leads to the same routes and tenants, in some
+// other order; a Table does not depend on the order.
 type Delta struct {
 	Base    uint64 `msgpack:"base"`
 	Version uint64 `msgpack:"version"`
@@ -17,12 +17,16 @@
 	// be unique. They replace all that had the name.
 	Put []Route `msgpack:"put"`
 	// Drop names the routes that are gone, of names that have none left.
-	Drop     []string  `msgpack:"drop"`
-	Services []Service `msgpack:"services"`
-	Limits   Limits    `msgpack:"limits"`
+	Drop []string `msgpack:"drop"`
+	// PutTenants are the tenants that came or changed, DropTenants the names of those gone.
+	PutTenants  []Tenant  `msgpack:"put_tenants"`
+	DropTenants []string  `msgpack:"drop_tenants"`
+	Services    []Service `msgpack:"services"`
+	Limits      Limits    `msgpack:"limits"`
+	Keyed       bool      `msgpack:"keyed"`
 	// Digest is that of the configuration that the delta leads to; 0 if not told, as by
 	// hosts whose program lacks it.
-	Digest uint64 `msgpack:"digest_2"`
+	Digest uint64 `msgpack:"digest_3"`
 }
 
 // Reasons why a delta is not applied, to be tested with errors.Is.
@@ -40,22 +44,34 @@
 		Version:  to.Version,
 		Services: to.Services,
 		Limits:   to.Limits,
+		Keyed:    to.Keyed,
 		Digest:   to.Digest(),
 	}
-	old, next := from.marks(), to.marks()
-	for _, r := range to.Routes {
-		mark, had := old[r.Name]
-		if !had || mark != next[r.Name] {
-			d.Put = append(d.Put, r)
+	d.Put, d.Drop = differing(to.Routes, routeName, routeMarks(from.Routes), routeMarks(to.Routes))
+	d.PutTenants, d.DropTenants = differing(to.Tenants, tenantName, tenantMarks(from.Tenants), tenantMarks(to.Tenants))
+	return d
+}
+
+func routeName(r *Route) string { return r.Name }
+
+func tenantName(t *Tenant) string { return t.Name }
+
+// differing returns the entries of a list whose marks differ, and the names that are gone.
+func differing[T any](to []T, name func(*T) string, old, next map[string]uint64) (put []T, drop []string) {
+	for i := range to {
+		n := name(&to[i])
+		mark, had := old[n]
+		if !had || mark != next[n] {
+			put = append(put, to[i])
 		}
 	}
-	for name := range old {
-		if _, has := next[name]; !has {
-			d.Drop = append(d.Drop, name)
+	for n := range old {
+		if _, has := next[n]; !has {
+			drop = append(drop, n)
 		}
 	}
-	slices.Sort(d.Drop)
-	return d
+	slices.Sort(drop)
+	return put, drop
 }
 
 // Apply returns the configuration that a delta leads to.
@@ -69,28 +85,42 @@
 	if c == nil || c.Version != d.Base {
 		return nil, ErrOtherBase
 	}
-	next := &Config{Version: d.Version, Routes: d.routes(c), Services: d.Services, Limits: d.Limits}
+	if c.Keyed && d.Digest == 0 {
+		return nil, ErrOtherResult // a sender that knows no tenants would open all routes
+	}
+	next := &Config{
+		Version:  d.Version,
+		Routes:   merged(c.Routes, routeName, d.Put, d.Drop),
+		Services: d.Services,
+		Limits:   d.Limits,
+		Keyed:    d.Keyed,
+		Tenants:  merged(c.Tenants, tenantName, d.PutTenants, d.DropTenants),
+	}
 	if d.Digest != 0 && next.Digest() != d.Digest {
 		return nil, ErrOtherResult
 	}
 	return next, next.Check()
 }
 
-// routes returns the routes that a delta leads to. The names go into a set: where most of
-// many routes are dropped, to look each up in the list takes far longer (BenchmarkApply).
-func (d *Delta) routes(from *Config) []Route {
-	gone := make(map[string]bool, len(d.Put)+len(d.Drop))
-	for i := range d.Put {
-		gone[d.Put[i].Name] = true
+// merged returns a list without the names that a delta puts or drops, and with what it puts.
+// The names go into a set: where most of many entries are dropped, to look each up in the
+// list takes far longer (BenchmarkApply).
+func merged[T any](from []T, name func(*T) string, put []T, drop []string) []T {
+	gone := make(map[string]bool, len(put)+len(drop))
+	for i := range put {
+		gone[name(&put[i])] = true
+	}
+	for _, n := range drop {
+		gone[n] = true
 	}
-	for _, name := range d.Drop {
-		gone[name] = true
+	if len(from)+len(put) == 0 {
+		return nil
 	}
-	out := make([]Route, 0, len(from.Routes)+len(d.Put))
-	for i := range from.Routes {
-		if !gone[from.Routes[i].Name] {
-			out = append(out, from.Routes[i])
+	out := make([]T, 0, len(from)+len(put))
+	for i := range from {
+		if !gone[name(&from[i])] {
+			out = append(out, from[i])
 		}
 	}
-	return append(out, d.Put...)
+	return append(out, put...)
 }
--- a/routing/digest.go
+++ b/routing/digest.go
@@ -8,27 +8,38 @@
 )
 
 // Digest is the same for configurations that say the same, whatever the order of their
-// routes. Hosts of several versions of this program compare it: if what it covers
-// changes, Delta.Digest gets another name on the wire.
+// routes and tenants. Hosts of several versions of this program compare it: if what it
+// covers changes, Delta.Digest gets another name on the wire.
 func (c *Config) Digest() uint64 {
-	var raw []byte
 	var sum uint64
-	for i := range c.Routes {
-		raw = c.Routes[i].appendTo(raw[:0])
-		sum += xxhash.Sum64(raw)
+	for _, mark := range routeMarks(c.Routes) {
+		sum += mark
+	}
+	for _, mark := range tenantMarks(c.Tenants) {
+		sum += mark
 	}
-	raw = c.appendRest(raw[:0])
-	return sum + xxhash.Sum64(raw)
+	return sum + xxhash.Sum64(c.appendRest(nil))
 }
 
-// marks returns for each name the sum of the digests of its routes: a sum, since the same
-// route may stand twice.
-func (c *Config) marks() map[string]uint64 {
-	m := make(map[string]uint64, len(c.Routes))
+// routeMarks returns for each name the sum of the digests of its routes: a sum, since the
+// same route may stand twice.
+func routeMarks(routes []Route) map[string]uint64 {
+	m := make(map[string]uint64, len(routes))
 	var raw []byte
-	for i := range c.Routes {
-		raw = c.Routes[i].appendTo(raw[:0])
-		m[c.Routes[i].Name] += xxhash.Sum64(raw)
+	for i := range routes {
+		raw = routes[i].appendTo(raw[:0])
+		m[routes[i].Name] += xxhash.Sum64(raw)
+	}
+	return m
+}
+
+// tenantMarks returns the digest of each tenant by its name.
+func tenantMarks(tenants []Tenant) map[string]uint64 {
+	m := make(map[string]uint64, len(tenants))
+	var raw []byte
+	for i := range tenants {
+		raw = tenants[i].appendTo(raw[:0])
+		m[tenants[i].Name] = xxhash.Sum64(raw)
 	}
 	return m
 }
@@ -43,27 +54,40 @@
 	b = binary.AppendVarint(b, int64(r.Objective))
 	b = binary.AppendVarint(b, int64(r.Priority))
 	b = binary.AppendVarint(b, int64(r.MaxAttempts))
-	b = binary.AppendUvarint(b, uint64(len(r.Regions)))
-	for _, region := range r.Regions {
-		b = appendText(b, region)
-	}
+	b = appendBool(b, r.Public)
+	b = appendTexts(b, r.Regions)
 	for _, p := range r.Parts {
 		b = appendText(b, p.Service)
-		b = binary.BigEndian.AppendUint64(b, math.Float64bits(p.Weight))
+		b = appendNumber(b, p.Weight)
 	}
 	return b
 }
 
-// appendRest appends all that a configuration says beside its routes.
+// appendTo appends all that a tenant says.
+func (t *Tenant) appendTo(b []byte) []byte {
+	b = append(b, "tenant "...) // apart from a route that has the same fields
+	b = appendText(b, t.Name)
+	b = binary.AppendVarint(b, int64(t.Priority))
+	b = appendNumber(b, t.Rate)
+	b = appendNumber(b, t.Burst)
+	b = appendTexts(b, t.Regions)
+	for _, k := range t.Keys {
+		b = append(b, k[:]...)
+	}
+	return b
+}
+
+// appendRest appends all that a configuration says beside its routes and tenants.
 func (c *Config) appendRest(b []byte) []byte {
 	b = binary.AppendUvarint(b, c.Version)
+	b = appendBool(b, c.Keyed)
 	b = binary.AppendUvarint(b, uint64(len(c.Services)))
 	for _, s := range c.Services {
 		b = appendText(b, s.Name)
 		b = appendText(b, s.HealthPath)
 		b = binary.AppendVarint(b, int64(s.MaxConns))
 		b = binary.AppendVarint(b, int64(s.WarmUp))
-		b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.ColdRate))
+		b = appendNumber(b, s.ColdRate)
 	}
 	b = binary.AppendVarint(b, int64(c.Limits.MaxHeaderBytes))
 	b = binary.AppendVarint(b, c.Limits.MaxBodyBytes)
@@ -77,3 +101,22 @@
 	b = binary.AppendUvarint(b, uint64(len(s)))
 	return append(b, s...)
 }
+
+func appendTexts(b []byte, list []string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(list)))
+	for _, s := range list {
+		b = appendText(b, s)
+	}
+	return b
+}
+
+func appendNumber(b []byte, n float64) []byte {
+	return binary.BigEndian.AppendUint64(b, math.Float64bits(n))
+}
+
+func appendBool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
--- a/routing/hosts_test.go
+++ b/routing/hosts_test.go
@@ -234,6 +234,8 @@
 			field.SetString(field.String() + "x/")
 		case field.CanInt():
 			field.SetInt(field.Int() + 1)
+		case field.Kind() == reflect.Bool:
+			field.SetBool(!field.Bool())
 		case field.CanUint():
 			field.SetUint(field.Uint() + 1)
 		case field.Type() == reflect.TypeFor[[]string]():
--- a/routing/table.go
+++ b/routing/table.go
@@ -18,6 +18,9 @@
 	Config *Config
 	byHost map[string][]*entry
 	byName map[string]*Service
+
+	byTenant map[string]*Tenant
+	byKey    map[KeyDigest]*Tenant
 }
 
 // entry is a route with the services of its parts and the state of its split.
@@ -45,6 +48,7 @@
 	for i := range c.Services {
 		t.byName[c.Services[i].Name] = &c.Services[i]
 	}
+	t.addTenants(c)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], t.newEntry(r, rng))
--- a/targetapi/contract.go
+++ b/targetapi/contract.go
@@ -23,6 +23,10 @@
 	// Target names the target that a request is meant for. Any other target that
 	// has its address by now refuses it with status 421.
 	Target string
+	// Key is the caller's API key, which never reaches a target; Tenant names the tenant
+	// that holds it, for targets, whatever the caller said there.
+	Key    string
+	Tenant string
 	// Seal is set by targets on all they answer but refusals of what they did not run. An
 	// answer without it does not come from a target that ran the request.
 	Seal string
