Keys and quotas at the entry

The entry finds the tenant that holds the key, refuses 401 on the terms of a 404 (only by a configuration known as the newest, else 503), takes the key off, and names the tenant whatever the caller said in whatever spelling (FuzzTenant). A key is looked up again before each attempt: one taken away while a call waits sends nothing. Requests beyond the quota get 429 with the time until there is room, before a body is read if that is known; one that did not run is given back.

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -38,6 +38,8 @@
 	Host    string
 	Path    string
 	Service string
+	// Tenant is the name of the tenant whose key the call had; empty if it needed none.
+	Tenant string
 	// ConfigVersion is the version of the configuration that the call went by.
 	ConfigVersion uint64
 	Arrived       time.Time
@@ -129,6 +131,9 @@
 		zap.Duration("took", took.Round(time.Microsecond)),
 		zap.Duration("had", c.Timeout),
 	}
+	if c.Tenant != "" {
+		f = append(f, zap.String("tenant", c.Tenant))
+	}
 	if c.Waited > 0 {
 		f = append(f, zap.Duration("asked_before", c.Waited))
 	}
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -46,6 +46,9 @@
 	Arrived time.Time
 	// Waited is how long before that the caller first asked, as far as is known.
 	Waited time.Duration
+	// Allowed, if set, reports whether the call may still run: the caller's API key may have
+	// been taken away since it came.
+	Allowed func() bool
 	// Caller identifies who asks, as far as stored answers go.
 	Caller string
 
@@ -75,6 +78,9 @@
 	return n
 }
 
+// allowed reports whether the call may still run.
+func (c *Call) allowed() bool { return c.Allowed == nil || c.Allowed() }
+
 // RepeatOf returns the class of a method as HTTP defines it (RFC 9110, 9.2.2).
 func RepeatOf(method string) Repeat {
 	switch method {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -146,6 +146,11 @@
 			r.Result.Why = refusal.Why
 			return r
 		}
+		if !c.allowed() {
+			watch.Close()
+			g.Release(pick.Report{Class: pick.Canceled, Load: -1})
+			return h.settle(outcome.ReasonUnknownKey, 0)
+		}
 		a := d.race(ctx, c, send{grant: g, watch: watch, claim: h.claim}, h)
 		if r := d.accept(ctx, c, h, a); r != nil {
 			return r
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -225,3 +225,22 @@
 	release, _ = b.d.Admit(c)
 	assert.Check(t, release != nil)
 }
+
+// A caller's API key is taken away while its call waits, or between two attempts: no target
+// gets the call any more.
+func TestCallWhoseKeyIsGoneIsNotSent(t *testing.T) {
+	for sent, want := range map[int]outcome.Outcome{0: outcome.NotRun, 1: outcome.NotRun} {
+		b := newBench(t, sheds(), answers(http.StatusOK, "fine", nil))
+		c := call(http.MethodGet)
+		asked := 0
+		c.Allowed = func() bool {
+			asked++
+			return asked <= sent
+		}
+		r := b.do(t, context.Background(), c)
+		assert.Equal(t, r.Result.Outcome, want)
+		assert.Equal(t, r.Result.Reason, outcome.ReasonUnknownKey)
+		assert.Equal(t, len(r.Attempts), sent)
+		assert.Equal(t, len(b.picker.reports()), sent+1)
+	}
+}
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -112,6 +112,9 @@
 	if decision.Refuse || decision.Alone {
 		return d.noHedge(watch, "hedge-suspected")
 	}
+	if !c.allowed() {
+		return d.noHedge(watch, "hedge-key")
+	}
 	g2, _ := d.picker.Pick(ctx, pick.Request{
 		Service: c.Key,
 		Avoid:   []ports.HostID{g.Target().ID},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
+	"github.com/cactusproxy/cactusproxy/controller/quota"
 	"github.com/cactusproxy/cactusproxy/controller/watch"
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/entry"
@@ -55,6 +56,7 @@
 	placer     *placer.Placer
 	entry      *entry.Server
 	watch      *watch.Controller
+	quota      *quota.Controller
 	leave      *leave.Controller
 
 	callers   daemon.Callers
--- a/edge/lab_test.go
+++ b/edge/lab_test.go
@@ -40,6 +40,8 @@
 	drain  string
 	ids    int
 	client *http.Client
+	// key is the API key that requests carry; none if empty.
+	key string
 	// logs has what each daemon logged.
 	logs []*syncBuffer
 }
@@ -240,6 +242,9 @@
 	req.Host = hostName
 	req.Header.Set(standin.HeaderRequestID, id)
 	req.Header.Set(standin.HeaderDeadline, "1500")
+	if l.key != "" {
+		req.Header.Set(standin.HeaderKey, l.key)
+	}
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return answer{id: id, err: err}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -110,6 +110,7 @@
 		Log:       d.log,
 		Seed:      d.incarnation,
 	})
+	d.provisionQuota()
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Link:    d.node,
 		Members: d.hosts,
@@ -184,6 +185,7 @@
 		Fresh:      func() bool { return true },
 		Contract:   d.platform.Contract,
 		Finder:     entry.NewRouteFinder(d.board, d.watch),
+		Quota:      d.quota,
 		Calls:      calllog.New(d.log, d.metrics),
 		AwaitStart: d.watch.AwaitStart,
 	})
--- /dev/null
+++ b/edge/quota.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/controller/quota"
+	policy "github.com/cactusproxy/cactusproxy/policy/quota"
+)
+
+// Defaults of the setting quotas: as close to the quotas as owners that follow each other
+// allow.
+const (
+	defaultQuotaWindow   = 5 * time.Second
+	defaultQuotaShare    = 0.1
+	defaultQuotaRequests = 20
+)
+
+// provisionQuota makes the part that keeps tenants within their quotas.
+func (d *Daemon) provisionQuota() {
+	d.quota = quota.New(quota.Deps{
+		Board:     d.board,
+		Link:      d.node,
+		Zone:      d.settings.Host.Zone,
+		Others:    d.otherZones(),
+		Tolerance: d.quotaTolerance(),
+		SilentFor: d.node.SilentFor,
+		Metrics:   d.metrics,
+		Log:       d.log,
+	})
+}
+
+func (d *Daemon) quotaTolerance() policy.Tolerance {
+	q := d.settings.Quotas
+	if q.Window == "" {
+		return policy.Tolerance{Window: defaultQuotaWindow, Share: defaultQuotaShare, Requests: defaultQuotaRequests}
+	}
+	return policy.Tolerance{Window: q.Window.Or(defaultQuotaWindow), Share: q.Share, Requests: q.Requests}
+}
+
+// otherZones returns the availability zones but this host's, beginning with the one after it
+// by name: each zone turns to another one first.
+func (d *Daemon) otherZones() []string {
+	own := d.settings.Host.Zone
+	var after, before []string
+	for zone := range d.settings.Zones {
+		switch {
+		case zone > own:
+			after = append(after, zone)
+		case zone < own:
+			before = append(before, zone)
+		}
+	}
+	slices.Sort(after)
+	slices.Sort(before)
+	return append(after, before...)
+}
--- a/edge/run.go
+++ b/edge/run.go
@@ -36,6 +36,7 @@
 	for _, part := range []func(context.Context) error{
 		d.node.Serve,
 		d.watch.Run,
+		d.quota.Run,
 		d.quarantine.Run,
 		d.watchLimits,
 		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/cactusproxy/cactusproxy/calllog"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/quota"
 )
 
 // call serves one call of a caller.
@@ -74,9 +75,39 @@
 		return
 	}
 	c.Service = m.Service.Name
+	c.Tenant = m.Tenant
+	if refusal := s.overQuota(m); refusal.Outcome != 0 {
+		s.refuse(w, c, refuseCall(r, m, refusal))
+		return
+	}
 	s.serve(w, r, m, c)
 }
 
+// overQuota returns what a request is told whose tenant is known to have no room, before its
+// body is read.
+func (s *Server) overQuota(m Match) outcome.Result {
+	if s.deps.Quota == nil || m.Tenant == "" {
+		return outcome.Result{}
+	}
+	return s.deps.Quota.Refused(m.Tenant)
+}
+
+// within counts a request against its tenant's quota.
+func (s *Server) within(ctx context.Context, r *http.Request, m Match) outcome.Result {
+	if s.deps.Quota == nil || m.Tenant == "" {
+		return outcome.Result{}
+	}
+	left := time.Duration(intHeader(r, s.deps.Contract.Timeout, -1)) * time.Millisecond
+	return s.deps.Quota.Take(ctx, quota.Request{Tenant: m.Tenant, Route: m.Route, Objective: m.Objective, Left: left})
+}
+
+// giveBack returns to a tenant's quota what a request took that did not run.
+func (s *Server) giveBack(m Match, r outcome.Result) {
+	if s.deps.Quota != nil && m.Tenant != "" && r.Outcome == outcome.NotRun {
+		s.deps.Quota.Return(m.Tenant)
+	}
+}
+
 // startWait bounds how long a call waits for a host that has just started, which
 // takes 50 to 150 ms; startShare is the most of the caller's time that goes into it.
 const (
@@ -123,12 +154,18 @@
 		return
 	}
 	defer release()
+	if refusal := s.within(ctx, r, m); refusal.Outcome != 0 {
+		s.refuse(w, l, refuseCall(r, m, refusal))
+		return
+	}
 	if _, inMemory := c.Body.Bytes(); !inMemory {
 		// Without this the answer to an upload could not begin before the whole
 		// upload was read.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	s.reply(w, l, s.deps.Dispatcher.Do(ctx, c))
+	reply := s.deps.Dispatcher.Do(ctx, c)
+	s.giveBack(m, reply.Result)
+	s.reply(w, l, reply)
 }
 
 // refuseKey returns what a request is told that is refused before anybody asked
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -59,3 +59,28 @@
 	}
 	h.Set(headerForwardedProto, proto)
 }
+
+// setTenant takes the caller's API key off the headers, and has them name its tenant whatever
+// the caller said there, in whatever spelling: some targets read X_Name as X-Name.
+func (s *Server) setTenant(h http.Header, tenant string) {
+	key, name := s.deps.Contract.Key, s.deps.Contract.Tenant
+	if key == "" || name == "" {
+		return
+	}
+	for have := range h {
+		if spells(have, key) || spells(have, name) {
+			delete(h, have)
+		}
+	}
+	if tenant != "" {
+		h.Set(name, tenant)
+	}
+}
+
+// spells reports whether a header's name is another one but for letter case and underscores.
+func spells(have, name string) bool {
+	if len(have) != len(name) {
+		return false
+	}
+	return strings.EqualFold(strings.ReplaceAll(have, "_", "-"), name)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -39,11 +39,13 @@
 		Objective: m.Objective,
 		Priority:  m.Priority,
 		Regions:   m.Regions,
+		Allowed:   m.Allowed,
 		Caller:    callerOf(r),
 		Arrived:   time.Now(),
 		Waited:    s.waited(r, m),
 		Sizes:     m.Sizes,
 	}
+	s.setTenant(c.Header, m.Tenant)
 	if s.deps.Contract.Forwarded {
 		addForwarded(c.Header, r)
 	}
--- a/entry/router.go
+++ b/entry/router.go
@@ -42,6 +42,12 @@
 	// Objective and Priority are those of dispatch.Call.
 	Objective time.Duration
 	Priority  int
+	// Route is the name of the route, if routes have names.
+	Route string
+	// Tenant is the name of the tenant whose key the request has; empty if it needs none.
+	Tenant string
+	// Allowed is that of dispatch.Call.
+	Allowed func() bool
 	// Regions are the only ones whose targets may get the request; all if empty.
 	Regions []string
 	// Patience, if set, tells how long callers of the route have been waiting.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,37 +56,105 @@
 }
 
 // Find implements Finder.
-func (f *RouteFinder) Find(ctx context.Context, host, path string) (Match, outcome.Result) {
+func (f *RouteFinder) Find(ctx context.Context, a Address) (Match, outcome.Result) {
 	table := f.board.Routes.Load()
 	if table == nil {
 		return Match{}, outcome.Refuse(outcome.ReasonNotReady)
 	}
-	m, ok := table.Find(host, path)
-	if !ok && f.confirm(ctx, table.Config.Version) {
+	m, reason := look(table, a)
+	if reason != "" && f.confirm(ctx, table.Config.Version) {
 		table = f.board.Routes.Load() // a newer one may have come meanwhile
-		m, ok = table.Find(host, path)
+		m, reason = look(table, a)
 	}
-	if !ok {
+	if reason != "" {
 		version := table.Config.Version
-		return Match{ConfigVersion: version}, f.judge(version, outcome.ReasonNoRoute)
+		return Match{ConfigVersion: version}, f.judge(version, reason)
+	}
+	return f.match(table, a, m)
+}
+
+// found is where a request leads by one table, and whose it is.
+type found struct {
+	routing.Match
+	// tenant is nil if the request needs no key.
+	tenant *routing.Tenant
+}
+
+// look finds where a request leads, or why a table does not allow it.
+func look(table *routing.Table, a Address) (found, outcome.Reason) {
+	m, ok := table.Find(a.Host, a.Path)
+	if !ok {
+		return found{}, outcome.ReasonNoRoute
+	}
+	if m.Route.Public || !table.Config.Keyed {
+		return found{Match: m}, ""
+	}
+	tenant := table.Holder(a.Key)
+	if tenant == nil {
+		return found{}, outcome.ReasonUnknownKey
 	}
+	return found{Match: m, tenant: tenant}, ""
+}
+
+func (f *RouteFinder) match(table *routing.Table, a Address, m found) (Match, outcome.Result) {
 	repeat := dispatch.Once
 	if m.Route.Kind.Repeatable() {
 		repeat = dispatch.Idempotent
 	}
-	service, learned := f.service(table, m)
-	return Match{
+	service, learned := f.service(table, m.Match)
+	out := Match{
 		Workspace: f.workspace,
 		Service:   service,
 		Patience:  &learned.patience,
 		Sizes:     &learned.sizes,
 		Repeat:    repeat,
+		Route:     m.Route.Name,
 		Objective: m.Route.Objective,
 		Priority:  m.Route.Priority,
 		Regions:   m.Route.Regions,
 
 		ConfigVersion: table.Config.Version,
-	}, outcome.Result{}
+	}
+	if m.tenant == nil {
+		return out, outcome.Result{}
+	}
+	out.Tenant = m.tenant.Name
+	out.Allowed = f.allowed(table, a.Key, m.tenant.Name)
+	if m.tenant.Priority != routing.RoutePriority {
+		out.Priority = m.tenant.Priority
+	}
+	regions, some := both(m.Route.Regions, m.tenant.Regions)
+	if !some {
+		return Match{ConfigVersion: table.Config.Version}, outcome.Refuse(outcome.ReasonNoTarget)
+	}
+	out.Regions = regions
+	return out, outcome.Result{}
+}
+
+// allowed returns what reports whether a tenant still holds a key.
+func (f *RouteFinder) allowed(then *routing.Table, key, tenant string) func() bool {
+	return func() bool {
+		table := f.board.Routes.Load()
+		if table == then {
+			return true
+		}
+		holder := table.Holder(key)
+		return !table.Config.Keyed || holder != nil && holder.Name == tenant
+	}
+}
+
+// both returns the regions that are in two lists, of which an empty one means all; false means
+// that there is none.
+func both(a, b []string) (list []string, some bool) {
+	if len(a) == 0 || len(b) == 0 {
+		return slices.Concat(a, b), true
+	}
+	for _, region := range a {
+		if slices.Contains(b, region) {
+			list = append(list, region)
+		}
+	}
+	return list, len(list) > 0
 }
 
 // Deny implements Finder.
--- a/entry/server.go
+++ b/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/quota"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
@@ -59,6 +60,8 @@
 	// Finder finds where a request leads; nil stands for the services that the
 	// workspaces on the board declare.
 	Finder Finder
+	// Quota may be nil.
+	Quota Quota
 	// AwaitStart waits until a host that has just started knows enough to serve,
 	// or ctx ends, and reports which; nil refuses such calls at once.
 	AwaitStart func(ctx context.Context) bool
@@ -71,11 +74,29 @@
 	Ended(c calllog.Call)
 }
 
+// Address is what of a request says where it leads.
+type Address struct {
+	Host, Path string
+	// Key is the caller's API key; empty if there is none, or more than one.
+	Key string
+}
+
+// Quota keeps tenants within their quotas.
+type Quota interface {
+	// Refused returns what a request of a tenant is told if it is known already that there
+	// is no room, else the zero Result.
+	Refused(tenant string) outcome.Result
+	// Take counts a request of a tenant. The zero Result means that it may run.
+	Take(ctx context.Context, r quota.Request) outcome.Result
+	// Return gives back what a request took that no target ran.
+	Return(tenant string)
+}
+
 // Finder finds where a request leads.
 type Finder interface {
 	// Find returns the zero Result if it does. Else that is what the caller is told, and of
 	// the match the version of the configuration holds alone.
-	Find(ctx context.Context, host, path string) (Match, outcome.Result)
+	Find(ctx context.Context, a Address) (Match, outcome.Result)
 	// Deny returns what a caller is told whose request a version of the configuration does
 	// not allow, for the reason given.
 	Deny(ctx context.Context, version uint64, reason outcome.Reason) outcome.Result
@@ -126,7 +147,7 @@
 // find returns where a request leads, or what its caller is told.
 func (s *Server) find(r *http.Request) (Match, outcome.Result) {
 	if s.deps.Finder != nil {
-		m, refusal := s.deps.Finder.Find(r.Context(), r.Host, r.URL.EscapedPath())
+		m, refusal := s.deps.Finder.Find(r.Context(), s.address(r))
 		m.Path = r.URL.Path
 		return m, refusal
 	}
@@ -137,6 +158,17 @@
 	return m, outcome.Result{}
 }
 
+// address returns what of a request says where it leads.
+func (s *Server) address(r *http.Request) Address {
+	a := Address{Host: r.Host, Path: r.URL.EscapedPath()}
+	if name := s.deps.Contract.Key; name != "" {
+		if keys := r.Header[name]; len(keys) == 1 {
+			a.Key = keys[0]
+		}
+	}
+	return a
+}
+
 // deny returns what a caller is told whose request the configuration that a match is from
 // does not allow.
 func (s *Server) deny(r *http.Request, m Match, reason outcome.Reason) outcome.Result {
--- /dev/null
+++ b/entry/tenant_test.go
@@ -0,0 +1,305 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/dispatch"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/quota"
+	"github.com/cactusproxy/cactusproxy/routing"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+const (
+	headerKey    = "X-Api-Key"
+	headerTenant = "X-Tenant"
+)
+
+// tenantsConfig has a public route, and tenants for the others.
+func tenantsConfig(version uint64, tenants ...routing.Tenant) *routing.Config {
+	parts := []routing.Part{{Service: "lots", Weight: 1}}
+	return &routing.Config{
+		Version: version,
+		Keyed:   true,
+		Routes: []routing.Route{
+			{Name: "lots", Host: "auction.example", Prefix: "/lots/", Kind: routing.Safe, Priority: 2, Timeout: time.Second, Parts: parts},
+			{Name: "home", Host: "auction.example", Prefix: "/home/", Kind: routing.Safe, Public: true, Timeout: time.Second, Parts: parts},
+		},
+		Services: []routing.Service{{Name: "lots"}},
+		Tenants:  tenants,
+	}
+}
+
+func tenant(name string, keys ...string) routing.Tenant {
+	t := routing.Tenant{Name: name, Priority: routing.RoutePriority}
+	for _, k := range keys {
+		d, _ := routing.DigestKey(k)
+		t.Keys = append(t.Keys, d)
+	}
+	return t
+}
+
+// keyedServer is a server of tenants' requests.
+type keyedServer struct {
+	*Server
+	sent  *recorder
+	board *blackboard.Board
+	log   *calls
+}
+
+func newKeyedServer(t testing.TB, c *routing.Config) *keyedServer {
+	t.Helper()
+	board := blackboard.New()
+	t.Cleanup(func() { _ = board.Close() })
+	board.Status.Store(blackboard.Status{ConfigConfirmed: true})
+	d := &recorder{reply: dispatch.Reply{Result: outcome.Refuse(outcome.ReasonNoTarget)}}
+	log := new(calls)
+	s := New(Deps{
+		Board: board, Dispatcher: d, Metrics: metrics.New(), BodyMemory: 1 << 20,
+		Fresh:    func() bool { return true },
+		Finder:   NewRouteFinder(board, nobody{}),
+		Calls:    log,
+		Contract: &targetapi.Contract{Key: headerKey, Tenant: headerTenant},
+	})
+	k := &keyedServer{Server: s, sent: d, board: board, log: log}
+	k.put(c)
+	return k
+}
+
+// put has a configuration in force that is the newest.
+func (k *keyedServer) put(c *routing.Config) {
+	k.board.Routes.Store(routing.NewTable(c, rand.New(rand.NewPCG(1, 1))))
+	k.board.Confirmation.Store(blackboard.Confirmation{Newest: c.Version, At: time.Now()})
+}
+
+// ask sends a request with headers, given as names and values in turn.
+func (k *keyedServer) ask(path string, headers ...string) *httptest.ResponseRecorder {
+	k.sent.call = nil
+	r := httptest.NewRequest(http.MethodGet, "http://auction.example"+path, nil)
+	for i := 0; i < len(headers); i += 2 {
+		r.Header[headers[i]] = append(r.Header[headers[i]], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	k.Calls().ServeHTTP(w, r)
+	return w
+}
+
+// A target is told the tenant that holds the caller's key, never the key, whatever the caller
+// says of its tenant.
+func TestTargetsAreToldTheTenantAndNoKey(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1", "key-2"), tenant("other", "key-3")))
+	for _, said := range [][]string{
+		{headerKey, "key-2"},
+		{headerKey, "key-2", headerTenant, "other"},
+		{headerKey, "key-2", headerTenant, "other", headerTenant, "school"},
+		{headerKey, "key-2", "X_tenant", "other", "X_Tenant", "other"},
+		{headerKey, "key-2", "X_api_key", "key-2", "Connection", "X-Tenant, X-Api-Key"},
+	} {
+		k.ask("/lots/7", said...)
+		assert.Assert(t, k.sent.call != nil, "%v", said)
+		h := k.sent.call.Header
+		assert.DeepEqual(t, h[headerTenant], []string{"school"})
+		assert.Equal(t, len(h), 1, "%v", h)
+		assert.Equal(t, k.log.last.Tenant, "school")
+	}
+}
+
+func TestRequestsWithoutAGoodKeyAreRefused(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1"), tenant("keyless")))
+	for _, said := range [][]string{
+		{},
+		{headerKey, ""},
+		{headerKey, "key-"},
+		{headerKey, strings.Repeat("k", 10<<10)},
+		{headerKey, "key-1", headerKey, "key-1"},
+		{headerTenant, "school"},
+		{"X_Api_Key", "key-1"},
+	} {
+		w := k.ask("/lots/7", said...)
+		assert.Equal(t, w.Code, http.StatusUnauthorized, "%.40v", said)
+		assert.Equal(t, w.Header().Get(outcome.HeaderOutcome), outcome.NotRun.String())
+		assert.Check(t, k.sent.call == nil)
+		assert.Equal(t, k.log.last.Result.Reason, outcome.ReasonUnknownKey)
+	}
+}
+
+func TestPublicRoutesNeedNoKeyAndNameNoTenant(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	for _, said := range [][]string{{}, {headerKey, "key-1"}, {headerKey, "key-9", headerTenant, "school"}} {
+		k.ask("/home/", said...)
+		assert.Assert(t, k.sent.call != nil)
+		assert.Equal(t, len(k.sent.call.Header), 0)
+	}
+}
+
+// A configuration whose last tenant went does not open its routes to everyone.
+func TestConfigurationWithoutTenantsOpensNothing(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1))
+	assert.Equal(t, k.ask("/lots/7", headerKey, "key-1").Code, http.StatusUnauthorized)
+}
+
+// A host that heard of a newer configuration can not say that a key is unknown.
+func TestHostThatIsBehindCallsNoKeyUnknown(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	k.board.Confirmation.Store(blackboard.Confirmation{Newest: 2, At: time.Now()})
+	w := k.ask("/lots/7", headerKey, "key-2")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, k.log.last.Result.Reason, outcome.ReasonConfigUnconfirmed)
+}
+
+// Keys that come and go are in force for the next request of an open connection, and for those
+// that wait here.
+func TestKeysAreCheckedAgainstTheConfigurationInForce(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	k.ask("/lots/7", headerKey, "key-1")
+	waiting := k.sent.call
+	assert.Check(t, waiting.Allowed())
+	k.put(tenantsConfig(2, tenant("school", "key-1", "key-2")))
+	assert.Check(t, waiting.Allowed())
+	k.put(tenantsConfig(3, tenant("school", "key-2"), tenant("other", "key-1")))
+	assert.Check(t, !waiting.Allowed(), "the key is another tenant's by now")
+	assert.Equal(t, k.ask("/lots/7", headerKey, "key-9").Code, http.StatusUnauthorized)
+	k.ask("/lots/7", headerKey, "key-2")
+	assert.DeepEqual(t, k.sent.call.Header[headerTenant], []string{"school"})
+}
+
+func TestPriorityOfATenantGoesBeforeTheRoutes(t *testing.T) {
+	urgent := tenant("urgent", "key-1")
+	urgent.Priority = 0
+	k := newKeyedServer(t, tenantsConfig(1, urgent, tenant("plain", "key-2")))
+	k.ask("/lots/7", headerKey, "key-1")
+	assert.Equal(t, k.sent.call.Priority, 0)
+	k.ask("/lots/7", headerKey, "key-2")
+	assert.Equal(t, k.sent.call.Priority, 2)
+}
+
+// Where route and tenant both name regions, only those of both may get the request.
+func TestRegionsOfRouteAndTenantBothBind(t *testing.T) {
+	bound := tenant("bound", "key-1")
+	bound.Regions = []string{"north", "south"}
+	c := tenantsConfig(1, bound)
+	k := newKeyedServer(t, c)
+	for _, tc := range []struct{ route, want []string }{
+		{nil, []string{"north", "south"}},
+		{[]string{"south", "west"}, []string{"south"}},
+		{[]string{"west"}, nil},
+	} {
+		c.Routes[0].Regions = tc.route
+		k.put(c)
+		w := k.ask("/lots/7", headerKey, "key-1")
+		if tc.want == nil {
+			assert.Check(t, k.sent.call == nil)
+			assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+			continue
+		}
+		assert.DeepEqual(t, k.sent.call.Regions, tc.want)
+	}
+}
+
+// FuzzTenant looks for headers that bring a key, or another tenant than the key's, to a target.
+func FuzzTenant(f *testing.F) {
+	f.Add("X-Tenant: other\r\nX_TENANT: other\r\nConnection: x-tenant\r\n")
+	f.Add("X-Api-Key: secret-1\r\nx_api-key: secret-1\r\nTrailer: X-Tenant\r\n")
+	f.Fuzz(func(t *testing.T, headers string) {
+		raw := "GET /lots/7 HTTP/1.1\r\nHost: auction.example\r\n" + headers + "\r\n"
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader([]byte(raw))))
+		if err != nil {
+			return
+		}
+		k := newKeyedServer(t, tenantsConfig(1, tenant("school", "secret-1")))
+		k.Calls().ServeHTTP(httptest.NewRecorder(), r)
+		if k.sent.call == nil {
+			return
+		}
+		for name, values := range k.sent.call.Header {
+			plain := strings.ToLower(strings.ReplaceAll(name, "_", "-"))
+			assert.Check(t, plain != "x-api-key", "%q", name)
+			if plain == "x-tenant" {
+				assert.DeepEqual(t, values, []string{"school"})
+				assert.Equal(t, name, headerTenant)
+			}
+		}
+	})
+}
+
+// fakeQuota grants so many requests.
+type fakeQuota struct {
+	left, returned int
+	full           bool
+}
+
+func (q *fakeQuota) refuse() outcome.Result {
+	r := outcome.Refuse(outcome.ReasonOverQuota)
+	r.RetryAfter = 300 * time.Millisecond
+	return r
+}
+
+func (q *fakeQuota) Refused(string) outcome.Result {
+	if q.full {
+		return q.refuse()
+	}
+	return outcome.Result{}
+}
+
+func (q *fakeQuota) Take(context.Context, quota.Request) outcome.Result {
+	if q.left == 0 {
+		return q.refuse()
+	}
+	q.left--
+	return outcome.Result{}
+}
+
+func (q *fakeQuota) Return(string) { q.returned++ }
+
+func TestRequestBeyondTheQuotaIsRefused(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	q := &fakeQuota{left: 1}
+	k.deps.Quota = q
+	k.sent.reply.Result = outcome.Result{Outcome: outcome.Answered, Reason: outcome.ReasonOK}
+	k.ask("/lots/7", headerKey, "key-1")
+	assert.Check(t, k.sent.call != nil)
+	w := k.ask("/lots/7", headerKey, "key-1")
+	assert.Equal(t, w.Code, http.StatusTooManyRequests)
+	assert.Check(t, w.Header().Get("Retry-After") != "")
+	assert.Check(t, k.sent.call == nil)
+	assert.Equal(t, q.returned, 0)
+	k.ask("/home/")
+	assert.Check(t, k.sent.call != nil, "a public route has no tenant and no quota")
+}
+
+// A request that no target ran must not count against its tenant.
+func TestRequestThatDidNotRunIsGivenBackToTheQuota(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	q := &fakeQuota{left: 2}
+	k.deps.Quota = q
+	k.ask("/lots/7", headerKey, "key-1")
+	assert.Equal(t, q.returned, 1)
+	k.sent.reply.Result = outcome.Uncertain(outcome.ReasonBrokeOff)
+	k.ask("/lots/7", headerKey, "key-1")
+	assert.Equal(t, q.returned, 1, "this one may have run")
+}
+
+// A tenant that floods with large bodies must not have them read to be told that it floods.
+func TestBodyBeyondTheQuotaIsNotRead(t *testing.T) {
+	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1")))
+	k.deps.Quota = &fakeQuota{full: true}
+	body := strings.NewReader("a body")
+	r := httptest.NewRequest(http.MethodPost, "http://auction.example/lots/7", body)
+	r.Header.Set(headerKey, "key-1")
+	w := httptest.NewRecorder()
+	k.Calls().ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusTooManyRequests)
+	assert.Equal(t, body.Len(), len("a body"))
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -125,6 +125,7 @@
 	if s.Retries.Reserve < 0 {
 		c.add("retries.reserve", "must not be negative, is %g", s.Retries.Reserve)
 	}
+	c.quotas(s.Quotas)
 	if s.Measuring.PerTarget < 0 {
 		c.add("measuring.perTarget", "must not be negative, is %g", s.Measuring.PerTarget)
 	}
@@ -137,6 +138,16 @@
 	}
 }
 
+func (c *checker) quotas(q Quotas) {
+	c.duration("quotas.window", q.Window)
+	if q.Share < 0 || q.Share > 1 {
+		c.add("quotas.share", "want a share from 0 to 1, have %g", q.Share)
+	}
+	if q.Requests < 0 {
+		c.add("quotas.requests", "must not be negative, is %g", q.Requests)
+	}
+}
+
 func (c *checker) address(field, addr string) {
 	if _, err := netip.ParseAddrPort(addr); err != nil {
 		c.add(field, "want an IP address and port such as 127.0.0.1:8080, have %q", addr)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,8 @@
 	// used with a directory alone.
 	Retries   Retries   `json:"retries,omitzero"`
 	Measuring Measuring `json:"measuring,omitzero"`
+	// Quotas says how exactly tenants' quotas are kept; used with a directory alone.
+	Quotas Quotas `json:"quotas,omitzero"`
 	// MemoryMB is the memory that the daemon may use, in megabytes; 0 is no limit.
 	MemoryMB int `json:"memoryMB,omitempty"`
 	// LinkMbps is what the host's link carries each way, in megabits a second; 0 if not
@@ -149,6 +151,14 @@
 	PerTarget float64 `json:"perTarget"`
 }
 
+// Quotas is by how much all hosts together may exceed a tenant's quota: in every span as
+// long as Window, by Share of the quota and Requests besides.
+type Quotas struct {
+	Window   Duration `json:"window"`
+	Share    float64  `json:"share"`
+	Requests float64  `json:"requests"`
+}
+
 // Targets says how to connect to targets.
 type Targets struct {
 	// CA holds the certificates that targets' certificates are checked
