One changed target costs what its service has

A release of a third of a fleet of 10,000 targets is thousands of changes at each host, and each had the state walk over all targets twice, sort them, make a view of each anew, and every service of the placer do so again. The state now keeps the targets in use by service, sorted, with those that are removed or have a late word apart; only services that changed are shown, and in them only targets that changed are made anew; the placer passes over lists that are the same and compares the others entry by entry.

What is left is the copy of the service's list; chunks of it would be less, and change its type in twenty places.

The board's view is now updated in place of stored: a mark of leaving that came from a target's own answer between reading and storing was lost.

--- a/controller/watch/evacuation.go
+++ b/controller/watch/evacuation.go
@@ -18,6 +18,7 @@
 		return
 	}
 	c.logEvacuations(now, news, from)
+	c.evacuationsChanged = true
 	zones := make(map[string]blackboard.Evacuation)
 	for _, o := range c.state.Evacuations().All() {
 		if !o.Ended {
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -1,8 +1,7 @@
 package watch
 
 import (
-	"cmp"
-	"slices"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,23 +28,29 @@
 		zap.Int("routes", len(next.Routes)), zap.String("from", string(from)))
 }
 
-// publishTargets puts the list of targets on the board. The lock is held.
+// publishTargets puts the services whose targets have changed on the board. The lock is held.
 func (c *Controller) publishTargets(now time.Time) {
-	usable, expiry := c.state.Usable(now)
+	changed, expiry := c.state.Changed(now)
 	c.expiry = expiry
-	view := &blackboard.Targets{
-		ListVersion: uint64(c.state.Newest()),
-		ByService:   make(map[blackboard.ServiceKey][]blackboard.Target),
+	all := c.evacuationsChanged
+	c.evacuationsChanged = false
+	if all {
+		changed = c.state.Services()
 	}
-	old := c.deps.Board.Targets.Load()
-	for _, u := range usable {
-		key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: u.Service}
-		t := target(now, u, old.ByService[key])
-		t.Evacuated = c.state.Evacuations().Active(u.Zone)
-		t.ReturnedAt = c.state.Evacuations().EndedAt(u.Zone)
-		view.ByService[key] = append(view.ByService[key], t)
-	}
-	c.deps.Board.Targets.Store(view)
+	c.deps.Board.Targets.Update(func(old *blackboard.Targets) (*blackboard.Targets, bool) {
+		view := &blackboard.Targets{ListVersion: uint64(c.state.Newest()), ByService: maps.Clone(old.ByService)}
+		if view.ByService == nil {
+			view.ByService = make(map[blackboard.ServiceKey][]blackboard.Target)
+		}
+		for _, name := range changed {
+			key := blackboard.ServiceKey{Workspace: routing.Workspace, Service: name}
+			view.ByService[key] = c.listOf(now, name, old.ByService[key], all)
+			if len(view.ByService[key]) == 0 {
+				delete(view.ByService, key)
+			}
+		}
+		return view, len(changed) > 0 || view.ListVersion != old.ListVersion
+	})
 	if !c.state.HasTargets() {
 		return
 	}
@@ -56,9 +61,33 @@
 	})
 }
 
-// target is a target as the board shows it. A mark of leaving that came from the
-// target's own answer stays for that run of it: the record lags behind it.
-func target(now time.Time, u directory.Usable, old []blackboard.Target) blackboard.Target {
+// listOf returns the targets of a service as the board shows them: those that have not changed,
+// if not all are to be made anew, as they are in the old list. Both are sorted. The lock is held.
+func (c *Controller) listOf(now time.Time, name string, old []blackboard.Target, all bool) []blackboard.Target {
+	list := make([]blackboard.Target, 0, c.state.Count(name))
+	for u, changed := range c.state.Show(name) {
+		for len(old) > 0 && old[0].ID < u.ID {
+			old = old[1:]
+		}
+		var before *blackboard.Target
+		if len(old) > 0 && old[0].ID == u.ID {
+			before = &old[0]
+		}
+		if before != nil && !changed && !all {
+			list = append(list, *before)
+			continue
+		}
+		t := target(now, u, before)
+		t.Evacuated = c.state.Evacuations().Active(u.Zone)
+		t.ReturnedAt = c.state.Evacuations().EndedAt(u.Zone)
+		list = append(list, t)
+	}
+	return list
+}
+
+// target is a target as the board shows it; before is what it showed, or nil. A mark of leaving
+// that came from the target's own answer stays for that run of it: the record lags behind it.
+func target(now time.Time, u *directory.Usable, before *blackboard.Target) blackboard.Target {
 	t := blackboard.Target{
 		ID:          u.ID,
 		Incarnation: u.Incarnation,
@@ -71,11 +100,8 @@
 	if u.WarmUp > 0 {
 		t.WarmUntil = u.ListedAt.Add(u.WarmUp)
 	}
-	i, found := slices.BinarySearchFunc(old, u.ID, func(t blackboard.Target, id ports.HostID) int {
-		return cmp.Compare(t.ID, id)
-	})
-	if found && old[i].Leaving && !u.Incarnation.Replaces(old[i].Incarnation) {
-		t.Leaving, t.LeavingSince = true, old[i].LeavingSince
+	if before != nil && before.Leaving && !u.Incarnation.Replaces(before.Incarnation) {
+		t.Leaving, t.LeavingSince = true, before.LeavingSince
 	} else if t.Leaving {
 		t.LeavingSince = now
 	}
--- a/directory/incarnation.go
+++ b/directory/incarnation.go
@@ -28,23 +28,24 @@
 }
 
 // keepLate notes a word of an earlier run, and reports whether it is news.
-func (k *known) keepLate(now time.Time, t Target) bool {
-	if t.Revision <= k.Revision || k.late != nil && t.Revision <= k.late.Revision {
+func (s *State) keepLate(now time.Time, k *known, t Target) bool {
+	if t.Revision <= k.Revision || k.lateWord != nil && t.Revision <= k.lateWord.Revision {
 		return false
 	}
 	until := now.Add(lateFor)
-	if k.late != nil && k.late.Incarnation == t.Incarnation {
-		until = k.late.until
+	if k.lateWord != nil && k.lateWord.Incarnation == t.Incarnation {
+		until = k.lateWord.until
 	}
-	k.late = &lateWord{Target: t, until: until}
+	k.lateWord = &lateWord{Target: t, until: until}
+	s.late[k.ID] = k
 	return true
 }
 
 // acceptLate believes words of earlier runs that nothing replaced for lateFor.
 func (s *State) acceptLate(now time.Time) {
-	for _, k := range s.targets {
-		if k.late != nil && !now.Before(k.late.until) {
-			s.put(now, k, k.late.Target)
+	for _, k := range s.late {
+		if !now.Before(k.lateWord.until) {
+			s.put(now, k, k.lateWord.Target)
 		}
 	}
 }
@@ -58,5 +59,8 @@
 	before := k.mark()
 	k.Incarnation = t.Incarnation
 	s.buckets[bucketOf(t.ID)] ^= before ^ k.mark()
+	if v := s.services[k.Service]; v != nil {
+		k.changed, v.changed = true, true
+	}
 	return true
 }
--- a/directory/state.go
+++ b/directory/state.go
@@ -36,6 +36,12 @@
 	refusedConfigs int64
 	// buckets are digests of the targets that are listed; see Buckets.
 	buckets [bucketCount]uint64
+	// services are the targets in use, by service. A change costs what its service has, in
+	// place of what all have.
+	services map[string]*service
+	// removed and late are the targets that are removed and not forgotten, and those with a
+	// late word.
+	removed, late map[ports.HostID]*known
 }
 
 // bucketCount is the number of parts in which two states are compared. With 3,000
@@ -46,19 +52,25 @@
 
 // known is a target with what happened to it here.
 type known struct {
-	Target
-	firstSeen time.Time
-	// listedAt is when the entry at hand was first heard of.
-	listedAt time.Time
+	Usable
 	// goneAt is when a removed target stops being used; the zero time for one
 	// that is not removed.
 	goneAt time.Time
-	// late is a word of an earlier run that stands in the record; nil if there is none.
-	late *lateWord
+	// lateWord is a word of an earlier run that stands in the record; nil if there is none.
+	lateWord *lateWord
+	// changed is set until the target is shown; see State.Changed.
+	changed bool
 }
 
 // NewState returns an empty state.
-func NewState() *State { return &State{targets: make(map[ports.HostID]*known)} }
+func NewState() *State {
+	return &State{
+		targets:  make(map[ports.HostID]*known),
+		services: make(map[string]*service),
+		removed:  make(map[ports.HostID]*known),
+		late:     make(map[ports.HostID]*known),
+	}
+}
 
 // Config returns the configuration, or nil if none is known.
 func (s *State) Config() *routing.Config { return s.config }
@@ -180,7 +192,7 @@
 	case old.ended(t):
 		s.newest = max(s.newest, t.Revision)
 		s.lateWords++
-		return old.keepLate(now, t)
+		return s.keepLate(now, old, t)
 	case t.beginsAfter(old.Target):
 		t.Revision = max(t.Revision, old.Revision)
 	case t.Revision <= old.Revision:
@@ -197,16 +209,17 @@
 
 // put lists a target. What is known of the same run stays.
 func (s *State) put(now time.Time, old *known, t Target) {
-	k := &known{Target: t, firstSeen: now, listedAt: now}
+	k := &known{Usable: Usable{Target: t, FirstSeen: now, ListedAt: now}}
 	if old != nil && !t.Incarnation.Replaces(old.Incarnation) {
-		k.firstSeen = old.firstSeen
+		k.FirstSeen = old.FirstSeen
 		k.Incarnation = max(t.Incarnation, old.Incarnation)
 	}
-	if old != nil && old.late != nil && old.late.Revision > t.Revision {
-		k.late = old.late
+	if old != nil && old.lateWord != nil && old.lateWord.Revision > t.Revision {
+		k.lateWord = old.lateWord
 	}
 	s.targets[t.ID] = k
 	s.buckets[bucketOf(t.ID)] ^= old.mark() ^ k.mark()
+	s.replace(old, k)
 }
 
 // extend lengthens the use of a removed target that is still used, and reports
@@ -226,7 +239,8 @@
 	k := s.targets[t.ID]
 	if k == nil {
 		t.Removed = true
-		s.targets[t.ID] = &known{Target: t, goneAt: now}
+		k = &known{Usable: Usable{Target: t}, goneAt: now}
+		s.targets[t.ID], s.removed[t.ID] = k, k
 		return
 	}
 	if k.Draining || t.Unreadable {
@@ -243,7 +257,9 @@
 	k.Unreadable = t.Unreadable
 	k.Revision = t.Revision
 	k.Incarnation = max(k.Incarnation, t.Incarnation)
-	k.late = nil
+	k.lateWord = nil
+	s.removed[t.ID] = k
+	delete(s.late, t.ID)
 }
 
 // dropUnnamed removes the targets that a whole reading does not name, and returns them.
@@ -262,43 +278,18 @@
 	return dropped
 }
 
+// forget drops targets that have been gone for long.
 func (s *State) forget(now time.Time) {
-	for id, k := range s.targets {
-		if k.Removed && now.Sub(k.goneAt) > forgetAfter {
+	for id, k := range s.removed {
+		if now.Sub(k.goneAt) > forgetAfter {
+			s.services[k.Service].drop(k)
 			delete(s.targets, id)
+			delete(s.removed, id)
+			delete(s.late, id)
 		}
 	}
 }
 
-// Usable is a target that may be used.
-type Usable struct {
-	Target
-	// FirstSeen is when this host first heard of the target's run, ListedAt of the entry at
-	// hand.
-	FirstSeen time.Time
-	ListedAt  time.Time
-}
-
-// Usable returns the targets in use at a moment, sorted by ID, and when that
-// changes next by itself; the zero time if it does not.
-func (s *State) Usable(now time.Time) (list []Usable, next time.Time) {
-	s.acceptLate(now)
-	for _, k := range s.targets {
-		if k.late != nil && (next.IsZero() || k.late.until.Before(next)) {
-			next = k.late.until
-		}
-		if k.Removed && !now.Before(k.goneAt) {
-			continue
-		}
-		if k.Removed && (next.IsZero() || k.goneAt.Before(next)) {
-			next = k.goneAt
-		}
-		list = append(list, Usable{Target: k.Target, FirstSeen: k.firstSeen, ListedAt: k.listedAt})
-	}
-	slices.SortFunc(list, func(a, b Usable) int { return cmp.Compare(a.ID, b.ID) })
-	return list, next
-}
-
 // Advance notes that every change up to a revision was merged, as after a watch.
 func (s *State) Advance(to Revision) {
 	if s.wholeAt > 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,6 +81,7 @@
 			rng:     rand.New(rand.NewPCG(p.rng.Uint64(), 6)),
 			near:    placing.NewUsual(),
 			far:     placing.NewUsual(),
+			targets: make(map[ports.HostID]*target),
 		}
 		p.services[key] = s
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -28,8 +28,10 @@
 	seen    uint64 // version of the board's targets that was taken in
 	any     bool
 	targets map[ports.HostID]*target
-	list    []*target // the same, for choices
-	limits  coldLimits
+	list    []*target // the same, for choices, in the order of shown
+	// shown is the board's list that was taken in.
+	shown  []blackboard.Target
+	limits coldLimits
 	// evacuated is how many of them are in zones that are to be empty.
 	evacuated int
 	failures  health.Service
@@ -52,28 +54,72 @@
 	if s.any && version == s.seen {
 		return false
 	}
-	s.seen, s.any = version, true
 	list := s.board.Targets.Load().ByService[s.key]
-	next := make(map[ports.HostID]*target, len(list))
+	changed := !s.any || !sameSlice(list, s.shown)
+	s.seen, s.any = version, true
+	if changed {
+		s.merge(now, list)
+	}
+	return changed
+}
+
+// sameSlice reports whether two slices are one and the same. Lists on the board are never
+// written to, so they are equal then.
+func sameSlice(a, b []blackboard.Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// merge takes in a list. What is known of the targets whose entries have not changed stays as it
+// is: one change among thousands of targets costs a look at each. The lock is held.
+func (s *service) merge(now time.Time, list []blackboard.Target) {
+	before, old := s.shown, s.list
 	s.list = make([]*target, 0, len(list))
 	s.evacuated = 0
-	for _, info := range list {
-		t := s.targets[info.ID]
-		if t == nil || info.Incarnation.Replaces(t.info.Incarnation) {
-			t = newTarget(info, s.zone)
-			t.presumeCold(now, blackboard.Target{}, info, s.limits)
-		} else {
-			t.presumeCold(now, t.info, info, s.limits)
-			t.update(info, s.zone)
+	for i := range list {
+		info := &list[i]
+		for len(before) > 0 && before[0].ID < info.ID {
+			s.forget(before[0].ID, old[0])
+			before, old = before[1:], old[1:]
 		}
 		if info.Evacuated {
 			s.evacuated++
 		}
-		next[info.ID] = t
-		s.list = append(s.list, t)
+		if len(before) > 0 && before[0].ID == info.ID {
+			t := old[0]
+			if before[0] != *info {
+				t = s.renewed(now, t, *info)
+			}
+			s.list = append(s.list, t)
+			before, old = before[1:], old[1:]
+			continue
+		}
+		s.list = append(s.list, s.renewed(now, nil, *info))
+	}
+	for i := range before {
+		s.forget(before[i].ID, old[i])
+	}
+	s.shown = list
+}
+
+// renewed returns the target that an entry names: the one that is known, or another if it is not
+// or has started anew. The lock is held.
+func (s *service) renewed(now time.Time, t *target, info blackboard.Target) *target {
+	if t == nil || info.Incarnation.Replaces(t.info.Incarnation) {
+		t = newTarget(info, s.zone)
+		t.presumeCold(now, blackboard.Target{}, info, s.limits)
+		s.targets[info.ID] = t
+		return t
+	}
+	t.presumeCold(now, t.info, info, s.limits)
+	t.update(info, s.zone)
+	return t
+}
+
+// forget drops a target that is no longer listed. The lock is held.
+func (s *service) forget(id ports.HostID, t *target) {
+	if s.targets[id] == t {
+		delete(s.targets, id)
 	}
-	s.targets = next
-	return true
 }
 
 // holds reports whether what a call or a probe to a target shows still says something:
