Quotas: who lends asks nobody, hosts are asked once more, six hosts follow each other

Causes: a lender that finds out first whether the host before it is down answers too late, and the asker takes the owner for down; of three hosts that follow each other all are down in one part of 27; right after an owner went down the next one still took it for alive and named it.

--- a/controller/quota/own.go
+++ b/controller/quota/own.go
@@ -18,9 +18,10 @@
 	// followFor is how long a host that owns a part in place of another is not asked until
 	// it counts as one that comes to own it anew.
 	followFor = time.Second
-	// borrowTimeout bounds an exchange with another zone, whose owner may have to find out
-	// first that the one before it is down.
-	borrowTimeout = 2 * aliveTimeout
+	// borrowTimeout bounds an exchange with the owner of another zone's part; lenders is how
+	// many hosts of the zone are asked if the first does not answer.
+	borrowTimeout = 60 * time.Millisecond
+	lenders       = 2
 	// emptyFor is how long a zone that had nothing to lend is not asked again.
 	emptyFor = 50 * time.Millisecond
 )
@@ -228,10 +229,14 @@
 // borrowFrom asks the owner of another zone's part for tokens. What a lost reply carried is
 // lost: it is never in two zones.
 func (c *Controller) borrowFrom(zone, tenant string, want float64) float64 {
+	asked := 0
 	for _, id := range c.owners(tenant, zone) {
 		if c.avoided(id) {
 			continue
 		}
+		if asked++; asked > lenders {
+			break
+		}
 		c.count.borrowings.Add(1)
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		reply, err := peer.Call[borrowReply](ctx, c.deps.Link, id, kindBorrow, borrowRequest{Tenant: tenant, Want: want})
@@ -246,7 +251,7 @@
 
 // onBorrow lends tokens to another zone, if this host owns the part.
 func (c *Controller) onBorrow(_ context.Context, _ ports.HostID, req borrowRequest) (borrowReply, error) {
-	owner, place := c.owner(req.Tenant)
+	owner, place := c.ownerByNow(req.Tenant)
 	l, known := c.limit(req.Tenant)
 	if owner != c.self || !known || l.Rate == 0 {
 		return borrowReply{}, nil
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -12,8 +14,9 @@
 )
 
 const (
-	// followers is how many hosts follow each other as owners of a part.
-	followers = 3
+	// followers is how many hosts follow each other as owners of a part: with a third of the
+	// hosts down, one part in a thousand has none left.
+	followers = 6
 	// aliveTimeout bounds the question to the host before, aliveFor is how long its answer
 	// holds.
 	aliveTimeout = 60 * time.Millisecond
@@ -193,18 +196,46 @@
 }
 
 // owner returns the host that owns this zone's part of a tenant's quota as far as this host
-// can tell, and its place among those that may; an empty name if it can not tell.
+// can tell, and its place among those that may; an empty name if it can not tell. The hosts
+// before this one are asked at once.
 func (c *Controller) owner(tenant string) (id ports.HostID, place int) {
-	for i, id := range c.owners(tenant, c.deps.Zone) {
+	owners := c.owners(tenant, c.deps.Zone)
+	place = slices.Index(owners, c.self)
+	if place < 0 {
+		place = len(owners)
+	}
+	lives := make([]bool, place)
+	var wait sync.WaitGroup
+	for i, id := range owners[:place] {
+		wait.Go(func() { lives[i] = c.alive(id) })
+	}
+	wait.Wait()
+	return c.firstOf(owners, slices.Index(lives, true))
+}
+
+// ownerByNow is owner by what this host knows at the moment. It asks nobody: who lends to
+// another zone must answer soon.
+func (c *Controller) ownerByNow(tenant string) (id ports.HostID, place int) {
+	owners := c.owners(tenant, c.deps.Zone)
+	for i, id := range owners {
 		if id == c.self {
-			if c.mayOwn() {
-				return id, i
-			}
-			return "", 0
+			break
 		}
-		if c.alive(id) {
-			return id, i
+		if !c.avoided(id) {
+			return c.firstOf(owners, i)
+		}
+	}
+	return c.firstOf(owners, -1)
+}
+
+// firstOf returns the owner with a place; a negative place stands for this host, if it is among
+// them and can own parts.
+func (c *Controller) firstOf(owners []ports.HostID, place int) (ports.HostID, int) {
+	if place < 0 {
+		place = slices.Index(owners, c.self)
+		if place < 0 || !c.mayOwn() {
+			return "", 0
 		}
 	}
-	return "", 0
+	return owners[place], place
 }
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
@@ -13,12 +14,14 @@
 const (
 	// takeTimeout bounds a question to an owner, a round trip within a zone, or longer while
 	// that finds out who is down.
-	takeTimeout = 250 * time.Millisecond
+	takeTimeout = 200 * time.Millisecond
+	// askAgain is how long a host waits until it asks again whom it could ask before.
+	askAgain = 50 * time.Millisecond
 	// returnedFor is how long the grant of a request that did not run can be used by
 	// another: it counts in the window in which it was granted.
 	returnedFor = 250 * time.Millisecond
 	// maxQuestions bounds the owners that are asked about one request.
-	maxQuestions = 4
+	maxQuestions = 6
 )
 
 // caller is what this host knows of a tenant's quota as one that asks.
@@ -125,14 +128,25 @@
 	a.returned = append(a.returned, now)
 }
 
-// askOwners asks the owner of the zone's part, and if it can not be reached those after it.
+// askOwners asks the owner of the zone's part, and if it can not be reached those after it. It
+// does so once more a moment later: right after an owner went down, the next one may still take
+// it for alive.
 func (c *Controller) askOwners(ctx context.Context, req takeRequest) takeReply {
+	reply := c.askOnce(ctx, req)
+	if reply.Verdict != elsewhere || !ctxtime.Sleep(ctx, askAgain) {
+		return reply
+	}
+	return c.askOnce(ctx, req)
+}
+
+// askOnce asks one owner after the other; elsewhere means that none decided.
+func (c *Controller) askOnce(ctx context.Context, req takeRequest) takeReply {
 	next := c.owners(req.Tenant, c.deps.Zone)
 	asked := make(map[ports.HostID]bool, maxQuestions)
 	for len(next) > 0 && len(asked) < maxQuestions && ctx.Err() == nil {
 		id := next[0]
 		next = next[1:]
-		if asked[id] || c.avoided(id) {
+		if asked[id] || id != c.self && c.avoided(id) {
 			continue
 		}
 		asked[id] = true
@@ -144,7 +158,7 @@
 			next = append([]ports.HostID{reply.Owner}, next...)
 		}
 	}
-	return takeReply{}
+	return takeReply{Verdict: elsewhere}
 }
 
 // ask asks one host about one request. A host that does not answer is avoided for a moment.
