Idle peers cost little; whole states are encoded once

Each of 984 hosts kept a goroutine, an encoder and a map for each of the 983 others, whether anything was sent there or not. They are now made with the first message, and the goroutine ends when there is nothing left to send. A value that is sent to many can be encoded once (PackOnce). Names of services and zones are shared by all targets that have them.

--- a/directory/state.go
+++ b/directory/state.go
@@ -39,6 +39,8 @@
 	// services are the targets in use, by service. A change costs what its service has, in
 	// place of what all have.
 	services map[string]*service
+	// names has the names of services and zones, so that thousands of targets share them.
+	names map[string]string
 	// removed and late are the targets that are removed and not forgotten, and those with a
 	// late word.
 	removed, late map[ports.HostID]*known
@@ -67,6 +69,7 @@
 	return &State{
 		targets:  make(map[ports.HostID]*known),
 		services: make(map[string]*service),
+		names:    make(map[string]string),
 		removed:  make(map[ports.HostID]*known),
 		late:     make(map[ports.HostID]*known),
 	}
@@ -207,8 +210,23 @@
 	return true
 }
 
+// maxNames bounds the names that are shared; entries of other writers may name anything.
+const maxNames = 1000
+
+// shared returns a name that is the same string for all targets that have it.
+func (s *State) shared(name string) string {
+	if have, ok := s.names[name]; ok {
+		return have
+	}
+	if len(s.names) < maxNames {
+		s.names[name] = name
+	}
+	return name
+}
+
 // put lists a target. What is known of the same run stays.
 func (s *State) put(now time.Time, old *known, t Target) {
+	t.Service, t.Zone = s.shared(t.Service), s.shared(t.Zone)
 	k := &known{Usable: Usable{Target: t, FirstSeen: now, ListedAt: now}}
 	if old != nil && !t.Incarnation.Replaces(old.Incarnation) {
 		k.FirstSeen = old.FirstSeen
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -9,25 +9,23 @@
 	"go.uber.org/zap"
 )
 
-// run connects whenever there is something to send.
+// run connects until there is nothing left to send.
 func (r *remote) run() {
-	defer r.close()
-	for {
-		select {
-		case <-r.ctx.Done():
+	for r.ctx.Err() == nil {
+		if r.rest() {
 			return
-		case <-r.wake:
-		}
-		for r.queued() && r.ctx.Err() == nil {
-			r.connect()
 		}
+		r.connect()
 	}
+	r.close()
 }
 
-func (r *remote) queued() bool {
+// rest ends the run if there is nothing to send.
+func (r *remote) rest() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.out.frames) > 0
+	r.running = len(r.out.frames) > 0
+	return !r.running
 }
 
 // connect opens a connection and serves it until it breaks or is unused.
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -94,6 +94,9 @@
 	go func() {
 		defer n.executing.Add(-1)
 		out, err := n.handle(ctx, in.s.peer.From, h.kind, body)
+		if ctx.Err() != nil {
+			return // what a handler says that was ended is no reply
+		}
 		in.reply(h, out, err)
 	}()
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -170,7 +170,7 @@
 		}
 		r := old[h.ID]
 		if r == nil {
-			r = n.startRemote(h.ID)
+			r = newRemote(n, h.ID)
 		}
 		r.setAddr(h.PeerAddr)
 		next[h.ID] = r
@@ -183,15 +183,19 @@
 	}
 }
 
-// startRemote is called with mu held.
-func (n *Node) startRemote(id HostID) *remote {
-	r := newRemote(n, id)
+// start runs a remote that has something to send.
+func (n *Node) start(r *remote) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		r.close()
+		return
+	}
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
 		r.run()
 	}()
-	return r
 }
 
 // Serve takes connections until ctx ends, then closes the node. It returns an
--- a/peer/packed.go
+++ b/peer/packed.go
@@ -12,11 +12,21 @@
 // takes seconds of one link, heartbeats behind it come late, others take over the watch
 // and send the same once more. Routes and targets are much alike: compressed they are an
 // eighth (TestListsShrinkWhenPacked).
-type Packed[T any] struct{ Value T }
+type Packed[T any] struct {
+	Value T
+	// Encoded is the value as it travels, if it was encoded before; see PackOnce.
+	Encoded []byte
+}
 
 // Pack returns a value to be sent compressed.
 func Pack[T any](v T) Packed[T] { return Packed[T]{Value: v} }
 
+// PackOnce is Pack for a value that is sent to many: it is encoded now, and never again.
+func PackOnce[T any](v T) (Packed[T], error) {
+	encoded, err := encodePacked(v)
+	return Packed[T]{Value: v, Encoded: encoded}, err
+}
+
 const (
 	// packFrom is the size in bytes from which compressing pays: below it the time is
 	// worth more than the bytes.
@@ -61,14 +71,25 @@
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (p Packed[T]) EncodeMsgpack(enc *msgpack.Encoder) error {
-	raw, err := msgpack.Marshal(p.Value)
+	if p.Encoded != nil {
+		return enc.EncodeBytes(p.Encoded)
+	}
+	encoded, err := encodePacked(p.Value)
+	if err != nil {
+		return err
+	}
+	return enc.EncodeBytes(encoded)
+}
+
+func encodePacked(v any) ([]byte, error) {
+	raw, err := msgpack.Marshal(v)
 	if err != nil {
-		return errors.Wrap(err, "encode packed part")
+		return nil, errors.Wrap(err, "encode packed part")
 	}
 	if len(raw) < packFrom {
-		return enc.EncodeBytes(append([]byte{markPlain}, raw...))
+		return append([]byte{markPlain}, raw...), nil
 	}
-	return enc.EncodeBytes(packer.EncodeAll(raw, []byte{markZstd}))
+	return packer.EncodeAll(raw, []byte{markZstd}), nil
 }
 
 var errPacked = errors.New("malformed packed part")
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -48,7 +48,8 @@
 var calls = sync.Pool{New: func() any { return &call{done: make(chan result, 1)} }}
 
 // remote is what a node keeps for one peer: the queue of frames, the calls
-// without a reply, and at most one connection, run by one goroutine.
+// without a reply, and at most one connection. One goroutine runs it while there is anything
+// to send: most hosts send to few of the others, and hundreds of idle stacks are megabytes.
 type remote struct {
 	node *Node
 	id   HostID
@@ -57,8 +58,10 @@
 	wake chan struct{}
 	wait *backoff.ExponentialBackOff
 
-	mu      sync.Mutex
-	addr    string
+	mu   sync.Mutex
+	addr string
+	// running is set while a goroutine runs the remote.
+	running bool
 	enc     *frameEncoder
 	out     batch
 	pending map[uint64]*call
@@ -73,12 +76,10 @@
 
 func newRemote(n *Node, id HostID) *remote {
 	r := &remote{
-		node:    n,
-		id:      id,
-		wake:    make(chan struct{}, 1),
-		wait:    backoff.NewExponentialBackOff(),
-		enc:     newFrameEncoder(),
-		pending: make(map[uint64]*call),
+		node: n,
+		id:   id,
+		wake: make(chan struct{}, 1),
+		wait: backoff.NewExponentialBackOff(),
 	}
 	r.wait.InitialInterval = firstBackoff
 	r.wait.MaxInterval = maxBackoff
@@ -176,7 +177,12 @@
 	}
 	r.mu.Lock()
 	id, err := r.enqueueLocked(typ, kind, body, c)
+	starts := err == nil && !r.running
+	r.running = r.running || starts
 	r.mu.Unlock()
+	if starts {
+		r.node.start(r)
+	}
 	if err == nil {
 		wakeUp(r.wake)
 	}
@@ -184,7 +190,7 @@
 }
 
 func (r *remote) enqueueLocked(typ frameType, kind Kind, body []byte, c *call) (uint64, error) {
-	if r.closed {
+	if r.closed || r.ctx.Err() != nil {
 		return 0, errNoPeer
 	}
 	if !r.notBefore.IsZero() && time.Now().Before(r.notBefore) {
@@ -195,6 +201,9 @@
 		r.node.count.queueFull.Add(1)
 		return 0, errQueueFull
 	}
+	if r.enc == nil {
+		r.enc, r.pending = newFrameEncoder(), make(map[uint64]*call)
+	}
 	var id uint64
 	if c != nil {
 		r.lastID++
