Of thousands of targets a host chooses among a part

A look at each of 5,224 targets for each call, and half a kilobyte kept of each at 984 hosts that see less than a call a second. A host now chooses among some 384 targets of its zone and 384 of others; each target is in a host's part with the same chance, so that all parts together cover it evenly and targets that come or go move few others (TestSubsets…). Services of fewer targets, and those with cold ones, are chosen among whole; a host of whose part none takes calls widens to all.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -82,6 +82,7 @@
 			near:    placing.NewUsual(),
 			far:     placing.NewUsual(),
 			targets: make(map[ports.HostID]*target),
+			subset:  placing.Subset{Seed: p.rng.Uint64()},
 		}
 		p.services[key] = s
 	}
@@ -137,6 +138,9 @@
 	}
 	left := p.deps.Probes.Left(now)
 	c := s.candidates(now, req, placing.Width(waits, left), placing.Blind(left))
+	if len(c.all()) == 0 && s.widen(now) {
+		c = s.candidates(now, req, placing.Width(waits, left), placing.Blind(left))
+	}
 	if s.evacuated > 0 {
 		p.count.evacuated.Add(1)
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -29,8 +29,13 @@
 	any     bool
 	targets map[ports.HostID]*target
 	list    []*target // the same, for choices, in the order of shown
-	// shown is the board's list that was taken in.
-	shown  []blackboard.Target
+	// shown is the board's list that was taken in, at the places of list in it.
+	shown []blackboard.Target
+	at    []int
+	// subset is the part of the service that this host chooses among, whole is set if it is
+	// all.
+	subset placing.Subset
+	whole  bool
 	limits coldLimits
 	// evacuated is how many of them are in zones that are to be empty.
 	evacuated int
@@ -72,35 +77,67 @@
 // merge takes in a list. What is known of the targets whose entries have not changed stays as it
 // is: one change among thousands of targets costs a look at each. The lock is held.
 func (s *service) merge(now time.Time, list []blackboard.Target) {
-	before, old := s.shown, s.list
-	s.list = make([]*target, 0, len(list))
+	s.fit(list)
+	before, at, old := s.shown, s.at, s.list
+	s.list, s.at = make([]*target, 0, len(old)), make([]int, 0, len(old))
 	s.evacuated = 0
 	for i := range list {
 		info := &list[i]
-		for len(before) > 0 && before[0].ID < info.ID {
-			s.forget(before[0].ID, old[0])
-			before, old = before[1:], old[1:]
+		if !s.subset.Has(string(info.ID), info.Zone != s.zone) {
+			continue
+		}
+		for len(at) > 0 && before[at[0]].ID < info.ID {
+			s.forget(old[0])
+			at, old = at[1:], old[1:]
+		}
+		var t *target
+		same := false
+		if len(at) > 0 && before[at[0]].ID == info.ID {
+			t, same = old[0], before[at[0]] == *info
+			at, old = at[1:], old[1:]
+		}
+		if !same {
+			t = s.renewed(now, t, *info)
 		}
 		if info.Evacuated {
 			s.evacuated++
 		}
-		if len(before) > 0 && before[0].ID == info.ID {
-			t := old[0]
-			if before[0] != *info {
-				t = s.renewed(now, t, *info)
-			}
-			s.list = append(s.list, t)
-			before, old = before[1:], old[1:]
-			continue
-		}
-		s.list = append(s.list, s.renewed(now, nil, *info))
+		s.list, s.at = append(s.list, t), append(s.at, i)
 	}
-	for i := range before {
-		s.forget(before[i].ID, old[i])
+	for _, t := range old {
+		s.forget(t)
 	}
 	s.shown = list
 }
 
+// fit sets how many of a list's targets this host chooses among. The lock is held.
+//
+// Cold targets have owners among the hosts, which must not pass them over.
+func (s *service) fit(list []blackboard.Target) {
+	if s.whole || s.limits.bounded() {
+		s.subset.All()
+		return
+	}
+	near := 0
+	for i := range list {
+		if list[i].Zone == s.zone {
+			near++
+		}
+	}
+	s.subset.Fit(near, len(list)-near)
+}
+
+// widen has the host choose among all targets from now on, if it does not yet: none of those that
+// it chose among takes calls. It reports whether that made a difference. The lock is held.
+func (s *service) widen(now time.Time) bool {
+	if s.whole || len(s.list) == len(s.shown) {
+		return false
+	}
+	s.whole = true
+	s.merge(now, s.shown)
+	return true
+}
+
 // renewed returns the target that an entry names: the one that is known, or another if it is not
 // or has started anew. The lock is held.
 func (s *service) renewed(now time.Time, t *target, info blackboard.Target) *target {
@@ -115,10 +152,10 @@
 	return t
 }
 
-// forget drops a target that is no longer listed. The lock is held.
-func (s *service) forget(id ports.HostID, t *target) {
-	if s.targets[id] == t {
-		delete(s.targets, id)
+// forget drops a target that is no longer chosen among. The lock is held.
+func (s *service) forget(t *target) {
+	if s.targets[t.info.ID] == t {
+		delete(s.targets, t.info.ID)
 	}
 }
 
--- /dev/null
+++ b/policy/placing/subset_test.go
@@ -0,0 +1,62 @@
+package placing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Few targets are all chosen among.
+func TestSmallServicesAreWhole(t *testing.T) {
+	s := Subset{Seed: 1}
+	s.Fit(Kept, Kept)
+	for i := range 2 * Kept {
+		assert.Check(t, s.Has(fmt.Sprint(i), i%2 == 0))
+	}
+}
+
+// The parts of many hosts cover all targets evenly, also those that have just joined: one that no
+// host chooses would stand idle.
+func TestSubsetsCoverAllTargetsEvenly(t *testing.T) {
+	const hosts, targets = 200, 1045
+	rng := rand.New(rand.NewPCG(1, 1))
+	var covered [targets]int
+	least, most := targets, 0
+	for range hosts {
+		s := Subset{Seed: rng.Uint64()}
+		s.Fit(targets, 0)
+		kept := 0
+		for i := range targets {
+			if s.Has(fmt.Sprintf("i-%x", i), false) {
+				covered[i]++
+				kept++
+			}
+		}
+		least, most = min(least, kept), max(most, kept)
+	}
+	assert.Check(t, least > Kept*8/10 && most < Kept*12/10, "hosts keep %d to %d", least, most)
+	usual := hosts * Kept / targets
+	for i, n := range covered {
+		assert.Check(t, n > usual/2 && n < usual*3/2, "target %d is kept by %d hosts, %d is usual", i, n, usual)
+	}
+}
+
+// Targets that come and go move few others in or out.
+func TestSubsetsMoveLittle(t *testing.T) {
+	s := Subset{Seed: 7}
+	s.Fit(1000, 0)
+	before := make(map[int]bool)
+	for i := range 1000 {
+		before[i] = s.Has(fmt.Sprint(i), false)
+	}
+	s.Fit(1050, 0)
+	moved := 0
+	for i, had := range before {
+		if s.Has(fmt.Sprint(i), false) != had {
+			moved++
+		}
+	}
+	assert.Check(t, moved < 40, "%d of 1000 moved", moved)
+}
