--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -15,6 +15,8 @@
 	lateWords *expvar.Int
 	// refusedConfigs counts configurations that other hosts told and that were not taken in.
 	refusedConfigs *expvar.Int
+	// linesDropped counts lines about targets that were left out to bound the volume.
+	linesDropped *expvar.Int
 }
 
 func newCounters(m *metrics.Set) counters {
@@ -31,5 +33,6 @@
 		lateWords: c("late_words"),
 
 		refusedConfigs: c("configs_refused"),
+		linesDropped:   c("target_lines_dropped"),
 	}
 }
--- a/controller/watch/hosts.go
+++ b/controller/watch/hosts.go
@@ -52,11 +52,38 @@
 		changed = true
 	}
 	if changed {
-		c.publishHosts()
+		c.publishHostsSoon()
 	}
 	return changed
 }
 
+const (
+	// manyHosts is the number of hosts from which changes of the list are gathered for
+	// gatherHosts before they are published: each costs a look at all hosts, and hundreds that
+	// start together are as many changes.
+	manyHosts   = 256
+	gatherHosts = 50 * time.Millisecond
+)
+
+// publishHostsSoon publishes the list of hosts, with the changes of the next moment if there are
+// many. The lock is held.
+func (c *Controller) publishHostsSoon() {
+	if len(c.hosts) < manyHosts {
+		c.publishHosts()
+		return
+	}
+	if c.hostsGathered {
+		return
+	}
+	c.hostsGathered = true
+	time.AfterFunc(gatherHosts, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.hostsGathered = false
+		c.publishHosts()
+	})
+}
+
 // heard takes in a host that spoke for itself. The lock is held.
 func (c *Controller) heard(h directory.Host) {
 	delete(c.gone, h.ID())
@@ -91,7 +118,7 @@
 	delete(c.refused, id)
 	c.gone[id] = departed{host: h, at: now}
 	c.deps.Log.Info("host left out", zap.String("peer", string(id)), zap.String("from", string(from)), zap.Int("hosts", len(c.hosts)))
-	c.publishHosts()
+	c.publishHostsSoon()
 }
 
 // leaveOutAll takes in which hosts another one took off its list, but for those that
@@ -184,7 +211,26 @@
 		return
 	}
 	c.exchangeAt = now.Add(exchangeEvery + time.Duration(c.rng.Int64N(int64(exchangeEvery))))
-	c.tellHosts(with)
+	c.tellHosts(c.exchangePartner(with))
+}
+
+// toWatchers is about how many hosts at a time exchange lists with a watcher itself, where there
+// are many.
+const toWatchers = 64
+
+// exchangePartner returns with whom this host exchanges lists after a watcher's heartbeat showed
+// that its own differs: with any host, where there are many. What each knows spreads all the
+// same; were hundreds that start together to tell the watchers, these would hold more answers
+// than their links carry. The lock is held.
+func (c *Controller) exchangePartner(watcher ports.HostID) ports.HostID {
+	if len(c.hosts) < manyHosts || c.rng.IntN(len(c.hosts)) < toWatchers {
+		return watcher
+	}
+	ids := c.hostIDs()
+	if id := ids[c.rng.IntN(len(ids))]; id != c.self {
+		return id
+	}
+	return watcher
 }
 
 // tellHosts exchanges with another host whom both know. The lock is held.
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -177,18 +178,52 @@
 	fresh := len(watchers.Fresh(now, c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
 	if !fresh || !c.state.HasTargets() || c.state.Config() == nil {
 		// At a start of all hosts the seeds are asked by all of them every 20 ms.
-		return syncReply{Changes: peer.Pack(c.state.Whole(now, req.Version, req.Buckets))}, nil
+		return syncReply{Changes: c.whole(now, req)}, nil
 	}
 	if req.Refer && c.many() {
 		return syncReply{Fresh: true, Ask: c.referTo(req.Host)}, nil
 	}
 	return syncReply{
 		Fresh:   true,
-		Changes: peer.Pack(c.state.Whole(now, req.Version, req.Buckets)),
+		Changes: c.whole(now, req),
 		Hosts:   peer.Pack(c.hostList()),
 	}, nil
 }
 
+// wholeStep is all that this host knows, as it was encoded for a host that knows nothing.
+type wholeStep struct {
+	version, digest uint64
+	evacuations     uint64
+	newest          directory.Revision
+	step            step
+}
+
+// whole returns what a host lacks. Hundreds of hosts that start at once lack everything: that is
+// encoded once for all of them. The lock is held.
+func (c *Controller) whole(now time.Time, req syncRequest) step {
+	if req.Version > 0 || slices.ContainsFunc(req.Buckets, func(b uint64) bool { return b != 0 }) || !c.expiry.IsZero() {
+		return peer.Pack(c.state.Whole(now, req.Version, req.Buckets))
+	}
+	is := wholeStep{
+		version: c.version(), digest: c.state.Digest(), newest: c.state.Newest(),
+		evacuations: c.state.Evacuations().Digest(),
+	}
+	have := c.wholeStep
+	if have != nil && have.version == is.version && have.digest == is.digest && have.newest == is.newest && have.evacuations == is.evacuations {
+		return have.step
+	}
+	all := c.state.Whole(now, 0, nil)
+	packed, err := peer.PackOnce(all)
+	if err != nil {
+		c.deps.Log.Error("state not encoded", zap.Error(err))
+		return peer.Pack(all)
+	}
+	packed.Value = directory.Changes{} // what was encoded is all that is sent
+	is.step = packed
+	c.wholeStep = &is
+	return packed
+}
+
 // referred is how many hosts one that knows nothing yet is referred to: the first that
 // answers tells it all, and some may be starting themselves.
 const referred = 4
--- a/controller/watch/publish.go
+++ b/controller/watch/publish.go
@@ -112,6 +112,13 @@
 // as at a start, one line counts them.
 const maxLines = 20
 
+// linesPerSecond and lineBurst bound the lines about targets of one host: in a release of
+// thousands each host would write thousands.
+const (
+	linesPerSecond = 20
+	lineBurst      = 200
+)
+
 // logTargets tells of targets that leave or are gone: each changes what this
 // host believes.
 func (c *Controller) logTargets(ch, news directory.Changes, from ports.HostID) {
@@ -121,6 +128,10 @@
 		return
 	}
 	for _, t := range news.Targets {
+		if !c.lines.Allow() {
+			c.count.linesDropped.Add(1)
+			continue
+		}
 		word := "target listed"
 		switch {
 		case t.Unreadable:
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
@@ -67,6 +68,8 @@
 	state *directory.State
 	hosts map[ports.HostID]directory.Host
 	gone  map[ports.HostID]departed
+	// hostsGathered is set while changes of the list of hosts wait to be published.
+	hostsGathered bool
 	// hostsComplete is set once the list of hosts was that of a watcher.
 	hostsComplete bool
 
@@ -81,8 +84,11 @@
 	// answered again.
 	storeLost   bool
 	storeBackAt time.Time
+	// wholeStep is what hosts that know nothing are told; nil if none has asked.
+	wholeStep *wholeStep
 	// evacuationsChanged is set until the board's targets heed the orders at hand.
 	evacuationsChanged bool
+	lines              *rate.Limiter
 	// expiry is when a target that is held stops being usable.
 	expiry time.Time
 	// serving is closed once the host knows enough to serve.
@@ -116,6 +122,7 @@
 		decider: watchers.NewDecider(d.Self.ID()),
 		refused: make(map[ports.HostID]time.Time),
 		serving: make(chan struct{}),
+		lines:   rate.NewLimiter(linesPerSecond, lineBurst),
 	}
 	for _, addr := range d.Seeds {
 		h := directory.Host{Addr: addr}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -45,6 +45,9 @@
 	// heapShare is the part of the memory limit, in percent, at which the garbage
 	// collector works harder; the rest is for stacks and socket buffers.
 	heapShare = 60
+	// garbageShare is how much garbage there may be beside what is in use, in percent: hosts
+	// allocate little, and have less memory to spare than processor time.
+	garbageShare = 50
 	// defaultNotice is how long a stop is announced: the balancer asks once a
 	// second and takes a host out after two misses. What is taken later than 3 s
 	// after the signal must be answered before the process ends, and an upload may
@@ -82,6 +85,7 @@
 func (d *Daemon) provision() {
 	if mb := d.settings.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20 * heapShare / 100)
+		debug.SetGCPercent(garbageShare)
 	}
 	d.node = peer.NewNode(peer.Options{
 		Self:        d.self().ID(),
