--- a/controller/quota/counters.go
+++ b/controller/quota/counters.go
@@ -6,6 +6,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 )
 
+// counters are those of the metrics map "quota".
 type counters struct {
 	// granted, denied and unknown count the requests of callers of this host.
 	granted, denied, unknown *expvar.Int
@@ -17,13 +18,14 @@
 }
 
 func newCounters(m *metrics.Set) counters {
+	c := m.Counters("quota")
 	return counters{
-		granted:    m.Int("quota_granted"),
-		denied:     m.Int("quota_denied"),
-		unknown:    m.Int("quota_unknown"),
-		returned:   m.Int("quota_returned"),
-		owned:      m.Int("quota_owned"),
-		followed:   m.Int("quota_followed"),
-		borrowings: m.Int("quota_borrowings"),
+		granted:    c("granted"),
+		denied:     c("denied"),
+		unknown:    c("unknown"),
+		returned:   c("returned"),
+		owned:      c("owned"),
+		followed:   c("followed"),
+		borrowings: c("borrowings"),
 	}
 }
--- a/controller/quota/fleet_test.go
+++ b/controller/quota/fleet_test.go
@@ -98,7 +98,9 @@
 func (fl *fleet) start(h *host) {
 	link := fl.net.Join(h.id)
 	h.board = blackboard.New()
-	h.board.Members.Store(fl.members)
+	members := *fl.members
+	members.Self = h.id
+	h.board.Members.Store(&members)
 	h.board.Routes.Store(fl.table)
 	others := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == h.zone })
 	h.c = New(Deps{
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -179,12 +179,12 @@
 // hosts after it own them by now.
 func (c *Controller) findAny(m *blackboard.Members) bool {
 	found, _, _ := c.checks.Do("", func() (any, error) {
-		answers := make(chan bool, askedWhenSilent)
-		for range askedWhenSilent {
-			other := m.Members[rand.IntN(len(m.Members))].Host.ID
-			go func() { answers <- other != c.self && c.check(other) }()
+		others := someOthers(m, askedWhenSilent)
+		answers := make(chan bool, len(others))
+		for _, id := range others {
+			go func() { answers <- c.check(id) }()
 		}
-		for range askedWhenSilent {
+		for range others {
 			if <-answers {
 				return true, nil
 			}
@@ -195,6 +195,16 @@
 	return found.(bool)
 }
 
+// someOthers returns some hosts but this one, at random.
+func someOthers(m *blackboard.Members, n int) (ids []ports.HostID) {
+	for _, i := range rand.Perm(len(m.Members)) {
+		if id := m.Members[i].Host.ID; id != m.Self && len(ids) < n {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // owner returns the host that owns this zone's part of a tenant's quota as far as this host
 // can tell, and its place among those that may; an empty name if it can not tell. The hosts
 // before this one are asked at once.
