--- a/controller/watch/start_test.go
+++ b/controller/watch/start_test.go
@@ -13,7 +13,10 @@
 )
 
 // startHosts is 150 in the check. By hand with 984.
-var startHosts = flag.Int("start-hosts", 150, "hosts of the tests of common starts")
+var (
+	startHosts   = flag.Int("start-hosts", 150, "hosts of the tests of common starts")
+	startTargets = flag.Int("start-targets", 0, "targets of the tests of common starts, beside ten")
+)
 
 // byKind counts the bytes that each host sends, by kind of message.
 type byKind struct {
@@ -54,7 +57,13 @@
 // all of them whom they know, again and again: its link and its memory would be full of it.
 func TestStartTellsNobodyEverything(t *testing.T) {
 	b := &byKind{sent: make(map[ports.HostID]map[peer.Kind]int)}
-	withNetwork(t, *startHosts, func(fl *fleet) { fl.net.Sent = b.add }, func(fl *fleet) {
+	setUp := func(fl *fleet) {
+		fl.net.Sent = b.add
+		for i := range *startTargets {
+			fl.record.Put(entryOf(10+i, false))
+		}
+	}
+	withNetwork(t, *startHosts, setUp, func(fl *fleet) {
 		time.Sleep(5 * time.Second)
 		kinds, most := b.busiest()
 		t.Logf("the busiest host sent %d kB: %v", most>>10, kinds)
