Hosts that are cut off together own no quotas

The log shows two owners of each zone's part at once: the third that is cut off hears each other, and none of them counted as cut off by hearing nobody.

A host now owns parts only with word of the store, by heartbeats of a host that watches it or by its own watch; hosts on the smaller side have none after 0.6 to 1.3 s, and a part that changes hands gains nothing for 1.4 s. If nobody has word, as while the store is out for all, those own parts that reach most of sixteen others. TestQuotaHoldsWhileAThirdOfTheHostsIsCutOffTogether, and such cuts in the random histories; TestTenantsAreServedWhileTheStoreIsOut.

--- a/controller/quota/fleet_test.go
+++ b/controller/quota/fleet_test.go
@@ -43,6 +43,8 @@
 	began time.Time
 
 	mu sync.Mutex
+	// storeOut is set while the store is out for all.
+	storeOut bool
 	// granted and refused are what callers were told, by tenant.
 	granted map[string][]time.Time
 	refused map[string]int
@@ -55,6 +57,18 @@
 	c     *Controller
 	up    bool
 	stop  func()
+	// unwatchedAt is when the host was cut off from the store and those that watch it.
+	unwatchedAt time.Time
+}
+
+// noticeAfter is how long a host takes to miss the heartbeats of those that watch the store.
+const noticeAfter = 600 * time.Millisecond
+
+// watched reports whether a host believes that it has word of the store.
+func (fl *fleet) watched(h *host) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return !fl.storeOut && (h.unwatchedAt.IsZero() || time.Since(h.unwatchedAt) < noticeAfter)
 }
 
 var zones = []string{"a", "b", "c"}
@@ -105,7 +119,7 @@
 	others := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == h.zone })
 	h.c = New(Deps{
 		Board: h.board, Link: link, Zone: h.zone, Others: others, Tolerance: tolerance,
-		SilentFor: link.SilentFor, Metrics: metrics.New(), Log: zap.NewNop(),
+		Watched: func() bool { return fl.watched(h) }, Metrics: metrics.New(), Log: zap.NewNop(),
 	})
 	h.c.timing = fl.timing
 	ctx, cancel := context.WithCancel(context.Background())
@@ -130,16 +144,40 @@
 	}
 }
 
-// cutOff cuts a host off from all others, both ways.
-func (fl *fleet) cutOff(h *host) {
-	for _, other := range fl.hosts {
-		if other != h {
-			fl.net.Cut(h.id, other.id)
-			fl.net.Cut(other.id, h.id)
+// cutOff cuts some hosts off from all others and from the store, both ways, but not from each
+// other.
+func (fl *fleet) cutOff(hosts ...*host) {
+	for _, h := range hosts {
+		for _, other := range fl.hosts {
+			if !slices.Contains(hosts, other) {
+				fl.net.Cut(h.id, other.id)
+				fl.net.Cut(other.id, h.id)
+			}
 		}
+		fl.mu.Lock()
+		h.unwatchedAt = time.Now()
+		fl.mu.Unlock()
 	}
 }
 
+// heal ends all cuts.
+func (fl *fleet) heal() {
+	fl.net.Heal()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, h := range fl.hosts {
+		h.unwatchedAt = time.Time{}
+	}
+}
+
+// third returns a third of the hosts, at random.
+func (fl *fleet) third(rng *rand.Rand) (some []*host) {
+	for _, i := range rng.Perm(len(fl.hosts))[:len(fl.hosts)/3] {
+		some = append(some, fl.hosts[i])
+	}
+	return some
+}
+
 // configure puts other tenants in force everywhere.
 func (fl *fleet) configure(tenants []routing.Tenant) {
 	fl.table = tableOf(tenants)
@@ -323,7 +361,7 @@
 	worst := 0
 	for seed := uint64(0); seed < 40 && float64(worst) <= bound(large); seed++ {
 		withFleet(t, 12, []routing.Tenant{large, small}, func(fl *fleet) {
-			fl.timing = timing{cutOffAfter: time.Hour}
+			fl.timing = timing{careless: true}
 			fl.restartAll()
 			fl.history(seed)
 			worst = max(worst, fl.most(large.Name))
@@ -345,7 +383,9 @@
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(400*time.Millisecond)))
 		h := fl.hosts[rng.IntN(len(fl.hosts))]
-		switch rng.IntN(5) {
+		switch rng.IntN(6) {
+		case 5:
+			fl.cutOff(fl.third(rng)...)
 		case 0:
 			fl.kill(h)
 		case 1:
@@ -353,7 +393,7 @@
 		case 2:
 			fl.cutZone(h.zone)
 		case 3:
-			fl.net.Heal()
+			fl.heal()
 		default:
 			for _, h := range fl.hosts {
 				if !h.up && rng.IntN(2) == 0 {
@@ -385,7 +425,7 @@
 			time.Sleep(5 * time.Second)
 			fl.cutZone("a")
 			time.Sleep(8 * time.Second)
-			fl.net.Heal()
+			fl.heal()
 		}()
 		fl.load(rng, large.Name, 4*large.Rate, 20*time.Second)
 		fl.within(large)
@@ -394,6 +434,37 @@
 	})
 }
 
+// A third of the hosts of all zones is cut off together, and both sides flood. Those that were cut
+// off hear each other: they must not own all parts once more among themselves.
+func TestQuotaHoldsWhileAThirdOfTheHostsIsCutOffTogether(t *testing.T) {
+	withFleet(t, 30, []routing.Tenant{large, small}, func(fl *fleet) {
+		go fl.load(rand.New(rand.NewPCG(1, 2)), small.Name, 20, 20*time.Second)
+		go func() {
+			time.Sleep(5 * time.Second)
+			fl.cutOff(fl.third(rand.New(rand.NewPCG(3, 1)))...)
+			time.Sleep(5 * time.Second)
+			fl.heal()
+		}()
+		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 6*large.Rate, 20*time.Second)
+		fl.within(large)
+		fl.within(small)
+		assert.Check(t, float64(len(fl.granted[large.Name])) >= 0.9*20*large.Rate, "only %d granted", len(fl.granted[large.Name]))
+	})
+}
+
+// The store is out for all: who reaches most others owns parts as before.
+func TestTenantsAreServedWhileTheStoreIsOut(t *testing.T) {
+	withFleet(t, 30, []routing.Tenant{large, small}, func(fl *fleet) {
+		fl.mu.Lock()
+		fl.storeOut = true
+		fl.mu.Unlock()
+		go fl.load(rand.New(rand.NewPCG(2, 1)), small.Name, 0.62*small.Rate, 20*time.Second)
+		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 0.62*large.Rate, 20*time.Second)
+		fl.within(large)
+		fl.servedNearlyAll(large, small)
+	})
+}
+
 // Once a quota was lowered, no window that begins after it holds more than the lower one allows.
 func TestLoweredQuotaBinds(t *testing.T) {
 	withFleet(t, 12, []routing.Tenant{large, small}, func(fl *fleet) {
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -29,18 +29,15 @@
 
 // timing is what keeps two hosts from spending the same part, one after the other.
 type timing struct {
-	// cutOffAfter is how long a host has to hear nothing from any other until it makes sure
-	// that it is not cut off.
-	cutOffAfter time.Duration
 	// handOver is how long a part gains nothing once it has come to another host: until the
-	// one before has noticed that it is cut off, or that this one is back.
+	// one before has noticed that it is cut off, or that this one is back. A host that watched
+	// the store notices latest, when a watch is overdue.
 	handOver time.Duration
+	// careless hosts own parts also when they are cut off; for tests of what that leads to.
+	careless bool
 }
 
-// usualTiming leaves a host that is cut off half a second to find out.
-func usualTiming() timing {
-	return timing{cutOffAfter: 500 * time.Millisecond, handOver: time.Second}
-}
+func usualTiming() timing { return timing{handOver: 1400 * time.Millisecond} }
 
 // ranks are the owners of parts by the list of hosts at hand.
 type ranks struct {
@@ -103,8 +100,6 @@
 	a := answer{at: now, owns: owns}
 	if !answered {
 		a.fails = c.heard[id].fails + 1
-	} else {
-		c.answeredAt = now
 	}
 	c.heard[id] = a
 }
@@ -152,47 +147,66 @@
 	return aliveReply{Owns: c.deps.Board.Members.Load().Complete}, nil
 }
 
-// mayOwn reports whether this host can own parts: it knows all hosts, and is not cut off from
-// them. A host that knows few takes itself for the owner of everything.
+// mayOwn reports whether this host can own parts: it knows all hosts, and is not on the smaller
+// side of a cut. A host that knows few takes itself for the owner of everything; hosts that are
+// cut off together would own all parts once more among themselves.
+//
+// Hosts on the smaller side have no word of the store. If the store is out for all, nobody has:
+// then those own parts that reach most others.
 func (c *Controller) mayOwn() bool {
 	m := c.deps.Board.Members.Load()
-	if !m.Complete {
+	switch {
+	case !m.Complete:
 		return false
-	}
-	if len(m.Members) <= 1 || c.silentFor() < c.timing.cutOffAfter {
+	case c.timing.careless || len(m.Members) <= 1 || c.deps.Watched():
 		return true
+	default:
+		return c.reachesMost(m)
 	}
-	return c.findAny(m)
 }
 
-// silentFor returns for how long this host has heard nothing from any other.
-func (c *Controller) silentFor() time.Duration {
+const (
+	// askedOfAll is how many others a host asks to learn whether it reaches most of them, and
+	// reachFor how long the answer holds.
+	askedOfAll = 16
+	reachFor   = 500 * time.Millisecond
+)
+
+// reachesMost finds out whether most other hosts answer. A host that they do not answer empties
+// its parts: others own them by now.
+func (c *Controller) reachesMost(m *blackboard.Members) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return min(c.deps.SilentFor(), time.Since(c.answeredAt))
+	known, most := time.Since(c.askedMostAt) < reachFor, c.mostAnswer
+	c.mu.Unlock()
+	if known {
+		return most
+	}
+	reaches, _, _ := c.checks.Do("", func() (any, error) {
+		most := c.askSome(someOthers(m, askedOfAll))
+		c.mu.Lock()
+		c.askedMostAt, c.mostAnswer = time.Now(), most
+		c.mu.Unlock()
+		if !most {
+			c.emptyAll(time.Now(), "cut off")
+		}
+		return most, nil
+	})
+	return reaches.(bool)
 }
 
-// askedWhenSilent is how many hosts a silent one asks whether they hear it.
-const askedWhenSilent = 3
-
-// findAny finds out whether any other host answers. One that is cut off empties its parts: the
-// hosts after it own them by now.
-func (c *Controller) findAny(m *blackboard.Members) bool {
-	found, _, _ := c.checks.Do("", func() (any, error) {
-		others := someOthers(m, askedWhenSilent)
-		answers := make(chan bool, len(others))
-		for _, id := range others {
-			go func() { answers <- c.check(id) }()
-		}
-		for range others {
-			if <-answers {
-				return true, nil
-			}
+// askSome reports whether more than half of some hosts answer.
+func (c *Controller) askSome(ids []ports.HostID) bool {
+	answers := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() { answers <- c.check(id) }()
+	}
+	answered := 0
+	for range ids {
+		if <-answers {
+			answered++
 		}
-		c.emptyAll(time.Now(), "cut off")
-		return false, nil
-	})
-	return found.(bool)
+	}
+	return 2*answered > len(ids)
 }
 
 // someOthers returns some hosts but this one, at random.
--- a/controller/quota/part.go
+++ b/controller/quota/part.go
@@ -97,10 +97,9 @@
 
 		arrivals: make(map[string]*quota.Arrivals),
 	}
-	switch {
-	case fresh:
+	if fresh {
 		p.Start()
-	case place > 0:
+	} else {
 		p.Follow(since)
 	}
 	return p
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -30,10 +30,11 @@
 	Others []string
 	// Tolerance is by how much quotas may be exceeded.
 	Tolerance quota.Tolerance
-	// SilentFor tells for how long this host has heard nothing from any other.
-	SilentFor func() time.Duration
-	Metrics   *metrics.Set
-	Log       *zap.Logger
+	// Watched reports whether this host has word of the platform's store, by a host that
+	// watches it.
+	Watched func() bool
+	Metrics *metrics.Set
+	Log     *zap.Logger
 }
 
 // Controller runs on every host. It is safe for concurrent use.
@@ -54,9 +55,10 @@
 	parts   map[string]*part
 	// heard is what other hosts last answered.
 	heard map[ports.HostID]answer
-	// answeredAt is when another host last answered this one.
-	answeredAt time.Time
-	ranks      ranks
+	// mostAnswer is whether most other hosts answered when last asked, at askedMostAt.
+	mostAnswer  bool
+	askedMostAt time.Time
+	ranks       ranks
 }
 
 // New returns a controller and registers its messages with the link.
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -214,6 +214,13 @@
 // Watches reports whether this host watches the store.
 func (c *Controller) Watches() bool { return c.watches.Load() }
 
+// Watched reports whether a host that watches the store, or this one, had word of it of late.
+func (c *Controller) Watched() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(watchers.Fresh(time.Now(), c.beats)) > 0 || c.watch != nil && c.watch.storeOK()
+}
+
 func (c *Controller) view() watchers.View {
 	v := watchers.View{Beats: c.beats, Watching: c.watch != nil, Refused: c.refused}
 	for id := range c.hosts {
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -24,7 +24,7 @@
 		Zone:      d.settings.Host.Zone,
 		Others:    d.otherZones(),
 		Tolerance: d.quotaTolerance(),
-		SilentFor: d.node.SilentFor,
+		Watched:   d.watch.Watched,
 		Metrics:   d.metrics,
 		Log:       d.log,
 	})
--- a/internal/fakes/peernet/peernet.go
+++ b/internal/fakes/peernet/peernet.go
@@ -140,8 +140,6 @@
 	handlers map[peer.Kind]peer.Handler
 	// lost is since when messages to a host have been lost.
 	lost map[peer.HostID]time.Time
-	// heardAt is when a message last arrived from another host.
-	heardAt time.Time
 }
 
 var _ peer.Link = (*Link)(nil)
@@ -198,7 +196,6 @@
 	if h == nil {
 		return
 	}
-	dst.hear()
 	out, err := h(ctx, l.id, body)
 	l.net.wait(to, l.id, kind, len(out))
 	if l.net.route(to, l.id) != l {
@@ -210,20 +207,6 @@
 	done <- reply{body: out, err: err}
 }
 
-// hear remembers that a message arrived here.
-func (l *Link) hear() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heardAt = time.Now()
-}
-
-// SilentFor returns for how long no other host has sent anything.
-func (l *Link) SilentFor() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Since(l.heardAt)
-}
-
 // note remembers whether a message arrived.
 func (l *Link) note(to peer.HostID, arrived bool) {
 	l.mu.Lock()
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -84,7 +83,6 @@
 // for a slot must not hold up the release of that slot behind it.
 func (in *inbound) start(ctx context.Context, h header, body []byte) {
 	n := in.node
-	n.heardAt.Store(time.Now().UnixNano())
 	if n.executing.Add(1) > maxHandlers {
 		n.executing.Add(-1)
 		n.count.handlersBusy.Add(1)
--- a/peer/node.go
+++ b/peer/node.go
@@ -80,11 +80,9 @@
 	ctx   context.Context
 	stop  context.CancelFunc
 
-	handlers atomic.Pointer[map[Kind]Handler]
-	remotes  atomic.Pointer[map[HostID]*remote]
-	inbound  atomic.Int64
-	// heardAt is when a peer last sent a message, in nanoseconds since 1970.
-	heardAt   atomic.Int64
+	handlers  atomic.Pointer[map[Kind]Handler]
+	remotes   atomic.Pointer[map[HostID]*remote]
+	inbound   atomic.Int64
 	executing atomic.Int64
 
 	mu     sync.Mutex // guards closed and changes of handlers and remotes
@@ -121,11 +119,6 @@
 // Self returns the identity that peers see.
 func (n *Node) Self() HostID { return n.opts.Self }
 
-// SilentFor returns for how long no other host has sent anything.
-func (n *Node) SilentFor() time.Duration {
-	return time.Since(time.Unix(0, n.heardAt.Load()))
-}
-
 // Stats are totals since the node was made, but for Connections.
 type Stats struct {
 	// BytesSent counts frames with their tags, not the headers of TCP and IP.
--- a/policy/quota/part.go
+++ b/policy/quota/part.go
@@ -49,8 +49,8 @@
 	p.last = from
 }
 
-// Follow is Empty for a host that owns the part in place of another. It keeps one token of a
-// small part, which gains so few that requests would be refused for seconds.
+// Follow is Empty for a host that comes to own the part. It keeps one token of a small part,
+// which gains so few that requests would be refused for seconds.
 func (p *Part) Follow(from time.Time) {
 	p.Empty(from)
 	if p.Small() {
