--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -83,11 +83,11 @@
 	// sweepEvery is how often what is kept of tenants that are gone, or were not asked for,
 	// is dropped.
 	sweepEvery = 10 * time.Second
-	// reportEvery is how often a host tells of tenants that it denied requests.
+	// reportEvery is how often an owner tells of tenants that it denied requests.
+	reportEvery = 5 * time.Second
 	// lookEvery is how often a host looks whether it was held up; frozenAfter is the time
 	// between two looks from which on others may have taken over its parts.
 	lookEvery   = 250 * time.Millisecond
-	reportEvery = 5 * time.Second
 	frozenAfter = time.Second
 )
 
@@ -135,6 +135,7 @@
 	}
 }
 
+// reportAll has owners' decisions of late logged.
 func (c *Controller) reportAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -143,6 +144,7 @@
 	}
 }
 
+// sweep drops what is kept of tenants that are gone, or were not asked for.
 func (c *Controller) sweep(now time.Time) {
 	table := c.deps.Board.Routes.Load()
 	c.mu.Lock()
