Sight: what a target says is read in one place; its limit is told

Answers were read for load and leaving where each was used, for the cold start in another place, for a limit nowhere. Signals reads them at the head of an answer, whatever its status, but for answers of another target at the same address and for bytes that belong to no request. A target that names a limit, names another or ends it leaves a line and counts.

The load was read at the end of an answer and is now read at its head; it was told there in either case.

--- /dev/null
+++ b/backpressure/limits_test.go
@@ -0,0 +1,41 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+func TestLimitsAreLoggedAsTheyChange(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	l := NewLimits(metrics.New(), zap.New(core))
+	say := func(limit targetapi.Limit) {
+		l.Heard(blackboard.ServiceKey{}, blackboard.Target{ID: "t"}, targetapi.Signals{Limit: limit})
+		time.Sleep(time.Microsecond)
+	}
+	say(targetapi.Limit{})
+	assert.Equal(t, lines.Len(), 0)
+	for range 3 {
+		say(targetapi.Limit{Named: true, PerSecond: 1.5})
+	}
+	assert.Equal(t, lines.Len(), 1)
+	assert.Equal(t, l.limited(), 1)
+	say(targetapi.Limit{})
+	assert.Equal(t, lines.Len(), 2)
+	assert.Equal(t, l.limited(), 0)
+}
+
+func TestOlderWordSaysNothing(t *testing.T) {
+	l := NewLimits(metrics.New(), zap.NewNop())
+	now := time.Now()
+	l.note("t", word{targetapi.Limit{Named: true, PerSecond: 1}, now})
+	l.note("t", word{targetapi.Limit{}, now.Add(-time.Second)})
+	assert.Equal(t, l.limited(), 1)
+}
--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/controller/config"
@@ -96,6 +97,7 @@
 	node       *peer.Node // nil if the link was given
 	pools      *upstream.Pools
 	slots      *slots.Slots
+	limits     *backpressure.Limits
 	ledger     *ledger.Ledger
 	quarantine *quarantine.Quarantine
 	entry      *entry.Server
--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -39,10 +39,10 @@
 // the sign of leaving, which can not be taken back; what an endpoint says in its
 // body may be out of date or wrong.
 func read(resp *http.Response) Result {
-	res := Result{
-		OK:      resp.StatusCode == http.StatusOK,
-		Load:    targetapi.LoadOf(resp.Header),
-		Leaving: targetapi.IsLeaving(resp.Header),
+	said := targetapi.Default().Signals(resp.Header)
+	res := Result{OK: resp.StatusCode == http.StatusOK, Load: -1, Leaving: said.Leaving, Limit: said.Limit}
+	if said.HasLoad {
+		res.Load = said.Load.Running
 	}
 	var h struct {
 		Load *int `json:"load"`
--- a/controller/probes/probes.go
+++ b/controller/probes/probes.go
@@ -17,7 +17,9 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
 // Candidate is a target worth a probe.
@@ -49,6 +51,8 @@
 	Load int
 	// Leaving is set if it says that it is to stop.
 	Leaving bool
+	// Limit is how many requests it takes.
+	Limit targetapi.Limit
 }
 
 // Prober makes one probe, sending at most one request, and none once ctx has
@@ -63,6 +67,8 @@
 	Prober Prober
 	// Leaving is told of a target that says it is to stop; nil tells nobody.
 	Leaving func(key blackboard.ServiceKey, id ports.HostID)
+	// Heard, if set, is told what targets say of themselves.
+	Heard   pick.Listener
 	Metrics *metrics.Set
 	Log     *zap.Logger
 }
@@ -285,6 +291,9 @@
 	} else {
 		c.count.Add(countFailed, 1)
 	}
+	if c.d.Heard != nil && (res.OK || res.Limit.Named) {
+		c.d.Heard(cand.Service, cand.Target, targetapi.Signals{Leaving: res.Leaving, Limit: res.Limit})
+	}
 	if res.Leaving {
 		c.count.Add(countLeaving, 1)
 		if c.d.Leaving != nil {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -35,8 +35,7 @@
 	// observe learns the latency of a whole answer.
 	observe func(time.Duration)
 
-	ctx      context.Context
-	contract *targetapi.Contract
+	ctx context.Context
 	// held, if set, has a small answer read whole before it is passed on. The answer to a
 	// HEAD has no body, and its length is that of another one.
 	held *heldAnswers
@@ -49,6 +48,8 @@
 	// mayHaveRun is set unless no byte left or the target refused the request
 	// before running it.
 	mayHaveRun bool
+	// said is what the target's answer told of itself.
+	said targetapi.Signals
 	// retryAfter is what a target that shed the request asked for.
 	retryAfter time.Duration
 }
@@ -91,7 +92,7 @@
 		a.end(a.class)
 		return a
 	}
-	d.headReceived(a, req, res.Response)
+	d.headReceived(c, a, req, res.Response)
 	return a
 }
 
@@ -160,9 +161,10 @@
 // them for this host's word that the request was wrong, and does not send it again. A target
 // seals and echoes all that it answers to a request it ran, failures too: without both, the
 // status says nothing, and the caller is told just that it may have run.
-func (d *Dispatcher) headReceived(a *attempt, req *http.Request, resp *http.Response) {
+func (d *Dispatcher) headReceived(c *Call, a *attempt, req *http.Request, resp *http.Response) {
 	ct := d.contract
-	a.contract, a.status = ct, resp.StatusCode
+	a.status = resp.StatusCode
+	d.hear(c, a, req, resp)
 	switch {
 	case !ct.Belongs(req.Header, resp.Header, resp.StatusCode):
 		// The target answered an earlier request a second time, and this answer
@@ -183,10 +185,23 @@
 	}
 }
 
+// hear takes in what the target says of itself, whatever came of the request. Neither another
+// target that has the address by now, nor bytes that belong to no request, speak for it.
+func (d *Dispatcher) hear(c *Call, a *attempt, req *http.Request, resp *http.Response) {
+	ct := d.contract
+	if ct.IsMisdirected(resp.StatusCode) || !ct.Belongs(req.Header, resp.Header, resp.StatusCode) {
+		return
+	}
+	a.said = ct.Signals(resp.Header)
+	if d.heard != nil {
+		d.heard(c.Key, a.grant.Target(), a.said)
+	}
+}
+
 // shed ends an attempt that the target refused before running it.
 func (a *attempt) shed(resp *http.Response) {
 	a.class, a.reason = pick.Shed, outcome.ReasonShed
-	if a.contract.IsLeaving(resp.Header) {
+	if a.said.Leaving {
 		a.class = pick.Leaving
 	}
 	a.retryAfter = retryAfter(resp)
@@ -239,25 +254,21 @@
 func (a *attempt) discard(resp *http.Response, class pick.Class) {
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard+1)
 	_ = resp.Body.Close()
-	a.endWith(resp, class)
+	a.end(class)
 }
 
-// end releases the grant of an attempt without an answer.
-func (a *attempt) end(class pick.Class) { a.endWith(nil, class) }
-
-func (a *attempt) endWith(resp *http.Response, class pick.Class) {
+// end releases the grant of an attempt.
+func (a *attempt) end(class pick.Class) {
 	a.cancel()
 	rep := pick.Report{Class: class, Latency: time.Since(a.start), Load: -1}
 	if class == pick.OK {
 		a.observe(rep.Latency)
 	}
-	if resp != nil {
-		if work, ok := a.contract.LoadOf(resp.Header); ok {
-			rep.Load = work.Running + work.Waiting
-			rep.Work = work
-		}
-		rep.LeavingHint = a.contract.IsLeaving(resp.Header)
+	if a.said.HasLoad {
+		rep.Load = a.said.Load.Running + a.said.Load.Waiting
+		rep.Work = a.said.Load
 	}
+	rep.LeavingHint = a.said.Leaving
 	a.tellWatch(class)
 	a.grant.Release(rep)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,6 +25,8 @@
 	Metrics    *metrics.Set
 	// Contract names the headers; nil stands for targetapi.Default.
 	Contract *targetapi.Contract
+	// Heard, if set, is told what targets say of themselves in their answers.
+	Heard pick.Listener
 	// Retries pays for further attempts; nil stands for the ratio that each
 	// workspace declares.
 	Retries RetryBudget
@@ -60,6 +62,7 @@
 	suspects Quarantine
 	metrics  *metrics.Set
 	contract *targetapi.Contract
+	heard    pick.Listener
 	retries  RetryBudget
 
 	held *heldAnswers
@@ -75,6 +78,7 @@
 	}
 	return &Dispatcher{
 		contract: deps.Contract,
+		heard:    deps.Heard,
 		retries:  deps.Retries,
 
 		held: newHeldAnswers(deps.HoldAnswers),
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -164,5 +164,5 @@
 		return
 	}
 	_ = a.resp.Body.Close()
-	a.endWith(a.resp, pick.Canceled)
+	a.end(pick.Canceled)
 }
--- a/dispatch/reply.go
+++ b/dispatch/reply.go
@@ -74,7 +74,7 @@
 		Body: &ReplyBody{
 			src:   resp.Body,
 			class: a.class,
-			done:  func(c pick.Class) { a.endWith(resp, c) },
+			done:  func(c pick.Class) { a.end(c) },
 		},
 	}
 }
@@ -99,7 +99,7 @@
 		a.end(a.class)
 		return nil
 	}
-	a.endWith(resp, a.class)
+	a.end(a.class)
 	return memoryReply(resp.StatusCode, resp.Header, b, outcome.ReasonOK)
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/quota"
@@ -57,6 +58,7 @@
 	entry      *entry.Server
 	watch      *watch.Controller
 	quota      *quota.Controller
+	limits     *backpressure.Limits
 	leave      *leave.Controller
 
 	callers   daemon.Callers
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/calllog"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
@@ -115,6 +116,7 @@
 		Seed:      d.incarnation,
 	})
 	d.provisionQuota()
+	d.limits = backpressure.NewLimits(d.metrics, d.log)
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Link:    d.node,
 		Members: d.hosts,
@@ -132,6 +134,7 @@
 		Metrics:   d.metrics,
 		Log:       d.log,
 		OnLeaving: d.markLeaving,
+		Heard:     d.limits.Heard,
 	})
 	d.provisionCallers()
 	d.provisionServers()
@@ -176,6 +179,7 @@
 		Quarantine:  d.quarantine,
 		Metrics:     d.metrics,
 		Contract:    d.platform.Contract,
+		Heard:       d.limits.Heard,
 		Retries:     newRetries(d.settings.Retries, d.board),
 		HoldAnswers: d.answerMemory(),
 	})
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -47,6 +47,9 @@
 	Pick(ctx context.Context, req Request) (Grant, outcome.Result)
 }
 
+// Listener takes in what a target of a service says of itself. It must not block.
+type Listener func(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals)
+
 // Grant is the right to send one attempt to one target.
 type Grant interface {
 	Target() blackboard.Target
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -299,7 +299,7 @@
 	s := &service{targets: map[ports.HostID]*target{"a": tg}, limits: coldLimits{warmUp: coldFor, perSecond: coldRate}}
 	tg.unreachable(now)
 	tg.probing = make(chan struct{})
-	news := s.answered(tg, answer{reached: true, told: true, load: targetapi.Load{Slots: 2, Pace: 1}, coldFor: time.Second}, time.Millisecond)
+	news := s.answered(tg, answer{reached: true, said: targetapi.Signals{HasLoad: true, Load: targetapi.Load{Slots: 2, Pace: 1}, WarmUp: time.Second}}, time.Millisecond)
 	assert.Equal(t, news, newsCold)
 	assert.Equal(t, tg.rests, 0)
 	assert.Check(t, tg.cold.Cold(time.Now()) && tg.cold.Certain())
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,6 +44,8 @@
 	// OnLeaving, if set, is called when a target's own answer said that it is
 	// leaving. It must not block.
 	OnLeaving func(blackboard.ServiceKey, blackboard.Target)
+	// Heard, if set, is told what targets say of themselves in answers to probes.
+	Heard pick.Listener
 }
 
 // Placer is the pick.Picker of one daemon.
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -95,19 +95,19 @@
 	defer cancel()
 	sent := time.Now()
 	a := p.exchange(ctx, info, path, conns)
+	if a.reached && p.deps.Heard != nil {
+		p.deps.Heard(s.key, info, a.said)
+	}
 	p.tell(s.answered(t, a, time.Since(sent)), s, info.Run())
 	if !a.reached {
 		p.count.probesFailed.Add(1)
 	}
 }
 
-// answer is what came of a probe. It is told if the target said what its load is, reached
-// if any answer came at all.
+// answer is what came of a probe: what the target said, if it was reached.
 type answer struct {
-	load          targetapi.Load
-	told, reached bool
-	// coldFor is how much longer the target is cold.
-	coldFor time.Duration
+	said    targetapi.Signals
+	reached bool
 }
 
 // answered takes in the answer to a probe, and returns what that changed in
@@ -122,8 +122,8 @@
 		return ""
 	}
 	switch {
-	case a.told:
-		s.told(now, t, a.load)
+	case a.said.HasLoad:
+		s.told(now, t, a.said.Load)
 	case a.reached:
 		s.answeredSilently(now, t, took)
 	}
@@ -135,7 +135,7 @@
 	}
 	back := t.reached()
 	switch {
-	case s.hearCold(now, t, a.coldFor):
+	case s.hearCold(now, t, a.said.WarmUp):
 		return newsCold
 	case back:
 		return newsReached
@@ -165,8 +165,7 @@
 	}
 	defer res.Response.Body.Close()
 	_, _ = io.CopyN(io.Discard, res.Response.Body, maxHealthBody)
-	a.load, a.told = p.deps.Contract.LoadOf(res.Response.Header)
-	a.coldFor = p.deps.Contract.WarmUpOf(res.Response.Header)
+	a.said = p.deps.Contract.Signals(res.Response.Header)
 	a.reached = true
 	return a
 }
--- a/provision.go
+++ b/provision.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/controller/config"
@@ -178,6 +179,7 @@
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
+	d.limits = backpressure.NewLimits(d.metrics, d.log)
 	d.slots = slots.New(slots.Deps{
 		Board:       d.board,
 		Link:        d.link,
@@ -209,6 +211,7 @@
 		Budget:  d.budget,
 		Prober:  prober,
 		Leaving: d.markLeaving,
+		Heard:   d.limits.Heard,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
@@ -273,6 +276,7 @@
 		Ledger:     d.ledger,
 		Quarantine: d.quarantine,
 		Metrics:    d.metrics,
+		Heard:      d.limits.Heard,
 	})
 	memory := d.settings.Callers.BodyMemoryBytes
 	if memory == 0 {
--- a/targetapi/contract.go
+++ b/targetapi/contract.go
@@ -36,6 +36,9 @@
 	ShedStatus int
 	// Leaving is set by targets that are to stop.
 	Leaving string
+	// Limit is set by targets that take only so many requests a second, from all hosts
+	// together, as a decimal number.
+	Limit string
 	// Load is read by ReadLoad.
 	Load     string
 	ReadLoad func(value string) (Load, bool)
@@ -71,9 +74,10 @@
 		Shed:       HeaderShed,
 		ShedStatus: http.StatusServiceUnavailable,
 		Leaving:    HeaderLeaving,
+		Limit:      HeaderLimit,
 		Load:       HeaderLoad,
 		ReadLoad:   readDefaultLoad,
-		Own:        []string{HeaderLoad, HeaderShed, HeaderLeaving},
+		Own:        []string{HeaderLoad, HeaderShed, HeaderLeaving, HeaderLimit},
 		Forwarded:  true,
 	}
 }
@@ -86,29 +90,6 @@
 	return Load{Running: n, Pace: 1}, true
 }
 
-// LoadOf returns the load that an answer reports, and false if it reports none
-// that can be read.
-func (c *Contract) LoadOf(h http.Header) (Load, bool) {
-	value := h.Get(c.Load)
-	if value == "" {
-		return Load{}, false
-	}
-	return c.ReadLoad(value)
-}
-
-// WarmUpOf returns how much longer a target is cold by its health answer: 0 if it does not say
-// so, or what it says can not be read.
-func (c *Contract) WarmUpOf(h http.Header) time.Duration {
-	if c.WarmUp == "" {
-		return 0
-	}
-	d, err := time.ParseDuration(h.Get(c.WarmUp))
-	if err != nil {
-		return 0 // what can not be read says nothing; the record still does
-	}
-	return max(0, d)
-}
-
 // IsShed reports whether an answer says that the target did not run the request.
 func (c *Contract) IsShed(status int, h http.Header) bool {
 	if c.ShedStatus != 0 && status != c.ShedStatus {
@@ -117,11 +98,6 @@
 	return h.Get(c.Shed) == Yes
 }
 
-// IsLeaving reports whether an answer says that its target is to stop.
-func (c *Contract) IsLeaving(h http.Header) bool {
-	return c.Leaving != "" && h.Get(c.Leaving) == Yes
-}
-
 // IsMisdirected reports whether another target has the address by now.
 func (c *Contract) IsMisdirected(status int) bool {
 	return c.Target != "" && status == http.StatusMisdirectedRequest
--- a/targetapi/targetapi.go
+++ b/targetapi/targetapi.go
@@ -26,6 +26,10 @@
 	// what reaches it in the next 2 seconds; later requests may be refused with
 	// status 503 and HeaderShed. Calls it has begun are to be finished.
 	HeaderLeaving = "Target-Leaving"
+	// HeaderLimit is set on each answer, of whatever status, while the target takes only so
+	// many requests a second from all entry hosts together: a decimal number. The first
+	// answer without it ends the limit.
+	HeaderLimit = "Target-Limit"
 )
 
 // Yes is the value of HeaderShed and HeaderLeaving; any other value, and an
