Quotas have a source of limits, kinds and a zone of their own

No change of behaviour. The controller that keeps tenants within quotas over all hosts (owners by rendezvous hashing, hand-over, cuts) read limits from the configuration's tenants alone. It asks a source of limits by name now; what a host knows of a limit can come with its question; the zone that owns a part can be named; what is said of a request is apart from what a tenant is told. A second one can run beside it.

--- a/controller/quota/borrow.go
+++ b/controller/quota/borrow.go
@@ -19,28 +19,28 @@
 )
 
 // borrow asks the other zones for tokens. Requests that come meanwhile wait for the same.
-func (c *Controller) borrow(ctx context.Context, tenant string, l quota.Limit, place int) {
+func (c *Controller) borrow(ctx context.Context, name string, l quota.Limit, place int) {
 	c.mu.Lock()
 	now := time.Now()
-	p := c.partOf(now, tenant, l, place)
+	p := c.partOf(now, name, l, place)
 	asked := now.Before(p.emptyUntil)
 	c.mu.Unlock()
 	if asked || ctx.Err() != nil {
 		return
 	}
-	_, _, _ = c.borrowing.Do(tenant, func() (any, error) {
-		c.borrowFromAll(p, tenant)
+	_, _, _ = c.borrowing.Do(name, func() (any, error) {
+		c.borrowFromAll(p, name)
 		return nil, nil
 	})
 }
 
-func (c *Controller) borrowFromAll(p *part, tenant string) {
+func (c *Controller) borrowFromAll(p *part, name string) {
 	c.mu.Lock()
 	want := p.Want()
 	c.mu.Unlock()
 	lent := make(chan float64, len(c.deps.Others))
 	for _, zone := range c.deps.Others {
-		go func() { lent <- c.borrowFrom(zone, tenant, want) }()
+		go func() { lent <- c.borrowFrom(zone, name, want) }()
 	}
 	for range c.deps.Others {
 		n := <-lent
@@ -58,9 +58,9 @@
 
 // borrowFrom asks the owner of another zone's part for tokens. What a lost reply carried is
 // lost: it is never in two zones.
-func (c *Controller) borrowFrom(zone, tenant string, want float64) float64 {
+func (c *Controller) borrowFrom(zone, name string, want float64) float64 {
 	asked := 0
-	for _, id := range c.owners(tenant, zone) {
+	for _, id := range c.owners(name, zone) {
 		if c.avoided(id) {
 			continue
 		}
@@ -69,7 +69,7 @@
 		}
 		c.count.borrowings.Add(1)
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
-		reply, err := peer.Call[borrowReply](ctx, c.deps.Link, id, kindBorrow, borrowRequest{Tenant: tenant, Want: want})
+		reply, err := peer.Call[borrowReply](ctx, c.deps.Link, id, c.deps.Kind+kindBorrow, borrowRequest{Name: name, Want: want})
 		cancel()
 		c.note(id, err == nil)
 		if err == nil {
@@ -81,15 +81,15 @@
 
 // onBorrow lends tokens to another zone, if this host owns the part.
 func (c *Controller) onBorrow(_ context.Context, _ ports.HostID, req borrowRequest) (borrowReply, error) {
-	owner, place := c.ownerByNow(req.Tenant)
-	l, known := c.limit(req.Tenant)
+	owner, place := c.ownerByNow(req.Name, c.deps.Zone)
+	l, known := c.deps.Limits.Limit(req.Name)
 	if owner != c.self || !known || l.Rate == 0 {
 		return borrowReply{}, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	p := c.partOf(now, req.Tenant, l, place)
+	p := c.partOf(now, req.Name, l, place)
 	lent := p.Lend(now, req.Want)
 	p.lent += lent
 	return borrowReply{Tokens: lent}, nil
--- a/controller/quota/counters.go
+++ b/controller/quota/counters.go
@@ -6,7 +6,8 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 )
 
-// counters are those of the metrics map "quota".
+// counters are those of the metrics map "quota" for tenants, else of one with the subject's name
+// before it.
 type counters struct {
 	// granted, denied and unknown count the requests of callers of this host.
 	granted, denied, unknown *expvar.Int
@@ -17,8 +18,12 @@
 	owned, followed, borrowings *expvar.Int
 }
 
-func newCounters(m *metrics.Set) counters {
-	c := m.Counters("quota")
+func newCounters(m *metrics.Set, subject string) counters {
+	name := "quota"
+	if subject != SubjectTenant {
+		name = subject + "_quota"
+	}
+	c := m.Counters(name)
 	return counters{
 		granted:    c("granted"),
 		denied:     c("denied"),
--- a/controller/quota/fleet_test.go
+++ b/controller/quota/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
@@ -114,7 +115,7 @@
 	h.board.Routes.Store(fl.table)
 	others := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == h.zone })
 	h.c = New(Deps{
-		Board: h.board, Link: link, Zone: h.zone, Others: others, Tolerance: tolerance,
+		Board: h.board, Link: link, Kind: peer.KindQuota, Limits: Tenants{h.board}, Subject: SubjectTenant, Zone: h.zone, Others: others, Tolerance: tolerance,
 		Watched: func() bool { return fl.watched(h) }, Metrics: metrics.New(), Log: zap.NewNop(),
 	})
 	h.c.handOver = fl.handOver
@@ -193,7 +194,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		r := c.Take(ctx, quota.Request{Tenant: tenant, Left: -1})
+		r := c.Take(ctx, quota.Request{Name: tenant, Left: -1})
 		fl.mu.Lock()
 		defer fl.mu.Unlock()
 		if !h.up || h.c != c {
--- a/controller/quota/messages.go
+++ b/controller/quota/messages.go
@@ -8,10 +8,10 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-// Messages between hosts.
+// Messages between hosts, counted from Deps.Kind.
 const (
 	// kindTake asks the owner of a zone's part for one request.
-	kindTake peer.Kind = peer.KindQuota + iota
+	kindTake peer.Kind = iota
 	// kindBorrow asks the owner of another zone's part for tokens.
 	kindBorrow
 	// kindAlive asks a host whether it can own parts.
@@ -42,8 +42,8 @@
 }
 
 type borrowRequest struct {
-	Tenant string  `msgpack:"tenant"`
-	Want   float64 `msgpack:"want"`
+	Name string  `msgpack:"tenant"`
+	Want float64 `msgpack:"want"`
 }
 
 type borrowReply struct {
--- a/controller/quota/own.go
+++ b/controller/quota/own.go
@@ -15,11 +15,14 @@
 
 // decide decides on a request if this host owns the part, else it names the owner.
 func (c *Controller) decide(ctx context.Context, req takeRequest) takeReply {
-	owner, place := c.owner(req.Tenant)
+	owner, place := c.owner(req.Name, c.zoneOf(req))
 	if owner != c.self {
 		return takeReply{Verdict: elsewhere, Owner: owner}
 	}
-	l, known := c.limit(req.Tenant)
+	if req.Word != (quota.Word{}) {
+		c.deps.Limits.Hear(req.Name, req.Word)
+	}
+	l, known := c.deps.Limits.Limit(req.Name)
 	switch {
 	case !known:
 		return takeReply{Verdict: elsewhere} // this host's configuration is behind
@@ -31,8 +34,16 @@
 	if reply.Verdict == granted || late {
 		return reply
 	}
-	c.borrow(ctx, req.Tenant, l, place)
-	return c.takeBorrowed(req.Tenant, l, place)
+	c.borrow(ctx, req.Name, l, place)
+	return c.takeBorrowed(req.Name, l, place)
+}
+
+// zoneOf returns the availability zone whose hosts own the part that a request counts in.
+func (c *Controller) zoneOf(req takeRequest) string {
+	if req.Zone == "" {
+		return c.deps.Zone
+	}
+	return req.Zone
 }
 
 func (c *Controller) countOwned(place int) {
@@ -48,7 +59,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	p := c.partOf(now, req.Tenant, l, place)
+	p := c.partOf(now, req.Name, l, place)
 	late = p.late(req)
 	if p.Tokens(now) < 1 && !late {
 		return takeReply{Verdict: denied}, false // there may be some to borrow
@@ -57,9 +68,9 @@
 }
 
 // takeBorrowed decides once the other zones were asked.
-func (c *Controller) takeBorrowed(tenant string, l quota.Limit, place int) takeReply {
+func (c *Controller) takeBorrowed(name string, l quota.Limit, place int) takeReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	return c.partOf(now, tenant, l, place).decide(now, false)
+	return c.partOf(now, name, l, place).decide(now, false)
 }
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -41,7 +41,7 @@
 }
 
 // partKey names a part.
-type partKey struct{ tenant, zone string }
+type partKey struct{ name, zone string }
 
 // answer is what a host last answered, or that it did not.
 type answer struct {
@@ -57,14 +57,14 @@
 }
 
 // owners returns the hosts that own a zone's part, each if those before it can not.
-func (c *Controller) owners(tenant, zone string) []ports.HostID {
+func (c *Controller) owners(name, zone string) []ports.HostID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refreshRanks(time.Now())
-	key := partKey{tenant, zone}
+	key := partKey{name, zone}
 	ids, found := c.ranks.list[key]
 	if !found {
-		ids = rendezvous.Ranked(tenant, zone, followers, c.deps.Board.Members.Load().Members)
+		ids = rendezvous.Ranked(name, zone, followers, c.deps.Board.Members.Load().Members)
 		c.ranks.list[key] = ids
 	}
 	return ids
@@ -126,7 +126,7 @@
 	owns, _, _ := c.checks.Do(string(id), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
 		defer cancel()
-		reply, err := peer.Call[aliveReply](ctx, c.deps.Link, id, kindAlive, aliveRequest{})
+		reply, err := peer.Call[aliveReply](ctx, c.deps.Link, id, c.deps.Kind+kindAlive, aliveRequest{})
 		c.noteOwns(id, err == nil, reply.Owns)
 		return err == nil && reply.Owns, nil
 	})
@@ -209,11 +209,11 @@
 	return ids
 }
 
-// owner returns the host that owns this zone's part of a tenant's quota as far as this host
+// owner returns the host that owns a zone's part of a quota as far as this host
 // can tell, and its place among those that may; an empty name if it can not tell. The hosts
 // before this one are asked at once.
-func (c *Controller) owner(tenant string) (id ports.HostID, place int) {
-	owners := c.owners(tenant, c.deps.Zone)
+func (c *Controller) owner(name, zone string) (id ports.HostID, place int) {
+	owners := c.owners(name, zone)
 	place = slices.Index(owners, c.self)
 	if place < 0 {
 		place = len(owners)
@@ -229,8 +229,8 @@
 
 // ownerByNow is owner by what this host knows at the moment. It asks nobody: who lends to
 // another zone must answer soon.
-func (c *Controller) ownerByNow(tenant string) (id ports.HostID, place int) {
-	owners := c.owners(tenant, c.deps.Zone)
+func (c *Controller) ownerByNow(name, zone string) (id ports.HostID, place int) {
+	owners := c.owners(name, zone)
 	for i, id := range owners {
 		if id == c.self {
 			break
--- a/controller/quota/part.go
+++ b/controller/quota/part.go
@@ -10,14 +10,14 @@
 
 const (
 	// startFor is how long after its start a host counts as one that has just started: what
-	// tenants used before is forgotten then by all owners of the zone, or by this one.
+	// was used before is forgotten then by all owners of the zone, or by this one.
 	startFor = 2 * time.Second
 	// followFor is how long a host that owns a part in place of another is not asked until
 	// it counts as one that comes to own it anew.
 	followFor = time.Second
 )
 
-// part is this zone's part of a tenant's quota, in the hands of this host.
+// part is a zone's part of a quota, in the hands of this host.
 type part struct {
 	*quota.Part
 	// place is how many hosts would own the part before this one.
@@ -55,17 +55,17 @@
 	return takeReply{Verdict: granted}
 }
 
-// partOf returns this zone's part of a tenant's quota. The lock is held.
+// partOf returns the part of a quota that this host owns. The lock is held.
 //
 // Two hosts that follow each other must not both spend what the part gains: one that comes to
 // own it has no tokens and gains none before the other can have noticed. Until then it serves
 // what other zones lend.
-func (c *Controller) partOf(now time.Time, tenant string, l quota.Limit, place int) *part {
-	p := c.parts[tenant]
+func (c *Controller) partOf(now time.Time, name string, l quota.Limit, place int) *part {
+	p := c.parts[name]
 	if p == nil {
 		p = c.newPart(now, l, place)
-		c.parts[tenant] = p
-		c.tellOwned(tenant, place, p.Tokens(now))
+		c.parts[name] = p
+		c.tellOwned(name, place, p.Tokens(now))
 	}
 	p.SetLimit(now, l)
 	idle := now.Sub(p.usedAt)
@@ -73,7 +73,7 @@
 	if place != p.place || place > 0 && idle > followFor && !p.Small() {
 		p.place = place
 		p.Follow(now.Add(c.handOver))
-		c.tellOwned(tenant, place, p.Tokens(now))
+		c.tellOwned(name, place, p.Tokens(now))
 	}
 	return p
 }
@@ -113,22 +113,22 @@
 		p.Empty(now.Add(c.handOver))
 	}
 	if len(c.parts) > 0 {
-		c.deps.Log.Info("quotas begun anew", zap.String("why", why), zap.Int("tenants", len(c.parts)))
+		c.deps.Log.Info("quotas begun anew", zap.String("why", why), zap.Int("parts", len(c.parts)))
 	}
 }
 
 // tellOwned logs that this host owns a part.
-func (c *Controller) tellOwned(tenant string, place int, tokens float64) {
-	c.deps.Log.Info("quota owned", zap.String("tenant", tenant), zap.String("zone", c.deps.Zone),
+func (c *Controller) tellOwned(name string, place int, tokens float64) {
+	c.deps.Log.Info("quota owned", zap.String(c.deps.Subject, name), zap.String("zone", c.deps.Zone),
 		zap.Int("place", place), zap.Float64("tokens", tokens))
 }
 
-// report logs what this host decided of tenants that asked for more than there was. The lock is
+// report logs what this host decided where more was asked for more than there was. The lock is
 // held.
-func (c *Controller) report(tenant string, p *part) {
+func (c *Controller) report(name string, p *part) {
 	if p.denied > 0 {
-		l, _ := c.limit(tenant)
-		c.deps.Log.Info("quota used up", zap.String("tenant", tenant), zap.String("zone", c.deps.Zone),
+		l, _ := c.deps.Limits.Limit(name)
+		c.deps.Log.Info("quota used up", zap.String(c.deps.Subject, name), zap.String("zone", c.deps.Zone),
 			zap.Float64("rate", l.Rate), zap.Float64("burst", l.Burst), zap.Int("granted", p.granted),
 			zap.Int("denied", p.denied), zap.Float64("borrowed", p.borrowed), zap.Float64("lent", p.lent))
 	}
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -1,6 +1,6 @@
-// Package quota keeps tenants within their quotas over all hosts. One host of each
-// availability zone owns the zone's part of a tenant's quota and is asked about each request
-// of that tenant there; policy/quota has the parts, policy/rendezvous says who owns them. An
+// Package quota keeps requests within quotas over all hosts: those of tenants, or those that
+// targets take. One host of each availability zone owns the zone's part of a quota and is asked
+// about each request that counts in it; policy/quota has the parts, policy/rendezvous says who owns them. An
 // owner that can not be reached is followed by the next host, which begins with nothing. A
 // request of which no host can tell is refused.
 package quota
@@ -21,10 +21,21 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
+// What has quotas.
+const (
+	SubjectTenant = "tenant"
+	SubjectTarget = "target"
+)
+
 // Deps is what a Controller works with.
 type Deps struct {
 	Board *blackboard.Board
 	Link  peer.Link
+	// Kind is the first of the kinds of its messages.
+	Kind peer.Kind
+	// Limits are the quotas; Subject is what has them, as lines name it.
+	Limits  Limits
+	Subject string
 	// Zone is this host's availability zone, Others are all others.
 	Zone   string
 	Others []string
@@ -37,6 +48,15 @@
 	Log     *zap.Logger
 }
 
+// Limits are quotas by name. Implementations are safe for concurrent use.
+type Limits interface {
+	// Limit returns a quota; a rate of 0 means that there is none, false that the name is not
+	// known here.
+	Limit(name string) (quota.Limit, bool)
+	// Hear takes in what another host knows of a limit.
+	Hear(name string, w quota.Word)
+}
+
 // Controller runs on every host. It is safe for concurrent use.
 type Controller struct {
 	deps    Deps
@@ -45,13 +65,13 @@
 	started time.Time
 	// handOver is usualHandOver, but in tests of what it guards against.
 	handOver time.Duration
-	// borrowing has one exchange at a time under way for each tenant.
+	// borrowing has one exchange at a time under way for each quota.
 	borrowing singleflight.Group
 	// checks has one question at a time under way to each host.
 	checks singleflight.Group
 
 	mu sync.Mutex
-	// callers is what this host knows as one that asks, parts what it owns, by tenant.
+	// callers is what this host knows as one that asks, parts what it owns, by name.
 	callers map[string]*caller
 	parts   map[string]*part
 	// heard is what other hosts last answered.
@@ -67,24 +87,24 @@
 	c := &Controller{
 		deps:     d,
 		self:     d.Link.Self(),
-		count:    newCounters(d.Metrics),
+		count:    newCounters(d.Metrics, d.Subject),
 		started:  time.Now(),
 		handOver: usualHandOver,
 		callers:  make(map[string]*caller),
 		parts:    make(map[string]*part),
 		heard:    make(map[ports.HostID]answer),
 	}
-	peer.Handle(d.Link, kindTake, c.onTake)
-	peer.Handle(d.Link, kindBorrow, c.onBorrow)
-	peer.Handle(d.Link, kindAlive, c.onAlive)
+	peer.Handle(d.Link, d.Kind+kindTake, c.onTake)
+	peer.Handle(d.Link, d.Kind+kindBorrow, c.onBorrow)
+	peer.Handle(d.Link, d.Kind+kindAlive, c.onAlive)
 	return c
 }
 
 const (
-	// sweepEvery is how often what is kept of tenants that are gone, or were not asked for,
+	// sweepEvery is how often what is kept of names that are gone, or were not asked for,
 	// is dropped.
 	sweepEvery = 10 * time.Second
-	// reportEvery is how often an owner tells of tenants that it denied requests.
+	// reportEvery is how often an owner tells of quotas beyond which it denied requests.
 	reportEvery = 5 * time.Second
 	// lookEvery is how often a host looks whether it was held up; frozenAfter is the time
 	// between two looks from which on others may have taken over its parts.
@@ -140,14 +160,13 @@
 func (c *Controller) reportAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for tenant, p := range c.parts {
-		c.report(tenant, p)
+	for name, p := range c.parts {
+		c.report(name, p)
 	}
 }
 
-// sweep drops what is kept of tenants that are gone, or were not asked for.
+// sweep drops what is kept of names that are gone, or were not asked for.
 func (c *Controller) sweep(now time.Time) {
-	table := c.deps.Board.Routes.Load()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, a := range c.callers {
@@ -156,7 +175,7 @@
 		}
 	}
 	for name := range c.parts {
-		if table == nil || table.Tenant(name) == nil {
+		if _, known := c.deps.Limits.Limit(name); !known {
 			delete(c.parts, name)
 		}
 	}
@@ -166,17 +185,3 @@
 		}
 	}
 }
-
-// limit returns the quota of a tenant by the configuration at hand; false means that it has
-// none, or is not there.
-func (c *Controller) limit(tenant string) (l quota.Limit, known bool) {
-	table := c.deps.Board.Routes.Load()
-	if table == nil {
-		return l, false
-	}
-	t := table.Tenant(tenant)
-	if t == nil {
-		return l, false
-	}
-	return quota.Limit{Rate: t.Rate, Burst: t.Burst}, true
-}
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -24,7 +24,7 @@
 	maxQuestions = 6
 )
 
-// caller is what this host knows of a tenant's quota as one that asks.
+// caller is what this host knows of a quota as one that asks.
 type caller struct {
 	usedAt time.Time
 	// fullUntil is when there is room again, by the owner's word.
@@ -33,12 +33,12 @@
 	returned []time.Time
 }
 
-// callerOf returns what is known of a tenant. The lock is held.
-func (c *Controller) callerOf(tenant string, now time.Time) *caller {
-	a := c.callers[tenant]
+// callerOf returns what is known of a quota. The lock is held.
+func (c *Controller) callerOf(name string, now time.Time) *caller {
+	a := c.callers[name]
 	if a == nil {
 		a = new(caller)
-		c.callers[tenant] = a
+		c.callers[name] = a
 	}
 	a.usedAt = now
 	return a
@@ -59,72 +59,104 @@
 
 // Refused returns what a request of a tenant is told if it is known already that there is no
 // room, else the zero Result.
-func (c *Controller) Refused(tenant string) outcome.Result {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a := c.callers[tenant]
-	if a == nil || !now.Before(a.fullUntil) || len(a.returned) > 0 {
+func (c *Controller) Refused(name string) outcome.Result {
+	wait := c.fullFor(name)
+	if wait == 0 {
 		return outcome.Result{}
 	}
-	return c.deny(tenant, a.fullUntil.Sub(now))
+	c.count.denied.Add(1)
+	return c.refusal(name, wait)
 }
 
 // Take counts a request against its tenant's quota. The zero Result means that it is within.
 func (c *Controller) Take(ctx context.Context, req quota.Request) outcome.Result {
-	tenant := req.Tenant
-	l, known := c.limit(tenant)
-	if !known || l.Rate == 0 {
+	switch a := c.Ask(ctx, req); {
+	case a.Granted:
 		return outcome.Result{}
+	case a.Known:
+		return c.refusal(req.Name, a.Wait)
+	default:
+		r := outcome.Refuse(outcome.ReasonQuotaUnknown)
+		r.Why = c.deps.Subject + "=" + req.Name
+		return r
 	}
-	if refusal := c.Refused(tenant); refusal.Outcome != 0 {
-		return refusal
+}
+
+// Answer is what is said of a request.
+type Answer struct {
+	// Granted is set if the request is within the quota.
+	Granted bool
+	// Known is false if no host could tell. Else Wait is how long it takes until there is room.
+	Known bool
+	Wait  time.Duration
+}
+
+// Ask counts a request against a quota.
+func (c *Controller) Ask(ctx context.Context, req quota.Request) Answer {
+	name := req.Name
+	l, known := c.deps.Limits.Limit(name)
+	if !known || l.Rate == 0 {
+		return Answer{Granted: true}
+	}
+	if wait := c.fullFor(name); wait > 0 {
+		c.count.denied.Add(1)
+		return Answer{Known: true, Wait: wait}
 	}
 	now := time.Now()
 	c.mu.Lock()
-	reused := c.callerOf(tenant, now).reuse(now)
+	reused := c.callerOf(name, now).reuse(now)
 	c.mu.Unlock()
 	if reused {
 		c.count.granted.Add(1)
-		return outcome.Result{}
+		return Answer{Granted: true}
 	}
 	switch reply := c.askOwners(ctx, req); reply.Verdict {
 	case granted:
 		c.count.granted.Add(1)
-		return outcome.Result{}
+		return Answer{Granted: true}
 	case denied:
+		c.count.denied.Add(1)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		a := c.callerOf(tenant, time.Now())
+		a := c.callerOf(name, time.Now())
 		a.fullUntil = time.Now().Add(reply.Wait)
-		return c.deny(tenant, reply.Wait)
+		return Answer{Known: true, Wait: reply.Wait}
 	default:
 		c.count.unknown.Add(1)
-		r := outcome.Refuse(outcome.ReasonQuotaUnknown)
-		r.Why = "tenant=" + tenant
-		return r
+		return Answer{}
 	}
 }
 
-// deny returns what a request beyond the quota is told.
-func (c *Controller) deny(tenant string, wait time.Duration) outcome.Result {
-	c.count.denied.Add(1)
+// fullFor returns for how long there is no room by the owner's word.
+func (c *Controller) fullFor(name string) time.Duration {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.callers[name]
+	if a == nil || !now.Before(a.fullUntil) || len(a.returned) > 0 {
+		return 0
+	}
+	return a.fullUntil.Sub(now)
+}
+
+// refusal returns what a request beyond the quota is told.
+func (c *Controller) refusal(name string, wait time.Duration) outcome.Result {
 	r := outcome.Refuse(outcome.ReasonOverQuota)
 	r.RetryAfter = wait
-	r.Why = "tenant=" + tenant
+	r.Why = c.deps.Subject + "=" + name
 	return r
 }
 
 // Return gives back what a request took that did not run.
-func (c *Controller) Return(tenant string) {
-	if l, known := c.limit(tenant); !known || l.Rate == 0 {
+func (c *Controller) Return(name string) {
+	if l, known := c.deps.Limits.Limit(name); !known || l.Rate == 0 {
 		return
 	}
 	c.count.returned.Add(1)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := c.callerOf(tenant, now)
+	a := c.callerOf(name, now)
 	a.returned = append(a.returned, now)
 }
 
@@ -141,7 +173,7 @@
 
 // askOnce asks one owner after the other; elsewhere means that none decided.
 func (c *Controller) askOnce(ctx context.Context, req takeRequest) takeReply {
-	next := c.owners(req.Tenant, c.deps.Zone)
+	next := c.owners(req.Name, c.zoneOf(req))
 	asked := make(map[ports.HostID]bool, maxQuestions)
 	for len(next) > 0 && len(asked) < maxQuestions && ctx.Err() == nil {
 		id := next[0]
@@ -168,7 +200,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	reply, err := peer.Call[takeReply](ctx, c.deps.Link, id, kindTake, req)
+	reply, err := peer.Call[takeReply](ctx, c.deps.Link, id, c.deps.Kind+kindTake, req)
 	c.note(id, err == nil)
 	return reply
 }
--- /dev/null
+++ b/controller/quota/tenants.go
@@ -0,0 +1,25 @@
+package quota
+
+import (
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/policy/quota"
+)
+
+// Tenants are the quotas that tenants have by the configuration on a board.
+type Tenants struct{ Board *blackboard.Board }
+
+// Limit implements Limits.
+func (t Tenants) Limit(name string) (l quota.Limit, known bool) {
+	table := t.Board.Routes.Load()
+	if table == nil {
+		return l, false
+	}
+	tenant := table.Tenant(name)
+	if tenant == nil {
+		return l, false
+	}
+	return quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}, true
+}
+
+// Hear implements Limits. The configuration alone says what a tenant's quota is.
+func (Tenants) Hear(string, quota.Word) {}
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/controller/quota"
+	"github.com/cactusproxy/cactusproxy/peer"
 	policy "github.com/cactusproxy/cactusproxy/policy/quota"
 )
 
@@ -21,6 +22,9 @@
 	d.quota = quota.New(quota.Deps{
 		Board:     d.board,
 		Link:      d.node,
+		Kind:      peer.KindQuota,
+		Limits:    quota.Tenants{Board: d.board},
+		Subject:   quota.SubjectTenant,
 		Zone:      d.settings.Host.Zone,
 		Others:    d.otherZones(),
 		Tolerance: d.quotaTolerance(),
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -1,5 +1,5 @@
-// Package quota keeps the requests of a tenant within its quota over all hosts, without a
-// word to a store and without consensus. The quota is divided among the availability zones:
+// Package quota keeps the requests of a tenant, or those that a target takes, within a quota
+// over all hosts, without a word to a store and without consensus. The quota is divided among the availability zones:
 // each has a Part of its own, which one host of the zone owns. Parts never add up to more than
 // the quota, however zones and hosts are cut off from each other, and a zone whose tenants ask
 // for more than its part borrows what others have left.
@@ -7,7 +7,7 @@
 
 import "time"
 
-// Limit is the quota of a tenant, over all hosts together.
+// Limit is the quota of a tenant or a target, over all hosts together.
 type Limit struct {
 	// Rate is in requests a second; Burst is how many more may come at once.
 	Rate, Burst float64
@@ -46,9 +46,23 @@
 	return l.Rate*span.Seconds() + l.Burst + t.spare(l)
 }
 
+// Word is a limit as a host last heard of it.
+type Word struct {
+	Rate float64 `msgpack:"rate"`
+	// Age is how long ago that was.
+	Age time.Duration `msgpack:"age"`
+}
+
 // Request is what is told of a request to the owner of a part.
 type Request struct {
-	Tenant string `msgpack:"tenant"`
+	// Name is the tenant's or the target's.
+	Name string `msgpack:"tenant"`
+	// Zone is the availability zone whose hosts own the part; empty for that of the host that
+	// asks.
+	Zone string `msgpack:"zone,omitempty"`
+	// Word is what that host knows of the limit; the zero value if owners have it from the
+	// configuration.
+	Word Word `msgpack:"word,omitempty"`
 	// Route names its route, whose requests all have the same Objective; see dispatch.Call.
 	Route     string        `msgpack:"route"`
 	Objective time.Duration `msgpack:"objective"`
