Hosts keep the limits that targets name, all together

Callers saw nothing; a target that named a limit of 1 request a second for all hosts together went on getting its share of the load, 4 to 16 requests in 4 s, 11 allowed.

Cause: no host read the limit. Class: a target's word about itself that is read nowhere, so that what it asks of all hosts has nobody who could keep it. Ruled out: hosts that each keep it (no code did), and what was under way (the excess lasted as long as the limit).

One host of the target's zone counts for it and the others ask it before each attempt: the controller that keeps tenants within quotas, with its hand-over and its bounds on cuts, with another source of limits. Words travel with questions and replies, and to the host that counts when they change or are old. First attempts, retries, second sends and calls that waited all pass here. Who can not be served is refused at once and told when the first target takes more.

Before, edge.TestTargetsGetNoMoreThanTheLimitThatTheyName: 38, 30, 37 in 4 s of 17 allowed; with it 8, 9, 9, 41 of 42 that the targets take in that time served.

--- /dev/null
+++ b/backpressure/backpressure.go
@@ -0,0 +1,238 @@
+// Package backpressure keeps to what targets ask of the hosts that send them requests. What a
+// target says is read in one place (targetapi.Contract); here is what follows from it, between
+// the choice of a target and the attempt.
+package backpressure
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/quota"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	policy "github.com/cactusproxy/cactusproxy/policy/quota"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+const (
+	// askTimeout bounds the question whether a target takes one more request.
+	askTimeout = 300 * time.Millisecond
+	// unknownRest is how long a target gets nothing of which no host could tell.
+	unknownRest = 250 * time.Millisecond
+	// maxAsks bounds the targets that are asked for in one choice.
+	maxAsks = 8
+)
+
+// Asker tells whether a target takes one more request; *quota.Controller does.
+type Asker interface {
+	Ask(ctx context.Context, req policy.Request) quota.Answer
+	Tell(name, zone string)
+	Return(name string)
+}
+
+// Deps is what a Picker works with.
+type Deps struct {
+	Picker pick.Picker
+	Limits *Limits
+	Asker  Asker
+	// Members are the hosts as this one sees them.
+	Members func() *blackboard.Members
+	Metrics *metrics.Set
+}
+
+// Picker is a pick.Picker whose choices keep to the limits that targets name.
+//
+// The limit holds for all hosts together, so that one of them counts for each target and the
+// others ask it (controller/quota): even parts would be a request every few seconds for each of
+// many hosts, used up where callers come and idle elsewhere.
+type Picker struct {
+	deps  Deps
+	count pickCounters
+
+	mu sync.Mutex
+	// full are the targets of each service that take nothing until a moment.
+	full map[blackboard.ServiceKey]map[ports.HostID]time.Time
+}
+
+type pickCounters struct {
+	// limited counts grants of targets with a limit, full the choices that passed over
+	// targets which had used theirs up, refused the calls for which there was no other.
+	limited, full, refused *expvar.Int
+}
+
+var _ pick.Picker = (*Picker)(nil)
+
+// NewPicker returns a picker that knows of no target that is full.
+func NewPicker(d Deps) *Picker {
+	c := d.Metrics.Counters("target_limit")
+	return &Picker{
+		deps:  d,
+		count: pickCounters{limited: c("granted"), full: c("passed_over"), refused: c("refused")},
+		full:  make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
+	}
+}
+
+// Pick implements pick.Picker.
+func (p *Picker) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
+	if !p.deps.Limits.any(req.Service) {
+		return p.deps.Picker.Pick(ctx, req)
+	}
+	tried := req.Avoid
+	for range maxAsks {
+		full := p.fullOf(req.Service)
+		req.Avoid = append(slices.Clone(tried), full...)
+		g, refusal := p.deps.Picker.Pick(ctx, req)
+		switch {
+		case g == nil:
+			return nil, p.explain(req.Service, refusal, len(full) > 0)
+		case slices.Contains(full, g.Target().ID):
+			// A picker may take one to avoid if there is no other.
+			giveUp(g)
+			return nil, p.refuse(req.Service)
+		}
+		if h := p.permit(ctx, req.Service, g); h != nil {
+			return h, outcome.Result{}
+		}
+		giveUp(g)
+	}
+	return nil, p.refuse(req.Service)
+}
+
+// giveUp releases a grant that was not used.
+func giveUp(g pick.Grant) { g.Release(pick.Report{Class: pick.Canceled, Load: -1}) }
+
+// permit returns the grant if its target takes one more request now, else nil.
+//
+// It asks for targets, too, of which this host has heard nothing: others of the service are in
+// need, and the first request of each of many hosts would be more than such a target takes.
+func (p *Picker) permit(ctx context.Context, service blackboard.ServiceKey, g pick.Grant) pick.Grant {
+	t := g.Target()
+	word := p.deps.Limits.Word(string(t.Run()))
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a := p.deps.Asker.Ask(ctx, policy.Request{
+		Name: string(t.Run()),
+		Zone: zoneOf(t.Zone, p.deps.Members()),
+		Left: -1,
+		Word: word,
+	})
+	switch {
+	case a.Granted:
+		p.count.limited.Add(1)
+		return &held{Grant: g, picker: p, perSecond: word.Rate}
+	case a.Known:
+		p.close(service, t.ID, a.Wait)
+	default:
+		p.close(service, t.ID, unknownRest)
+	}
+	p.count.full.Add(1)
+	return nil
+}
+
+// Heard takes in what a target says of itself; it is a pick.Listener.
+func (p *Picker) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
+	if p.deps.Limits.Heard(service, t, s) {
+		p.deps.Asker.Tell(string(t.Run()), zoneOf(t.Zone, p.deps.Members()))
+	}
+}
+
+// zoneOf returns the availability zone whose hosts count the requests of a target: its own, or
+// the first by name that has a live host.
+func zoneOf(zone string, m *blackboard.Members) string {
+	first := ""
+	for i := range m.Members {
+		h := &m.Members[i]
+		if h.State != blackboard.MemberLive {
+			continue
+		}
+		if h.Host.Zone == zone {
+			return zone
+		}
+		if first == "" || h.Host.Zone < first {
+			first = h.Host.Zone
+		}
+	}
+	return first
+}
+
+// close keeps calls off a target for a while.
+func (p *Picker) close(service blackboard.ServiceKey, id ports.HostID, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.full[service] == nil {
+		p.full[service] = make(map[ports.HostID]time.Time)
+	}
+	p.full[service][id] = time.Now().Add(wait)
+}
+
+// fullOf returns the targets of a service that take nothing now.
+func (p *Picker) fullOf(service blackboard.ServiceKey) (ids []ports.HostID) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, until := range p.full[service] {
+		if !now.Before(until) {
+			delete(p.full[service], id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// explain returns what a call is told that found no target.
+func (p *Picker) explain(service blackboard.ServiceKey, refusal outcome.Result, full bool) outcome.Result {
+	if !full || refusal.Reason != outcome.ReasonNoTarget {
+		return refusal
+	}
+	r := p.refuse(service)
+	r.Why = refusal.Why
+	return r
+}
+
+// refuse returns what a call is told if all targets that it could go to have used up their
+// limits.
+func (p *Picker) refuse(service blackboard.ServiceKey) outcome.Result {
+	p.count.refused.Add(1)
+	r := outcome.Refuse(outcome.ReasonTargetLimit)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	soonest := time.Duration(0)
+	for _, until := range p.full[service] {
+		if left := time.Until(until); soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	r.RetryAfter = max(r.RetryAfter, soonest)
+	return r
+}
+
+// held is a grant that counts in its target's limit.
+type held struct {
+	pick.Grant
+	picker    *Picker
+	perSecond float64
+}
+
+// Release implements pick.Grant. What never left this host does not count.
+func (h *held) Release(r pick.Report) {
+	if r.Class == pick.NotSent {
+		h.picker.deps.Asker.Return(string(h.Target().Run()))
+	}
+	h.Grant.Release(r)
+}
+
+// Basis implements pick.Explained.
+func (h *held) Basis() (b pick.Basis) {
+	if g, ok := h.Grant.(pick.Explained); ok {
+		b = g.Basis()
+	}
+	b.Limit = h.perSecond
+	return b
+}
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -35,7 +35,7 @@
 func TestOlderWordSaysNothing(t *testing.T) {
 	l := NewLimits(metrics.New(), zap.NewNop())
 	now := time.Now()
-	l.note("t", word{targetapi.Limit{Named: true, PerSecond: 1}, now})
-	l.note("t", word{targetapi.Limit{}, now.Add(-time.Second)})
+	l.note("t", word{limit: targetapi.Limit{Named: true, PerSecond: 1}, at: now})
+	l.note("t", word{at: now.Add(-time.Second)})
 	assert.Equal(t, l.limited(), 1)
 }
--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -168,6 +168,9 @@
 		if a.Basis.Cold != "" {
 			b.WriteString(" cold=" + a.Basis.Cold)
 		}
+		if a.Basis.Limit > 0 {
+			b.WriteString(" limit=" + strconv.FormatFloat(a.Basis.Limit, 'f', 2, 64))
+		}
 		b.WriteString(" probed=" + strconv.Itoa(a.Basis.Probed))
 		b.WriteString(" waited=" + a.Basis.Waited.Round(time.Microsecond).String())
 	}
--- a/controller/quota/messages.go
+++ b/controller/quota/messages.go
@@ -16,6 +16,8 @@
 	kindBorrow
 	// kindAlive asks a host whether it can own parts.
 	kindAlive
+	// kindTell tells an owner of a limit.
+	kindTell
 )
 
 // verdict is what an owner says of a request.
@@ -39,8 +41,19 @@
 	Wait time.Duration `msgpack:"wait"`
 	// Owner, of elsewhere, is who owns the part; empty if not known.
 	Owner ports.HostID `msgpack:"owner"`
+	// Word is what the owner knows of the limit, where the configuration doesn't say.
+	Word quota.Word `msgpack:"word,omitempty"`
 }
 
+// tellNotice is the body of kindTell.
+type tellNotice struct {
+	Name string     `msgpack:"name"`
+	Word quota.Word `msgpack:"word"`
+}
+
+// none is the reply to a notification.
+type none struct{}
+
 type borrowRequest struct {
 	Name string  `msgpack:"tenant"`
 	Want float64 `msgpack:"want"`
--- a/controller/quota/own.go
+++ b/controller/quota/own.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
@@ -19,9 +20,16 @@
 	if owner != c.self {
 		return takeReply{Verdict: elsewhere, Owner: owner}
 	}
-	if req.Word != (quota.Word{}) {
+	if req.Word.Known {
 		c.deps.Limits.Hear(req.Name, req.Word)
 	}
+	reply := c.decideOwn(ctx, req, place)
+	reply.Word = c.deps.Limits.Word(req.Name)
+	return reply
+}
+
+// decideOwn decides on a request whose part this host owns.
+func (c *Controller) decideOwn(ctx context.Context, req takeRequest, place int) takeReply {
 	l, known := c.deps.Limits.Limit(req.Name)
 	switch {
 	case !known:
@@ -74,3 +82,25 @@
 	now := time.Now()
 	return c.partOf(now, name, l, place).decide(now, false)
 }
+
+// Tell tells the owner of a zone's part what this host knows of its limit. A word that is lost
+// comes with the next question.
+func (c *Controller) Tell(name, zone string) {
+	w := c.deps.Limits.Word(name)
+	for _, id := range c.owners(name, zone) {
+		if id == c.self {
+			return
+		}
+		if !c.avoided(id) {
+			peer.Notify(c.deps.Link, id, c.deps.Kind+kindTell, tellNotice{Name: name, Word: w})
+			return
+		}
+	}
+}
+
+func (c *Controller) onTell(_ context.Context, _ ports.HostID, n tellNotice) (none, error) {
+	if n.Word.Known {
+		c.deps.Limits.Hear(n.Name, n.Word)
+	}
+	return none{}, nil
+}
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -53,7 +53,9 @@
 	// Limit returns a quota; a rate of 0 means that there is none, false that the name is not
 	// known here.
 	Limit(name string) (quota.Limit, bool)
-	// Hear takes in what another host knows of a limit.
+	// Word returns what this host knows of a limit where the configuration doesn't say, Hear
+	// takes in what another one knows.
+	Word(name string) quota.Word
 	Hear(name string, w quota.Word)
 }
 
@@ -97,6 +99,7 @@
 	peer.Handle(d.Link, d.Kind+kindTake, c.onTake)
 	peer.Handle(d.Link, d.Kind+kindBorrow, c.onBorrow)
 	peer.Handle(d.Link, d.Kind+kindAlive, c.onAlive)
+	peer.Handle(d.Link, d.Kind+kindTell, c.onTell)
 	return c
 }
 
@@ -175,7 +178,7 @@
 		}
 	}
 	for name := range c.parts {
-		if _, known := c.deps.Limits.Limit(name); !known {
+		if l, known := c.deps.Limits.Limit(name); !known || l.Rate == 0 {
 			delete(c.parts, name)
 		}
 	}
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -70,6 +70,9 @@
 
 // Take counts a request against its tenant's quota. The zero Result means that it is within.
 func (c *Controller) Take(ctx context.Context, req quota.Request) outcome.Result {
+	if l, known := c.deps.Limits.Limit(req.Name); !known || l.Rate == 0 {
+		return outcome.Result{}
+	}
 	switch a := c.Ask(ctx, req); {
 	case a.Granted:
 		return outcome.Result{}
@@ -91,13 +94,9 @@
 	Wait  time.Duration
 }
 
-// Ask counts a request against a quota.
+// Ask counts a request against a quota, of which this host may know nothing.
 func (c *Controller) Ask(ctx context.Context, req quota.Request) Answer {
 	name := req.Name
-	l, known := c.deps.Limits.Limit(name)
-	if !known || l.Rate == 0 {
-		return Answer{Granted: true}
-	}
 	if wait := c.fullFor(name); wait > 0 {
 		c.count.denied.Add(1)
 		return Answer{Known: true, Wait: wait}
@@ -110,7 +109,11 @@
 		c.count.granted.Add(1)
 		return Answer{Granted: true}
 	}
-	switch reply := c.askOwners(ctx, req); reply.Verdict {
+	reply := c.askOwners(ctx, req)
+	if reply.Word.Known {
+		c.deps.Limits.Hear(name, reply.Word)
+	}
+	switch reply.Verdict {
 	case granted:
 		c.count.granted.Add(1)
 		return Answer{Granted: true}
--- a/controller/quota/tenants.go
+++ b/controller/quota/tenants.go
@@ -21,5 +21,8 @@
 	return quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}, true
 }
 
-// Hear implements Limits. The configuration alone says what a tenant's quota is.
+// Word implements Limits. The configuration alone says what a tenant's quota is.
+func (Tenants) Word(string) quota.Word { return quota.Word{} }
+
+// Hear implements Limits.
 func (Tenants) Hear(string, quota.Word) {}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,6 +59,8 @@
 	watch      *watch.Controller
 	quota      *quota.Controller
 	limits     *backpressure.Limits
+	limitQuota *quota.Controller
+	picker     *backpressure.Picker
 	leave      *leave.Controller
 
 	callers   daemon.Callers
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/calllog"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
@@ -116,7 +115,7 @@
 		Seed:      d.incarnation,
 	})
 	d.provisionQuota()
-	d.limits = backpressure.NewLimits(d.metrics, d.log)
+	d.provisionLimits()
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Link:    d.node,
 		Members: d.hosts,
@@ -134,8 +133,9 @@
 		Metrics:   d.metrics,
 		Log:       d.log,
 		OnLeaving: d.markLeaving,
-		Heard:     d.limits.Heard,
+		Heard:     d.heard,
 	})
+	d.provisionPicker()
 	d.provisionCallers()
 	d.provisionServers()
 	d.provisionLeave()
@@ -174,12 +174,12 @@
 func (d *Daemon) provisionCallers() {
 	dispatcher := dispatch.New(dispatch.Deps{
 		Board:       d.board,
-		Picker:      d.placer,
+		Picker:      d.picker,
 		Upstream:    d.pools,
 		Quarantine:  d.quarantine,
 		Metrics:     d.metrics,
 		Contract:    d.platform.Contract,
-		Heard:       d.limits.Heard,
+		Heard:       d.heard,
 		Retries:     newRetries(d.settings.Retries, d.board),
 		HoldAnswers: d.answerMemory(),
 	})
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -56,6 +56,9 @@
 	ReasonForeignAnswer Reason = "foreign-answer"
 	// ReasonReplaced is a refusal by another target that has the address.
 	ReasonReplaced Reason = "target-replaced"
+	// ReasonTargetLimit is a call whose service has targets alone that have used up the limits
+	// that they name.
+	ReasonTargetLimit Reason = "target-limit"
 	// ReasonOverload is a call that could not have been answered in time.
 	ReasonOverload Reason = "overload"
 )
@@ -125,6 +128,7 @@
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
 	ReasonForeignAnswer: {status: http.StatusBadGateway},
 	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
+	ReasonTargetLimit:   {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonOverload:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 
 	ReasonKeyRequired:      {status: http.StatusBadRequest},
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -40,6 +40,7 @@
 	KindWatch
 	KindPlace
 	KindQuota
+	KindTargetLimit
 )
 
 // Handler answers a message. The body belongs to the handler; an error is
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -68,6 +68,9 @@
 	// Cold is set if the target was taken for cold, or may have been, and says what that
 	// rested on.
 	Cold string
+	// Limit is how many requests a second the target takes by its own word; 0 if it names no
+	// limit.
+	Limit float64
 	// Probed is how many targets were probed for the choice, Waited how long the
 	// choice took.
 	Probed int
--- a/policy/quota/quota.go
+++ b/policy/quota/quota.go
@@ -46,10 +46,12 @@
 	return l.Rate*span.Seconds() + l.Burst + t.spare(l)
 }
 
-// Word is a limit as a host last heard of it.
+// Word is a limit as a host last heard of it. The zero value says nothing.
 type Word struct {
+	Known bool `msgpack:"known"`
+	// Rate is 0 if there is no limit.
 	Rate float64 `msgpack:"rate"`
-	// Age is how long ago that was.
+	// Age is how long ago that was heard.
 	Age time.Duration `msgpack:"age"`
 }
 
@@ -60,8 +62,7 @@
 	// Zone is the availability zone whose hosts own the part; empty for that of the host that
 	// asks.
 	Zone string `msgpack:"zone,omitempty"`
-	// Word is what that host knows of the limit; the zero value if owners have it from the
-	// configuration.
+	// Word is what that host knows of the limit, where the configuration doesn't say.
 	Word Word `msgpack:"word,omitempty"`
 	// Route names its route, whose requests all have the same Objective; see dispatch.Call.
 	Route     string        `msgpack:"route"`
--- a/provision.go
+++ b/provision.go
@@ -211,7 +211,7 @@
 		Budget:  d.budget,
 		Prober:  prober,
 		Leaving: d.markLeaving,
-		Heard:   d.limits.Heard,
+		Heard:   d.heard,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
@@ -256,6 +256,11 @@
 	return ids
 }
 
+// heard takes in what a target says of itself.
+func (d *Daemon) heard(key blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
+	d.limits.Heard(key, t, s)
+}
+
 // markLeaving notes that a target's own answer said that it is to stop; the
 // targets controller tells the other hosts.
 func (d *Daemon) markLeaving(key blackboard.ServiceKey, id ports.HostID) {
@@ -276,7 +281,7 @@
 		Ledger:     d.ledger,
 		Quarantine: d.quarantine,
 		Metrics:    d.metrics,
-		Heard:      d.limits.Heard,
+		Heard:      d.heard,
 	})
 	memory := d.settings.Callers.BodyMemoryBytes
 	if memory == 0 {
--- a/targetapi/targetapi.go
+++ b/targetapi/targetapi.go
@@ -27,8 +27,9 @@
 	// status 503 and HeaderShed. Calls it has begun are to be finished.
 	HeaderLeaving = "Target-Leaving"
 	// HeaderLimit is set on each answer, of whatever status, while the target takes only so
-	// many requests a second from all entry hosts together: a decimal number. The first
-	// answer without it ends the limit.
+	// many requests a second from all entry hosts together: a decimal number. In any 4
+	// seconds it gets at most half as many again, and 5. The first answer without it ends
+	// the limit.
 	HeaderLimit = "Target-Limit"
 )
 
