The daemon with coordinators keeps targets' limits, too

The same cause elsewhere: its coordinator grants slots by what is free, and nobody read a limit. backpressure.New stands between the choice and the attempt in both daemons now; a host there counts for targets once it has read the platform's list of hosts and reaches most of the others.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -10,10 +10,13 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/controller/quota"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
 	policy "github.com/cactusproxy/cactusproxy/policy/quota"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -29,30 +32,36 @@
 	maxAsks = 8
 )
 
-// Asker tells whether a target takes one more request; *quota.Controller does.
-type Asker interface {
-	Ask(ctx context.Context, req policy.Request) quota.Answer
-	Tell(name, zone string)
-	Return(name string)
-}
+// Tolerance is by how much all hosts together may exceed a limit: targetapi.HeaderLimit.
+var Tolerance = policy.Tolerance{Window: 4 * time.Second, Share: 0.5, Requests: 5}
 
 // Deps is what a Picker works with.
 type Deps struct {
+	// Picker chooses targets.
 	Picker pick.Picker
-	Limits *Limits
-	Asker  Asker
-	// Members are the hosts as this one sees them.
-	Members func() *blackboard.Members
+	Board  *blackboard.Board
+	Link   peer.Link
+	// Zone is this host's availability zone.
+	Zone string
+	// Watched reports whether this host has word of the platform's store, by a host that
+	// watches it.
+	Watched func() bool
 	Metrics *metrics.Set
+	Log     *zap.Logger
 }
 
-// Picker is a pick.Picker whose choices keep to the limits that targets name.
+// Picker is a pick.Picker whose choices keep to the limits that targets name. It is safe for
+// concurrent use.
 //
 // The limit holds for all hosts together, so that one of them counts for each target and the
-// others ask it (controller/quota): even parts would be a request every few seconds for each of
-// many hosts, used up where callers come and idle elsewhere.
+// others ask it: even parts would be a request every few seconds for each of many hosts, used up
+// where callers come and idle elsewhere.
 type Picker struct {
-	deps  Deps
+	deps   Deps
+	limits *Limits
+	// asker counts over all hosts. One host of a target's zone counts for it, so that no zone
+	// needs a part of its own.
+	asker *quota.Controller
 	count pickCounters
 
 	mu sync.Mutex
@@ -68,19 +77,36 @@
 
 var _ pick.Picker = (*Picker)(nil)
 
-// NewPicker returns a picker that knows of no target that is full.
-func NewPicker(d Deps) *Picker {
+// New returns a picker that knows of no limit, and registers its messages with the link.
+func New(d Deps) *Picker {
 	c := d.Metrics.Counters("target_limit")
+	limits := NewLimits(d.Metrics, d.Log)
 	return &Picker{
-		deps:  d,
+		deps:   d,
+		limits: limits,
+		asker: quota.New(quota.Deps{
+			Board:     d.Board,
+			Link:      d.Link,
+			Kind:      peer.KindTargetLimit,
+			Limits:    limits,
+			Subject:   quota.SubjectTarget,
+			Zone:      d.Zone,
+			Tolerance: Tolerance,
+			Watched:   d.Watched,
+			Metrics:   d.Metrics,
+			Log:       d.Log,
+		}),
 		count: pickCounters{limited: c("granted"), full: c("passed_over"), refused: c("refused")},
 		full:  make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
 	}
 }
 
+// Run counts for targets until ctx ends.
+func (p *Picker) Run(ctx context.Context) error { return p.asker.Run(ctx) }
+
 // Pick implements pick.Picker.
 func (p *Picker) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
-	if !p.deps.Limits.any(req.Service) {
+	if !p.limits.any(req.Service) {
 		return p.deps.Picker.Pick(ctx, req)
 	}
 	tried := req.Avoid
@@ -113,12 +139,12 @@
 // need, and the first request of each of many hosts would be more than such a target takes.
 func (p *Picker) permit(ctx context.Context, service blackboard.ServiceKey, g pick.Grant) pick.Grant {
 	t := g.Target()
-	word := p.deps.Limits.Word(string(t.Run()))
+	word := p.limits.Word(string(t.Run()))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	a := p.deps.Asker.Ask(ctx, policy.Request{
+	a := p.asker.Ask(ctx, policy.Request{
 		Name: string(t.Run()),
-		Zone: zoneOf(t.Zone, p.deps.Members()),
+		Zone: zoneOf(t.Zone, p.deps.Board.Members.Load()),
 		Left: -1,
 		Word: word,
 	})
@@ -137,8 +163,8 @@
 
 // Heard takes in what a target says of itself; it is a pick.Listener.
 func (p *Picker) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
-	if p.deps.Limits.Heard(service, t, s) {
-		p.deps.Asker.Tell(string(t.Run()), zoneOf(t.Zone, p.deps.Members()))
+	if p.limits.Heard(service, t, s) {
+		p.asker.Tell(string(t.Run()), zoneOf(t.Zone, p.deps.Board.Members.Load()))
 	}
 }
 
@@ -223,7 +249,7 @@
 // Release implements pick.Grant. What never left this host does not count.
 func (h *held) Release(r pick.Report) {
 	if r.Class == pick.NotSent {
-		h.picker.deps.Asker.Return(string(h.Target().Run()))
+		h.picker.asker.Return(string(h.Target().Run()))
 	}
 	h.Grant.Release(r)
 }
--- a/backpressure/hosts_test.go
+++ b/backpressure/hosts_test.go
@@ -14,13 +14,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
-	"github.com/cactusproxy/cactusproxy/controller/quota"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
-	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
-	policy "github.com/cactusproxy/cactusproxy/policy/quota"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
@@ -48,9 +45,7 @@
 
 type host struct {
 	id     ports.HostID
-	limits *Limits
 	picker *Picker
-	rng    *rand.Rand
 	down   bool
 	stop   func()
 }
@@ -88,20 +83,16 @@
 	own := *members
 	own.Self = self.ID
 	board.Members.Store(&own)
-	h := &host{id: self.ID, limits: NewLimits(metrics.New(), zap.NewNop()), rng: rand.New(rand.NewPCG(uint64(i), 1))}
-	asker := quota.New(quota.Deps{
-		Board: board, Link: fl.net.Join(self.ID), Kind: peer.KindTargetLimit, Limits: h.limits, Subject: quota.SubjectTarget,
-		Zone: self.Zone, Tolerance: policy.Tolerance{Window: window, Share: 0.5, Requests: 5},
+	h := &host{id: self.ID}
+	h.picker = New(Deps{
+		Picker: &anyTarget{fl: fl, rng: rand.New(rand.NewPCG(uint64(i), 1))}, Board: board, Link: fl.net.Join(self.ID), Zone: self.Zone,
 		Watched: func() bool { return true }, Metrics: metrics.New(), Log: zap.NewNop(),
 	})
-	h.picker = NewPicker(Deps{
-		Picker: &anyTarget{fl: fl, rng: h.rng}, Limits: h.limits, Asker: asker, Members: board.Members.Load, Metrics: metrics.New(),
-	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = asker.Run(ctx)
+		_ = h.picker.Run(ctx)
 	}()
 	h.stop = func() {
 		cancel()
--- a/blackboard/views.go
+++ b/blackboard/views.go
@@ -37,8 +37,8 @@
 type Members struct {
 	Self    ports.HostID
 	Members []Member
-	// Complete is set once this host's list was that of another that hears all hosts: before,
-	// it may lack most of them.
+	// Complete is set once this host's list was the platform's, or that of another host that
+	// hears all: before, it may lack most of them.
 	Complete bool
 }
 
--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -97,7 +97,7 @@
 	node       *peer.Node // nil if the link was given
 	pools      *upstream.Pools
 	slots      *slots.Slots
-	limits     *backpressure.Limits
+	picker     *backpressure.Picker
 	ledger     *ledger.Ledger
 	quarantine *quarantine.Quarantine
 	entry      *entry.Server
--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -168,7 +168,7 @@
 func (c *Controller) publishLocked() {
 	next := c.view.members()
 	c.opts.Board.Members.Update(func(old *blackboard.Members) (*blackboard.Members, bool) {
-		same := old.Self == next.Self && slices.Equal(old.Members, next.Members)
+		same := old.Self == next.Self && old.Complete == next.Complete && slices.Equal(old.Members, next.Members)
 		return next, !same
 	})
 	c.setPeersLocked(next)
--- a/controller/membership/view.go
+++ b/controller/membership/view.go
@@ -53,7 +53,9 @@
 type view struct {
 	self    ports.HostID
 	entries map[ports.HostID]*entry
-	rules   rules
+	// listRead is set once the platform's list was read.
+	listRead bool
+	rules    rules
 }
 
 // rules are the same for all hosts. Tests make the ring small, and break a rule
@@ -180,6 +182,7 @@
 
 // applyList takes in the entry hosts of a list.
 func (v *view) applyList(hosts []ports.Host, now time.Time) {
+	v.listRead = true
 	for _, e := range v.entries {
 		e.listed = false
 	}
@@ -241,7 +244,7 @@
 
 // members is the view for the blackboard.
 func (v *view) members() *blackboard.Members {
-	out := &blackboard.Members{Self: v.self, Members: make([]blackboard.Member, 0, len(v.entries))}
+	out := &blackboard.Members{Self: v.self, Members: make([]blackboard.Member, 0, len(v.entries)), Complete: v.listRead}
 	for _, e := range v.entries {
 		m := blackboard.Member{
 			Host:           e.rec.host(),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -58,8 +58,6 @@
 	entry      *entry.Server
 	watch      *watch.Controller
 	quota      *quota.Controller
-	limits     *backpressure.Limits
-	limitQuota *quota.Controller
 	picker     *backpressure.Picker
 	leave      *leave.Controller
 
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -115,7 +115,6 @@
 		Seed:      d.incarnation,
 	})
 	d.provisionQuota()
-	d.provisionLimits()
 	d.quarantine = quarantine.New(quarantine.Deps{
 		Link:    d.node,
 		Members: d.hosts,
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -37,35 +37,16 @@
 	})
 }
 
-// targetTolerance is by how much targets' limits may be exceeded: targetapi.HeaderLimit.
-var targetTolerance = policy.Tolerance{Window: 4 * time.Second, Share: 0.5, Requests: 5}
-
-// provisionLimits makes the part that keeps all hosts together within the limits that targets
-// name. One host counts for each target, so that no zone needs a part of its own.
-func (d *Daemon) provisionLimits() {
-	d.limits = backpressure.NewLimits(d.metrics, d.log)
-	d.limitQuota = quota.New(quota.Deps{
-		Board:     d.board,
-		Link:      d.node,
-		Kind:      peer.KindTargetLimit,
-		Limits:    d.limits,
-		Subject:   quota.SubjectTarget,
-		Zone:      d.settings.Host.Zone,
-		Tolerance: targetTolerance,
-		Watched:   d.watch.Watched,
-		Metrics:   d.metrics,
-		Log:       d.log,
-	})
-}
-
 // provisionPicker makes the part that chooses targets and keeps to what they ask.
 func (d *Daemon) provisionPicker() {
-	d.picker = backpressure.NewPicker(backpressure.Deps{
+	d.picker = backpressure.New(backpressure.Deps{
 		Picker:  d.placer,
-		Limits:  d.limits,
-		Asker:   d.limitQuota,
-		Members: d.board.Members.Load,
+		Board:   d.board,
+		Link:    d.node,
+		Zone:    d.settings.Host.Zone,
+		Watched: d.watch.Watched,
 		Metrics: d.metrics,
+		Log:     d.log,
 	})
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -37,7 +37,7 @@
 		d.node.Serve,
 		d.watch.Run,
 		d.quota.Run,
-		d.limitQuota.Run,
+		d.picker.Run,
 		d.quarantine.Run,
 		d.watchLimits,
 		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
--- a/internal/standin/target/gate.go
+++ b/internal/standin/target/gate.go
@@ -96,6 +96,9 @@
 	}
 	said, _ := t.reported()
 	h.Set(targetapi.HeaderLoad, strconv.Itoa(max(0, said.Load-own)))
+	if limit := t.Behaviour().Limit; limit > 0 {
+		h.Set(targetapi.HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if t.Status().Leaving {
 		h.Set(targetapi.HeaderLeaving, targetapi.Yes)
 	}
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -48,6 +48,8 @@
 // nanoseconds in JSON. The zero value runs each call at once and tells the
 // truth.
 type Behaviour struct {
+	// Limit is the requests a second that it names as its limit; it names none if 0.
+	Limit float64 `json:"limit,omitempty"`
 	// ServiceMean is the mean service time; 0 runs calls at once.
 	ServiceMean time.Duration `json:"serviceMean"`
 	// ServiceSigma is the sigma of the lognormal service time; 0 is constant.
--- a/provision.go
+++ b/provision.go
@@ -179,7 +179,6 @@
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
-	d.limits = backpressure.NewLimits(d.metrics, d.log)
 	d.slots = slots.New(slots.Deps{
 		Board:       d.board,
 		Link:        d.link,
@@ -190,6 +189,16 @@
 		OnLeaving:   d.markLeaving,
 	})
 	d.cleanup = append(d.cleanup, d.slots.Close)
+	d.picker = backpressure.New(backpressure.Deps{
+		Picker: d.slots,
+		Board:  d.board,
+		Link:   d.link,
+		Zone:   d.settings.Host.Zone,
+		// Whoever reaches most other hosts may count for a target.
+		Watched: func() bool { return false },
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
 }
 
 func (d *Daemon) provisionProbes(o options) {
@@ -258,7 +267,7 @@
 
 // heard takes in what a target says of itself.
 func (d *Daemon) heard(key blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
-	d.limits.Heard(key, t, s)
+	d.picker.Heard(key, t, s)
 }
 
 // markLeaving notes that a target's own answer said that it is to stop; the
@@ -276,7 +285,7 @@
 	}
 	dispatcher := dispatch.New(dispatch.Deps{
 		Board:      d.board,
-		Picker:     d.slots,
+		Picker:     d.picker,
 		Upstream:   up,
 		Ledger:     d.ledger,
 		Quarantine: d.quarantine,
--- a/run.go
+++ b/run.go
@@ -49,6 +49,7 @@
 		d.leave.Run,
 		d.budget.Run,
 		d.probes.Run,
+		d.picker.Run,
 		d.shareWrites,
 		d.ledger.Run,
 		d.quarantine.Run,
