A probe that another target answers says nothing of its own

A health answer names the target that gives it, and that was not read: where the next target had the address, its load, and with the sight of limits its limit, were taken for those of the last one, and calls went there to be refused. It is left alone like one whose call was answered 421.

--- a/placer/probe.go
+++ b/placer/probe.go
@@ -95,7 +95,7 @@
 	defer cancel()
 	sent := time.Now()
 	a := p.exchange(ctx, info, path, conns)
-	if a.reached && p.deps.Heard != nil {
+	if a.reached && !a.other && p.deps.Heard != nil {
 		p.deps.Heard(s.key, info, a.said)
 	}
 	p.tell(s.answered(t, a, time.Since(sent)), s, info.Run())
@@ -108,6 +108,8 @@
 type answer struct {
 	said    targetapi.Signals
 	reached bool
+	// other is set if another target has the address by now.
+	other bool
 }
 
 // answered takes in the answer to a probe, and returns what that changed in
@@ -124,9 +126,15 @@
 	switch {
 	case a.said.HasLoad:
 		s.told(now, t, a.said.Load)
-	case a.reached:
+	case a.reached && !a.other:
 		s.answeredSilently(now, t, took)
 	}
+	if a.other {
+		if t.replaced(now) {
+			return newsLeaving
+		}
+		return ""
+	}
 	if !a.reached {
 		if t.unreachable(now) {
 			return newsUnreachable
@@ -165,7 +173,11 @@
 	}
 	defer res.Response.Body.Close()
 	_, _ = io.CopyN(io.Discard, res.Response.Body, maxHealthBody)
-	a.said = p.deps.Contract.Signals(res.Response.Header)
 	a.reached = true
+	if !p.deps.Contract.IsFrom(string(info.ID), res.Response.Header) {
+		a.other = true
+		return a
+	}
+	a.said = p.deps.Contract.Signals(res.Response.Header)
 	return a
 }
--- a/targetapi/contract.go
+++ b/targetapi/contract.go
@@ -23,6 +23,8 @@
 	// Target names the target that a request is meant for. Any other target that
 	// has its address by now refuses it with status 421.
 	Target string
+	// Instance names the target that answered, in answers to probes.
+	Instance string
 	// Key is the caller's API key, which never reaches a target; Tenant names the tenant
 	// that holds it, for targets, whatever the caller said there.
 	Key    string
@@ -103,6 +105,16 @@
 	return c.Target != "" && status == http.StatusMisdirectedRequest
 }
 
+// IsFrom reports whether a health answer is from a target, and not from another that has its
+// address by now.
+func (c *Contract) IsFrom(target string, h http.Header) bool {
+	if c.Instance == "" {
+		return true
+	}
+	from := h.Get(c.Instance)
+	return from == "" || from == target
+}
+
 // Belongs reports whether an answer is one to the request with these headers.
 // A refusal may lack the echo: some targets refuse before they read the header.
 func (c *Contract) Belongs(request, answer http.Header, status int) bool {
