A target that says in its answers that it leaves gets nothing more

Callers were served by a target that had told their host over 2 s before that it leaves: it may be gone at any moment, and their requests with it.

Cause: the platform's contract named no header for leaving, so that hosts waited for the record, and the store was out for 13 s. Class: as for limits, a target's word that is read nowhere. Ruled out: reading it from refusals alone (the other daemon reads it from every answer), and forgetting it (requests never stopped); but that would have come next: the mark stood in the view of the list alone, and was gone when an entry ran out and came back.

The header is read with all that a target says. backpressure remembers the run, marks it in the view, and gives back any grant for it, whoever chose it: first attempts, retries, second sends, calls that waited, in both daemons.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -28,8 +28,8 @@
 	askTimeout = 300 * time.Millisecond
 	// unknownRest is how long a target gets nothing of which no host could tell.
 	unknownRest = 250 * time.Millisecond
-	// maxAsks bounds the targets that are asked for in one choice.
-	maxAsks = 8
+	// maxTries bounds the targets that are considered in one choice.
+	maxTries = 8
 )
 
 // Tolerance is by how much all hosts together may exceed a limit: targetapi.HeaderLimit.
@@ -46,14 +46,17 @@
 	// Watched reports whether this host has word of the platform's store, by a host that
 	// watches it.
 	Watched func() bool
-	Metrics *metrics.Set
-	Log     *zap.Logger
+	// OnLeaving, if set, is called when a target said that it leaves, and again if it is
+	// chosen after that.
+	OnLeaving func(blackboard.ServiceKey, blackboard.Target)
+	Metrics   *metrics.Set
+	Log       *zap.Logger
 }
 
-// Picker is a pick.Picker whose choices keep to the limits that targets name. It is safe for
-// concurrent use.
+// Picker is a pick.Picker whose choices keep to the limits that targets name, and off targets
+// that said that they leave. It is safe for concurrent use.
 //
-// The limit holds for all hosts together, so that one of them counts for each target and the
+// A limit holds for all hosts together, so that one of them counts for each target and the
 // others ask it: even parts would be a request every few seconds for each of many hosts, used up
 // where callers come and idle elsewhere.
 type Picker struct {
@@ -61,8 +64,9 @@
 	limits *Limits
 	// asker counts over all hosts. One host of a target's zone counts for it, so that no zone
 	// needs a part of its own.
-	asker *quota.Controller
-	count pickCounters
+	asker   *quota.Controller
+	leavers *leavers
+	count   pickCounters
 
 	mu sync.Mutex
 	// full are the targets of each service that take nothing until a moment.
@@ -96,8 +100,9 @@
 			Metrics:   d.Metrics,
 			Log:       d.Log,
 		}),
-		count: pickCounters{limited: c("granted"), full: c("passed_over"), refused: c("refused")},
-		full:  make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
+		leavers: newLeavers(),
+		count:   pickCounters{limited: c("granted"), full: c("passed_over"), refused: c("refused")},
+		full:    make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
 	}
 }
 
@@ -106,19 +111,29 @@
 
 // Pick implements pick.Picker.
 func (p *Picker) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
-	if !p.limits.any(req.Service) {
+	if !p.limits.any(req.Service) && !p.leavers.any() {
 		return p.deps.Picker.Pick(ctx, req)
 	}
 	tried := req.Avoid
-	for range maxAsks {
+	for range maxTries {
 		full := p.fullOf(req.Service)
 		req.Avoid = append(slices.Clone(tried), full...)
 		g, refusal := p.deps.Picker.Pick(ctx, req)
-		switch {
-		case g == nil:
+		if g == nil {
 			return nil, p.explain(req.Service, refusal, len(full) > 0)
-		case slices.Contains(full, g.Target().ID):
-			// A picker may take one to avoid if there is no other.
+		}
+		t := g.Target()
+		// A picker may take one to avoid if there is no other.
+		switch again := slices.Contains(req.Avoid, t.ID); {
+		case p.leavers.has(t.Run()):
+			giveUp(g)
+			p.markLeaving(req.Service, t)
+			if again {
+				return nil, outcome.Refuse(outcome.ReasonNoTarget)
+			}
+			tried = append(slices.Clone(tried), t.ID)
+			continue
+		case slices.Contains(full, t.ID):
 			giveUp(g)
 			return nil, p.refuse(req.Service)
 		}
@@ -130,6 +145,12 @@
 	return nil, p.refuse(req.Service)
 }
 
+func (p *Picker) markLeaving(service blackboard.ServiceKey, t blackboard.Target) {
+	if p.deps.OnLeaving != nil {
+		p.deps.OnLeaving(service, t)
+	}
+}
+
 // giveUp releases a grant that was not used.
 func giveUp(g pick.Grant) { g.Release(pick.Report{Class: pick.Canceled, Load: -1}) }
 
@@ -138,6 +159,9 @@
 // It asks for targets, too, of which this host has heard nothing: others of the service are in
 // need, and the first request of each of many hosts would be more than such a target takes.
 func (p *Picker) permit(ctx context.Context, service blackboard.ServiceKey, g pick.Grant) pick.Grant {
+	if !p.limits.any(service) {
+		return g
+	}
 	t := g.Target()
 	word := p.limits.Word(string(t.Run()))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -163,6 +187,10 @@
 
 // Heard takes in what a target says of itself; it is a pick.Listener.
 func (p *Picker) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
+	if s.Leaving && p.leavers.add(t.Run()) {
+		p.deps.Log.Info("target leaving by its own answer", zap.String("target", string(t.Run())), zap.String("service", service.Service))
+		p.markLeaving(service, t)
+	}
 	if p.limits.Heard(service, t, s) {
 		p.asker.Tell(string(t.Run()), zoneOf(t.Zone, p.deps.Board.Members.Load()))
 	}
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -40,13 +40,14 @@
 // provisionPicker makes the part that chooses targets and keeps to what they ask.
 func (d *Daemon) provisionPicker() {
 	d.picker = backpressure.New(backpressure.Deps{
-		Picker:  d.placer,
-		Board:   d.board,
-		Link:    d.node,
-		Zone:    d.settings.Host.Zone,
-		Watched: d.watch.Watched,
-		Metrics: d.metrics,
-		Log:     d.log,
+		Picker:    d.placer,
+		Board:     d.board,
+		Link:      d.node,
+		Zone:      d.settings.Host.Zone,
+		Watched:   d.watch.Watched,
+		OnLeaving: d.markLeaving,
+		Metrics:   d.metrics,
+		Log:       d.log,
 	})
 }
 
--- a/provision.go
+++ b/provision.go
@@ -195,9 +195,10 @@
 		Link:   d.link,
 		Zone:   d.settings.Host.Zone,
 		// Whoever reaches most other hosts may count for a target.
-		Watched: func() bool { return false },
-		Metrics: d.metrics,
-		Log:     d.log,
+		Watched:   func() bool { return false },
+		OnLeaving: func(key blackboard.ServiceKey, t blackboard.Target) { d.markLeaving(key, t.ID) },
+		Metrics:   d.metrics,
+		Log:       d.log,
 	})
 }
 
