A target that asks for rest gets it, from the host that it asked

Callers were late or refused while most targets were idle: four targets that turned all requests away and asked for 3 s of rest went on getting up to a third of their service's requests, each to be sent again (3 to 7 reads a second late, 13 refused in 9 s).

Cause: what a target asks when it turns a request away was read for the caller alone, and only as a whole number. The host kept off it for 50 ms, and since it refuses at once it looked idle and drew the next choice. Class: a wish addressed to the host is handed on to somebody else. Ruled out: choices made before (requests came over the whole 3 s), entries that change (none did).

Retry-After of a 503 is one of a target's signals, in seconds and parts of them, from answers to requests and to probes. A resting target is avoided by every choice: first attempts, retries, second sends, calls that waited; it is not probed either. No later answer ends a rest; another run of the target does. While all rest, callers are refused at once and told when the first has rested.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -54,18 +54,20 @@
 }
 
 // Picker is a pick.Picker whose choices keep to the limits that targets name, and off targets
-// that said that they leave. It is safe for concurrent use.
+// that asked this host for rest or said that they leave. It is safe for concurrent use.
 //
 // A limit holds for all hosts together, so that one of them counts for each target and the
 // others ask it: even parts would be a request every few seconds for each of many hosts, used up
 // where callers come and idle elsewhere.
 type Picker struct {
 	deps   Deps
-	limits *Limits
+	lines  *lines
+	limits *limits
 	// asker counts over all hosts. One host of a target's zone counts for it, so that no zone
 	// needs a part of its own.
 	asker   *quota.Controller
 	leavers *leavers
+	rests   *rests
 	count   pickCounters
 
 	mu sync.Mutex
@@ -74,19 +76,23 @@
 }
 
 type pickCounters struct {
-	// limited counts grants of targets with a limit, full the choices that passed over
-	// targets which had used theirs up, refused the calls for which there was no other.
-	limited, full, refused *expvar.Int
+	// limited counts grants of targets with a limit, full those that were not given since the
+	// target had used its limit up, rests how often a target asked for rest.
+	limited, full, rests *expvar.Int
+	// refused counts calls for which there was no other target, by reason.
+	refused *expvar.Map
 }
 
 var _ pick.Picker = (*Picker)(nil)
 
 // New returns a picker that knows of no limit, and registers its messages with the link.
 func New(d Deps) *Picker {
-	c := d.Metrics.Counters("target_limit")
-	limits := NewLimits(d.Metrics, d.Log)
+	c := d.Metrics.Counters("backpressure")
+	lines := newLines(d.Log, c("lines_dropped"))
+	limits := newLimits(d.Metrics, lines)
 	return &Picker{
 		deps:   d,
+		lines:  lines,
 		limits: limits,
 		asker: quota.New(quota.Deps{
 			Board:     d.Board,
@@ -101,8 +107,14 @@
 			Log:       d.Log,
 		}),
 		leavers: newLeavers(),
-		count:   pickCounters{limited: c("granted"), full: c("passed_over"), refused: c("refused")},
-		full:    make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
+		rests:   newRests(d.Board),
+		count: pickCounters{
+			limited: c("limit_granted"),
+			full:    c("limit_passed_over"),
+			rests:   c("rests"),
+			refused: d.Metrics.Map("backpressure_refused"),
+		},
+		full: make(map[blackboard.ServiceKey]map[ports.HostID]time.Time),
 	}
 }
 
@@ -111,20 +123,21 @@
 
 // Pick implements pick.Picker.
 func (p *Picker) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
-	if !p.limits.any(req.Service) && !p.leavers.any() {
+	if p.quiet(req.Service) {
 		return p.deps.Picker.Pick(ctx, req)
 	}
 	tried := req.Avoid
 	for range maxTries {
-		full := p.fullOf(req.Service)
-		req.Avoid = append(slices.Clone(tried), full...)
+		closed := p.closed(req.Service)
+		req.Avoid = append(slices.Clone(tried), closed...)
 		g, refusal := p.deps.Picker.Pick(ctx, req)
 		if g == nil {
-			return nil, p.explain(req.Service, refusal, len(full) > 0)
+			return nil, p.explain(req.Service, refusal, len(closed) > 0)
 		}
 		t := g.Target()
 		// A picker may take one to avoid if there is no other.
-		switch again := slices.Contains(req.Avoid, t.ID); {
+		again := slices.Contains(req.Avoid, t.ID)
+		switch {
 		case p.leavers.has(t.Run()):
 			giveUp(g)
 			p.markLeaving(req.Service, t)
@@ -133,7 +146,7 @@
 			}
 			tried = append(slices.Clone(tried), t.ID)
 			continue
-		case slices.Contains(full, t.ID):
+		case slices.Contains(closed, t.ID):
 			giveUp(g)
 			return nil, p.refuse(req.Service)
 		}
@@ -145,6 +158,18 @@
 	return nil, p.refuse(req.Service)
 }
 
+// quiet reports whether no target of a service asks anything.
+func (p *Picker) quiet(service blackboard.ServiceKey) bool {
+	return !p.limits.any(service) && !p.rests.any(service) && !p.leavers.any()
+}
+
+// closed returns the targets of a service that get nothing now: they have used up their limits, or
+// rest.
+func (p *Picker) closed(service blackboard.ServiceKey) []ports.HostID {
+	resting, _ := p.rests.of(service)
+	return append(resting, p.fullOf(service)...)
+}
+
 func (p *Picker) markLeaving(service blackboard.ServiceKey, t blackboard.Target) {
 	if p.deps.OnLeaving != nil {
 		p.deps.OnLeaving(service, t)
@@ -188,14 +213,26 @@
 // Heard takes in what a target says of itself; it is a pick.Listener.
 func (p *Picker) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
 	if s.Leaving && p.leavers.add(t.Run()) {
-		p.deps.Log.Info("target leaving by its own answer", zap.String("target", string(t.Run())), zap.String("service", service.Service))
+		p.lines.info("target leaving by its own answer", zap.String("target", string(t.Run())), zap.String("service", service.Service))
 		p.markLeaving(service, t)
 	}
+	if s.Rest > 0 {
+		p.count.rests.Add(1)
+		if p.rests.add(service, t, s.Rest) {
+			p.lines.info("target asks for rest", zap.String("target", string(t.Run())), zap.String("service", service.Service),
+				zap.Duration("rest", s.Rest))
+		}
+	}
 	if p.limits.Heard(service, t, s) {
 		p.asker.Tell(string(t.Run()), zoneOf(t.Zone, p.deps.Board.Members.Load()))
 	}
 }
 
+// Resting reports whether a target wants nothing from this host now.
+func (p *Picker) Resting(service blackboard.ServiceKey, t blackboard.Target) bool {
+	return p.rests.has(service, t)
+}
+
 // zoneOf returns the availability zone whose hosts count the requests of a target: its own, or
 // the first by name that has a live host.
 func zoneOf(zone string, m *blackboard.Members) string {
@@ -241,8 +278,8 @@
 }
 
 // explain returns what a call is told that found no target.
-func (p *Picker) explain(service blackboard.ServiceKey, refusal outcome.Result, full bool) outcome.Result {
-	if !full || refusal.Reason != outcome.ReasonNoTarget {
+func (p *Picker) explain(service blackboard.ServiceKey, refusal outcome.Result, closed bool) outcome.Result {
+	if !closed || refusal.Reason != outcome.ReasonNoTarget {
 		return refusal
 	}
 	r := p.refuse(service)
@@ -251,20 +288,31 @@
 }
 
 // refuse returns what a call is told if all targets that it could go to have used up their
-// limits.
+// limits, or rest.
 func (p *Picker) refuse(service blackboard.ServiceKey) outcome.Result {
-	p.count.refused.Add(1)
-	r := outcome.Refuse(outcome.ReasonTargetLimit)
+	first := p.firstFree(service)
+	reason := outcome.ReasonTargetLimit
+	if _, rested := p.rests.of(service); !rested.IsZero() && (first.IsZero() || rested.Before(first)) {
+		first, reason = rested, outcome.ReasonTargetRest
+	}
+	p.count.refused.Add(string(reason), 1)
+	r := outcome.Refuse(reason)
+	if !first.IsZero() {
+		r.RetryAfter = max(r.RetryAfter, time.Until(first))
+	}
+	return r
+}
+
+// firstFree returns when the first target of a service that has used up its limit takes more.
+func (p *Picker) firstFree(service blackboard.ServiceKey) (first time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	soonest := time.Duration(0)
 	for _, until := range p.full[service] {
-		if left := time.Until(until); soonest == 0 || left < soonest {
-			soonest = left
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
-	r.RetryAfter = max(r.RetryAfter, soonest)
-	return r
+	return first
 }
 
 // held is a grant that counts in its target's limit.
--- a/backpressure/limits.go
+++ b/backpressure/limits.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/metrics"
@@ -21,10 +20,6 @@
 	// tellAfter is how old the last word of a limit may be when another one comes, without
 	// the host that counts being told of it.
 	tellAfter = 5 * time.Second
-	// linesPerSecond and lineBurst bound the lines of one host on targets that change their
-	// minds.
-	linesPerSecond = 20
-	lineBurst      = 100
 	// leastRate is sent to a target whatever it names, in requests a second: its answers alone
 	// may tell that the limit has ended.
 	leastRate = 0.2
@@ -46,10 +41,9 @@
 	return max(w.limit.PerSecond, leastRate)
 }
 
-// Limits are the limits that targets name. It is safe for concurrent use.
-type Limits struct {
-	log   *zap.Logger
-	lines *rate.Limiter
+// limits are the limits that targets name. It is safe for concurrent use.
+type limits struct {
+	lines *lines
 	count limitCounters
 
 	mu    sync.Mutex
@@ -61,19 +55,15 @@
 
 type limitCounters struct {
 	// named counts answers that named a limit, changed how often a target named another one.
-	named, changed, linesDropped *expvar.Int
+	named, changed *expvar.Int
 }
 
-// NewLimits returns limits of which nothing is known.
-func NewLimits(m *metrics.Set, log *zap.Logger) *Limits {
-	l := &Limits{
-		log:   log,
-		lines: rate.NewLimiter(linesPerSecond, lineBurst),
-		count: limitCounters{
-			named:        m.Int("target_limits_named"),
-			changed:      m.Int("target_limits_changed"),
-			linesDropped: m.Int("target_limit_lines_dropped"),
-		},
+// newLimits returns limits of which nothing is known.
+func newLimits(m *metrics.Set, lines *lines) *limits {
+	c := m.Counters("backpressure")
+	l := &limits{
+		lines: lines,
+		count: limitCounters{named: c("limits_named"), changed: c("limits_changed")},
 		words: make(map[ports.RunID]word),
 		named: make(map[blackboard.ServiceKey]int),
 	}
@@ -83,7 +73,7 @@
 
 // Heard takes in what a target says. It reports whether other hosts should hear of it: it is news,
 // or what they know is old.
-func (l *Limits) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) (tell bool) {
+func (l *limits) Heard(service blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) (tell bool) {
 	if s.Limit.Named {
 		l.count.named.Add(1)
 	}
@@ -100,7 +90,7 @@
 }
 
 // Hear takes in what another host knows of a target's limit.
-func (l *Limits) Hear(run string, w quota.Word) {
+func (l *limits) Hear(run string, w quota.Word) {
 	limit := targetapi.Limit{Named: w.Rate > 0, PerSecond: w.Rate}
 	before, taken := l.note(ports.RunID(run), word{limit: limit, at: time.Now().Add(-w.Age)})
 	if taken && before.limit != limit {
@@ -109,26 +99,22 @@
 }
 
 // tellChange logs that this host believes something else of a target's limit.
-func (l *Limits) tellChange(run ports.RunID, before, now targetapi.Limit, source string) {
+func (l *limits) tellChange(run ports.RunID, before, now targetapi.Limit, source string) {
 	l.count.changed.Add(1)
-	if !l.lines.Allow() {
-		l.count.linesDropped.Add(1)
-		return
-	}
-	l.log.Info("target names a limit", zap.String("target", string(run)), zap.Bool("named", now.Named),
+	l.lines.info("target names a limit", zap.String("target", string(run)), zap.Bool("named", now.Named),
 		zap.Float64("per_second", now.PerSecond), zap.Bool("named_before", before.Named),
 		zap.Float64("before", before.PerSecond), zap.String("source", source))
 }
 
 // Limit returns what a target takes; a rate of 0 means that it names no limit.
-func (l *Limits) Limit(run string) (quota.Limit, bool) {
+func (l *limits) Limit(run string) (quota.Limit, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return quota.Limit{Rate: l.words[ports.RunID(run)].rate()}, true
 }
 
 // Word returns what is known of a target's limit, for other hosts.
-func (l *Limits) Word(run string) quota.Word {
+func (l *limits) Word(run string) quota.Word {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w, known := l.words[ports.RunID(run)]
@@ -139,14 +125,14 @@
 }
 
 // any reports whether some target of a service named a limit to this host.
-func (l *Limits) any(service blackboard.ServiceKey) bool {
+func (l *limits) any(service blackboard.ServiceKey) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.named[service] > 0
 }
 
 // note takes in a word unless a later one is known, and reports whether it did.
-func (l *Limits) note(run ports.RunID, w word) (before word, taken bool) {
+func (l *limits) note(run ports.RunID, w word) (before word, taken bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(time.Now())
@@ -164,7 +150,7 @@
 }
 
 // countNamed counts a word that comes or goes. The lock is held.
-func (l *Limits) countNamed(w word, by int) {
+func (l *limits) countNamed(w word, by int) {
 	if !w.limit.Named {
 		return
 	}
@@ -175,7 +161,7 @@
 }
 
 // sweep drops words that are too old. The lock is held.
-func (l *Limits) sweep(now time.Time) {
+func (l *limits) sweep(now time.Time) {
 	if now.Sub(l.swept) < forgetAfter {
 		return
 	}
@@ -189,7 +175,7 @@
 }
 
 // limited returns how many targets name a limit.
-func (l *Limits) limited() (n int) {
+func (l *limits) limited() (n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, count := range l.named {
--- a/backpressure/limits_test.go
+++ b/backpressure/limits_test.go
@@ -13,9 +13,14 @@
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
+func newTestLimits(log *zap.Logger) *limits {
+	m := metrics.New()
+	return newLimits(m, newLines(log, m.Int("dropped")))
+}
+
 func TestLimitsAreLoggedAsTheyChange(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
-	l := NewLimits(metrics.New(), zap.New(core))
+	l := newTestLimits(zap.New(core))
 	say := func(limit targetapi.Limit) {
 		l.Heard(blackboard.ServiceKey{}, blackboard.Target{ID: "t"}, targetapi.Signals{Limit: limit})
 		time.Sleep(time.Microsecond)
@@ -33,7 +38,7 @@
 }
 
 func TestOlderWordSaysNothing(t *testing.T) {
-	l := NewLimits(metrics.New(), zap.NewNop())
+	l := newTestLimits(zap.NewNop())
 	now := time.Now()
 	l.note("t", word{limit: targetapi.Limit{Named: true, PerSecond: 1}, at: now})
 	l.note("t", word{at: now.Add(-time.Second)})
--- /dev/null
+++ b/backpressure/rest_test.go
@@ -0,0 +1,83 @@
+package backpressure
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+)
+
+// Guards against attempts of any kind at a target that rests, and against refusals that do not say
+// when the first of them has rested.
+func TestRestingTargetsArePickedByNothing(t *testing.T) {
+	withFleet(t, 2, 2, 0, func(fl *fleet) {
+		p, other := fl.hosts[0].picker, fl.hosts[1].picker
+		p.Heard(service, fl.targets[0], targetapi.Signals{Rest: 3 * time.Second})
+		p.Heard(service, fl.targets[0], targetapi.Signals{})                             // an answer that was under way
+		p.Heard(service, fl.targets[0], targetapi.Signals{Rest: 100 * time.Millisecond}) // and a shorter rest
+		for _, req := range []pick.Request{{}, {Hedge: true}, {Alone: true}} {
+			req.Service = service
+			for range 20 {
+				g, _ := p.Pick(t.Context(), req)
+				assert.Equal(t, g.Target().ID, fl.targets[1].ID)
+			}
+		}
+		assert.Check(t, !other.Resting(service, fl.targets[0]), "rest is asked of one host")
+
+		time.Sleep(time.Second)
+		p.Heard(service, fl.targets[1], targetapi.Signals{Rest: 3 * time.Second})
+		_, refusal := p.Pick(t.Context(), pick.Request{Service: service})
+		assert.Equal(t, refusal.Reason, outcome.ReasonTargetRest)
+		assert.Equal(t, refusal.RetryAfter, 2*time.Second)
+
+		time.Sleep(2 * time.Second)
+		g, _ := p.Pick(t.Context(), pick.Request{Service: service})
+		assert.Equal(t, g.Target().ID, fl.targets[0].ID)
+	})
+}
+
+// Guards against holding a former run's wish against the next.
+func TestNextRunOfATargetNeedsNoRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := blackboard.New()
+		defer board.Close()
+		run := func(i ports.Incarnation) blackboard.Target {
+			tg := blackboard.Target{ID: "t", Incarnation: i}
+			board.Targets.Store(&blackboard.Targets{ByService: map[blackboard.ServiceKey][]blackboard.Target{service: {tg}}})
+			return tg
+		}
+		r := newRests(board)
+		first := run(1)
+		assert.Check(t, r.add(service, first, time.Minute))
+		assert.Check(t, !r.add(service, first, time.Second), "no news")
+		assert.Check(t, r.has(service, first))
+		next := run(2)
+		assert.Check(t, !r.has(service, next))
+		ids, _ := r.of(service)
+		assert.Equal(t, len(ids), 0)
+	})
+}
+
+// Guards against grants for a target that said it leaves, by a picker that does not know.
+func TestGrantsForLeavingTargetsAreGivenBack(t *testing.T) {
+	withFleet(t, 1, 2, 0, func(fl *fleet) {
+		p := fl.hosts[0].picker
+		p.Heard(service, fl.targets[0], targetapi.Signals{Leaving: true})
+		p.Heard(service, fl.targets[0], targetapi.Signals{})
+		for range 50 {
+			g, _ := p.Pick(t.Context(), pick.Request{Service: service})
+			assert.Equal(t, g.Target().ID, fl.targets[1].ID)
+		}
+		p.Heard(service, fl.targets[1], targetapi.Signals{Leaving: true})
+		g, refusal := p.Pick(t.Context(), pick.Request{Service: service})
+		assert.Check(t, g == nil)
+		assert.Equal(t, refusal.Reason, outcome.ReasonNoTarget)
+	})
+}
--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -39,8 +39,8 @@
 // the sign of leaving, which can not be taken back; what an endpoint says in its
 // body may be out of date or wrong.
 func read(resp *http.Response) Result {
-	said := targetapi.Default().Signals(resp.Header)
-	res := Result{OK: resp.StatusCode == http.StatusOK, Load: -1, Leaving: said.Leaving, Limit: said.Limit}
+	said := targetapi.Default().Signals(resp.StatusCode, resp.Header)
+	res := Result{OK: resp.StatusCode == http.StatusOK, Load: -1, Leaving: said.Leaving, Limit: said.Limit, Rest: said.Rest}
 	if said.HasLoad {
 		res.Load = said.Load.Running
 	}
--- a/controller/probes/probes.go
+++ b/controller/probes/probes.go
@@ -51,8 +51,9 @@
 	Load int
 	// Leaving is set if it says that it is to stop.
 	Leaving bool
-	// Limit is how many requests it takes.
+	// Limit is how many requests it takes, Rest how long it wants none from this host.
 	Limit targetapi.Limit
+	Rest  time.Duration
 }
 
 // Prober makes one probe, sending at most one request, and none once ctx has
@@ -68,7 +69,9 @@
 	// Leaving is told of a target that says it is to stop; nil tells nobody.
 	Leaving func(key blackboard.ServiceKey, id ports.HostID)
 	// Heard, if set, is told what targets say of themselves.
-	Heard   pick.Listener
+	Heard pick.Listener
+	// Resting, if set, reports whether a target wants nothing from this host now.
+	Resting func(key blackboard.ServiceKey, t blackboard.Target) bool
 	Metrics *metrics.Set
 	Log     *zap.Logger
 }
@@ -193,6 +196,9 @@
 		if probed && now.Sub(at) < targetEvery {
 			continue
 		}
+		if c.d.Resting != nil && c.d.Resting(cand.Service, cand.Target) {
+			continue
+		}
 		path, known := paths[cand.Service]
 		if !known {
 			path = c.healthPath(cand.Service)
@@ -291,8 +297,8 @@
 	} else {
 		c.count.Add(countFailed, 1)
 	}
-	if c.d.Heard != nil && (res.OK || res.Limit.Named) {
-		c.d.Heard(cand.Service, cand.Target, targetapi.Signals{Leaving: res.Leaving, Limit: res.Limit})
+	if c.d.Heard != nil && (res.OK || res.Limit.Named || res.Rest > 0) {
+		c.d.Heard(cand.Service, cand.Target, targetapi.Signals{Leaving: res.Leaving, Limit: res.Limit, Rest: res.Rest})
 	}
 	if res.Leaving {
 		c.count.Add(countLeaving, 1)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -192,7 +192,7 @@
 	if ct.IsMisdirected(resp.StatusCode) || !ct.Belongs(req.Header, resp.Header, resp.StatusCode) {
 		return
 	}
-	a.said = ct.Signals(resp.Header)
+	a.said = ct.Signals(resp.StatusCode, resp.Header)
 	if d.heard != nil {
 		d.heard(c.Key, a.grant.Target(), a.said)
 	}
@@ -204,7 +204,7 @@
 	if a.said.Leaving {
 		a.class = pick.Leaving
 	}
-	a.retryAfter = retryAfter(resp)
+	a.retryAfter = a.said.Rest
 	a.discard(resp, a.class)
 }
 
@@ -290,12 +290,3 @@
 		a.watch.Close()
 	}
 }
-
-// retryAfter reads a target's Retry-After in seconds; 0 if there is none.
-func retryAfter(resp *http.Response) time.Duration {
-	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s) * time.Second
-}
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -64,8 +64,9 @@
 	ColdFactor float64       `json:"coldFactor"`
 	// FailFast answers each call with 500 at once, without taking a slot.
 	FailFast bool `json:"failFast"`
-	// Shed refuses each call before running it.
-	Shed bool `json:"shed"`
+	// Shed refuses each call before running it, and asks for Rest if that is not 0.
+	Shed bool          `json:"shed"`
+	Rest time.Duration `json:"rest,omitempty"`
 	// BreakOff closes the connection in the middle of each answer.
 	BreakOff bool `json:"breakOff"`
 	// Silent sends none of the headers of package targetapi, except the sign
--- a/limit_test.go
+++ b/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,40 +14,81 @@
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 )
 
-// Guards against a coordinator that grants a target more than the limit it names.
-func TestCoordinatedHostsKeepTheLimitsThatTargetsName(t *testing.T) {
-	const (
-		limit   = 2.0 // requests a second that each of three targets names
-		allowed = 17  // in 4 s: half as many again, and 5
-		every   = 40 * time.Millisecond
-		span    = 4 * time.Second
-		stable  = time.Second // all hosts have heard of the limit
-	)
+// catalogue is three coordinated hosts and three targets of one service.
+type catalogue struct {
+	hosts   []*lab.Host
+	targets []*lab.Target
+}
+
+func newCatalogue(t *testing.T) *catalogue {
 	l, err := lab.New(lab.Options{})
 	assert.NilError(t, err)
 	t.Cleanup(l.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	hosts := []string{"entry-1", "entry-2", "entry-3"}
-	for _, id := range hosts {
-		_, err := l.AddHost(id, "zone-a")
+	d := new(catalogue)
+	for i := range 3 {
+		h, err := l.AddHost(fmt.Sprint("entry-", i), "zone-a")
 		assert.NilError(t, err)
+		d.hosts = append(d.hosts, h)
 	}
-	for _, id := range hosts {
-		assert.NilError(t, l.WaitMembers(ctx, id, len(hosts)))
-		assert.NilError(t, l.WaitReady(ctx, id))
+	for _, h := range d.hosts {
+		assert.NilError(t, l.WaitMembers(ctx, h.ID, len(d.hosts)))
+		assert.NilError(t, l.WaitReady(ctx, h.ID))
 	}
-	_, err = l.Apply(ctx, hosts[0], "examples/auction/template.jsonc", "examples/auction/workspace.jsonc")
+	_, err = l.Apply(ctx, d.hosts[0].ID, "examples/auction/template.jsonc", "examples/auction/workspace.jsonc")
 	assert.NilError(t, err)
-	var targets []*lab.Target
-	for _, id := range []string{"catalogue-1", "catalogue-2", "catalogue-3"} {
-		tg, err := l.AddTarget(id, "zone-a", "subasta-verde", "catalogue", target.Options{Slots: 2, Queue: 16, MaxConns: 200})
+	for i := range 3 {
+		tg, err := l.AddTarget(fmt.Sprint("catalogue-", i), "zone-a", "subasta-verde", "catalogue", target.Options{Slots: 2, Queue: 16, MaxConns: 200})
 		assert.NilError(t, err)
-		tg.SetBehaviour(target.Behaviour{Limit: limit})
-		targets = append(targets, tg)
+		d.targets = append(d.targets, tg)
 	}
-	for _, id := range hosts {
-		assert.NilError(t, l.WaitTargets(ctx, id, "subasta-verde", "catalogue", len(targets)))
+	for _, h := range d.hosts {
+		assert.NilError(t, l.WaitTargets(ctx, h.ID, "subasta-verde", "catalogue", len(d.targets)))
+	}
+	return d
+}
+
+// browse sends a read through one of the hosts.
+func (d *catalogue) browse(t *testing.T, host int) lab.Response {
+	addr := d.hosts[host%len(d.hosts)].CallersAddr()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/subasta-verde/catalogue/lots", nil)
+	assert.Check(t, err)
+	r, err := lab.Do(http.DefaultClient, req)
+	assert.Check(t, err)
+	return r
+}
+
+// Guards against coordinated hosts that come back, with calls or probes, to a target that asked
+// them for rest.
+func TestCoordinatedHostsLetTargetsRest(t *testing.T) {
+	const rest = 3 * time.Second
+	d := newCatalogue(t)
+	tg := d.targets[0]
+	tg.SetBehaviour(target.Behaviour{Shed: true, Rest: rest})
+	for begin, i := time.Now(), 0; time.Since(begin) < rest*2/3; i++ {
+		assert.Equal(t, d.browse(t, i).Status, http.StatusOK)
+		time.Sleep(5 * time.Millisecond)
+	}
+	s := tg.Status()
+	t.Logf("%d calls, %d probes", s.ShedCalls, s.Probes)
+	// Rest is asked of each host by itself: of each, the first comes.
+	assert.Check(t, s.ShedCalls >= 1 && s.ShedCalls <= len(d.hosts), "%d calls", s.ShedCalls)
+	assert.Check(t, s.Probes <= 1, "%d probes", s.Probes)
+}
+
+// Guards against a coordinator that grants a target more than the limit it names.
+func TestCoordinatedHostsKeepTheLimitsThatTargetsName(t *testing.T) {
+	const (
+		limit   = 2.0 // requests a second that each of three targets names
+		allowed = 17  // in 4 s: half as many again, and 5
+		every   = 40 * time.Millisecond
+		span    = 4 * time.Second
+		stable  = time.Second // all hosts have heard of the limit
+	)
+	d := newCatalogue(t)
+	for _, tg := range d.targets {
+		tg.SetBehaviour(target.Behaviour{Limit: limit})
 	}
 
 	var mu sync.Mutex
@@ -54,13 +96,8 @@
 	told := make(map[string]int)
 	begin := time.Now()
 	for i := 0; time.Since(begin) < stable+span+time.Second; i++ {
-		h, err := l.Host(hosts[i%len(hosts)])
-		assert.NilError(t, err)
 		wg.Go(func() {
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.CallersAddr()+"/subasta-verde/catalogue/lots", nil)
-			assert.Check(t, err)
-			r, err := lab.Do(http.DefaultClient, req)
-			assert.Check(t, err)
+			r := d.browse(t, i)
 			mu.Lock()
 			defer mu.Unlock()
 			told[r.Outcome+"/"+r.Reason]++
@@ -70,7 +107,7 @@
 	}
 	wg.Wait()
 	t.Logf("%v", told)
-	for _, tg := range targets {
+	for _, tg := range d.targets {
 		var at []time.Time
 		for _, r := range tg.Runs() {
 			if r.Started.Sub(begin) > stable {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -59,6 +59,8 @@
 	// ReasonTargetLimit is a call whose service has targets alone that have used up the limits
 	// that they name.
 	ReasonTargetLimit Reason = "target-limit"
+	// ReasonTargetRest is a call whose service has targets alone that asked this host for rest.
+	ReasonTargetRest Reason = "target-rest"
 	// ReasonOverload is a call that could not have been answered in time.
 	ReasonOverload Reason = "overload"
 )
@@ -129,6 +131,7 @@
 	ReasonForeignAnswer: {status: http.StatusBadGateway},
 	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: elsewhere},
 	ReasonTargetLimit:   {status: http.StatusServiceUnavailable, retryAfter: soon},
+	ReasonTargetRest:    {status: http.StatusServiceUnavailable, retryAfter: soon},
 	ReasonOverload:      {status: http.StatusServiceUnavailable, retryAfter: soon},
 
 	ReasonKeyRequired:      {status: http.StatusBadRequest},
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -178,6 +178,6 @@
 		a.other = true
 		return a
 	}
-	a.said = p.deps.Contract.Signals(res.Response.Header)
+	a.said = p.deps.Contract.Signals(res.Response.StatusCode, res.Response.Header)
 	return a
 }
--- a/provision.go
+++ b/provision.go
@@ -222,6 +222,7 @@
 		Prober:  prober,
 		Leaving: d.markLeaving,
 		Heard:   d.heard,
+		Resting: d.picker.Resting,
 		Metrics: d.metrics,
 		Log:     d.log,
 	})
