Callers are not told to stay away for one target's rest

The rest is the host's to keep, and another target may serve at once.

Who finds all targets resting is still told when the first has rested.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -50,8 +50,6 @@
 	mayHaveRun bool
 	// said is what the target's answer told of itself.
 	said targetapi.Signals
-	// retryAfter is what a target that shed the request asked for.
-	retryAfter time.Duration
 }
 
 // answered reports whether the attempt has an answer to pass on.
@@ -204,7 +202,6 @@
 	if a.said.Leaving {
 		a.class = pick.Leaving
 	}
-	a.retryAfter = a.said.Rest
 	a.discard(resp, a.class)
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -197,7 +197,7 @@
 		return nil
 	}
 	if !again {
-		return h.settle(a.reason, a.retryAfter)
+		return h.settle(a.reason, 0) // the target's rest is asked of this host alone
 	}
 	return nil
 }
