Soak: targets name limits, ask for rest and leave by their answers

Three disturbances and a check of what each target got against what it had asked for: limits over all hosts that had passed on an answer, rests and leaving by host. Seeds from 10,000 on play them; those below play what they played.

--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -62,9 +62,9 @@
 	t.Logf("served %d, refused %d", served, refused)
 	for _, id := range []string{"lots-0", "lots-1", "lots-2"} {
 		var later []time.Time
-		for _, at := range l.targets[id].Arrived() {
-			if at.Sub(begin) > stable {
-				later = append(later, at)
+		for _, a := range l.targets[id].Arrived() {
+			if a.At.Sub(begin) > stable {
+				later = append(later, a.At)
 			}
 		}
 		got := within(span, later)
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -41,21 +41,30 @@
 	{"target starts again", (*Soak).startTargetAgain},
 	{"entry of another writer", (*Soak).scribble},
 	{"zone evacuated", (*Soak).evacuate},
+	{"limit named", (*Soak).nameLimit},
+	{"rest asked for", (*Soak).askForRest},
+	{"target leaves by its answers", (*Soak).leaveByAnswers},
 }
 
-// firstDisturbances is how many of them seeds below firstSeedOfAll play: such seeds stand
-// among the regressions, and must go on playing what they played when they were found.
+// firstDisturbances is how many of them seeds below firstSeedOfMore play, moreDisturbances those
+// below firstSeedOfAll: a seed must go on playing what it played when it was found.
 const (
 	firstDisturbances = 19
-	firstSeedOfAll    = 1000
+	firstSeedOfMore   = 1000
+	moreDisturbances  = 22
+	firstSeedOfAll    = 10_000
 )
 
 // played returns the disturbances that a seed plays.
 func played(seed uint64) []disturbance {
-	if seed < firstSeedOfAll {
+	switch {
+	case seed < firstSeedOfMore:
 		return disturbances[:firstDisturbances]
+	case seed < firstSeedOfAll:
+		return disturbances[:moreDisturbances]
+	default:
+		return disturbances
 	}
-	return disturbances
 }
 
 // disturb does one thing after another for as long as the run lasts.
@@ -221,12 +230,14 @@
 
 func (s *Soak) resetTarget(_ context.Context, rng *rand.Rand) string {
 	b := s.anyTarget(rng)
+	b.needs.unheard()
 	b.wire.Reset()
 	return b.ID
 }
 
 func (s *Soak) silenceTarget(_ context.Context, rng *rand.Rand) string {
 	b := s.anyTarget(rng)
+	b.needs.unheard()
 	b.wire.Silence()
 	time.AfterFunc(span(rng), b.wire.Heal)
 	return b.ID
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -117,6 +117,7 @@
 	s.checkRuns()
 	s.checkDrains()
 	s.checkEvacuations()
+	s.checkNeeds()
 	served := 0
 	for _, r := range s.all {
 		if r.status == http.StatusOK && r.at.After(calm) {
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -19,6 +19,7 @@
 	server  *http.Server
 	wire    *Wire
 	gone    bool
+	needs   needs
 	// drainAt is when the store was told that the target drains; zero if not.
 	drainAt time.Time
 }
@@ -70,6 +71,7 @@
 		wire:    wire,
 	}
 	b.Lose, b.Spoil = b.losing, spoiling
+	b.Limit, b.Rest, b.Leaving = b.needs.namedLimit, b.needs.askedRest, b.needs.saysLeaving
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
 	t.mu.Lock()
 	t.list = append(t.list, b)
