A host that no other can tell of a target goes on using it if it names no limit

Read on the way through the diff: a host asks for every target of a service in which one names a limit, and kept off any of which no host could tell. Cut off from the others it refused callers that unlimited targets had room for.

What a target says while the question is on its way is heeded, too, and callers that met only leaving targets are told no-target.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -136,28 +136,34 @@
 		}
 		t := g.Target()
 		// A picker may take one to avoid if there is no other.
-		again := slices.Contains(req.Avoid, t.ID)
-		switch {
-		case p.leavers.has(t.Run()):
-			giveUp(g)
-			p.markLeaving(req.Service, t)
-			if again {
-				return nil, outcome.Refuse(outcome.ReasonNoTarget)
-			}
-			tried = append(slices.Clone(tried), t.ID)
-			continue
-		case slices.Contains(closed, t.ID):
+		noOther := slices.Contains(closed, t.ID) || slices.Contains(tried, t.ID) && p.unwanted(req.Service, t)
+		if noOther {
 			giveUp(g)
 			return nil, p.refuse(req.Service)
 		}
-		if h := p.permit(ctx, req.Service, g); h != nil {
+		h := p.permit(ctx, req.Service, g)
+		switch {
+		case h == nil:
+			giveUp(g)
+		case p.unwanted(req.Service, t): // as it may have said meanwhile
+			giveUp(h)
+			tried = append(slices.Clone(tried), t.ID)
+		default:
 			return h, outcome.Result{}
 		}
-		giveUp(g)
 	}
 	return nil, p.refuse(req.Service)
 }
 
+// unwanted reports whether a target may get nothing at all: it leaves, or rests.
+func (p *Picker) unwanted(service blackboard.ServiceKey, t blackboard.Target) bool {
+	if p.leavers.has(t.Run()) {
+		p.markLeaving(service, t)
+		return true
+	}
+	return p.rests.has(service, t)
+}
+
 // quiet reports whether no target of a service asks anything.
 func (p *Picker) quiet(service blackboard.ServiceKey) bool {
 	return !p.limits.any(service) && !p.rests.any(service) && !p.leavers.any()
@@ -182,25 +188,26 @@
 // permit returns the grant if its target takes one more request now, else nil.
 //
 // It asks for targets, too, of which this host has heard nothing: others of the service are in
-// need, and the first request of each of many hosts would be more than such a target takes.
+// need, and the first request of each of many hosts would be more than such a target takes. If no
+// host can tell of one, it gets the request.
 func (p *Picker) permit(ctx context.Context, service blackboard.ServiceKey, g pick.Grant) pick.Grant {
 	if !p.limits.any(service) {
 		return g
 	}
 	t := g.Target()
-	word := p.limits.Word(string(t.Run()))
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	a := p.asker.Ask(ctx, policy.Request{
 		Name: string(t.Run()),
 		Zone: zoneOf(t.Zone, p.deps.Board.Members.Load()),
 		Left: -1,
-		Word: word,
+		Word: p.limits.Word(string(t.Run())),
 	})
+	limit, _ := p.limits.Limit(string(t.Run()))
 	switch {
-	case a.Granted:
+	case a.Granted, !a.Known && limit.Rate == 0:
 		p.count.limited.Add(1)
-		return &held{Grant: g, picker: p, perSecond: word.Rate}
+		return &held{Grant: g, picker: p, perSecond: limit.Rate}
 	case a.Known:
 		p.close(service, t.ID, a.Wait)
 	default:
@@ -288,13 +295,9 @@
 }
 
 // refuse returns what a call is told if all targets that it could go to have used up their
-// limits, or rest.
+// limits, rest or leave.
 func (p *Picker) refuse(service blackboard.ServiceKey) outcome.Result {
-	first := p.firstFree(service)
-	reason := outcome.ReasonTargetLimit
-	if _, rested := p.rests.of(service); !rested.IsZero() && (first.IsZero() || rested.Before(first)) {
-		first, reason = rested, outcome.ReasonTargetRest
-	}
+	reason, first := p.soonest(service)
 	p.count.refused.Add(string(reason), 1)
 	r := outcome.Refuse(reason)
 	if !first.IsZero() {
@@ -303,6 +306,21 @@
 	return r
 }
 
+// soonest returns why the target of a service that takes requests soonest takes none now, and
+// when it does; the zero time if there is none.
+func (p *Picker) soonest(service blackboard.ServiceKey) (outcome.Reason, time.Time) {
+	free := p.firstFree(service)
+	_, rested := p.rests.of(service)
+	switch {
+	case !rested.IsZero() && (free.IsZero() || rested.Before(free)):
+		return outcome.ReasonTargetRest, rested
+	case !free.IsZero():
+		return outcome.ReasonTargetLimit, free
+	default:
+		return outcome.ReasonNoTarget, time.Time{}
+	}
+}
+
 // firstFree returns when the first target of a service that has used up its limit takes more.
 func (p *Picker) firstFree(service blackboard.ServiceKey) (first time.Time) {
 	p.mu.Lock()
@@ -324,7 +342,7 @@
 
 // Release implements pick.Grant. What never left this host does not count.
 func (h *held) Release(r pick.Report) {
-	if r.Class == pick.NotSent {
+	if h.perSecond > 0 && r.Class == pick.NotSent {
 		h.picker.asker.Return(string(h.Target().Run()))
 	}
 	h.Grant.Release(r)
--- a/backpressure/hosts_test.go
+++ b/backpressure/hosts_test.go
@@ -36,8 +36,9 @@
 	targets []blackboard.Target
 
 	mu sync.Mutex
-	// limit is what each target names; 0 means none.
+	// limit is what each target names, or the first limited of them; 0 means none.
 	limit   float64
+	limited int
 	arrived map[ports.HostID][]time.Time
 	served  int
 	refused int
@@ -55,7 +56,7 @@
 func withFleet(t *testing.T, hosts, targets int, limit float64, f func(fl *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		fl := &fleet{net: peernet.New(), limit: limit, arrived: make(map[ports.HostID][]time.Time)}
+		fl := &fleet{net: peernet.New(), limit: limit, limited: targets, arrived: make(map[ports.HostID][]time.Time)}
 		fl.net.Delay = func(ports.HostID, ports.HostID) time.Duration { return time.Millisecond }
 		for i := range targets {
 			fl.targets = append(fl.targets, blackboard.Target{ID: ports.HostID(fmt.Sprint("t", i)), Zone: zones[i%3]})
@@ -151,11 +152,20 @@
 		t := g.Target()
 		fl.arrived[t.ID] = append(fl.arrived[t.ID], time.Now())
 		fl.served++
-		h.picker.Heard(service, t, targetapi.Signals{Limit: targetapi.Limit{Named: fl.limit > 0, PerSecond: fl.limit}})
+		h.picker.Heard(service, t, targetapi.Signals{Limit: fl.named(t.ID)})
 		g.Release(pick.Report{Class: pick.OK, Load: -1})
 	}()
 }
 
+// named is the limit that a target names. The lock is held.
+func (fl *fleet) named(id ports.HostID) targetapi.Limit {
+	i := slices.IndexFunc(fl.targets, func(t blackboard.Target) bool { return t.ID == id })
+	if fl.limit == 0 || i >= fl.limited {
+		return targetapi.Limit{}
+	}
+	return targetapi.Limit{Named: true, PerSecond: fl.limit}
+}
+
 // load sends so many calls a second for a while, at random hosts.
 func (fl *fleet) load(perSecond float64, d time.Duration) {
 	rng := rand.New(rand.NewPCG(7, 7))
@@ -249,3 +259,25 @@
 		})
 	}
 }
+
+// Guards against a host that serves nobody, since no other host can tell it of targets that never
+// named a limit.
+func TestHostThatIsCutOffUsesTargetsWithoutLimits(t *testing.T) {
+	withFleet(t, 14, 6, 1, func(fl *fleet) {
+		fl.limited = 1
+		fl.load(60, 6*time.Second)
+		alone := fl.hosts[0]
+		for _, h := range fl.hosts[1:] {
+			fl.net.Cut(alone.id, h.id)
+			fl.net.Cut(h.id, alone.id)
+		}
+		fl.begin()
+		for range 300 {
+			fl.call(alone)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		t.Logf("served %d, refused %d", fl.served, fl.refused)
+		assert.Check(t, fl.refused < fl.served/20, "%d of %d", fl.refused, fl.served)
+	})
+}
