Hosts whose own links are full take no store for one that was out

Callers' requests reached targets up to 2.65 s after the store had acknowledged that they were gone (DRAIN, bound 2.5 s; links of 10 Mbit/s full of uploads, 129 hosts).

Cause, traced now in the lines of all hosts: the target's entry is removed without a drain; a host that watches has just missed the store for 0.3 to 1.5 s, since its link is full, takes it for back from an outage in which entries run out, and tells all others to use the target for 2.2 s more. The hold came 0.6 to 0.75 s after the removal. The relays whose links are full, held for the cause so far, pass it on within 1.1 s.

Entries run out only after three renewals are missed, so that the store must have served nobody for some 3 s: hosts tell each other how old its last answer is, and a shorter silence holds no target any more.

--- a/controller/watch/outage_test.go
+++ b/controller/watch/outage_test.go
@@ -134,3 +134,26 @@
 		assert.Check(t, h.takes(0))
 	})
 }
+
+// Guards against using a target that is gone for longer than drains allow, since hosts whose own links
+// were full took the store for one that had been out.
+func TestShortSilenceOfTheStoreHoldsNoTargetThatIsGone(t *testing.T) {
+	withFleet(t, 30, func(fl *fleet) {
+		for _, silent := range []time.Duration{400 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			for _, h := range fl.hosts {
+				h.client.Set(record.Silent)
+			}
+			time.Sleep(silent)
+			for _, h := range fl.hosts {
+				h.client.Set(record.Serves)
+			}
+			fl.record.Put(entryOf(3, false))
+			fl.await(nil, func(h *host) bool { return h.takes(3) })
+			fl.record.Remove(targetID(3))
+			gone := fl.await(nil, func(h *host) bool { return !h.takes(3) })
+			t.Logf("silent for %s: gone after %s", silent, gone)
+			assert.Check(t, gone < 2*time.Second, "%s", gone)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -36,6 +36,7 @@
 	c.hear(b.Version)
 	if b.StoreOK {
 		c.storeServed(now.Add(-b.StoreAge))
+		c.noteOutage(now.Add(-b.StoreAge))
 	}
 	if !had || was.StoreOK != b.StoreOK || !was.Fresh(now) {
 		c.wakeUp()
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -39,6 +39,10 @@
 	// such a word counts.
 	suspectHold = 700 * time.Millisecond
 	suspectFor  = 3 * time.Second
+	// lapseAfter is how long the store must have been out for entries to run out: they last
+	// for three renewals of 1.5 s, the first of which may have come right before. It leaves
+	// 0.1 s for heartbeats on their way.
+	lapseAfter = 2900 * time.Millisecond
 )
 
 // watching is this host's watch of the store.
@@ -257,6 +261,7 @@
 		return
 	}
 	c.storeServed(now)
+	c.noteOutage(now)
 	if c.storeLost {
 		c.deps.Log.Info("store regained", zap.Stringer("topic", t))
 	}
@@ -303,11 +308,24 @@
 	return ch
 }
 
+// noteOutage takes in that the store served some host at a moment: if it had served none for
+// long, it was out until then. The lock is held.
+func (c *Controller) noteOutage(at time.Time) {
+	if at.Sub(c.servedAt) >= lapseAfter {
+		c.outageEnd = at
+	}
+	if at.After(c.servedAt) {
+		c.servedAt = at
+	}
+}
+
 // hold returns how long targets that went from the record without a drain are
 // still to be used. The lock is held.
 //
 // The store may just be back, after it dropped the entries of targets that could
-// not renew them. This host knows so if the store failed it, too. If it only heard
+// not renew them. This host knows so if the store failed it, too, and served nobody
+// for long enough: hosts whose own links are full miss it for a moment, and what it
+// removes then is meant. If this host only heard
 // that the store fails others, the store may as well turn those away and be well:
 // then a removal is meant, and there is no more than suspectHold left of the time
 // in which it must be heeded. If the store was out for all, those others say so
@@ -315,7 +333,9 @@
 func (c *Controller) hold(now time.Time) time.Duration {
 	if c.storeLost {
 		c.storeLost = false
-		c.storeBackAt = now
+		if now.Sub(c.outageEnd) < returnHold {
+			c.storeBackAt = now
+		}
 	}
 	hold := max(0, returnHold-now.Sub(c.storeBackAt))
 	for _, b := range c.beats {
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -84,6 +84,9 @@
 	// answered again.
 	storeLost   bool
 	storeBackAt time.Time
+	// servedAt is when the store last served any host, as far as this one knows, outageEnd
+	// when it last did so after it had served none for lapseAfter.
+	servedAt, outageEnd time.Time
 	// copyAt is when this host heard that the record came back from an older copy; the zero
 	// time if it never did.
 	copyAt time.Time
