A host that has just started takes no store for one that was out

A start is no outage. What a host itself knows of one holds for what others tell it, and is not passed on: it may come from a cut of its own. TestHostsThatStartInAnOutageDropNoTargets guards the other side.

--- a/controller/watch/copy.go
+++ b/controller/watch/copy.go
@@ -16,8 +16,7 @@
 	if known == 0 || ch.Revision.Era() <= known.Era() {
 		return
 	}
-	c.copyAt = now
-	c.storeBackAt = now
+	c.copyAt, c.outageEnd = now, now
 	c.announced, c.announceAt = 0, now
 	c.count.copies.Add(1)
 	c.deps.Log.Warn("store came back from an older copy", zap.Uint64("era", ch.Revision.Era()),
--- a/controller/watch/outage_test.go
+++ b/controller/watch/outage_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +158,35 @@
 		}
 	})
 }
+
+// Guards against dropping targets whose entries ran out, on the word of a host that started while the
+// store was out and knows of no outage.
+func TestHostsThatStartInAnOutageDropNoTargets(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(4 * time.Second)
+		fl.record.Remove(targetID(0))
+		old := slices.Clone(fl.hosts[7:])
+		for _, h := range fl.hosts[:7] {
+			h.stop()
+		}
+		fl.hosts = slices.Clone(old)
+		for i := range 7 {
+			h := fl.start(i, true)
+			h.client.Set(record.Refuses)
+		}
+		time.Sleep(time.Second)
+		for _, h := range fl.hosts {
+			h.client.Set(record.Serves)
+		}
+		for begin := time.Now(); time.Since(begin) < 1800*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+			for _, h := range old {
+				assert.Assert(t, h.takes(0), "%s after the return", time.Since(begin))
+			}
+		}
+		gone := fl.await(nil, func(h *host) bool { return !h.takes(0) })
+		assert.Check(t, gone < 2*time.Second, "%s", gone)
+	})
+}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -290,9 +290,6 @@
 		news.Digest, news.DigestAt = c.state.Digest(), c.state.Newest()
 		c.pass(shorter(news, had))
 	}
-	if !news.Empty() && ch.Hold > 0 {
-		c.wakeUp()
-	}
 	if (first || regained) && w.storeOK() {
 		c.beatNow(now)
 	}
@@ -308,8 +305,14 @@
 	return ch
 }
 
+// outageHold is how long targets that went are still used since the store was out. The lock is held.
+func (c *Controller) outageHold(now time.Time) time.Duration {
+	return max(0, returnHold-now.Sub(c.outageEnd))
+}
+
 // noteOutage takes in that the store served some host at a moment: if it had served none for
-// long, it was out until then. The lock is held.
+// long, it was out until then. A host whose own link is full misses the store for less, and
+// what is removed then is meant. The lock is held.
 func (c *Controller) noteOutage(at time.Time) {
 	if at.Sub(c.servedAt) >= lapseAfter {
 		c.outageEnd = at
@@ -323,21 +326,14 @@
 // still to be used. The lock is held.
 //
 // The store may just be back, after it dropped the entries of targets that could
-// not renew them. This host knows so if the store failed it, too, and served nobody
-// for long enough: hosts whose own links are full miss it for a moment, and what it
-// removes then is meant. If this host only heard
-// that the store fails others, the store may as well turn those away and be well:
-// then a removal is meant, and there is no more than suspectHold left of the time
-// in which it must be heeded. If the store was out for all, those others say so
-// themselves as soon as it serves them again, and the time is extended.
+// not renew them. If this host only heard that the store fails others, the store may
+// as well turn those away and be well: then a removal is meant, and there is no more
+// than suspectHold left of the time in which it must be heeded. If the store was out
+// for all, those others say so themselves as soon as it serves them again, and the
+// time is extended.
 func (c *Controller) hold(now time.Time) time.Duration {
-	if c.storeLost {
-		c.storeLost = false
-		if now.Sub(c.outageEnd) < returnHold {
-			c.storeBackAt = now
-		}
-	}
-	hold := max(0, returnHold-now.Sub(c.storeBackAt))
+	c.storeLost = false
+	hold := c.outageHold(now)
 	for _, b := range c.beats {
 		if !b.StoreOK && now.Sub(b.Heard) < suspectFor {
 			hold = max(hold, suspectHold)
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -80,10 +80,8 @@
 	// watch is set while this host watches.
 	watch   *watching
 	watches atomic.Bool
-	// storeLost is set while the store failed this host last, storeBackAt is when it
-	// answered again.
-	storeLost   bool
-	storeBackAt time.Time
+	// storeLost is set while the store failed this host last.
+	storeLost bool
 	// servedAt is when the store last served any host, as far as this one knows, outageEnd
 	// when it last did so after it had served none for lapseAfter.
 	servedAt, outageEnd time.Time
@@ -129,6 +127,8 @@
 		refused: make(map[ports.HostID]time.Time),
 		serving: make(chan struct{}),
 		lines:   rate.NewLimiter(linesPerSecond, lineBurst),
+		// A host that has just started knows nothing of an outage before.
+		servedAt: time.Now(),
 	}
 	for _, addr := range d.Seeds {
 		h := directory.Host{Addr: addr}
@@ -261,7 +261,10 @@
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	had := c.state.Config()
 	c.noteCopy(now, ch)
+	passed := ch.Hold
+	ch.Hold = max(ch.Hold, c.outageHold(now))
 	news := c.state.Take(now, ch)
+	news.Hold = passed // what this host believes of an outage may come from a cut of its own
 	if ch.Delta != nil {
 		c.hear(ch.Delta.Version)
 	}
@@ -276,6 +279,9 @@
 	c.publishEvacuations(now, news.Evacuations, from)
 	c.logTargets(ch, news, from)
 	c.publishTargets(now)
+	if ch.Hold > 0 {
+		c.wakeUp()
+	}
 	if next := c.state.Config(); next != had {
 		c.publishConfig(had, next, from)
 	}
