An outage of the targets' table alone is one, too

Answers about configurations counted as answers of the store, so that targets whose entries ran out meanwhile would have been dropped at its return. TestTargetsThatLapsedWhileTheirTableAloneWasOutAreUsed fails without it (dropped 1 s after the return).

--- a/controller/quota/part.go
+++ b/controller/quota/part.go
@@ -123,8 +123,7 @@
 		zap.Int("place", place), zap.Float64("tokens", tokens))
 }
 
-// report logs what this host decided where more was asked for more than there was. The lock is
-// held.
+// report logs what this host decided where more was asked for than there was. The lock is held.
 func (c *Controller) report(name string, p *part) {
 	if p.denied > 0 {
 		l, _ := c.deps.Limits.Limit(name)
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -1,8 +1,8 @@
 // Package quota keeps requests within quotas over all hosts: those of tenants, or those that
 // targets take. One host of each availability zone owns the zone's part of a quota and is asked
-// about each request that counts in it; policy/quota has the parts, policy/rendezvous says who owns them. An
-// owner that can not be reached is followed by the next host, which begins with nothing. A
-// request of which no host can tell is refused.
+// about each request that counts in it; policy/quota has the parts, policy/rendezvous says who
+// owns them. An owner that can not be reached is followed by the next host, which begins with
+// nothing. A request of which no host can tell is refused, or left to who asked.
 package quota
 
 import (
--- a/controller/watch/outage_test.go
+++ b/controller/watch/outage_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/record"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 )
@@ -92,7 +93,20 @@
 // then callers must not be refused for want of targets; after it the one that did
 // not come back must be taken as gone.
 func TestTargetsWhoseEntriesLapsedAreUsedUntilTheyAreBack(t *testing.T) {
+	checkLapsedTargets(t, func(*host) {})
+}
+
+// Guards against taking a store that still tells of configurations for one that had not been out.
+func TestTargetsThatLapsedWhileTheirTableAloneWasOutAreUsed(t *testing.T) {
+	checkLapsedTargets(t, func(h *host) { h.client.Spare(directory.TopicConfig) })
+}
+
+// checkLapsedTargets has the store turn away all hosts, set up beforehand.
+func checkLapsedTargets(t *testing.T, setUp func(h *host)) {
 	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			setUp(h)
+		}
 		for _, h := range fl.hosts {
 			h.client.Set(record.Refuses)
 		}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -261,7 +261,9 @@
 		return
 	}
 	c.storeServed(now)
-	c.noteOutage(now)
+	if t == directory.TopicTargets {
+		c.noteOutage(now)
+	}
 	if c.storeLost {
 		c.deps.Log.Info("store regained", zap.Stringer("topic", t))
 	}
@@ -310,8 +312,8 @@
 	return max(0, returnHold-now.Sub(c.outageEnd))
 }
 
-// noteOutage takes in that the store served some host at a moment: if it had served none for
-// long, it was out until then. A host whose own link is full misses the store for less, and
+// noteOutage takes in that the store told some host of targets at a moment: if it had told none for
+// long, it was out until then. It may go on telling of configurations meanwhile. A host whose own link is full misses the store for less, and
 // what is removed then is meant. The lock is held.
 func (c *Controller) noteOutage(at time.Time) {
 	if at.Sub(c.servedAt) >= lapseAfter {
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -82,8 +82,8 @@
 	watches atomic.Bool
 	// storeLost is set while the store failed this host last.
 	storeLost bool
-	// servedAt is when the store last served any host, as far as this one knows, outageEnd
-	// when it last did so after it had served none for lapseAfter.
+	// servedAt is when the store last told any host of targets, as far as this one knows,
+	// outageEnd when it last did so after it had told none for lapseAfter.
 	servedAt, outageEnd time.Time
 	// copyAt is when this host heard that the record came back from an older copy; the zero
 	// time if it never did.
--- a/internal/fakes/record/record.go
+++ b/internal/fakes/record/record.go
@@ -216,6 +216,8 @@
 type Client struct {
 	record *Record
 	mode   Mode // guarded by the record's lock
+	// spared has topics that the mode does not hold for.
+	spared map[directory.Topic]bool
 }
 
 var _ directory.Source = (*Client)(nil)
@@ -231,12 +233,27 @@
 	c.record.announce()
 }
 
-// enter begins a call.
-func (c *Client) enter(ctx context.Context) error {
+// Spare has the mode not hold for a topic, as if only other tables of the store were out.
+func (c *Client) Spare(t directory.Topic) {
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
+	c.spared = map[directory.Topic]bool{t: true}
+}
+
+// modeFor returns how the record treats the client's calls about a topic. The lock is held.
+func (c *Client) modeFor(t directory.Topic) Mode {
+	if c.spared[t] {
+		return Serves
+	}
+	return c.mode
+}
+
+// enter begins a call about a topic.
+func (c *Client) enter(ctx context.Context, t directory.Topic) error {
 	r := c.record
 	r.mu.Lock()
 	r.calls++
-	mode, delay := c.mode, r.delay
+	mode, delay := c.modeFor(t), r.delay
 	r.mu.Unlock()
 	if mode == Silent {
 		<-ctx.Done()
@@ -257,7 +274,7 @@
 func (c *Client) Read(ctx context.Context, t directory.Topic, silence time.Duration) (directory.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, t); err != nil {
 		return directory.Changes{}, err
 	}
 	return c.record.whole(t), c.travel(ctx)
@@ -305,7 +322,7 @@
 
 // await returns what changes in a topic, as soon as something does.
 func (c *Client) await(ctx context.Context, t directory.Topic, after directory.Revision, wait time.Duration) (directory.Changes, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, t); err != nil {
 		return directory.Changes{}, err
 	}
 	timeout := time.After(wait)
@@ -336,10 +353,10 @@
 	defer r.mu.Unlock()
 	ch := directory.Changes{Revision: after}
 	if r.muted {
-		return ch, c.mode, r.changed, nil
+		return ch, c.modeFor(t), r.changed, nil
 	}
 	if after < r.cutAt {
-		return ch, c.mode, r.changed, errors.Mark(errors.New("too old"), directory.ErrHistoryGone)
+		return ch, c.modeFor(t), r.changed, errors.Mark(errors.New("too old"), directory.ErrHistoryGone)
 	}
 	ch.Revision = r.revision
 	if t == directory.TopicConfig && r.configAt > after {
@@ -359,7 +376,7 @@
 			}
 		}
 	}
-	return ch, c.mode, r.changed, nil
+	return ch, c.modeFor(t), r.changed, nil
 }
 
 // addConfig adds the configuration to an answer. It is called with the lock held.
@@ -368,9 +385,12 @@
 	ch.ConfigUnread = r.config == nil && r.configAt > 0
 }
 
+// hostsTopic stands for the list of hosts, which is in a table of its own.
+const hostsTopic = directory.Topics
+
 // Hosts implements directory.Source.
 func (c *Client) Hosts(ctx context.Context) ([]directory.Host, error) {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, hostsTopic); err != nil {
 		return nil, err
 	}
 	c.record.mu.Lock()
@@ -380,7 +400,7 @@
 
 // Announce implements directory.Source.
 func (c *Client) Announce(ctx context.Context, hosts []directory.Host) error {
-	if err := c.enter(ctx); err != nil {
+	if err := c.enter(ctx, hostsTopic); err != nil {
 		return err
 	}
 	c.record.mu.Lock()
