--- a/budget/budget.go
+++ b/budget/budget.go
@@ -155,9 +155,8 @@
 
 // Live reports whether the probe may still be sent.
 //
-// Failure: the process is paused between Begin and the probe. Symptom: the probe
-// goes out under a share that another host holds by now. The reservation lies
-// within the lease, so a probe that starts before Deadline is covered by it.
+// After a pause another host may hold the share by now. A probe that starts before Deadline is within
+// the lease.
 func (sp *Spend) Live() bool {
 	if time.Now().Before(sp.Deadline) {
 		return true
--- a/budget/row.go
+++ b/budget/row.go
@@ -65,11 +65,9 @@
 // free reports whether the share may be taken, and what may have been spent
 // under it in the window before.
 //
-// Failure: a holder is paused, or its clock differs from ours. Symptom: two hosts
-// probe under one share. The holder counts its lease from before it wrote the
-// row, and we count a longer time from after we saw the row written, each on its
-// own clock: whatever the clocks show, the holder's time ends first, so long as
-// they run at rates that the margin covers.
+// The holder counts its lease from before it wrote the row, and we count a longer time from after we
+// saw it written, each on its own clock: whatever the clocks show, the holder's time ends first, so
+// long as they run at rates that the margin covers.
 func (v *view) free(now time.Time, margin, allowance time.Duration) (spent time.Duration, ok bool) {
 	switch {
 	case v.version == 0:
--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -15,9 +15,8 @@
 
 // HTTPProber returns a prober that GETs the health path.
 //
-// Failure: net/http repeats a GET by itself when a kept-alive connection fails.
-// Symptom: a target is probed twice, and the budget counts once. So each probe
-// has a connection of its own, which the transport never repeats a request on.
+// net/http repeats a GET by itself when a kept-alive connection fails, and the budget would count it
+// once. So each probe has a connection of its own.
 func HTTPProber() Prober {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	return func(ctx context.Context, t blackboard.Target, path string) Result {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -154,11 +154,9 @@
 // headReceived classifies an attempt by the head of its answer. A refusal is the host's to
 // act on; every other answer is passed on only if its target vouches for it.
 //
-// Failure: a target sends bytes that are no answer of its own, or an answer that is another
-// request's, and they read as 400, 404 or 301. Symptom: the caller of a proper request takes
-// them for this host's word that the request was wrong, and does not send it again. A target
-// seals and echoes all that it answers to a request it ran, failures too: without both, the
-// status says nothing, and the caller is told just that it may have run.
+// Bytes that are no answer of the target's own may read as a status that callers take for the last
+// word. A target seals and echoes all that it answers to a request it ran, failures too: without
+// both, the caller is told just that it may have run.
 func (d *Dispatcher) headReceived(c *Call, a *attempt, req *http.Request, resp *http.Response) {
 	ct := d.contract
 	a.status = resp.StatusCode
--- a/dispatch/held.go
+++ b/dispatch/held.go
@@ -16,10 +16,8 @@
 
 // heldAnswers bounds the memory of all answers that are held.
 //
-// Failure: many callers ask for large answers at once, and read them slowly. Symptom: 800
-// answers of 250 kB are 200 MB, more than a host of 184 MB has, and its process ends.
-// Answers beyond the bound are passed on as they come: a request whose answer breaks off is
-// then not sent again, and the answer is broken off towards the caller too.
+// Callers that read large answers slowly would fill the host's memory. Answers beyond the bound are
+// passed on as they come, and broken off towards the caller if they break off.
 type heldAnswers struct{ memory *semaphore.Weighted }
 
 // newHeldAnswers returns a bound in bytes; nil, for 0, holds nothing.
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -27,9 +27,7 @@
 
 // watchLimits tells the operator of limits beyond what this host takes.
 //
-// Failure: a configuration allows more than the server was started with. Symptom: callers
-// within the limits are answered 431 by net/http, or lose their connections. Nothing else
-// says so, and settings with a larger value for callers end it.
+// Callers within such limits are answered by net/http alone, and nothing else says why.
 func (d *Daemon) watchLimits(ctx context.Context) error {
 	var seen routing.Limits
 	return d.board.Routes.Watch(ctx, func(t *routing.Table) {
--- a/edge/retries.go
+++ b/edge/retries.go
@@ -66,10 +66,7 @@
 // reserve is this host's even part of the reserve. It grows to the whole over the
 // first window.
 //
-// Failure: all hosts start at once while the store is out, and each knows only the
-// seeds. Symptom: each takes a quarter of the reserve for its part, and 14 of them
-// spend three times the whole while targets are failing. By the end of the first
-// window hosts have heard of each other, and what was spent before the start is over.
+// A host that has just started may know only the seeds, and would take far more than its part.
 func (r *retries) reserve(now time.Time) float64 {
 	hosts := max(1, len(r.board.Members.Load().Members))
 	grown := min(1, max(firstReserve, float64(now.Sub(r.started))/float64(r.span())))
--- a/entry/call.go
+++ b/entry/call.go
@@ -117,9 +117,8 @@
 
 // awaitStart holds a call while the host learns its configuration and targets.
 //
-// Failure: all hosts start at the same moment, and callers that were waiting come
-// at once. Symptom: refused, they spent their one or two further tries on other
-// hosts that knew as little, within the 0.1 s that the start takes.
+// Refused at once, callers that waited for a start of all hosts would spend their tries on other
+// hosts that know as little.
 func (s *Server) awaitStart(r *http.Request) {
 	if s.deps.AwaitStart == nil {
 		return
--- a/entry/pace.go
+++ b/entry/pace.go
@@ -18,10 +18,8 @@
 
 // bodyPace is how fast bodies of callers are read, all together. Nil is any.
 //
-// Failure: uploads fill the link of a host, both ways, since each comes in and goes out to
-// a target. Symptom: changes wait behind them, longest on the way through a host that
-// watches the store, and all hosts go on using a target that left. A caller whose bytes are
-// not read stops sending, so what is read at less than the link's rate leaves room.
+// Uploads fill the link both ways, and changes of the configuration and the targets wait behind them.
+// A caller whose bytes are not read stops sending.
 type bodyPace struct {
 	usual, watcher *rate.Limiter
 	watches        func() bool
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -24,16 +24,12 @@
 
 // uploadWriter is a request over HTTP/1 with a body, and the writer of its answer.
 //
-// Failure: in full duplex, net/http ends a read of the body that is under way when the
-// handler returns, and uses the connection again although the rest of the body is unread.
-// Symptom: the caller's next request on the connection is answered with 400 or caller-gone,
-// or the connection ends without an answer; content of the upload is read as a request.
-// An answer that begins before the upload has ended says Connection: close, so that nothing
-// is read as a request after it, and no read is under way when the handler returns.
+// In full duplex, net/http uses the connection again although the rest of the body is unread, and
+// reads that as the next request. An answer that begins before the upload has ended says
+// Connection: close, and no read is under way when the handler returns.
 //
-// Failure: after a request that says Connection: close, net/http closes at once, with a part
-// of the upload on its way. Symptom: the caller's connection is reset, and the answer lost.
-// Some of the rest is read first, for as long as net/http waits in other cases.
+// After that, net/http closes at once, which resets the connection and loses the answer. Some of
+// the rest is read first, for as long as net/http waits in other cases.
 type uploadWriter struct {
 	http.ResponseWriter
 	request *http.Request
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -44,15 +44,11 @@
 // Close stops listening, takes what arrives on open connections for a short time, and
 // waits for the calls in flight.
 //
-// Failure: once http.Server.Shutdown has begun, the server closes a connection on which it
-// has read a request, and one that is idle. Symptom: a caller whose connection was open in
-// time gets no answer, and may not send a bid again. The listener is closed before
-// Shutdown, and what comes in between is answered as ever, with "Connection: close". What
-// comes later crosses the close of a connection that was idle for the whole time. One that
-// the kernel has not yet handed over as the listener closes is reset, and was never read.
+// http.Server.Shutdown closes connections on which it has just read a request, without an answer.
+// So the listener is closed before it, and what comes in between is answered with
+// "Connection: close". One that the kernel has not yet handed over then is reset, and was never read.
 //
-// It does not wait for connections on which no request came: http.Server.Shutdown gives
-// each of them five seconds, and a stop took as long though there was nothing to finish.
+// Connections on which no request came are not waited for: Shutdown gives each five seconds.
 func (c Callers) Close(ctx context.Context) error {
 	if c.Listener == nil {
 		return nil
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -64,9 +64,7 @@
 
 // ownIP returns a loopback address for the hosts of this run.
 //
-// Failure: a port that was free a moment ago is taken by another test before the
-// daemon listens on it, or while it is down. Symptom: the daemon ends at its start, and
-// callers get the other test's answers. Everybody else takes ports of 127.0.0.1.
+// Everybody else takes ports of 127.0.0.1, one of which might be taken before the daemon listens.
 func ownIP() string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
@@ -82,8 +80,7 @@
 
 // draw returns an address that is free and that no process of the run was given.
 //
-// Failure: an address is free again as soon as it was drawn, until a process listens
-// there. Symptom: two hosts were given the same one, and one of them ended at its start.
+// An address is free until a process listens there, and would be drawn twice.
 func (a *addresses) draw() (string, error) {
 	for {
 		l, err := net.Listen("tcp", net.JoinHostPort(a.ip, "0"))
--- a/policy/denial/denial.go
+++ b/policy/denial/denial.go
@@ -41,11 +41,8 @@
 // Allowed reports whether a request that the configuration at hand does not allow, since it has
 // no route for it or its body is larger than it says, may be answered as one that none allows.
 //
-// Failure: a host finds no route in an old table and takes it for the newest. Symptom: callers
-// of a route that was added seconds ago are told 404, which says that the request is wrong, and
-// which nobody repeats. A host that can not tell refuses instead, which says that the request did not run and may be sent again. It is enough
-// since a host that hears nothing has no confirmation that is young, and one that hears of a
-// newer version knows that it lacks it.
+// A denial says that the request is wrong, and nobody repeats it: it may not rest on an old table. A
+// host that can not tell refuses instead, which says that the request did not run.
 func (k Knowledge) Allowed() bool {
 	return !k.Behind() && k.Age <= MaxAge
 }
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -75,11 +75,8 @@
 
 // settle decides on a quarantine once it is old enough.
 //
-// Failure: the targets of a zone die a few milliseconds apart. Symptom: a request
-// that was in flight at one and is sent again at once to another looks as if it
-// crashed both, and is refused from then on. Until the moment has passed the
-// request is held; by then the other losses are known, and show that it need not
-// be the cause.
+// Targets of a zone that die milliseconds apart make a request that was sent again look as if it
+// crashed two. Once the moment has passed, the other losses are known.
 func (b *Tracker) settle(now time.Time, e *entry) {
 	if e.settled || now.Sub(e.since) < b.limits.Settle {
 		return
@@ -154,10 +151,8 @@
 // for the request: those that no accused request ran on. Two requests that crash
 // targets at the same time explain each other's.
 //
-// Failure: a request that is always in flight somewhere is lost with several
-// targets of a dying zone. Symptom: it seems to explain them, and a part of the
-// traffic is refused. So a request that was answered before explains no loss,
-// and any other target lost speaks for it, as do its own untried losses but the
+// A request that is often in flight is lost with any zone that dies. So one that was answered before
+// explains no loss, and any other target lost speaks for it, as do its own untried losses but the
 // first.
 func (b *Tracker) unexplained(e *entry) int {
 	counts := func(l Loss) bool {
--- a/policy/watchers/leftout.go
+++ b/policy/watchers/leftout.go
@@ -15,10 +15,8 @@
 // LeftOut returns the hosts that a watcher takes off the list: those that it has tried in
 // vain for long, unless they are half of all or more.
 //
-// Failure: a few hosts are cut off from all others, and one of them watches. Symptom: it
-// took the others off its list, these took it off theirs, and once the cut was over
-// nobody knew of anybody on the other side. Only the greater part may take off the rest,
-// which then keeps the greater part on its own list and so finds it again.
+// Were the smaller side of a cut to take off the greater, nobody would know of anybody on the other
+// side once it is over.
 func LeftOut(self ports.HostID, hosts []ports.HostID, unreachableFor func(ports.HostID) time.Duration) []ports.HostID {
 	var away, lost []ports.HostID
 	for _, id := range hosts {
--- a/policy/watchers/turns.go
+++ b/policy/watchers/turns.go
@@ -17,11 +17,8 @@
 	// maxStagger is how long hosts take their turns one by one, and then once more how
 	// long those that are left take theirs, lateStagger apart.
 	//
-	// Failure: heartbeats come late because the links are full, and most hosts had
-	// waited for the same last turn. Symptom: all of them began to watch and to pass on
-	// each change, which kept the links full. By the time of a late turn the first
-	// ones have had their chance; it is only reached if nobody before could read the
-	// store.
+	// Hosts that all waited for one last turn would watch all at once where heartbeats are late. A late
+	// turn is only reached if nobody before could read the store.
 	maxStagger  = 800 * time.Millisecond
 	lateStagger = 8 * time.Millisecond
 	// outageStagger is the time between two turns while the store is out for all: each is
--- a/ports/httpstore/client.go
+++ b/ports/httpstore/client.go
@@ -112,11 +112,9 @@
 // onceBody hides the kind of reader from net/http, which would otherwise learn
 // how to make the body anew.
 //
-// Failure: the transport repeats a request by itself after a kept-alive
-// connection failed, if it holds the means to. Symptom: a write that took effect
-// is made twice, and the second one's conflict is what the caller sees. A POST
-// or PUT whose body can be read only once is never repeated after a byte of it
-// was read.
+// The transport repeats a request by itself if it holds the means to, and a write would be made
+// twice. A POST or PUT whose body can be read only once is never repeated after a byte of it was
+// read.
 type onceBody struct{ io.Reader }
 
 // Close does nothing: the body is in memory.
--- a/ports/httpstore/conn.go
+++ b/ports/httpstore/conn.go
@@ -15,10 +15,8 @@
 
 // sealConn counts the writes begun on a connection and can forbid more.
 //
-// Failure: a request is given up while the transport is about to write it.
-// Symptom: the caller is told that nothing was sent, and then the write takes
-// effect. Sealing and writing take the same lock, so after seal has returned
-// zero no byte of the request can leave any more.
+// A request may be given up while the transport is about to write it. Sealing and writing take the
+// same lock, so after seal has returned zero no byte of the request can leave any more.
 type sealConn struct {
 	net.Conn
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -146,9 +146,8 @@
 // the same moment. Where they are many, those that keep its trials are told. They
 // add up what all hosts saw of it, and tell all hosts if that makes it quarantined.
 //
-// Failure: targets break off calls for a reason of their own, as when answers are
-// lost, and hundreds of requests are suspects for minutes. Symptom: told to all hosts
-// again and again, they filled the links, and calls came too late.
+// Where targets break off calls for a reason of their own there are hundreds of suspects, and telling
+// all hosts of each would fill the links.
 func (q *Quarantine) tell(r suspicion.Record) {
 	notifyAll(q, q.audience(r.Digest, r.State), kindRecords, recordsMsg{Records: []suspicion.Record{r}})
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -61,9 +61,7 @@
 
 // newEntry returns a route with its services.
 //
-// Failure: a route leads to a service that the table does not have. Symptom: callers are
-// told 404, as if no route covered their requests. Services are looked up here alone, and
-// Check accepts no such configuration.
+// Check accepts no route to a service that is not there: its callers would be told 404.
 func (t *Table) newEntry(r *Route, rng *rand.Rand) *entry {
 	invariant.Check(len(r.Parts) > 0, invariant.RouteService, "route=%s has no part", r.Name)
 	e := &entry{route: r, services: make([]*Service, len(r.Parts)), split: newSplit(r.Parts, rng)}
@@ -78,10 +76,8 @@
 // several with the same prefix it is the one whose name is first in the order of bytes, of
 // several with that name, too, the first by all that they say.
 //
-// Failure: an operator's document has two routes of one host and prefix, and nothing says
-// which counts. Symptom: by their order in the document, hosts that read it whole and hosts
-// that were told a difference send a caller to different services. What the routes say is
-// the same at every host, whatever way it came.
+// What the routes say is the same at every host; their order in a document is not, for hosts that
+// were told a difference.
 func byPrecedence(a, b *entry) int {
 	if c := cmp.Compare(len(b.route.Prefix), len(a.route.Prefix)); c != 0 {
 		return c
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -12,10 +12,8 @@
 const (
 	// unackedTimeout ends a connection on which sent bytes stay unacknowledged.
 	//
-	// Failure: a connection goes silent, with no reset, while new ones work.
-	// Symptom: each request sent on it hangs until its deadline. Retransmissions
-	// inside a region come within 0.2 s, so a second without any acknowledgement
-	// means that the connection is dead.
+	// A connection may go silent without a reset, and each request on it would hang until its
+	// deadline. Acknowledgements inside a region take far less.
 	unackedTimeout = time.Second
 	// keepAliveIdle and keepAliveInterval find dead connections that wait for an
 	// answer with nothing left to acknowledge.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -173,10 +173,8 @@
 // closeUnusable closes the idle connections that became idle before t, that their target
 // closed, or that it is about to close.
 //
-// Failure: targets close what is idle, and a host that asks hundreds of them now and then
-// keeps mostly such connections. Symptom: their buffers fill its memory, and they count
-// against its part of each target's connections. Idle connections are all looked at, so
-// none stays for longer than the pause between two calls.
+// Targets close what is idle, so that a host which seldom asks many of them would keep mostly
+// dead connections.
 func (p *pool) closeUnusable(t time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
