--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -307,14 +307,15 @@
 	return ch
 }
 
-// outageHold is how long targets that went are still used since the store was out. The lock is held.
+// outageHold is how long targets that went are still used since the store was out. The lock is
+// held.
 func (c *Controller) outageHold(now time.Time) time.Duration {
 	return max(0, returnHold-now.Sub(c.outageEnd))
 }
 
 // noteOutage takes in that the store told some host of targets at a moment: if it had told none for
-// long, it was out until then. It may go on telling of configurations meanwhile. A host whose own link is full misses the store for less, and
-// what is removed then is meant. The lock is held.
+// long, it was out until then, though it may have told of configurations meanwhile. A host whose own
+// link is full misses the store for less, and what is removed then is meant. The lock is held.
 func (c *Controller) noteOutage(at time.Time) {
 	if at.Sub(c.servedAt) >= lapseAfter {
 		c.outageEnd = at
