--- a/backpressure/hosts_test.go
+++ b/backpressure/hosts_test.go
@@ -17,6 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -42,6 +43,8 @@
 	arrived map[ports.HostID][]time.Time
 	served  int
 	refused int
+	// messages are those between hosts, replies included.
+	messages int
 }
 
 type host struct {
@@ -58,6 +61,11 @@
 	synctest.Test(t, func(*testing.T) {
 		fl := &fleet{net: peernet.New(), limit: limit, limited: targets, arrived: make(map[ports.HostID][]time.Time)}
 		fl.net.Delay = func(ports.HostID, ports.HostID) time.Duration { return time.Millisecond }
+		fl.net.Sent = func(_, _ ports.HostID, _ peer.Kind, _ int) {
+			fl.mu.Lock()
+			defer fl.mu.Unlock()
+			fl.messages++
+		}
 		for i := range targets {
 			fl.targets = append(fl.targets, blackboard.Target{ID: ports.HostID(fmt.Sprint("t", i)), Zone: zones[i%3]})
 		}
@@ -181,7 +189,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	clear(fl.arrived)
-	fl.served, fl.refused = 0, 0
+	fl.served, fl.refused, fl.messages = 0, 0, 0
 }
 
 // most returns the most requests that any target got within the window.
@@ -213,7 +221,8 @@
 				const span = 30 * time.Second
 				fl.load(times*carried, span)
 				got := fl.most()
-				t.Logf("%+v, load %v: served %d, refused %d, most in a window %d of %v", c, times, fl.served, fl.refused, got, allowed(c.limit))
+				t.Logf("%+v, load %v: served %d, refused %d, most in a window %d of %v, %d messages",
+					c, times, fl.served, fl.refused, got, allowed(c.limit), fl.messages)
 				assert.Check(t, float64(got) <= allowed(c.limit))
 				assert.Check(t, float64(fl.served) > 0.85*min(times, 1)*carried*span.Seconds())
 			})
