quota: hosts that are starting don't make others refuse tenants within their quota

Callers saw 503 quota-unknown with Retry-After 0.02 from a ready host, 50 ms after a request with 1.5 s to its deadline, for a tenant far below its quota (edge.TestQuotaOverAllHosts).

Cause, from the hosts asked in vain that the line of a refused call now lists (asked=): a reply "I can't own parts, I don't know all hosts yet" was recorded as proof that its sender can own parts. The asker named that host as the owner to everybody else (6 of 11 failures read), or passed it over for 250 ms although it had become ready meanwhile and others named it as the owner (5 of 11). No probe was lost in any of them. A request was given up after one retry, 50 ms later, whatever time was left.

Now replies tell whether their sender can own parts, also those about borrowed tokens; a host that declined is asked again after 50 ms; a request waits for hosts that are starting for half of its time, 1 s at most; if they aren't ready by then Retry-After is 0.2 s, as all hosts refuse. A host that is cut off refuses at once as before.

Why it works: a reply no longer says more than its sender knew, so that the next in rank succeeds a starting owner at once, and what is left, that nobody can own the part yet, ends within the wait.

The local cluster prints its logs when a test fails.

--- a/controller/quota/borrow.go
+++ b/controller/quota/borrow.go
@@ -72,7 +72,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		reply, err := peer.Call[borrowReply](ctx, c.deps.Link, id, c.deps.Kind+kindBorrow, borrowRequest{Name: name, Want: want})
 		cancel()
-		c.recordReply(id, err == nil)
+		c.recordStatus(id, err == nil, reply.Owns)
 		if err == nil {
 			return reply.Tokens
 		}
@@ -85,7 +85,7 @@
 	owner, rank := c.knownOwner(req.Name, c.deps.Zone)
 	l, known := c.deps.Limits.Limit(req.Name)
 	if owner != c.self || !known || l.Rate == 0 {
-		return borrowReply{}, nil
+		return borrowReply{Owns: c.knowsAllHosts()}, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,5 +93,5 @@
 	p := c.partOf(now, req.Name, l, rank)
 	lent := p.Lend(now, req.Want)
 	p.lent += lent
-	return borrowReply{Tokens: lent}, nil
+	return borrowReply{Tokens: lent, Owns: true}, nil
 }
--- a/controller/quota/counters.go
+++ b/controller/quota/counters.go
@@ -12,6 +12,8 @@
 	// granted, denied and unknown count the decisions on requests that this host received
 	// from its callers.
 	granted, denied, unknown *expvar.Int
+	// startWaits counts the requests that waited for hosts that were starting.
+	startWaits *expvar.Int
 	// returned counts the grants of requests that didn't run.
 	returned *expvar.Int
 	// owned counts the requests that this host decided as an owner, followed those of
@@ -30,6 +32,7 @@
 		granted:    c("granted"),
 		denied:     c("denied"),
 		unknown:    c("unknown"),
+		startWaits: c("start_waits"),
 		returned:   c("returned"),
 		owned:      c("owned"),
 		followed:   c("followed"),
--- a/controller/quota/decide.go
+++ b/controller/quota/decide.go
@@ -11,14 +11,16 @@
 
 // onTake decides on a request that another host received.
 func (c *Controller) onTake(ctx context.Context, _ ports.HostID, req takeRequest) (takeReply, error) {
-	return c.decide(ctx, req), nil
+	reply := c.decide(ctx, req)
+	reply.Owns = c.knowsAllHosts()
+	return reply, nil
 }
 
 // decide decides on a request if this host owns the part, otherwise it returns the owner.
 func (c *Controller) decide(ctx context.Context, req takeRequest) takeReply {
 	owner, rank := c.owner(req.Name, c.zoneOf(req))
 	if owner != c.self {
-		return takeReply{Verdict: notOwner, Owner: owner}
+		return c.notOwnerReply(owner)
 	}
 	if req.Observed.Known {
 		c.deps.Limits.Observe(req.Name, req.Observed)
@@ -28,13 +30,26 @@
 	return reply
 }
 
+// notOwnerReply refers to the owner, or tells that this host doesn't know it.
+func (c *Controller) notOwnerReply(owner ports.HostID) takeReply {
+	reply := takeReply{Verdict: notOwner, Owner: owner, Cause: causeOtherOwner}
+	switch {
+	case owner != "":
+	case !c.knowsAllHosts():
+		reply.Cause = causeIncomplete
+	default:
+		reply.Cause = causeCutOff
+	}
+	return reply
+}
+
 // decideAsOwner decides on a request whose part this host owns. If the part has no token,
 // it borrows from the other zones.
 func (c *Controller) decideAsOwner(ctx context.Context, req takeRequest, rank int) takeReply {
 	l, known := c.deps.Limits.Limit(req.Name)
 	switch {
 	case !known:
-		return takeReply{Verdict: notOwner} // this host's configuration is out of date
+		return takeReply{Verdict: notOwner, Cause: causeUnknownLimit}
 	case l.Rate == 0:
 		return takeReply{Verdict: granted}
 	}
--- a/controller/quota/messages.go
+++ b/controller/quota/messages.go
@@ -41,6 +41,10 @@
 	Wait time.Duration `msgpack:"wait"`
 	// Owner is the owner of the part if Verdict is notOwner; empty if unknown.
 	Owner ports.HostID `msgpack:"owner"`
+	// Cause is why the receiver doesn't decide if Verdict is notOwner.
+	Cause cause `msgpack:"cause,omitempty"`
+	// Owns has the meaning it has in aliveReply.
+	Owns bool `msgpack:"owns"`
 	// Observed is what the owner knows about the limit if it isn't configured.
 	Observed quota.ObservedLimit `msgpack:"word,omitempty"`
 }
@@ -61,6 +65,8 @@
 
 type borrowReply struct {
 	Tokens float64 `msgpack:"tokens"`
+	// Owns has the meaning it has in aliveReply.
+	Owns bool `msgpack:"owns"`
 }
 
 // aliveRequest is the body of kindAlive.
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -25,6 +25,10 @@
 	// with each failure, up to maxBackoff.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = time.Second
+	// declinedBackoff is how long a host that replied that it can't own parts isn't asked
+	// again. It is shorter because asking it doesn't delay a request, and because it can
+	// own parts as soon as it knows all hosts.
+	declinedBackoff = 50 * time.Millisecond
 )
 
 // defaultHandoverDelay is how long a part gains no tokens after it has moved to this
@@ -52,8 +56,14 @@
 	failures int
 }
 
+// declined reports whether the host replied that it can't own parts.
+func (a hostStatus) declined() bool { return !a.owns && a.failures == 0 }
+
 // backoff returns how long the host is not contacted again.
 func (a hostStatus) backoff() time.Duration {
+	if a.declined() {
+		return declinedBackoff
+	}
 	return min(minBackoff<<min(max(a.failures-1, 0), 8), maxBackoff)
 }
 
@@ -81,12 +91,6 @@
 	c.ownerCache = ownerCache{version: version, since: now, byPart: make(map[partKey][]ports.HostID)}
 }
 
-// recordReply records whether a host replied. A host that did counts as one that can own
-// parts.
-func (c *Controller) recordReply(id ports.HostID, answered bool) {
-	c.recordStatus(id, answered, answered)
-}
-
 // recordStatus records whether a host replied, and whether it can own parts.
 func (c *Controller) recordStatus(id ports.HostID, answered, owns bool) {
 	now := time.Now()
@@ -99,27 +103,33 @@
 	c.contacted[id] = a
 }
 
+// status returns the result of the last request to a host, if there was one.
+func (c *Controller) status(id ports.HostID) (a hostStatus, contacted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, contacted = c.contacted[id]
+	return a, contacted
+}
+
 // backedOff reports whether a host is in backoff: its last request failed, or it can't
-// own parts. After the backoff the host is probed in the background. Probing within a
-// request would delay requests on every host that hasn't yet found out.
+// own parts. After the backoff a host that replied is contacted again, and one that
+// didn't is probed in the background: waiting for it would delay requests on every host
+// that hasn't yet found out.
 func (c *Controller) backedOff(id ports.HostID) bool {
-	c.mu.Lock()
-	a, contacted := c.contacted[id]
-	c.mu.Unlock()
+	a, contacted := c.status(id)
 	if !contacted || a.owns {
 		return false
 	}
-	if time.Since(a.at) >= a.backoff() {
+	over := time.Since(a.at) >= a.backoff()
+	if over && !a.declined() {
 		go c.probe(id)
 	}
-	return true
+	return !over || !a.declined()
 }
 
 // alive reports whether another host says that it can own parts.
 func (c *Controller) alive(id ports.HostID) bool {
-	c.mu.Lock()
-	a, contacted := c.contacted[id]
-	c.mu.Unlock()
+	a, contacted := c.status(id)
 	if contacted && a.owns && time.Since(a.at) < aliveTTL {
 		return true
 	}
@@ -139,9 +149,13 @@
 }
 
 func (c *Controller) onAlive(context.Context, ports.HostID, aliveRequest) (aliveReply, error) {
-	return aliveReply{Owns: c.deps.Board.Members.Load().Complete}, nil
+	return aliveReply{Owns: c.knowsAllHosts()}, nil
 }
 
+// knowsAllHosts reports whether this host knows all hosts, which it has to in order to own
+// parts.
+func (c *Controller) knowsAllHosts() bool { return c.deps.Board.Members.Load().Complete }
+
 // canOwn reports whether this host can own parts: it must know all hosts and not be in
 // the minority of a network partition. A host that knows few others would consider itself
 // the owner of everything, and hosts cut off together would own all parts a second time
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -22,6 +22,11 @@
 	returnedTTL = 250 * time.Millisecond
 	// maxOwnersAsked bounds the hosts asked about one request.
 	maxOwnersAsked = 6
+	// maxStartWait is the longest wait for hosts that are starting, about the time in which
+	// a host learns of all others.
+	maxStartWait = time.Second
+	// startingRetryAfter is the Retry-After if they aren't ready by then.
+	startingRetryAfter = 200 * time.Millisecond
 )
 
 // requester is what this host knows about a quota that it asks an owner about.
@@ -74,18 +79,53 @@
 	if l, known := c.deps.Limits.Limit(req.Name); !known || l.Rate == 0 {
 		return outcome.Result{}
 	}
-	switch a := c.Acquire(ctx, req); {
+	switch a := c.acquireWaiting(ctx, req); {
 	case a.Granted:
 		return outcome.Result{}
 	case a.Known:
 		return c.refusal(req.Name, a.Wait)
 	default:
-		r := outcome.Refuse(outcome.ReasonQuotaUnknown)
-		r.Detail = c.deps.Subject + "=" + req.Name
-		return r
+		return c.undecided(req.Name, a.asked)
 	}
 }
 
+// acquireWaiting is Acquire for a request that can't run without a decision. While hosts
+// that may own the part don't know all hosts yet, it keeps asking: the other hosts wait for
+// the same decision, so that the caller would find no better one.
+func (c *Controller) acquireWaiting(ctx context.Context, req quota.Request) Decision {
+	limit := time.Now().Add(startWait(ctx))
+	d := c.acquire(ctx, req)
+	if d.asked.starting {
+		c.count.startWaits.Add(1)
+	}
+	for d.asked.starting && time.Now().Before(limit) && ctxtime.Sleep(ctx, retryDelay) {
+		d = c.acquire(ctx, req)
+	}
+	return d
+}
+
+// startWait returns how long a request waits for hosts that are starting: no longer than
+// half of the time until its deadline, since it has yet to run.
+func startWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxStartWait
+	}
+	return min(maxStartWait, time.Until(deadline)/2)
+}
+
+// undecided returns the refusal of a request that no host could decide on. If hosts are
+// starting, all hosts refuse it, and the caller has to wait until they are asked again.
+func (c *Controller) undecided(name string, asked trace) outcome.Result {
+	c.count.unknown.Add(1)
+	r := outcome.Refuse(outcome.ReasonQuotaUnknown)
+	if asked.starting {
+		r.RetryAfter = startingRetryAfter
+	}
+	r.Detail = c.deps.Subject + "=" + name + " asked=" + asked.String()
+	return r
+}
+
 // Decision is the result of Acquire.
 type Decision struct {
 	// Granted is set if the request is within the quota.
@@ -94,11 +134,22 @@
 	// the time until the quota has room.
 	Known bool
 	Wait  time.Duration
+	// asked are the hosts that were asked in vain.
+	asked trace
 }
 
 // Acquire counts a request against a quota, even if this host knows no limit under that
 // name.
 func (c *Controller) Acquire(ctx context.Context, req quota.Request) Decision {
+	d := c.acquire(ctx, req)
+	if !d.Granted && !d.Known {
+		c.count.unknown.Add(1)
+	}
+	return d
+}
+
+// acquire is Acquire without counting undecided requests.
+func (c *Controller) acquire(ctx context.Context, req quota.Request) Decision {
 	name := req.Name
 	if wait := c.deniedFor(name); wait > 0 {
 		c.count.denied.Add(1)
@@ -112,7 +163,8 @@
 		c.count.granted.Add(1)
 		return Decision{Granted: true}
 	}
-	reply := c.askOwners(ctx, req)
+	var asked trace
+	reply := c.askOwners(ctx, req, &asked)
 	if reply.Observed.Known {
 		c.deps.Limits.Observe(name, reply.Observed)
 	}
@@ -128,8 +180,7 @@
 		a.deniedUntil = time.Now().Add(reply.Wait)
 		return Decision{Known: true, Wait: reply.Wait}
 	default:
-		c.count.unknown.Add(1)
-		return Decision{}
+		return Decision{asked: asked}
 	}
 }
 
@@ -170,30 +221,38 @@
 // askOwners asks the owner of the zone's part, or its successors if it can't be reached.
 // If none decides, it asks once more after retryDelay: directly after an owner has
 // failed, its successor may still consider it alive.
-func (c *Controller) askOwners(ctx context.Context, req takeRequest) takeReply {
-	reply := c.askOnce(ctx, req)
+func (c *Controller) askOwners(ctx context.Context, req takeRequest, asked *trace) takeReply {
+	reply := c.askOnce(ctx, req, asked)
 	if reply.Verdict != notOwner || !ctxtime.Sleep(ctx, retryDelay) {
 		return reply
 	}
-	return c.askOnce(ctx, req)
+	*asked = trace{}
+	return c.askOnce(ctx, req, asked)
 }
 
 // askOnce asks the owners one after the other. The verdict notOwner means that none
 // decided.
-func (c *Controller) askOnce(ctx context.Context, req takeRequest) takeReply {
+func (c *Controller) askOnce(ctx context.Context, req takeRequest, t *trace) takeReply {
 	next := c.owners(req.Name, c.zoneOf(req))
 	asked := make(map[ports.HostID]bool, maxOwnersAsked)
 	for len(next) > 0 && len(asked) < maxOwnersAsked && ctx.Err() == nil {
 		id := next[0]
 		next = next[1:]
-		if asked[id] || id != c.self && c.backedOff(id) {
+		if asked[id] {
+			continue
+		}
+		if id != c.self && c.backedOff(id) {
+			a, _ := c.status(id)
+			t.skipped(id, a)
 			continue
 		}
 		asked[id] = true
+		begin := time.Now()
 		reply := c.ask(ctx, id, req)
 		if reply.Verdict == granted || reply.Verdict == denied {
 			return reply
 		}
+		t.asked(id, reply, time.Since(begin))
 		if reply.Owner != "" && !asked[reply.Owner] {
 			next = append([]ports.HostID{reply.Owner}, next...)
 		}
@@ -209,6 +268,9 @@
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	reply, err := peer.Call[takeReply](ctx, c.deps.Link, id, c.deps.Kind+kindTake, req)
-	c.recordReply(id, err == nil)
+	c.recordStatus(id, err == nil, reply.Owns)
+	if err != nil {
+		return takeReply{Cause: causeNoReply}
+	}
 	return reply
 }
--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -86,6 +86,7 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	t.Cleanup(l.showLogs)
 	l.storeAddr = server.Listener.Addr().String()
 	l.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	l.configure(1)
@@ -99,6 +100,16 @@
 	return l
 }
 
+// showLogs prints the logs of all daemons if the test failed.
+func (l *localCluster) showLogs() {
+	if !l.t.Failed() {
+		return
+	}
+	for i, log := range l.logs {
+		l.t.Logf("log of daemon %d:\n%s", i, log.String())
+	}
+}
+
 func (l *localCluster) configure(version uint64, more ...standin.Route) {
 	l.store.Put("op", "config", standin.Config(version, append(l.routes(), more...)...))
 }
