watch: evacuations and new services don't overtake the targets that preceded them

Cause: two topics are watched apart; changes of targets are gathered for 0.1 s, evacuations are forwarded at once. Lines of a failed play: "zone evacuated revision=14" at 35.0938, call refused at 35.0944 with targets=3 evacuated=3, "target listed revision=9" to 13 at 35.0945. The same holds for a configuration with a service whose targets are new.

Now a watcher that reads such a change reads the targets up to it first, by one call that does not wait, and forwards both in one message; if the store doesn't answer in 0.3 s the change is applied all the same. It works since revisions are one order over all tables.

In virtual time both new tests fail in every play before, on 7 and 40 hosts.

--- a/controller/watch/config_test.go
+++ b/controller/watch/config_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
@@ -79,3 +80,27 @@
 		t.Logf("whole configuration received after %s", took)
 	})
 }
+
+// Guards against refusing callers of a new service for want of a target: a configuration must
+// not reach a host before the targets that were listed for it.
+func TestConfigurationDoesNotOvertakeTargets(t *testing.T) {
+	for _, n := range []int{7, 40} {
+		withFleet(t, n, func(fl *fleet) {
+			fl.record.Put(entryOf(0, false)) // the watchers gather what follows it
+			time.Sleep(20 * time.Millisecond)
+			e := entryOf(20, false)
+			e.Service = "new"
+			fl.record.Put(e)
+			next := config(2)
+			next.Services = append(next.Services, routing.Service{Name: e.Service})
+			fl.record.PutConfig(next)
+			begin := time.Now()
+			fl.await(nil, func(h *host) bool {
+				listed := len(h.board.Targets.Load().ByService[blackboard.ServiceKey{Workspace: routing.Workspace, Service: e.Service}]) > 0
+				assert.Check(t, h.version() < 2 || listed, "%d hosts: %s knows no target %s after the configuration", n, h.addr, time.Since(begin))
+				return h.version() == 2
+			})
+			assert.Check(t, time.Since(begin) < bound)
+		})
+	}
+}
--- a/controller/watch/evacuation_test.go
+++ b/controller/watch/evacuation_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/fakes/memstore"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
@@ -211,3 +212,44 @@
 		assert.Check(t, !cut.evacuates("z1"))
 	})
 }
+
+// Guards against refusing callers although targets elsewhere are ready: an evacuation must not
+// reach a host before the changes of targets that preceded it, here their move to another zone.
+func TestEvacuationDoesNotOvertakeTargets(t *testing.T) {
+	for _, n := range []int{7, 40} {
+		withFleet(t, n, func(fl *fleet) {
+			for i := range 10 {
+				fl.putInZone(i, "z0")
+			}
+			time.Sleep(time.Second)
+			fl.putInZone(0, "z0") // the watchers gather what follows it
+			time.Sleep(20 * time.Millisecond)
+			for i := 1; i < 10; i++ {
+				fl.putInZone(i, "z1")
+			}
+			fl.record.Evacuate("z0")
+			begin := time.Now()
+			for ; time.Since(begin) < evacuatedByAll; time.Sleep(time.Millisecond) {
+				for _, h := range fl.hosts {
+					if !h.hasUsableTarget() {
+						t.Errorf("%d hosts: %s has no usable target %s after the evacuation", n, h.addr, time.Since(begin))
+						return
+					}
+				}
+			}
+			fl.checkEvacuation(nil, "z0", true)
+		})
+	}
+}
+
+// putInZone lists a target in a zone.
+func (fl *fleet) putInZone(i int, zone string) {
+	e := entryOf(i, false)
+	e.Zone = zone
+	fl.record.Put(e)
+}
+
+// hasUsableTarget reports whether the host has a target outside the zones that it has evacuated.
+func (h *host) hasUsableTarget() bool {
+	return slices.ContainsFunc(h.board.Targets.Load().ByService[key], func(t blackboard.Target) bool { return !t.Evacuated })
+}
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -165,7 +165,11 @@
 		if delay := time.Duration(min(c.rank(), maxRank)) * rankDelay; !ch.Empty() && !ctxtime.Sleep(ctx, delay) {
 			return
 		}
-		c.storeAnswered(w, t, ch, validAt(asked, now, ch))
+		at := validAt(asked, now, ch)
+		if t == directory.TopicConfig {
+			ch = c.withOlderTargets(ctx, ch)
+		}
+		c.storeAnswered(w, t, ch, at)
 		if !ch.Empty() && !ctxtime.Sleep(ctx, gatherDelay) {
 			return
 		}
--- a/directory/evacuation.go
+++ b/directory/evacuation.go
@@ -76,6 +76,12 @@
 	return e.newest <= newest && e.Digest() != digest
 }
 
+// Begins reports whether an evacuation would empty a zone that isn't evacuated yet.
+func (e *Evacuations) Begins(o Evacuation) bool {
+	known, ok := e.zones[o.Zone]
+	return !o.Ended && o.Revision > e.completeAt && (!ok || known.Ended && o.newer(known.Evacuation))
+}
+
 // Active reports whether a zone is evacuated.
 func (e *Evacuations) Active(zone string) bool {
 	o, ok := e.zones[zone]
--- a/directory/state.go
+++ b/directory/state.go
@@ -309,6 +309,9 @@
 	}
 }
 
+// CompleteAt returns the revision as of which all targets are known, 0 if they never were.
+func (s *State) CompleteAt() Revision { return s.completeAt }
+
 // Advance records that every change up to a revision was merged, as after a watch.
 func (s *State) Advance(to Revision) {
 	if s.completeAt > 0 {
