watch: a short silence of the store is no outage, whenever it begins

Cause, from a trace of all calls in a failing play: an outage is measured from answer to answer. The silence began 0.8 s after the last one. When the store was back, nobody asked it for 0.7 s: the watcher waited for a call that would never be answered (held for 0.9 s, then a timeout of 0.6 s that doubles up to 2 s), and every other host had had its turn. In all 3.005 s. Besides, heartbeats told the age of the older of both topics' answers, and nothing while one topic failed, so that an outage of the configuration alone held targets as well.

Now calls after a failed one don't ask the store to wait, and about targets one is made every 0.4 s whether those before have ended or not; heartbeats and reports of hosts that aren't served tell when the store last answered about targets. A silence seems at most 1.3 s longer than it was, so that 1.5 s are never 2.9 s, and it never seems shorter.

--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -18,6 +18,9 @@
 	refusedConfigs *expvar.Int
 	// restores counts how often the store was restored from an older copy.
 	restores *expvar.Int
+	// outages counts how often this host learned that the store had been out long enough for
+	// targets' entries to expire.
+	outages *expvar.Int
 	// linesDropped counts log lines about targets that the rate limit suppressed.
 	linesDropped *expvar.Int
 }
@@ -37,6 +40,7 @@
 
 		refusedConfigs: c("configs_refused"),
 		restores:       c("older_copies"),
+		outages:        c("outages"),
 		linesDropped:   c("target_lines_dropped"),
 	}
 }
--- a/controller/watch/heartbeat.go
+++ b/controller/watch/heartbeat.go
@@ -26,6 +26,7 @@
 		StoreOK:   w.storeOK(),
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
+		Targets:   w.targetsAnswer(now),
 		Newest:    c.state.Newest(),
 		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -31,6 +31,8 @@
 	StoreOK   bool          `msgpack:"store_ok"`
 	StoreAge  time.Duration `msgpack:"store_age"`
 	StoreWait time.Duration `msgpack:"store_wait"`
+	// Targets is about the targets alone; Answered is never set by hosts of earlier releases.
+	Targets targetsAnswer `msgpack:"targets"`
 	// Version, Newest and Digest describe the watcher's state, so that a host that missed a
 	// change notices.
 	Version uint64             `msgpack:"version"`
@@ -45,6 +47,15 @@
 	Hosts uint64 `msgpack:"hosts"`
 }
 
+// targets tells when the store last answered the sender about targets. If the store serves it,
+// that is no longer ago than StoreAge.
+func (b heartbeat) targets() targetsAnswer {
+	if !b.Targets.Answered && b.StoreOK {
+		return targetsAnswer{Answered: true, Age: b.StoreAge}
+	}
+	return b.Targets
+}
+
 // packedChanges is the body of kindChanges.
 type packedChanges = peer.Packed[directory.Changes]
 
@@ -58,8 +69,18 @@
 	To   []ports.HostID `msgpack:"to"`
 }
 
-// refused is the empty body of kindRefused.
-type refused struct{}
+// refused is the body of kindRefused.
+type refused struct {
+	Targets targetsAnswer `msgpack:"targets"`
+}
+
+// targetsAnswer tells when the store last answered the sender about targets, whether it serves it
+// otherwise or not.
+type targetsAnswer struct {
+	// Answered is set if it ever did, Age is how long before the message it last did.
+	Answered bool          `msgpack:"answered"`
+	Age      time.Duration `msgpack:"age"`
+}
 
 // confirmRequest is the empty body of kindConfirm.
 type confirmRequest struct{}
--- a/controller/watch/outage_test.go
+++ b/controller/watch/outage_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -173,6 +174,65 @@
 	})
 }
 
+// Guards against using a removed target because a short silence seemed long: it began well after
+// the last answer of the store, and its end went unnoticed while calls that would never be
+// answered ran into their timeouts.
+func TestShortSilenceIsNoOutageWheneverItBegins(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for phase := time.Duration(0); phase <= watchers.WatchTimeout; phase += 100 * time.Millisecond {
+			fl.awaitPoll()
+			time.Sleep(phase)
+			fl.setModes(memstore.Unresponsive)
+			time.Sleep(1500 * time.Millisecond)
+			fl.setModes(memstore.Serving)
+			fl.record.Put(entryOf(3, false))
+			fl.await(nil, func(h *host) bool { return h.routesTo(3) })
+			fl.record.Remove(targetID(3))
+			gone := fl.await(nil, func(h *host) bool { return !h.routesTo(3) })
+			assert.Check(t, gone < 2*time.Second, "begun %s after an answer: gone after %s", phase, gone)
+			time.Sleep(10 * time.Second)
+		}
+		for _, h := range fl.hosts {
+			assert.Check(t, h.c.count.outages.Value() == 0, "%s: %s", h.addr, h.c.count.outages)
+		}
+	})
+}
+
+// awaitPoll waits until the store has just answered the first watcher about targets.
+func (fl *fleet) awaitPoll() {
+	first := slices.MinFunc(fl.watching(), func(a, b *host) int { return cmp.Compare(a.c.rank(), b.c.rank()) })
+	first.c.mu.Lock()
+	w := first.c.watch
+	first.c.mu.Unlock()
+	for last := w.lastOK[directory.TopicTargets].Load(); w.lastOK[directory.TopicTargets].Load() == last; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// setModes sets how the store treats the calls of all hosts.
+func (fl *fleet) setModes(m memstore.Mode) {
+	for _, h := range fl.hosts {
+		h.client.SetMode(m)
+	}
+}
+
+// Guards against using a removed target because the configuration alone was out: the hosts that
+// do not watch took that for an outage of the targets' table as well.
+func TestOutageOfTheConfigurationHoldsNoTargetThatIsGone(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.client.ExemptTopic(directory.TopicTargets)
+		}
+		fl.setModes(memstore.Refusing)
+		time.Sleep(5 * time.Second)
+		fl.setModes(memstore.Serving)
+		time.Sleep(300 * time.Millisecond)
+		fl.record.Remove(targetID(3))
+		gone := fl.await(nil, func(h *host) bool { return !h.routesTo(3) })
+		assert.Check(t, gone < 2*time.Second, "%s", gone)
+	})
+}
+
 // Guards against dropping targets whose entries expired because a host that started during the
 // outage, and does not know of it, forwards their removal.
 func TestHostsThatStartInAnOutageDropNoTargets(t *testing.T) {
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -36,8 +36,8 @@
 	c.noteVersion(b.Version)
 	if b.StoreOK {
 		c.storeServed(now.Add(-b.StoreAge))
-		c.noteOutage(now.Add(-b.StoreAge))
 	}
+	c.noteTargetsAnswer(now, b.targets(), from)
 	if !known || previous.StoreOK != b.StoreOK || !previous.Fresh(now) {
 		c.wakeUp()
 	}
@@ -54,14 +54,24 @@
 
 // onRefused records that the store did not serve another host's attempt to watch. The attempts
 // are spaced further apart once the store is down for all hosts.
-func (c *Controller) onRefused(_ context.Context, from ports.HostID, _ refused) (struct{}, error) {
+func (c *Controller) onRefused(_ context.Context, from ports.HostID, r refused) (struct{}, error) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refusedAt[from] = time.Now()
+	c.noteTargetsAnswer(now, r.Targets, from)
+	c.refusedAt[from] = now
 	c.wakeUp()
 	return struct{}{}, nil
 }
 
+// noteTargetsAnswer records when the store answered another host about targets. c.mu must be
+// held.
+func (c *Controller) noteTargetsAnswer(now time.Time, a targetsAnswer, from ports.HostID) {
+	if a.Answered {
+		c.noteOutage(now.Add(-a.Age), from)
+	}
+}
+
 // storeServed records that the store answered some host at a time: attempts that failed before
 // then no longer count. c.mu must be held.
 func (c *Controller) storeServed(at time.Time) {
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
@@ -26,10 +26,6 @@
 	// for all before them; maxRank bounds their wait.
 	rankDelay = 60 * time.Millisecond
 	maxRank   = 5
-	// retryPause is the delay before a watcher's first retry of a failed call; it doubles up to
-	// maxRetryPause. Refused calls are paid for too, and an outage lasts seconds.
-	retryPause    = 100 * time.Millisecond
-	maxRetryPause = 400 * time.Millisecond
 	// returnHold is how long after an outage of the store the targets that it dropped meanwhile
 	// are still used: those that are alive are listed again within about 2 s of its return.
 	returnHold = 2200 * time.Millisecond
@@ -88,6 +84,12 @@
 	return now.Sub(w.started) - time.Duration(oldest)
 }
 
+// targetsAnswer tells when the store last answered this host about targets.
+func (w *storeWatch) targetsAnswer(now time.Time) targetsAnswer {
+	last := time.Duration(w.lastOK[directory.TopicTargets].Load())
+	return targetsAnswer{Answered: last > 0, Age: now.Sub(w.started) - last}
+}
+
 // startWatching starts watching all topics. c.mu must be held.
 func (c *Controller) startWatching(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -130,52 +132,40 @@
 // watchTopic follows one topic until ctx ends.
 func (c *Controller) watchTopic(ctx context.Context, w *storeWatch, t directory.Topic) {
 	var after directory.Revision
-	pause := retryPause
 	for ctx.Err() == nil {
-		asked := time.Now()
-		timeout := c.timeout.next(asked)
-		slow := c.reportIfSlow(w, t)
-		ch, err := c.fetch(ctx, w, t, after, timeout)
-		slow.Stop()
+		a := c.call(ctx, w, t, after)
+		if a.err != nil && ctx.Err() == nil && !a.historyGone() {
+			c.storeFailed(w, t, a.askedAt, a.err)
+			a = c.awaitReturn(ctx, w, t, after)
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			if errors.Is(err, directory.ErrHistoryGone) {
-				c.deps.Log.Warn("store no longer has the history, reading in full", zap.Stringer("topic", t))
-				after = 0
-				continue
-			}
-			if errors.Is(err, context.DeadlineExceeded) {
-				c.timeout.timedOut(time.Now(), timeout)
-			}
-			c.storeFailed(w, t, asked, err)
-			if !ctxtime.Sleep(ctx, pause) {
-				return
-			}
-			pause = min(2*pause, maxRetryPause)
+		if a.historyGone() {
+			c.deps.Log.Warn("store no longer has the history, reading in full", zap.Stringer("topic", t))
+			after = 0
 			continue
 		}
-		pause = retryPause
-		if time.Since(asked) < baseTimeout {
-			c.timeout.reset()
-		}
-		after = ch.Revision
-		now := time.Now()
-		if delay := time.Duration(min(c.rank(), maxRank)) * rankDelay; !ch.Empty() && !ctxtime.Sleep(ctx, delay) {
-			return
-		}
-		at := validAt(asked, now, ch)
-		if t == directory.TopicConfig {
-			ch = c.withOlderTargets(ctx, ch)
-		}
-		c.storeAnswered(w, t, ch, at)
-		if !ch.Empty() && !ctxtime.Sleep(ctx, gatherDelay) {
+		after = a.changes.Revision
+		if !c.apply(ctx, w, t, a) {
 			return
 		}
 	}
 }
 
+// apply applies an answer of the store after those of the watchers that forward before this
+// host, and waits for further changes if there were any. It returns false once ctx ends.
+func (c *Controller) apply(ctx context.Context, w *storeWatch, t directory.Topic, a answer) bool {
+	if delay := time.Duration(min(c.rank(), maxRank)) * rankDelay; !a.changes.Empty() && !ctxtime.Sleep(ctx, delay) {
+		return false
+	}
+	if t == directory.TopicConfig {
+		a.changes = c.withOlderTargets(ctx, a.changes)
+	}
+	c.storeAnswered(w, t, a)
+	return a.changes.Empty() || ctxtime.Sleep(ctx, gatherDelay)
+}
+
 // rank is the number of other watchers that forward changes before this host.
 func (c *Controller) rank() int {
 	c.mu.Lock()
@@ -183,27 +173,6 @@
 	return watchers.Rank(c.self, watchers.FreshWatchers(time.Now(), c.heartbeats))
 }
 
-// fetch makes one call to the store: a full read of the topic, or a watch that continues where
-// the last call ended.
-func (c *Controller) fetch(ctx context.Context, w *storeWatch, t directory.Topic, after directory.Revision, timeout time.Duration) (directory.Changes, error) {
-	c.count.calls.Add(1)
-	if after == 0 {
-		return c.deps.Source.Read(ctx, t, timeout)
-	}
-	wait := watchers.WatchTimeout
-	if c.rank() > 0 {
-		wait = watchers.SecondaryWatchTimeout
-	}
-	if left, scheduled := c.rereadIn(w, t); scheduled {
-		if left <= 0 {
-			return c.deps.Source.Read(ctx, t, timeout)
-		}
-		wait = min(wait, left)
-	}
-	w.wait.Store(int64(wait))
-	return c.deps.Source.Watch(ctx, t, after, wait, timeout)
-}
-
 // reportIfSlow tells the other hosts, once baseTimeout has passed, that the store does not serve
 // this host's attempt to watch, while the attempt goes on: if they heard only when it gives up,
 // more of them would try meanwhile.
@@ -220,7 +189,7 @@
 // reportRefused tells all hosts that the store does not serve this one. c.mu must be held.
 func (c *Controller) reportRefused(now time.Time) {
 	c.refusedAt[c.self] = now
-	c.broadcast(kindRefused, refused{})
+	c.broadcast(kindRefused, refused{Targets: c.watch.targetsAnswer(now)})
 }
 
 // storeFailed handles a failed call to the store. A host that was only trying to take over gives
@@ -250,20 +219,19 @@
 	}
 }
 
-// storeAnswered merges an answer from the store, which was current at a time, and forwards what
-// was new to all hosts.
-func (c *Controller) storeAnswered(w *storeWatch, t directory.Topic, ch directory.Changes, at time.Time) {
-	now := time.Now()
+// storeAnswered merges an answer from the store and forwards what was new to all hosts.
+func (c *Controller) storeAnswered(w *storeWatch, t directory.Topic, a answer) {
+	now, ch := time.Now(), a.changes
 	regained := w.failing[t].Swap(false)
-	first := w.lastOK[t].Swap(int64(now.Sub(w.started))) == 0
+	first := w.lastOK[t].Swap(int64(a.receivedAt.Sub(w.started))) == 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.watch != w {
 		return
 	}
-	c.storeServed(now)
+	c.storeServed(a.receivedAt)
 	if t == directory.TopicTargets {
-		c.noteOutage(now)
+		c.noteOutage(a.receivedAt, c.self)
 	}
 	if c.storeFailing {
 		c.deps.Log.Info("store regained", zap.Stringer("topic", t))
@@ -281,7 +249,7 @@
 		applied = c.merge(now, ch, c.self)
 	}
 	if t == directory.TopicConfig {
-		c.noteConfig(w, ch, at)
+		c.noteConfig(w, ch, a.validAt())
 	}
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
@@ -314,13 +282,16 @@
 	return max(0, returnHold-now.Sub(c.outageEnd))
 }
 
-// noteOutage records that the store answered some host about targets at a time: if it had
-// answered none for minOutage, it was down until then, although it may have answered about the
+// noteOutage records that the store answered a host about targets at a time: if it had answered
+// none for minOutage, it was down until then, although it may have answered about the
 // configuration meanwhile. A host whose own link is saturated misses the store for a shorter
 // time, and a removal in that time is genuine. c.mu must be held.
-func (c *Controller) noteOutage(at time.Time) {
-	if at.Sub(c.targetsServedAt) >= minOutage {
+func (c *Controller) noteOutage(at time.Time, host ports.HostID) {
+	if gap := at.Sub(c.targetsServedAt); gap >= minOutage {
 		c.outageEnd = at
+		c.count.outages.Add(1)
+		c.deps.Log.Warn("store was out, removed targets stay in use", zap.Duration("out", gap),
+			zap.Duration("age", time.Since(at)), zap.Duration("for", c.outageHold(time.Now())), zap.String("from", string(host)))
 	}
 	if at.After(c.targetsServedAt) {
 		c.targetsServedAt = at
