daemon: a stop answers every request that has arrived, and waits for nothing else

Callers of a planned stop lost a request on an open connection (unexpected EOF, edge.TestStopAnswersWhatArrivesAsItStopsListening, once), and an idle host took 524 ms of 500 to stop (TestStopDoesNotWaitForAnEmptyConnection, once).

Cause of both: http.Server takes a connection for idle until a header has been read completely; Shutdown closes those and drops requests just read. The stop didn't know which connections carry a request and waited for fixed times, 60 and 100 to 120 ms: too short for a request that is read late, as on a busy machine, and 461 to 483 ms of 500 with the notice.

Evidence: connections whose bytes are read 0.12 s late lose the request in every play before (TestCloseAnswersWhatIsReadLate, unexpected EOF), although it came 1 ms after the listener closed.

Now the server's connections are tracked: unread bytes, a request that no handler has, one that a handler has. A connection is closed once it has carried no request for 20 ms, Shutdown begins when every request has its handler (or after 1 s), and no fixed time is waited without requests.

--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -108,7 +108,7 @@
 	budget     *budget.Shares
 	probes     *probes.Controller
 
-	callers   daemon.Callers
+	callers   *daemon.Callers
 	answers   *entry.ServerResponseMonitor
 	operators *http.Server
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,7 +68,7 @@
 	picker     *backpressure.Picker
 	leave      *leave.Controller
 
-	callers    daemon.Callers
+	callers    *daemon.Callers
 	ownAnswers *entry.ServerResponseMonitor
 	readiness  *http.Server
 	operators  *http.Server
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -235,7 +235,7 @@
 	}
 	d.ownAnswers = entry.NewServerResponseMonitor(d.log, d.metrics, d.platform.Contract.RequestID)
 	d.ownAnswers.Attach(callers)
-	d.callers = daemon.Callers{
+	d.callers = &daemon.Callers{
 		Server:   callers,
 		Listener: d.ownAnswers.Listener(d.listeners.callers),
 		InFlight: d.entry.InFlight,
--- a/entry/serverresponses.go
+++ b/entry/serverresponses.go
@@ -120,11 +120,16 @@
 
 // monitoredConnOf returns the monitored connection below a server's connection, or nil.
 func monitoredConnOf(nc net.Conn) *monitoredConn {
-	if t, ok := nc.(*tls.Conn); ok {
-		nc = t.NetConn()
+	for {
+		if c, ok := nc.(*monitoredConn); ok {
+			return c
+		}
+		outer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = outer.NetConn()
 	}
-	c, _ := nc.(*monitoredConn)
-	return c
 }
 
 // stateChanged is a ConnState hook of http.Server. A connection becomes active once a request, or
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -14,13 +14,21 @@
 const (
 	// closeGrace is how long connections that are open when the listener closes may still
 	// deliver a request. Callers send one as soon as they have connected, so it has to
-	// cover some milliseconds of network delay and scheduling on a busy machine. Together
-	// with idleDuration it stays under the 0.2 s that a stop of an idle host may take.
+	// cover some milliseconds of network delay and scheduling on a busy machine.
 	closeGrace = 60 * time.Millisecond
-	// idleCheckInterval is the interval of checks for requests in flight during a stop,
-	// idleDuration how long there must have been none for the stop to complete.
-	idleCheckInterval = 20 * time.Millisecond
-	idleDuration      = 100 * time.Millisecond
+	// headGrace is how long after the listener has closed a header that is arriving may take.
+	headGrace = time.Second
+	// arrivalGap is the longest pause in such a header. It also covers the time from when it
+	// was read to when its handler begins.
+	arrivalGap = 200 * time.Millisecond
+	// quietDuration is how long a connection must have carried no request until it is closed.
+	// Bytes that the server is just reading are for a moment neither unread nor known as read.
+	quietDuration = 20 * time.Millisecond
+	// idleCheckInterval is the interval of checks for requests during a stop.
+	idleCheckInterval = 5 * time.Millisecond
+	// idleDuration is how long there must have been no request in flight until a stop is
+	// complete if there are HTTP/2 connections, whose state is unknown.
+	idleDuration = 100 * time.Millisecond
 )
 
 // Callers is the HTTP server for callers.
@@ -30,11 +38,14 @@
 	Listener net.Listener
 	// InFlight returns the number of requests whose response is not yet complete.
 	InFlight func() int64
+
+	conns connTracker
 }
 
 // Serve serves callers until Close, or until the server is closed.
-func (c Callers) Serve() error {
-	err := Serve(c.Server, c.Listener)
+func (c *Callers) Serve() error {
+	c.conns.attach(c.Server)
+	err := Serve(c.Server, c.conns.listener(c.Listener))
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -42,45 +53,56 @@
 }
 
 // Close closes the listener, serves requests that still arrive on open connections for a
-// short time, and waits for the requests in flight.
-//
-// http.Server.Shutdown closes connections from which it has just read a request without
-// sending a response. Close therefore closes the listener first, and requests that arrive
-// before Shutdown are answered with "Connection: close". Connections that the kernel has
-// not handed over by then are reset; no request was read from them.
+// short time, and waits for the requests in flight. Requests that arrive meanwhile are
+// answered with "Connection: close".
 //
-// Close does not wait for connections without a request, to each of which Shutdown gives
-// five seconds.
-func (c Callers) Close(ctx context.Context) error {
+// A connection is closed only if it carries no request: Shutdown alone would close those
+// whose request is just being read, and drop requests that were read completely. So it
+// begins once every request has reached its handler. Connections that the kernel has not
+// handed over by the time the listener closes are reset; no request was read from them.
+func (c *Callers) Close(ctx context.Context) error {
 	if c.Listener == nil {
 		return nil
 	}
 	if err := c.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
-	ctxtime.Sleep(ctx, closeGrace)
+	c.awaitHandlers(ctx)
 	closed := make(chan error, 1)
 	go func() { closed <- c.Server.Shutdown(ctx) }()
 	return c.waitIdle(closed)
 }
 
-// waitIdle waits until the server has closed all connections, or until no request has been
-// in flight for idleDuration.
-func (c Callers) waitIdle(closed <-chan error) error {
+// awaitHandlers waits until every request that arrives has reached its handler, and closes
+// the connections that carry none.
+func (c *Callers) awaitHandlers(ctx context.Context) {
+	begin := time.Now()
+	ctxtime.Sleep(ctx, closeGrace-quietDuration)
+	for time.Since(begin) < headGrace {
+		if _, waiting := c.conns.closeQuiet(time.Now()); waiting == 0 || !ctxtime.Sleep(ctx, idleCheckInterval) {
+			return
+		}
+	}
+}
+
+// waitIdle waits until the server has closed all connections, or until none carries a
+// request.
+func (c *Callers) waitIdle(closed <-chan error) error {
 	tick := time.NewTicker(idleCheckInterval)
 	defer tick.Stop()
 	idleSince := time.Now()
 	for {
+		_, multiplexed := c.conns.open()
+		switch handled, _ := c.conns.closeQuiet(time.Now()); {
+		case c.InFlight() > 0 || handled > 0:
+			idleSince = time.Now()
+		case !multiplexed || time.Since(idleSince) >= idleDuration:
+			return nil
+		}
 		select {
 		case err := <-closed:
 			return err
-		case now := <-tick.C:
-			if c.InFlight() > 0 {
-				idleSince = now
-			}
-			if now.Sub(idleSince) >= idleDuration {
-				return nil
-			}
+		case <-tick.C:
 		}
 	}
 }
--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 
 // testServer is a server for callers whose handler counts requests in flight and can block.
 type testServer struct {
-	daemon.Callers
+	*daemon.Callers
 	inFlight atomic.Int64
 	hold     chan struct{}
 	ended    chan error
@@ -25,8 +27,12 @@
 func serve(t *testing.T) *testServer {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return serveOn(t, l)
+}
+
+func serveOn(t *testing.T, l net.Listener) *testServer {
 	s := &testServer{hold: make(chan struct{}), ended: make(chan error, 1)}
-	s.Callers = daemon.Callers{
+	s.Callers = &daemon.Callers{
 		Server:   &http.Server{Handler: http.HandlerFunc(s.call), ReadHeaderTimeout: time.Minute},
 		Listener: l,
 		InFlight: s.inFlight.Load,
@@ -85,6 +91,70 @@
 	}
 }
 
+// lateListener returns connections whose bytes are read some time after they have arrived, as
+// on a machine whose processors are busy.
+type lateListener struct {
+	net.Listener
+	late time.Duration
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{nc.(*net.TCPConn), l.late}, nil
+}
+
+type lateConn struct {
+	*net.TCPConn
+	late time.Duration
+}
+
+// Read implements net.Conn.
+func (c lateConn) Read(b []byte) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(c.late)
+	return c.TCPConn.Read(b)
+}
+
+// Guards against cutting off a request that had arrived: the server came to read it only after it
+// had begun to close its idle connections.
+func TestCloseAnswersWhatIsReadLate(t *testing.T) {
+	for _, earlier := range []int{0, 1} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		s := serveOn(t, lateListener{l, 120 * time.Millisecond})
+		nc := s.dial(t)
+		r := bufio.NewReader(nc)
+		for i := range earlier + 1 {
+			closed := make(<-chan error)
+			if i == earlier {
+				closed = s.startClose(t)
+			}
+			_, err = io.WriteString(nc, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err, "%d requests before", earlier)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.NilError(t, resp.Body.Close())
+			if i == earlier {
+				assert.NilError(t, <-closed)
+			}
+		}
+	}
+}
+
 // Guards against a stop that waits for open connections without a request.
 func TestCloseDoesNotWaitForAnEmptyConnection(t *testing.T) {
 	s := serve(t)
--- /dev/null
+++ b/internal/daemon/conns.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// connTracker knows the open connections of an http.Server and which of them carry a request.
+// Its zero value is ready for use.
+//
+// http.Server can't tell: to it a connection is idle until a request's header has been read
+// completely, and Shutdown closes idle connections and drops requests that were just read.
+type connTracker struct {
+	mu    sync.Mutex
+	conns map[*trackedConn]struct{}
+}
+
+// trackedConn is a connection from a caller.
+type trackedConn struct {
+	net.Conn
+	tracker *connTracker
+	// arrived is set while bytes were read that belong to no request that a handler has.
+	arrived atomic.Bool
+	// readAt is when bytes were last read, in Unix nanoseconds.
+	readAt atomic.Int64
+	// handled is set from when a handler gets a request until its response has been sent.
+	handled atomic.Bool
+	// multiplexed is set for HTTP/2, whose connections are left to Shutdown.
+	multiplexed atomic.Bool
+	// quietSince is since when closeQuiet has seen no request on the connection; zero if it
+	// has seen one. Only closeQuiet uses it.
+	quietSince time.Time
+}
+
+type trackedConnKey struct{}
+
+// attach adds the tracker's hooks to a server that is going to serve on a listener returned by
+// listener.
+func (t *connTracker) attach(s *http.Server) {
+	connState, connContext, handler := s.ConnState, s.ConnContext, s.Handler
+	s.ConnState = func(nc net.Conn, state http.ConnState) {
+		if c := trackedConnOf(nc); c != nil && state == http.StateIdle {
+			c.handled.Store(false)
+		}
+		if connState != nil {
+			connState(nc, state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, nc)
+		}
+		return context.WithValue(ctx, trackedConnKey{}, trackedConnOf(nc))
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, _ := r.Context().Value(trackedConnKey{}).(*trackedConn); c != nil {
+			c.begin(r)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// listener wraps a listener so that its connections are tracked.
+func (t *connTracker) listener(l net.Listener) net.Listener { return &trackedListener{l, t} }
+
+type trackedListener struct {
+	net.Listener
+	tracker *connTracker
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{Conn: nc, tracker: l.tracker}
+	l.tracker.add(c)
+	return c, nil
+}
+
+// trackedConnOf returns the tracked connection below a server's connection, or nil.
+func trackedConnOf(nc net.Conn) *trackedConn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	c, _ := nc.(*trackedConn)
+	return c
+}
+
+// NetConn returns the connection that c wraps.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.readAt.Store(time.Now().UnixNano())
+		c.arrived.Store(true)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.tracker.remove(c)
+	return c.Conn.Close()
+}
+
+// begin records that a handler has received a request.
+func (c *trackedConn) begin(r *http.Request) {
+	if r.ProtoMajor > 1 {
+		c.multiplexed.Store(true)
+		return
+	}
+	c.handled.Store(true)
+	c.arrived.Store(false)
+}
+
+// arriving reports whether the connection carries a request that no handler has yet, of which
+// bytes came within arrivalGap. Unread bytes have to be looked for first: they become read ones.
+func (c *trackedConn) arriving(now time.Time) bool {
+	return c.unread() || c.arrived.Load() && now.Sub(time.Unix(0, c.readAt.Load())) < arrivalGap
+}
+
+// unread reports whether the kernel has bytes of the connection that nobody has read yet.
+func (c *trackedConn) unread() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { // an error means that it is closed
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+func (t *connTracker) add(c *trackedConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns == nil {
+		t.conns = make(map[*trackedConn]struct{})
+	}
+	t.conns[c] = struct{}{}
+}
+
+func (t *connTracker) remove(c *trackedConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// open returns the open connections, except those of HTTP/2, and whether there are any of the
+// latter.
+func (t *connTracker) open() (list []*trackedConn, multiplexed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if c.multiplexed.Load() {
+			multiplexed = true
+			continue
+		}
+		list = append(list, c)
+	}
+	return list, multiplexed
+}
+
+// closeQuiet closes the connections that have carried no request for quietDuration. It returns
+// how many have a request that a handler has, and how many others are left.
+func (t *connTracker) closeQuiet(now time.Time) (handled, waiting int) {
+	list, _ := t.open()
+	for _, c := range list {
+		switch {
+		case c.handled.Load():
+			c.quietSince = time.Time{}
+			handled++
+			continue
+		case c.arriving(now):
+			c.quietSince = time.Time{}
+		case c.quietSince.IsZero():
+			c.quietSince = now
+		case now.Sub(c.quietSince) >= quietDuration:
+			_ = c.Close() // nothing is lost with it
+			continue
+		}
+		waiting++
+	}
+	return handled, waiting
+}
--- a/provision.go
+++ b/provision.go
@@ -327,7 +327,7 @@
 	}
 	d.answers = entry.NewServerResponseMonitor(d.log, d.metrics, targetapi.Default().RequestID)
 	d.answers.Attach(callers)
-	d.callers = daemon.Callers{Server: callers, InFlight: d.entry.InFlight}
+	d.callers = &daemon.Callers{Server: callers, InFlight: d.entry.InFlight}
 	if l := d.listeners.callers; l != nil {
 		d.callers.Listener = d.answers.Listener(l)
 	}
