dispatch: the refusal of an attempt that lost against its hedge is read

A target that asked a host for rest got that host's next request all the same (TestCoordinatedHostsLetTargetsRest, "4 calls, 0 probes", 3 allowed).

Cause, from the attempts of a failing play (a trial, written down on a copy of the code): a read goes to the resting target, 1.7 ms later a hedge to another one, which answers 0.3 ms after that; the first attempt is canceled 0.07 ms after the target had refused it, so that the refusal, and the rest it asks for, are never read. The host's next request goes there again. The coordinator has no part in it.

Now the loser of a race goes on for 50 ms, also if its caller is served and gone, and is canceled then: a refusal takes a round trip. The first attempt of a call that may be hedged has a goroutine of its own, so that the answer of the winner doesn't wait for the loser.

TestRefusalOfTheLosingAttemptIsRead fails before. Two tests wait 50 ms before they look whether both attempts have ended; what they look for is unchanged.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -159,11 +160,46 @@
 		assert.NilError(t, err)
 		assert.Equal(t, body, "hedge")
 		assert.Check(t, time.Since(start) < 20*time.Millisecond)
+		time.Sleep(loserGrace)
 		synctest.Wait()
 		assert.Equal(t, len(b.picker.reports()), 2)
 	})
 }
 
+// Guards against sending the next request to a target that asked for rest: its refusal arrived
+// right after the hedge had won, and was not read.
+func TestRefusalOfTheLosingAttemptIsRead(t *testing.T) {
+	rest := http.Header{targetapi.HeaderShed: {targetapi.Yes}, "Retry-After": {"3"}}
+	for _, ended := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newHarness(t, slow(10*time.Millisecond, respond(http.StatusServiceUnavailable, "", rest)), slow(time.Millisecond, respond(200, "hedge", nil)))
+			rested := make(chan time.Duration, 2)
+			b.d.onSignals = func(_ blackboard.ServiceKey, _ blackboard.Target, s targetapi.Signals) {
+				if s.RetryAfter > 0 {
+					rested <- s.RetryAfter
+				}
+			}
+			c := newCall(http.MethodGet)
+			c.Workspace.HedgeRatio = 1
+			for range 100 {
+				b.d.observe(c.Key, 5*time.Millisecond)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			body, err := readReply(t, b.do(t, ctx, c))
+			assert.Check(t, err)
+			assert.Check(t, body == "hedge")
+			if ended {
+				cancel() // the caller has its answer and is gone
+			}
+			time.Sleep(loserGrace)
+			synctest.Wait()
+			assert.Check(t, len(rested) == 1 && <-rested == 3*time.Second)
+			assert.Check(t, len(b.picker.reports()) == 2)
+		})
+	}
+}
+
 // hedgeBudget is a RetryBudget that allows a number of hedges and no retries.
 type hedgeBudget struct{ hedges int }
 
@@ -207,6 +243,7 @@
 			if c.hedged {
 				assert.Check(t, time.Since(req.Arrived) <= req.Objective, "%s", time.Since(req.Arrived))
 			}
+			time.Sleep(loserGrace)
 			synctest.Wait()
 		})
 	}
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -91,19 +91,24 @@
 	return ok && g.Basis().LoadUnreported
 }
 
-// runHedged sends the first attempt on this goroutine and the hedge on the timer's goroutine, so
-// that a call whose response is on time only pays for a timer.
+// runHedged sends the first attempt, and the hedge if no response has arrived after the delay.
 func (d *Dispatcher) runHedged(ctx context.Context, c *Call, p permit, h *history, delay time.Duration) *attempt {
-	ctx1, cancel1 := context.WithCancel(ctx)
-	r := &hedgeRace{d: d, ctx: ctx, call: c, first: p.grant, cancelFirst: cancel1, done: make(chan *attempt, 1)}
+	r := &hedgeRace{
+		d: d, ctx: ctx, call: c, first: newRacer(ctx, p),
+		done: make(chan *attempt, 1), hedgeWon: make(chan struct{}),
+	}
 	timer := time.AfterFunc(delay, r.sendHedge)
-	a := d.attempt(ctx1, c, p)
-	a.addCancel(cancel1)
-	h.add(a)
-	if timer.Stop() {
-		return a
+	go func() { r.first.done <- r.first.run(d, c) }()
+	select {
+	case a := <-r.first.done:
+		h.add(a)
+		if timer.Stop() {
+			return a
+		}
+		return r.resolve(h, a)
+	case <-r.hedgeWon:
+		return r.discardFirst(h)
 	}
-	return r.resolve(h, a)
 }
 
 // prepareHedge returns the permit for a hedge, or nil if the budget is used up, no target has a
--- a/dispatch/history.go
+++ b/dispatch/history.go
@@ -39,6 +39,20 @@
 	h.mayHaveRun = h.mayHaveRun || a.mayHaveRun
 }
 
+// addUnfinished records an attempt of an idempotent call whose result the call does not wait for.
+func (h *history) addUnfinished(r *racer) {
+	h.attempts++
+	h.tried = append(h.tried, r.permit.grant.Target().ID)
+	h.records = append(h.records, AttemptRecord{
+		Target:     r.permit.grant.Target().ID,
+		Reason:     outcome.ReasonCallerGone,
+		MayHaveRun: true,
+		Took:       time.Since(r.start),
+		Basis:      basisOf(r.permit.grant),
+	})
+	h.mayHaveRun = true
+}
+
 // fallbackReply returns the reply of a call that ends without a new response. If any attempt may
 // have run, the outcome of the whole call is unknown, whatever the last attempt or the picker
 // returned.
@@ -89,15 +103,20 @@
 }
 
 func (a *attempt) record() AttemptRecord {
-	r := AttemptRecord{
+	return AttemptRecord{
 		Target:     a.grant.Target().ID,
 		Reason:     a.reason,
 		Status:     a.status,
 		MayHaveRun: a.mayHaveRun,
 		Took:       time.Since(a.start),
+		Basis:      basisOf(a.grant),
 	}
-	if g, ok := a.grant.(pick.Explainer); ok {
-		r.Basis = g.Basis()
+}
+
+// basisOf returns what a grant's choice was based on, if the picker tells.
+func basisOf(g pick.Grant) pick.Basis {
+	if e, ok := g.(pick.Explainer); ok {
+		return e.Basis()
 	}
-	return r
+	return pick.Basis{}
 }
