watch: log and count requests for missing state that get no reply

Hosts that are behind ask others for what they lack; whether these answer could not be seen (a debug line).

--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -9,6 +9,8 @@
 // counters are the metrics of the map "watch".
 type counters struct {
 	calls, failed, heartbeats, changes, syncs, dropped, takeovers *expvar.Int
+	// failedSyncs counts the requests for missing state that got no reply in time.
+	failedSyncs *expvar.Int
 	// duplicateRelays counts large changes that were not forwarded because they contained
 	// nothing new.
 	duplicateRelays *expvar.Int
@@ -33,6 +35,7 @@
 		heartbeats:      c("beats_received"),
 		changes:         c("changes_received"),
 		syncs:           c("syncs"),
+		failedSyncs:     c("syncs_failed"),
 		dropped:         c("notifications_dropped"),
 		takeovers:       c("takeovers"),
 		duplicateRelays: c("repeats_not_passed_on"),
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -274,14 +274,27 @@
 	c.mu.Lock()
 	req := syncRequest{Refer: refer, Host: c.deps.Self, Version: c.version(), Buckets: c.state.Buckets()}
 	c.mu.Unlock()
+	asked := time.Now()
 	reply, err := peer.Call[syncReply](ctx, c.deps.Link, from, kindSync, req)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
-		c.deps.Log.Debug("failed to fetch state from peer", zap.String("peer", string(from)), zap.Error(err))
+		c.noteFailedSync(from, req, time.Since(asked), err)
 		return syncResult{}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.mergeHosts(reply.Hosts.Value...)
 	c.merge(time.Now(), reply.Changes.Value, from)
 	return syncResult{reached: true, fresh: reply.Fresh, referrals: reply.Referrals}
 }
+
+// noteFailedSync counts and logs that a host did not send the state that this host lacks. c.mu
+// must be held.
+func (c *Controller) noteFailedSync(from ports.HostID, req syncRequest, took time.Duration, err error) {
+	c.count.failedSyncs.Add(1)
+	if !c.isServing || !c.logLimiter.Allow() {
+		return // a host that starts asks hosts that may not be up yet
+	}
+	c.deps.Log.Info("failed to fetch state from peer", zap.String("peer", string(from)), zap.Duration("took", took),
+		zap.Uint64("version", req.Version), zap.Uint64("newest", c.deps.Board.Confirmation.Load().Newest),
+		zap.Stringer("revision", c.state.Newest()), zap.Error(err))
+}
