--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -11,6 +11,9 @@
 	calls, failed, heartbeats, changes, syncs, dropped, takeovers *expvar.Int
 	// failedSyncs counts the requests for missing state that got no reply in time.
 	failedSyncs *expvar.Int
+	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
+	// of the last one.
+	snapshots, snapshotBytes *expvar.Int
 	// duplicateRelays counts large changes that were not forwarded because they contained
 	// nothing new.
 	duplicateRelays *expvar.Int
@@ -36,6 +39,8 @@
 		changes:         c("changes_received"),
 		syncs:           c("syncs"),
 		failedSyncs:     c("syncs_failed"),
+		snapshots:       c("snapshots"),
+		snapshotBytes:   c("snapshot_bytes"),
 		dropped:         c("notifications_dropped"),
 		takeovers:       c("takeovers"),
 		duplicateRelays: c("repeats_not_passed_on"),
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -207,22 +207,37 @@
 	version, digest uint64
 	evacuations     uint64
 	newest          directory.Revision
-	changes         packedChanges
+	// expiry is when the next hold on a removed target ends; zero if none is held. The holds are
+	// relative to encodedAt.
+	expiry    time.Time
+	encodedAt time.Time
+	changes   packedChanges
+}
+
+// heldSnapshotTTL is how long a snapshot with held targets is reused, which lengthens the holds by
+// as much.
+const heldSnapshotTTL = 50 * time.Millisecond
+
+// current reports whether the snapshot still stands for the state that now describes.
+func (s *encodedSnapshot) current(now *encodedSnapshot) bool {
+	same := s.version == now.version && s.digest == now.digest && s.newest == now.newest &&
+		s.evacuations == now.evacuations && s.expiry.Equal(now.expiry)
+	return same && (s.expiry.IsZero() || now.encodedAt.Sub(s.encodedAt) < heldSnapshotTTL)
 }
 
 // snapshotFor returns the state that a host lacks. Hundreds of hosts that start at once lack all
-// of it, so that snapshot is encoded once and reused. c.mu must be held.
+// of it, so that snapshot is encoded once and reused: with thousands of targets, encoding one for
+// each of them at the same time would take hundreds of megabytes. c.mu must be held.
 func (c *Controller) snapshotFor(now time.Time, req syncRequest) packedChanges {
-	if req.Version > 0 || slices.ContainsFunc(req.Buckets, func(b uint64) bool { return b != 0 }) || !c.expiry.IsZero() {
+	if req.Version > 0 || slices.ContainsFunc(req.Buckets, func(b uint64) bool { return b != 0 }) {
 		return peer.Pack(c.state.Snapshot(now, req.Version, req.Buckets))
 	}
-	current := encodedSnapshot{
+	next := &encodedSnapshot{
 		version: c.version(), digest: c.state.Digest(), newest: c.state.Newest(),
-		evacuations: c.state.Evacuations().Digest(),
+		evacuations: c.state.Evacuations().Digest(), expiry: c.expiry, encodedAt: now,
 	}
-	cached := c.cachedSnapshot
-	if cached != nil && cached.version == current.version && cached.digest == current.digest && cached.newest == current.newest && cached.evacuations == current.evacuations {
-		return cached.changes
+	if c.cachedSnapshot != nil && c.cachedSnapshot.current(next) {
+		return c.cachedSnapshot.changes
 	}
 	all := c.state.Snapshot(now, 0, nil)
 	packed, err := peer.PackOnce(all)
@@ -230,9 +245,11 @@
 		c.deps.Log.Error("failed to encode snapshot", zap.Error(err))
 		return peer.Pack(all)
 	}
+	c.count.snapshots.Add(1)
+	c.count.snapshotBytes.Set(int64(len(packed.Encoded)))
 	packed.Value = directory.Changes{} // only the encoded form is sent
-	current.changes = packed
-	c.cachedSnapshot = &current
+	next.changes = packed
+	c.cachedSnapshot = next
 	return packed
 }
 
