watch: failures of overlapping calls don't put off the next one

The pause now runs from one call to the next. Reads of all targets don't overlap, since they are large.

--- a/controller/watch/call.go
+++ b/controller/watch/call.go
@@ -60,10 +60,12 @@
 func (c *Controller) awaitReturn(ctx context.Context, w *storeWatch, t directory.Topic, after directory.Revision) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	overlap := t == directory.TopicTargets && after > 0 // a read of all targets is large
 	answers := make(chan answer, maxPendingCalls)
 	pause := retryPause
 	next := time.NewTimer(pause)
 	defer next.Stop()
+	armed := true
 	for pending := 0; ; {
 		select {
 		case a := <-answers:
@@ -73,14 +75,16 @@
 			}
 			c.storeFailed(w, t, a.askedAt, a.err)
 		case <-next.C:
+			armed = false
 			pending++
 			go func() { answers <- c.call(ctx, w, t, after) }()
 			pause = min(2*pause, maxRetryPause)
 		case <-ctx.Done():
 			return answer{err: ctx.Err()}
 		}
-		if pending == 0 || t == directory.TopicTargets && pending < maxPendingCalls {
+		if !armed && (pending == 0 || overlap && pending < maxPendingCalls) {
 			next.Reset(pause)
+			armed = true
 		}
 	}
 }
