dispatch: nothing is sent to a target that left while its connection was opened

The connections took a second to open, as after a lost packet, and nothing asked again whether the targets may still get requests.

Now a target that could get requests before a connection was opened and can't after it (gone, leaving, evacuated, replaced) gets none; the call goes elsewhere, reason target-left, without a share of the retry budget.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -83,6 +83,7 @@
 	res := d.upstream.RoundTrip(req, p.grant.Target(), upstream.SendOptions{
 		MaxConns:      d.connShare(c),
 		NonIdempotent: c.Idempotency == NonIdempotent,
+		Usable:        func() bool { return d.usable(c.Key, p.grant.Target()) },
 	})
 	if res.Err != nil {
 		a.classifyError(ctx, res, c.Body.Aborted())
@@ -145,11 +146,24 @@
 	case errors.Is(res.Err, upstream.ErrConnLimit):
 		// This host's share of connections is in use, which isn't the target's fault either.
 		a.class, a.reason = pick.Canceled, outcome.ReasonConnLimit
+	case errors.Is(res.Err, upstream.ErrTargetLeft):
+		a.class, a.reason = pick.Canceled, outcome.ReasonTargetLeft
 	default:
 		a.class, a.reason = pick.NotSent, outcome.ReasonConnect
 	}
 }
 
+// usable reports whether a target may get requests: it is listed, neither leaving nor evacuated,
+// and no other run has taken its place.
+func (d *Dispatcher) usable(key blackboard.ServiceKey, chosen blackboard.Target) bool {
+	for _, t := range d.board.Targets.Load().ByService[key] {
+		if t.ID == chosen.ID {
+			return !t.Leaving && !t.Evacuated && !t.Incarnation.Replaces(chosen.Incarnation)
+		}
+	}
+	return false
+}
+
 // classifyResponse classifies an attempt by its response header. A rejection is handled by this
 // host; every other response is forwarded only if it belongs to the request and is sealed.
 //
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -24,7 +24,7 @@
 // mayRetry decides whether the call is retried after attempt a, and deducts the retry from the
 // budget.
 //
-// A retry after a failed connection isn't deducted: no byte was sent, and the budget exists to
+// A retry after a connection that failed, or whose target left, isn't deducted: no byte was sent, and the budget exists to
 // keep failures from multiplying the load on targets. When it was deducted, the loss of two
 // targets at once caused calls to be refused for which three healthy targets had room. The number
 // of attempts is limited in any case.
@@ -33,7 +33,8 @@
 		d.metrics.RetriesRefused.Add(reason, 1)
 		return false
 	}
-	if a.class != pick.NotSent && !d.takeRetryBudget(c) {
+	unsent := a.class == pick.NotSent || a.reason == outcome.ReasonTargetLeft
+	if !unsent && !d.takeRetryBudget(c) {
 		d.metrics.RetriesRefused.Add(noRetryBudget, 1)
 		return false
 	}
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -45,10 +45,12 @@
 const (
 	ReasonNoTarget Reason = "no-target"
 	// ReasonEvacuated means that all targets of the service are in evacuated zones.
-	ReasonEvacuated     Reason = "evacuated"
-	ReasonShed          Reason = "shed"
-	ReasonConnect       Reason = "connect-failed"
-	ReasonConnLimit     Reason = "connection-limit"
+	ReasonEvacuated Reason = "evacuated"
+	ReasonShed      Reason = "shed"
+	ReasonConnect   Reason = "connect-failed"
+	ReasonConnLimit Reason = "connection-limit"
+	// ReasonTargetLeft means that the target left while a connection to it was being opened.
+	ReasonTargetLeft    Reason = "target-left"
 	ReasonBrokeOff      Reason = "target-broke-off"
 	ReasonTargetTimeout Reason = "target-timeout"
 	// ReasonForeignAnswer means that the response does not belong to the request, or that no
@@ -126,6 +128,7 @@
 	ReasonShed:          {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonConnect:       {status: http.StatusBadGateway, retryAfter: retryImmediately},
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
+	ReasonTargetLeft:    {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonBrokeOff:      {status: http.StatusBadGateway},
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
 	ReasonForeignAnswer: {status: http.StatusBadGateway},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -47,11 +47,16 @@
 	if !p.reserve(o.MaxConns) {
 		return nil, ErrConnLimit
 	}
+	usable := o.Usable != nil && o.Usable()
 	c, err := p.dial(ctx)
 	if err != nil {
 		p.releaseSlot()
 		return nil, err
 	}
+	if usable && !o.Usable() {
+		p.discard(c)
+		return nil, ErrTargetLeft
+	}
 	return c, nil
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -22,6 +22,9 @@
 // ErrConnLimit means that this host's share of the target's connections is in use.
 var ErrConnLimit = errors.New("connection limit of the target reached")
 
+// ErrTargetLeft means that SendOptions.Usable changed to false.
+var ErrTargetLeft = errors.New("target left while the connection was opened")
+
 // connBufferSize is the size in bytes of a connection's buffers, which hold the header of a
 // request or response. It is small because a host keeps connections to hundreds of targets;
 // bodies bypass the buffers.
@@ -45,6 +48,10 @@
 	// connection, and if the request crosses with the close, it is lost and nobody can tell
 	// whether it ran.
 	NonIdempotent bool
+	// Usable, if set, reports whether the target may get requests. It is asked before and after a
+	// new connection is opened, which takes seconds if packets are lost. If the target may get no
+	// more requests by then, the request isn't sent.
+	Usable func() bool
 }
 
 // RoundTripper sends single attempts to targets.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -141,3 +141,24 @@
 	assert.Check(t, !refused.Sent)
 	assert.NilError(t, held.Response.Body.Close())
 }
+
+// Guards against requests to a target that left while the connection was being opened.
+func TestRequestIsNotSentToATargetThatLeftMeanwhile(t *testing.T) {
+	ran := 0
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ }))
+	defer s.Close()
+	p := New(Options{})
+	defer p.Close()
+	tg := targetAt(s.Listener.Addr().String())
+	usable := true
+	o := SendOptions{MaxConns: 1, Usable: func() bool {
+		before := usable
+		usable = false
+		return before
+	}}
+	res := p.RoundTrip(request(t, context.Background(), http.MethodGet), tg, o)
+	assert.Check(t, errors.Is(res.Err, ErrTargetLeft))
+	assert.Check(t, !res.Sent && ran == 0)
+	readAll(t, p.RoundTrip(request(t, context.Background(), http.MethodGet), tg, o)) // the limit has room again
+	assert.Equal(t, ran, 1)
+}
