Lines and metrics tell a cut path from targets that are down

Change: refusals count unreachable, ejected, leaving and silent targets; attempts carry the cause of a failed connection (refused, timeout, reset, ...); probe_failures counts failed probes by cause; services_out_of_reach and two log lines tell that this host reaches no target of a service and for how long. No behaviour of requests changes.

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -165,6 +165,9 @@
 		}
 		b.WriteString(" took=" + a.Took.Round(time.Microsecond).String())
 		b.WriteString(" ran=" + mayHaveRun(a))
+		if a.Cause != "" {
+			b.WriteString(" cause=" + string(a.Cause))
+		}
 		b.WriteString(" cost=" + strconv.FormatFloat(a.Basis.Cost, 'f', 2, 64))
 		b.WriteString(" age=" + a.Basis.Age.Round(time.Microsecond).String())
 		if a.Basis.Cold != "" {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -42,7 +42,9 @@
 
 	class  pick.Class
 	reason outcome.Reason
-	resp   *http.Response
+	// cause is how the connection failed; empty if it did not.
+	cause upstream.Cause
+	resp  *http.Response
 	// status is the status of the target's response, forwarded or not; 0 without a response.
 	status int
 	// mayHaveRun is false only if no byte of the request was sent or the target rejected the
@@ -131,6 +133,7 @@
 // classifyError classifies an attempt that failed without a response.
 func (a *attempt) classifyError(ctx context.Context, res upstream.Result, callerAborted bool) {
 	a.mayHaveRun = res.Sent
+	a.cause = upstream.CauseOf(res.Err)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && res.Sent:
 		a.class, a.reason = pick.TimedOut, outcome.ReasonTargetTimeout
--- a/dispatch/history.go
+++ b/dispatch/history.go
@@ -9,6 +9,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 // history records the attempts of one call.
@@ -98,8 +99,10 @@
 	// reason ok it comes from the target itself; with foreign-answer its origin is unknown.
 	Status     int
 	MayHaveRun bool
-	Took       time.Duration
-	Basis      pick.Basis
+	// Cause is how the connection failed; empty if it did not.
+	Cause upstream.Cause
+	Took  time.Duration
+	Basis pick.Basis
 }
 
 func (a *attempt) record() AttemptRecord {
@@ -108,6 +111,7 @@
 		Reason:     a.reason,
 		Status:     a.status,
 		MayHaveRun: a.mayHaveRun,
+		Cause:      a.cause,
 		Took:       time.Since(a.start),
 		Basis:      basisOf(a.grant),
 	}
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -16,8 +16,8 @@
 	// coldCalls calls sent to cold targets, coldOverQuota choices that skipped cold targets
 	// because this host's quota for them was used up.
 	evacuated, coldCalls, coldOverQuota *expvar.Int
-	// refused counts refused calls by reason.
-	refused *expvar.Map
+	// refused counts refused calls by reason, probeFailures failed probes by cause.
+	refused, probeFailures *expvar.Map
 }
 
 func newCounters(m *metrics.Set) counters {
@@ -33,5 +33,6 @@
 		coldCalls:     c("cold_calls"),
 		coldOverQuota: c("cold_quota_spent"),
 		refused:       m.Map("placer_refused"),
+		probeFailures: m.Map("probe_failures"),
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -66,12 +66,14 @@
 
 // New returns a Placer. It reads targets, routes and members from the board on each choice.
 func New(d Deps) *Placer {
-	return &Placer{
+	p := &Placer{
 		deps:     d,
 		count:    newCounters(d.Metrics),
 		rng:      rand.New(rand.NewPCG(d.Seed, 5)),
 		services: make(map[blackboard.ServiceKey]*service),
 	}
+	p.publishReach(d.Metrics)
+	return p
 }
 
 func (p *Placer) service(key blackboard.ServiceKey) *service {
@@ -234,9 +236,11 @@
 // logChange logs a change of a target's state as seen by this host; an empty message is not
 // logged.
 func (p *Placer) logChange(change string, s *service, run ports.RunID) {
-	if change != "" {
-		p.deps.Log.Info(change, zap.String("target", string(run)), zap.String("service", s.key.Service))
+	if change == "" {
+		return
 	}
+	p.deps.Log.Info(change, zap.String("target", string(run)), zap.String("service", s.key.Service))
+	p.logReach(s, s.noteReach(time.Now(), change))
 }
 
 // recordResult updates the target and its service with the result of an attempt. It returns the
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -102,6 +102,7 @@
 	p.logChange(s.recordProbe(t, a, time.Since(sent)), s, info.RunID())
 	if !a.reached {
 		p.count.probesFailed.Add(1)
+		p.count.probeFailures.Add(string(a.failure), 1)
 	}
 }
 
@@ -110,6 +111,8 @@
 	// signals are the target's signals; they are empty unless it was reached.
 	signals targetapi.Signals
 	reached bool
+	// failure is why the target was not reached.
+	failure upstream.Cause
 	// replaced is set if another target answered at the address.
 	replaced bool
 }
@@ -171,6 +174,7 @@
 	}
 	res := p.deps.Upstream.RoundTrip(req.WithContext(ctx), info, upstream.SendOptions{MaxConns: conns})
 	if res.Err != nil {
+		a.failure = upstream.CauseOf(res.Err)
 		return a
 	}
 	defer res.Response.Body.Close()
--- a/placer/service.go
+++ b/placer/service.go
@@ -40,7 +40,10 @@
 	limits coldLimits
 	// evacuated is the number of targets in list that are in evacuated zones.
 	evacuated int
-	failures  health.Service
+	// noneReachedSince is when the last target that this host reached was lost; zero while it
+	// reaches any.
+	noneReachedSince time.Time
+	failures         health.Service
 	// near and far are moving averages of the load reports of targets in the own zone and in
 	// other zones.
 	near, far placement.Baseline
@@ -240,20 +243,30 @@
 }
 
 // describe returns the state of the service for the log line of a refusal: how many targets
-// there are, how many are available and cold, the cost of the cheapest one that can queue a
-// call, the work time and the age of the oldest load report.
+// there are, how many are available and cold, how many are not for which reason, how many of the
+// available ones never told their load, the cost of the cheapest one that can queue a call, the
+// work time and the age of the oldest load report.
 func (s *service) describe() string {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var room []ranked
-	open, cold := 0, 0
+	open, cold, ejected, leaving, silent := 0, 0, 0, 0, 0
 	oldest := time.Duration(0)
 	for _, t := range s.targets {
+		if t.health.Ejected(now) {
+			ejected++
+		}
+		if t.info.Leaving {
+			leaving++
+		}
 		if !t.available(now) {
 			continue
 		}
 		open++
+		if !t.figures.Known(now) {
+			silent++
+		}
 		if s.coldLimited(now, t) {
 			cold++
 		}
@@ -264,8 +277,8 @@
 	if t, cost := s.best(now, placement.TransferCost(0), room); t != nil {
 		cheapest = strconv.FormatFloat(cost, 'f', 2, 64)
 	}
-	return fmt.Sprintf("targets=%d open=%d evacuated=%d cold=%d cheapest=%s work=%s oldest_figure=%s list=%d",
-		len(s.targets), open, s.evacuated, cold, cheapest, s.workTime.Round(time.Millisecond), oldest.Round(time.Millisecond), s.targetsVersion)
+	return fmt.Sprintf("targets=%d open=%d unreachable=%d ejected=%d leaving=%d silent=%d evacuated=%d cold=%d cheapest=%s work=%s oldest_figure=%s list=%d",
+		len(s.targets), open, s.unreachable(), ejected, leaving, silent, s.evacuated, cold, cheapest, s.workTime.Round(time.Millisecond), oldest.Round(time.Millisecond), s.targetsVersion)
 }
 
 // refusalReason returns why there are no candidates.
