Test that fails: hosts cut off from all targets refuse their callers

upstream.Options.Dial and edge.Platform.DialTarget let a test stand between a daemon and its targets.

--- /dev/null
+++ b/edge/cut_test.go
@@ -0,0 +1,82 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// cutTraffic sends reads and bids through some daemons at a steady rate and returns the
+// responses to those that were sent later than noticed after the start.
+func (l *localCluster) cutTraffic(ds []*daemon, noticed, length time.Duration) []response {
+	const every = 20 * time.Millisecond
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var out []response
+	begin := time.Now()
+	for i := 0; time.Since(begin) < length; i++ {
+		l.ids++
+		id, d := fmt.Sprintf("cut-%d", l.ids), ds[i%len(ds)]
+		late := time.Since(begin) > noticed
+		wg.Go(func() {
+			method, path := http.MethodGet, "/lots/7"
+			if i/len(ds)%2 == 1 {
+				method, path = http.MethodPost, "/bids/7"
+			}
+			a := l.sendWithID(id, d, method, path, "")
+			if late {
+				mu.Lock()
+				defer mu.Unlock()
+				out = append(out, a)
+			}
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return out
+}
+
+// assertServed fails the test unless all requests were served by a target, once.
+func (l *localCluster) assertServed(list []response) {
+	l.t.Helper()
+	refused := make(map[string]int)
+	for _, a := range list {
+		if a.err != nil || a.status != http.StatusOK {
+			refused[fmt.Sprint(a.status, " ", a.header.Get("Cactusproxy-Reason"), a.err)]++
+			continue
+		}
+		assert.Equal(l.t, a.body, standin.ResponseBody(a.id, 0))
+		assert.Equal(l.t, a.header.Get(standin.HeaderSeal), "seal-"+a.id)
+		assert.Equal(l.t, l.runs(a.id), 1)
+	}
+	assert.Check(l.t, len(list) > 0)
+	assert.Check(l.t, len(refused) == 0, "of %d requests not served: %v", len(list), refused)
+}
+
+// Guards against hosts that refuse callers because they have lost their paths to all targets,
+// while other hosts reach every target.
+func TestHostsCutOffFromAllTargetsServeTheirCallers(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]pathFault{
+		"silent": pathSilent, "reset": pathReset, "refused": pathRefused, "one way": pathOneWay,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newLocalCluster(t, 4)
+			for _, d := range l.daemons {
+				l.assertServed(l.cutTraffic([]*daemon{d}, 0, 200*time.Millisecond))
+			}
+			cut := l.daemons[:3]
+			for _, d := range cut {
+				d.path.cut(fault)
+			}
+			l.assertServed(l.cutTraffic(cut, 1500*time.Millisecond, 4*time.Second))
+		})
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -13,6 +13,7 @@
 package edge
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -43,6 +44,8 @@
 	Directory func(m *metrics.Set, log *zap.Logger) directory.Source
 	// Contract names the HTTP headers that the platform's callers and targets use.
 	Contract *targetapi.Contract
+	// DialTarget opens connections to targets; nil dials TCP.
+	DialTarget func(ctx context.Context, addr string) (net.Conn, error)
 	// ReadyPath is the path of the readiness check of the platform's load balancer.
 	ReadyPath string
 }
--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -67,6 +67,8 @@
 
 type daemon struct {
 	*edge.Daemon
+	// path is this daemon's path to the targets.
+	path *faultyPath
 	stop context.CancelFunc
 	done chan struct{}
 	err  error // result of Run; valid once done is closed
@@ -169,7 +171,9 @@
 	l.logs = append(l.logs, buffer)
 	log, err := logging.New(buffer, "info")
 	assert.NilError(l.t, err)
+	path := new(faultyPath)
 	d, err := edge.New(s, edge.Platform{
+		DialTarget: path.dial,
 		Directory: func(m *metrics.Set, log *zap.Logger) directory.Source {
 			return platform.NewDirectory(platform.NewStore(l.storeAddr), m, log)
 		},
@@ -178,7 +182,7 @@
 	}, log)
 	assert.NilError(l.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	run := &daemon{Daemon: d, stop: cancel, done: make(chan struct{})}
+	run := &daemon{Daemon: d, path: path, stop: cancel, done: make(chan struct{})}
 	go func() {
 		run.err = d.Run(ctx)
 		close(run.done)
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -101,6 +101,7 @@
 	d.cleanup = append(d.cleanup, d.node.Close)
 	d.pools = upstream.New(upstream.Options{
 		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
+		Dial:        d.platform.DialTarget,
 	})
 	d.cleanup = append(d.cleanup, d.pools.Close)
 	d.watch = watch.New(watch.Deps{
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -206,10 +206,10 @@
 	return c.Conn.Write(b)
 }
 
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+type dialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
-func dialCounting(ctx context.Context, dial dialFunc, network, addr string) (net.Conn, error) {
-	raw, err := dial(ctx, network, addr)
+func dialCounting(ctx context.Context, dial dialFunc, addr string) (net.Conn, error) {
+	raw, err := dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -67,6 +67,8 @@
 	IdleTimeout time.Duration
 	// NonIdempotentMaxIdle is described at SendOptions.NonIdempotent; default 500 ms.
 	NonIdempotentMaxIdle time.Duration
+	// Dial opens connections to targets; nil dials TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// MaxResponseHeader limits the response header in bytes; default 64 KiB.
 	MaxResponseHeader int64
 	// TLS is the configuration for connections to targets; nil means plain TCP.
@@ -83,6 +85,10 @@
 	if o.NonIdempotentMaxIdle == 0 {
 		o.NonIdempotentMaxIdle = 500 * time.Millisecond
 	}
+	if o.Dial == nil {
+		dial := Dialer(o.DialTimeout)
+		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }
+	}
 	if o.MaxResponseHeader == 0 {
 		o.MaxResponseHeader = 64 << 10
 	}
@@ -108,12 +114,11 @@
 	if o.TLS != nil {
 		p.scheme = "https"
 	}
-	dial := Dialer(o.DialTimeout)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return dialCounting(ctx, dial, network, addr)
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return dialCounting(ctx, o.Dial, addr)
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    o.DialTimeout,
