Hosts that have lost their paths to targets reach them through other hosts

Cause: a host knew one path to a target, its own connection, and took a failure of that path for a failure of the target: it backed off from targets that were well, refused, and nobody else heard of it. Class: a belief about oneself that is recorded as a belief about somebody else.

Evidence: the failing test; refusals say 'unreachable' for all targets while other hosts have no such line; the same request carried by another host is served.

Change: where a direct connection fails, or takes longer than 80 ms, the next one is opened through another host (package relay) on a stream of the link between hosts (peer.Stream). That host connects to the target by its own path and copies bytes. A target counts as unreachable only if the hosts asked don't reach it either.

Result: TestHostsCutOffFromAllTargetsServeTheirCallers fails before, passes now.

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -6,6 +6,7 @@
 
 import (
 	"expvar"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -93,7 +94,8 @@
 
 // noteworthy reports whether the call is logged regardless of sampling.
 func (c *Call) noteworthy() bool {
-	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1
+	relayed := slices.ContainsFunc(c.Attempts, func(a dispatch.AttemptRecord) bool { return a.Via != "" })
+	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1 || relayed
 }
 
 func (l *Log) sampled() bool {
@@ -165,6 +167,9 @@
 		}
 		b.WriteString(" took=" + a.Took.Round(time.Microsecond).String())
 		b.WriteString(" ran=" + mayHaveRun(a))
+		if a.Via != "" {
+			b.WriteString(" via=" + string(a.Via))
+		}
 		if a.Cause != "" {
 			b.WriteString(" cause=" + string(a.Cause))
 		}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cactusproxy/cactusproxy/ledger"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -44,7 +45,9 @@
 	reason outcome.Reason
 	// cause is how the connection failed; empty if it did not.
 	cause upstream.Cause
-	resp  *http.Response
+	// via is the host through which the request was sent; empty if this host sent it itself.
+	via  ports.HostID
+	resp *http.Response
 	// status is the status of the target's response, forwarded or not; 0 without a response.
 	status int
 	// mayHaveRun is false only if no byte of the request was sent or the target rejected the
@@ -86,7 +89,9 @@
 		MaxConns:      d.connShare(c),
 		NonIdempotent: c.Idempotency == NonIdempotent,
 		Usable:        func() bool { return d.usable(c.Key, p.grant.Target()) },
+		RequestID:     c.Header.Get(d.contract.RequestID),
 	})
+	a.via = res.Via
 	if res.Err != nil {
 		a.classifyError(ctx, res, c.Body.Aborted())
 		a.end(a.class)
--- a/dispatch/history.go
+++ b/dispatch/history.go
@@ -101,6 +101,8 @@
 	MayHaveRun bool
 	// Cause is how the connection failed; empty if it did not.
 	Cause upstream.Cause
+	// Via is the host through which the request was sent; empty if this host sent it itself.
+	Via   ports.HostID
 	Took  time.Duration
 	Basis pick.Basis
 }
@@ -112,6 +114,7 @@
 		Status:     a.status,
 		MayHaveRun: a.mayHaveRun,
 		Cause:      a.cause,
+		Via:        a.via,
 		Took:       time.Since(a.start),
 		Basis:      basisOf(a.grant),
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/placer"
 	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -63,6 +64,7 @@
 	listeners  listeners
 	node       *peer.Node
 	pools      *upstream.Pools
+	relay      *relay.Server
 	quarantine *quarantine.Quarantine
 	placer     *placer.Placer
 	entry      *entry.Server
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -22,6 +22,7 @@
 	"github.com/cactusproxy/cactusproxy/placer"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
@@ -102,8 +103,25 @@
 	d.pools = upstream.New(upstream.Options{
 		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
 		Dial:        d.platform.DialTarget,
+		Relay: relay.NewClient(relay.ClientDeps{
+			Board:   d.board,
+			Streams: d.node,
+			Self:    d.self().ID(),
+			Zone:    d.settings.Host.Zone,
+			Seed:    d.incarnation,
+			Metrics: d.metrics,
+		}),
+		Metrics: d.metrics,
+		Log:     d.log,
 	})
 	d.cleanup = append(d.cleanup, d.pools.Close)
+	d.relay = relay.NewServer(relay.ServerDeps{
+		Board:   d.board,
+		Streams: d.node,
+		Dial:    d.pools.DialOwn,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
 	d.watch = watch.New(watch.Deps{
 		Self:      d.self(),
 		Region:    d.settings.Host.Region,
@@ -270,11 +288,14 @@
 func (d *Daemon) provisionLeave() {
 	d.leave = leave.New(leave.Options{
 		Board:       d.board,
-		InFlight:    func() int { return int(d.entry.InFlight()) },
+		InFlight:    func() int { return int(d.entry.InFlight()) + d.relay.Active() },
 		DrainPeriod: d.settings.Drain.Notice.Or(defaultDrainNotice),
 		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
 		Log:         d.log,
 		Metrics:     d.metrics,
-		Hooks:       []leave.Hook{{Stage: leave.Close, Name: "callers", Func: d.callers.Close}},
+		Hooks: []leave.Hook{
+			{Stage: leave.Announce, Name: "relay", Func: d.relay.Drain},
+			{Stage: leave.Close, Name: "callers", Func: d.callers.Close},
+		},
 	})
 }
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -57,12 +57,17 @@
 }
 
 func (r *remote) dial() (*session, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, handshakeTimeout)
+	defer cancel()
+	return r.dialSession(ctx)
+}
+
+// dialSession opens a connection and performs the handshake. It fails when ctx ends.
+func (r *remote) dialSession(ctx context.Context) (*session, error) {
 	r.node.count.dials.Add(1)
 	r.mu.Lock()
 	addr := r.addr
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(r.ctx, handshakeTimeout)
-	defer cancel()
 	raw, err := r.node.opts.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -38,6 +38,15 @@
 	frameError
 	// frameConfirm completes the handshake.
 	frameConfirm
+	// frameOpen asks to make the connection a stream; the reply accepts or refuses.
+	frameOpen
+	// frameData carries bytes of a stream, frameNote a message about it.
+	frameData
+	frameNote
+	// frameEnd ends a stream cleanly. Without it, the stream broke off.
+	frameEnd
+	// frameRetire asks the opener of a stream not to start anything new on it.
+	frameRetire
 )
 
 // header precedes the body of each frame.
@@ -123,7 +132,7 @@
 	if err := errors.CombineErrors(err1, errors.CombineErrors(err2, err3)); err != nil {
 		return h, nil, errors.Wrap(errFrame, "header field")
 	}
-	if typ < uint64(frameRequest) || typ > uint64(frameConfirm) || kind > uint64(^Kind(0)) {
+	if typ < uint64(frameRequest) || typ > uint64(frameRetire) || kind > uint64(^Kind(0)) {
 		return h, nil, errors.Wrap(errFrame, "header value")
 	}
 	h = header{typ: frameType(typ), kind: Kind(kind), id: id}
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -31,13 +31,23 @@
 		return
 	}
 	n.resetBackoff(s.peer.From)
+	h, body, err := s.readFrame()
+	if err == nil && h.typ == frameOpen {
+		n.serveStream(ctx, s, h, body)
+		return
+	}
 	in := newInbound(n, s)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		in.write(ctx)
 	}()
-	err = in.read(ctx)
+	if err == nil {
+		err = in.handle(ctx, h, body)
+	}
+	if err == nil {
+		err = in.read(ctx)
+	}
 	cancel()
 	_ = conn.Close()
 	<-done
@@ -69,16 +79,24 @@
 			}
 			return err
 		}
-		switch h.typ {
-		case frameRequest, frameNotify:
-			in.start(ctx, h, body)
-		default:
-			in.node.count.frameRefused.Add(1)
-			return errors.Wrap(errFrame, "expected a request or notification")
+		if err := in.handle(ctx, h, body); err != nil {
+			return err
 		}
 	}
 }
 
+// handle starts the handler of a message.
+func (in *inbound) handle(ctx context.Context, h header, body []byte) error {
+	switch h.typ {
+	case frameRequest, frameNotify:
+		in.start(ctx, h, body)
+		return nil
+	default:
+		in.node.count.frameRefused.Add(1)
+		return errors.Wrap(errFrame, "expected a request or notification")
+	}
+}
+
 // start runs the handler in a goroutine so that it does not block the reader: a request that
 // waits for a slot must not delay the message behind it that releases the slot.
 func (in *inbound) start(ctx context.Context, h header, body []byte) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -81,6 +81,7 @@
 	stop  context.CancelFunc
 
 	handlers  atomic.Pointer[map[Kind]Handler]
+	streams   atomic.Pointer[map[Kind]StreamHandler]
 	remotes   atomic.Pointer[map[HostID]*remote]
 	inbound   atomic.Int64
 	executing atomic.Int64
@@ -112,6 +113,7 @@
 	n := &Node{opts: opts, count: newCounters(opts.Metrics)}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.handlers.Store(&map[Kind]Handler{})
+	n.streams.Store(&map[Kind]StreamHandler{})
 	n.remotes.Store(&map[HostID]*remote{})
 	return n
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,6 +45,7 @@
 	KindPlace
 	KindQuota
 	KindTargetLimit
+	KindRelay
 )
 
 // Handler handles a message and returns the body of the reply. The handler owns body. An
--- a/peer/session.go
+++ b/peer/session.go
@@ -59,12 +59,17 @@
 // writeBatch sends all frames of a batch in one write. It returns an upper bound of the
 // bytes that were sent.
 func (s *session) writeBatch(b *batch) (int, error) {
+	return s.writeUntil(b, time.Now().Add(writeTimeout))
+}
+
+// writeUntil is writeBatch with a deadline; the zero time means none.
+func (s *session) writeUntil(b *batch, deadline time.Time) (int, error) {
 	if s.send != nil {
 		for _, f := range b.frames {
 			s.send.seal(b.buf[f.start:f.end])
 		}
 	}
-	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := s.conn.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
 	n, err := s.conn.Write(b.buf)
--- /dev/null
+++ b/policy/directpath/directpath.go
@@ -0,0 +1,86 @@
+// Package directpath decides when a host opens connections to a target itself and when through
+// another host.
+//
+// It answers the load of a host that has lost its own path to a target which other hosts reach:
+// its callers' requests go through them at once, and only background checks, never requests, find
+// out whether the path is back.
+package directpath
+
+import "time"
+
+const (
+	// HeadStart is how long a direct connection may take before one through another host is
+	// opened as well. Within a region a connection takes 1 to 3 ms.
+	HeadStart = 80 * time.Millisecond
+	// NextStart is how long a connection through one host may take before the next host is tried.
+	NextStart = 50 * time.Millisecond
+	// failureMemory is how long a failed direct connection is reason enough to tell another host
+	// at once that this one does not reach the target.
+	failureMemory = time.Second
+	// firstCheck and maxCheck bound the interval of checks of a lost path.
+	firstCheck = 500 * time.Millisecond
+	maxCheck   = 4 * time.Second
+	// steadyAfter is how long a path must have been well for its checks to start again at
+	// firstCheck once it is lost. A path that comes and goes is checked less and less often.
+	steadyAfter = 10 * time.Second
+)
+
+// State is what a host knows of its own path to one target. The zero value is a path that is
+// well. It is not safe for concurrent use.
+type State struct {
+	lost bool
+	// changed is when the path was last lost or regained, failed when a connection last failed.
+	changed time.Time
+	failed  time.Time
+	// interval is the current interval of checks, next when the next one is due.
+	interval time.Duration
+	next     time.Time
+}
+
+// Lost reports whether the path is lost while other hosts reach the target.
+func (s *State) Lost() bool { return s.lost }
+
+// Unusable reports whether a new connection would fail, as far as known.
+func (s *State) Unusable(now time.Time) bool {
+	return s.lost || !s.failed.IsZero() && now.Sub(s.failed) < failureMemory
+}
+
+// Failed records that a direct connection could not be opened. It does not tell whether the path
+// or the target is the reason.
+func (s *State) Failed(now time.Time) { s.failed = now }
+
+// Bypassed records that another host reached the target after this one had not, and reports
+// whether that is news: the path is lost, and the target is not.
+func (s *State) Bypassed(now time.Time) bool {
+	if s.lost {
+		return false
+	}
+	if s.interval == 0 || now.Sub(s.changed) > steadyAfter {
+		s.interval = firstCheck
+	}
+	s.lost, s.changed = true, now
+	s.next = now.Add(s.interval)
+	return true
+}
+
+// Opened records that a direct connection was opened, and reports how long the path had been
+// lost, or false if it had not.
+func (s *State) Opened(now time.Time) (lostFor time.Duration, regained bool) {
+	s.failed = time.Time{}
+	if !s.lost {
+		return 0, false
+	}
+	lostFor = now.Sub(s.changed)
+	s.lost, s.changed = false, now
+	return lostFor, true
+}
+
+// TakeCheck reports whether a check of a lost path is due, and schedules the next one.
+func (s *State) TakeCheck(now time.Time) bool {
+	if !s.lost || now.Before(s.next) {
+		return false
+	}
+	s.interval = min(2*s.interval, maxCheck)
+	s.next = now.Add(s.interval)
+	return true
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,230 @@
+package relay
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+const (
+	// maxConns limits the connections that one host carries for others. Each needs two buffers,
+	// so that all of them hold 8 MB.
+	maxConns = 256
+	// bufferSize is the size of a buffer, in bytes.
+	bufferSize = 16 << 10
+	// linesPerSecond and lineBurst limit the log lines about carried requests.
+	linesPerSecond = 20
+	lineBurst      = 100
+)
+
+// ServerDeps are the dependencies of a Server.
+type ServerDeps struct {
+	Board   *blackboard.Board
+	Streams peer.Streams
+	// Dial connects to a target by this host's own path.
+	Dial    func(ctx context.Context, t blackboard.Target) (net.Conn, error)
+	Metrics *metrics.Set
+	Log     *zap.Logger
+}
+
+// Server carries connections to targets for other hosts. It is safe for concurrent use.
+type Server struct {
+	deps    ServerDeps
+	limiter *rate.Limiter
+	// carried counts connections, refused those that were not carried, by reason.
+	carried, lines *expvar.Int
+	refused        *expvar.Map
+
+	mu      sync.Mutex
+	leaving bool
+	active  int
+	streams map[*peer.Stream]bool
+}
+
+// NewServer returns a Server and registers its handler.
+func NewServer(d ServerDeps) *Server {
+	c := d.Metrics.Counters("relay_server")
+	s := &Server{
+		deps:    d,
+		limiter: rate.NewLimiter(linesPerSecond, lineBurst),
+		carried: c("carried"),
+		lines:   c("lines_dropped"),
+		refused: d.Metrics.Map("relay_refused"),
+		streams: make(map[*peer.Stream]bool),
+	}
+	d.Metrics.Func("relay_carrying", func() any { return s.Active() })
+	d.Streams.HandleStream(kindConnect, s.serve)
+	return s
+}
+
+// Active returns the number of connections that this host carries.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// Drain refuses new connections and asks the hosts that opened the others to close them once
+// their requests have ended.
+func (s *Server) Drain(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for stream := range s.streams {
+		go func() { _ = stream.Retire() }() // a stream that is gone needs no notice
+	}
+	return nil
+}
+
+// serve implements peer.StreamHandler.
+func (s *Server) serve(ctx context.Context, from ports.HostID, body []byte, accept func() (*peer.Stream, error)) error {
+	t, err := s.connectable(body)
+	if err == nil {
+		err = s.admit()
+	}
+	if err != nil {
+		s.refused.Add(err.Error(), 1)
+		return err
+	}
+	defer s.release()
+	target, err := s.deps.Dial(ctx, t)
+	if err != nil {
+		s.refused.Add(errUnreachable.Error(), 1)
+		return errUnreachable
+	}
+	defer target.Close()
+	stream, err := accept()
+	if err != nil {
+		return err
+	}
+	s.carried.Add(1)
+	stream.OnNote(func(note []byte) { s.logRequest(from, t, note) })
+	s.add(stream)
+	defer s.remove(stream)
+	carry(stream, target)
+	return nil
+}
+
+// connectable returns the target that a host asks for, if it may get new requests as far as this
+// host knows.
+func (s *Server) connectable(body []byte) (blackboard.Target, error) {
+	var msg connectMsg
+	if err := msgpack.Unmarshal(body, &msg); err != nil {
+		return blackboard.Target{}, err
+	}
+	for _, list := range s.deps.Board.Targets.Load().ByService {
+		for _, t := range list {
+			if t.RunID() == msg.Target && t.Addr == msg.Addr && !t.Leaving && !t.Evacuated {
+				return t, nil
+			}
+		}
+	}
+	return blackboard.Target{}, errUnlisted
+}
+
+func (s *Server) admit() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.leaving || s.deps.Board.Status.Load().Leaving:
+		return errLeaving
+	case s.active >= maxConns:
+		return errFull
+	default:
+		s.active++
+		return nil
+	}
+}
+
+func (s *Server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+}
+
+// add registers a stream, and retires it if the host has begun to leave since it was admitted.
+func (s *Server) add(stream *peer.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[stream] = true
+	if s.leaving {
+		go func() { _ = stream.Retire() }()
+	}
+}
+
+func (s *Server) remove(stream *peer.Stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, stream)
+}
+
+// logRequest writes the line of a request that this host carries.
+func (s *Server) logRequest(from ports.HostID, t blackboard.Target, note []byte) {
+	if !s.limiter.Allow() {
+		s.lines.Add(1)
+		return
+	}
+	var n requestNote
+	if err := msgpack.Unmarshal(note, &n); err != nil {
+		s.deps.Log.Warn("malformed note on a relayed connection", zap.String("from", string(from)), zap.Error(err))
+		return
+	}
+	s.deps.Log.Info("request carried", zap.String("request", n.Request),
+		zap.String("from", string(from)), zap.String("target", string(t.RunID())))
+}
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// carry copies bytes in both directions until the opener closes the stream or either side breaks
+// off. The target's clean end is passed on; a reset closes the stream without one, so that an
+// answer without a length is not taken for complete.
+func carry(stream *peer.Stream, target net.Conn) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := copyBytes(stream, target); err != nil || stream.CloseWrite() != nil {
+			_ = stream.Close()
+		}
+	}()
+	if err := copyBytes(target, stream); errors.Is(err, errWrite) {
+		// The target takes no more. It may have answered before it read the whole body.
+		<-done
+	}
+	_ = target.Close()
+	<-done
+}
+
+// errWrite means that the destination of a copy failed, not its source.
+var errWrite = errors.New("write failed")
+
+// copyBytes copies until src ends, and returns nil if it ended cleanly.
+func copyBytes(dst io.Writer, src io.Reader) error {
+	buf := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buf)
+	for {
+		n, err := src.Read(buf[:])
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				return errors.Mark(werr, errWrite)
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/upstream/path.go
@@ -0,0 +1,215 @@
+package upstream
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+const (
+	// linesPerSecond and lineBurst limit the log lines about paths.
+	linesPerSecond = 20
+	lineBurst      = 100
+	// suspectEvery limits how often the path to a target is checked because the target did not
+	// answer. A target that is merely slow gets one connection more in this time.
+	suspectEvery = time.Second
+)
+
+// pathLog writes log lines and counts what becomes known of the paths to targets.
+type pathLog struct {
+	log                             *zap.Logger
+	limiter                         *rate.Limiter
+	ownFailed, lost, regained       *expvar.Int
+	checks, relayed, lines, suspect *expvar.Int
+}
+
+func newPathLog(o Options) *pathLog {
+	c := o.Metrics.Counters("paths")
+	return &pathLog{
+		log:       o.Log,
+		limiter:   rate.NewLimiter(linesPerSecond, lineBurst),
+		ownFailed: c("own_failed"),
+		lost:      c("lost"),
+		regained:  c("regained"),
+		checks:    c("checks"),
+		suspect:   c("suspected"),
+		relayed:   c("relayed"),
+		lines:     c("lines_dropped"),
+	}
+}
+
+func (l *pathLog) info(msg string, fields ...zap.Field) {
+	if !l.limiter.Allow() {
+		l.lines.Add(1)
+		return
+	}
+	l.log.Info(msg, fields...)
+}
+
+// pathLost reports whether new connections go through other hosts at once.
+func (p *pool) pathLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.path.Lost()
+}
+
+// ownFailed reports whether this host's own path was found unusable a moment ago.
+func (p *pool) ownFailed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.path.Unusable(time.Now())
+}
+
+// noteOwn records the result of opening a connection by this host's own path. Once the path is
+// back, connections through other hosts are not used for further requests.
+func (p *pool) noteOwn(err error) {
+	now := time.Now()
+	p.mu.Lock()
+	if err != nil {
+		p.path.Failed(now)
+		p.mu.Unlock()
+		p.owner.paths.ownFailed.Add(1)
+		return
+	}
+	p.heardAt = now
+	lostFor, regained := p.path.Opened(now)
+	if regained {
+		p.dropIdle(func(c *conn) bool { return c.via != "" })
+	}
+	p.mu.Unlock()
+	if regained {
+		p.owner.paths.regained.Add(1)
+		p.owner.paths.info("path to target regained", zap.String("target", string(p.target.RunID())), zap.Duration("after", lostFor))
+	}
+}
+
+// noteBypassed records that another host reached the target and this one did not. On a path
+// that lost packets without a word, idle connections are dead too.
+func (p *pool) noteBypassed(via ports.HostID, cause error) {
+	p.mu.Lock()
+	lost := p.path.Bypassed(time.Now())
+	if lost && CauseOf(cause) == CauseTimeout {
+		p.dropIdle(func(c *conn) bool { return c.via == "" })
+	}
+	p.mu.Unlock()
+	if lost {
+		p.owner.paths.lost.Add(1)
+		p.owner.paths.info("path to target lost", zap.String("target", string(p.target.RunID())),
+			zap.String("via", string(via)), zap.String("cause", string(CauseOf(cause))))
+	}
+}
+
+// noteRelayed closes a connection through a host that is leaving as soon as it is idle.
+func (p *pool) noteRelayed(c *conn) {
+	p.owner.paths.relayed.Add(1)
+	c.relayed().OnRetire(func() { p.closeUnusable(time.Time{}) })
+}
+
+// dropIdle closes the idle connections for which drop returns true. p.mu must be held.
+func (p *pool) dropIdle(drop func(*conn) bool) {
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if !drop(c) {
+			return false
+		}
+		p.open--
+		go c.close()
+		return true
+	})
+}
+
+// adopt adds a connection that no request waits for to the idle ones, if there is room.
+func (p *pool) adopt(c *conn, maxConns int) {
+	if !p.reserve(maxConns) {
+		c.close()
+		return
+	}
+	p.release(c)
+}
+
+// heard records that the target answered.
+func (p *pool) heard(c *conn) {
+	if c.via != "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heardAt = time.Now()
+}
+
+// checkPath opens a connection by this host's own path if a check of the lost path is due. No
+// request depends on it.
+func (p *pool) checkPath(o SendOptions) {
+	p.mu.Lock()
+	due := p.path.TakeCheck(time.Now())
+	p.mu.Unlock()
+	if !due || !p.reserve(o.MaxConns) {
+		return
+	}
+	p.owner.paths.checks.Add(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), p.owner.opts.DialTimeout)
+		defer cancel()
+		c, err := p.dial(ctx, "")
+		p.noteOwn(err)
+		p.keep(c, err)
+	}()
+}
+
+// suspect checks the path in the background after a request that began at begin got no answer
+// in time, unless the target has answered another one since. The check opens a connection in the
+// way in which requests do.
+func (p *pool) suspect(begin time.Time, o SendOptions) {
+	if p.owner.opts.Relay == nil {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	due := !p.path.Lost() && p.heardAt.Before(begin) && now.Sub(p.suspectedAt) >= suspectEvery
+	if due {
+		p.suspectedAt = now
+	}
+	p.mu.Unlock()
+	if !due || !p.reserve(o.MaxConns) {
+		return
+	}
+	p.owner.paths.suspect.Add(1)
+	go func() {
+		c, err := p.connect(context.Background(), o.MaxConns, func() bool { return o.Usable == nil || o.Usable() })
+		p.keep(c, err)
+	}()
+}
+
+// keep adds a connection for which room was reserved to the idle ones.
+func (p *pool) keep(c *conn, err error) {
+	if err != nil {
+		p.releaseSlot()
+		return
+	}
+	p.release(c)
+}
+
+// errPathLost means that this host's own path to a target is known to be lost.
+var errPathLost = errors.New("path to target lost")
+
+// DialOwn opens a connection to a target by this host's own path, for another host. It fails at
+// once if the path is known to be lost.
+func (p *Pools) DialOwn(ctx context.Context, t blackboard.Target) (net.Conn, error) {
+	pl := p.pool(t)
+	if pl.ownFailed() {
+		return nil, errPathLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	conn, err := p.opts.Dial(ctx, t.Addr)
+	pl.noteOwn(err)
+	return conn, err
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -11,14 +11,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/policy/directpath"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // pool holds this host's connections to one target.
 type pool struct {
 	owner *Pools
-	addr  string
+	// target is the target as it was when the pool was created.
+	target blackboard.Target
+	addr   string
 	// incarnation is the run of the target that the connections belong to. Connections to an
 	// earlier run are dead even if they have not been reset.
 	incarnation ports.Incarnation
@@ -27,12 +31,20 @@
 	open   int // connections open or being opened
 	idle   []*conn
 	closed bool
+	// path is this host's own path to the target.
+	path directpath.State
+	// heardAt is when the target last answered on a connection of this host's own.
+	heardAt time.Time
+	// suspectedAt is when the path was last checked because the target did not answer.
+	suspectedAt time.Time
 }
 
 // conn is a connection that counts its writes, which shows whether a request was sent.
 type conn struct {
-	cc        *http.ClientConn
-	counter   *countingConn
+	cc      *http.ClientConn
+	counter *countingConn
+	// via is the host that carries the connection; empty if this host opened it itself.
+	via       ports.HostID
 	idleSince time.Time // when it became idle
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
@@ -41,6 +53,7 @@
 
 // acquire returns a connection for one request: the most recently used idle one, or a new one.
 func (p *pool) acquire(ctx context.Context, o SendOptions) (*conn, error) {
+	p.checkPath(o)
 	if c := p.acquireIdle(o.NonIdempotent); c != nil {
 		return c, nil
 	}
@@ -48,7 +61,7 @@
 		return nil, ErrConnLimit
 	}
 	usable := o.Usable != nil && o.Usable()
-	c, err := p.dial(ctx)
+	c, err := p.connect(ctx, o.MaxConns, func() bool { return !usable || o.Usable() })
 	if err != nil {
 		p.releaseSlot()
 		return nil, err
@@ -102,21 +115,9 @@
 	p.open--
 }
 
-func (p *pool) dial(ctx context.Context) (*conn, error) {
-	var counter *countingConn
-	ctx = context.WithValue(ctx, counterKey{}, &counter)
-	cc, err := p.owner.transport.NewClientConn(ctx, p.owner.scheme, p.addr)
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{cc: cc, counter: counter}
-	c.busy.Store(true)
-	return c, nil
-}
-
 // release returns a connection whose response was read to its end to the pool.
 func (p *pool) release(c *conn) {
-	if c.cc.Available() == 0 {
+	if c.cc.Available() == 0 || c.retired() || c.via != "" && !p.pathLost() {
 		p.discard(c)
 		return
 	}
@@ -151,7 +152,7 @@
 }
 
 // usable reports whether an idle connection may carry another request.
-func (c *conn) usable() bool { return c.cc.Available() > 0 && !c.expiring() }
+func (c *conn) usable() bool { return c.cc.Available() > 0 && !c.expiring() && !c.retired() }
 
 // readKeepAlive reads the target's idle timeout from the Keep-Alive header.
 func (c *conn) readKeepAlive(h http.Header) {
@@ -192,8 +193,6 @@
 	})
 }
 
-type counterKey struct{}
-
 // countingConn counts the writes started on a connection. A write is counted when it starts: if it
 // is aborted, there is no way to know how much of it was sent.
 type countingConn struct {
@@ -205,17 +204,3 @@
 	c.writes.Add(1)
 	return c.Conn.Write(b)
 }
-
-type dialFunc func(ctx context.Context, addr string) (net.Conn, error)
-
-func dialCounting(ctx context.Context, dial dialFunc, addr string) (net.Conn, error) {
-	raw, err := dial(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	c := &countingConn{Conn: raw}
-	if dst, ok := ctx.Value(counterKey{}).(**countingConn); ok {
-		*dst = c
-	}
-	return c, nil
-}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
+	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -37,6 +39,8 @@
 	// Sent is set if any byte of the request may have left this host.
 	Sent bool
 	Err  error
+	// Via is the host through which the request was sent; empty if this host sent it itself.
+	Via ports.HostID
 }
 
 // SendOptions controls the use of connections by one attempt.
@@ -52,6 +56,8 @@
 	// new connection is opened, which takes seconds if packets are lost. If the target may get no
 	// more requests by then, the request isn't sent.
 	Usable func() bool
+	// RequestID names the request in the log of a host that carries it; empty if it has none.
+	RequestID string
 }
 
 // RoundTripper sends single attempts to targets.
@@ -69,6 +75,12 @@
 	NonIdempotentMaxIdle time.Duration
 	// Dial opens connections to targets; nil dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Relay opens connections through other hosts where this one does not reach a target; nil
+	// means that there are none.
+	Relay Relay
+	// Metrics and Log receive what becomes known of the paths to targets; nil discards it.
+	Metrics *metrics.Set
+	Log     *zap.Logger
 	// MaxResponseHeader limits the response header in bytes; default 64 KiB.
 	MaxResponseHeader int64
 	// TLS is the configuration for connections to targets; nil means plain TCP.
@@ -89,6 +101,12 @@
 		dial := Dialer(o.DialTimeout)
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
 	if o.MaxResponseHeader == 0 {
 		o.MaxResponseHeader = 64 << 10
 	}
@@ -100,6 +118,7 @@
 	opts      Options
 	scheme    string
 	transport *http.Transport
+	paths     *pathLog
 
 	mu    sync.Mutex
 	pools map[ports.HostID]*pool
@@ -110,7 +129,7 @@
 // New returns Pools without connections.
 func New(o Options) *Pools {
 	o = o.withDefaults()
-	p := &Pools{opts: o, scheme: "http", pools: make(map[ports.HostID]*pool)}
+	p := &Pools{opts: o, scheme: "http", pools: make(map[ports.HostID]*pool), paths: newPathLog(o)}
 	if o.TLS != nil {
 		p.scheme = "https"
 	}
@@ -118,7 +137,7 @@
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return dialCounting(ctx, o.Dial, addr)
+			return dialCounting(ctx, o, addr)
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    o.DialTimeout,
@@ -140,17 +159,23 @@
 	}
 	req.URL.Scheme = p.scheme
 	req.URL.Host = t.Addr
+	begin := time.Now()
 	before := c.counter.writes.Load()
+	c.announce(o.RequestID)
 	resp, err := c.cc.RoundTrip(req)
 	if err != nil {
 		sent := c.counter.writes.Load() != before
 		pl.discard(c)
-		return Result{Sent: sent, Err: err}
+		if c.via == "" && CauseOf(err) == CauseTimeout {
+			pl.suspect(begin, o)
+		}
+		return Result{Sent: sent, Err: err, Via: c.via}
 	}
+	pl.heard(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: pl, conn: c}
-	return Result{Response: resp, Sent: true}
+	return Result{Response: resp, Sent: true, Via: c.via}
 }
 
 func (p *Pools) pool(t blackboard.Target) *pool {
@@ -161,7 +186,7 @@
 		if pl != nil {
 			pl.closeIdle()
 		}
-		pl = &pool{owner: p, addr: t.Addr, incarnation: t.Incarnation}
+		pl = &pool{owner: p, target: t, addr: t.Addr, incarnation: t.Incarnation}
 		p.pools[t.ID] = pl
 	}
 	return pl
