The coordinated daemon reaches targets through other hosts too, also with probes

The same cause in package cactusproxy: a host that had lost its paths refused its callers (queue-timeout, deadline-too-short; none of 75 requests served in 1.5 to 4 s after the cut, silent, reset or one way), and told the coordinator, which then held the targets back for all. A coordinator that was cut off got no load reports: its prober had a transport of its own.

Change: the relay is wired in there as well, over the keyed link; probes open their connections by the paths that requests take. A host that carries connections for others and has no requests of its own checks a lost path, too.

TestCoordinatedHostsCutOffFromTargetsServeTheirCallers failed before in three of four forms, TestCoordinatorCutOffFromTargetsProbesThem with one host well; both pass now. The cut path of the tests moved to internal/fakes/faultypath.

--- a/cactusproxy.go
+++ b/cactusproxy.go
@@ -11,6 +11,7 @@
 package cactusproxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,7 @@
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -54,6 +56,7 @@
 	upstream upstream.RoundTripper
 	link     peer.Link
 	prober   probes.Prober
+	dial     func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // WithLog sets the logger; without it nothing is logged.
@@ -71,6 +74,11 @@
 	return func(o *options) { o.upstream = u }
 }
 
+// WithTargetDialer replaces the function that opens connections to targets.
+func WithTargetDialer(dial func(ctx context.Context, addr string) (net.Conn, error)) Option {
+	return func(o *options) { o.dial = dial }
+}
+
 // WithProber replaces the HTTP prober of targets.
 func WithProber(p probes.Prober) Option {
 	return func(o *options) { o.prober = p }
@@ -96,6 +104,7 @@
 	link       peer.Link
 	node       *peer.Node // nil if the link was given
 	pools      *upstream.Pools
+	relay      *relay.Server // nil if the link was given
 	slots      *slots.Picker
 	picker     *backpressure.Picker
 	ledger     *ledger.Ledger
--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -13,13 +14,25 @@
 // maxHealthBody bounds the bytes read of the response body of a health endpoint.
 const maxHealthBody = 4 << 10
 
+// Dial opens a connection to a target.
+type Dial func(ctx context.Context, t blackboard.Target) (net.Conn, error)
+
+type probedTarget struct{}
+
 // HTTPProber returns a prober that sends a GET request to the health path.
 //
 // Each probe opens a connection of its own: net/http retries a GET by itself when a
 // kept-alive connection fails, and the budget would count the two requests as one.
-func HTTPProber() Prober {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+func HTTPProber(dial Dial) Prober {
+	transport := &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return dial(ctx, ctx.Value(probedTarget{}).(blackboard.Target))
+		},
+	}
 	return func(ctx context.Context, t blackboard.Target, path string) Result {
+		ctx = context.WithValue(ctx, probedTarget{}, t)
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Addr+path, nil)
 		if err != nil {
 			return Result{Load: -1}
--- a/controller/probes/probes_test.go
+++ b/controller/probes/probes_test.go
@@ -164,7 +164,7 @@
 	hs := httptest.NewServer(tg.Handler())
 	defer hs.Close()
 	at := blackboard.Target{Addr: strings.TrimPrefix(hs.URL, "http://")}
-	probe := HTTPProber()
+	probe := HTTPProber(dialTarget)
 	ctx := context.Background()
 	assert.Equal(t, probe(ctx, at, "/health"), Result{OK: true, Load: 0})
 	n := 7
@@ -196,7 +196,7 @@
 			_ = c.Close()
 		}
 	}()
-	probe := HTTPProber()
+	probe := HTTPProber(dialTarget)
 	at := blackboard.Target{Addr: l.Addr().String()}
 	for range 20 {
 		assert.Equal(t, probe(context.Background(), at, "/"), Result{Load: -1})
@@ -205,3 +205,7 @@
 	<-served
 	assert.Equal(t, requests.Load(), int64(20))
 }
+
+func dialTarget(ctx context.Context, t blackboard.Target) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", t.Addr)
+}
--- /dev/null
+++ b/cut_test.go
@@ -0,0 +1,85 @@
+package cactusproxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
+)
+
+// Guards against coordinated hosts that refuse callers because they have lost their paths to all
+// targets, and against a coordinator that believes them that the targets are down.
+func TestCoordinatedHostsCutOffFromTargetsServeTheirCallers(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]faultypath.Fault{
+		"silent": faultypath.Silent, "reset": faultypath.Reset, "refused": faultypath.Refused, "one way": faultypath.OneWay,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newCatalogue(t)
+			for i := range 30 {
+				assert.Equal(t, d.browse(t, i).Status, http.StatusOK)
+			}
+			for _, p := range d.paths[:2] {
+				p.Cut(fault)
+			}
+			const every, noticed, length = 20 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			told := make(map[string]int)
+			begin := time.Now()
+			for i := 0; time.Since(begin) < length; i++ {
+				late := time.Since(begin) > noticed
+				wg.Go(func() {
+					r, host := d.browse(t, i), "cut"
+					if i%len(d.hosts) == 2 {
+						host = "well"
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if late {
+						told[host+" "+r.Outcome+"/"+r.Reason]++
+					}
+				})
+				time.Sleep(every)
+			}
+			wg.Wait()
+			assert.Check(t, told["cut answered/ok"] > 0 && told["well answered/ok"] > 0)
+			assert.Check(t, len(told) == 2, "%v", told)
+		})
+	}
+}
+
+// Guards against a coordinator that is cut off from all targets and goes without their load
+// reports, while another host reaches them.
+func TestCoordinatorCutOffFromTargetsProbesThem(t *testing.T) {
+	t.Parallel()
+	for well := range 3 { // any of them may be the coordinator
+		t.Run(fmt.Sprint(well), func(t *testing.T) {
+			t.Parallel()
+			d := newCatalogue(t)
+			for i, p := range d.paths {
+				if i != well {
+					p.Cut(faultypath.Silent)
+				}
+			}
+			time.Sleep(1500 * time.Millisecond)
+			before := d.probes()
+			time.Sleep(2 * time.Second)
+			assert.Check(t, d.probes() > before+3, "%d probes in 2 s", d.probes()-before)
+		})
+	}
+}
+
+// probes returns how many probes all targets have answered.
+func (d *catalogueCluster) probes() (n int) {
+	for _, tg := range d.targets {
+		n += tg.Status().Probes
+	}
+	return n
+}
--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
 	"github.com/cactusproxy/cactusproxy/platform/standin"
 )
 
@@ -63,8 +64,8 @@
 // while other hosts reach every target.
 func TestHostsCutOffFromAllTargetsServeTheirCallers(t *testing.T) {
 	t.Parallel()
-	for name, fault := range map[string]pathFault{
-		"silent": pathSilent, "reset": pathReset, "refused": pathRefused, "one way": pathOneWay,
+	for name, fault := range map[string]faultypath.Fault{
+		"silent": faultypath.Silent, "reset": faultypath.Reset, "refused": faultypath.Refused, "one way": faultypath.OneWay,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -74,7 +75,7 @@
 			}
 			cut := l.daemons[:3]
 			for _, d := range cut {
-				d.path.cut(fault)
+				d.path.Cut(fault)
 			}
 			l.assertServed(l.cutTraffic(cut, 1500*time.Millisecond, 4*time.Second))
 		})
--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/edge"
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
 	"github.com/cactusproxy/cactusproxy/internal/logging"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/platform"
@@ -68,7 +69,7 @@
 type daemon struct {
 	*edge.Daemon
 	// path is this daemon's path to the targets.
-	path *faultyPath
+	path *faultypath.Path
 	stop context.CancelFunc
 	done chan struct{}
 	err  error // result of Run; valid once done is closed
@@ -171,9 +172,9 @@
 	l.logs = append(l.logs, buffer)
 	log, err := logging.New(buffer, "info")
 	assert.NilError(l.t, err)
-	path := new(faultyPath)
+	path := new(faultypath.Path)
 	d, err := edge.New(s, edge.Platform{
-		DialTarget: path.dial,
+		DialTarget: path.Dial,
 		Directory: func(m *metrics.Set, log *zap.Logger) directory.Source {
 			return platform.NewDirectory(platform.NewStore(l.storeAddr), m, log)
 		},
--- a/edge/faultypath_test.go
+++ b/internal/fakes/faultypath/faultypath.go
@@ -1,4 +1,6 @@
-package edge_test
+// Package faultypath is a path between one entry host and the targets that tests can cut. It
+// stands between a daemon and real connections.
+package faultypath
 
 import (
 	"context"
@@ -11,43 +13,45 @@
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
-// pathFault is what is wrong with the path between one daemon and some targets.
-type pathFault uint8
+// Fault is what is wrong with a path.
+type Fault uint8
 
 const (
-	pathWell pathFault = iota
-	// pathSilent loses all packets: open connections hang until the TCP user timeout.
-	pathSilent
-	// pathReset resets open connections and new ones.
-	pathReset
-	// pathRefused refuses new connections and leaves open ones alone.
-	pathRefused
-	// pathOneWay delivers what the daemon sends and loses what the target sends.
-	pathOneWay
+	// Well is a path without a fault.
+	Well Fault = iota
+	// Silent loses all packets: open connections hang until the TCP user timeout.
+	Silent
+	// Reset resets open connections and new ones.
+	Reset
+	// Refused refuses new connections and leaves open ones alone.
+	Refused
+	// OneWay delivers what the daemon sends and loses what the target sends.
+	OneWay
 )
 
 // userTimeout is how long a connection on a lossy path lives on once it has sent something.
 const userTimeout = time.Second
 
-// faultyPath is the path between one daemon and the targets. The zero value is well.
-type faultyPath struct {
+// Path is the path between one daemon and the targets. The zero value is well. It is safe for
+// concurrent use.
+type Path struct {
 	mu    sync.Mutex
-	fault pathFault
+	fault Fault
 	// affects, if set, limits the fault to some addresses.
 	affects func(addr string) bool
-	conns   map[*faultyConn]bool
+	conns   map[*conn]bool
 }
 
-// cut brings about a fault of the path to all targets, or ends it.
-func (p *faultyPath) cut(f pathFault) { p.cutFrom(f, nil) }
+// Cut brings about a fault of the path to all targets, or ends it.
+func (p *Path) Cut(f Fault) { p.CutFrom(f, nil) }
 
-// cutFrom is like cut for the targets whose addresses satisfy affects.
-func (p *faultyPath) cutFrom(f pathFault, affects func(addr string) bool) {
+// CutFrom is like Cut for the targets whose addresses satisfy affects.
+func (p *Path) CutFrom(f Fault, affects func(addr string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault, p.affects = f, affects
 	for c := range p.conns {
-		if f == pathReset && p.faultOf(c.addr) == f {
+		if f == Reset && p.faultOf(c.addr) == f {
 			c.Conn.(*net.TCPConn).SetLinger(0)
 			_ = c.Conn.Close()
 		}
@@ -55,53 +59,53 @@
 }
 
 // faultOf returns the fault of the path to an address. p.mu must be held.
-func (p *faultyPath) faultOf(addr string) pathFault {
+func (p *Path) faultOf(addr string) Fault {
 	if p.affects != nil && !p.affects(addr) {
-		return pathWell
+		return Well
 	}
 	return p.fault
 }
 
-func (p *faultyPath) current(addr string) pathFault {
+func (p *Path) current(addr string) Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.faultOf(addr)
 }
 
-// targetDialTimeout is the daemon's own timeout for connections to targets.
-const targetDialTimeout = 250 * time.Millisecond
+// dialTimeout is when a connection that is not answered fails.
+const dialTimeout = 250 * time.Millisecond
 
-// dial implements edge.Platform.DialTarget.
-func (p *faultyPath) dial(ctx context.Context, addr string) (net.Conn, error) {
+// Dial opens a connection to a target, as far as the path lets it.
+func (p *Path) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	switch p.current(addr) {
-	case pathSilent, pathOneWay:
-		ctx, cancel := context.WithTimeout(ctx, targetDialTimeout)
+	case Silent, OneWay:
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
-	case pathReset:
+	case Reset:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNRESET}
-	case pathRefused:
+	case Refused:
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	raw, err := upstream.Dialer(targetDialTimeout)(ctx, "tcp", addr)
+	raw, err := upstream.Dialer(dialTimeout)(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	c := &faultyConn{Conn: raw, path: p, addr: addr, closed: make(chan struct{})}
+	c := &conn{Conn: raw, path: p, addr: addr, closed: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
-		p.conns = make(map[*faultyConn]bool)
+		p.conns = make(map[*conn]bool)
 	}
 	p.conns[c] = true
 	return c, nil
 }
 
-// faultyConn is a connection over a faultyPath.
-type faultyConn struct {
+// conn is a connection over a Path.
+type conn struct {
 	net.Conn
-	path   *faultyPath
+	path   *Path
 	addr   string
 	closed chan struct{}
 	once   sync.Once
@@ -112,25 +116,25 @@
 }
 
 // Write implements net.Conn. On a silent path the bytes are lost.
-func (c *faultyConn) Write(b []byte) (int, error) {
+func (c *conn) Write(b []byte) (int, error) {
 	fault := c.path.current(c.addr)
-	if fault == pathSilent || fault == pathOneWay {
+	if fault == Silent || fault == OneWay {
 		c.mu.Lock()
 		if c.unacked.IsZero() {
 			c.unacked = time.Now()
 		}
 		c.mu.Unlock()
 	}
-	if fault == pathSilent {
+	if fault == Silent {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
 // Read implements net.Conn. What arrives while replies are lost is never delivered.
-func (c *faultyConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for f := c.path.current(c.addr); f == pathSilent || f == pathOneWay; f = c.path.current(c.addr) {
+	for f := c.path.current(c.addr); f == Silent || f == OneWay; f = c.path.current(c.addr) {
 		c.mu.Lock()
 		sent := c.unacked
 		c.mu.Unlock()
@@ -147,7 +151,7 @@
 }
 
 // Close implements net.Conn.
-func (c *faultyConn) Close() error {
+func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	c.path.mu.Lock()
 	delete(c.path.conns, c)
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -35,6 +35,8 @@
 	Log *zap.Logger
 	// Limits are the rate limits of the platform's table; zero means none.
 	Limits store.Limits
+	// DialTarget, if set, opens the connections of a host to targets.
+	DialTarget func(ctx context.Context, host, addr string) (net.Conn, error)
 	// Notice is how long a host announces that it is about to stop; 0 means 200 ms.
 	Notice time.Duration
 }
@@ -139,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d, err := cactusproxy.New(s, cactusproxy.WithLog(c.opts.Log))
+	d, err := cactusproxy.New(s, cactusproxy.WithLog(c.opts.Log), c.targetDialer(id))
 	if err != nil {
 		return nil, err
 	}
@@ -159,6 +161,16 @@
 	return h, nil
 }
 
+// targetDialer returns the option that lets the cluster open a host's connections to targets.
+func (c *Cluster) targetDialer(host string) cactusproxy.Option {
+	if c.opts.DialTarget == nil {
+		return cactusproxy.WithTargetDialer(nil)
+	}
+	return cactusproxy.WithTargetDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+		return c.opts.DialTarget(ctx, host, addr)
+	})
+}
+
 func (c *Cluster) hostSettings(id, zone string) []byte {
 	return fmt.Appendf(nil, `{
 		"host": {"id": %q, "zone": %q},
--- a/limit_test.go
+++ b/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
 	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 	"github.com/cactusproxy/cactusproxy/internal/testcluster"
 )
@@ -18,15 +20,27 @@
 type catalogueCluster struct {
 	hosts   []*testcluster.Host
 	targets []*testcluster.Target
+	// paths are the hosts' paths to the targets.
+	paths []*faultypath.Path
 }
 
 func newCatalogue(t *testing.T) *catalogueCluster {
-	l, err := testcluster.New(testcluster.Options{})
+	d := new(catalogueCluster)
+	byHost := make(map[string]*faultypath.Path)
+	for i := range 3 {
+		path := new(faultypath.Path)
+		d.paths = append(d.paths, path)
+		byHost[fmt.Sprint("entry-", i)] = path
+	}
+	l, err := testcluster.New(testcluster.Options{
+		DialTarget: func(ctx context.Context, host, addr string) (net.Conn, error) {
+			return byHost[host].Dial(ctx, addr)
+		},
+	})
 	assert.NilError(t, err)
 	t.Cleanup(l.Close)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	d := new(catalogueCluster)
 	for i := range 3 {
 		h, err := l.AddHost(fmt.Sprint("entry-", i), "zone-a")
 		assert.NilError(t, err)
--- a/provision.go
+++ b/provision.go
@@ -23,6 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 	"github.com/cactusproxy/cactusproxy/quarantine"
+	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -135,7 +136,7 @@
 
 func (d *Daemon) id() ports.HostID { return ports.HostID(d.settings.Host.ID) }
 
-func (d *Daemon) provisionUpstream(options) error {
+func (d *Daemon) provisionUpstream(o options) error {
 	tlsConfig, err := d.settings.Targets.Client()
 	if err != nil {
 		return err
@@ -143,11 +144,45 @@
 	d.pools = upstream.New(upstream.Options{
 		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
 		TLS:         tlsConfig,
+		Dial:        o.dial,
+		Relay:       d.relayClient(),
+		Metrics:     d.metrics,
+		Log:         d.log,
 	})
 	d.cleanup = append(d.cleanup, d.pools.Close)
+	d.provisionRelay()
 	return nil
 }
 
+// relayClient returns what reaches targets through other hosts, or nil if the link was supplied
+// by WithLink, which has no streams.
+func (d *Daemon) relayClient() upstream.Relay {
+	if d.node == nil {
+		return nil
+	}
+	return relay.NewClient(relay.ClientDeps{
+		Board:   d.board,
+		Streams: d.node,
+		Self:    d.id(),
+		Zone:    d.settings.Host.Zone,
+		Seed:    d.incarnation,
+		Metrics: d.metrics,
+	})
+}
+
+func (d *Daemon) provisionRelay() {
+	if d.node == nil {
+		return
+	}
+	d.relay = relay.NewServer(relay.ServerDeps{
+		Board:   d.board,
+		Streams: d.node,
+		Dial:    d.pools.DialOwn,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
+}
+
 func (d *Daemon) provisionControllers() {
 	d.config = config.New(config.Deps{
 		Board:   d.board,
@@ -215,7 +250,7 @@
 	})
 	prober := o.prober
 	if prober == nil {
-		prober = probes.HTTPProber()
+		prober = probes.HTTPProber(d.pools.Dial)
 	}
 	d.probes = probes.New(probes.Deps{
 		Board:     d.board,
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -197,13 +197,34 @@
 	p.release(c)
 }
 
+// Dial opens a connection to a target by this host's own path or, if that fails, through another
+// host. It serves connections that no request waits for, and tries one path after the other.
+func (p *Pools) Dial(ctx context.Context, t blackboard.Target) (net.Conn, error) {
+	conn, err := p.DialOwn(ctx, t)
+	if err == nil || p.opts.Relay == nil {
+		return conn, err
+	}
+	for _, via := range p.opts.Relay.Hosts(t) {
+		limited, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+		relayed, relayErr := p.opts.Relay.Dial(limited, via, t)
+		cancel()
+		if relayErr == nil {
+			p.pool(t).noteBypassed(via, err)
+			return relayed, nil
+		}
+	}
+	return nil, err
+}
+
 // errPathLost means that this host's own path to a target is known to be lost.
 var errPathLost = errors.New("path to target lost")
 
 // DialOwn opens a connection to a target by this host's own path, for another host. It fails at
-// once if the path is known to be lost.
+// once if the path is known to be lost, and checks it if that is due: this host may have no
+// requests of its own for the target.
 func (p *Pools) DialOwn(ctx context.Context, t blackboard.Target) (net.Conn, error) {
 	pl := p.pool(t)
+	pl.checkPath(SendOptions{})
 	if pl.ownFailed() {
 		return nil, errPathLost
 	}
