--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -154,6 +154,12 @@
 
 // start starts a daemon and waits until it is ready.
 func (l *localCluster) start() *daemon {
+	l.t.Helper()
+	return l.startOn(new(faultypath.Path))
+}
+
+// startOn starts a daemon with this path to the targets and waits until it is ready.
+func (l *localCluster) startOn(path *faultypath.Path) *daemon {
 	l.t.Helper()
 	peers := freeAddr(l.t)
 	text := fmt.Sprintf(`{
@@ -172,7 +178,6 @@
 	l.logs = append(l.logs, buffer)
 	log, err := logging.New(buffer, "info")
 	assert.NilError(l.t, err)
-	path := new(faultypath.Path)
 	d, err := edge.New(s, edge.Platform{
 		DialTarget: path.Dial,
 		Directory: func(m *metrics.Set, log *zap.Logger) directory.Source {
@@ -244,7 +249,9 @@
 	header http.Header
 	// closed is set if the server closes the connection.
 	closed bool
-	err    error
+	// took is how long the client waited for the response header.
+	took time.Duration
+	err  error
 }
 
 // send sends a request with a new ID to a daemon.
@@ -262,13 +269,15 @@
 	if l.key != "" {
 		req.Header.Set(standin.HeaderKey, l.key)
 	}
+	begin := time.Now()
 	resp, err := l.client.Do(req)
 	if err != nil {
 		return response{id: id, err: err}
 	}
+	took := time.Since(begin)
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	return response{id: id, status: resp.StatusCode, body: string(raw), header: resp.Header, closed: resp.Close, err: err}
+	return response{id: id, status: resp.StatusCode, body: string(raw), header: resp.Header, closed: resp.Close, took: took, err: err}
 }
 
 // runs returns how many times a request ran, over all targets.
