A silent path, or a carrying host that is lost, is blamed on nobody

Cause: silence and the loss of the carrying host were taken for a crash of the target. A process that crashes closes its connections.

A carrying host passes on that the target broke off (Stream.Abort), so that a request that crashes its targets is still suspected behind another host; without that word the stream itself was lost.

TestSilentPathIsBlamedOnNeitherRequestsNorTargets failed before (2 requests suspected) and passes now, as do TestLossOfTheCarryingHostIsBlamedOnNobody and TestRequestThatCrashesItsTargetBehindAnotherHostIsSuspected.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -150,7 +150,7 @@
 		// be ejected, and the request must not be suspected of crashing it.
 		a.class, a.reason = pick.Canceled, outcome.ReasonCallerGone
 	case res.Sent:
-		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
+		a.class, a.reason = brokenClass(a.cause)
 	case errors.Is(res.Err, upstream.ErrConnLimit):
 		// This host's share of connections is in use, which isn't the target's fault either.
 		a.class, a.reason = pick.Canceled, outcome.ReasonConnLimit
@@ -161,6 +161,20 @@
 	}
 }
 
+// brokenClass returns the class and reason of a connection that failed after the request was sent.
+//
+// A process that crashes closes its connections. Silence is a failure of the path: blamed on the
+// request, it would be held back on all hosts, and blamed on the target, targets that are well
+// would be taken out.
+func brokenClass(c upstream.Cause) (pick.Class, outcome.Reason) {
+	switch c {
+	case upstream.CauseTimeout, upstream.CauseRelay:
+		return pick.PathLost, outcome.ReasonPathLost
+	default:
+		return pick.BrokeOff, outcome.ReasonBrokeOff
+	}
+}
+
 // usable reports whether a target may get requests: it is listed, neither leaving nor evacuated,
 // and no other run has taken its place.
 func (d *Dispatcher) usable(key blackboard.ServiceKey, chosen blackboard.Target) bool {
@@ -250,7 +264,8 @@
 	}
 	if err := a.buffers.buffer(resp); err != nil {
 		_ = resp.Body.Close()
-		a.class, a.reason = pick.BrokeOff, outcome.ReasonBrokeOff
+		a.cause = upstream.CauseOf(err)
+		a.class, a.reason = brokenClass(a.cause)
 		if a.ctx.Err() != nil {
 			a.class, a.reason = pick.Canceled, outcome.ReasonCallerGone
 			if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
--- a/dispatch/reply.go
+++ b/dispatch/reply.go
@@ -8,14 +8,16 @@
 
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 // ReplyBody is the body of a response. Closing it ends the attempt and releases the target.
 type ReplyBody struct {
-	src     io.ReadCloser
-	class   pick.Class // reported if the body was read to its end
-	eof     bool
-	failed  bool
+	src   io.ReadCloser
+	class pick.Class // reported if the body was read to its end
+	eof   bool
+	// failure is why the response was truncated; nil if it was not.
+	failure error
 	once    sync.Once
 	onClose func(pick.Class)
 }
@@ -38,7 +40,7 @@
 	case errors.Is(err, io.EOF):
 		b.eof = true
 	default:
-		b.failed = true
+		b.failure = err
 	}
 	return n, err
 }
@@ -54,8 +56,9 @@
 	switch {
 	case b.eof:
 		return b.class
-	case b.failed:
-		return pick.BrokeOff
+	case b.failure != nil:
+		class, _ := brokenClass(upstream.CauseOf(b.failure))
+		return class
 	default:
 		return pick.Canceled
 	}
@@ -94,7 +97,9 @@
 	b, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
-		a.class, a.reason, a.resp = pick.BrokeOff, outcome.ReasonBrokeOff, nil
+		a.cause = upstream.CauseOf(err)
+		a.class, a.reason = brokenClass(a.cause)
+		a.resp = nil
 		a.end(a.class)
 		return nil
 	}
--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -81,3 +82,41 @@
 		})
 	}
 }
+
+// burst sends reads and bids at once and waits for their responses.
+func (l *localCluster) burst(d *daemon) {
+	var wg sync.WaitGroup
+	for i := range 24 {
+		l.ids++
+		id := fmt.Sprintf("burst-%d", l.ids)
+		wg.Go(func() {
+			if i%2 == 0 {
+				l.sendWithID(id, d, http.MethodGet, "/lots/7", "")
+				return
+			}
+			l.sendWithID(id, d, http.MethodPost, "/bids/7", "")
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against requests that are held back on all hosts, and targets that are taken out, because
+// one host's path fell silent under them.
+func TestSilentPathIsBlamedOnNeitherRequestsNorTargets(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]faultypath.Fault{"silent": faultypath.Silent, "one way": faultypath.OneWay} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := newLocalCluster(t, 2)
+			l.burst(l.daemons[0]) // leaves idle connections, more than probes use
+			l.daemons[0].path.Cut(fault)
+			l.burst(l.daemons[0])
+			for i, d := range l.daemons {
+				quarantine := d.Metrics().Map("quarantine")
+				assert.Check(t, quarantine.Get("suspected") == nil, "host %d suspects %v requests", i, quarantine.Get("suspected"))
+				assert.Equal(t, d.Metrics().Map("placer").Get("ejected").String(), "0")
+			}
+			assert.Check(t, strings.Contains(l.logs[0].String(), "path-lost"), "no request was under way")
+		})
+	}
+}
--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -213,15 +213,23 @@
 }
 
 // freeAddr returns an address for a daemon to listen on. It is not on 127.0.0.1, where another
-// test could take the port before the daemon does.
+// test could take the port before the daemon does, and no other test of this process gets it.
 func freeAddr(t *testing.T) string {
 	pid := os.Getpid()
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f))
+		assert.NilError(t, err)
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		if _, given := givenAddrs.LoadOrStore(addr, true); !given {
+			return addr
+		}
+	}
 }
 
+// givenAddrs holds the addresses that freeAddr has returned.
+var givenAddrs sync.Map
+
 func quoteAll(list []string) string {
 	out := make([]string, len(list))
 	for i, s := range list {
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -22,14 +22,19 @@
 // so.
 func newCutCluster(t *testing.T, daemons int) (l *localCluster, cut *daemon) {
 	l = newLocalCluster(t, daemons)
-	cut = l.daemons[0]
+	return l, l.cutFirst()
+}
+
+// cutFirst takes the paths to all targets away from the first daemon, and waits until it knows so.
+func (l *localCluster) cutFirst() *daemon {
+	cut := l.daemons[0]
 	cut.path.Cut(faultypath.Refused)
 	l.await("a request through another host", func() bool {
 		l.send(cut, http.MethodGet, "/lots/7", "")
 		l.send(cut, http.MethodPost, "/bids/7", "")
 		return strings.Count(l.logs[0].String(), "path to target lost") >= 2
 	})
-	return l, cut
+	return cut
 }
 
 // relayed returns how many connections a daemon has opened through others.
@@ -310,3 +315,39 @@
 	assert.Check(t, strings.Contains(text, "via="+l.daemons[1].PeersAddr()))
 	assert.Check(t, strings.Contains(text, "path to target lost"))
 }
+
+// Guards against a request that runs twice, or is suspected of crashing its target, because the
+// host that carried it was killed.
+func TestLossOfTheCarryingHostIsBlamedOnNobody(t *testing.T) {
+	t.Parallel()
+	l := newLocalCluster(t, 1)
+	l.drain = `"notice": "1ms", "limit": "2ms"`
+	carrier := l.start()
+	cut := l.cutFirst()
+	for _, tg := range l.targets {
+		tg.Work = 500 * time.Millisecond
+	}
+	done := make(chan response)
+	go func() { done <- l.sendWithID("carried", cut, http.MethodPost, "/bids/7", "") }()
+	l.await("the request runs", func() bool { return l.runs("carried") == 1 })
+	carrier.stop() // its limit cuts off what it carries
+	a := <-done
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	assert.Equal(t, a.header.Get("Cactusproxy-Reason"), "path-lost")
+	assert.Equal(t, l.runs("carried"), 1)
+	assert.Check(t, cut.Metrics().Map("quarantine").Get("suspected") == nil)
+}
+
+// Guards against a request that crashes its targets and is not suspected, since another host
+// carries it.
+func TestRequestThatCrashesItsTargetBehindAnotherHostIsSuspected(t *testing.T) {
+	t.Parallel()
+	l, cut := newCutCluster(t, 2)
+	for _, tg := range l.targets {
+		tg.LoseResponse = func(string) bool { return true }
+	}
+	a := l.send(cut, http.MethodPost, "/bids/7", "")
+	assert.Equal(t, a.status, http.StatusBadGateway)
+	assert.Equal(t, a.header.Get("Cactusproxy-Reason"), "target-broke-off")
+	assert.Equal(t, cut.Metrics().Map("quarantine").Get("suspected").String(), "1")
+}
--- a/internal/fakes/faultypath/faultypath.go
+++ b/internal/fakes/faultypath/faultypath.go
@@ -111,34 +111,52 @@
 	once   sync.Once
 
 	mu sync.Mutex
-	// unacked is when the oldest unacknowledged bytes were sent; zero if there are none.
-	unacked time.Time
+	// unacked is set while bytes that were sent are not acknowledged, expired once they were not
+	// for too long.
+	unacked, expired bool
+}
+
+// lossy reports whether packets from the target are lost.
+func (c *conn) lossy() bool {
+	f := c.path.current(c.addr)
+	return f == Silent || f == OneWay
 }
 
 // Write implements net.Conn. On a silent path the bytes are lost.
 func (c *conn) Write(b []byte) (int, error) {
-	fault := c.path.current(c.addr)
-	if fault == Silent || fault == OneWay {
-		c.mu.Lock()
-		if c.unacked.IsZero() {
-			c.unacked = time.Now()
-		}
-		c.mu.Unlock()
+	if c.lossy() {
+		c.awaitAck()
 	}
-	if fault == Silent {
+	if c.path.current(c.addr) == Silent {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
-// Read implements net.Conn. What arrives while replies are lost is never delivered.
+// awaitAck lets the connection expire unless the path is well in time.
+func (c *conn) awaitAck() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unacked {
+		return
+	}
+	c.unacked = true
+	time.AfterFunc(userTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.unacked, c.expired = false, c.lossy()
+		if c.expired {
+			_ = c.Conn.SetReadDeadline(time.Now()) // wakes the reader
+		}
+	})
+}
+
+// Read implements net.Conn. What arrives while replies are lost is delivered once the path is
+// well.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	for f := c.path.current(c.addr); f == Silent || f == OneWay; f = c.path.current(c.addr) {
-		c.mu.Lock()
-		sent := c.unacked
-		c.mu.Unlock()
-		if !sent.IsZero() && time.Since(sent) > userTimeout {
+	for c.lossy() {
+		if c.hasExpired() {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
 		}
 		select {
@@ -150,6 +168,12 @@
 	return n, err
 }
 
+func (c *conn) hasExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -50,7 +50,9 @@
 	ReasonConnect   Reason = "connect-failed"
 	ReasonConnLimit Reason = "connection-limit"
 	// ReasonTargetLeft means that the target left while a connection to it was being opened.
-	ReasonTargetLeft    Reason = "target-left"
+	ReasonTargetLeft Reason = "target-left"
+	// ReasonPathLost means that the path to the target failed after the call was sent.
+	ReasonPathLost      Reason = "path-lost"
 	ReasonBrokeOff      Reason = "target-broke-off"
 	ReasonTargetTimeout Reason = "target-timeout"
 	// ReasonForeignAnswer means that the response does not belong to the request, or that no
@@ -130,6 +132,7 @@
 	ReasonConnLimit:     {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonTargetLeft:    {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonBrokeOff:      {status: http.StatusBadGateway},
+	ReasonPathLost:      {status: http.StatusBadGateway},
 	ReasonTargetTimeout: {status: http.StatusGatewayTimeout},
 	ReasonForeignAnswer: {status: http.StatusBadGateway},
 	ReasonReplaced:      {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -26,6 +26,9 @@
 // ErrNoReply means that the request may have reached the peer, but no reply was received.
 var ErrNoReply = errors.New("no reply from peer")
 
+// ErrStreamLost means that a stream failed between the two hosts.
+var ErrStreamLost = errors.New("stream lost")
+
 // ErrRemote means that the peer received the request and its handler returned an error.
 var ErrRemote = errors.New("peer returned an error")
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// Read implements net.Conn. It returns io.EOF only if the other end called CloseWrite.
+// Read implements net.Conn. It returns io.EOF only if the other end called CloseWrite, and
+// io.ErrUnexpectedEOF if it called Abort.
 func (t *Stream) Read(p []byte) (int, error) {
 	for len(t.rest) == 0 {
 		if t.end != nil {
@@ -142,7 +143,7 @@
 // receive handles a frame and returns the bytes to read and, if there are no more, the error.
 func (t *Stream) receive(h header, body []byte, err error) ([]byte, error) {
 	if err != nil {
-		return nil, err
+		return nil, errors.Mark(err, ErrStreamLost)
 	}
 	switch h.typ {
 	case frameData:
@@ -159,6 +160,9 @@
 		t.retire()
 		return nil, nil
 	case frameEnd:
+		if len(body) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
 		return nil, io.EOF
 	default:
 		return nil, errors.Wrap(errFrame, "expected a frame of a stream")
@@ -179,6 +183,15 @@
 	return written, nil
 }
 
+// brokenOff is the body of a frameEnd after which bytes are missing.
+var brokenOff = []byte{1}
+
+// Abort tells the other end that the bytes broke off at their source, and closes the stream.
+func (t *Stream) Abort() {
+	_ = t.send(frameEnd, brokenOff) // the other end may be gone
+	_ = t.Close()
+}
+
 // CloseWrite tells the other end that no more bytes follow.
 func (t *Stream) CloseWrite() error { return t.send(frameEnd, nil) }
 
@@ -230,5 +243,8 @@
 	defer t.out.reset()
 	t.out.add(t.enc, header{typ: typ}, body, t.s.tagLen())
 	_, err := t.s.writeUntil(&t.out, time.Time{})
-	return err
+	if err != nil {
+		return errors.Mark(err, ErrStreamLost)
+	}
+	return nil
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -112,6 +112,9 @@
 	// Foreign is a response that does not belong to the call, or lacks the contract's seal.
 	// Since something responded, the call did not crash the target.
 	Foreign
+	// PathLost means that the connection fell silent, or that the host that carried it was lost,
+	// after the call was sent. It says nothing about the target.
+	PathLost
 )
 
 // Report is the result of an attempt.
--- a/relay/client.go
+++ b/relay/client.go
@@ -129,6 +129,26 @@
 
 var _ upstream.RelayedConn = (*conn)(nil)
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Stream.Read(p)
+	return n, markLost(err)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Stream.Write(p)
+	return n, markLost(err)
+}
+
+// markLost tells the loss of the carrying host from an end that the target brought about.
+func markLost(err error) error {
+	if !errors.Is(err, peer.ErrStreamLost) {
+		return err
+	}
+	return errors.Mark(err, upstream.ErrRelayLost)
+}
+
 // Announce implements upstream.RelayedConn.
 func (c *conn) Announce(request string) error {
 	body, err := msgpack.Marshal(requestNote{Request: request})
--- a/relay/server.go
+++ b/relay/server.go
@@ -188,14 +188,14 @@
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
 
 // carry copies bytes in both directions until the opener closes the stream or either side breaks
-// off. The target's clean end is passed on; a reset closes the stream without one, so that an
-// answer without a length is not taken for complete.
+// off. The target's clean end is passed on and a reset as such, so that an answer without a length
+// is not taken for complete and the loss of a target is told from that of this host.
 func carry(stream *peer.Stream, target net.Conn) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		if err := copyBytes(stream, target); err != nil || stream.CloseWrite() != nil {
-			_ = stream.Close()
+			stream.Abort()
 		}
 	}()
 	if err := copyBytes(target, stream); errors.Is(err, errWrite) {
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -21,14 +21,22 @@
 	CauseNoRoute Cause = "no-route"
 	CauseClosed  Cause = "closed"
 	CauseOther   Cause = "other"
+	// CauseRelay is the loss of the host that carried the connection.
+	CauseRelay Cause = "relay-lost"
 )
 
+// ErrRelayLost marks the errors of a RelayedConn that come from the loss of the host that carries
+// it, and not from the target.
+var ErrRelayLost = errors.New("carrying host lost")
+
 // CauseOf returns the cause of an error of RoundTrip, or "" for nil.
 func CauseOf(err error) Cause {
 	var timeout net.Error
 	switch {
 	case err == nil:
 		return ""
+	case errors.Is(err, ErrRelayLost):
+		return CauseRelay
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return CauseRefused
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/upstream/cause_test.go
+++ b/upstream/cause_test.go
@@ -18,6 +18,7 @@
 		CauseTimeout: &net.OpError{Op: "read", Err: syscall.ETIMEDOUT},
 		CauseRefused: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED},
 		CauseReset:   errors.Wrap(syscall.ECONNRESET, "read"),
+		CauseRelay:   errors.Mark(syscall.ECONNRESET, ErrRelayLost),
 		CauseNoRoute: syscall.EHOSTUNREACH,
 		CauseClosed:  io.ErrUnexpectedEOF,
 		CauseOther:   errors.New("malformed response"),
