A lost keep-alive probe doesn't end a request at which its target is at work

What callers see: an answer that takes longer than 3 s is given up (502, or sent again) if one keep-alive probe, or its reply, is lost: six in a hundred on a link that loses three packets in a hundred.

Cause: TCP_USER_TIMEOUT, where it is set, decides when keep-alive gives up, whatever its count. Ours was 1 s, against silent paths, so that a connection that had been quiet for 2 s ended with the first probe that stayed unanswered for 1 s. Between hosts it was 5 s with probes at 5 and 7 s: one lost probe, too.

Change: a request that has waited for 1.5 s was acknowledged, or its connection would have ended; from then on the timeout is 5 s, which three lost probes take, until the connection is used again. Connections between hosts probe after 2 s, each second, so that their 5 s take three lost probes. An idle connection to a target still ends with one lost probe, which costs a connection and no request.

Evidence: TestLostProbeDoesNotEndARequestAtWork (the kernel drops what arrives for 1 s) failed before with ETIMEDOUT at 4 s, and passes now.

--- a/peer/node.go
+++ b/peer/node.go
@@ -37,10 +37,13 @@
 	stableAfter = time.Second
 )
 
+// keepAlive detects a peer that vanished while nothing is unacknowledged. unackedTimeout, if set
+// as TCP_USER_TIMEOUT, decides in place of Count when it gives up: it is Idle plus Count
+// intervals, so that three probes in a row must be lost.
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
-	Idle:     5 * time.Second,
-	Interval: 2 * time.Second,
+	Idle:     2 * time.Second,
+	Interval: time.Second,
 	Count:    3,
 }
 
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -19,7 +19,14 @@
 	// dead connections that wait for a response and have no unacknowledged data.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
+	// quietTimeout is the TCP_USER_TIMEOUT of a connection that waits for a response. If one is
+	// set, it decides in place of keepAliveCount when keep-alive gives up: with unackedTimeout a
+	// single lost probe would.
+	quietTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
+	// quietAfter is when a request counts as waiting: had it not been acknowledged, its
+	// connection would have ended before.
+	quietAfter = unackedTimeout + 500*time.Millisecond
 )
 
 // Dialer returns a dial function for TCP connections that detect an unresponsive peer.
@@ -38,9 +45,28 @@
 }
 
 func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
+	return setUserTimeout(c, unackedTimeout)
+}
+
+// awaitResponse lets a connection wait for the response to a request, and returns a function that
+// ends that and reports whether the connection may be used again.
+func awaitResponse(conn net.Conn) (end func() bool) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return func() bool { return true } // a connection through another host, which has timeouts of its own
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return func() bool { return false }
+	}
+	timer := time.AfterFunc(quietAfter, func() { _ = setUserTimeout(raw, quietTimeout) })
+	return func() bool { return timer.Stop() || setUserTimeout(raw, unackedTimeout) == nil }
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -49,6 +49,8 @@
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
 	busy        atomic.Bool
+	// endWait ends the wait for the last response; nil before the first request.
+	endWait func() bool
 }
 
 // acquire returns a connection for one request: the most recently used idle one, or a new one.
@@ -117,7 +119,8 @@
 
 // release returns a connection whose response was read to its end to the pool.
 func (p *pool) release(c *conn) {
-	if c.cc.Available() == 0 || c.retired() || c.via != "" && !p.pathLost() {
+	reusable := c.endWait == nil || c.endWait()
+	if !reusable || c.cc.Available() == 0 || c.retired() || c.via != "" && !p.pathLost() {
 		p.discard(c)
 		return
 	}
@@ -139,7 +142,12 @@
 	c.close()
 }
 
-func (c *conn) close() { _ = c.cc.Close() }
+func (c *conn) close() {
+	if c.endWait != nil {
+		_ = c.endWait()
+	}
+	_ = c.cc.Close()
+}
 
 // closeMargin is how long before the target's idle timeout a connection is no longer used. If a
 // request crosses with the close, it is lost and nobody can tell whether it ran. The margin covers
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -162,6 +162,7 @@
 	begin := time.Now()
 	before := c.counter.writes.Load()
 	c.announce(o.RequestID)
+	c.endWait = awaitResponse(c.counter.Conn)
 	resp, err := c.cc.RoundTrip(req)
 	if err != nil {
 		sent := c.counter.writes.Load() != before
