Soak: hosts cut off from all targets, from seed 60,000 on

Targets drop what arrives from some hosts' addresses (a packet filter on the sockets), on open connections too, or after a reset; everything else goes on.

targets.sourceAddr sets the local address of connections to targets, for hosts that have several; by it a target tells the soak's hosts apart.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -102,6 +102,7 @@
 	d.cleanup = append(d.cleanup, d.node.Close)
 	d.pools = upstream.New(upstream.Options{
 		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
+		Source:      net.ParseIP(d.settings.Targets.SourceAddr),
 		Dial:        d.platform.DialTarget,
 		Relay: relay.NewClient(relay.ClientDeps{
 			Board:   d.board,
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -46,16 +46,20 @@
 	{"limit named", (*Soak).nameLimit},
 	{"rest asked for", (*Soak).requestRest},
 	{"target leaves by its answers", (*Soak).leaveByResponses},
+	{"targets out of reach", (*Soak).cutPaths},
+	{"targets out of reach", (*Soak).cutPaths},
 }
 
 // Seeds below firstSeedOfSecond use the first firstDisturbances entries of the list, seeds
-// below firstSeedOfAll the first secondDisturbances, and others all. New entries are
-// appended, so that seeds that once found a bug keep their sequence of disturbances.
+// below firstSeedOfAll the first secondDisturbances, those below firstSeedOfCuts the first
+// thirdDisturbances, and others all. New entries are appended, so that seeds that once found a bug keep their sequence of disturbances.
 const (
 	firstDisturbances  = 19
 	firstSeedOfSecond  = 1000
 	secondDisturbances = 22
 	firstSeedOfAll     = 10_000
+	thirdDisturbances  = 25
+	firstSeedOfCuts    = 60_000
 )
 
 // disturbancesFor returns the disturbances that a seed chooses from.
@@ -65,6 +69,8 @@
 		return disturbances[:firstDisturbances]
 	case seed < firstSeedOfAll:
 		return disturbances[:secondDisturbances]
+	case seed < firstSeedOfCuts:
+		return disturbances[:thirdDisturbances]
 	default:
 		return disturbances
 	}
--- a/internal/soak/faultproxy.go
+++ b/internal/soak/faultproxy.go
@@ -8,6 +8,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -25,11 +26,15 @@
 	blackholed bool
 	delay      time.Duration
 	healed     chan struct{}
+	// unreachableFrom are the IP addresses whose packets are lost.
+	unreachableFrom []net.IP
 }
 
 // NewFaultProxy starts a proxy that forwards to an address.
 func NewFaultProxy(upstream string) (*FaultProxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // its listeners take no packet filter
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +94,7 @@
 		if err != nil {
 			return
 		}
-		go p.serve(in)
+		go p.serve(in) // in has the listener's filter
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -26,6 +26,8 @@
 	peers      string
 	storeProxy *FaultProxy
 	peerProxy  *FaultProxy
+	// source is the IP address from which the process connects to targets.
+	source net.IP
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -45,8 +47,8 @@
 	termAt time.Time
 }
 
-func newProcess(name, dir, binary, storeAddr string, addrs *addresses) (*process, error) {
-	p := &process{name: name, dir: dir, binary: binary}
+func newProcess(n int, dir, binary, storeAddr string, addrs *addresses) (*process, error) {
+	p := &process{name: fmt.Sprintf("host-%d", n), dir: dir, binary: binary, source: sourceIP(n)}
 	for _, addr := range []*string{&p.callers, &p.readiness, &p.operators, &p.peers} {
 		free, err := addrs.allocate()
 		if err != nil {
@@ -70,6 +72,13 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 1+pid&0x7f)
 }
 
+// sourceIP returns the loopback address from which host n connects to targets. The targets see it.
+func sourceIP(n int) net.IP {
+	ip := net.ParseIP(ownIP()).To4()
+	ip[1] = byte(129 + n%125) // the other addresses of a run are below
+	return ip
+}
+
 // addresses allocates listen addresses to the processes of a run.
 type addresses struct {
 	ip        string
@@ -112,8 +121,9 @@
 	"directory": {"store": %q, "firstStart": %t},
 	"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
 	"measuring": {"perTarget": 60},
+	"targets": {"sourceAddr": %q},
 	"drain": {"notice": "700ms", "limit": "5s"},
-}`, p.name, p.callers, p.readiness, p.operators, p.peers, p.peerProxy.Addr(), strings.Join(quoted, ","), p.storeProxy.Addr(), first)
+}`, p.name, p.callers, p.readiness, p.operators, p.peers, p.peerProxy.Addr(), strings.Join(quoted, ","), p.storeProxy.Addr(), first, p.source)
 	return os.WriteFile(p.settings(), []byte(text), 0o600)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -58,6 +57,8 @@
 	version uint64
 	// configuredAt is when version was written to the store.
 	configuredAt time.Time
+	// cuts are the cuts between hosts and all targets so far.
+	cuts []pathCut
 	// evacuations are the orders to evacuate the near zone so far.
 	evacuations []evacuation
 	// added are the permanent routes that configurations have added so far.
@@ -119,6 +120,7 @@
 	s.checkDrains()
 	s.checkEvacuations()
 	s.checkSignals()
+	s.checkCuts()
 	served := 0
 	for _, r := range s.requests {
 		if r.status == http.StatusOK && r.at.After(recovered) {
@@ -157,7 +159,7 @@
 	var seeds []string
 	addrs := newAddresses()
 	for i := range s.Processes {
-		p, err := newProcess(fmt.Sprintf("host-%d", i), s.Dir, s.Binary, l.Addr().String(), addrs)
+		p, err := newProcess(i, s.Dir, s.Binary, l.Addr().String(), addrs)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -33,6 +33,8 @@
 	mu   sync.Mutex
 	list []*testTarget
 	next int
+	// unreachableFrom are the addresses whose packets all targets lose.
+	unreachableFrom []net.IP
 }
 
 // Capacity and service time of the targets.
@@ -75,6 +77,7 @@
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
 	t.mu.Lock()
 	t.list = append(t.list, b)
+	proxy.LoseFrom(t.unreachableFrom)
 	t.mu.Unlock()
 	go func() { _ = b.server.Serve(l) }()
 	t.register(b, "ready")
--- a/provision.go
+++ b/provision.go
@@ -144,6 +144,7 @@
 	d.pools = upstream.New(upstream.Options{
 		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
 		TLS:         tlsConfig,
+		Source:      net.ParseIP(d.settings.Targets.SourceAddr),
 		Dial:        o.dial,
 		Relay:       d.relayClient(),
 		Metrics:     d.metrics,
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"net/url"
 	"time"
@@ -42,6 +43,7 @@
 	c.duration("callers.idleTimeout", s.Callers.IdleTimeout)
 	c.duration("platform.timeout", s.Platform.Timeout)
 	c.duration("targets.dialTimeout", s.Targets.DialTimeout)
+	c.ip("targets.sourceAddr", s.Targets.SourceAddr)
 	c.duration("keys.window", s.Keys.Window)
 	c.duration("drain.notice", s.Drain.Notice)
 	c.duration("drain.limit", s.Drain.Limit)
@@ -56,6 +58,13 @@
 	}
 }
 
+// ip checks an optional IP address.
+func (c *checker) ip(field, v string) {
+	if v != "" && net.ParseIP(v) == nil {
+		c.add(field, "must be an IP address")
+	}
+}
+
 func (c *checker) notNegative(field string, n int64) {
 	if n < 0 {
 		c.add(field, "must not be negative, got %d", n)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -167,6 +167,9 @@
 	CA string `json:"ca,omitempty"`
 	// DialTimeout bounds a new connection. The default is "1s", and "250ms" with a directory.
 	DialTimeout Duration `json:"dialTimeout,omitempty"`
+	// SourceAddr is the local IP address of connections to targets, for hosts that have several.
+	// Empty lets the system choose.
+	SourceAddr string `json:"sourceAddr,omitempty"`
 }
 
 // Keys configures the idempotency keys that hosts issue.
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -31,9 +31,19 @@
 
 // Dialer returns a dial function for TCP connections that detect an unresponsive peer.
 func Dialer(timeout time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return dialerFrom(timeout, nil)
+}
+
+// dialerFrom is like Dialer for connections from a local address; nil lets the system choose one.
+func dialerFrom(timeout time.Duration, source net.IP) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	var local net.Addr
+	if source != nil {
+		local = &net.TCPAddr{IP: source}
+	}
 	d := &net.Dialer{
-		Timeout: timeout,
-		Control: setUnackedTimeout,
+		Timeout:   timeout,
+		LocalAddr: local,
+		Control:   setUnackedTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -73,6 +73,8 @@
 	IdleTimeout time.Duration
 	// NonIdempotentMaxIdle is described at SendOptions.NonIdempotent; default 500 ms.
 	NonIdempotentMaxIdle time.Duration
+	// Source is the local address of connections to targets; nil lets the system choose one.
+	Source net.IP
 	// Dial opens connections to targets; nil dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Relay opens connections through other hosts where this one does not reach a target; nil
@@ -98,7 +100,7 @@
 		o.NonIdempotentMaxIdle = 500 * time.Millisecond
 	}
 	if o.Dial == nil {
-		dial := Dialer(o.DialTimeout)
+		dial := dialerFrom(o.DialTimeout, o.Source)
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }
 	}
 	if o.Metrics == nil {
