--- a/peer/node.go
+++ b/peer/node.go
@@ -21,9 +21,10 @@
 	// room for a configuration of 490 services.
 	DefaultMaxFrame = 16 << 20
 
+	// maxInbound has room for a thousand hosts and the streams that they open.
+	maxInbound        = 1536
 	maxQueuedFrames   = 8192
 	maxQueuedBytes    = 32 << 20
-	maxInbound        = 1024
 	maxHandlers       = 8192
 	dialTimeout       = time.Second
 	writeTimeout      = 5 * time.Second
--- a/relay/client.go
+++ b/relay/client.go
@@ -78,7 +78,7 @@
 // Dial implements upstream.Relay.
 func (c *Client) Dial(ctx context.Context, via ports.HostID, t blackboard.Target) (upstream.RelayedConn, error) {
 	begin := time.Now()
-	body, err := msgpack.Marshal(connectMsg{Target: t.RunID(), Addr: t.Addr})
+	body, err := msgpack.Marshal(connectMsg{Target: t.ID, Incarnation: t.Incarnation, Addr: t.Addr})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode relay request")
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,8 +22,9 @@
 
 // connectMsg asks a host to connect to a target.
 type connectMsg struct {
-	Target ports.RunID `msgpack:"target"`
-	Addr   string      `msgpack:"addr"`
+	Target      ports.HostID      `msgpack:"target"`
+	Incarnation ports.Incarnation `msgpack:"incarnation"`
+	Addr        string            `msgpack:"addr"`
 }
 
 // requestNote names the request whose bytes follow on the stream.
--- a/relay/server.go
+++ b/relay/server.go
@@ -126,7 +126,7 @@
 	}
 	for _, list := range s.deps.Board.Targets.Load().ByService {
 		for _, t := range list {
-			if t.RunID() == msg.Target && t.Addr == msg.Addr && !t.Leaving && !t.Evacuated {
+			if t.ID == msg.Target && t.Incarnation == msg.Incarnation && t.Addr == msg.Addr && !t.Leaving && !t.Evacuated {
 				return t, nil
 			}
 		}
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -21,6 +21,8 @@
 	// usable reports whether the target may still get requests.
 	usable func() bool
 	done   chan opened
+	// ownStarted is set once this host's own connection is being opened.
+	ownStarted bool
 	// pending is the number of connections being opened.
 	pending int
 	// hosts are the hosts not yet tried; asked is set once they are known.
@@ -77,7 +79,10 @@
 			return nil, errors.CombineErrors(o.ctx.Err(), o.err)
 		}
 		if !o.startNext() && o.pending == 0 {
-			return nil, o.err
+			if o.ownStarted {
+				return nil, o.err
+			}
+			o.startOwn() // the path may be back before a check finds out
 		}
 		next.Reset(directpath.NextStart)
 	}
@@ -87,6 +92,7 @@
 // whether the path is well.
 func (o *opening) startOwn() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(o.ctx), o.pool.owner.opts.DialTimeout)
+	o.ownStarted = true
 	o.pending++
 	go func() {
 		defer cancel()
