A failed connection is no lost path if another was opened meanwhile

On a link that loses a packet now and then a connection may fail while others are opened: the path counted as lost until the next check, and requests took a detour. Only a failure of the same race counts, and only if this host has opened no connection since it began.

--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -29,9 +29,9 @@
 // well. It is not safe for concurrent use.
 type State struct {
 	lost bool
-	// changed is when the path was last lost or regained, failed when a connection last failed.
-	changed time.Time
-	failed  time.Time
+	// changed is when the path was last lost or regained, failed and opened when a connection last
+	// failed and was opened.
+	changed, failed, opened time.Time
 	// interval is the current interval of checks, next when the next one is due.
 	interval time.Duration
 	next     time.Time
@@ -49,10 +49,11 @@
 // or the target is the reason.
 func (s *State) Failed(now time.Time) { s.failed = now }
 
-// Bypassed records that another host reached the target after this one had not, and reports
-// whether that is news: the path is lost, and the target is not.
-func (s *State) Bypassed(now time.Time) bool {
-	if s.lost {
+// Bypassed records that another host reached the target after a connection that this one began at
+// begun had failed, and reports whether that is news: the path is lost, and the target is not. A
+// connection that was opened since shows that the failure was one of that connection alone.
+func (s *State) Bypassed(now, begun time.Time) bool {
+	if s.lost || s.opened.After(begun) {
 		return false
 	}
 	if s.interval == 0 || now.Sub(s.changed) > steadyAfter {
@@ -66,7 +67,7 @@
 // Opened records that a direct connection was opened, and reports how long the path had been
 // lost, or false if it had not.
 func (s *State) Opened(now time.Time) (lostFor time.Duration, regained bool) {
-	s.failed = time.Time{}
+	s.failed, s.opened = time.Time{}, now
 	if !s.lost {
 		return 0, false
 	}
--- a/policy/directpath/directpath_test.go
+++ b/policy/directpath/directpath_test.go
@@ -21,8 +21,8 @@
 
 func TestLostPathIsCheckedLessAndLessOften(t *testing.T) {
 	var s State
-	assert.Check(t, s.Bypassed(noon))
-	assert.Check(t, !s.Bypassed(noon), "only the first is news")
+	assert.Check(t, s.Bypassed(noon, noon))
+	assert.Check(t, !s.Bypassed(noon, noon), "only the first is news")
 	checks := 0
 	for now := noon; now.Before(noon.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		if s.TakeCheck(now) {
@@ -41,7 +41,7 @@
 	now := noon
 	var gaps []time.Duration
 	for range 4 {
-		s.Bypassed(now)
+		s.Bypassed(now, now)
 		lost := now
 		for !s.TakeCheck(now) {
 			now = now.Add(10 * time.Millisecond)
@@ -51,6 +51,15 @@
 	}
 	assert.DeepEqual(t, gaps, []time.Duration{firstCheck, 2 * firstCheck, 4 * firstCheck, 8 * firstCheck})
 	now = now.Add(steadyAfter + 1)
-	s.Bypassed(now)
+	s.Bypassed(now, now)
 	assert.Check(t, s.TakeCheck(now.Add(firstCheck)), "a path that was well for long starts anew")
 }
+
+// Guards against a path that loses a packet now and then and is taken for lost.
+func TestConnectionThatWasOpenedSinceContradictsAFailure(t *testing.T) {
+	var s State
+	s.Opened(noon.Add(time.Millisecond))
+	s.Failed(noon.Add(time.Second))
+	assert.Check(t, !s.Bypassed(noon.Add(time.Second), noon))
+	assert.Check(t, s.Bypassed(noon.Add(time.Second), noon.Add(2*time.Millisecond)))
+}
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -21,13 +21,16 @@
 	// usable reports whether the target may still get requests.
 	usable func() bool
 	done   chan opened
-	// ownStarted is set once this host's own connection is being opened.
+	// ownStarted is set once this host's own connection is being opened, ownErr if that failed.
 	ownStarted bool
+	ownErr     error
 	// pending is the number of connections being opened.
 	pending int
 	// hosts are the hosts not yet tried; asked is set once they are known.
 	hosts []ports.HostID
 	asked bool
+	// begun is when the race began.
+	begun time.Time
 	// err is why this host's own connection failed, or else the last one.
 	err error
 }
@@ -49,7 +52,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, p.owner.opts.DialTimeout)
 	defer cancel()
-	o := &opening{pool: p, ctx: limited, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), err: errNoPath}
+	o := &opening{pool: p, ctx: limited, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), begun: time.Now(), err: errNoPath}
 	return o.run()
 }
 
@@ -124,6 +127,9 @@
 }
 
 func (o *opening) failed(r opened) {
+	if r.via == "" {
+		o.ownErr = r.err
+	}
 	if r.via == "" || errors.Is(o.err, errNoPath) {
 		o.err = r.err
 	}
@@ -136,8 +142,8 @@
 	if won.via != "" {
 		o.pool.noteRelayed(won.conn)
 	}
-	if won.via != "" && o.pool.ownFailed() {
-		o.pool.noteBypassed(won.via, o.err)
+	if won.via != "" && o.ownErr != nil {
+		o.pool.noteBypassed(won.via, o.begun, o.ownErr)
 	}
 	if o.pending == 0 {
 		return
@@ -150,7 +156,7 @@
 			case r.err == nil:
 				r.conn.close()
 			case r.via == "" && won.via != "":
-				o.pool.noteBypassed(won.via, r.err)
+				o.pool.noteBypassed(won.via, o.begun, r.err)
 			}
 		}
 	}(o.pending)
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -62,8 +62,8 @@
 	return p.path.Lost()
 }
 
-// ownFailed reports whether this host's own path was found unusable a moment ago.
-func (p *pool) ownFailed() bool {
+// pathUnusable reports whether this host's own path was found unusable a moment ago.
+func (p *pool) pathUnusable() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.path.Unusable(time.Now())
@@ -92,11 +92,11 @@
 	}
 }
 
-// noteBypassed records that another host reached the target and this one did not. On a path
-// that lost packets without a word, idle connections are dead too.
-func (p *pool) noteBypassed(via ports.HostID, cause error) {
+// noteBypassed records that another host reached the target and a connection that this one began at
+// begun did not. On a path that lost packets without a word, idle connections are dead too.
+func (p *pool) noteBypassed(via ports.HostID, begun time.Time, cause error) {
 	p.mu.Lock()
-	lost := p.path.Bypassed(time.Now())
+	lost := p.path.Bypassed(time.Now(), begun)
 	if lost && CauseOf(cause) == CauseTimeout {
 		p.dropIdle(func(c *conn) bool { return c.via == "" })
 	}
@@ -200,6 +200,7 @@
 // Dial opens a connection to a target by this host's own path or, if that fails, through another
 // host. It serves connections that no request waits for, and tries one path after the other.
 func (p *Pools) Dial(ctx context.Context, t blackboard.Target) (net.Conn, error) {
+	begun := time.Now()
 	conn, err := p.DialOwn(ctx, t)
 	if err == nil || p.opts.Relay == nil {
 		return conn, err
@@ -209,7 +210,7 @@
 		relayed, relayErr := p.opts.Relay.Dial(limited, via, t)
 		cancel()
 		if relayErr == nil {
-			p.pool(t).noteBypassed(via, err)
+			p.pool(t).noteBypassed(via, begun, err)
 			return relayed, nil
 		}
 	}
@@ -225,7 +226,7 @@
 func (p *Pools) DialOwn(ctx context.Context, t blackboard.Target) (net.Conn, error) {
 	pl := p.pool(t)
 	pl.checkPath(SendOptions{})
-	if pl.ownFailed() {
+	if pl.pathUnusable() {
 		return nil, errPathLost
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
