--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
 )
 
 // maxInSpan returns the largest number of the given times in any interval of length span.
@@ -27,6 +29,21 @@
 // for all of them.
 func TestTargetsGetNoMoreThanTheLimitThatTheyName(t *testing.T) {
 	t.Parallel()
+	newLocalCluster(t, 3).assertLimitHolds()
+}
+
+// Guards against hosts that are cut off from all targets and exceed the limit with the others.
+func TestTargetsGetNoMoreThanTheirLimitFromHostsCutOffFromThem(t *testing.T) {
+	t.Parallel()
+	l, _ := newCutCluster(t, 3)
+	l.daemons[1].path.Cut(faultypath.Silent)
+	l.cutTraffic(l.daemons[1:2], 0, 1500*time.Millisecond)
+	l.assertLimitHolds()
+}
+
+// assertLimitHolds lets targets name a limit and sends more through all hosts.
+func (l *localCluster) assertLimitHolds() {
+	t := l.t
 	const (
 		limit   = 2.0 // requests per second that each of three targets announces
 		allowed = 17  // in 4 s: 1.5 times the limit, plus 5
@@ -34,7 +51,6 @@
 		span    = 4 * time.Second
 		stable  = time.Second // by then all hosts know the limit
 	)
-	l := newLocalCluster(t, 3)
 	for i := range 3 {
 		l.targets[[]string{"lots-0", "lots-1", "lots-2"}[i]].Limit = func() (float64, bool) { return limit, true }
 	}
--- a/edge/tenant_test.go
+++ b/edge/tenant_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
 	"github.com/cactusproxy/cactusproxy/platform/standin"
 )
 
@@ -76,7 +77,21 @@
 // A tenant that sends too many requests through all hosts gets its quota and no more, and the
 // requests of another tenant are not affected.
 func TestQuotaOverAllHosts(t *testing.T) {
-	l := newLocalCluster(t, 3)
+	newLocalCluster(t, 3).assertQuotaHolds()
+}
+
+// Guards against hosts that own quotas, or ask their owners, and are cut off from all targets.
+func TestQuotaHoldsOverHostsCutOffFromTargets(t *testing.T) {
+	t.Parallel()
+	l, _ := newCutCluster(t, 3)
+	l.daemons[1].path.Cut(faultypath.Silent)
+	l.cutTraffic(l.daemons[1:2], 0, 1500*time.Millisecond)
+	l.assertQuotaHolds()
+}
+
+// assertQuotaHolds sends more than a tenant's quota through all hosts.
+func (l *localCluster) assertQuotaHolds() {
+	t := l.t
 	l.configureTenants(2, twoTenants("ysgol-secret"))
 	l.await("the tenant's key is accepted", func() bool { return l.sendWithKey("ysgol-secret", l.daemons[0], "/lots/7").status == http.StatusOK })
 	served, refused := 0, 0
