--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,8 @@
 //	     stop started one host twice; restarts of a host are now serialized.
 //	401  Two hosts were given the same address and one exited at its start; no address
 //	     is now allocated twice.
-var regressions = []uint64{1, 200, 401}
+//	60016  A host that had lost its paths to all targets served none of its callers.
+var regressions = []uint64{1, 200, 401, 60016}
 
 // shortRun is how long disturbances are injected in CI.
 const shortRun = 5 * time.Second
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,14 +27,14 @@
 	dial func(ctx context.Context, t blackboard.Target) (net.Conn, error)
 }
 
-func newNode(t *testing.T, id ports.HostID) (*peer.Node, ports.Host) {
+func newNode(t testing.TB, id ports.HostID) (*peer.Node, ports.Host) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	n := peer.NewNode(peer.Options{Self: id, Listener: l})
 	return n, ports.Host{ID: id, PeerAddr: l.Addr().String()}
 }
 
-func serve(t *testing.T, n *peer.Node) {
+func serve(t testing.TB, n *peer.Node) {
 	done := make(chan error, 1)
 	go func() { done <- n.Serve(context.Background()) }()
 	t.Cleanup(func() {
@@ -44,7 +44,7 @@
 }
 
 // newPair returns a pair and an echoing target.
-func newPair(t *testing.T) *pair {
+func newPair(t testing.TB) *pair {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
