edge tests: a cut cluster waits until all paths are known as lost

It waits for all six paths now, and for both services to be served. Set-up of routes in these tests stands once; the log of paths has a file of its own.

--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -29,10 +29,11 @@
 func (l *localCluster) cutFirst() *daemon {
 	cut := l.daemons[0]
 	cut.path.Cut(faultypath.Refused)
-	l.await("a request through another host", func() bool {
-		l.send(cut, http.MethodGet, "/lots/7", "")
-		l.send(cut, http.MethodPost, "/bids/7", "")
-		return strings.Count(l.logs[0].String(), "path to target lost") >= 2
+	l.await("all paths known as lost", func() bool {
+		read := l.send(cut, http.MethodGet, "/lots/7", "")
+		bid := l.send(cut, http.MethodPost, "/bids/7", "")
+		served := read.status == http.StatusOK && bid.status == http.StatusOK
+		return served && strings.Count(l.logs[0].String(), "path to target lost") >= len(l.targets)
 	})
 	return cut
 }
@@ -40,6 +41,40 @@
 // relayed returns how many connections a daemon has opened through others.
 func (d *daemon) relayed() string { return d.Metrics().Map("paths").Get("relayed").String() }
 
+// addRoute adds a service with one target that a handler plays, and a route to it that is not
+// retried. Health checks succeed.
+func (l *localCluster) addRoute(name, kind string, handler http.HandlerFunc) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			handler(w, r)
+		}
+	}))
+	l.t.Cleanup(server.Close)
+	tg := &standin.Target{ID: name + "-0", Slots: 4}
+	l.store.Put("servers", tg.ID, tg.Entry(name, server.Listener.Addr().String(), "a", "ready"))
+	l.configure(2, standin.Route{Name: name, Host: hostName, Prefix: "/" + name + "/", Type: kind, Service: name, Timeout: "9s", MaxAttempts: 1})
+	l.await("the route and its target", func() bool {
+		for _, d := range l.daemons {
+			if d.Board().Routes.Load().Config.Version != 2 || !d.lists(tg.ID) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// lists reports whether a daemon knows a target.
+func (d *daemon) lists(id string) bool {
+	for _, list := range d.Board().Targets.Load().ByService {
+		for _, t := range list {
+			if string(t.ID) == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Guards against hosts that reach their targets and pay for connections through others.
 func TestHostsThatReachTheirTargetsUseNoOtherHost(t *testing.T) {
 	t.Parallel()
@@ -153,10 +188,7 @@
 	l, cut := newCutCluster(t, 2)
 	var mu sync.Mutex
 	var left []time.Duration
-	blocking := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodPost {
-			return
-		}
+	l.addRoute("slow", "mutating", func(_ http.ResponseWriter, r *http.Request) {
 		begin := time.Now()
 		select {
 		case <-r.Context().Done():
@@ -165,13 +197,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		left = append(left, time.Since(begin))
-	}))
-	t.Cleanup(blocking.Close)
-	tg := &standin.Target{ID: "slow-0", Slots: 4}
-	l.store.Put("servers", tg.ID, tg.Entry("slow", blocking.Listener.Addr().String(), "a", "ready"))
-	l.configure(2, standin.Route{Name: "slow", Host: hostName, Prefix: "/slow/", Type: "mutating", Service: "slow", Timeout: "4s", MaxAttempts: 1})
-	l.await("the route", func() bool { return cut.Board().Routes.Load().Config.Version == 2 })
-	time.Sleep(100 * time.Millisecond)
+	})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+cut.CallersAddr()+"/slow/", nil)
@@ -198,24 +224,16 @@
 	l, cut := newCutCluster(t, 2)
 	got := make(chan []byte, 1)
 	paths := make(chan string, 1)
-	sink := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l.addRoute("sink", "upload", func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(standin.HeaderRequestID)
-		w.Header().Set(standin.HeaderRequestID, id)
-		if r.Method != http.MethodPost {
-			return
-		}
-		body, _ := io.ReadAll(r.Body)
+		body, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
 		paths <- r.URL.RequestURI()
 		got <- body
+		w.Header().Set(standin.HeaderRequestID, id)
 		w.Header().Set(standin.HeaderSeal, "seal-"+id)
 		_, _ = w.Write(body[:1<<20])
-	}))
-	t.Cleanup(sink.Close)
-	tg := &standin.Target{ID: "sink-0", Slots: 4}
-	l.store.Put("servers", tg.ID, tg.Entry("sink", sink.Listener.Addr().String(), "a", "ready"))
-	l.configure(2, standin.Route{Name: "sink", Host: hostName, Prefix: "/sink/", Type: "upload", Service: "sink", Timeout: "9s", MaxAttempts: 1})
-	l.await("the route", func() bool { return cut.Board().Routes.Load().Config.Version == 2 })
-	time.Sleep(100 * time.Millisecond)
+	})
 	body := bytes.Repeat([]byte("0123456789abcdef"), 8<<16) // 8 MiB
 	a := l.sendWithID("big", cut, http.MethodPost, "/sink/lot%207?x=%2F1&y", string(body))
 	assert.Equal(t, a.status, http.StatusOK)
@@ -229,10 +247,7 @@
 func TestAnswerThatATargetBreaksOffBehindAnotherHostIsNotWhole(t *testing.T) {
 	t.Parallel()
 	l, cut := newCutCluster(t, 2)
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodPost {
-			return
-		}
+	l.addRoute("odd", "mutating", func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		assert.Check(t, err)
 		defer conn.Close()
@@ -244,13 +259,7 @@
 			time.Sleep(50 * time.Millisecond)
 			_ = conn.(interface{ SetLinger(int) error }).SetLinger(0)
 		}
-	}))
-	t.Cleanup(target.Close)
-	tg := &standin.Target{ID: "odd-0", Slots: 4}
-	l.store.Put("servers", tg.ID, tg.Entry("odd", target.Listener.Addr().String(), "a", "ready"))
-	l.configure(2, standin.Route{Name: "odd", Host: hostName, Prefix: "/odd/", Type: "mutating", Service: "odd", Timeout: "4s", MaxAttempts: 1})
-	l.await("the route", func() bool { return cut.Board().Routes.Load().Config.Version == 2 })
-	time.Sleep(100 * time.Millisecond)
+	})
 	whole := l.sendWithID("whole", cut, http.MethodPost, "/odd/", "")
 	assert.NilError(t, whole.err)
 	assert.Equal(t, len(whole.body), 400_000)
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -2,58 +2,20 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-const (
-	// linesPerSecond and lineBurst limit the log lines about paths.
-	linesPerSecond = 20
-	lineBurst      = 100
-	// suspectEvery limits how often the path to a target is checked because the target did not
-	// answer. A target that is merely slow gets one connection more in this time.
-	suspectEvery = time.Second
-)
-
-// pathLog writes log lines and counts what becomes known of the paths to targets.
-type pathLog struct {
-	log                             *zap.Logger
-	limiter                         *rate.Limiter
-	ownFailed, lost, regained       *expvar.Int
-	checks, relayed, lines, suspect *expvar.Int
-}
-
-func newPathLog(o Options) *pathLog {
-	c := o.Metrics.Counters("paths")
-	return &pathLog{
-		log:       o.Log,
-		limiter:   rate.NewLimiter(linesPerSecond, lineBurst),
-		ownFailed: c("own_failed"),
-		lost:      c("lost"),
-		regained:  c("regained"),
-		checks:    c("checks"),
-		suspect:   c("suspected"),
-		relayed:   c("relayed"),
-		lines:     c("lines_dropped"),
-	}
-}
-
-func (l *pathLog) info(msg string, fields ...zap.Field) {
-	if !l.limiter.Allow() {
-		l.lines.Add(1)
-		return
-	}
-	l.log.Info(msg, fields...)
-}
+// suspectEvery limits how often the path to a target is checked because the target did not answer. A
+// target that is merely slow gets one connection more in this time.
+const suspectEvery = time.Second
 
 // pathLost reports whether new connections go through other hosts at once.
 func (p *pool) pathLost() bool {
