A target that turns connections away is no lost path

Cause: one refused or reset connection was enough to ask other hosts.

Change: other hosts are asked after a refusal or reset only if connections to two targets failed since this host last opened one (it seems cut off), or if this target did so twice in a row.

TestTargetThatTurnsAConnectionAwayIsNoLostPath failed before.

--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -32,6 +32,8 @@
 	// changed is when the path was last lost or regained, failed and opened when a connection last
 	// failed and was opened.
 	changed, failed, opened time.Time
+	// failures is the number of connections that failed since one was opened.
+	failures int
 	// interval is the current interval of checks, next when the next one is due.
 	interval time.Duration
 	next     time.Time
@@ -47,7 +49,13 @@
 
 // Failed records that a direct connection could not be opened. It does not tell whether the path
 // or the target is the reason.
-func (s *State) Failed(now time.Time) { s.failed = now }
+func (s *State) Failed(now time.Time) {
+	s.failed = now
+	s.failures++
+}
+
+// FailedAgain reports whether more than one connection failed since one was opened.
+func (s *State) FailedAgain() bool { return s.failures > 1 }
 
 // Bypassed records that another host reached the target after a connection that this one began at
 // begun had failed, and reports whether that is news: the path is lost, and the target is not. A
@@ -67,7 +75,7 @@
 // Opened records that a direct connection was opened, and reports how long the path had been
 // lost, or false if it had not.
 func (s *State) Opened(now time.Time) (lostFor time.Duration, regained bool) {
-	s.failed, s.opened = time.Time{}, now
+	s.failed, s.opened, s.failures = time.Time{}, now, 0
 	if !s.lost {
 		return 0, false
 	}
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -73,6 +73,9 @@
 				return r.conn, nil
 			}
 			o.failed(r)
+			if o.turnedAway(r) {
+				return nil, o.err
+			}
 		case <-next.C:
 			if len(o.done) > 0 {
 				continue // a host that is short of processor time sees both late
@@ -126,6 +129,12 @@
 	return true
 }
 
+// turnedAway reports whether a connection failed because the target turned it away. No other host
+// is asked then.
+func (o *opening) turnedAway(r opened) bool {
+	return r.via == "" && !o.asked && !o.pool.mayBeCut()
+}
+
 func (o *opening) failed(r opened) {
 	if r.via == "" {
 		o.ownErr = r.err
--- a/upstream/open_test.go
+++ b/upstream/open_test.go
@@ -63,6 +63,7 @@
 		f.mu.Unlock()
 		return f.open(ctx, "", behave)
 	}})
+	p.noteReach("another", syscall.ECONNREFUSED) // so that one more failure counts as a cut
 	t.Cleanup(func() {
 		time.Sleep(p.opts.DialTimeout) // connections that are being opened end
 		p.Close()
@@ -214,6 +215,22 @@
 	})
 }
 
+// Guards against detours to a target that turns a connection away because it has too many, which
+// all do when all hosts start at once.
+func TestTargetThatTurnsAConnectionAwayIsNoLostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, f := newFakePaths(t, refused, well)
+		p.noteReach("another", nil)
+		res, _ := send(p, SendOptions{})
+		assert.Check(t, errors.Is(res.Err, syscall.ECONNREFUSED) && !res.Sent)
+		assert.Equal(t, f.asked, 0)
+		p.noteReach("another", nil)
+		res, _ = send(p, SendOptions{})
+		assert.NilError(t, res.Err)
+		assert.Equal(t, res.Via, ports.HostID("a"), "if it does so again, the path may be cut")
+	})
+}
+
 // Guards against asking other hosts for a target that has left.
 func TestTargetThatLeftIsSoughtNowhereElse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -35,6 +35,7 @@
 // back, connections through other hosts are not used for further requests.
 func (p *pool) noteOwn(err error) {
 	now := time.Now()
+	p.owner.noteReach(p.target.ID, err)
 	p.mu.Lock()
 	if err != nil {
 		p.path.Failed(now)
@@ -54,6 +55,28 @@
 	}
 }
 
+// noteReach records the result of opening a connection by this host's own path.
+func (p *Pools) noteReach(target ports.HostID, err error) {
+	p.reachMu.Lock()
+	defer p.reachMu.Unlock()
+	if err != nil {
+		p.reach.Failed(target)
+		return
+	}
+	p.reach.Opened()
+}
+
+// mayBeCut reports whether a connection that was just refused or reset may be due to the path, and
+// not to the target.
+func (p *pool) mayBeCut() bool {
+	p.owner.reachMu.Lock()
+	cut := p.owner.reach.CutOff()
+	p.owner.reachMu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cut || p.path.FailedAgain()
+}
+
 // noteBypassed records that another host reached the target and a connection that this one began at
 // begun did not. On a path that lost packets without a word, idle connections are dead too.
 func (p *pool) noteBypassed(via ports.HostID, begun time.Time, cause error) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/directpath"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -122,6 +123,9 @@
 	transport *http.Transport
 	paths     *pathLog
 
+	reachMu sync.Mutex
+	reach   directpath.Host
+
 	mu    sync.Mutex
 	pools map[ports.HostID]*pool
 }
