--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -23,6 +23,9 @@
 	// steadyAfter is how long a path must have been well for its checks to start again at
 	// firstCheck once it is lost. A path that comes and goes is checked less and less often.
 	steadyAfter = 10 * time.Second
+	// maxUnanswered is how many requests in a row may stay unanswered until the path is suspected,
+	// although other targets are heard. A target that is slow answers some.
+	maxUnanswered = 3
 )
 
 // State is what a host knows of its own path to one target. The zero value is a path that is
@@ -34,6 +37,8 @@
 	changed, failed, opened time.Time
 	// failures is the number of connections that failed since one was opened.
 	failures int
+	// unanswered is the number of requests without an answer in time since the target was heard.
+	unanswered int
 	// interval is the current interval of checks, next when the next one is due.
 	interval time.Duration
 	next     time.Time
@@ -54,6 +59,16 @@
 	s.failures++
 }
 
+// Heard records that the target answered on a connection of this host's own.
+func (s *State) Heard() { s.unanswered = 0 }
+
+// Unanswered records that a request got no answer in time, and reports whether that alone makes the
+// path suspect.
+func (s *State) Unanswered() bool {
+	s.unanswered++
+	return s.unanswered >= maxUnanswered
+}
+
 // FailedAgain reports whether more than one connection failed since one was opened.
 func (s *State) FailedAgain() bool { return s.failures > 1 }
 
@@ -75,7 +90,7 @@
 // Opened records that a direct connection was opened, and reports how long the path had been
 // lost, or false if it had not.
 func (s *State) Opened(now time.Time) (lostFor time.Duration, regained bool) {
-	s.failed, s.opened, s.failures = time.Time{}, now, 0
+	s.failed, s.opened, s.failures, s.unanswered = time.Time{}, now, 0, 0
 	if !s.lost {
 		return 0, false
 	}
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -1,6 +1,10 @@
 package directpath
 
-import "github.com/cactusproxy/cactusproxy/ports"
+import (
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
 
 // cutFromTargets is the number of targets whose connections must have failed since this host last
 // opened one for it to be taken for cut off.
@@ -15,6 +19,8 @@
 type Host struct {
 	// failed are the targets whose connections failed since one to any target was opened.
 	failed map[ports.HostID]bool
+	// heard is when any target last answered, or accepted a connection.
+	heard time.Time
 }
 
 // Failed records that a connection to a target was refused or reset.
@@ -29,7 +35,17 @@
 }
 
 // Opened records that a connection to some target was opened.
-func (h *Host) Opened() { clear(h.failed) }
+func (h *Host) Opened(now time.Time) {
+	clear(h.failed)
+	h.Heard(now)
+}
+
+// Heard records that some target answered on a connection of this host's own.
+func (h *Host) Heard(now time.Time) { h.heard = now }
+
+// SilentSince reports whether no target has been heard since a time. While others are heard, a
+// target that does not answer is more likely slow: when all hosts start at once, many are.
+func (h *Host) SilentSince(t time.Time) bool { return h.heard.Before(t) }
 
 // CutOff reports whether this host seems to be cut off.
 func (h *Host) CutOff() bool { return len(h.failed) >= cutFromTargets }
--- a/upstream/open_test.go
+++ b/upstream/open_test.go
@@ -289,3 +289,23 @@
 		assert.Equal(t, res.Via, ports.HostID("a"))
 	})
 }
+
+// Guards against connections to targets that are merely slow, which many are when all hosts start at
+// once.
+func TestSlowTargetIsNotSuspectedWhileOthersAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, f := newFakePaths(t, well, well)
+		begin := time.Now()
+		time.Sleep(time.Second)
+		p.noteReach("another", nil)
+		pl := p.pool(theTarget)
+		for range 2 {
+			pl.suspect(begin, SendOptions{})
+			time.Sleep(2 * suspectEvery)
+		}
+		assert.Equal(t, f.count(""), 0)
+		pl.suspect(begin, SendOptions{})
+		synctest.Wait()
+		assert.Equal(t, f.count(""), 1, "it has left three requests unanswered")
+	})
+}
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -63,7 +63,14 @@
 		p.reach.Failed(target)
 		return
 	}
-	p.reach.Opened()
+	p.reach.Opened(time.Now())
+}
+
+// silentSince reports whether no target has been heard by this host's own paths since a time.
+func (p *Pools) silentSince(t time.Time) bool {
+	p.reachMu.Lock()
+	defer p.reachMu.Unlock()
+	return p.reach.SilentSince(t)
 }
 
 // mayBeCut reports whether a connection that was just refused or reset may be due to the path, and
@@ -125,9 +132,14 @@
 	if c.via != "" {
 		return
 	}
+	now := time.Now()
+	p.owner.reachMu.Lock()
+	p.owner.reach.Heard(now)
+	p.owner.reachMu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heardAt = time.Now()
+	p.heardAt = now
+	p.path.Heard()
 }
 
 // checkPath opens a connection by this host's own path if a check of the lost path is due. No
@@ -150,15 +162,18 @@
 }
 
 // suspect checks the path in the background after a request that began at begin got no answer
-// in time, unless the target has answered another one since. The check opens a connection in the
-// way in which requests do.
+// in time, if no target has been heard since or this one has left several unanswered. The check
+// opens a connection in the way in which requests do.
 func (p *pool) suspect(begin time.Time, o SendOptions) {
 	if p.owner.opts.Relay == nil {
 		return
 	}
 	now := time.Now()
+	silent := p.owner.silentSince(begin)
 	p.mu.Lock()
-	due := !p.path.Lost() && p.heardAt.Before(begin) && now.Sub(p.suspectedAt) >= suspectEvery
+	heard := !p.heardAt.Before(begin)
+	suspected := !heard && (p.path.Unanswered() || silent)
+	due := suspected && !p.path.Lost() && now.Sub(p.suspectedAt) >= suspectEvery
 	if due {
 		p.suspectedAt = now
 	}
