A carrying host that loses its own path is left by those that it carries for

What callers saw, in a test of quotas beside load: a host that reached its targets through another one refused for a moment (no-target) once that other host was cut off, too: its idle connections had fallen silent, and each target was given up for 250 ms and more.

Cause: a carrying host that found its path to be lost kept that to itself. And a connection to the target that timed out there was passed on as broken off by the target, so that the request was a suspect.

Change: it retires the streams to the target (relay.Server.PathLost), and passes a silent connection on as a loss of the path.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -112,8 +112,9 @@
 			Seed:    d.incarnation,
 			Metrics: d.metrics,
 		}),
-		Metrics: d.metrics,
-		Log:     d.log,
+		OnPathLost: func(t blackboard.Target) { d.relay.PathLost(t) },
+		Metrics:    d.metrics,
+		Log:        d.log,
 	})
 	d.cleanup = append(d.cleanup, d.pools.Close)
 	d.relay = relay.NewServer(relay.ServerDeps{
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -360,3 +360,13 @@
 	assert.Equal(t, a.header.Get("Cactusproxy-Reason"), "target-broke-off")
 	assert.Equal(t, cut.Metrics().Map("quarantine").Get("suspected").String(), "1")
 }
+
+// Guards against requests that wait in vain because the host that carries them is cut off as well.
+func TestHostIsLeftByOthersWhenItLosesItsOwnPath(t *testing.T) {
+	t.Parallel()
+	l, cut := newCutCluster(t, 2) // its connections are all carried by the other one
+	l.start()
+	l.daemons[1].path.Cut(faultypath.Silent)
+	l.cutTraffic(l.daemons[1:2], 0, 1500*time.Millisecond)
+	l.assertServed(l.cutTraffic([]*daemon{cut}, 0, time.Second))
+}
--- a/provision.go
+++ b/provision.go
@@ -147,6 +147,7 @@
 		Source:      net.ParseIP(d.settings.Targets.SourceAddr),
 		Dial:        o.dial,
 		Relay:       d.relayClient(),
+		OnPathLost:  d.retireStreams,
 		Metrics:     d.metrics,
 		Log:         d.log,
 	})
@@ -171,6 +172,13 @@
 	})
 }
 
+// retireStreams tells the hosts that reach a target through this one that its path is lost.
+func (d *Daemon) retireStreams(t blackboard.Target) {
+	if d.relay != nil {
+		d.relay.PathLost(t)
+	}
+}
+
 func (d *Daemon) provisionRelay() {
 	if d.node == nil {
 		return
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,6 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 const (
@@ -50,7 +51,8 @@
 	mu      sync.Mutex
 	leaving bool
 	active  int
-	streams map[*peer.Stream]bool
+	// streams holds the targets of the streams that are carried.
+	streams map[*peer.Stream]ports.RunID
 }
 
 // NewServer returns a Server and registers its handler.
@@ -62,7 +64,7 @@
 		carried: c("carried"),
 		lines:   c("lines_dropped"),
 		refused: d.Metrics.Map("relay_refused"),
-		streams: make(map[*peer.Stream]bool),
+		streams: make(map[*peer.Stream]ports.RunID),
 	}
 	d.Metrics.Func("relay_carrying", func() any { return s.Active() })
 	d.Streams.HandleStream(kindConnect, s.serve)
@@ -88,6 +90,19 @@
 	return nil
 }
 
+// PathLost asks the hosts that reach a target through this one to use other hosts, since this one
+// has lost its path. Requests on streams that have fallen silent with it would wait in vain.
+func (s *Server) PathLost(t blackboard.Target) {
+	run := t.RunID()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream, target := range s.streams {
+		if target == run {
+			go func() { _ = stream.Retire() }()
+		}
+	}
+}
+
 // serve implements peer.StreamHandler.
 func (s *Server) serve(ctx context.Context, from ports.HostID, body []byte, accept func() (*peer.Stream, error)) error {
 	t, err := s.connectable(body)
@@ -111,7 +126,7 @@
 	}
 	s.carried.Add(1)
 	stream.OnNote(func(note []byte) { s.logRequest(from, t, note) })
-	s.add(stream)
+	s.add(stream, t)
 	defer s.remove(stream)
 	carry(stream, target)
 	return nil
@@ -155,10 +170,10 @@
 }
 
 // add registers a stream, and retires it if the host has begun to leave since it was admitted.
-func (s *Server) add(stream *peer.Stream) {
+func (s *Server) add(stream *peer.Stream, t blackboard.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.streams[stream] = true
+	s.streams[stream] = t.RunID()
 	if s.leaving {
 		go func() { _ = stream.Retire() }()
 	}
@@ -188,13 +203,18 @@
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
 
 // carry copies bytes in both directions until the opener closes the stream or either side breaks
-// off. The target's clean end is passed on and a reset as such, so that an answer without a length
+// off. The target's clean end is passed on and its break-off as such, so that an answer without a length
 // is not taken for complete and the loss of a target is told from that of this host.
 func carry(stream *peer.Stream, target net.Conn) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := copyBytes(stream, target); err != nil || stream.CloseWrite() != nil {
+		err := copyBytes(stream, target)
+		switch {
+		case err == nil && stream.CloseWrite() == nil:
+		case upstream.CauseOf(err) == upstream.CauseTimeout:
+			_ = stream.Close() // the path failed, and not the target
+		default:
 			stream.Abort()
 		}
 	}()
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -93,6 +93,9 @@
 		p.dropIdle(func(c *conn) bool { return c.via == "" })
 	}
 	p.mu.Unlock()
+	if lost && p.owner.opts.OnPathLost != nil {
+		p.owner.opts.OnPathLost(p.target)
+	}
 	if lost {
 		p.owner.paths.lost.Add(1)
 		p.owner.paths.info("path to target lost", zap.String("target", string(p.target.RunID())),
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -81,6 +81,9 @@
 	// Relay opens connections through other hosts where this one does not reach a target; nil
 	// means that there are none.
 	Relay Relay
+	// OnPathLost, if set, is called when this host's own path to a target is found to be lost. It
+	// must not block.
+	OnPathLost func(t blackboard.Target)
 	// Metrics and Log receive what becomes known of the paths to targets; nil discards it.
 	Metrics *metrics.Set
 	Log     *zap.Logger
