--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -58,19 +58,38 @@
 	return setUserTimeout(c, unackedTimeout)
 }
 
-// awaitResponse lets a connection wait for the response to a request, and returns a function that
-// ends that and reports whether the connection may be used again.
-func awaitResponse(conn net.Conn) (end func() bool) {
+// responseWait lets a connection wait for responses, one after the other.
+type responseWait struct {
+	raw   syscall.RawConn
+	timer *time.Timer
+}
+
+// newResponseWait returns nil for a connection through another host, which has timeouts of its own.
+func newResponseWait(conn net.Conn) *responseWait {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return func() bool { return true } // a connection through another host, which has timeouts of its own
+		return nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return func() bool { return false }
+		return nil // closed, as the next request finds out
 	}
-	timer := time.AfterFunc(quietAfter, func() { _ = setUserTimeout(raw, quietTimeout) })
-	return func() bool { return timer.Stop() || setUserTimeout(raw, unackedTimeout) == nil }
+	w := &responseWait{raw: raw}
+	w.timer = time.AfterFunc(quietAfter, func() { _ = setUserTimeout(raw, quietTimeout) })
+	w.timer.Stop()
+	return w
+}
+
+// begin begins the wait for a response.
+func (w *responseWait) begin() {
+	if w != nil {
+		w.timer.Reset(quietAfter)
+	}
+}
+
+// end ends the wait and reports whether the connection may be used again.
+func (w *responseWait) end() bool {
+	return w == nil || w.timer.Stop() || setUserTimeout(w.raw, unackedTimeout) == nil
 }
 
 func setUserTimeout(c syscall.RawConn, d time.Duration) error {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -49,8 +49,8 @@
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
 	busy        atomic.Bool
-	// endWait ends the wait for the last response; nil before the first request.
-	endWait func() bool
+	// wait is the wait for the response to the current request.
+	wait *responseWait
 }
 
 // acquire returns a connection for one request: the most recently used idle one, or a new one.
@@ -119,8 +119,7 @@
 
 // release returns a connection whose response was read to its end to the pool.
 func (p *pool) release(c *conn) {
-	reusable := c.endWait == nil || c.endWait()
-	if !reusable || c.cc.Available() == 0 || c.retired() || c.via != "" && !p.pathLost() {
+	if !c.wait.end() || c.cc.Available() == 0 || c.retired() || c.via != "" && !p.pathLost() {
 		p.discard(c)
 		return
 	}
@@ -143,9 +142,7 @@
 }
 
 func (c *conn) close() {
-	if c.endWait != nil {
-		_ = c.endWait()
-	}
+	c.wait.end()
 	_ = c.cc.Close()
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -171,7 +171,7 @@
 	begin := time.Now()
 	before := c.counter.writes.Load()
 	c.announce(o.RequestID)
-	c.endWait = awaitResponse(c.counter.Conn)
+	c.wait.begin()
 	resp, err := c.cc.RoundTrip(req)
 	if err != nil {
 		sent := c.counter.writes.Load() != before
