daemon: a stop doesn't cut off a request that follows on an answer just sent

Cause: the connection counted as handled until net/http was done with the response. If the server is preempted, or its background read has just caught the next request, that is after the caller has the answer. awaitHandlers does not wait for handled connections, so Shutdown began, and net/http closes a connection after its response once it shuts down, unread bytes or not.

Ruled out: that the test sends too late, since there it sends within a millisecond of the listener's close.

Change: a connection of which response bytes were sent counts as one on which a request may be arriving until the next request begins.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -16,7 +16,8 @@
 	// deliver a request. Callers send one as soon as they have connected, so it has to
 	// cover some milliseconds of network delay and scheduling on a busy machine.
 	closeGrace = 60 * time.Millisecond
-	// headGrace is how long after the listener has closed a header that is arriving may take.
+	// headGrace is how long after the listener has closed a header that is arriving, or a response
+	// that is being sent, may take.
 	headGrace = time.Second
 	// arrivalGap is the longest pause in such a header. It also covers the time from when it
 	// was read to when its handler begins.
@@ -57,8 +58,9 @@
 // answered with "Connection: close".
 //
 // A connection is closed only if it carries no request: Shutdown alone would close those
-// whose request is just being read, and drop requests that were read completely. So it
-// begins once every request has reached its handler. Connections that the kernel has not
+// whose request is just being read, drop requests that were read completely, and close
+// connections after a response that did not announce it. So it begins once every request has
+// reached its handler and no response is being sent. Connections that the kernel has not
 // handed over by the time the listener closes are reset; no request was read from them.
 func (c *Callers) Close(ctx context.Context) error {
 	if c.Listener == nil {
@@ -73,8 +75,8 @@
 	return c.waitIdle(closed)
 }
 
-// awaitHandlers waits until every request that arrives has reached its handler, and closes
-// the connections that carry none.
+// awaitHandlers waits until every request that arrives has reached its handler and no response
+// is being sent, and closes the connections that carry no request.
 func (c *Callers) awaitHandlers(ctx context.Context) {
 	begin := time.Now()
 	ctxtime.Sleep(ctx, closeGrace-quietDuration)
--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -155,6 +155,55 @@
 	}
 }
 
+// lateWriteListener returns connections whose writes return some time after their bytes have been
+// sent, as if the server was preempted then.
+type lateWriteListener struct {
+	net.Listener
+	late time.Duration
+}
+
+func (l lateWriteListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateWriteConn{nc.(*net.TCPConn), l.late}, nil
+}
+
+type lateWriteConn struct {
+	*net.TCPConn
+	late time.Duration
+}
+
+// Write implements net.Conn.
+func (c lateWriteConn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	time.Sleep(c.late)
+	return n, err
+}
+
+// Guards against cutting off a request that follows on an answer that the caller has and that the
+// server has not finished with when the stop begins.
+func TestCloseAnswersWhatFollowsOnAnAnswerJustSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := serveOn(t, lateWriteListener{l, 120 * time.Millisecond})
+	nc := s.dial(t)
+	r := bufio.NewReader(nc)
+	exchange := func() {
+		_, err := io.WriteString(nc, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.NilError(t, resp.Body.Close())
+	}
+	exchange()
+	closed := s.startClose(t)
+	exchange()
+	assert.NilError(t, <-closed)
+}
+
 // Guards against a stop that waits for open connections without a request.
 func TestCloseDoesNotWaitForAnEmptyConnection(t *testing.T) {
 	s := serve(t)
--- a/internal/daemon/conns.go
+++ b/internal/daemon/conns.go
@@ -29,8 +29,11 @@
 	arrived atomic.Bool
 	// readAt is when bytes were last read, in Unix nanoseconds.
 	readAt atomic.Int64
-	// handled is set from when a handler gets a request until its response has been sent.
+	// handled is set from when a handler gets a request until the server is done with its response.
 	handled atomic.Bool
+	// responding is set from when bytes of a response were sent until the next request begins. The
+	// caller may have all of it long before the server is done, and send the next request.
+	responding atomic.Bool
 	// multiplexed is set for HTTP/2, whose connections are left to Shutdown.
 	multiplexed atomic.Bool
 	// quietSince is since when closeQuiet has seen no request on the connection; zero if it
@@ -107,6 +110,14 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(b []byte) (int, error) {
+	if c.handled.Load() {
+		c.responding.Store(true)
+	}
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.tracker.remove(c)
@@ -119,6 +130,7 @@
 		c.multiplexed.Store(true)
 		return
 	}
+	c.responding.Store(false)
 	c.handled.Store(true)
 	c.arrived.Store(false)
 }
@@ -178,7 +190,8 @@
 }
 
 // closeQuiet closes the connections that have carried no request for quietDuration. It returns
-// how many have a request that a handler has, and how many others are left.
+// how many have a request that a handler has, and how many are left on which a request may be
+// arriving that no handler has.
 func (t *connTracker) closeQuiet(now time.Time) (handled, waiting int) {
 	list, _ := t.open()
 	for _, c := range list {
@@ -186,6 +199,9 @@
 		case c.handled.Load():
 			c.quietSince = time.Time{}
 			handled++
+			if c.responding.Load() {
+				waiting++
+			}
 			continue
 		case c.arriving(now):
 			c.quietSince = time.Time{}
