dispatch: targets are handed the time that is left once their connection is open

What targets saw: a deadline as long as the time left before a connection was opened. Opening one takes up to 250 ms (1 s in the coordinated daemon): with a lost path a head start and up to three other hosts, without one a dial that is slow. A target then works on after its caller has given up.

Cause: the header was computed with the request, before the connection.

The fake upstream of dispatch's tests calls BeforeSend as Pools does; no check changed.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -90,6 +90,7 @@
 		NonIdempotent: c.Idempotency == NonIdempotent,
 		Usable:        func() bool { return d.usable(c.Key, p.grant.Target()) },
 		RequestID:     c.Header.Get(d.contract.RequestID),
+		BeforeSend:    func() { d.setTimeout(ctx, req.Header) },
 	})
 	a.via = res.Via
 	if res.Err != nil {
@@ -117,10 +118,6 @@
 	if name := d.contract.Target; name != "" {
 		h.Set(name, string(t.ID))
 	}
-	if at, ok := ctx.Deadline(); ok {
-		left := max(0, time.Until(at)-timeoutMargin)
-		h.Set(d.contract.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
-	}
 	req := &http.Request{
 		Method:        c.Method,
 		URL:           &u,
@@ -135,6 +132,14 @@
 	return req.WithContext(ctx)
 }
 
+// setTimeout sets the header that hands a target the time that is left.
+func (d *Dispatcher) setTimeout(ctx context.Context, h http.Header) {
+	if at, ok := ctx.Deadline(); ok {
+		left := max(0, time.Until(at)-timeoutMargin)
+		h.Set(d.contract.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+}
+
 // classifyError classifies an attempt that failed without a response.
 func (a *attempt) classifyError(ctx context.Context, res upstream.Result, callerAborted bool) {
 	a.mayHaveRun = res.Sent
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -55,7 +55,9 @@
 // Basis implements pick.Explainer.
 func (g *fakeGrant) Basis() pick.Basis { return pick.Basis{LoadUnreported: g.picker.silent} }
 
-func (g *fakeGrant) Target() blackboard.Target { return blackboard.Target{ID: g.id} }
+func (g *fakeGrant) Target() blackboard.Target {
+	return blackboard.Target{ID: g.id, Addr: string(g.id) + ":80"}
+}
 
 func (g *fakeGrant) Release(r pick.Report) {
 	g.picker.mu.Lock()
@@ -69,7 +71,8 @@
 // fakeUpstream maps each target to its behavior.
 type fakeUpstream map[ports.HostID]behavior
 
-func (u fakeUpstream) RoundTrip(req *http.Request, t blackboard.Target, _ upstream.SendOptions) upstream.Result {
+func (u fakeUpstream) RoundTrip(req *http.Request, t blackboard.Target, o upstream.SendOptions) upstream.Result {
+	o.BeforeSend()
 	return u[t.ID](req)
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -59,6 +59,9 @@
 	Usable func() bool
 	// RequestID names the request in the log of a host that carries it; empty if it has none.
 	RequestID string
+	// BeforeSend, if set, is called once there is a connection, to complete the request with what
+	// changes while one is opened. It is not called if the request isn't sent.
+	BeforeSend func()
 }
 
 // RoundTripper sends single attempts to targets.
@@ -168,6 +171,9 @@
 	}
 	req.URL.Scheme = p.scheme
 	req.URL.Host = t.Addr
+	if o.BeforeSend != nil {
+		o.BeforeSend()
+	}
 	begin := time.Now()
 	before := c.counter.writes.Load()
 	c.announce(o.RequestID)
