--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -370,3 +370,59 @@
 	l.cutTraffic(l.daemons[1:2], 0, 1500*time.Millisecond)
 	l.assertServed(l.cutTraffic([]*daemon{cut}, 0, time.Second))
 }
+
+// Guards against a host that is cut off and sends requests to more targets, or retries more of
+// them, than one that is not.
+func TestRetriesOfACutOffHostStayWithinTheirLimits(t *testing.T) {
+	t.Parallel()
+	const requests, maxAttempts, ratio, reserve = 120, 2, 0.2, 60 // as routes and settings say
+	l, cut := newCutCluster(t, 2)
+	for _, tg := range l.targets {
+		tg.CorruptStatus = func(string) int { return http.StatusInternalServerError }
+	}
+	var wg sync.WaitGroup
+	for worker := range 6 {
+		wg.Go(func() {
+			for i := range requests / 6 {
+				l.sendWithID(fmt.Sprintf("retried-%d-%d", worker, i), cut, http.MethodGet, fmt.Sprintf("/lots/%d-%d", worker, i), "")
+			}
+		})
+	}
+	wg.Wait()
+	arrived := make(map[string]int)
+	for _, tg := range l.targets {
+		for _, a := range tg.Arrivals() {
+			if strings.HasPrefix(a.ID, "retried-") {
+				arrived[a.ID]++
+			}
+		}
+	}
+	retries := 0
+	for id, n := range arrived {
+		assert.Check(t, n <= maxAttempts, "%s was sent %d times", id, n)
+		retries += n - 1
+	}
+	assert.Check(t, retries > 0)
+	assert.Check(t, float64(retries) <= ratio*requests+reserve, "%d retries", retries)
+}
+
+// Guards against requests to an evacuated zone, on connections that another host carries.
+func TestEvacuatedZoneGetsNothingThroughAnotherHost(t *testing.T) {
+	t.Parallel()
+	l, cut := newCutCluster(t, 2)
+	l.setZone("b", "bids-1", "bids-2")
+	l.store.Put("op", "evacuate/b", []byte("{}"))
+	l.await("the order has reached both hosts", func() bool {
+		return strings.Contains(l.logs[0].String(), `msg="zone evacuated"`) && strings.Contains(l.logs[1].String(), `msg="zone evacuated"`)
+	})
+	l.await("the zone is idle", func() bool {
+		mark := time.Now()
+		l.assertServed(l.cutTraffic([]*daemon{cut}, 0, 200*time.Millisecond))
+		return l.targets["bids-1"].LastRun().Before(mark) && l.targets["bids-2"].LastRun().Before(mark)
+	})
+	mark := time.Now()
+	l.assertServed(l.cutTraffic([]*daemon{cut}, 0, time.Second))
+	for _, id := range []string{"bids-1", "bids-2"} {
+		assert.Check(t, l.targets[id].LastRun().Before(mark), "%s got a request", id)
+	}
+}
