--- a/cut_test.go
+++ b/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/faultypath"
+	"github.com/cactusproxy/cactusproxy/internal/standin/target"
 )
 
 // Guards against coordinated hosts that refuse callers because they have lost their paths to all
@@ -83,3 +85,36 @@
 	}
 	return n
 }
+
+// Guards against requests that coordinated hosts refuse because one host's connections were reset
+// under them.
+func TestCoordinatedHostsBlameNoRequestForAResetPath(t *testing.T) {
+	t.Parallel()
+	d := newCatalogue(t)
+	for _, tg := range d.targets {
+		tg.SetBehaviour(target.Behaviour{ServiceMean: 300 * time.Millisecond})
+	}
+	var wg sync.WaitGroup
+	for range 6 { // as many as the slots of all targets
+		wg.Go(func() { d.browse(t, 0) })
+	}
+	time.Sleep(150 * time.Millisecond)
+	d.paths[0].Cut(faultypath.Reset)
+	wg.Wait()
+	assert.Check(t, d.hosts[0].Metrics().Map("quarantine").Get("suspected") != nil, "no request was under way")
+	suspected := func() bool {
+		for _, h := range d.hosts {
+			if !strings.Contains(h.Metrics().String(), `"quarantine_entries": 0,`) {
+				return true
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(10 * time.Second); suspected(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "a host still suspects a request")
+	}
+	for i := range d.hosts {
+		r := d.browse(t, i)
+		assert.Check(t, r.Status == http.StatusOK, "host %d: %s/%s", i, r.Outcome, r.Reason)
+	}
+}
--- a/provision.go
+++ b/provision.go
@@ -23,7 +23,6 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/ports/httpstore"
 	"github.com/cactusproxy/cactusproxy/quarantine"
-	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/settings"
 	"github.com/cactusproxy/cactusproxy/slots"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -136,63 +135,6 @@
 
 func (d *Daemon) id() ports.HostID { return ports.HostID(d.settings.Host.ID) }
 
-func (d *Daemon) provisionUpstream(o options) error {
-	tlsConfig, err := d.settings.Targets.Client()
-	if err != nil {
-		return err
-	}
-	d.pools = upstream.New(upstream.Options{
-		DialTimeout: d.settings.Targets.DialTimeout.Or(defaultDialTimeout),
-		TLS:         tlsConfig,
-		Source:      net.ParseIP(d.settings.Targets.SourceAddr),
-		Dial:        o.dial,
-		Relay:       d.relayClient(),
-		OnPathLost:  d.retireStreams,
-		OnReached:   func(t blackboard.Target) { d.quarantine.TargetReached(t.RunID()) },
-		Metrics:     d.metrics,
-		Log:         d.log,
-	})
-	d.cleanup = append(d.cleanup, d.pools.Close)
-	d.provisionRelay()
-	return nil
-}
-
-// relayClient returns what reaches targets through other hosts, or nil if the link was supplied
-// by WithLink, which has no streams.
-func (d *Daemon) relayClient() upstream.Relay {
-	if d.node == nil {
-		return nil
-	}
-	return relay.NewClient(relay.ClientDeps{
-		Board:   d.board,
-		Streams: d.node,
-		Self:    d.id(),
-		Zone:    d.settings.Host.Zone,
-		Seed:    d.incarnation,
-		Metrics: d.metrics,
-	})
-}
-
-// retireStreams tells the hosts that reach a target through this one that its path is lost.
-func (d *Daemon) retireStreams(t blackboard.Target) {
-	if d.relay != nil {
-		d.relay.PathLost(t)
-	}
-}
-
-func (d *Daemon) provisionRelay() {
-	if d.node == nil {
-		return
-	}
-	d.relay = relay.NewServer(relay.ServerDeps{
-		Board:   d.board,
-		Streams: d.node,
-		Dial:    d.pools.DialOwn,
-		Metrics: d.metrics,
-		Log:     d.log,
-	})
-}
-
 func (d *Daemon) provisionControllers() {
 	d.config = config.New(config.Deps{
 		Board:   d.board,
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
@@ -62,8 +64,16 @@
 		p.nextVerification = time.Now().Add(suspectEvery)
 	}
 	p.mu.Unlock()
-	if reached && p.owner.opts.OnReached != nil {
-		p.owner.opts.OnReached(p.target)
+	if reached {
+		p.noteReached(c.via)
 	}
 	p.keep(c, err)
 }
+
+// noteReached records that the target did not crash: its connections broke on the path.
+func (p *pool) noteReached(via ports.HostID) {
+	p.owner.paths.info("connections to target broke on the path", zap.String("target", string(p.target.RunID())), zap.String("via", string(via)))
+	if p.owner.opts.OnReached != nil {
+		p.owner.opts.OnReached(p.target)
+	}
+}
