cactusstand: a stop during its registration doesn't end a target with status 1

Cause: the first entry was put on the context that a stop cancels. A stop after the platform had written it and before the reply was read ended the target with an error, and left it listed.

--- a/cmd/cactusstand/main_test.go
+++ b/cmd/cactusstand/main_test.go
@@ -6,9 +6,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -75,13 +80,13 @@
 // programs must exit with status 0.
 func TestTargetRegistersAndLeavesCleanly(t *testing.T) {
 	plat := startProgram("platform", "--listen", "127.0.0.1:0", "--host-lag", "0s", "--token", "s")
-	url := "http://" + plat.addr(t)
-	tg := startProgram("target", "--id", "t1", "--register", url, "--token", "s",
+	platform := "http://" + plat.addr(t)
+	tg := startProgram("target", "--id", "t1", "--register", platform, "--token", "s",
 		"--workspace", "w", "--service", "s", "--grace", "0s", "--admin", "127.0.0.1:0")
 	addr := tg.addr(t)
 	admin := tg.addr(t)
 
-	c, err := httpstore.New(httpstore.Config{URL: url, Token: "s"})
+	c, err := httpstore.New(httpstore.Config{URL: platform, Token: "s"})
 	assert.NilError(t, err)
 	defer c.Close()
 	for listed(t, c) == nil {
@@ -127,3 +132,35 @@
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&status))
 	return status.Load
 }
+
+// Guards against a target that fails, and stays listed, because it is stopped before it has read
+// that it is registered.
+func TestStopDuringRegistrationIsClean(t *testing.T) {
+	plat := startProgram("platform", "--listen", "127.0.0.1:0", "--host-lag", "0s", "--token", "s")
+	backend, err := url.Parse("http://" + plat.addr(t))
+	assert.NilError(t, err)
+	registered, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	proxy := httputil.NewSingleHostReverseProxy(backend)
+	proxy.ModifyResponse = func(*http.Response) error {
+		once.Do(func() {
+			close(registered)
+			<-release
+		})
+		return nil
+	}
+	server := httptest.NewServer(proxy)
+	defer server.Close()
+	tg := startProgram("target", "--id", "t1", "--register", server.URL, "--token", "s",
+		"--workspace", "w", "--service", "s", "--grace", "0s")
+	<-registered
+	tg.stop()
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	assert.Equal(t, <-tg.status, exitOK)
+	c, err := httpstore.New(httpstore.Config{URL: backend.String(), Token: "s"})
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Equal(t, len(listed(t, c)), 0)
+	plat.stop()
+	assert.Equal(t, <-plat.status, exitOK)
+}
--- a/cmd/cactusstand/target.go
+++ b/cmd/cactusstand/target.go
@@ -73,7 +73,8 @@
 	defer stopAdmin()
 
 	list := newRegistrar(a, l.Addr().String())
-	if err := list.put(ctx, ports.HostLive); err != nil {
+	// A stop meanwhile waits for the platform's reply: the entry may have been written.
+	if err := list.put(context.WithoutCancel(ctx), ports.HostLive); err != nil {
 		tg.Close()
 		return err
 	}
