--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -69,14 +69,12 @@
 func (d *Dispatcher) attempt(ctx context.Context, c *Call, p permit) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
-		permit:  p,
-		cancel:  cancel,
-		start:   time.Now(),
-		observe: func(took time.Duration) { d.observe(c.Key, took) },
-
+		permit:   p,
+		cancel:   cancel,
+		start:    time.Now(),
+		observe:  func(took time.Duration) { d.observe(c.Key, took) },
 		onBroken: d.onBroken,
-
-		ctx: ctx,
+		ctx:      ctx,
 	}
 	if c.Method != http.MethodHead {
 		a.buffers = d.buffers
@@ -173,7 +171,7 @@
 
 // brokenClass returns the class and reason of a connection that failed after the request was sent.
 //
-// A process that crashes closes its connections. Silence is a failure of the path: blamed on the
+// A process that crashes closes its connections. A timeout is a failure of the path: blamed on the
 // request, it would be held back on all hosts, and blamed on the target, targets that are well
 // would be taken out.
 func brokenClass(c upstream.Cause) (pick.Class, outcome.Reason) {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -186,13 +186,13 @@
 // brokenOff is the body of a frameEnd after which bytes are missing.
 var brokenOff = []byte{1}
 
-// Abort tells the other end that the bytes broke off at their source, and closes the stream.
+// Abort notifies the other end that the bytes broke off at their source, and closes the stream.
 func (t *Stream) Abort() {
 	_ = t.send(frameEnd, brokenOff) // the other end may be gone
 	_ = t.Close()
 }
 
-// CloseWrite tells the other end that no more bytes follow.
+// CloseWrite notifies the other end that no more bytes follow.
 func (t *Stream) CloseWrite() error { return t.send(frameEnd, nil) }
 
 // Note sends a message about what follows on the stream.
--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -24,7 +24,7 @@
 	// firstCheck once it is lost. A path that comes and goes is checked less and less often.
 	steadyAfter = 10 * time.Second
 	// maxUnanswered is how many requests in a row may stay unanswered until the path is suspected,
-	// although other targets are heard. A target that is slow answers some.
+	// although other targets answer. A target that is slow answers some.
 	maxUnanswered = 3
 )
 
@@ -37,7 +37,7 @@
 	changed, failed, opened time.Time
 	// failures is the number of connections that failed since one was opened.
 	failures int
-	// unanswered is the number of requests without an answer in time since the target was heard.
+	// unanswered is the number of requests without an answer in time since the target last answered.
 	unanswered int
 	// interval is the current interval of checks, next when the next one is due.
 	interval time.Duration
@@ -59,8 +59,8 @@
 	s.failures++
 }
 
-// Heard records that the target answered on a connection of this host's own.
-func (s *State) Heard() { s.unanswered = 0 }
+// Answered records that the target answered on a connection of this host's own.
+func (s *State) Answered() { s.unanswered = 0 }
 
 // Unanswered records that a request got no answer in time, and reports whether that alone makes the
 // path suspect.
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -9,22 +9,22 @@
 )
 
 // cutFromTargets is the number of targets whose connections must have failed since this host last
-// opened one, or broken since it last heard from one, for it to be taken for cut off.
+// opened one, or broken since one last answered, for it to be taken for cut off.
 const cutFromTargets = 2
 
 // Host is what a host knows of its own paths to all targets together. It is not safe for
 // concurrent use.
 //
-// It tells a host that is cut off from a target that turns connections away because it has too
+// It distinguishes a host that is cut off from a target that turns connections away because it has too
 // many, or is down: connections to others are opened meanwhile. When all hosts start at once, most
 // targets turn some connections away, and a detour for each would bring them more.
 type Host struct {
 	// failed are the targets whose connections failed since one to any target was opened.
 	failed map[ports.HostID]bool
-	// broken are the targets whose connections broke under a request since any target was heard.
+	// broken are the targets whose connections broke under a request since any target answered.
 	broken map[ports.HostID]bool
-	// heard is when any target last answered, or accepted a connection.
-	heard time.Time
+	// answered is when any target last answered, or accepted a connection.
+	answered time.Time
 }
 
 // Failed records that a connection to a target was refused or reset.
@@ -39,7 +39,7 @@
 }
 
 // Broke records that a connection to a target broke under a request. It returns the targets whose
-// crash is in doubt: if the connections to several broke and none has been heard since, the paths
+// crash is in doubt: if the connections to several broke and none has answered since, the paths
 // may have been cut.
 func (h *Host) Broke(target ports.HostID) []ports.HostID {
 	if h.broken == nil {
@@ -60,18 +60,18 @@
 // Opened records that a connection to some target was opened.
 func (h *Host) Opened(now time.Time) {
 	clear(h.failed)
-	h.Heard(now)
+	h.Answered(now)
 }
 
-// Heard records that some target answered on a connection of this host's own.
-func (h *Host) Heard(now time.Time) {
+// Answered records that some target answered on a connection of this host's own.
+func (h *Host) Answered(now time.Time) {
 	clear(h.broken)
-	h.heard = now
+	h.answered = now
 }
 
-// SilentSince reports whether no target has been heard since a time. While others are heard, a
+// NoAnswerSince reports whether no target has answered since a time. While others answer, a
 // target that does not answer is more likely slow: when all hosts start at once, many are.
-func (h *Host) SilentSince(t time.Time) bool { return h.heard.Before(t) }
+func (h *Host) NoAnswerSince(t time.Time) bool { return h.answered.Before(t) }
 
 // CutOff reports whether this host seems to be cut off.
 func (h *Host) CutOff() bool {
--- a/policy/directpath/host_test.go
+++ b/policy/directpath/host_test.go
@@ -29,23 +29,23 @@
 	assert.Check(t, !h.CutOff())
 }
 
-func TestHostThatHearsFromATargetIsNotSilent(t *testing.T) {
+func TestHostThatATargetAnswersIsNotCutOff(t *testing.T) {
 	var h Host
-	assert.Check(t, h.SilentSince(noon))
-	h.Heard(noon)
-	assert.Check(t, !h.SilentSince(noon))
-	assert.Check(t, h.SilentSince(noon.Add(1)))
+	assert.Check(t, h.NoAnswerSince(noon))
+	h.Answered(noon)
+	assert.Check(t, !h.NoAnswerSince(noon))
+	assert.Check(t, h.NoAnswerSince(noon.Add(1)))
 }
 
-// Guards against doubts about each target that crashes, while others are heard, and against doubts
+// Guards against doubts about each target that crashes, while others answer, and against doubts
 // that leave out the first of several.
-func TestBrokenConnectionsAreDoubtfulIfNoTargetIsHeard(t *testing.T) {
+func TestBrokenConnectionsAreDoubtfulIfNoTargetAnswers(t *testing.T) {
 	var h Host
 	for range 100 {
 		assert.Equal(t, len(h.Broke("a")), 0)
-		h.Heard(noon)
+		h.Answered(noon)
 		assert.Equal(t, len(h.Broke("b")), 0)
-		h.Heard(noon)
+		h.Answered(noon)
 	}
 	assert.Equal(t, len(h.Broke("a")), 0)
 	assert.Equal(t, len(h.Broke("a")), 0, "one target only")
@@ -54,6 +54,6 @@
 	assert.DeepEqual(t, both, []ports.HostID{"a", "b"})
 	assert.DeepEqual(t, h.Broke("c"), []ports.HostID{"c"})
 	assert.Check(t, h.CutOff())
-	h.Heard(noon)
+	h.Answered(noon)
 	assert.Check(t, !h.CutOff())
 }
--- a/provision_upstream.go
+++ b/provision_upstream.go
@@ -45,7 +45,7 @@
 	})
 }
 
-// retireStreams tells the hosts that reach a target through this one that its path is lost.
+// retireStreams notifies the hosts that reach a target through this one that its path is lost.
 func (d *Daemon) retireStreams(t blackboard.Target) {
 	if d.relay != nil {
 		d.relay.PathLost(t)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -273,7 +273,7 @@
 	return known
 }
 
-// reportCleared tells those who know of a suspect that it has been cleared.
+// reportCleared notifies the hosts that know of a suspect that it has been cleared.
 func (q *Quarantine) reportCleared(d suspicion.Digest, was suspicion.State) {
 	q.count.Add(countCleared, 1)
 	q.log.Info("request cleared", zap.String("digest", formatDigest(d)))
--- a/relay/client.go
+++ b/relay/client.go
@@ -141,7 +141,7 @@
 	return n, markLost(err)
 }
 
-// markLost tells the loss of the carrying host from an end that the target brought about.
+// markLost distinguishes the loss of the carrying host from an end that the target brought about.
 func markLost(err error) error {
 	if !errors.Is(err, peer.ErrStreamLost) {
 		return err
--- a/relay/server.go
+++ b/relay/server.go
@@ -91,7 +91,7 @@
 }
 
 // PathLost asks the hosts that reach a target through this one to use other hosts, since this one
-// has lost its path. Requests on streams that have fallen silent with it would wait in vain.
+// has lost its path. Requests on streams that no longer carry anything would wait in vain.
 func (s *Server) PathLost(t blackboard.Target) {
 	run := t.RunID()
 	s.mu.Lock()
@@ -204,7 +204,7 @@
 
 // carry copies bytes in both directions until the opener closes the stream or either side breaks
 // off. The target's clean end is passed on and its break-off as such, so that an answer without a length
-// is not taken for complete and the loss of a target is told from that of this host.
+// is not taken for complete, and the loss of a target is distinguished from that of this host.
 func carry(stream *peer.Stream, target net.Conn) {
 	done := make(chan struct{})
 	go func() {
--- a/upstream/dialroute.go
+++ b/upstream/dialroute.go
@@ -29,7 +29,7 @@
 	OnRetire(f func())
 }
 
-// dialRoute tells the dial function of the transport how to open a connection, and receives it.
+// dialRoute instructs the dial function of the transport how to open a connection, and receives it.
 type dialRoute struct {
 	// via is the host to go through; empty for a connection of this host's own.
 	via    ports.HostID
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -43,7 +43,7 @@
 		p.owner.paths.ownFailed.Add(1)
 		return
 	}
-	p.heardAt = now
+	p.answeredAt = now
 	lostFor, regained := p.path.Opened(now)
 	if regained {
 		p.dropIdle(func(c *conn) bool { return c.via != "" })
@@ -66,11 +66,11 @@
 	p.reach.Opened(time.Now())
 }
 
-// silentSince reports whether no target has been heard by this host's own paths since a time.
-func (p *Pools) silentSince(t time.Time) bool {
+// noAnswerSince reports whether no target has answered by this host's own paths since a time.
+func (p *Pools) noAnswerSince(t time.Time) bool {
 	p.reachMu.Lock()
 	defer p.reachMu.Unlock()
-	return p.reach.SilentSince(t)
+	return p.reach.NoAnswerSince(t)
 }
 
 // mayBeCut reports whether a connection that was just refused or reset may be due to the path, and
@@ -85,7 +85,7 @@
 }
 
 // noteBypassed records that another host reached the target and a connection that this one began at
-// begun did not. On a path that lost packets without a word, idle connections are dead too.
+// begun did not. On a path that loses packets, idle connections are dead too.
 func (p *pool) noteBypassed(via ports.HostID, begun time.Time, cause error) {
 	p.mu.Lock()
 	lost := p.path.Bypassed(time.Now(), begun)
@@ -130,19 +130,19 @@
 	p.release(c)
 }
 
-// heard records that the target answered.
-func (p *pool) heard(c *conn) {
+// answered records that the target answered.
+func (p *pool) answered(c *conn) {
 	if c.via != "" {
 		return
 	}
 	now := time.Now()
 	p.owner.reachMu.Lock()
-	p.owner.reach.Heard(now)
+	p.owner.reach.Answered(now)
 	p.owner.reachMu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heardAt = now
-	p.path.Heard()
+	p.answeredAt = now
+	p.path.Answered()
 }
 
 // checkPath opens a connection by this host's own path if a check of the lost path is due. No
@@ -165,17 +165,17 @@
 }
 
 // suspect checks the path in the background after a request that began at begin got no answer
-// in time, if no target has been heard since or this one has left several unanswered. The check
+// in time, if no target has answered since or this one has left several unanswered. The check
 // opens a connection in the way in which requests do.
 func (p *pool) suspect(begin time.Time, o SendOptions) {
 	if p.owner.opts.Relay == nil {
 		return
 	}
 	now := time.Now()
-	silent := p.owner.silentSince(begin)
+	silent := p.owner.noAnswerSince(begin)
 	p.mu.Lock()
-	heard := !p.heardAt.Before(begin)
-	suspected := !heard && (p.path.Unanswered() || silent)
+	answered := !p.answeredAt.Before(begin)
+	suspected := !answered && (p.path.Unanswered() || silent)
 	due := suspected && !p.path.Lost() && now.Sub(p.suspectedAt) >= suspectEvery
 	if due {
 		p.suspectedAt = now
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -33,8 +33,8 @@
 	closed bool
 	// path is this host's own path to the target.
 	path directpath.State
-	// heardAt is when the target last answered on a connection of this host's own.
-	heardAt time.Time
+	// answeredAt is when the target last answered on a connection of this host's own.
+	answeredAt time.Time
 	// suspectedAt is when the path was last checked because the target did not answer.
 	suspectedAt time.Time
 	// verifying is set while it is being found out whether the target is alive, and
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -190,7 +190,7 @@
 		}
 		return Result{Sent: sent, Err: err, Via: c.via}
 	}
-	pl.heard(c)
+	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: pl, conn: c}
--- a/upstream/verify.go
+++ b/upstream/verify.go
@@ -11,7 +11,7 @@
 )
 
 // Verify finds out in the background whether a target is alive whose connection broke under a
-// request, unless this host hears from other targets. If another host reaches it,
+// request, unless other targets answer this host. If another host reaches it,
 // Options.OnReached is called: the target has not crashed.
 //
 // A path that is reset breaks connections as the crash of a target does.
