Lines and metrics tell how late heartbeats are and for how long a host is behind

Cause: nothing tells whether a host that goes by an old configuration did not know that it is behind (its watchers' heartbeats wait for seconds in full queues), or knew it and asked in vain. Change: heartbeats carry the reading of their sender's steady clock; hosts measure that clock by the question for its confirmation, once for each process that watches, again if heartbeats seem late and the measurement is old or imprecise. New: lines 'heartbeats arrive late', 'heartbeats in time again', 'caught up' (how long, from whom, requests made and failed), counters watch.late_heartbeats, watch.caught_up. No decision reads them yet. Heartbeats leave out the two fields of evacuations where there are none, so that they don't grow.

--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -8,7 +8,6 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/directory"
-	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/policy/denial"
 	"github.com/cactusproxy/cactusproxy/policy/instant"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
@@ -105,12 +104,8 @@
 // the reply counts back from the time of the request, so delays in transit do not matter.
 func (c *Controller) askWatcher(ctx context.Context, id ports.HostID) bool {
 	asked := time.Now()
-	reply, err := peer.Call[confirmReply](ctx, c.deps.Link, id, kindConfirm, confirmRequest{})
-	if err != nil {
-		c.deps.Log.Debug("failed to ask peer for its confirmation of the configuration", zap.String("peer", string(id)), zap.Error(err))
-		return false
-	}
-	return c.applyConfirmation(asked, reply)
+	reply, err := c.callConfirm(ctx, id)
+	return err == nil && c.applyConfirmation(asked, reply)
 }
 
 // applyConfirmation records a host's reply about its configuration as of a time, and reports
@@ -137,7 +132,7 @@
 // configFreshness returns this host's version of the configuration and when the store last
 // confirmed it. c.mu must be held.
 func (c *Controller) configFreshness(now time.Time) confirmReply {
-	r := confirmReply{Version: c.version()}
+	r := confirmReply{Version: c.version(), Start: c.deps.Self.Start, Clock: c.reading(now)}
 	if c.watch != nil && !c.watch.configAt.IsZero() {
 		r.Known, r.Age = true, instant.Elapsed(c.watch.configAt, now)
 	}
--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -11,6 +11,9 @@
 	calls, failed, heartbeats, changes, syncs, dropped, takeovers *expvar.Int
 	// failedSyncs counts the requests for missing state that got no reply in time.
 	failedSyncs *expvar.Int
+	// lateHeartbeats counts heartbeats that were in transit for longer than lateHeartbeat, gaps how
+	// often this host was known to lack something and got it.
+	lateHeartbeats, gaps *expvar.Int
 	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
 	// of the last one.
 	snapshots, snapshotBytes *expvar.Int
@@ -39,6 +42,8 @@
 		changes:         c("changes_received"),
 		syncs:           c("syncs"),
 		failedSyncs:     c("syncs_failed"),
+		lateHeartbeats:  c("late_heartbeats"),
+		gaps:            c("caught_up"),
 		snapshots:       c("snapshots"),
 		snapshotBytes:   c("snapshot_bytes"),
 		dropped:         c("notifications_dropped"),
--- /dev/null
+++ b/controller/watch/gap.go
@@ -0,0 +1,45 @@
+package watch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// gap is the time during which this host is known to lack something that a watcher has.
+type gap struct {
+	// since is when the watcher sent the heartbeat that showed it.
+	since time.Time
+	// shown is that heartbeat.
+	shown heartbeat
+	// asked and failed are the requests for missing state so far, as counted, when it began.
+	asked, failed int64
+}
+
+// noteGap records that a heartbeat, sent at a time, shows something that this host lacks. c.mu
+// must be held.
+func (c *Controller) noteGap(sent time.Time, b heartbeat) {
+	if c.gap == nil {
+		c.gap = &gap{since: sent, shown: b, asked: c.count.syncs.Value(), failed: c.count.failedSyncs.Value()}
+	}
+}
+
+// closeGap ends the gap once this host has what the heartbeat showed. Those that the change itself
+// ended, which was in transit, are not logged. c.mu must be held.
+func (c *Controller) closeGap(now time.Time, from ports.HostID) {
+	g := c.gap
+	if g == nil || c.behind(g.shown) {
+		return
+	}
+	c.gap = nil
+	lasted := now.Sub(g.since)
+	c.count.gaps.Add(1)
+	if lasted <= catchUpAfter || !c.logLimiter.Allow() {
+		return
+	}
+	c.deps.Log.Info("caught up", zap.Duration("after", lasted), zap.String("from", string(from)),
+		zap.Int64("asked", c.count.syncs.Value()-g.asked), zap.Int64("failed", c.count.failedSyncs.Value()-g.failed),
+		zap.Uint64("version", c.version()), zap.Stringer("revision", c.state.Newest()))
+}
--- a/controller/watch/heartbeat.go
+++ b/controller/watch/heartbeat.go
@@ -23,6 +23,7 @@
 	w.heartbeatAt = now
 	b := heartbeat{
 		Host:      c.deps.Self,
+		Sent:      c.reading(now),
 		StoreOK:   w.storeOK(),
 		StoreAge:  w.storeAge(now),
 		StoreWait: time.Duration(w.wait.Load()),
--- a/controller/watch/hosts.go
+++ b/controller/watch/hosts.go
@@ -115,6 +115,7 @@
 	id := h.ID()
 	delete(c.hosts, id)
 	delete(c.heartbeats, id)
+	delete(c.senders, id)
 	delete(c.refusedAt, id)
 	c.removed[id] = removedHost{host: h, at: now}
 	c.deps.Log.Info("host left out", zap.String("peer", string(id)), zap.String("from", string(from)), zap.Int("hosts", len(c.hosts)))
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -27,6 +27,8 @@
 // heartbeat is sent by a watcher to all hosts.
 type heartbeat struct {
 	Host directory.Host `msgpack:"host"`
+	// Sent is the reading of the sender's steady clock; hosts of earlier releases do not tell it.
+	Sent time.Duration `msgpack:"sent"`
 	// StoreOK, StoreAge and StoreWait have the meaning they have in watchers.Heartbeat.
 	StoreOK   bool          `msgpack:"store_ok"`
 	StoreAge  time.Duration `msgpack:"store_age"`
@@ -41,8 +43,8 @@
 	// Evacuations and EvacuationsAt are the digest of the evacuations and their newest revision.
 	// They are separate from those of the targets, which change all the time: the next change of
 	// a target would hide a lost evacuation.
-	Evacuations   uint64             `msgpack:"evacuations"`
-	EvacuationsAt directory.Revision `msgpack:"evacuations_at"`
+	Evacuations   uint64             `msgpack:"evacuations,omitempty"`
+	EvacuationsAt directory.Revision `msgpack:"evacuations_at,omitempty"`
 	// Hosts is the digest of the hosts that the watcher knows.
 	Hosts uint64 `msgpack:"hosts"`
 }
@@ -93,6 +95,10 @@
 	// certainly no newer one.
 	Known bool          `msgpack:"known"`
 	Age   time.Duration `msgpack:"age"`
+	// Start and Clock are the replying process and the reading of its steady clock; hosts of
+	// earlier releases do not tell them.
+	Start int64         `msgpack:"start"`
+	Clock time.Duration `msgpack:"clock"`
 }
 
 // syncRequest asks a host for the state that the sender lacks.
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -30,6 +30,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	took, _ := c.heartbeatTransit(now, from, b)
 	previous, known := c.heartbeats[from]
 	c.heartbeats[from] = watchers.Heartbeat{ReceivedAt: now, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
 	c.noteHost(b.Host)
@@ -42,6 +43,7 @@
 		c.wakeUp()
 	}
 	if c.behind(b) {
+		c.noteGap(now.Add(-took), b)
 		c.scheduleCatchUp(from, func() bool { return c.behind(b) })
 	}
 	if b.Hosts == c.hostDigest() {
--- /dev/null
+++ b/controller/watch/transit.go
@@ -0,0 +1,111 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/policy/transit"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+const (
+	// lateHeartbeat is the time in transit from which heartbeats are counted and logged as late.
+	lateHeartbeat = 300 * time.Millisecond
+	// measureEvery limits how often a host asks another for its clock.
+	measureEvery = time.Second
+	// measureSpread is the part of the first measurement of a new watcher's clock that each known
+	// host adds: all hosts ask a watcher that takes over.
+	measureSpread = 100 * time.Microsecond
+)
+
+// sender is what this host knows of the clock of a host that sends heartbeats.
+type sender struct {
+	// start distinguishes the processes of the host, as in directory.Host.
+	start int64
+	clock transit.Clock
+	// nextMeasurement is the earliest time at which the clock is measured again.
+	nextMeasurement time.Time
+	// late is set while the heartbeats of the host are late.
+	late bool
+}
+
+// reading returns the reading of this host's steady clock at a time.
+func (c *Controller) reading(at time.Time) time.Duration { return at.Sub(c.started) }
+
+// senderOf returns what is known of the process of a host that sent a heartbeat. c.mu must be held.
+func (c *Controller) senderOf(id ports.HostID, start int64) *sender {
+	s := c.senders[id]
+	if s == nil || s.start != start {
+		s = &sender{start: start}
+		c.senders[id] = s
+	}
+	return s
+}
+
+// heartbeatTransit returns for how long at most a heartbeat was in transit, or false if that is
+// not known: its sender does not tell when it sent it, or its clock has yet to be measured. c.mu
+// must be held.
+func (c *Controller) heartbeatTransit(now time.Time, from ports.HostID, b heartbeat) (time.Duration, bool) {
+	if b.Sent == 0 {
+		return 0, false
+	}
+	s := c.senderOf(from, b.Host.Start)
+	took, known := s.clock.Transit(b.Sent, c.reading(now))
+	if s.clock.NeedsMeasurement(took, c.reading(now)) && !now.Before(s.nextMeasurement) {
+		s.nextMeasurement = now.Add(measureEvery)
+		c.scheduleMeasurement(from)
+	}
+	c.noteTransit(from, s, took)
+	return took, known
+}
+
+// noteTransit counts late heartbeats, and logs when those of a host become late and when they are
+// in time again. c.mu must be held.
+func (c *Controller) noteTransit(from ports.HostID, s *sender, took time.Duration) {
+	late := took > lateHeartbeat
+	if late {
+		c.count.lateHeartbeats.Add(1)
+	}
+	if late == s.late || !c.logLimiter.Allow() {
+		return
+	}
+	s.late = late
+	message := "heartbeats in time again"
+	if late {
+		message = "heartbeats arrive late"
+	}
+	c.deps.Log.Info(message, zap.String("from", string(from)), zap.Duration("transit", took))
+}
+
+// scheduleMeasurement measures the clock of a watcher, spread over some time because all other
+// hosts do so too when it takes over. c.mu must be held.
+func (c *Controller) scheduleMeasurement(id ports.HostID) {
+	spread := time.Duration(len(c.hosts)) * measureSpread
+	delay := time.Duration(c.rng.Int64N(int64(spread)))
+	time.AfterFunc(delay, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), measureEvery)
+		defer cancel()
+		c.callConfirm(ctx, id)
+	})
+}
+
+// callConfirm asks a watcher how recently its configuration was confirmed, and measures its clock
+// by the reply.
+func (c *Controller) callConfirm(ctx context.Context, id ports.HostID) (confirmReply, error) {
+	asked := time.Now()
+	reply, err := peer.Call[confirmReply](ctx, c.deps.Link, id, kindConfirm, confirmRequest{})
+	if err != nil {
+		c.deps.Log.Debug("failed to ask peer for its confirmation of the configuration", zap.String("peer", string(id)), zap.Error(err))
+		return reply, err
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.senders[id]; s != nil && s.start == reply.Start && reply.Clock > 0 {
+		s.clock.Measure(c.reading(asked), c.reading(now), reply.Clock)
+	}
+	return reply, nil
+}
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -85,6 +85,11 @@
 
 	heartbeats map[ports.HostID]watchers.Heartbeat
 	decider    *watchers.Decider
+	// started is the origin of this host's steady clock; senders has the clocks of other hosts.
+	started time.Time
+	senders map[ports.HostID]*sender
+	// gap is set while this host is known to lack something.
+	gap *gap
 	// refusedAt is when each host last reported that the store did not serve its attempt to
 	// watch.
 	refusedAt map[ports.HostID]time.Time
@@ -138,6 +143,8 @@
 		removed:    make(map[ports.HostID]removedHost),
 		heartbeats: make(map[ports.HostID]watchers.Heartbeat),
 		decider:    watchers.NewDecider(d.Self.ID()),
+		started:    time.Now(),
+		senders:    make(map[ports.HostID]*sender),
 		refusedAt:  make(map[ports.HostID]time.Time),
 		serving:    make(chan struct{}),
 		logLimiter: rate.NewLimiter(linesPerSecond, lineBurst),
@@ -283,6 +290,7 @@
 		c.noteVersion(ch.Delta.Version)
 	}
 	c.noteVersion(c.version())
+	c.closeGap(now, from)
 	c.count.staleEntries.Set(c.state.StaleEntries())
 	c.count.refusedConfigs.Set(c.state.RefusedConfigs())
 	if applied.Empty() && (c.targetsKnown() || !c.state.HasTargets()) {
