--- a/controller/watch/fleet_test.go
+++ b/controller/watch/fleet_test.go
@@ -42,6 +42,10 @@
 	callers http.Handler
 }
 
+// transitTime is how long messages in transit get to arrive at the end of a test; over links that
+// carry less than is sent they queue for minutes.
+const transitTime = 30 * time.Minute
+
 // withFleet runs f with n hosts that have been up for five seconds.
 func withFleet(t *testing.T, n int, f func(fl *fleet)) {
 	t.Helper()
@@ -76,7 +80,7 @@
 		for _, h := range fl.hosts {
 			h.stop()
 		}
-		time.Sleep(5 * time.Second) // messages in transit arrive
+		time.Sleep(transitTime)
 		synctest.Wait()
 	})
 }
