Heartbeats of watchers count from when they were sent, not received

Callers saw requests handled by configurations replaced seconds before, and calls to targets that drain: heartbeats that waited for seconds in the full queues of a watcher were taken for new, so that no host took over from it and none noticed that it is behind. Change: watchers.Heartbeat has the earliest time at which it can have been sent; freshness, what the store served and outages count from there. Until the clock of a sender is measured its heartbeats are as old as the first one. Those of an earlier release count from their receipt, as before.

--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -30,20 +30,20 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	took, _ := c.heartbeatTransit(now, from, b)
+	sent := c.sentAt(now, from, b)
 	previous, known := c.heartbeats[from]
-	c.heartbeats[from] = watchers.Heartbeat{ReceivedAt: now, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
+	c.heartbeats[from] = watchers.Heartbeat{SentAt: sent, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
 	c.noteHost(b.Host)
 	c.noteVersion(b.Version)
 	if b.StoreOK {
-		c.storeServed(now.Add(-b.StoreAge))
+		c.storeServed(sent.Add(-b.StoreAge))
 	}
-	c.noteTargetsAnswer(now, b.targets(), from)
+	c.noteTargetsAnswer(sent, b.targets(), from)
 	if !known || previous.StoreOK != b.StoreOK || !previous.Fresh(now) {
 		c.wakeUp()
 	}
 	if c.behind(b) {
-		c.noteGap(now.Add(-took), b)
+		c.noteGap(sent, b)
 		c.scheduleCatchUp(from, func() bool { return c.behind(b) })
 	}
 	if b.Hosts == c.hostDigest() {
@@ -66,11 +66,11 @@
 	return struct{}{}, nil
 }
 
-// noteTargetsAnswer records when the store answered another host about targets. c.mu must be
-// held.
-func (c *Controller) noteTargetsAnswer(now time.Time, a targetsAnswer, from ports.HostID) {
+// noteTargetsAnswer records when the store answered another host about targets, as that host
+// told it at a time. c.mu must be held.
+func (c *Controller) noteTargetsAnswer(sent time.Time, a targetsAnswer, from ports.HostID) {
 	if a.Answered {
-		c.noteOutage(now.Add(-a.Age), from)
+		c.noteOutage(sent.Add(-a.Age), from)
 	}
 }
 
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -311,7 +311,7 @@
 	c.storeFailing = false
 	hold := c.outageHold(now)
 	for _, b := range c.heartbeats {
-		if !b.StoreOK && now.Sub(b.ReceivedAt) < suspectFor {
+		if !b.StoreOK && now.Sub(b.SentAt) < suspectFor {
 			hold = max(hold, suspectHold)
 		}
 	}
--- a/controller/watch/transit.go
+++ b/controller/watch/transit.go
@@ -25,7 +25,9 @@
 type sender struct {
 	// start distinguishes the processes of the host, as in directory.Host.
 	start int64
-	clock transit.Clock
+	// heardAt is when its first heartbeat was received.
+	heardAt time.Time
+	clock   transit.Clock
 	// nextMeasurement is the earliest time at which the clock is measured again.
 	nextMeasurement time.Time
 	// late is set while the heartbeats of the host are late.
@@ -45,21 +47,28 @@
 	return s
 }
 
-// heartbeatTransit returns for how long at most a heartbeat was in transit, or false if that is
-// not known: its sender does not tell when it sent it, or its clock has yet to be measured. c.mu
-// must be held.
-func (c *Controller) heartbeatTransit(now time.Time, from ports.HostID, b heartbeat) (time.Duration, bool) {
+// sentAt returns the earliest time at which a heartbeat received now can have been sent.
+//
+// Until the clock of a sender is measured, its heartbeats are as old as the first of them: the
+// queue that they come through may have been full from the start. c.mu must be held.
+func (c *Controller) sentAt(now time.Time, from ports.HostID, b heartbeat) time.Time {
 	if b.Sent == 0 {
-		return 0, false
+		return now // a host of an earlier release does not tell
 	}
 	s := c.senderOf(from, b.Host.Start)
 	took, known := s.clock.Transit(b.Sent, c.reading(now))
+	if s.heardAt.IsZero() {
+		s.heardAt = now
+	}
 	if s.clock.NeedsMeasurement(took, c.reading(now)) && !now.Before(s.nextMeasurement) {
 		s.nextMeasurement = now.Add(measureEvery)
 		c.scheduleMeasurement(from)
 	}
+	if !known {
+		return s.heardAt
+	}
 	c.noteTransit(from, s, took)
-	return took, known
+	return now.Add(-took)
 }
 
 // noteTransit counts late heartbeats, and logs when those of a host become late and when they are
--- a/policy/watchers/heartbeat.go
+++ b/policy/watchers/heartbeat.go
@@ -30,8 +30,12 @@
 )
 
 // Heartbeat is the last heartbeat of a watcher.
+//
+// Heartbeats wait for seconds in the queues of saturated links. Counted from their receipt, two of
+// them in every second kept all hosts from noticing that their watchers told of nothing newer.
 type Heartbeat struct {
-	ReceivedAt time.Time
+	// SentAt is the earliest time at which it can have been sent.
+	SentAt time.Time
 	// StoreOK is false while the store fails the watcher; StoreAge is the age of the store's last
 	// response when the heartbeat was sent.
 	StoreOK  bool
@@ -46,13 +50,13 @@
 
 // Fresh reports whether the watcher's information is current at the given time.
 func (b Heartbeat) Fresh(now time.Time) bool {
-	silence := now.Sub(b.ReceivedAt)
+	silence := now.Sub(b.SentAt)
 	return b.StoreOK && silence < heartbeatTimeout && b.StoreAge+silence < b.staleAfter()
 }
 
 // expires returns when a fresh heartbeat stops being fresh.
 func (b Heartbeat) expires() time.Time {
-	return b.ReceivedAt.Add(min(heartbeatTimeout, b.staleAfter()-b.StoreAge))
+	return b.SentAt.Add(min(heartbeatTimeout, b.staleAfter()-b.StoreAge))
 }
 
 // FreshWatchers returns the watchers whose information is current.
@@ -64,7 +68,7 @@
 // anyAlive reports whether any watcher sends heartbeats, whether the store serves it or not.
 func anyAlive(now time.Time, beats map[ports.HostID]Heartbeat) bool {
 	for _, b := range beats {
-		if now.Sub(b.ReceivedAt) < heartbeatTimeout {
+		if now.Sub(b.SentAt) < heartbeatTimeout {
 			return true
 		}
 	}
--- a/policy/watchers/watchers_test.go
+++ b/policy/watchers/watchers_test.go
@@ -42,8 +42,8 @@
 func TestTakesOverWithinASecondWithoutHeartbeats(t *testing.T) {
 	all := hosts(14)
 	beats := map[ports.HostID]Heartbeat{
-		all[0]: {ReceivedAt: start, StoreOK: true},
-		all[1]: {ReceivedAt: start, StoreOK: true},
+		all[0]: {SentAt: start, StoreOK: true},
+		all[1]: {SentAt: start, StoreOK: true},
 	}
 	early := 0
 	for _, id := range all[2:] {
@@ -62,8 +62,8 @@
 	all := hosts(14)
 	late := at(WatchTimeout + 300*time.Millisecond)
 	beats := map[ports.HostID]Heartbeat{
-		all[0]: {ReceivedAt: late, StoreOK: false},
-		all[1]: {ReceivedAt: late, StoreOK: false},
+		all[0]: {SentAt: late, StoreOK: false},
+		all[1]: {SentAt: late, StoreOK: false},
 	}
 	first := time.Hour
 	for _, id := range all[2:] {
@@ -105,7 +105,7 @@
 			beats := make(map[ports.HostID]Heartbeat)
 			for _, other := range all[:4] {
 				if other != id {
-					beats[other] = Heartbeat{ReceivedAt: now, StoreOK: true}
+					beats[other] = Heartbeat{SentAt: now, StoreOK: true}
 				}
 			}
 			keep, _ = d.Decide(now, View{Hosts: all, Heartbeats: beats, Watching: true, StoreOK: true})
