A host that others don't bring up to date reads the store itself

Callers saw requests handled by configurations replaced up to 11 s before, and calls to targets that drain, from hosts whose links and processors are sound. Cause: a part that is slow but alive was trusted like a sound one (gray failure), and the way out led through other such parts. A host that is behind asked one host of its zone and the watcher, 0.4 s each, threw away replies that came later, and waited for the next heartbeat; with half of the hosts slow most rounds were in vain, and no number of them made it read the store, which answers within milliseconds. Change: it asks a host of its zone, any other and the watcher, 0.1 s apart (hedged); late replies are taken, and a host whose reply is on its way is not asked again. If none helps within 0.4 s, or if no watcher's information is current for 0.4 s beyond the 0.6 s of a heartbeat, it reads the store for itself: the configuration, then the targets, merged at once with all that holds for a watcher's answers (holds after an outage, ends of evacuations in an older copy, confirmations dated by asking). Bounded: spread over 1 ms for each known host, not while the store fails two others, ever less often if in vain. If the store fails it too, four random hosts are asked. TestHostThatHeardOfANewerVersionDeniesNothing now cuts its host off from the store too, or it would no longer be behind; its checks are as they were.

--- a/controller/watch/bootstrap.go
+++ b/controller/watch/bootstrap.go
@@ -196,7 +196,7 @@
 		if asked < len(ids) {
 			id := ids[asked]
 			asked, open = asked+1, open+1
-			go func() { answers <- c.syncWithin(id, catchUpTimeout).fresh }()
+			go func() { answers <- c.syncWithin(id, referralTimeout).fresh }()
 			stagger = time.After(referralStagger)
 		}
 		select {
--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -14,6 +14,9 @@
 	// lateHeartbeats counts heartbeats that were in transit for longer than lateHeartbeat, gaps how
 	// often this host was known to lack something and got it.
 	lateHeartbeats, gaps *expvar.Int
+	// ownReads counts the reads of the store by this host while it did not watch it, ownReadsFailed
+	// those that the store did not serve in full.
+	ownReads, ownReadsFailed *expvar.Int
 	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
 	// of the last one.
 	snapshots, snapshotBytes *expvar.Int
@@ -44,6 +47,8 @@
 		failedSyncs:     c("syncs_failed"),
 		lateHeartbeats:  c("late_heartbeats"),
 		gaps:            c("caught_up"),
+		ownReads:        c("own_reads"),
+		ownReadsFailed:  c("own_reads_failed"),
 		snapshots:       c("snapshots"),
 		snapshotBytes:   c("snapshot_bytes"),
 		dropped:         c("notifications_dropped"),
--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -98,7 +98,8 @@
 }
 
 // Guards against denying by a table known to be old: every message of a change to one host is
-// lost, and so are its own requests, but heartbeats tell it that there is a newer version.
+// lost, and so are its own requests, to the store too, but heartbeats tell it that there is a newer
+// version.
 func TestHostThatHeardOfANewerVersionDeniesNothing(t *testing.T) {
 	var behind atomic.Pointer[host]
 	setUp := func(fl *fleet) {
@@ -110,6 +111,7 @@
 	withNetwork(t, 14, setUp, func(fl *fleet) {
 		h := fl.nonWatcher()
 		behind.Store(h)
+		h.client.SetMode(memstore.Unresponsive)
 		fl.record.PutConfig(config(2))
 		time.Sleep(300 * time.Millisecond)
 		assert.Check(t, !h.denies(addedPrefix(2)), "denied although a heartbeat named a newer version")
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -16,12 +16,8 @@
 const (
 	// syncTimeout bounds the transfer of a whole state between two hosts.
 	syncTimeout = time.Second
-	// catchUpTimeout bounds the transfer of what a host missed: some kilobytes, a few
-	// milliseconds normally. Two attempts in a row and the delay before them leave a second of
-	// the 2 s within which a leaving target must be known.
-	catchUpTimeout = 400 * time.Millisecond
-	// catchUpAfter is how long a host that is behind waits for the change itself to arrive.
-	catchUpAfter = 150 * time.Millisecond
+	// referralTimeout bounds it for a host that starts, while callers may be waiting.
+	referralTimeout = 400 * time.Millisecond
 )
 
 // onHeartbeat handles a watcher's heartbeat.
@@ -105,61 +101,6 @@
 	return 0
 }
 
-// scheduleCatchUp fetches what this host missed if it is still behind after catchUpAfter: the
-// change may be in transit behind the heartbeat. It asks the watcher that sent the heartbeat,
-// and another host of its zone only if that one does not reply, so that neither a silent host
-// nor one that lacks the same change uses up the time within which a leaving target must be
-// known. The reply is small, since it holds only the parts that differ. c.mu must be held.
-//
-// With many hosts the order is reversed: a host that a large change did not reach leaves dozens
-// of others without it too, and a watcher that had to serve all of them would saturate its link.
-// Most other hosts have the change, and one that does not says so within milliseconds.
-//
-// The function still reports whether the host is still behind; it is called with c.mu held.
-func (c *Controller) scheduleCatchUp(from ports.HostID, still func() bool) {
-	if c.catchingUp {
-		return
-	}
-	c.catchingUp = true
-	time.AfterFunc(catchUpAfter, func() {
-		c.catchUp(from, still)
-		c.mu.Lock()
-		c.catchingUp = false
-		c.mu.Unlock()
-	})
-}
-
-func (c *Controller) catchUp(from ports.HostID, still func() bool) {
-	zonePeer, manyHosts, behind := c.stillBehind(still)
-	if behind {
-		c.logBehind(from)
-	}
-	order := []ports.HostID{from, zonePeer}
-	if manyHosts {
-		order = []ports.HostID{zonePeer, from}
-	}
-	for _, id := range order {
-		if !behind {
-			return
-		}
-		if id != "" && c.syncWithin(id, catchUpTimeout).reached && !manyHosts {
-			return
-		}
-		_, _, behind = c.stillBehind(still)
-	}
-}
-
-// stillBehind reports whether this host is still behind and whether there are many hosts, and
-// returns a random other host of its zone.
-func (c *Controller) stillBehind(still func() bool) (zonePeer ports.HostID, manyHosts, behind bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if others := c.zonePeers(); len(others) > 0 {
-		zonePeer = others[c.rng.IntN(len(others))]
-	}
-	return zonePeer, c.useRelays(), still()
-}
-
 // onChanges applies changes sent by a watcher.
 func (c *Controller) onChanges(_ context.Context, from ports.HostID, s packedChanges) (struct{}, error) {
 	c.count.changes.Add(1)
--- a/controller/watch/restore.go
+++ b/controller/watch/restore.go
@@ -24,16 +24,16 @@
 }
 
 // deferEvacuationEnds keeps a read that may come from an older copy from ending evacuations, and
-// schedules another full read of the configuration for when the evacuations have been rewritten.
-// c.mu must be held.
+// reports whether it did: then the configuration has to be read in full again once the evacuations
+// have been rewritten. c.mu must be held.
 //
 // Without it a zone would receive requests again until the operator's evacuation was back.
-func (c *Controller) deferEvacuationEnds(now time.Time, w *storeWatch, ch *directory.Changes) {
+func (c *Controller) deferEvacuationEnds(now time.Time, ch *directory.Changes) bool {
 	if c.restoredAt.IsZero() || now.Sub(c.restoredAt) >= returnHold || ch.AllEvacuations == 0 {
-		return
+		return false
 	}
 	ch.AllEvacuations = 0
-	w.rereadAt = c.restoredAt.Add(returnHold)
+	return true
 }
 
 // rereadIn returns the time until the configuration has to be read in full again, and false if
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -240,7 +240,10 @@
 		c.deps.Log.Info("watching the store", zap.Int("hosts", len(c.hosts)))
 	}
 	c.noteRestore(now, ch)
-	c.deferEvacuationEnds(now, w, &ch)
+	if c.deferEvacuationEnds(now, &ch) {
+		w.rereadAt = c.restoredAt.Add(returnHold)
+	}
+	c.storeFailing = false
 	ch.Hold = c.hold(now)
 	previous := c.state.Config()
 	hadTargets := c.state.HasTargets()
@@ -308,7 +311,6 @@
 // all hosts, those others report so themselves once it serves them again, and the hold is
 // extended.
 func (c *Controller) hold(now time.Time) time.Duration {
-	c.storeFailing = false
 	hold := c.outageHold(now)
 	for _, b := range c.heartbeats {
 		if !b.StoreOK && now.Sub(b.SentAt) < suspectFor {
--- a/controller/watch/transit.go
+++ b/controller/watch/transit.go
@@ -16,9 +16,9 @@
 	lateHeartbeat = 300 * time.Millisecond
 	// measureEvery limits how often a host asks another for its clock.
 	measureEvery = time.Second
-	// measureSpread is the part of the first measurement of a new watcher's clock that each known
-	// host adds: all hosts ask a watcher that takes over.
-	measureSpread = 100 * time.Microsecond
+	// measurementCost is the processor time that a question takes on a small host, with its
+	// connection. All hosts ask a watcher that takes over, over as long as it needs for all.
+	measurementCost = 2500 * time.Microsecond
 )
 
 // sender is what this host knows of the clock of a host that sends heartbeats.
@@ -38,33 +38,32 @@
 func (c *Controller) reading(at time.Time) time.Duration { return at.Sub(c.started) }
 
 // senderOf returns what is known of the process of a host that sent a heartbeat. c.mu must be held.
-func (c *Controller) senderOf(id ports.HostID, start int64) *sender {
+func (c *Controller) senderOf(now time.Time, id ports.HostID, start int64) *sender {
 	s := c.senders[id]
 	if s == nil || s.start != start {
-		s = &sender{start: start}
+		s = &sender{start: start, heardAt: now}
 		c.senders[id] = s
 	}
 	return s
 }
 
-// sentAt returns the earliest time at which a heartbeat received now can have been sent.
-//
-// Until the clock of a sender is measured, its heartbeats are as old as the first of them: the
-// queue that they come through may have been full from the start. c.mu must be held.
+// sentAt returns the earliest time at which a heartbeat received now can have been sent. c.mu must
+// be held.
 func (c *Controller) sentAt(now time.Time, from ports.HostID, b heartbeat) time.Time {
 	if b.Sent == 0 {
 		return now // a host of an earlier release does not tell
 	}
-	s := c.senderOf(from, b.Host.Start)
+	s := c.senderOf(now, from, b.Host.Start)
+	s.clock.Receive(b.Sent, c.reading(now))
 	took, known := s.clock.Transit(b.Sent, c.reading(now))
-	if s.heardAt.IsZero() {
-		s.heardAt = now
-	}
 	if s.clock.NeedsMeasurement(took, c.reading(now)) && !now.Before(s.nextMeasurement) {
-		s.nextMeasurement = now.Add(measureEvery)
+		s.nextMeasurement = now.Add(c.measurementSpread() + measureEvery)
 		c.scheduleMeasurement(from)
 	}
-	if !known {
+	switch {
+	case !s.clock.Useful() && now.Sub(s.heardAt) < c.measurementSpread()+measureEvery:
+		took = s.clock.Growth(b.Sent, c.reading(now))
+	case !known:
 		return s.heardAt
 	}
 	c.noteTransit(from, s, took)
@@ -89,11 +88,17 @@
 	c.deps.Log.Info(message, zap.String("from", string(from)), zap.Duration("transit", took))
 }
 
-// scheduleMeasurement measures the clock of a watcher, spread over some time because all other
-// hosts do so too when it takes over. c.mu must be held.
+// measurementSpread is the time over which all hosts measure the clock of a watcher. c.mu must be
+// held.
+func (c *Controller) measurementSpread() time.Duration {
+	return time.Duration(len(c.hosts)) * measurementCost
+}
+
+// scheduleMeasurement measures the clock of a watcher. Until that is done, or has taken too long,
+// its heartbeats are dated by the growth of their transit time, which does not show a queue that
+// was full from the start. c.mu must be held.
 func (c *Controller) scheduleMeasurement(id ports.HostID) {
-	spread := time.Duration(len(c.hosts)) * measureSpread
-	delay := time.Duration(c.rng.Int64N(int64(spread)))
+	delay := time.Duration(c.rng.Int64N(int64(c.measurementSpread())))
 	time.AfterFunc(delay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), measureEvery)
 		defer cancel()
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -116,6 +116,10 @@
 	// serving is closed once the host has enough state to serve.
 	serving   chan struct{}
 	isServing bool
+	// own is this host's reading of the store while it is not a watcher.
+	own ownReads
+	// asking has the hosts whose replies to a request for missing state are on their way.
+	asking map[ports.HostID]bool
 	// catchingUp is set while this host finds out whether it is behind. nextExchange is the
 	// earliest time at which it exchanges lists of hosts again.
 	catchingUp   bool
@@ -145,6 +149,7 @@
 		decider:    watchers.NewDecider(d.Self.ID()),
 		started:    time.Now(),
 		senders:    make(map[ports.HostID]*sender),
+		asking:     make(map[ports.HostID]bool),
 		refusedAt:  make(map[ports.HostID]time.Time),
 		serving:    make(chan struct{}),
 		logLimiter: rate.NewLimiter(linesPerSecond, lineBurst),
@@ -213,7 +218,8 @@
 		c.publishTargets(now)
 	}
 	c.logStaleEvacuations(now)
-	wanted, next := c.decider.Decide(now, c.view())
+	v := c.view()
+	wanted, next := c.decider.Decide(now, v)
 	switch {
 	case wanted && c.watch == nil:
 		c.startWatching(ctx)
@@ -229,8 +235,10 @@
 		c.removeUnreachable(now)
 		c.announceIfDue(ctx, now)
 	}
-	if !c.expiry.IsZero() && (next.IsZero() || c.expiry.Before(next)) {
-		next = c.expiry
+	for _, at := range []time.Time{c.expiry, c.readIfUnheard(ctx, now, v)} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
 	if next.IsZero() || next.After(now.Add(idleStep)) {
 		next = now.Add(idleStep)
--- a/policy/transit/transit.go
+++ b/policy/transit/transit.go
@@ -9,6 +9,9 @@
 const (
 	// preciseWithin is the uncertainty up to which a measurement of a clock is good enough.
 	preciseWithin = 50 * time.Millisecond
+	// usefulWithin is the uncertainty up to which a measurement tells more than the growth of the
+	// transit times.
+	usefulWithin = 300 * time.Millisecond
 	// preciseFor is how long a measurement is not repeated: clocks drift apart by up to 0.1 ms a
 	// second.
 	preciseFor = time.Minute
@@ -26,12 +29,18 @@
 	// uncertainty is how much offset may fall short of that, measuredAt when it was last
 	// measured, by this host's clock.
 	uncertainty, measuredAt time.Duration
+	// received is set once a message was received. least is then the least difference between the
+	// readings at which messages were received and sent, so offset is no more than that.
+	received bool
+	least    time.Duration
 }
 
 // Measure takes in a reading that another host sent in reply to a question. All arguments are
 // readings: asked and received of this host's clock, theirs of the other host's in between.
 func (c *Clock) Measure(asked, received, theirs time.Duration) {
-	next := Clock{measured: true, offset: asked - theirs, uncertainty: received - asked, measuredAt: received}
+	next := *c
+	next.measured, next.measuredAt = true, received
+	next.offset, next.uncertainty = asked-theirs, received-asked
 	recent := c.measured && received-c.measuredAt < preciseFor
 	highest := c.offset + c.uncertainty
 	switch {
@@ -43,18 +52,29 @@
 	*c = next
 }
 
-// Transit returns for how long at most a message was in transit that was sent at a reading of the
-// other host's clock and received at one of this host's, or false if the clock is unmeasured.
-func (c *Clock) Transit(sent, received time.Duration) (time.Duration, bool) {
-	if !c.measured {
-		return 0, false
+// Receive takes in that a message sent at a reading of the other host's clock was received at one of
+// this host's.
+func (c *Clock) Receive(sent, received time.Duration) {
+	if !c.received || received-sent < c.least {
+		c.received, c.least = true, received-sent
 	}
 	if received-sent < c.offset {
 		c.offset = received - sent // nothing arrives before it was sent: the clocks have drifted
 	}
-	return received - sent - c.offset, true
 }
 
+// Transit returns for how long at most a message was in transit, or false if the clock is
+// unmeasured.
+func (c *Clock) Transit(sent, received time.Duration) (time.Duration, bool) {
+	return received - sent - c.offset, c.measured
+}
+
+// Growth returns by how much longer a message was in transit than the fastest one so far.
+func (c *Clock) Growth(sent, received time.Duration) time.Duration { return received - sent - c.least }
+
+// Useful reports whether the clock was measured well enough to go by Transit alone.
+func (c *Clock) Useful() bool { return c.measured && c.uncertainty <= usefulWithin }
+
 // NeedsMeasurement reports whether the clock is to be measured before a transit time is believed.
 func (c *Clock) NeedsMeasurement(transit, now time.Duration) bool {
 	if !c.measured {
--- a/policy/transit/transit_test.go
+++ b/policy/transit/transit_test.go
@@ -24,8 +24,10 @@
 		for range 20 {
 			now += delay()
 			took := delay()
+			c.Receive(now-took-offset, now)
 			got, known := c.Transit(now-took-offset, now)
 			assert.Assert(t, known)
+			assert.Check(t, c.Growth(now-took-offset, now) <= took, "seed %d", seed)
 			assert.Check(t, got >= took && got <= took+out+back, "seed %d: %s for %s, measured within %s", seed, got, took, out+back)
 		}
 	}
