Soak: links throttled

Hosts are slow but alive for 0.3 to 2.8 s: what others and the store send them, and what they reply, is limited to 4 kB/s, so that heartbeats queue. What a host sends by itself is not: peers' connections have no address that tells them apart. Seeds from 70000 on have it; earlier ones keep their sequence.

--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -48,11 +49,14 @@
 	{"target leaves by its answers", (*Soak).leaveByResponses},
 	{"targets out of reach", (*Soak).cutPaths},
 	{"targets out of reach", (*Soak).cutPaths},
+	{"links throttled", (*Soak).throttleLinks},
+	{"links throttled", (*Soak).throttleLinks},
 }
 
 // Seeds below firstSeedOfSecond use the first firstDisturbances entries of the list, seeds
 // below firstSeedOfAll the first secondDisturbances, those below firstSeedOfCuts the first
-// thirdDisturbances, and others all. New entries are appended, so that seeds that once found a bug keep their sequence of disturbances.
+// thirdDisturbances, those below firstSeedOfThrottles the first fourthDisturbances, and others all.
+// New entries are appended, so that seeds that once found a bug keep their sequence of disturbances.
 const (
 	firstDisturbances  = 19
 	firstSeedOfSecond  = 1000
@@ -60,6 +64,9 @@
 	firstSeedOfAll     = 10_000
 	thirdDisturbances  = 25
 	firstSeedOfCuts    = 60_000
+
+	fourthDisturbances   = 27
+	firstSeedOfThrottles = 70_000
 )
 
 // disturbancesFor returns the disturbances that a seed chooses from.
@@ -71,6 +78,8 @@
 		return disturbances[:secondDisturbances]
 	case seed < firstSeedOfCuts:
 		return disturbances[:thirdDisturbances]
+	case seed < firstSeedOfThrottles:
+		return disturbances[:fourthDisturbances]
 	default:
 		return disturbances
 	}
@@ -202,14 +211,16 @@
 	return p.name
 }
 
-// disturbProxy injects a fault into a proxy of a process and heals it after a random
+// disturbProxies injects a fault into proxies of a process and heals them after a random
 // duration.
-func (s *Soak) disturbProxy(p *process, proxy *FaultProxy, rng *rand.Rand, disturb func()) string {
+func (s *Soak) disturbProxies(p *process, rng *rand.Rand, disturb func(), proxies ...*FaultProxy) string {
 	d := randomDuration(rng)
 	s.recordDisturbance(p)
 	disturb()
 	time.AfterFunc(d, func() {
-		proxy.Heal()
+		for _, proxy := range proxies {
+			proxy.Heal()
+		}
 		s.recordDisturbance(p)
 	})
 	return p.name + " for " + d.String()
@@ -217,17 +228,36 @@
 
 func (s *Soak) blackholeStore(_ context.Context, rng *rand.Rand) string {
 	p := s.anyProcess(rng)
-	return s.disturbProxy(p, p.storeProxy, rng, p.storeProxy.Blackhole)
+	return s.disturbProxies(p, rng, p.storeProxy.Blackhole, p.storeProxy)
 }
 
 func (s *Soak) blackholePeer(_ context.Context, rng *rand.Rand) string {
 	p := s.anyProcess(rng)
-	return s.disturbProxy(p, p.peerProxy, rng, p.peerProxy.Blackhole)
+	return s.disturbProxies(p, rng, p.peerProxy.Blackhole, p.peerProxy)
 }
 
 func (s *Soak) delayPeer(_ context.Context, rng *rand.Rand) string {
 	p := s.anyProcess(rng)
-	return s.disturbProxy(p, p.peerProxy, rng, func() { p.peerProxy.Delay(50 * time.Millisecond) })
+	return s.disturbProxies(p, rng, func() { p.peerProxy.Delay(50 * time.Millisecond) }, p.peerProxy)
+}
+
+// throttledLink is the rate of a throttled link in bytes per second: the heartbeats of two watchers
+// fit, but a configuration takes seconds.
+const throttledLink = 4 << 10
+
+// throttleLinks throttles what other hosts and the store send some hosts, and what these reply.
+func (s *Soak) throttleLinks(_ context.Context, rng *rand.Rand) string {
+	hosts := slices.Clone(s.processes)
+	rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	var done []string
+	for _, p := range hosts[:1+rng.IntN(len(hosts)-1)] {
+		throttle := func() {
+			p.storeProxy.Throttle(throttledLink)
+			p.peerProxy.Throttle(throttledLink)
+		}
+		done = append(done, s.disturbProxies(p, rng, throttle, p.storeProxy, p.peerProxy))
+	}
+	return strings.Join(done, ", ")
 }
 
 func (s *Soak) resetStore(_ context.Context, rng *rand.Rand) string {
--- a/internal/soak/faultproxy.go
+++ b/internal/soak/faultproxy.go
@@ -13,6 +13,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // FaultProxy forwards TCP connections and can inject faults into them.
@@ -26,6 +28,9 @@
 	blackholed bool
 	delay      time.Duration
 	healed     chan struct{}
+	// throttle limits the bytes per second of all connections together; nil if they are not
+	// limited.
+	throttle *rate.Limiter
 	// unreachableFrom are the IP addresses whose packets are lost.
 	unreachableFrom []net.IP
 }
@@ -67,11 +72,22 @@
 	p.delay = d
 }
 
+// Throttle limits all connections together to a rate in bytes per second until Heal, so that data
+// queues.
+func (p *FaultProxy) Throttle(bytesPerSecond int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.throttle = rate.NewLimiter(rate.Limit(bytesPerSecond), throttledChunk)
+}
+
+// throttledChunk is the number of bytes that a throttled proxy forwards at once.
+const throttledChunk = 512
+
 // Heal ends all faults. Data held back is forwarded.
 func (p *FaultProxy) Heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.blackholed, p.delay = false, 0
+	p.blackholed, p.delay, p.throttle = false, 0, nil
 	close(p.healed)
 	p.healed = make(chan struct{})
 }
@@ -123,10 +139,8 @@
 	for {
 		n, err := from.Read(buf)
 		p.waitWhileFaulty()
-		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				return
-			}
+		if p.write(to, buf[:n]) != nil {
+			return
 		}
 		if err == io.EOF {
 			_ = to.(*net.TCPConn).CloseWrite() // forward the half-close
@@ -138,6 +152,27 @@
 	}
 }
 
+// write forwards data, in chunks while the proxy is throttled.
+func (p *FaultProxy) write(to net.Conn, data []byte) error {
+	for len(data) > 0 {
+		p.mu.Lock()
+		throttle := p.throttle
+		p.mu.Unlock()
+		n := len(data)
+		if throttle != nil {
+			n = min(n, throttledChunk)
+			if err := throttle.WaitN(context.Background(), n); err != nil {
+				return err
+			}
+		}
+		if _, err := to.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
 // waitWhileFaulty blocks while the proxy is blackholed, then for the delay.
 func (p *FaultProxy) waitWhileFaulty() {
 	for {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,9 @@
 //	401  Two hosts were given the same address and one exited at its start; no address
 //	     is now allocated twice.
 //	60016  A host that had lost its paths to all targets served none of its callers.
-var regressions = []uint64{1, 200, 401, 60016}
+//
+// Seed 70001 stands for those with throttled links, which exposed none so far.
+var regressions = []uint64{1, 200, 401, 60016, 70001}
 
 // shortRun is how long disturbances are injected in CI.
 const shortRun = 5 * time.Second
