--- a/policy/watchers/ownread.go
+++ b/policy/watchers/ownread.go
@@ -35,10 +35,11 @@
 // Spread is the time over which hosts spread their reads.
 func Spread(hosts int) time.Duration { return time.Duration(hosts) * ownReadSpread }
 
-// May reports whether the host may read now: not while the store fails others, nor soon after a
-// read.
+// May reports whether the host may read now: not soon after a read, nor while the store fails
+// others and is not known to serve any.
 func (r *OwnReads) May(now time.Time, v View) bool {
-	return !v.Watching && v.failing(now) < enoughFailures && !now.Before(r.next)
+	out := v.failing(now) >= enoughFailures && len(FreshWatchers(now, v.Heartbeats)) == 0
+	return !v.Watching && !out && !now.Before(r.next)
 }
 
 // Unheard reports whether the host is to read because it hears no watcher whose information is
--- a/policy/watchers/ownread_test.go
+++ b/policy/watchers/ownread_test.go
@@ -54,6 +54,8 @@
 	assert.Check(t, r.May(at(time.Second), View{FailedTakeovers: map[ports.HostID]time.Time{"a": start}}))
 	beats := map[ports.HostID]Heartbeat{"a": {SentAt: start}, "b": {SentAt: start}}
 	assert.Check(t, !r.May(start, View{Heartbeats: beats}))
+	served := map[ports.HostID]Heartbeat{"c": {SentAt: start, StoreOK: true}}
+	assert.Check(t, r.May(start, View{Heartbeats: served, FailedTakeovers: failing}))
 	assert.Check(t, r.May(at(heartbeatTimeout), View{Heartbeats: beats}))
 	assert.Check(t, !r.May(start, View{Watching: true}))
 }
