--- a/controller/watch/slowhosts_test.go
+++ b/controller/watch/slowhosts_test.go
@@ -172,3 +172,30 @@
 		})
 	}
 }
+
+// Guards against a change that nobody forwards: hosts whose link from the store is slow watch it, and
+// its responses to them keep arriving for seconds.
+func TestSlowReadsOfWatchersKeepNoChangeFromOthers(t *testing.T) {
+	for seed := range uint64(*slowSeeds) {
+		rng := rand.New(rand.NewPCG(seed, 12))
+		withFleet(t, 60, func(fl *fleet) {
+			slow := fl.watching()
+			for _, i := range rng.Perm(len(fl.hosts)) {
+				if h := fl.hosts[i]; len(slow) < 30 && !contains(slow, h) {
+					slow = append(slow, h)
+				}
+			}
+			for _, h := range slow {
+				h.client.SetTrickle(10 * time.Second)
+			}
+			time.Sleep(time.Duration(rng.Int64N(int64(3 * time.Second))))
+			for v := range uint64(slowVersions) {
+				i := int(v)
+				fl.record.PutConfig(config(2 + v))
+				fl.record.Put(entryOf(i, true))
+				took := fl.await(slow, func(h *host) bool { return h.version() >= 2+v && !h.routesTo(i) })
+				assert.Check(t, took < bound, "seed %d: version %d known after %s", seed, 2+v, took)
+			}
+		})
+	}
+}
--- a/internal/fakes/memstore/memstore.go
+++ b/internal/fakes/memstore/memstore.go
@@ -178,6 +178,8 @@
 type Client struct {
 	store *Store
 	mode  Mode // guarded by the store's lock
+	// trickle is how long a response with changes keeps arriving; guarded by the store's lock.
+	trickle time.Duration
 	// exempt has the topics that are served whatever the mode.
 	exempt map[directory.Topic]bool
 }
@@ -195,6 +197,30 @@
 	c.store.notifyChange()
 }
 
+// SetTrickle makes responses with changes keep arriving for d, as over a slow link. No timeout for
+// silence ends them.
+func (c *Client) SetTrickle(d time.Duration) {
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.trickle = d
+}
+
+// awaitTrickle waits until all of a response has arrived, and reports whether it arrives slowly.
+func (c *Client) awaitTrickle(ctx context.Context, ch directory.Changes) (trickled bool, err error) {
+	c.store.mu.Lock()
+	d := c.trickle
+	c.store.mu.Unlock()
+	if d == 0 || ch.Empty() {
+		return false, nil
+	}
+	select {
+	case <-time.After(d):
+		return true, nil
+	case <-ctx.Done():
+		return true, ctx.Err()
+	}
+}
+
 // ExemptTopic exempts one topic from the mode, as if only other tables of the store were
 // unavailable.
 func (c *Client) ExemptTopic(t directory.Topic) {
@@ -234,13 +260,17 @@
 }
 
 // Read implements directory.Source.
-func (c *Client) Read(ctx context.Context, t directory.Topic, silence time.Duration) (directory.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, silence)
+func (c *Client) Read(whole context.Context, t directory.Topic, silence time.Duration) (directory.Changes, error) {
+	ctx, cancel := context.WithTimeout(whole, silence)
 	defer cancel()
 	if err := c.begin(ctx, t); err != nil {
 		return directory.Changes{}, err
 	}
-	return c.store.readAll(t), c.delayReply(ctx)
+	ch := c.store.readAll(t)
+	if trickled, err := c.awaitTrickle(whole, ch); trickled {
+		return ch, err
+	}
+	return ch, c.delayReply(ctx)
 }
 
 // readAll returns the full state of a topic.
@@ -260,13 +290,16 @@
 }
 
 // Watch implements directory.Source.
-func (c *Client) Watch(ctx context.Context, t directory.Topic, after directory.Revision, wait, silence time.Duration) (directory.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+silence)
+func (c *Client) Watch(whole context.Context, t directory.Topic, after directory.Revision, wait, silence time.Duration) (directory.Changes, error) {
+	ctx, cancel := context.WithTimeout(whole, wait+silence)
 	defer cancel()
 	ch, err := c.waitForChange(ctx, t, after, wait)
 	if err != nil {
 		return directory.Changes{}, err
 	}
+	if trickled, err := c.awaitTrickle(whole, ch); trickled {
+		return ch, err
+	}
 	return ch, c.delayReply(ctx)
 }
 
