A hold on a removed target counts from the first news of the removal

Cause: a duration that a message carries counted from its receipt, each time; the same class as heartbeats that count from their receipt. Change: a forwarded hold counts from when this host first learned of the removal; an outage that it knows of itself holds until its own end, as before (Changes.OutageHold, not sent).

--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -290,10 +290,8 @@
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	previous := c.state.Config()
 	c.noteRestore(now, ch)
-	forwardedHold := ch.Hold
-	ch.Hold = max(ch.Hold, c.outageHold(now))
+	ch.OutageHold = c.outageHold(now)
 	applied := c.state.Apply(now, ch)
-	applied.Hold = forwardedHold // an outage seen by this host may be a partition of its own
 	if ch.Delta != nil {
 		c.noteVersion(ch.Delta.Version)
 	}
@@ -309,7 +307,7 @@
 	c.publishEvacuations(now, applied.Evacuations, from)
 	c.logTargets(ch, applied, from)
 	c.publishTargets(now)
-	if ch.Hold > 0 {
+	if ch.Hold > 0 || ch.OutageHold > 0 {
 		c.wakeUp()
 	}
 	if next := c.state.Config(); next != previous {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -98,6 +98,8 @@
 	// Hold is for how long targets that were removed without draining are still used. See
 	// State.Apply.
 	Hold time.Duration `msgpack:"hold"`
+	// OutageHold is the same by an outage of the store that this host knows of itself.
+	OutageHold time.Duration `msgpack:"-"`
 }
 
 // Empty reports whether the change set contains no changes.
--- a/directory/state.go
+++ b/directory/state.go
@@ -56,6 +56,8 @@
 	Usable
 	// usableUntil is when a removed target stops being used; zero for one that is not removed.
 	usableUntil time.Time
+	// removedAt is when this host first learned of the removal.
+	removedAt time.Time
 	// stale is a held-back entry of the target; nil if there is none.
 	stale *staleEntry
 	// changed is set until the target is visited; see State.Changed.
@@ -138,7 +140,7 @@
 	}
 	applied.Evacuations = s.evacuations.merge(now, c.Evacuations, c.AllEvacuations)
 	for _, t := range c.Targets {
-		if s.mergeTarget(now, t, c.Hold) {
+		if s.mergeTarget(now, t, c) {
 			applied.Targets = append(applied.Targets, t)
 		}
 	}
@@ -186,7 +188,7 @@
 	return s.mergeConfig(next)
 }
 
-func (s *State) mergeTarget(now time.Time, t Target, hold time.Duration) bool {
+func (s *State) mergeTarget(now time.Time, t Target, c Changes) bool {
 	old := s.targets[t.ID]
 	switch {
 	case old == nil:
@@ -200,11 +202,11 @@
 		s.newest = max(s.newest, t.Revision)
 		return s.holdStale(now, old, t)
 	case t.Revision <= old.Revision:
-		return s.learnIncarnation(old, t) || t.Revision == old.Revision && t.Removed && old.extendHold(now, hold)
+		return s.learnIncarnation(old, t) || t.Revision == old.Revision && t.Removed && old.extendHold(now, c)
 	}
 	s.newest = max(s.newest, t.Revision)
 	if t.Removed {
-		s.remove(now, t, hold)
+		s.remove(now, t, c.hold())
 		return true
 	}
 	s.list(now, old, t)
@@ -241,10 +243,20 @@
 	s.replace(old, k)
 }
 
+// hold returns how long a target is used whose removal was not known before.
+func (c Changes) hold() time.Duration { return max(c.Hold, c.OutageHold) }
+
 // extendHold extends the use of a removed target that is still in use, and reports whether it
 // did.
-func (k *targetState) extendHold(now time.Time, hold time.Duration) bool {
-	until := now.Add(hold)
+//
+// The hold that comes with a removal counts from when this host first learned of that: the same
+// removal comes again and again, late, from other hosts, and would keep a target in use that left
+// seconds ago. An outage that this host knows of ends at a time of its own.
+func (k *targetState) extendHold(now time.Time, c Changes) bool {
+	until := k.removedAt.Add(c.Hold)
+	if own := now.Add(c.OutageHold); own.After(until) {
+		until = own
+	}
 	if k.Draining || k.Unreadable || !k.Removed || !now.Before(k.usableUntil) || !until.After(k.usableUntil) {
 		return false
 	}
@@ -258,7 +270,7 @@
 	k := s.targets[t.ID]
 	if k == nil {
 		t.Removed = true
-		k = &targetState{Usable: Usable{Target: t}, usableUntil: now}
+		k = &targetState{Usable: Usable{Target: t}, usableUntil: now, removedAt: now}
 		s.targets[t.ID], s.removed[t.ID] = k, k
 		return
 	}
@@ -266,7 +278,7 @@
 		hold = 0
 	}
 	if !k.Removed {
-		k.usableUntil = now.Add(hold)
+		k.usableUntil, k.removedAt = now.Add(hold), now
 		s.buckets[bucketOf(t.ID)] ^= k.digest()
 	}
 	if t.Unreadable {
@@ -289,7 +301,7 @@
 	}
 	for id, k := range s.targets {
 		if !listed[id] && !k.Removed && k.Revision <= c.Revision && c.covers(id) {
-			s.remove(now, Target{ID: id, Revision: c.Revision}, c.Hold)
+			s.remove(now, Target{ID: id, Revision: c.Revision}, c.hold())
 			s.newest = max(s.newest, c.Revision)
 			dropped = append(dropped, k.Target)
 		}
--- a/directory/state_test.go
+++ b/directory/state_test.go
@@ -173,3 +173,33 @@
 
 // fullSnapshot returns what a host without any targets is sent.
 func fullSnapshot(s *State) Changes { return s.Snapshot(now, 0, NewState().Buckets()) }
+
+// Guards against a target that stays in use for as long as news of its removal keep arriving: each of
+// them carries the hold that its sender had left, and they come late and more than once.
+func TestRepeatedRemovalHoldsTargetNoLonger(t *testing.T) {
+	const hold = 700 * time.Millisecond
+	removal := Changes{Hold: hold, Targets: []Target{{ID: "a", Revision: 2, Removed: true}}}
+	start := time.Unix(1000, 0)
+	s := NewState()
+	s.Merge(start, Changes{Revision: 1, AllTargets: true, Targets: []Target{{ID: "a", Revision: 1}}})
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		s.Merge(start.Add(at), removal)
+		usable, _ := s.Usable(start.Add(at))
+		assert.Equal(t, len(usable), map[bool]int{true: 1, false: 0}[at < hold], "%s after the removal", at)
+	}
+}
+
+// An outage that this host learns of after the removal holds the target from then on: its entry may
+// have expired, and is written again within that time.
+func TestOutageLearnedOfLaterHoldsARemovedTarget(t *testing.T) {
+	removal := Changes{Hold: 700 * time.Millisecond, Targets: []Target{{ID: "a", Revision: 2, Removed: true}}}
+	start := time.Unix(1000, 0)
+	s := NewState()
+	s.Merge(start, Changes{Revision: 1, AllTargets: true, Targets: []Target{{ID: "a", Revision: 1}}})
+	s.Merge(start, removal)
+	removal.OutageHold = 2200 * time.Millisecond
+	s.Merge(start.Add(600*time.Millisecond), removal)
+	usable, next := s.Usable(start.Add(2700 * time.Millisecond))
+	assert.Equal(t, len(usable), 1)
+	assert.Equal(t, next, start.Add(2800*time.Millisecond))
+}
