--- a/controller/watch/ownread_test.go
+++ b/controller/watch/ownread_test.go
@@ -179,11 +179,15 @@
 }
 
 // Hosts that are slow, cut off one way, frozen or cut off, drawn at random, keep no change from the
-// others, as long as these reach the store or one another.
+// others, as long as these reach the store or one another: the store turns some of them away, too,
+// or is slow.
 func TestRandomFaultsOfOthersKeepNoChangeFromSoundHosts(t *testing.T) {
 	for seed := range uint64(*slowSeeds) {
 		withSlowHosts(t, seed, *scaleHosts/5, func(sf *slowFleet) {
 			sf.breakOthers()
+			if seed%2 == 1 {
+				sf.record.SetReplyDelay(150 * time.Millisecond)
+			}
 			for v := range uint64(slowVersions) {
 				i := int(v)
 				sf.record.PutConfig(largeConfig(2+v, slowRoutes))
@@ -196,10 +200,16 @@
 	}
 }
 
-// breakOthers draws a third of the hosts and cuts each off one way or the other, or freezes it.
+// breakOthers draws a third of the hosts and cuts each off one way or the other, or freezes it. The
+// store turns away some of all.
 func (sf *slowFleet) breakOthers() {
 	sf.mu.Lock()
 	defer sf.mu.Unlock()
+	for _, h := range sf.hosts {
+		if sf.rng.IntN(4) == 0 {
+			h.client.SetMode([]memstore.Mode{memstore.Refusing, memstore.Unresponsive}[sf.rng.IntN(2)])
+		}
+	}
 	for _, i := range sf.rng.Perm(len(sf.hosts))[:len(sf.hosts)/3] {
 		h := sf.hosts[i]
 		sf.squeezed[ports.HostID(h.addr)] = true
