--- a/controller/watch/catchup.go
+++ b/controller/watch/catchup.go
@@ -15,8 +15,8 @@
 	// milliseconds normally. With the heartbeat, the delays and its own read of the store after
 	// that it has a second left of the 2 s within which a leaving target must be known.
 	catchUpTimeout = 400 * time.Millisecond
-	// askStagger is how long it waits for one host before it also asks the next.
-	askStagger = 100 * time.Millisecond
+	// hedgeDelay is how long it waits for one host before it also asks the next.
+	hedgeDelay = 100 * time.Millisecond
 	// lateReplyTimeout is how long a reply is still taken. State merges by revision, so late is as
 	// good as early, and asking again would fill the links further.
 	lateReplyTimeout = 2 * time.Second
@@ -49,10 +49,10 @@
 	}
 	c.logBehind(from)
 	ctx := context.Background()
-	if c.askInTurn(ctx, c.catchUpOrder(from), from, still) || c.readIfBehind(ctx, still) {
+	if c.fetchHedged(ctx, c.catchUpOrder(from), from, still) || c.readIfBehind(ctx, still) {
 		return
 	}
-	c.askInTurn(ctx, c.anyHosts(fallbackHosts), from, still)
+	c.fetchHedged(ctx, c.anyHosts(fallbackHosts), from, still)
 }
 
 // stillBehind reports whether this host is still behind.
@@ -90,11 +90,11 @@
 	return ids[:min(n, len(ids))]
 }
 
-// askInTurn asks hosts for what this one lacks, the next one when a reply did not help or after
-// askStagger, and reports whether this host got it within catchUpTimeout. The reply of the watcher
+// fetchHedged asks hosts for what this one lacks, the next one when a reply did not help or after
+// hedgeDelay, and reports whether this host got it within catchUpTimeout. The reply of the watcher
 // that showed that this host is behind brings it up to date in any case. Replies that come later
 // are taken, too.
-func (c *Controller) askInTurn(ctx context.Context, ids []ports.HostID, watcher ports.HostID, still func() bool) bool {
+func (c *Controller) fetchHedged(ctx context.Context, ids []ports.HostID, watcher ports.HostID, still func() bool) bool {
 	deadline := time.NewTimer(catchUpTimeout)
 	defer deadline.Stop()
 	enough := make(chan bool, len(ids))
@@ -103,15 +103,15 @@
 		if len(ids) > 0 {
 			id := ids[0]
 			ids = ids[1:]
-			if !c.beginAsking(id) {
+			if !c.beginFetch(id) {
 				continue
 			}
 			open++
 			go func() {
-				reached := c.ask(ctx, id)
+				reached := c.fetchFrom(ctx, id)
 				enough <- reached && id == watcher || !c.stillBehind(still)
 			}()
-			stagger = time.After(askStagger)
+			stagger = time.After(hedgeDelay)
 		}
 		if open == 0 && len(ids) == 0 {
 			return !c.stillBehind(still)
@@ -129,25 +129,25 @@
 	}
 }
 
-// beginAsking reports whether a host can be asked: it is another one, and the reply to an earlier
-// question is not on its way.
-func (c *Controller) beginAsking(id ports.HostID) bool {
+// beginFetch reports whether state can be requested from a host: it is another one, and no earlier
+// request to it is pending.
+func (c *Controller) beginFetch(id ports.HostID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if id == "" || id == c.self || c.asking[id] {
+	if id == "" || id == c.self || c.fetching[id] {
 		return false
 	}
-	c.asking[id] = true
+	c.fetching[id] = true
 	return true
 }
 
-// ask fetches the state that this host lacks from another one, and reports whether that replied.
-func (c *Controller) ask(ctx context.Context, id ports.HostID) bool {
+// fetchFrom fetches the state that this host lacks from another one, and reports whether that replied.
+func (c *Controller) fetchFrom(ctx context.Context, id ports.HostID) bool {
 	ctx, cancel := context.WithTimeout(ctx, lateReplyTimeout)
 	defer cancel()
 	reached := c.sync(ctx, id, false).reached
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.asking, id)
+	delete(c.fetching, id)
 	return reached
 }
--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -14,9 +14,9 @@
 	// lateHeartbeats counts heartbeats that were in transit for longer than lateHeartbeat, gaps how
 	// often this host was known to lack something and got it.
 	lateHeartbeats, gaps *expvar.Int
-	// ownReads counts the reads of the store by this host while it did not watch it, ownReadsFailed
+	// directReads counts the reads of the store by this host while it did not watch it, directReadsFailed
 	// those that the store did not serve in full.
-	ownReads, ownReadsFailed *expvar.Int
+	directReads, directReadsFailed *expvar.Int
 	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
 	// of the last one.
 	snapshots, snapshotBytes *expvar.Int
@@ -39,22 +39,22 @@
 func newCounters(m *metrics.Set) counters {
 	c := m.Counters("watch")
 	return counters{
-		calls:           c("store_calls"),
-		failed:          c("store_calls_failed"),
-		heartbeats:      c("beats_received"),
-		changes:         c("changes_received"),
-		syncs:           c("syncs"),
-		failedSyncs:     c("syncs_failed"),
-		lateHeartbeats:  c("late_heartbeats"),
-		gaps:            c("caught_up"),
-		ownReads:        c("own_reads"),
-		ownReadsFailed:  c("own_reads_failed"),
-		snapshots:       c("snapshots"),
-		snapshotBytes:   c("snapshot_bytes"),
-		dropped:         c("notifications_dropped"),
-		takeovers:       c("takeovers"),
-		duplicateRelays: c("repeats_not_passed_on"),
-		staleEntries:    c("late_words"),
+		calls:             c("store_calls"),
+		failed:            c("store_calls_failed"),
+		heartbeats:        c("beats_received"),
+		changes:           c("changes_received"),
+		syncs:             c("syncs"),
+		failedSyncs:       c("syncs_failed"),
+		lateHeartbeats:    c("late_heartbeats"),
+		gaps:              c("caught_up"),
+		directReads:       c("direct_reads"),
+		directReadsFailed: c("direct_reads_failed"),
+		snapshots:         c("snapshots"),
+		snapshotBytes:     c("snapshot_bytes"),
+		dropped:           c("notifications_dropped"),
+		takeovers:         c("takeovers"),
+		duplicateRelays:   c("repeats_not_passed_on"),
+		staleEntries:      c("late_words"),
 
 		refusedConfigs: c("configs_refused"),
 		restores:       c("older_copies"),
--- a/controller/watch/ownread.go
+++ b/controller/watch/directread.go
@@ -14,13 +14,13 @@
 
 // Reasons of a read of the store by a host that does not watch it.
 const (
-	whyBehind  = "behind, and others did not send it in time"
-	whyUnheard = "no watcher heard"
+	whyBehind = "behind, no reply from others in time"
+	whyStale  = "no current watcher"
 )
 
-// ownReads is this host's reading of the store while it is not a watcher.
-type ownReads struct {
-	policy watchers.OwnReads
+// directReads is this host's reading of the store while it is not a watcher.
+type directReads struct {
+	policy watchers.DirectReads
 	// reading is set while a read is under way or about to begin.
 	reading bool
 	// configAt is the revision up to which the configuration topic was read, 0 if it has to be read
@@ -29,14 +29,14 @@
 	configCurrent bool
 }
 
-// readIfUnheard reads the store if no watcher's information is current, and returns when to call
+// readIfStale reads the store if no watcher's information is current, and returns when to call
 // it again; zero if some watcher's is. c.mu must be held.
-func (c *Controller) readIfUnheard(ctx context.Context, now time.Time, v watchers.View) time.Time {
+func (c *Controller) readIfStale(ctx context.Context, now time.Time, v watchers.View) time.Time {
 	v.Watching = c.watch != nil
-	due, next := c.own.policy.Unheard(now, v, c.randomDuration)
-	if due && !c.own.reading && c.targetsKnown() {
-		c.own.reading = true
-		go c.readAlone(ctx, whyUnheard)
+	due, next := c.direct.policy.DueIfStale(now, v, c.randomDuration)
+	if due && !c.direct.reading && c.targetsKnown() {
+		c.direct.reading = true
+		go c.readStore(ctx, whyStale)
 	}
 	return next
 }
@@ -50,50 +50,50 @@
 // whether it did. Dozens of hosts may lack the same change, so each waits for a random moment.
 func (c *Controller) readIfBehind(ctx context.Context, still func() bool) bool {
 	c.mu.Lock()
-	spread := c.randomDuration(watchers.Spread(len(c.hosts)))
+	spread := c.randomDuration(watchers.ReadSpread(len(c.hosts)))
 	c.mu.Unlock()
 	if !ctxtime.Sleep(ctx, spread) {
 		return false
 	}
 	c.mu.Lock()
-	due := still() && !c.own.reading && c.own.policy.May(time.Now(), c.view())
-	c.own.reading = c.own.reading || due
+	due := still() && !c.direct.reading && c.direct.policy.May(time.Now(), c.view())
+	c.direct.reading = c.direct.reading || due
 	c.mu.Unlock()
-	return due && c.readAlone(ctx, whyBehind)
+	return due && c.readStore(ctx, whyBehind)
 }
 
-// readAlone reads what is new in the store, for this host alone, and reports whether the store
-// served it.
+// readStore reads what is new in the store, without forwarding it, and reports whether the store
+// served this host.
 //
 // The configuration is read before the targets, and both are merged at once: neither an evacuation
 // nor a new service may overtake the targets that were listed before.
-func (c *Controller) readAlone(ctx context.Context, why string) bool {
+func (c *Controller) readStore(ctx context.Context, why string) bool {
 	asked := time.Now()
-	config, configErr := c.fetchAlone(ctx, directory.TopicConfig)
-	targets, targetsErr := c.fetchAlone(ctx, directory.TopicTargets)
+	config, configErr := c.fetchDirect(ctx, directory.TopicConfig)
+	targets, targetsErr := c.fetchDirect(ctx, directory.TopicTargets)
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.own.reading = false
+	c.direct.reading = false
 	news := false
 	if configErr == nil || targetsErr == nil {
-		news = c.mergeAlone(now, asked, config, targets, targetsErr == nil)
+		news = c.mergeDirect(now, asked, config, targets, targetsErr == nil)
 	}
-	c.own.policy.Done(now, news)
-	c.count.ownReads.Add(1)
+	c.direct.policy.Done(now, news)
+	c.count.directReads.Add(1)
 	err := errors.CombineErrors(configErr, targetsErr)
 	if err != nil {
-		c.count.ownReadsFailed.Add(1)
+		c.count.directReadsFailed.Add(1)
 	}
-	c.deps.Log.Info("read the store alone", zap.String("why", why), zap.Duration("took", now.Sub(asked)), zap.Bool("news", news),
+	c.deps.Log.Info("read the store directly", zap.String("why", why), zap.Duration("took", now.Sub(asked)), zap.Bool("news", news),
 		zap.Uint64("version", c.version()), zap.Stringer("revision", c.state.Newest()), zap.Error(err))
 	return err == nil
 }
 
-// fetchAlone returns what changed in a topic since this host last knew all of it, or all of it.
-func (c *Controller) fetchAlone(ctx context.Context, t directory.Topic) (directory.Changes, error) {
+// fetchDirect returns what changed in a topic since this host last knew all of it, or all of it.
+func (c *Controller) fetchDirect(ctx context.Context, t directory.Topic) (directory.Changes, error) {
 	c.mu.Lock()
-	after := c.own.configAt
+	after := c.direct.configAt
 	if t == directory.TopicTargets {
 		after = c.state.CompleteAt()
 	}
@@ -118,9 +118,9 @@
 	return ch, err
 }
 
-// mergeAlone merges what this host read for itself, with all that holds for the answers to a
+// mergeDirect merges what this host read for itself, with all that holds for the answers to a
 // watcher, and reports whether anything was new. c.mu must be held.
-func (c *Controller) mergeAlone(now, asked time.Time, config, targets directory.Changes, targetsOK bool) bool {
+func (c *Controller) mergeDirect(now, asked time.Time, config, targets directory.Changes, targetsOK bool) bool {
 	c.storeServed(asked)
 	ch := config
 	if targetsOK {
@@ -135,28 +135,28 @@
 	if targetsOK {
 		c.state.Advance(targets.Revision)
 	}
-	c.noteOwnConfig(config, asked, deferred)
+	c.noteDirectConfig(config, asked, deferred)
 	return !applied.Empty()
 }
 
-// noteOwnConfig records up to where this host read the configuration, and when the configuration
+// noteDirectConfig records up to where this host read the configuration, and when the configuration
 // in force was certainly the newest. As in noteConfig, an answer with another one confirms nothing,
 // nor do later ones without changes. c.mu must be held.
-func (c *Controller) noteOwnConfig(config directory.Changes, asked time.Time, deferred bool) {
+func (c *Controller) noteDirectConfig(config directory.Changes, asked time.Time, deferred bool) {
 	if config.Revision == 0 {
 		return // not read
 	}
-	c.own.configAt = config.Revision
+	c.direct.configAt = config.Revision
 	switch {
 	case config.ConfigUnreadable || config.Config != nil && config.Config.Version != c.version():
-		c.own.configCurrent = false
+		c.direct.configCurrent = false
 	case config.Config != nil:
-		c.own.configCurrent = true
+		c.direct.configCurrent = true
 	}
-	if c.own.configCurrent {
+	if c.direct.configCurrent {
 		c.noteConfirmed(asked)
 	}
 	if deferred {
-		c.own.configAt = 0 // the ends of evacuations that were left out are read again
+		c.direct.configAt = 0 // the ends of evacuations that were left out are read again
 	}
 }
--- a/controller/watch/ownread_test.go
+++ b/controller/watch/directread_test.go
@@ -14,28 +14,28 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-// withDeafHost runs f with a host, not a watcher, to which only heartbeats get through, and none of
-// whose own messages do, once deafen is called.
-func withDeafHost(t *testing.T, f func(fl *fleet, h *host, deafen func())) {
+// withoutPeers runs f with a host, not a watcher, that gets nothing but heartbeats from other hosts and
+// reaches none of them once cut is called.
+func withoutPeers(t *testing.T, f func(fl *fleet, h *host, cut func())) {
 	t.Helper()
-	var deaf atomic.Pointer[host]
+	var alone atomic.Pointer[host]
 	setUp := func(fl *fleet) {
 		fl.net.Drop = func(from, to peer.HostID, kind peer.Kind) bool {
-			h := deaf.Load()
+			h := alone.Load()
 			return h != nil && kind != kindHeartbeat && (h.addr == string(to) || h.addr == string(from))
 		}
 	}
 	withNetwork(t, 14, setUp, func(fl *fleet) {
 		h := fl.nonWatcher()
-		f(fl, h, func() { deaf.Store(h) })
+		f(fl, h, func() { alone.Store(h) })
 	})
 }
 
 // Guards against a host that stays behind for good because no other host sends it what it lacks,
 // although the store answers within milliseconds.
 func TestHostThatNobodySendsChangesReadsTheStore(t *testing.T) {
-	withDeafHost(t, func(fl *fleet, h *host, deafen func()) {
-		deafen()
+	withoutPeers(t, func(fl *fleet, h *host, cut func()) {
+		cut()
 		for i := range 5 {
 			fl.record.PutConfig(config(uint64(2 + i)))
 			fl.record.Put(entryOf(i, true))
@@ -43,12 +43,12 @@
 			assert.Check(t, took < bound, "known after %s", took)
 			time.Sleep(time.Duration(i) * 700 * time.Millisecond)
 		}
-		assert.Check(t, h.c.count.ownReads.Value() > 0)
+		assert.Check(t, h.c.count.directReads.Value() > 0)
 	})
 }
 
-// Guards against a host without any word of a watcher that goes by what it has until its turn to
-// take over comes: all watchers and the first hosts in turn fall silent.
+// Guards against a host without a current watcher that goes by what it has until its turn to take
+// over comes: all watchers and the first hosts in turn fall silent.
 func TestDrainIsKnownInTimeThoughFirstHostsInTurnAreSilent(t *testing.T) {
 	withFleet(t, 60, func(fl *fleet) {
 		silent := fl.watching()
@@ -68,9 +68,9 @@
 
 // Guards against refusing calls for want of a target: an evacuation that a host reads for itself
 // must not overtake the targets listed before it, which it lacks as well.
-func TestEvacuationReadAloneDoesNotOvertakeTargets(t *testing.T) {
-	withDeafHost(t, func(fl *fleet, h *host, deafen func()) {
-		deafen()
+func TestDirectReadOfAnEvacuationDoesNotOvertakeTargets(t *testing.T) {
+	withoutPeers(t, func(fl *fleet, h *host, cut func()) {
+		cut()
 		for i := 20; i < 30; i++ {
 			fl.record.Put(entryOf(i, false))
 		}
@@ -89,18 +89,18 @@
 
 // Guards against losing all targets after an outage of the store, in which their entries expired: a
 // host that reads the store for itself holds them like a watcher.
-func TestTargetsExpiredInAnOutageAreHeldByAReadAlone(t *testing.T) {
-	withDeafHost(t, func(fl *fleet, h *host, deafen func()) {
+func TestDirectReadHoldsTargetsExpiredInAnOutage(t *testing.T) {
+	withoutPeers(t, func(fl *fleet, h *host, cut func()) {
 		for _, other := range fl.hosts {
 			other.client.SetMode(memstore.Unresponsive)
 		}
 		time.Sleep(6 * time.Second)
 		fl.record.Remove(targetID(3))
-		deafen()
+		cut()
 		for _, other := range fl.hosts {
 			other.client.SetMode(memstore.Serving)
 		}
-		assert.Assert(t, h.c.readAlone(context.Background(), whyBehind))
+		assert.Assert(t, h.c.readStore(context.Background(), whyBehind))
 		assert.Check(t, h.routesTo(3), "dropped although its entry may be written again")
 		time.Sleep(returnHold + time.Second)
 		assert.Check(t, !h.routesTo(3), "held for longer than an entry takes to return")
@@ -109,19 +109,19 @@
 
 // Guards against denying a route that was added while the answer to a host's own read was on its
 // way: the read vouches for the moment at which it was asked for.
-func TestReadAloneVouchesForWhenItWasAskedFor(t *testing.T) {
-	withDeafHost(t, func(fl *fleet, h *host, deafen func()) {
+func TestDirectReadConfirmsAsOfItsRequest(t *testing.T) {
+	withoutPeers(t, func(fl *fleet, h *host, cut func()) {
 		const delay = 250 * time.Millisecond
 		fl.record.SetReplyDelay(delay)
-		h.c.readAlone(context.Background(), whyUnheard)
+		h.c.readStore(context.Background(), whyStale)
 		age := time.Since(h.board.Confirmation.Load().At)
 		assert.Check(t, age >= 2*delay, "%s, of two reads in a row", age)
 	})
 }
 
 // Guards against ending an evacuation by an older copy of the store that a host reads for itself.
-func TestReadAloneOfAnOlderCopyEndsNoEvacuation(t *testing.T) {
-	withDeafHost(t, func(fl *fleet, h *host, deafen func()) {
+func TestDirectReadOfAnOlderCopyEndsNoEvacuation(t *testing.T) {
+	withoutPeers(t, func(fl *fleet, h *host, cut func()) {
 		fl.record.Evacuate("z1")
 		time.Sleep(time.Second)
 		h.c.mu.Lock()
@@ -130,10 +130,10 @@
 		newer := directory.NewRevision(h.c.state.Newest().Era()+1, 5)
 		copied := directory.Changes{Revision: newer, AllEvacuations: newer}
 		targets := directory.Changes{Revision: newer}
-		h.c.mergeAlone(now, now, copied, targets, true)
+		h.c.mergeDirect(now, now, copied, targets, true)
 		_, evacuated := h.board.Evacuations.Load().Zones["z1"]
 		assert.Check(t, evacuated)
-		assert.Equal(t, h.c.own.configAt, directory.Revision(0), "the ends left out have to be read again")
+		assert.Equal(t, h.c.direct.configAt, directory.Revision(0), "the ends left out have to be read again")
 	})
 }
 
@@ -146,7 +146,7 @@
 		time.Sleep(20 * time.Second)
 		var reads int64
 		for _, h := range fl.hosts {
-			reads += h.c.count.ownReads.Value()
+			reads += h.c.count.directReads.Value()
 		}
 		assert.Check(t, reads <= 10, "%d reads", reads)
 		assert.Check(t, len(fl.hosts) > 0)
@@ -155,7 +155,7 @@
 
 // Guards against reads of all hosts at once: a change reaches one host of a hundred, and the reads
 // of the others are spread over as many milliseconds as there are hosts.
-func TestReadsOfAllHostsAreSpread(t *testing.T) {
+func TestDirectReadsOfAllHostsAreSpread(t *testing.T) {
 	var cut atomic.Bool
 	setUp := func(fl *fleet) {
 		fl.net.Drop = func(_, _ peer.HostID, kind peer.Kind) bool { return cut.Load() && kind != kindHeartbeat }
--- a/controller/watch/gap.go
+++ b/controller/watch/gap.go
@@ -14,15 +14,15 @@
 	since time.Time
 	// shown is that heartbeat.
 	shown heartbeat
-	// asked and failed are the requests for missing state so far, as counted, when it began.
-	asked, failed int64
+	// requests and failed are the totals of requests for missing state when it began.
+	requests, failed int64
 }
 
 // noteGap records that a heartbeat, sent at a time, shows something that this host lacks. c.mu
 // must be held.
 func (c *Controller) noteGap(sent time.Time, b heartbeat) {
 	if c.gap == nil {
-		c.gap = &gap{since: sent, shown: b, asked: c.count.syncs.Value(), failed: c.count.failedSyncs.Value()}
+		c.gap = &gap{since: sent, shown: b, requests: c.count.syncs.Value(), failed: c.count.failedSyncs.Value()}
 	}
 }
 
@@ -40,6 +40,6 @@
 		return
 	}
 	c.deps.Log.Info("caught up", zap.Duration("after", lasted), zap.String("from", string(from)),
-		zap.Int64("asked", c.count.syncs.Value()-g.asked), zap.Int64("failed", c.count.failedSyncs.Value()-g.failed),
+		zap.Int64("requests", c.count.syncs.Value()-g.requests), zap.Int64("failed", c.count.failedSyncs.Value()-g.failed),
 		zap.Uint64("version", c.version()), zap.Stringer("revision", c.state.Newest()))
 }
--- a/controller/watch/transit.go
+++ b/controller/watch/transit.go
@@ -14,10 +14,11 @@
 const (
 	// lateHeartbeat is the time in transit from which heartbeats are counted and logged as late.
 	lateHeartbeat = 300 * time.Millisecond
-	// measureEvery limits how often a host asks another for its clock.
+	// measureEvery limits how often a host measures the clock of another.
 	measureEvery = time.Second
-	// measurementCost is the processor time that a question takes on a small host, with its
-	// connection. All hosts ask a watcher that takes over, over as long as it needs for all.
+	// measurementCost is the processor time that a request takes on a small host, with its
+	// connection. All hosts measure the clock of a watcher that takes over, spread over as long as
+	// it needs for all.
 	measurementCost = 2500 * time.Microsecond
 )
 
@@ -25,8 +26,8 @@
 type sender struct {
 	// start distinguishes the processes of the host, as in directory.Host.
 	start int64
-	// heardAt is when its first heartbeat was received.
-	heardAt time.Time
+	// firstAt is when its first heartbeat was received.
+	firstAt time.Time
 	clock   transit.Clock
 	// nextMeasurement is the earliest time at which the clock is measured again.
 	nextMeasurement time.Time
@@ -41,7 +42,7 @@
 func (c *Controller) senderOf(now time.Time, id ports.HostID, start int64) *sender {
 	s := c.senders[id]
 	if s == nil || s.start != start {
-		s = &sender{start: start, heardAt: now}
+		s = &sender{start: start, firstAt: now}
 		c.senders[id] = s
 	}
 	return s
@@ -61,10 +62,10 @@
 		c.scheduleMeasurement(from)
 	}
 	switch {
-	case !s.clock.Useful() && now.Sub(s.heardAt) < c.measurementSpread()+measureEvery:
+	case !s.clock.Useful() && now.Sub(s.firstAt) < c.measurementSpread()+measureEvery:
 		took = s.clock.Growth(b.Sent, c.reading(now))
 	case !known:
-		return s.heardAt
+		return s.firstAt
 	}
 	c.noteTransit(from, s, took)
 	return now.Add(-took)
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -116,10 +116,10 @@
 	// serving is closed once the host has enough state to serve.
 	serving   chan struct{}
 	isServing bool
-	// own is this host's reading of the store while it is not a watcher.
-	own ownReads
-	// asking has the hosts whose replies to a request for missing state are on their way.
-	asking map[ports.HostID]bool
+	// direct is this host's reading of the store while it is not a watcher.
+	direct directReads
+	// fetching has the hosts to which a request for missing state is pending.
+	fetching map[ports.HostID]bool
 	// catchingUp is set while this host finds out whether it is behind. nextExchange is the
 	// earliest time at which it exchanges lists of hosts again.
 	catchingUp   bool
@@ -149,7 +149,7 @@
 		decider:    watchers.NewDecider(d.Self.ID()),
 		started:    time.Now(),
 		senders:    make(map[ports.HostID]*sender),
-		asking:     make(map[ports.HostID]bool),
+		fetching:   make(map[ports.HostID]bool),
 		refusedAt:  make(map[ports.HostID]time.Time),
 		serving:    make(chan struct{}),
 		logLimiter: rate.NewLimiter(linesPerSecond, lineBurst),
@@ -235,7 +235,7 @@
 		c.removeUnreachable(now)
 		c.announceIfDue(ctx, now)
 	}
-	for _, at := range []time.Time{c.expiry, c.readIfUnheard(ctx, now, v)} {
+	for _, at := range []time.Time{c.expiry, c.readIfStale(ctx, now, v)} {
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
--- a/policy/transit/transit.go
+++ b/policy/transit/transit.go
@@ -35,12 +35,12 @@
 	least    time.Duration
 }
 
-// Measure takes in a reading that another host sent in reply to a question. All arguments are
-// readings: asked and received of this host's clock, theirs of the other host's in between.
-func (c *Clock) Measure(asked, received, theirs time.Duration) {
+// Measure takes in a reading that another host sent in its reply to a request. All arguments are
+// readings: requested and received of this host's clock, theirs of the other host's in between.
+func (c *Clock) Measure(requested, received, theirs time.Duration) {
 	next := *c
 	next.measured, next.measuredAt = true, received
-	next.offset, next.uncertainty = asked-theirs, received-asked
+	next.offset, next.uncertainty = requested-theirs, received-requested
 	recent := c.measured && received-c.measuredAt < preciseFor
 	highest := c.offset + c.uncertainty
 	switch {
--- a/policy/transit/transit_test.go
+++ b/policy/transit/transit_test.go
@@ -54,7 +54,7 @@
 	assert.Check(t, now <= time.Millisecond, "%s", now)
 }
 
-// A host that is late by a precise measurement is not asked again and again while its link is
+// A host that is late by a precise measurement is not measured again and again while its link is
 // full.
 func TestPreciseClockIsNotMeasuredAgain(t *testing.T) {
 	var c Clock
--- a/policy/watchers/ownread.go
+++ b/policy/watchers/directread.go
@@ -3,28 +3,28 @@
 import "time"
 
 const (
-	// unheardAfter is how long a host without a fresh watcher leaves it to others to take over. A
+	// takeoverTime is how long a host without a fresh watcher leaves it to others to take over. A
 	// takeover brings it up to date within 0.2 s if the first two hosts in turn can make it.
-	unheardAfter = 400 * time.Millisecond
-	// ownReadSpread is the part of the delay of a read that each host adds, since all hosts may
-	// come to need one at once: a thousand reads a second are a third of what a store serves to
-	// all hosts together.
-	ownReadSpread = time.Millisecond
-	// minOwnPause is the pause after a read; it doubles up to maxOwnPause with each read that
+	takeoverTime = 400 * time.Millisecond
+	// spreadPerHost is the time that each host adds to the spread of reads, since all hosts may
+	// need one at once: a thousand a second, of two calls each, are a third of what a store serves
+	// to all hosts together.
+	spreadPerHost = time.Millisecond
+	// minReadPause is the pause after a read; it doubles up to maxReadPause with each read that
 	// fails or tells nothing new.
-	minOwnPause = time.Second
-	maxOwnPause = 16 * time.Second
+	minReadPause = time.Second
+	maxReadPause = 16 * time.Second
 	// enoughFailures is the number of other hosts that the store fails from which a host does not
 	// try it: it is probably out for all.
 	enoughFailures = 2
 )
 
-// OwnReads decides when a host reads the store for itself, although it is not a watcher. The usual
+// DirectReads decides when a host reads the store for itself, although it is not a watcher. The usual
 // way to learn of changes leads through other hosts, and those may be slow but alive, so that
 // nobody takes over from them. It is not safe for concurrent use.
-type OwnReads struct {
-	// unheardSince is the time since when no watcher's information is current; zero if some is.
-	unheardSince time.Time
+type DirectReads struct {
+	// staleSince is the time since when no watcher's information is current; zero if some is.
+	staleSince time.Time
 	// delay is this host's delay for the current time without a watcher.
 	delay time.Duration
 	// next is the earliest time of the next read, pause the time between the last two.
@@ -32,43 +32,43 @@
 	pause time.Duration
 }
 
-// Spread is the time over which hosts spread their reads.
-func Spread(hosts int) time.Duration { return time.Duration(hosts) * ownReadSpread }
+// ReadSpread is the time over which hosts spread their reads.
+func ReadSpread(hosts int) time.Duration { return time.Duration(hosts) * spreadPerHost }
 
 // May reports whether the host may read now: not soon after a read, nor while the store fails
 // others and is not known to serve any.
-func (r *OwnReads) May(now time.Time, v View) bool {
+func (r *DirectReads) May(now time.Time, v View) bool {
 	out := v.failing(now) >= enoughFailures && len(FreshWatchers(now, v.Heartbeats)) == 0
 	return !v.Watching && !out && !now.Before(r.next)
 }
 
-// Unheard reports whether the host is to read because it hears no watcher whose information is
-// current, and the latest time to ask again; zero if a watcher is heard. Random returns a random
-// duration below its argument.
-func (r *OwnReads) Unheard(now time.Time, v View, random func(time.Duration) time.Duration) (due bool, next time.Time) {
+// DueIfStale reports whether the host is to read because no watcher's information is current, and
+// the latest time to call it again; zero if some watcher's is. Random returns a random duration
+// below its argument.
+func (r *DirectReads) DueIfStale(now time.Time, v View, random func(time.Duration) time.Duration) (due bool, next time.Time) {
 	if v.Watching || len(FreshWatchers(now, v.Heartbeats)) > 0 {
-		r.unheardSince = time.Time{}
+		r.staleSince = time.Time{}
 		return false, time.Time{}
 	}
-	if r.unheardSince.IsZero() {
-		r.unheardSince = now
-		r.delay = unheardAfter + random(Spread(len(v.Hosts)))
+	if r.staleSince.IsZero() {
+		r.staleSince = now
+		r.delay = takeoverTime + random(ReadSpread(len(v.Hosts)))
 	}
-	at := r.unheardSince.Add(r.delay)
+	at := r.staleSince.Add(r.delay)
 	if at.Before(r.next) {
 		at = r.next
 	}
 	if now.Before(at) {
 		return false, at
 	}
-	return r.May(now, v), now.Add(minOwnPause)
+	return r.May(now, v), now.Add(minReadPause)
 }
 
 // Done records a read that ended and whether it brought anything new.
-func (r *OwnReads) Done(now time.Time, news bool) {
-	r.pause = min(2*r.pause, maxOwnPause)
+func (r *DirectReads) Done(now time.Time, news bool) {
+	r.pause = min(2*r.pause, maxReadPause)
 	if news || r.pause == 0 {
-		r.pause = minOwnPause
+		r.pause = minReadPause
 	}
 	r.next = now.Add(r.pause)
 }
--- a/policy/watchers/ownread_test.go
+++ b/policy/watchers/directread_test.go
@@ -14,16 +14,16 @@
 
 // A host that hears no watcher reads within the 2 s in which a leaving target must be known, also
 // if it draws the latest moment, but leaves a takeover the time it needs.
-func TestUnheardHostReadsInTime(t *testing.T) {
+func TestHostWithoutCurrentWatcherReadsInTime(t *testing.T) {
 	v := View{Hosts: hosts(300), Heartbeats: map[ports.HostID]Heartbeat{"w": {SentAt: start, StoreOK: true}}}
-	var r OwnReads
-	due, _ := r.Unheard(start, v, longest)
+	var r DirectReads
+	due, _ := r.DueIfStale(start, v, longest)
 	assert.Check(t, !due)
 	silent := at(heartbeatTimeout)
-	due, next := r.Unheard(silent, v, longest)
+	due, next := r.DueIfStale(silent, v, longest)
 	assert.Check(t, !due)
 	assert.Check(t, next.Sub(start) >= heartbeatTimeout+2*turnInterval && next.Sub(start) < 1500*time.Millisecond, "%s", next.Sub(start))
-	due, _ = r.Unheard(next, v, longest)
+	due, _ = r.DueIfStale(next, v, longest)
 	assert.Check(t, due)
 }
 
@@ -31,23 +31,23 @@
 // less often, one that learns something does not wait for longer.
 func TestReadsInVainBecomeRare(t *testing.T) {
 	v := View{Hosts: hosts(14)}
-	var r OwnReads
+	var r DirectReads
 	reads := 0
 	for now := start; now.Before(at(time.Minute)); now = now.Add(10 * time.Millisecond) {
-		if due, _ := r.Unheard(now, v, longest); due {
+		if due, _ := r.DueIfStale(now, v, longest); due {
 			reads++
 			r.Done(now, false)
 		}
 	}
 	assert.Check(t, reads >= 4 && reads <= 8, "%d reads", reads)
 	r.Done(at(time.Minute), true)
-	assert.Check(t, r.May(at(time.Minute+minOwnPause), v))
+	assert.Check(t, r.May(at(time.Minute+minReadPause), v))
 }
 
 // Guards against all hosts reading a store that is out: two failures elsewhere are enough, until the
 // store serves a host again or they are long ago.
 func TestStoreThatFailsOthersIsNotRead(t *testing.T) {
-	var r OwnReads
+	var r DirectReads
 	failing := map[ports.HostID]time.Time{"a": start, "b": start}
 	assert.Check(t, !r.May(at(time.Second), View{FailedTakeovers: failing}))
 	assert.Check(t, r.May(at(failureTTL), View{FailedTakeovers: failing}))
