--- a/controller/watch/directread_test.go
+++ b/controller/watch/directread_test.go
@@ -48,7 +48,7 @@
 }
 
 // Guards against a host without a current watcher that goes by what it has until its turn to take
-// over comes: all watchers and the first hosts in turn fall silent.
+// over comes: all watchers and the first hosts in turn stop responding.
 func TestDrainIsKnownInTimeThoughFirstHostsInTurnAreSilent(t *testing.T) {
 	withFleet(t, 60, func(fl *fleet) {
 		silent := fl.watching()
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -62,8 +62,8 @@
 	return struct{}{}, nil
 }
 
-// noteTargetsAnswer records when the store answered another host about targets, as that host
-// told it at a time. c.mu must be held.
+// noteTargetsAnswer records when the store answered another host about targets, by a message that
+// host sent at a time. c.mu must be held.
 func (c *Controller) noteTargetsAnswer(sent time.Time, a targetsAnswer, from ports.HostID) {
 	if a.Answered {
 		c.noteOutage(sent.Add(-a.Age), from)
--- a/policy/transit/transit.go
+++ b/policy/transit/transit.go
@@ -35,7 +35,7 @@
 	least    time.Duration
 }
 
-// Measure takes in a reading that another host sent in its reply to a request. All arguments are
+// Measure records a reading that another host sent in its reply to a request. All arguments are
 // readings: requested and received of this host's clock, theirs of the other host's in between.
 func (c *Clock) Measure(requested, received, theirs time.Duration) {
 	next := *c
@@ -52,7 +52,7 @@
 	*c = next
 }
 
-// Receive takes in that a message sent at a reading of the other host's clock was received at one of
+// Receive records that a message sent at a reading of the other host's clock was received at one of
 // this host's.
 func (c *Clock) Receive(sent, received time.Duration) {
 	if !c.received || received-sent < c.least {
--- a/policy/watchers/heartbeat.go
+++ b/policy/watchers/heartbeat.go
@@ -32,7 +32,7 @@
 // Heartbeat is the last heartbeat of a watcher.
 //
 // Heartbeats wait for seconds in the queues of saturated links. Counted from their receipt, two of
-// them in every second kept all hosts from noticing that their watchers told of nothing newer.
+// them in every second kept all hosts from noticing that their watchers were out of date.
 type Heartbeat struct {
 	// SentAt is the earliest time at which it can have been sent.
 	SentAt time.Time
