Quotas: a host that followed an owner counts as new once that was back

Cause: a host that takes over a part kept it until it had not been asked for one second, and its part gained tokens at the full rate all that time. Requests go to the earlier owner once that is back, which the follower does not learn. Where an owner fails and returns within a second, each host that followed it is no new owner when it is asked again, and spends what it gained while the others gained the same.

Fix: a host that owns a part in place of others probes these every 250 ms while the part is used. If one replies, or if the last probe is over 0.5 s old, the host begins anew when it is asked: empty, without gain for 1.4 s. So tokens of a follower never span a time in which an earlier owner was back for longer than a tick. Nothing is sent where no owner fails.

--- a/controller/quota/part.go
+++ b/controller/quota/part.go
@@ -12,9 +12,6 @@
 	// startupPeriod is how long a host counts as just started. Its own record of grants
 	// is lost then, and possibly those of all owners of the zone.
 	startupPeriod = 2 * time.Second
-	// takeoverIdle is how long a host that owns a part in place of another may get no
-	// request before it counts as a new owner again.
-	takeoverIdle = time.Second
 )
 
 // part is a zone's part of a quota that this host owns.
@@ -24,6 +21,9 @@
 	rank int
 	// usedAt is when the part was last asked for tokens.
 	usedAt time.Time
+	// verifiedAt is when this host took the part over or last verified that no host that ranks
+	// before it replies. It is zero after one of them replied.
+	verifiedAt time.Time
 	// nextBorrowAt is when the other zones may next be asked for tokens.
 	nextBorrowAt time.Time
 	// granted and denied count the requests since the last report; lent and borrowed are
@@ -72,10 +72,9 @@
 		c.logOwned(name, rank, p.Tokens(now))
 	}
 	p.SetLimit(now, l)
-	idle := now.Sub(p.usedAt)
 	p.usedAt = now
-	if rank != p.rank || rank > 0 && idle > takeoverIdle && !p.Small() {
-		p.rank = rank
+	if rank != p.rank || p.lapsed(now) && !p.Small() {
+		p.rank, p.verifiedAt = rank, now
 		p.TakeOver(now.Add(c.handoverDelay))
 		c.logOwned(name, rank, p.Tokens(now))
 	}
@@ -99,6 +98,8 @@
 		rank:   rank,
 		usedAt: now,
 
+		verifiedAt: now,
+
 		arrivals: make(map[string]*quota.Arrivals),
 	}
 	if fresh {
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -142,8 +142,8 @@
 	return g.Wait()
 }
 
-// runPeriodic resets the parts after a stall of this host, and regularly logs denials and
-// drops unused state.
+// runPeriodic resets the parts after a stall of this host, verifies the takeovers, and regularly
+// logs denials and drops unused state.
 func (c *Controller) runPeriodic(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -158,6 +158,7 @@
 		if now.Sub(last) > stallThreshold {
 			c.resetAll(now, "held up")
 		}
+		c.verifyTakeovers(now)
 		if now.Sub(reported) >= reportInterval {
 			c.logAllDenials()
 			reported = now
--- /dev/null
+++ b/controller/quota/takeover_test.go
@@ -0,0 +1,34 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/routing"
+)
+
+// cutOffRepeatedly cuts the hosts that rank first as a tenant's owners off from all others for a
+// time, again and again with a pause in between, until d has passed.
+func (fl *fleet) cutOffRepeatedly(tenant string, cut, pause, d time.Duration) {
+	var first []*host
+	for _, zone := range zones {
+		first = append(first, fl.ranked(tenant, zone)[0])
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		fl.cutOff(first...)
+		time.Sleep(cut)
+		fl.heal()
+		time.Sleep(pause)
+	}
+}
+
+// Guards against parts that gain tokens on two hosts at once: a host that took over kept gaining
+// after the first owner was back, and spent that when the first was cut off again within a second.
+func TestOwnersThatAlternateGainTokensOnce(t *testing.T) {
+	withFleet(t, 12, []routing.Tenant{large}, func(fl *fleet) {
+		go fl.cutOffRepeatedly(large.Name, 300*time.Millisecond, 500*time.Millisecond, 15*time.Second)
+		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 4*large.Rate, 15*time.Second)
+		fl.assertWithinQuota(large)
+	})
+}
