Paths: a timeout on the way to a target does not back off from it

Callers saw: a host that was cut off from all targets and short of processor time refused requests with connect-failed and then no-target, although other hosts reached every target.

Cause: no stream to another host opened within the dial timeout (250 ms, cause=timeout). The attempt or probe was recorded as a failure of the target, so that each target backed off, for up to 2 s, until none was left. A host that is cut off itself also answered "target unreachable" to others.

Fix: the error of an attempt is marked with upstream.ErrPathFault if it says nothing about the target, and no backoff, quarantine report or failure count follows from it (pick.NoPath). Evidence about the target are: a refusal while no other target refuses this host, a timeout while another target answers it or none other is silent, and "target unreachable" from a host whose own paths are well. Hosts that are cut off say "no path to target". A retry still is not deducted from the budget, and a request still is returned to its target's limit.

--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -349,7 +349,7 @@
 
 // Release implements pick.Grant. A request that never left this host is returned to the limit.
 func (h *heldGrant) Release(r pick.Report) {
-	if h.perSecond > 0 && r.Class == pick.NotSent {
+	if h.perSecond > 0 && (r.Class == pick.NotSent || r.Class == pick.NoPath) {
 		h.picker.quotas.Return(string(h.Target().RunID()))
 	}
 	h.Grant.Release(r)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -164,6 +164,8 @@
 		a.class, a.reason = pick.Canceled, outcome.ReasonConnLimit
 	case errors.Is(res.Err, upstream.ErrTargetLeft):
 		a.class, a.reason = pick.Canceled, outcome.ReasonTargetLeft
+	case errors.Is(res.Err, upstream.ErrPathFault):
+		a.class, a.reason = pick.NoPath, outcome.ReasonConnect
 	default:
 		a.class, a.reason = pick.NotSent, outcome.ReasonConnect
 	}
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -33,7 +33,7 @@
 		d.metrics.RetriesRefused.Add(reason, 1)
 		return false
 	}
-	unsent := a.class == pick.NotSent || a.reason == outcome.ReasonTargetLeft
+	unsent := a.class == pick.NotSent || a.class == pick.NoPath || a.reason == outcome.ReasonTargetLeft
 	if !unsent && !d.takeRetryBudget(c) {
 		d.metrics.RetriesRefused.Add(noRetryBudget, 1)
 		return false
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -99,7 +99,7 @@
 	Shed
 	// Leaving is a refusal by a target that is draining.
 	Leaving
-	// NotSent means that no byte was sent: there was no connection, or the call ended before.
+	// NotSent means that no byte was sent: the target gave no connection, or the call ended before.
 	NotSent
 	// BrokeOff means that the connection ended before the complete response arrived.
 	BrokeOff
@@ -115,6 +115,9 @@
 	// PathLost means that the connection fell silent, or that the host that carried it was lost,
 	// after the call was sent. It says nothing about the target.
 	PathLost
+	// NoPath means that no byte was sent because no path to the target opened in time. It says
+	// nothing about the target.
+	NoPath
 )
 
 // Report is the result of an attempt.
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/policy/placement"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -111,8 +113,10 @@
 	// signals are the target's signals; they are empty unless it was reached.
 	signals targetapi.Signals
 	reached bool
-	// failure is why the target was not reached.
-	failure upstream.Cause
+	// failure is why the target was not reached, pathFault is set if that says nothing about the
+	// target.
+	failure   upstream.Cause
+	pathFault bool
 	// replaced is set if another target answered at the address.
 	replaced bool
 }
@@ -141,10 +145,7 @@
 		return ""
 	}
 	if !a.reached {
-		if t.markUnreachable(now) {
-			return msgUnreachable
-		}
-		return ""
+		return t.recordUnreached(now, a.pathFault)
 	}
 	recovered := t.markReachable()
 	switch {
@@ -175,6 +176,7 @@
 	res := p.deps.Upstream.RoundTrip(req.WithContext(ctx), info, upstream.SendOptions{MaxConns: conns})
 	if res.Err != nil {
 		a.failure = upstream.CauseOf(res.Err)
+		a.pathFault = errors.Is(res.Err, upstream.ErrPathFault)
 		return a
 	}
 	defer res.Response.Body.Close()
--- a/placer/target.go
+++ b/placer/target.go
@@ -34,10 +34,12 @@
 	// to it while it is cold.
 	cold  coldstart.Estimate
 	quota coldQuota
-	// backoffUntil is the time until which the target gets no calls; connectFailures is the
-	// number of consecutive failures to reach it.
+	// backoffUntil is the time until which the target gets no calls. connectFailures is the number
+	// of consecutive failures to reach it, backoffs the number of those that said something about
+	// the target.
 	backoffUntil    time.Time
 	connectFailures int
+	backoffs        int
 	// replacedBackoff is the last backoff after an answer for another target; a good answer
 	// resets it to 0.
 	replacedBackoff time.Duration
@@ -79,16 +81,39 @@
 // markUnreachable backs off exponentially from a target that cannot be reached, and reports
 // whether this is the first failure.
 func (t *target) markUnreachable(now time.Time) bool {
-	t.backOff(now, min(initialBackoff<<min(t.connectFailures, 8), maxBackoff))
+	t.backOff(now, min(initialBackoff<<min(t.backoffs, 8), maxBackoff))
+	t.backoffs++
+	return t.markNoPath()
+}
+
+// markNoPath records a failure to reach the target that says nothing about it, and reports whether
+// this is the first failure.
+func (t *target) markNoPath() bool {
 	t.connectFailures++
 	return t.connectFailures == 1
 }
 
+// recordUnreached records that an attempt or a probe did not reach the target; with pathFault, the
+// failure says nothing about the target. It returns the log message of a resulting state change,
+// or "".
+func (t *target) recordUnreached(now time.Time, pathFault bool) (change string) {
+	first := false
+	if pathFault {
+		first = t.markNoPath()
+	} else {
+		first = t.markUnreachable(now)
+	}
+	if first {
+		return msgUnreachable
+	}
+	return ""
+}
+
 // markReachable records that the target answered, and reports whether it was unreachable
 // before.
 func (t *target) markReachable() bool {
 	was := t.connectFailures > 0
-	t.connectFailures, t.replacedBackoff = 0, 0
+	t.connectFailures, t.backoffs, t.replacedBackoff = 0, 0, 0
 	return was
 }
 
@@ -118,9 +143,9 @@
 	case pick.Shed:
 		t.backOff(now, shedBackoff)
 	case pick.NotSent:
-		if t.markUnreachable(now) {
-			return msgUnreachable
-		}
+		return t.recordUnreached(now, false)
+	case pick.NoPath:
+		return t.recordUnreached(now, true)
 	case pick.Leaving:
 		t.info.Leaving = true
 		return msgLeaving
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -23,6 +23,8 @@
 	failed map[ports.HostID]bool
 	// broken are the targets whose connections broke under a request since any target answered.
 	broken map[ports.HostID]bool
+	// silent are the targets of which a connection or a request timed out since any target answered.
+	silent map[ports.HostID]bool
 	// answered is when any target last answered, or accepted a connection.
 	answered time.Time
 }
@@ -57,6 +59,28 @@
 	}
 }
 
+// TimedOut records that a connection or a request to a target by this host's own path timed out.
+func (h *Host) TimedOut(target ports.HostID) {
+	if len(h.silent) >= cutFromTargets {
+		return
+	}
+	if h.silent == nil {
+		h.silent = make(map[ports.HostID]bool)
+	}
+	h.silent[target] = true
+}
+
+// TimeoutTellsOfTarget reports whether a recorded timeout of a connection or request that began at
+// begun says something about its target: another target has answered since, or it is the only one
+// that is silent. A path that loses packets and a processor that is short lose the answers of all.
+func (h *Host) TimeoutTellsOfTarget(begun time.Time) bool {
+	return h.answered.After(begun) || len(h.silent) < cutFromTargets
+}
+
+// FailureTellsOfTarget reports whether a recorded connection that was refused or reset says
+// something about its target: it is the only one to which connections failed since one was opened.
+func (h *Host) FailureTellsOfTarget() bool { return len(h.failed) < cutFromTargets }
+
 // Opened records that a connection to some target was opened.
 func (h *Host) Opened(now time.Time) {
 	clear(h.failed)
@@ -66,6 +90,7 @@
 // Answered records that some target answered on a connection of this host's own.
 func (h *Host) Answered(now time.Time) {
 	clear(h.broken)
+	clear(h.silent)
 	h.answered = now
 }
 
--- a/policy/directpath/host_test.go
+++ b/policy/directpath/host_test.go
@@ -57,3 +57,32 @@
 	h.Answered(noon)
 	assert.Check(t, !h.CutOff())
 }
+
+// Guards against blaming targets for the path of a host that is cut off, and against sparing one
+// that is down while others answer.
+func TestTimeoutsOfSeveralTargetsTellOfNone(t *testing.T) {
+	var h Host
+	h.TimedOut("a")
+	h.TimedOut("a")
+	assert.Check(t, h.TimeoutTellsOfTarget(noon), "one target only")
+	h.TimedOut("b")
+	assert.Check(t, !h.TimeoutTellsOfTarget(noon))
+	h.Answered(noon)
+	h.TimedOut("b")
+	assert.Check(t, h.TimeoutTellsOfTarget(noon))
+	h.TimedOut("a")
+	assert.Check(t, !h.TimeoutTellsOfTarget(noon))
+	assert.Check(t, h.TimeoutTellsOfTarget(noon.Add(-1)), "a target has answered since it began")
+}
+
+// Guards against blaming targets that a path refuses connections to while open ones answer.
+func TestRefusalsOfSeveralTargetsTellOfNone(t *testing.T) {
+	var h Host
+	h.Failed("a")
+	assert.Check(t, h.FailureTellsOfTarget())
+	h.Failed("b")
+	h.Answered(noon)
+	assert.Check(t, !h.FailureTellsOfTarget())
+	h.Opened(noon)
+	assert.Check(t, h.FailureTellsOfTarget())
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,7 +86,7 @@
 	s, err := c.deps.Streams.OpenStream(ctx, via, kindConnect, body)
 	if err != nil {
 		c.recordFailure(ctx, via, begin, err)
-		return nil, errors.Wrapf(err, "connect through %s", via)
+		return nil, markUnreachable(errors.Wrapf(err, "connect through %s", via))
 	}
 	c.opened.Add(1)
 	c.mu.Lock()
@@ -124,6 +125,15 @@
 	}
 }
 
+// markUnreachable marks the error of a host that does not reach the target although its paths are
+// well. Reasons travel as text.
+func markUnreachable(err error) error {
+	if errors.Is(err, peer.ErrRemote) && strings.HasSuffix(err.Error(), errUnreachable.Error()) {
+		return errors.Mark(err, upstream.ErrTargetUnreachable)
+	}
+	return err
+}
+
 // conn is a connection to a target through another host.
 type conn struct{ *peer.Stream }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,4 +38,5 @@
 	errFull        = errors.New("full")
 	errUnlisted    = errors.New("target not listed")
 	errUnreachable = errors.New("target unreachable")
+	errNoPath      = errors.New("no path to target")
 )
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -15,6 +15,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 // pair is a host that opens connections to a target through another one.
@@ -134,6 +135,20 @@
 	assert.Equal(t, p.server.Active(), 0)
 }
 
+// Guards against a host that takes the fault of another host's paths for one of the target.
+func TestOnlyAHostWhosePathsAreWellTellsOfTheTarget(t *testing.T) {
+	p := newPair(t)
+	for _, fault := range []bool{false, true} {
+		p.dial = func(context.Context, blackboard.Target) (net.Conn, error) {
+			if fault {
+				return nil, errors.Mark(errors.New("cut off"), upstream.ErrPathFault)
+			}
+			return nil, errors.New("refused")
+		}
+		assert.Equal(t, errors.Is(p.open(t), upstream.ErrTargetUnreachable), !fault)
+	}
+}
+
 // Guards against connections that use up a host's memory.
 func TestFullHostTakesNoMoreConnections(t *testing.T) {
 	p := newPair(t)
--- a/relay/server.go
+++ b/relay/server.go
@@ -116,8 +116,9 @@
 	defer s.release()
 	target, err := s.deps.Dial(ctx, t)
 	if err != nil {
-		s.refused.Add(errUnreachable.Error(), 1)
-		return errUnreachable
+		reason := dialFailure(err)
+		s.refused.Add(reason.Error(), 1)
+		return reason
 	}
 	defer target.Close()
 	stream, err := accept()
@@ -132,6 +133,15 @@
 	return nil
 }
 
+// dialFailure returns the reason that the host which asked is told for a failed connection. It takes
+// errUnreachable as evidence about the target.
+func dialFailure(err error) error {
+	if errors.Is(err, upstream.ErrPathFault) {
+		return errNoPath
+	}
+	return errUnreachable
+}
+
 // connectable returns the target that a host asks for, if it may get new requests as far as this
 // host knows.
 func (s *Server) connectable(body []byte) (blackboard.Target, error) {
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -24,6 +24,8 @@
 	// ownStarted is set once this host's own connection is being opened, ownErr if that failed.
 	ownStarted bool
 	ownErr     error
+	// targetUnreachable is set once another host, whose paths are well, did not reach the target.
+	targetUnreachable bool
 	// pending is the number of connections being opened.
 	pending int
 	// hosts are the hosts not yet tried; asked is set once they are known.
@@ -46,6 +48,7 @@
 
 // connect opens a connection to the target, through another host if this host's own path fails.
 // The target gets no byte of the request meanwhile, so that a connection that fails has not run it.
+// An error that says nothing about the target is marked with ErrPathFault.
 func (p *pool) connect(ctx context.Context, maxConns int, usable func() bool) (*conn, error) {
 	if p.owner.opts.Relay == nil {
 		return p.dial(ctx, "")
@@ -53,7 +56,11 @@
 	limited, cancel := context.WithTimeout(ctx, p.owner.opts.DialTimeout)
 	defer cancel()
 	o := &opening{pool: p, ctx: limited, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), begun: time.Now(), err: errNoPath}
-	return o.run()
+	c, err := o.run()
+	if err != nil {
+		return nil, o.markPathFault(err)
+	}
+	return c, nil
 }
 
 func (o *opening) run() (*conn, error) {
@@ -139,6 +146,7 @@
 	if r.via == "" {
 		o.ownErr = r.err
 	}
+	o.targetUnreachable = o.targetUnreachable || errors.Is(r.err, ErrTargetUnreachable)
 	if r.via == "" || errors.Is(o.err, errNoPath) {
 		o.err = r.err
 	}
--- a/upstream/open_test.go
+++ b/upstream/open_test.go
@@ -29,8 +29,10 @@
 	hosts map[ports.HostID]func(ctx context.Context) error
 	order []ports.HostID
 	// asked counts the calls of Hosts, opened connections by host; the own path has no name.
-	asked   int
-	opened  map[ports.HostID]int
+	asked  int
+	opened map[ports.HostID]int
+	// mute is set if targets do not respond.
+	mute    bool
 	serving sync.WaitGroup
 }
 
@@ -109,6 +111,9 @@
 			if _, err := there.Read(buf); err != nil {
 				return
 			}
+			if f.mute {
+				continue
+			}
 			if _, err := io.WriteString(there, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
 				return
 			}
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -223,18 +223,26 @@
 // errPathLost means that this host's own path to a target is known to be lost.
 var errPathLost = errors.New("path to target lost")
 
+// errUnreached means that this host did not reach a target a moment ago.
+var errUnreached = errors.New("target not reached a moment ago")
+
 // DialOwn opens a connection to a target by this host's own path, for another host. It fails at
 // once if the path is known to be lost, and checks it if that is due: this host may have no
-// requests of its own for the target.
+// requests of its own for the target. The error is marked with ErrPathFault if it says nothing
+// about the target.
 func (p *Pools) DialOwn(ctx context.Context, t blackboard.Target) (net.Conn, error) {
 	pl := p.pool(t)
 	pl.checkPath(SendOptions{})
+	if pl.pathLost() {
+		return nil, errors.Mark(errPathLost, ErrPathFault)
+	}
 	if pl.pathUnusable() {
-		return nil, errPathLost
+		return nil, p.markPathFault(t.ID, time.Now(), errUnreached)
 	}
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	conn, err := p.opts.Dial(ctx, t.Addr)
 	pl.noteOwn(err)
-	return conn, err
+	return conn, p.markPathFault(t.ID, begun, err)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -39,7 +39,8 @@
 	Response *http.Response
 	// Sent is set if any byte of the request may have left this host.
 	Sent bool
-	Err  error
+	// Err is marked with ErrPathFault if the failure says nothing about the target.
+	Err error
 	// Via is the host through which the request was sent; empty if this host sent it itself.
 	Via ports.HostID
 }
@@ -188,7 +189,7 @@
 		if c.via == "" && CauseOf(err) == CauseTimeout {
 			pl.suspect(begin, o)
 		}
-		return Result{Sent: sent, Err: err, Via: c.via}
+		return Result{Sent: sent, Err: pl.markRequestFault(c, begin, err), Via: c.via}
 	}
 	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
