A lost response is not a crash: targets that answer after it exonerate the request

Cause: a connection that closes under a request looks like the crash of its target. Two lost responses quarantined a page on all hosts, although both targets ran on. Change: an answer to a probe or request that was sent 100 ms or more after a loss is proof that the target did not crash; on a connection that is newer than the loss only for 400 ms (1 s with a known incarnation), and for three losses of a request without a complete response, since another run may have answered. The host that lost a target probes it, within the probe quota. Proofs go to all hosts that know of the loss; a request is held up to 600 ms while a target is verified. A suspect whose targets are all busy waits 200 ms instead of being refused.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -35,7 +35,7 @@
 	start  time.Time
 	// observe records the latency of a completely received response.
 	observe func(time.Duration)
-	// onBroken is Deps.OnBroken.
+	// onBroken is Deps.OnBroken for the service of the call; nil without one.
 	onBroken func(blackboard.Target)
 
 	ctx context.Context
@@ -48,8 +48,10 @@
 	// cause is how the connection failed; empty if it did not.
 	cause upstream.Cause
 	// via is the host through which the request was sent; empty if this host sent it itself.
-	via  ports.HostID
-	resp *http.Response
+	via ports.HostID
+	// opened is when the connection was opened on which the target responded.
+	opened time.Time
+	resp   *http.Response
 	// status is the status of the target's response, forwarded or not; 0 without a response.
 	status int
 	// mayHaveRun is false only if no byte of the request was sent or the target rejected the
@@ -69,12 +71,14 @@
 func (d *Dispatcher) attempt(ctx context.Context, c *Call, p permit) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{
-		permit:   p,
-		cancel:   cancel,
-		start:    time.Now(),
-		observe:  func(took time.Duration) { d.observe(c.Key, took) },
-		onBroken: d.onBroken,
-		ctx:      ctx,
+		permit:  p,
+		cancel:  cancel,
+		start:   time.Now(),
+		observe: func(took time.Duration) { d.observe(c.Key, took) },
+		ctx:     ctx,
+	}
+	if d.onBroken != nil {
+		a.onBroken = func(t blackboard.Target) { d.onBroken(c.Key, t) }
 	}
 	if c.Method != http.MethodHead {
 		a.buffers = d.buffers
@@ -101,6 +105,7 @@
 		a.end(a.class)
 		return a
 	}
+	a.opened = res.Opened
 	d.classifyResponse(c, a, req, res.Response)
 	return a
 }
@@ -318,6 +323,7 @@
 func (a *attempt) reportQuarantine(class pick.Class) {
 	switch class {
 	case pick.OK, pick.Failed:
+		a.quarantineAttempt.Answered(a.opened, a.signals.WarmUp > 0)
 		a.quarantineAttempt.Completed()
 	case pick.BrokeOff:
 		a.quarantineAttempt.BrokeOff()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
@@ -29,7 +30,7 @@
 	OnSignals pick.SignalHandler
 	// OnBroken, if set, is called after a target's connection broke under a request and the
 	// quarantine knows of it. It must not block.
-	OnBroken func(blackboard.Target)
+	OnBroken func(blackboard.ServiceKey, blackboard.Target)
 	// Retries is the budget for retries and hedges; nil means the ratios that each
 	// workspace declares.
 	Retries RetryBudget
@@ -65,7 +66,7 @@
 	metrics    *metrics.Set
 	contract   *targetapi.Contract
 	onSignals  pick.SignalHandler
-	onBroken   func(blackboard.Target)
+	onBroken   func(blackboard.ServiceKey, blackboard.Target)
 	retries    RetryBudget
 
 	buffers *responseBuffers
@@ -129,8 +130,16 @@
 	return d.run(ctx, c, h)
 }
 
+// A suspect whose targets all run something else waits up to maxIdleWaits times idleWait, 200 ms, for an
+// idle one, or to be cleared. The others may be runs of the same page, admitted before a loss.
+const (
+	idleWait     = 20 * time.Millisecond
+	maxIdleWaits = 10
+)
+
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (d *Dispatcher) run(ctx context.Context, c *Call, h *history) *Reply {
+	idleWaits := 0
 	for {
 		qa, decision := d.admitAttempt(ctx, c)
 		if decision.Refuse {
@@ -148,6 +157,12 @@
 			Bytes:     c.bytes(),
 			Regions:   c.Regions,
 		})
+		if g == nil && refusal.TargetsBusy && idleWaits < maxIdleWaits {
+			idleWaits++
+			qa.Close()
+			ctxtime.Sleep(ctx, idleWait)
+			continue
+		}
 		if g == nil {
 			qa.Close()
 			r := h.fallbackReply(refusal.Reason, refusal.RetryAfter)
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -145,19 +145,22 @@
 		Members: d.memberIDs,
 		Metrics: d.metrics,
 		Log:     d.log,
+
+		Verifies: true,
 	})
 	d.placer = placer.New(placer.Deps{
-		Board:     d.board,
-		Upstream:  d.pools,
-		Contract:  d.platform.Contract,
-		Probes:    placer.NewProbeQuota(d.board, d.settings.Measuring.PerTarget),
-		Zone:      d.settings.Host.Zone,
-		Regions:   d.settings.Zones,
-		Seed:      d.incarnation,
-		Metrics:   d.metrics,
-		Log:       d.log,
-		OnLeaving: d.markLeaving,
-		OnSignals: d.observeSignals,
+		Board:      d.board,
+		Upstream:   d.pools,
+		Contract:   d.platform.Contract,
+		Probes:     placer.NewProbeQuota(d.board, d.settings.Measuring.PerTarget),
+		Zone:       d.settings.Host.Zone,
+		Regions:    d.settings.Zones,
+		Seed:       d.incarnation,
+		Metrics:    d.metrics,
+		Log:        d.log,
+		OnLeaving:  d.markLeaving,
+		OnSignals:  d.observeSignals,
+		OnAnswered: d.quarantine.TargetAnswered,
 	})
 	d.provisionPicker()
 	d.provisionCallers()
@@ -196,6 +199,12 @@
 	})
 }
 
+// verifyTarget finds out in the background whether a target is alive whose connection broke.
+func (d *Daemon) verifyTarget(key blackboard.ServiceKey, t blackboard.Target) {
+	d.pools.Verify(t)
+	d.quarantine.Verify(t.RunID(), func() { d.placer.ProbeTarget(key, t) })
+}
+
 func (d *Daemon) provisionCallers() {
 	dispatcher := dispatch.New(dispatch.Deps{
 		Board:               d.board,
@@ -205,7 +214,7 @@
 		Metrics:             d.metrics,
 		Contract:            d.platform.Contract,
 		OnSignals:           d.observeSignals,
-		OnBroken:            d.pools.Verify,
+		OnBroken:            d.verifyTarget,
 		Retries:             newRetryBudget(d.settings.Retries, d.board),
 		ResponseBufferBytes: d.responseMemory(),
 	})
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -55,6 +55,8 @@
 	RetryAfter time.Duration
 	// Detail explains the basis of a refusal in the log.
 	Detail string
+	// TargetsBusy is set if targets would take the request if it did not need one to itself.
+	TargetsBusy bool
 }
 
 // Refuse returns a NotRun result with the reason's default Retry-After.
--- a/placer/candidates.go
+++ b/placer/candidates.go
@@ -24,6 +24,8 @@
 // The cheapest few are selected in one pass by insertion: sorting the whole list takes three
 // times as long (BenchmarkPickOf100Targets).
 type candidates struct {
+	// busy counts the targets left out because the request needs one to itself.
+	busy      int
 	list      [2 * placement.MaxProbes]ranked
 	near, far int
 	// coldOverQuota is the number of targets that were skipped because they are cold and this
@@ -79,6 +81,7 @@
 			continue
 		}
 		if req.Exclusive && t.figures.InFlight > 0 {
+			c.busy++
 			continue
 		}
 		// A target that is only presumed cold is still probed while probes are available: its
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,6 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/placement"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -50,6 +51,8 @@
 	OnLeaving func(blackboard.ServiceKey, blackboard.Target)
 	// OnSignals, if set, is called with the signals in each probe response. It must not block.
 	OnSignals pick.SignalHandler
+	// OnAnswered, if set, is called when a target answers a probe. It must not block.
+	OnAnswered func(suspicion.Answer)
 }
 
 // Placer is a pick.Picker that chooses targets by probing. It is safe for concurrent use.
@@ -105,7 +108,9 @@
 		c := p.candidates(s, req, waits)
 		probed := c.sameZone()
 		if len(c.all()) == 0 {
-			return nil, p.refuse(s.refusalReason(c), s.describe())
+			res := p.refuse(s.refusalReason(c), s.describe())
+			res.TargetsBusy = c.busy > 0
+			return nil, res
 		}
 		p.probe(ctx, s, probed)
 		g, last := p.choose(ctx, s, req, probed, placement.ProbeOtherZones)
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/policy/placement"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
@@ -99,6 +100,9 @@
 	if a.reached && !a.replaced && p.deps.OnSignals != nil {
 		p.deps.OnSignals(s.key, info, a.signals)
 	}
+	if a.reached && !a.replaced && p.deps.OnAnswered != nil {
+		p.deps.OnAnswered(suspicion.Answer{Target: info.RunID(), Sent: sent, Opened: a.opened, Cold: a.signals.WarmUp > 0})
+	}
 	p.logChange(s.recordProbe(t, a, time.Since(sent)), s, info.RunID())
 	if !a.reached {
 		p.count.probesFailed.Add(1)
@@ -106,11 +110,46 @@
 	}
 }
 
+// ProbeTarget probes a target, or waits for a probe of it in flight, and returns when that has
+// ended. It does nothing if another run has taken its place, if it can't be probed, or if the quota
+// is used up.
+func (p *Placer) ProbeTarget(key blackboard.ServiceKey, info blackboard.Target) {
+	path, conns := p.probeConfig(key)
+	if path == "" {
+		return
+	}
+	s := p.service(key)
+	if done := p.beginProbe(s, info, path, conns); done != nil {
+		<-done
+	}
+}
+
+// beginProbe begins a probe unless one is in flight, and returns what is closed at its end.
+func (p *Placer) beginProbe(s *service, info blackboard.Target, path string, conns int) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[info.ID]
+	if t == nil || t.info.RunID() != info.RunID() || t.info.Evacuated {
+		return nil
+	}
+	if t.probeDone == nil {
+		if !p.deps.Probes.Take(time.Now()) {
+			p.count.probesRefused.Add(1)
+			return nil
+		}
+		t.probeDone = make(chan struct{})
+		go p.probeTarget(s, t, t.info, path, conns)
+	}
+	return t.probeDone
+}
+
 // probeResult is the result of one probe.
 type probeResult struct {
 	// signals are the target's signals; they are empty unless it was reached.
 	signals targetapi.Signals
 	reached bool
+	// opened is when the connection was opened on which the target answered.
+	opened time.Time
 	// failure is why the target was not reached.
 	failure upstream.Cause
 	// replaced is set if another target answered at the address.
@@ -179,7 +218,7 @@
 	}
 	defer res.Response.Body.Close()
 	_, _ = io.CopyN(io.Discard, res.Response.Body, maxHealthBody)
-	a.reached = true
+	a.reached, a.opened = true, res.Opened
 	if !p.deps.Contract.IsFrom(string(info.ID), res.Response.Header) {
 		a.replaced = true
 		return a
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -26,11 +26,12 @@
 	Target    ports.RunID   `msgpack:"t"`
 	SinceLoss time.Duration `msgpack:"a"`
 	Trial     bool          `msgpack:"r"`
+	Pending   bool          `msgpack:"p"`
 }
 
 // at returns the loss by this host's clock.
 func (r LossRecord) at(now time.Time) Loss {
-	return Loss{Target: r.Target, At: now.Add(-max(0, r.SinceLoss)), Trial: r.Trial}
+	return Loss{Target: r.Target, At: now.Add(-max(0, r.SinceLoss)), Trial: r.Trial, Pending: r.Pending}
 }
 
 // Record returns the state of a request, and false if it is clean.
@@ -41,7 +42,7 @@
 	e := b.entries[d]
 	r := Record{Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent), KnownGood: e.answered}
 	for _, l := range e.losses {
-		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial})
+		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending})
 	}
 	return r, true
 }
@@ -65,7 +66,7 @@
 		return true
 	}
 	r.Losses = slices.DeleteFunc(slices.Clone(r.Losses), func(l LossRecord) bool {
-		return b.outdated(l.at(now))
+		return b.disproved(now, r.Digest, l.at(now))
 	})
 	if len(r.Losses) == 0 {
 		return b.entries[r.Digest] == nil
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -56,6 +56,9 @@
 	// SettleTime is how long a request is held, neither run nor refused, before its quarantine is
 	// confirmed or dropped; it is less than LossWindow.
 	SettleTime time.Duration
+	// VerifyTimeout is how long a request is held at most because a target that it lost is being
+	// verified; it is less than LossWindow.
+	VerifyTimeout time.Duration
 	// SuspectTTL is how long a request stays a suspect after it was last sent.
 	SuspectTTL time.Duration
 	// ReleaseAfterIdle is how long a quarantined request must not be sent until it is tried in
@@ -67,6 +70,14 @@
 	// TrialTimeout is how long a trial excludes others if its end is never reported. It has to
 	// exceed the duration of the calls that matter.
 	TrialTimeout time.Duration
+	// ProofGrace is the least time from a loss to a request whose answer shows that the target is
+	// alive, ProofWindow the longest one if the request's connection is newer than the loss and the
+	// target's incarnation unknown; with one it is LossWindow. See Proof.
+	ProofGrace, ProofWindow time.Duration
+	// MaxWithdrawn is how many losses of a request within WithdrawalMemory are withdrawn, without a
+	// complete response, by answers of targets that may have been restarted.
+	MaxWithdrawn     int
+	WithdrawalMemory time.Duration
 	// MaxEntries limits the number of requests tracked; the suspects that were sent the longest
 	// ago are dropped first.
 	MaxEntries int
@@ -78,10 +89,15 @@
 		LossWindow:       time.Second,
 		MassLossTargets:  1,
 		SettleTime:       250 * time.Millisecond,
+		VerifyTimeout:    600 * time.Millisecond, // two probes of 250 ms after ProofGrace
 		SuspectTTL:       10 * time.Minute,
 		ReleaseAfterIdle: 10 * time.Minute,
 		MaxQuarantine:    24 * time.Hour,
 		TrialTimeout:     time.Minute,
+		ProofGrace:       100 * time.Millisecond, // an exiting process closes its connections within some ms
+		ProofWindow:      400 * time.Millisecond, // a crashed target is unavailable for seconds
+		MaxWithdrawn:     3,                      // two more losses quarantine: five crashes, and one of a concurrent send
+		WithdrawalMemory: 10 * time.Second,       // hosts know a restart after 3 s
 		MaxEntries:       4096,
 	}
 }
@@ -92,6 +108,10 @@
 	At     time.Time
 	// Trial is set if the request ran in isolation.
 	Trial bool
+	// Own is set if this host observed the loss.
+	Own bool
+	// Pending is set if the host that observed the loss finds out whether the target is alive.
+	Pending bool
 }
 
 // BrokenRun is a run whose connection broke.
@@ -152,6 +172,8 @@
 	for i, old := range e.losses {
 		if old.Target == l.Target && absDiff(old.At, l.At) < window {
 			e.losses[i].Trial = old.Trial || l.Trial
+			e.losses[i].Own = old.Own || l.Own
+			e.losses[i].Pending = old.Pending || l.Pending
 			return l.Trial && !old.Trial
 		}
 	}
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -17,8 +17,11 @@
 	// cleared holds when requests were recently cleared: older records of them from other hosts
 	// are out of date.
 	cleared map[Digest]time.Time
-	// alive holds when targets were last reached after a loss: earlier losses are no evidence.
-	alive map[ports.RunID]time.Time
+	// alive holds the proofs that targets did not crash: losses that they cover are no evidence.
+	alive map[ports.RunID]proofs
+	// withdrawn holds the losses that were withdrawn from requests since their last complete response,
+	// although the target may have been restarted.
+	withdrawn map[Digest][]Loss
 	// minLosses is the number of lost targets from which a request is blamed that never ran in
 	// isolation.
 	minLosses int
@@ -42,13 +45,17 @@
 		losses:    make(map[ports.RunID]Loss),
 		accused:   make(map[Digest]time.Time),
 		cleared:   make(map[Digest]time.Time),
-		alive:     make(map[ports.RunID]time.Time),
+		alive:     make(map[ports.RunID]proofs),
+		withdrawn: make(map[Digest][]Loss),
 	}
 }
 
 // Len returns the number of requests tracked.
 func (b *Tracker) Len() int { return len(b.entries) }
 
+// Active reports whether a complete response or an answer of a target may change anything.
+func (b *Tracker) Active() bool { return len(b.entries) > 0 || len(b.withdrawn) > 0 }
+
 // State returns the state of a request after applying timeouts: an expired suspect is dropped,
 // and an expired quarantine makes the request a suspect.
 func (b *Tracker) State(now time.Time, d Digest) State {
@@ -82,7 +89,7 @@
 // When the targets of a zone fail milliseconds apart, a retried request looks as if it crashed
 // two of them. After SettleTime the other losses are known.
 func (b *Tracker) settle(now time.Time, e *entry) {
-	if e.settled || now.Sub(e.since) < b.limits.SettleTime {
+	if e.settled || now.Sub(e.since) < b.limits.SettleTime || b.awaitsProof(now, e) {
 		return
 	}
 	if !b.blamed(e) || b.unexplained(e) >= b.limits.MassLossTargets || b.accusedWith(e) > maxAccused {
@@ -114,6 +121,7 @@
 
 // RecordBrokenRun records a run whose connection broke and returns the request's state.
 func (b *Tracker) RecordBrokenRun(now time.Time, r BrokenRun) State {
+	r.Own = true
 	b.recordLoss(now, r.Loss)
 	e := b.ensure(r.Digest, now)
 	e.sent = now
@@ -135,9 +143,10 @@
 	b.accused[d] = at
 }
 
-// RecordLostTarget records that a target is unreachable, whatever it ran.
+// RecordLostTarget records that a target is unreachable, whatever it ran. Such a loss excuses requests,
+// so that only this host's own proofs withdraw it.
 func (b *Tracker) RecordLostTarget(now time.Time, target ports.RunID) {
-	b.recordLoss(now, Loss{Target: target, At: now})
+	b.recordLoss(now, Loss{Target: target, At: now, Own: true})
 }
 
 // ensure returns the entry of a request, and makes a clean request a suspect.
@@ -213,6 +222,7 @@
 // operator, and reports whether it was suspected. Older records from other hosts are ignored from
 // now on.
 func (b *Tracker) Clear(now time.Time, d Digest) bool {
+	delete(b.withdrawn, d)
 	if b.entries[d] == nil {
 		return false
 	}
@@ -250,11 +260,7 @@
 			delete(b.cleared, d)
 		}
 	}
-	for target, at := range b.alive {
-		if now.Sub(at) >= b.limits.SuspectTTL {
-			delete(b.alive, target)
-		}
-	}
+	b.sweepProofs(now)
 }
 
 // makeRoom drops one request if the tracker is full: the suspect that was sent the longest ago
--- a/ports/incarnation.go
+++ b/ports/incarnation.go
@@ -1,6 +1,9 @@
 package ports
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // Incarnation identifies one run of a target's process. It is the start time in Unix
 // milliseconds that the target reports, or 0 if it reports none. A target may restart under
@@ -15,6 +18,9 @@
 // later run with the same host ID.
 type RunID string
 
+// HasIncarnation reports whether the incarnation is known.
+func (r RunID) HasIncarnation() bool { return strings.Contains(string(r), "@") }
+
 // NewRunID returns the RunID of an incarnation: the host ID, followed by "@" and the
 // incarnation if that is known.
 func NewRunID(target HostID, i Incarnation) RunID {
--- a/provision.go
+++ b/provision.go
@@ -286,7 +286,7 @@
 		Quarantine: d.quarantine,
 		Metrics:    d.metrics,
 		OnSignals:  d.recordSignals,
-		OnBroken:   d.pools.Verify,
+		OnBroken:   func(_ blackboard.ServiceKey, t blackboard.Target) { d.pools.Verify(t) },
 	})
 	memory := d.settings.Callers.BodyMemoryBytes
 	if memory == 0 {
--- /dev/null
+++ b/quarantine/alive.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// TargetReached reports that another host reached a target after its connections to this host broke.
+// The path failed and not the target, so that no request is blamed for it.
+func (q *Quarantine) TargetReached(target ports.RunID) {
+	q.reachability.markUp(target)
+	q.recordProof(func(now time.Time) (suspicion.Proof, suspicion.Withdrawal) {
+		return q.tracker.RecordReached(now, target)
+	})
+}
+
+// TargetAnswered reports a complete answer of a target to a probe or a request. If it shows that
+// the target did not crash, the losses that it disproves are withdrawn on all hosts.
+func (q *Quarantine) TargetAnswered(a suspicion.Answer) {
+	if a.Sent.IsZero() || !q.active.Load() {
+		return
+	}
+	q.recordProof(func(now time.Time) (suspicion.Proof, suspicion.Withdrawal) {
+		return q.tracker.RecordAnswer(now, a)
+	})
+}
+
+// recordProof records a proof of this host, and notifies the hosts that know of losses which it
+// withdraws.
+func (q *Quarantine) recordProof(record func(now time.Time) (suspicion.Proof, suspicion.Withdrawal)) {
+	var w suspicion.Withdrawal
+	var msg targetsAliveMsg
+	q.locked(func(now time.Time) {
+		var p suspicion.Proof
+		p, w = record(now)
+		msg.Proofs = []suspicion.ProofRecord{p.Record(now)}
+		if len(w.Affected) > 0 {
+			q.notifyWaiters()
+		}
+	})
+	if len(w.Affected) == 0 {
+		return
+	}
+	q.count.Add(countAlive, 1)
+	q.log.Info("target did not crash", zap.String("target", string(msg.Proofs[0].Target)),
+		zap.Int("requests", len(w.Affected)), zap.Int("cleared", len(w.Exonerated)))
+	notifyAll(q, q.recipientsOfAll(w.Affected), kindTargetsAlive, msg)
+	for _, e := range w.Exonerated {
+		q.count.Add(countCleared, 1)
+		q.log.Info("request cleared", zap.String("digest", formatDigest(e.Digest)))
+	}
+}
+
+// recipientsOfAll returns the hosts that know of any of these requests.
+func (q *Quarantine) recipientsOfAll(list []suspicion.Exonerated) []ports.HostID {
+	var ids []ports.HostID
+	for _, e := range list {
+		for _, id := range q.recipients(e.Digest, e.Was) {
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return ids
+}
+
+func (q *Quarantine) onTargetsAlive(_ context.Context, from peer.HostID, msg targetsAliveMsg) (struct{}, error) {
+	withdrawn := 0
+	q.locked(func(now time.Time) {
+		for _, r := range msg.Proofs {
+			if p, ok := r.Proof(now); ok {
+				withdrawn += len(q.tracker.RecordProof(now, p, false).Affected)
+			}
+		}
+		q.notifyWaiters()
+	})
+	q.log.Debug("targets did not crash, by another host",
+		zap.String("from", string(from)), zap.Int("requests", withdrawn))
+	return struct{}{}, nil
+}
+
+// proofRecords returns what the sender of a record does not know. The caller holds the lock.
+func (q *Quarantine) proofRecords(now time.Time, r suspicion.Record) (out []suspicion.ProofRecord) {
+	for _, p := range q.tracker.Proofs(now, r) {
+		out = append(out, p.Record(now))
+	}
+	return out
+}
+
+const (
+	// maxVerifications bounds the targets that a host verifies at the same time. A failed zone of
+	// a large deployment has more, and gains nothing by it.
+	maxVerifications = 16
+	// maxVerificationProbes is the number of probes for one verification. A target may turn the first
+	// one away because it is full.
+	maxVerificationProbes = 3
+	// verificationInterval is the least time between two such probes of a target.
+	verificationInterval = 100 * time.Millisecond
+)
+
+// Verify finds out in the background whether a target is alive that this host lost. probe sends one
+// probe and returns when it has ended; TargetAnswered must be called for the answer. It is
+// called at most maxVerificationProbes times, and not if other answers of the target suffice.
+func (q *Quarantine) Verify(target ports.RunID, probe func()) {
+	begin := false
+	q.locked(func(now time.Time) {
+		_, lost := q.tracker.Unproven(now, target)
+		begin = lost && !q.verifying[target] && len(q.verifying) < maxVerifications
+		switch {
+		case begin:
+			q.verifying[target] = true
+		case !q.verifying[target]:
+			q.tracker.EndVerification(target)
+		}
+	})
+	if begin {
+		go q.verify(target, probe)
+	}
+}
+
+// verify probes a target until its losses are disproved.
+func (q *Quarantine) verify(target ports.RunID, probe func()) {
+	for range maxVerificationProbes {
+		time.Sleep(q.untilProvable(target))
+		if q.untilProvable(target) < 0 {
+			break
+		}
+		q.count.Add(countVerified, 1)
+		next := time.Now().Add(verificationInterval)
+		probe()
+		if q.untilProvable(target) < 0 {
+			break
+		}
+		time.Sleep(time.Until(next))
+	}
+	q.locked(func(time.Time) {
+		delete(q.verifying, target)
+		q.tracker.EndVerification(target)
+		q.notifyWaiters()
+	})
+}
+
+// untilProvable returns how long an answer of a target can not disprove its last loss yet, or a
+// negative duration if there is no loss to disprove.
+func (q *Quarantine) untilProvable(target ports.RunID) (d time.Duration) {
+	q.locked(func(now time.Time) {
+		last, lost := q.tracker.Unproven(now, target)
+		d = -1
+		if lost {
+			d = max(0, last.Add(q.proofGrace).Sub(now))
+		}
+	})
+	return d
+}
--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -125,13 +125,15 @@
 }
 
 // merge merges records from another host into the tracker and sends what follows:
-//   - to a sender whose record is outdated, that the request has been cleared;
+//   - to a sender whose record is outdated, that the request has been cleared or that
+//     targets in it did not crash;
 //   - to all hosts, records of suspects that the merge has quarantined;
 //   - to all hosts, records of requests that this host saw answered, with that
 //     evidence, before others quarantine them without a trial.
 func (q *Quarantine) merge(from peer.HostID, records []suspicion.Record) {
 	q.markLosses(records)
 	var cleared []suspicion.Digest
+	var proofs []suspicion.ProofRecord
 	var vindicated, quarantined []suspicion.Record
 	q.locked(func(now time.Time) {
 		for _, r := range records {
@@ -141,8 +143,12 @@
 			if rec, ok := q.tracker.Record(now, r.Digest); ok && was != suspicion.Quarantined && r.State == suspicion.Suspect && rec.State == suspicion.Quarantined {
 				quarantined = append(quarantined, rec)
 			}
-			if outdated {
+			known := q.proofRecords(now, r)
+			proofs = append(proofs, known...)
+			if outdated && len(known) == 0 {
 				cleared = append(cleared, r.Digest)
+			}
+			if outdated {
 				continue
 			}
 			if rec, ok := q.tracker.Record(now, r.Digest); ok && knownGood && !r.KnownGood && len(rec.Losses) > 1 {
@@ -154,6 +160,9 @@
 	if len(cleared) > 0 && !peer.Notify(q.link, from, kindCleared, clearedMsg{Digests: cleared}) {
 		q.count.Add(countDropped, 1)
 	}
+	if len(proofs) > 0 && !peer.Notify(q.link, from, kindTargetsAlive, targetsAliveMsg{Proofs: proofs}) {
+		q.count.Add(countDropped, 1)
+	}
 	if len(quarantined) > 0 {
 		broadcast(q, kindRecords, recordsMsg{Records: quarantined})
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -30,7 +30,9 @@
 type Attempt struct {
 	q      *Quarantine
 	digest uint64
-	target ports.RunID
+	// answer is what a complete response shows about the target. Its Sent is zero if nothing was
+	// suspected when the attempt was sent.
+	answer suspicion.Answer
 	trial  *trial
 	once   sync.Once
 }
@@ -135,7 +137,19 @@
 	if a == nil {
 		return
 	}
-	a.target = target
+	a.answer.Target = target
+	if a.q.active.Load() {
+		a.answer.Sent = time.Now()
+	}
+}
+
+// Answered records when the connection was opened on which the target answers, and whether the
+// target reports that it is warming up. It must be called before Completed.
+func (a *Attempt) Answered(opened time.Time, cold bool) {
+	if a == nil {
+		return
+	}
+	a.answer.Opened, a.answer.Cold = opened, cold
 }
 
 // Completed reports that the target's complete response arrived, whatever its status.
@@ -144,8 +158,9 @@
 		return
 	}
 	a.once.Do(func() {
-		a.q.reachability.markUp(a.target)
+		a.q.reachability.markUp(a.answer.Target)
 		a.q.recordCompletion(a.digest)
+		a.q.TargetAnswered(a.answer)
 		a.endTrial()
 	})
 }
@@ -159,7 +174,7 @@
 		return
 	}
 	a.once.Do(func() {
-		loss := suspicion.Loss{Target: a.target, Trial: a.trial != nil}
+		loss := suspicion.Loss{Target: a.answer.Target, Trial: a.trial != nil}
 		a.q.recordLoss(suspicion.BrokenRun{Digest: a.digest, Loss: loss})
 		a.endTrial()
 	})
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -18,6 +18,8 @@
 	kindEndTrial
 	// kindTargetLost announces that a target became unreachable.
 	kindTargetLost
+	// kindTargetsAlive announces that targets did not crash.
+	kindTargetsAlive
 )
 
 // recordsMsg is the body of kindRecords.
@@ -35,6 +37,11 @@
 	Target ports.RunID `msgpack:"t"`
 }
 
+// targetsAliveMsg is the body of kindTargetsAlive.
+type targetsAliveMsg struct {
+	Proofs []suspicion.ProofRecord `msgpack:"p"`
+}
+
 // acquireReq is the body of kindAcquireTrial. It carries the sender's record of the request,
 // so that an arbiter that missed the earlier notifications decides on the same evidence.
 type acquireReq struct {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -60,6 +60,8 @@
 	countWaitTimeouts = "trial_wait_gave_up"
 	countNoArbiter    = "trials_without_keeper"
 	countDropped      = "notifications_dropped"
+	countVerified     = "targets_verified"
+	countAlive        = "targets_alive"
 )
 
 // Deps holds the dependencies and settings of a Quarantine.
@@ -72,6 +74,8 @@
 	Log     *zap.Logger
 	// Limits defaults to suspicion.DefaultLimits if it is zero.
 	Limits suspicion.Limits
+	// Verifies is set if the caller calls Verify after each attempt that broke off.
+	Verifies bool
 }
 
 // Quarantine tracks suspected requests on one host and shares what it knows with
@@ -81,12 +85,15 @@
 	members func() []ports.HostID
 	count   *expvar.Map
 	log     *zap.Logger
+	// verifies is Deps.Verifies.
+	verifies bool
 
 	completedCache completedCache
 	reachability   reachability
 	// entries is the number of requests in the tracker. While it is 0, Admit takes
-	// no lock.
+	// no lock. While active is not set, complete responses take none either.
 	entries atomic.Int64
+	active  atomic.Bool
 	// trials numbers the trials of this host, see newTrial.
 	trials atomic.Uint64
 
@@ -95,6 +102,10 @@
 	// changed is closed and replaced whenever the state of any request may have
 	// changed, to wake the calls that wait for a trial.
 	changed chan struct{}
+	// proofGrace is suspicion.Limits.ProofGrace.
+	proofGrace time.Duration
+	// verifying holds the targets that Verify is finding out about.
+	verifying map[ports.RunID]bool
 }
 
 // New returns a Quarantine and registers its message handlers on the link. The
@@ -108,8 +119,14 @@
 		members: d.Members,
 		count:   d.Metrics.Map("quarantine"),
 		log:     d.Log,
+
+		verifies: d.Verifies,
+
 		tracker: suspicion.NewTracker(d.Limits),
 		changed: make(chan struct{}),
+
+		proofGrace: d.Limits.ProofGrace,
+		verifying:  make(map[ports.RunID]bool),
 	}
 	d.Metrics.Func("quarantine_entries", func() any { return q.entries.Load() })
 	peer.Handle(d.Link, kindRecords, q.onRecords)
@@ -117,6 +134,7 @@
 	peer.Handle(d.Link, kindAcquireTrial, q.onAcquireTrial)
 	peer.Handle(d.Link, kindEndTrial, q.onEndTrial)
 	peer.Handle(d.Link, kindTargetLost, q.onTargetLost)
+	peer.Handle(d.Link, kindTargetsAlive, q.onTargetsAlive)
 	return q
 }
 
@@ -130,7 +148,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			if q.entries.Load() > 0 {
+			if q.active.Load() {
 				q.sync()
 			}
 		}
@@ -187,6 +205,7 @@
 	q.tracker.SetMinLosses(need)
 	f(time.Now())
 	q.entries.Store(int64(q.tracker.Len()))
+	q.active.Store(q.tracker.Active())
 }
 
 // notifyWaiters makes the calls that wait for a trial check again. The caller holds the lock.
@@ -217,6 +236,7 @@
 func (q *Quarantine) recordLoss(r suspicion.BrokenRun) {
 	q.reachability.markDown(r.Target)
 	r.KnownGood = q.completedCache.has(r.Digest)
+	r.Pending = q.verifies
 	var was, is suspicion.State
 	var records []suspicion.Record
 	q.locked(func(now time.Time) {
@@ -250,7 +270,7 @@
 // recordCompletion records a run on this host that ended with a complete response.
 func (q *Quarantine) recordCompletion(d suspicion.Digest) {
 	q.completedCache.add(d)
-	if q.entries.Load() > 0 {
+	if q.active.Load() {
 		q.markInnocent(d)
 	}
 }
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -70,20 +70,6 @@
 	return struct{}{}, nil
 }
 
-// TargetReached reports that another host reached a target after its connections to this host broke.
-// The path failed and not the target, so that no request is blamed for it.
-func (q *Quarantine) TargetReached(target ports.RunID) {
-	q.reachability.markUp(target)
-	var list []suspicion.Exonerated
-	q.locked(func(now time.Time) {
-		list = q.tracker.RecordAlive(now, target)
-		q.notifyWaiters()
-	})
-	for _, e := range list {
-		q.reportCleared(e.Digest, e.Was)
-	}
-}
-
 // markLosses marks the targets that records report as recently lost.
 func (q *Quarantine) markLosses(records []suspicion.Record) {
 	for _, r := range records {
--- a/upstream/dialroute.go
+++ b/upstream/dialroute.go
@@ -66,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{cc: cc, counter: route.conn, via: via, idleSince: time.Now(), wait: newResponseWait(route.conn.Conn)}
+	now := time.Now()
+	c := &conn{cc: cc, counter: route.conn, via: via, opened: now, idleSince: now, wait: newResponseWait(route.conn.Conn)}
 	c.busy.Store(true)
 	return c, nil
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -49,6 +49,7 @@
 	counter *countingConn
 	// via is the host that carries the connection; empty if this host opened it itself.
 	via       ports.HostID
+	opened    time.Time // when it was established
 	idleSince time.Time // when it became idle
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -42,6 +42,9 @@
 	Err  error
 	// Via is the host through which the request was sent; empty if this host sent it itself.
 	Via ports.HostID
+	// Opened is when the connection was opened on which the target responded; the zero time without a
+	// response.
+	Opened time.Time
 }
 
 // SendOptions controls the use of connections by one attempt.
@@ -194,7 +197,7 @@
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: pl, conn: c}
-	return Result{Response: resp, Sent: true, Via: c.via}
+	return Result{Response: resp, Sent: true, Via: c.via, Opened: c.opened}
 }
 
 func (p *Pools) pool(t blackboard.Target) *pool {
