Pipelined requests of one connection run at the same time

net/http serves the requests of a connection one after another, so that a request waits for the whole response to the one before it.

Package pipeline wraps the callers' connections in front of the server. Bytes that arrive behind the header of a GET or HEAD whose response isn't complete are withheld from the server and split by http.ReadRequest. Requests of safe routes are served by the same server on in-memory connections, whose writes wait for their turn. All others wait until everything before them is answered. While nothing is pipelined, reads and writes pass through.

A host that shuts down waits until no connection carries more than one request before it starts to announce the close on every response, since callers take the requests behind such a response for unread.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/pipeline"
 	"github.com/cactusproxy/cactusproxy/placer"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/relay"
@@ -74,6 +75,7 @@
 	leave      *leave.Controller
 
 	callers    *daemon.Callers
+	pipeline   *pipeline.Pipeline // nil if it is turned off
 	ownAnswers *entry.ServerResponseMonitor
 	readiness  *http.Server
 	operators  *http.Server
--- /dev/null
+++ b/edge/pipeline_test.go
@@ -0,0 +1,125 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+// pipelinedCaller is a client that sends requests on one connection without waiting for responses.
+type pipelinedCaller struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (l *localCluster) pipelinedCaller(d *daemon) *pipelinedCaller {
+	l.t.Helper()
+	nc, err := net.Dial("tcp", d.CallersAddr())
+	assert.NilError(l.t, err)
+	l.t.Cleanup(func() { _ = nc.Close() })
+	assert.NilError(l.t, nc.SetDeadline(time.Now().Add(20*time.Second)))
+	return &pipelinedCaller{t: l.t, Conn: nc, reader: bufio.NewReader(nc)}
+}
+
+// pipelined returns the text of a request without a body. lines are additional header lines.
+func pipelined(method, path, id string, lines ...string) string {
+	var more strings.Builder
+	for _, line := range lines {
+		more.WriteString(line + "\r\n")
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 4000\r\n%s\r\n",
+		method, path, hostName, standin.HeaderRequestID, id, standin.HeaderDeadline, more.String())
+}
+
+// send writes requests in one segment.
+func (c *pipelinedCaller) send(requests ...string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, strings.Join(requests, ""))
+	assert.NilError(c.t, err)
+}
+
+// read reads the next response.
+func (c *pipelinedCaller) read() (response, error) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return response{}, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return response{id: resp.Header.Get(standin.HeaderRequestID), status: resp.StatusCode, body: string(body), header: resp.Header, closed: resp.Close}, err
+}
+
+// expect reads the next response and checks that it is that of a request.
+func (c *pipelinedCaller) expect(id string, status int) response {
+	c.t.Helper()
+	r, err := c.read()
+	assert.NilError(c.t, err, "response to %s", id)
+	assert.Equal(c.t, r.id, id)
+	assert.Equal(c.t, r.status, status, "response to %s", id)
+	if status == http.StatusOK {
+		assert.Equal(c.t, r.body, standin.ResponseBody(id, 0))
+	}
+	return r
+}
+
+// startOf returns when a request started at a target; zero if it did not.
+func (l *localCluster) startOf(id string) time.Time {
+	for _, tg := range l.targets {
+		if at, ok := tg.StartTimes()[id]; ok {
+			return at
+		}
+	}
+	return time.Time{}
+}
+
+// slowRoute adds a route to a target that takes this long for a request.
+func (l *localCluster) slowRoute(work time.Duration) {
+	l.t.Helper()
+	tg := l.addTarget("slow-0", "slow")
+	tg.Work = work
+	tg.Slots, tg.Queue = 64, 64
+	l.configure(2, standin.Route{Name: "slow", Host: hostName, Prefix: "/slow/", Type: "safe", Service: "slow", Timeout: "5s", MaxAttempts: 2})
+	l.await("the slow route", func() bool {
+		resp, err := http.Get("http://" + l.daemons[0].CallersAddr())
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		table := l.daemons[0].Board().Routes.Load()
+		return table.Config.Version == 2 && len(l.daemons[0].Board().Targets.Load().ByService) == 3
+	})
+}
+
+// Two requests are sent at once, and the first takes long. Guards against head-of-line blocking: the
+// second must reach its target at once, and its response must still come second.
+func TestPipelinedRequestRunsBesideASlowOne(t *testing.T) {
+	l := newLocalCluster(t, 1)
+	l.slowRoute(600 * time.Millisecond)
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprintf("in one segment %v", together), func(t *testing.T) {
+			c := l.pipelinedCaller(l.daemons[0])
+			first, second := fmt.Sprint("first-", together), fmt.Sprint("second-", together)
+			begin := time.Now()
+			if together {
+				c.send(pipelined("GET", "/slow/1", first), pipelined("GET", "/lots/2", second))
+			} else {
+				c.send(pipelined("GET", "/slow/1", first))
+				time.Sleep(100 * time.Millisecond)
+				c.send(pipelined("GET", "/lots/2", second))
+			}
+			c.expect(first, http.StatusOK)
+			c.expect(second, http.StatusOK)
+			assert.Check(t, time.Since(begin) >= 600*time.Millisecond)
+			started := l.startOf(second).Sub(begin)
+			assert.Check(t, started < 400*time.Millisecond, "the second request started after %v", started)
+		})
+	}
+}
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -19,6 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/entry"
 	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/pipeline"
 	"github.com/cactusproxy/cactusproxy/placer"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
@@ -263,10 +264,39 @@
 		Listener: d.ownAnswers.Listener(d.listeners.callers),
 		InFlight: d.entry.InFlight,
 	}
+	d.provisionPipeline()
 	d.readiness = d.auxiliaryServer(d.platform.ReadyPath, http.HandlerFunc(d.serveReadiness))
 	d.operators = d.auxiliaryServer(MetricsPath, d.metrics)
 }
 
+// provisionPipeline lets requests of one connection run at the same time, unless that is turned off.
+func (d *Daemon) provisionPipeline() {
+	if d.settings.Callers.Pipeline.Off {
+		return
+	}
+	d.pipeline = pipeline.New(pipeline.Options{
+		MayRunAhead:   d.entry.MayRunAhead,
+		PerConnection: d.settings.Callers.Pipeline.RequestsPerConnection,
+		PerHost:       d.settings.Callers.Pipeline.RequestsPerHost,
+		Memory:        d.entry.BodyMemory(),
+		Metrics:       d.metrics,
+	})
+	d.pipeline.Attach(d.callers.Server)
+	d.callers.Pipeline = d.pipeline
+	d.callers.Listener = d.ownAnswers.Listener(d.pipeline.Listener(d.listeners.callers))
+	d.callers.Ahead = d.ownAnswers.Listener(d.pipeline.Ahead(d.listeners.callers.Addr()))
+}
+
+// inFlight returns the number of requests whose response isn't complete, including those that this
+// host carries for others.
+func (d *Daemon) inFlight() int {
+	n := int(d.entry.InFlight()) + d.relay.Active()
+	if d.pipeline != nil {
+		n += d.pipeline.Undelivered()
+	}
+	return n
+}
+
 // MetricsPath is the path of the metrics on the operators' listener.
 const MetricsPath = "/metrics"
 
@@ -292,7 +322,7 @@
 func (d *Daemon) provisionLeave() {
 	d.leave = leave.New(leave.Options{
 		Board:       d.board,
-		InFlight:    func() int { return int(d.entry.InFlight()) + d.relay.Active() },
+		InFlight:    d.inFlight,
 		DrainPeriod: d.settings.Drain.Notice.Or(defaultDrainNotice),
 		Limit:       d.settings.Drain.Limit.Or(defaultDrainLimit),
 		Log:         d.log,
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/cactusproxy/cactusproxy/calllog"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pipeline"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
 )
 
@@ -50,7 +51,7 @@
 		w.Header().Set(name, r.Header.Get(name))
 	}
 	status := s.deps.Board.Status.Load()
-	if status.Leaving {
+	if status.Leaving && pipeline.Last(r) {
 		// The caller opens its next connection through the load balancer, to a host that
 		// stays. If the idle connection were closed instead, a request that is just being
 		// sent on it would be reset.
@@ -76,6 +77,12 @@
 	}
 	c.Service = m.Service.Name
 	c.Tenant = m.Tenant
+	if m.Idempotency == dispatch.Idempotent {
+		pipeline.AllowOvertaking(r)
+	} else if pipeline.Ahead(r) {
+		s.refuse(w, c, outcome.Refuse(outcome.ReasonNotInTurn))
+		return
+	}
 	if refusal := s.knownOverQuota(m); refusal.Outcome != 0 {
 		s.refuse(w, c, callRefusal(r, m, refusal))
 		return
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -73,6 +73,17 @@
 	return f.match(table, q, m)
 }
 
+// MayRunAhead implements Finder. Downloads don't run ahead: their responses are too large to be
+// buffered, so that they would occupy a slot of a target until their turn.
+func (f *RouteFinder) MayRunAhead(q RouteQuery) bool {
+	table := f.board.Routes.Load()
+	if table == nil {
+		return false
+	}
+	m, reason := lookup(table, q)
+	return reason == "" && m.Route.Kind == routing.Safe
+}
+
 // lookupResult is the match for a request in one routing table, and its tenant.
 type lookupResult struct {
 	routing.Match
--- a/entry/server.go
+++ b/entry/server.go
@@ -97,6 +97,9 @@
 	// Find returns the match for a request and the zero Result. If the request is refused, the
 	// Result is the refusal and only the ConfigVersion of the match is valid.
 	Find(ctx context.Context, q RouteQuery) (Match, outcome.Result)
+	// MayRunAhead reports whether requests of this kind may run before earlier ones of their
+	// connection are answered. It doesn't block.
+	MayRunAhead(q RouteQuery) bool
 	// Deny returns the result for a request that a version of the configuration doesn't allow,
 	// for the given reason.
 	Deny(ctx context.Context, version uint64, reason outcome.Reason) outcome.Result
@@ -158,6 +161,16 @@
 	return m, outcome.Result{}
 }
 
+// MayRunAhead reports whether a GET or HEAD without a body may run before earlier requests of its
+// connection are answered. It doesn't block and may be outdated when the call is made.
+func (s *Server) MayRunAhead(r *http.Request) bool {
+	status := s.deps.Board.Status.Load()
+	return s.deps.Finder != nil && status.Serving() && !status.Leaving && s.deps.Finder.MayRunAhead(s.routeQuery(r))
+}
+
+// BodyMemory returns the memory for request bodies, in bytes.
+func (s *Server) BodyMemory() *semaphore.Weighted { return s.memory }
+
 // routeQuery returns the part of a request that determines its route.
 func (s *Server) routeQuery(r *http.Request) RouteQuery {
 	q := RouteQuery{Host: r.Host, Path: r.URL.EscapedPath()}
--- a/entry/serverresponses.go
+++ b/entry/serverresponses.go
@@ -92,11 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := nc.(*net.TCPConn)
-	if !ok {
-		return nc, nil
-	}
-	c := &monitoredConn{TCPConn: tcp, monitor: l.monitor}
+	c := &monitoredConn{Conn: nc, monitor: l.monitor}
 	c.unhandled.Store(true)
 	return c, nil
 }
@@ -106,7 +102,7 @@
 // monitoredConn is a connection from a caller. With HTTP/1, all fields except the atomic one
 // belong to the goroutine that serves the connection.
 type monitoredConn struct {
-	*net.TCPConn
+	net.Conn
 	monitor *ServerResponseMonitor
 	// unhandled is set while no handler has received the current or next request.
 	unhandled atomic.Bool
@@ -158,12 +154,15 @@
 	c.lastRequestID = r.Header.Get(c.monitor.requestID)
 }
 
+// NetConn returns the connection that c wraps.
+func (c *monitoredConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *monitoredConn) Write(b []byte) (int, error) {
 	if c.unhandled.Load() {
 		c.inspect(b)
 	}
-	return c.TCPConn.Write(b)
+	return c.Conn.Write(b)
 }
 
 // inspect checks a write that happens without a handler. It may also be part of a TLS handshake or
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -37,15 +37,33 @@
 	Server *http.Server
 	// Listener is nil if the handler of Server is called in some other way.
 	Listener net.Listener
+	// Ahead, if not nil, is the listener on which Pipeline hands over requests that run ahead.
+	Ahead net.Listener
+	// Pipeline may be nil, in which case the requests of a connection run one after another.
+	Pipeline Pipeline
 	// InFlight returns the number of requests whose response is not yet complete.
 	InFlight func() int64
 
 	conns connTracker
 }
 
+// Pipeline starts requests before earlier ones of their connection are answered. It is implemented
+// by pipeline.Pipeline.
+type Pipeline interface {
+	// Drain stops starting requests ahead. Those that run already are answered.
+	Drain()
+	// Settled reports whether every request that runs ahead has reached its handler and no
+	// connection carries more than one request.
+	Settled() bool
+}
+
 // Serve serves callers until Close, or until the server is closed.
 func (c *Callers) Serve() error {
 	c.conns.attach(c.Server)
+	if c.Ahead != nil {
+		// Serve would take the server for one with TLS: net/http sets TLSConfig when it starts.
+		go func() { _ = c.Server.Serve(c.conns.listener(c.Ahead)) }() // ends with the server
+	}
 	err := Serve(c.Server, c.conns.listener(c.Listener))
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -70,6 +88,7 @@
 		return err
 	}
 	c.awaitHandlers(ctx)
+	c.awaitPipeline(ctx)
 	closed := make(chan error, 1)
 	go func() { closed <- c.Server.Shutdown(ctx) }()
 	return c.waitIdle(closed)
@@ -87,6 +106,22 @@
 	}
 }
 
+// awaitPipeline waits until no connection carries more than one request. From Shutdown on, every
+// response announces the close of its connection, and callers would take the requests behind it for
+// unread and send them again.
+func (c *Callers) awaitPipeline(ctx context.Context) {
+	if c.Pipeline == nil {
+		return
+	}
+	c.Pipeline.Drain()
+	for !c.Pipeline.Settled() {
+		c.conns.closeQuiet(time.Now())
+		if !ctxtime.Sleep(ctx, idleCheckInterval) {
+			return
+		}
+	}
+}
+
 // waitIdle waits until the server has closed all connections, or until none carries a
 // request.
 func (c *Callers) waitIdle(closed <-chan error) error {
--- a/internal/daemon/conns.go
+++ b/internal/daemon/conns.go
@@ -141,9 +141,37 @@
 	return c.unread() || c.arrived.Load() && now.Sub(time.Unix(0, c.readAt.Load())) < arrivalGap
 }
 
-// unread reports whether the kernel has bytes of the connection that nobody has read yet.
+// unread reports whether the connection has bytes that the server has not read yet.
 func (c *trackedConn) unread() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	if p := pipelinedConnOf(c.Conn); p != nil && p.Unread() {
+		return true
+	}
+	return unreadByKernel(c.Conn)
+}
+
+// pipelinedConn is a connection of package pipeline.
+type pipelinedConn interface {
+	// Unread reports whether bytes were read from the caller that the server hasn't got yet.
+	Unread() bool
+}
+
+// pipelinedConnOf returns the connection of package pipeline below another, or nil.
+func pipelinedConnOf(nc net.Conn) pipelinedConn {
+	for {
+		if p, ok := nc.(pipelinedConn); ok {
+			return p
+		}
+		outer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = outer.NetConn()
+	}
+}
+
+// unreadByKernel reports whether the kernel has bytes of a connection that nobody has read yet.
+func unreadByKernel(nc net.Conn) bool {
+	sc, ok := innermost(nc).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -159,6 +187,23 @@
 	return err == nil && n > 0
 }
 
+// innermost returns the connection that other connections wrap.
+func innermost(nc net.Conn) net.Conn {
+	for {
+		outer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nc
+		}
+		nc = outer.NetConn()
+	}
+}
+
+// runsAhead reports whether requests run ahead of the one that the server reads from the connection.
+func (c *trackedConn) runsAhead() bool {
+	p, ok := pipelinedConnOf(c.Conn).(interface{ RunsAhead() bool })
+	return ok && p.RunsAhead()
+}
+
 func (t *connTracker) add(c *trackedConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -196,7 +241,7 @@
 	list, _ := t.open()
 	for _, c := range list {
 		switch {
-		case c.handled.Load():
+		case c.handled.Load() || c.runsAhead():
 			c.quietSince = time.Time{}
 			handled++
 			if c.responding.Load() {
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -37,8 +37,11 @@
 	ReasonDeadline       Reason = "deadline-too-short"
 	ReasonQueueTimeout   Reason = "queue-timeout"
 	ReasonTooDeep        Reason = "too-deep"
-	ReasonQuarantined    Reason = "quarantined"
-	ReasonCallerGone     Reason = "caller-gone"
+	// ReasonNotInTurn means that the call was started before earlier ones of its connection were
+	// answered, and that its route doesn't allow that.
+	ReasonNotInTurn   Reason = "not-in-turn"
+	ReasonQuarantined Reason = "quarantined"
+	ReasonCallerGone  Reason = "caller-gone"
 )
 
 // Reasons concerning targets.
@@ -121,6 +124,7 @@
 	ReasonQueueFull:         {status: http.StatusServiceUnavailable, retryAfter: retrySoon},
 	ReasonDeadline:          {status: http.StatusGatewayTimeout},
 	ReasonQueueTimeout:      {status: http.StatusServiceUnavailable, retryAfter: retrySoon},
+	ReasonNotInTurn:         {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonTooDeep:           {status: http.StatusLoopDetected},
 	ReasonQuarantined:       {status: http.StatusServiceUnavailable, retryAfter: retryLater},
 	ReasonCallerGone:        {status: http.StatusServiceUnavailable},
--- /dev/null
+++ b/pipeline/ahead.go
@@ -0,0 +1,174 @@
+package pipeline
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+// aheadConn is the in-memory connection of one request that runs ahead. Its fields are protected by
+// the mutex of conn.
+type aheadConn struct {
+	conn *Conn
+	// unread is the part of the request that the server hasn't read.
+	unread []byte
+	// cost is the memory in bytes that is accounted for the request.
+	cost int64
+	// changed is signaled when one of the fields below has changed.
+	changed sync.Cond
+	// begun is set once a handler has the request, returned once it has returned normally.
+	begun, returned bool
+	// turn is set once all earlier responses are written, done once this one is.
+	turn, done bool
+	// dropped is set when the response can't be delivered any more, closed when the server has
+	// closed the connection before the response was complete.
+	dropped, closed bool
+	readDeadline    time.Time
+}
+
+var (
+	_ exchange = (*aheadConn)(nil)
+	_ net.Conn = (*aheadConn)(nil)
+)
+
+// Read implements net.Conn. After the request it blocks until the caller has disconnected or the
+// response is complete.
+func (a *aheadConn) Read(p []byte) (int, error) {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	if len(a.unread) > 0 && !a.dropped {
+		n := copy(p, a.unread)
+		a.unread = a.unread[n:]
+		return n, nil
+	}
+	for {
+		switch {
+		case a.closed:
+			return 0, net.ErrClosed
+		case a.done, a.dropped, a.conn.lost != nil:
+			return 0, io.EOF
+		case !a.readDeadline.IsZero() && !a.readDeadline.After(time.Now()):
+			return 0, os.ErrDeadlineExceeded
+		}
+		a.changed.Wait()
+	}
+}
+
+// Write implements net.Conn. It waits until all earlier responses are written.
+func (a *aheadConn) Write(p []byte) (int, error) {
+	if !a.awaitTurn() {
+		return 0, net.ErrClosed
+	}
+	return a.conn.Conn.Write(p)
+}
+
+// awaitTurn waits until the response may be written, and returns false if it never may.
+func (a *aheadConn) awaitTurn() bool {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	for !a.turn && !a.dropped && !a.closed {
+		a.changed.Wait()
+	}
+	return !a.dropped && !a.closed
+}
+
+// Close implements net.Conn. Unless the response is complete and the connection stays open, it also
+// ends the caller's connection, in turn.
+func (a *aheadConn) Close() error {
+	c := a.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.done || a.dropped || a.closed {
+		return nil
+	}
+	a.closed = true
+	a.changed.Broadcast()
+	if a.turn {
+		return c.breakOff(a.returned)
+	}
+	c.dropBehind(slices.Index(c.queue, a))
+	return nil
+}
+
+// begin implements exchange.
+func (a *aheadConn) begin(*http.Request) {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	a.begun = true
+}
+
+// end implements exchange.
+func (a *aheadConn) end(returned bool) {
+	c := a.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case a.dropped:
+	case returned:
+		a.returned = true
+		c.pipeline.undelivered.Add(1)
+	default:
+		c.dropBehind(slices.Index(c.queue, a))
+	}
+}
+
+// complete implements exchange.
+func (a *aheadConn) complete() {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	if !a.dropped && !a.closed {
+		a.conn.answered(a)
+	}
+}
+
+// allowOvertaking implements exchange. Later requests may start in any case, since this one is
+// refused if it may not run ahead.
+func (a *aheadConn) allowOvertaking(*http.Request) {}
+
+// last implements exchange.
+func (a *aheadConn) last() bool {
+	c := a.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.dropped || c.queue[len(c.queue)-1] != a {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// ahead implements exchange.
+func (a *aheadConn) ahead() bool { return true }
+
+// Unread reports whether the server hasn't read all of the request.
+func (a *aheadConn) Unread() bool {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	return len(a.unread) > 0
+}
+
+// LocalAddr implements net.Conn.
+func (a *aheadConn) LocalAddr() net.Addr { return a.conn.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
+func (a *aheadConn) RemoteAddr() net.Addr { return a.conn.RemoteAddr() }
+
+// SetReadDeadline implements net.Conn. A deadline in the future has no effect, as the request is
+// there completely; the server sets one in the past to end a read.
+func (a *aheadConn) SetReadDeadline(t time.Time) error {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	a.readDeadline = t
+	a.changed.Broadcast()
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (a *aheadConn) SetDeadline(t time.Time) error { return a.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.Conn. The callers' server has no write timeout.
+func (a *aheadConn) SetWriteDeadline(time.Time) error { return nil }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,19 @@
 	// IdleTimeout is the time after which an idle client connection is closed. The default is
 	// "120s".
 	IdleTimeout Duration `json:"idleTimeout,omitempty"`
+	// Pipeline configures requests that are sent on a connection before earlier ones are
+	// answered. It is only used with a directory.
+	Pipeline Pipeline `json:"pipeline,omitzero"`
+}
+
+// Pipeline limits the requests that run before earlier ones of their connection are answered.
+type Pipeline struct {
+	// Off makes all requests of a connection wait for each other.
+	Off bool `json:"off,omitempty"`
+	// RequestsPerConnection is the maximum for one connection. The default is 16.
+	RequestsPerConnection int `json:"requestsPerConnection,omitempty"`
+	// RequestsPerHost is the maximum for this host. The default is 256.
+	RequestsPerHost int `json:"requestsPerHost,omitempty"`
 }
 
 // Operators configures the listener for operators.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,7 @@
 		{"name for address", "{\n\"callers\": {\n\"addr\": \"localhost:1\"}}", "x.json:3: callers.addr: want an IP address"},
 		{"negative link", "{\n\"directory\": {\"store\": \"10.0.0.1:80\"},\n\"linkMbps\": -1}", "x.json:3: linkMbps: must not be negative"},
 		{"negative memory", "{\n\"directory\": {\"store\": \"10.0.0.1:80\"},\n\"memoryMB\": -1}", "x.json:3: memoryMB: must not be negative"},
+		{"negative pipeline", "{\n\"callers\": {\n\"pipeline\": {\n\"requestsPerHost\": -1}}}", "x.json:4: callers.pipeline.requestsPerHost: must not be negative"},
 		{"open listener", "{\n\"callers\": {\n\"addr\": \"0.0.0.0:1\"}}", "x.json:3: callers.addr: 0.0.0.0:1 is not loopback"},
 		{"open operators", "{\n\"operators\": {\n\"addr\": \"0.0.0.0:1\"}}", "x.json:2: operators.tokenFile: must be given"},
 	} {
