Callers' server: two listeners of a plain server don't ask for a certificate

Cause: http.Server.Serve sets TLSConfig when it prepares HTTP/2. Where the listener for requests that run ahead began to serve first, the callers' listener took the server for one with TLS and failed with 'open : no such file or directory', which ended the daemon. Seen as hosts that were never ready (edge.TestBackOffOfATargetIsHonored) and as a refused connection (edge.TestQuotaOverAllHosts), once each in three runs of package edge beside load. Change: whether the server uses TLS is decided before either listener serves.

--- a/internal/daemon/callers_test.go
+++ b/internal/daemon/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -237,3 +238,43 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.NilError(t, <-closed)
 }
+
+// closedListener is a listener on which nobody connects until it is closed.
+type closedListener struct {
+	net.Listener
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *closedListener) Accept() (net.Conn, error) {
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *closedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Guards against a plain server that asks for a TLS certificate, because the other of its two
+// listeners has begun to serve first. The servers start together so that some are preempted.
+func TestServerWithTwoListenersServesPlainHTTP(t *testing.T) {
+	const servers = 300
+	ended := make(chan error, servers)
+	for range servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		c := &daemon.Callers{
+			Server:   &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute},
+			Listener: l,
+			Ahead:    &closedListener{Listener: l, closed: make(chan struct{})},
+		}
+		t.Cleanup(func() { _ = c.Server.Close() })
+		go func() { ended <- c.Serve() }()
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("a server ended: %v", err)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,9 +19,13 @@
 
 // Serve serves a listener, with TLS if the server has a TLS configuration, until the
 // server is shut down or closed.
-func Serve(s *http.Server, l net.Listener) error {
+func Serve(s *http.Server, l net.Listener) error { return serve(s, l, s.TLSConfig != nil) }
+
+// serve is like Serve, with TLS if withTLS is set. The first call of http.Server.Serve sets TLSConfig to
+// prepare HTTP/2, so that with several listeners it doesn't tell whether a server uses TLS.
+func serve(s *http.Server, l net.Listener, withTLS bool) error {
 	var err error
-	if s.TLSConfig != nil {
+	if withTLS {
 		err = s.ServeTLS(l, "", "")
 	} else {
 		err = s.Serve(l)
