--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -60,11 +60,11 @@
 // Serve serves callers until Close, or until the server is closed.
 func (c *Callers) Serve() error {
 	c.conns.attach(c.Server)
+	withTLS := c.Server.TLSConfig != nil
 	if c.Ahead != nil {
-		// Serve would take the server for one with TLS: net/http sets TLSConfig when it starts.
-		go func() { _ = c.Server.Serve(c.conns.listener(c.Ahead)) }() // ends with the server
+		go func() { _ = serve(c.Server, c.conns.listener(c.Ahead), false) }() // ends with the server
 	}
-	err := Serve(c.Server, c.conns.listener(c.Listener))
+	err := serve(c.Server, c.conns.listener(c.Listener), withTLS)
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
