Quotas: a part with a small burst and a fast rate is no small part

Seen: tenants with a small burst get more than their quota where owners alternate: 96 to 102 requests of 80 allowed (10/s, burst 5), 183 of 136 (20/s, burst 5), 852 of 581 (100/s, burst 10).

Cause: Part.Small looks at the tokens that a part holds, not at those that it gains. Small parts are exempt from the hand-over, so two hosts gained the full rate at once, without end.

Fix: a part is small if it also gains no more within a window than a host has after its start, 2 requests a second with the default tolerance.

--- a/controller/quota/takeover_test.go
+++ b/controller/quota/takeover_test.go
@@ -8,13 +8,18 @@
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
+// firstOwners returns the host of each zone that ranks first as a tenant's owner.
+func (fl *fleet) firstOwners(tenant string) (list []*host) {
+	for _, zone := range zones {
+		list = append(list, fl.ranked(tenant, zone)[0])
+	}
+	return list
+}
+
 // cutOffRepeatedly cuts the hosts that rank first as a tenant's owners off from all others for a
 // time, again and again with a pause in between, until d has passed.
 func (fl *fleet) cutOffRepeatedly(tenant string, cut, pause, d time.Duration) {
-	var first []*host
-	for _, zone := range zones {
-		first = append(first, fl.ranked(tenant, zone)[0])
-	}
+	first := fl.firstOwners(tenant)
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		fl.cutOff(first...)
 		time.Sleep(cut)
@@ -32,3 +37,19 @@
 		fl.assertWithinQuota(large)
 	})
 }
+
+// Guards against parts with a small burst and a fast rate that gain tokens on two hosts at once: by
+// their burst alone they counted as too small for a hand-over.
+func TestSmallBurstsOfAlternatingOwnersStayWithinQuota(t *testing.T) {
+	for _, tenant := range []routing.Tenant{
+		{Name: "slow", Rate: 10, Burst: 5},
+		{Name: "medium", Rate: 20, Burst: 5},
+		{Name: "fast", Rate: 100, Burst: 10},
+	} {
+		withFleet(t, 12, []routing.Tenant{tenant}, func(fl *fleet) {
+			go fl.cutOffRepeatedly(tenant.Name, 300*time.Millisecond, 500*time.Millisecond, 15*time.Second)
+			fl.load(rand.New(rand.NewPCG(1, 1)), tenant.Name, 4*tenant.Rate, 15*time.Second)
+			fl.assertWithinQuota(tenant)
+		})
+	}
+}
--- a/policy/quota/part.go
+++ b/policy/quota/part.go
@@ -124,9 +124,13 @@
 	return p.tokens
 }
 
-// Small reports whether the part holds so few tokens that two hosts may own it for a while: no
-// more than a host has after it started.
-func (p *Part) Small() bool { return p.capacity() <= max(p.tolerance.start(p.limit)/p.zones, 1) }
+// Small reports whether the part is so small that two hosts may own it for a while: it holds no more
+// tokens than a host has after it started, and gains no more within a window. A part with a small
+// burst and a fast refill is not small: two owners would gain twice its rate.
+func (p *Part) Small() bool {
+	start := max(p.tolerance.start(p.limit)/p.zones, 1)
+	return p.capacity() <= start && p.rate()*p.tolerance.Window.Seconds() <= start
+}
 
 func (p *Part) rate() float64 { return p.limit.Rate / p.zones }
 
