Quotas: an owner that is cut off without requests begins with nothing

Seen: 727 to 736 requests of 680 allowed, where the first owners are cut off while no caller reaches them, and a flood comes as they return. Found by looking for the fault of hosts that own a part at once elsewhere.

Cause: a host noticed that it is in the minority of a partition only when it decided on a request. One without requests kept its tokens and gained more, while the hosts that owned its parts spent the same.

Fix: a host with parts checks with each tick whether it hears of the store, and if not, whether it reaches a majority, at most once in 0.5 s as before. While anyone it hears watches the store, that takes no message; while the store is out for all, up to 32 messages a second of each host that has parts, what one that decides on two requests a second sends anyway.

Test: TestOwnerThatWasCutOffWithoutRequestsBeginsWithNothing failed 5 of 5 times before, passes 20 of 20 times.

--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -176,6 +176,18 @@
 	}
 }
 
+// resetIfCutOff resets the parts of this host once it is in the minority of a network partition.
+// Without it, a host that gets no request while it is cut off would keep its tokens, and gain more,
+// although other hosts own its parts by then.
+func (c *Controller) resetIfCutOff() {
+	c.mu.Lock()
+	hasParts := len(c.parts) > 0
+	c.mu.Unlock()
+	if hasParts && !c.deps.StoreWatched() {
+		c.canOwn()
+	}
+}
+
 const (
 	// majoritySampleSize is how many other hosts a host probes to learn whether it
 	// reaches a majority, majorityTTL how long the result is valid.
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -158,6 +158,7 @@
 		if now.Sub(last) > stallThreshold {
 			c.resetAll(now, "held up")
 		}
+		c.resetIfCutOff()
 		c.verifyTakeovers(now)
 		if now.Sub(reported) >= reportInterval {
 			c.logAllDenials()
--- a/controller/quota/takeover_test.go
+++ b/controller/quota/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -53,3 +54,21 @@
 		})
 	}
 }
+
+// Guards against an owner that spends what it saved up while it was cut off: it got no request in
+// that time, so it never noticed, and the hosts that owned its parts spent the same tokens.
+func TestOwnerThatWasCutOffWithoutRequestsBeginsWithNothing(t *testing.T) {
+	withFleet(t, 12, []routing.Tenant{large}, func(fl *fleet) {
+		first := fl.firstOwners(large.Name)
+		fl.entryHosts = slices.DeleteFunc(slices.Clone(fl.hosts), func(h *host) bool { return slices.Contains(first, h) })
+		fl.load(rand.New(rand.NewPCG(3, 1)), large.Name, 10, 2*time.Second)
+		fl.cutOff(first...)
+		fl.load(rand.New(rand.NewPCG(3, 1)), large.Name, 20, 5*time.Second)
+		go func() {
+			time.Sleep(2 * time.Second)
+			fl.heal()
+		}()
+		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 6*large.Rate, 8*time.Second)
+		fl.assertWithinQuota(large)
+	})
+}
