Quotas: an owner in backoff is asked again once another host names it

Seen: requests within the quota are refused (quota-unknown, 503) for up to a second after an owner is back, at hosts that have it in backoff. The line of such a call lists every other host of the zone naming that owner: asked=h005:backoff:648ms,h014:other-owner=h005:2ms,h005:backoff:650ms,...

Cause: a referral to a host in backoff was passed over.

Fix: the host that is named is probed in the background.

--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -127,6 +127,14 @@
 	return !over || !a.declined()
 }
 
+// reconsider probes a host in backoff that another host names as an owner. It answers that host, so
+// that this one need not wait for the end of the backoff.
+func (c *Controller) reconsider(id ports.HostID) {
+	if a, contacted := c.status(id); contacted && !a.owns {
+		go c.probe(id)
+	}
+}
+
 // alive reports whether another host says that it can own parts.
 func (c *Controller) alive(id ports.HostID) bool {
 	a, contacted := c.status(id)
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -254,6 +254,7 @@
 		}
 		t.asked(id, reply, time.Since(begin))
 		if reply.Owner != "" && !asked[reply.Owner] {
+			c.reconsider(reply.Owner)
 			next = append([]ports.HostID{reply.Owner}, next...)
 		}
 	}
--- a/controller/quota/takeover_test.go
+++ b/controller/quota/takeover_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/cactusproxy/cactusproxy/routing"
 )
 
@@ -72,3 +74,26 @@
 		fl.assertWithinQuota(large)
 	})
 }
+
+// Guards against refusals at a host that has the owner in backoff although the owner is back: all
+// others named the owner, which was not asked for up to a second.
+func TestOwnerInBackoffIsAskedOnceOthersNameIt(t *testing.T) {
+	withFleet(t, 12, []routing.Tenant{large}, func(fl *fleet) {
+		ranked := fl.ranked(large.Name, "a")
+		owner, requester := ranked[0], ranked[len(ranked)-1]
+		fl.entryHosts = []*host{requester}
+		refused := 0
+		for seed := range uint64(5) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			fl.net.Block(requester.id, owner.id)
+			fl.load(rng, large.Name, 20, 4*time.Second)
+			time.Sleep(100 * time.Millisecond) // requests that found no owner are refused by then
+			fl.net.UnblockAll()
+			clear(fl.refused)
+			fl.load(rng, large.Name, 20, 2*time.Second)
+			time.Sleep(time.Second)
+			refused += fl.refused[large.Name]
+		}
+		assert.Check(t, refused == 0, "%d refused", refused)
+	})
+}
