Watch: a host that is behind doesn't wait for a store that doesn't respond

Cause: a host that others don't bring up to date reads the store, and asks further hosts only if the store has failed it. A store that doesn't respond takes the timeouts of two calls one after the other, 0.3 and 0.6 s, doubling up to 2 s each. Until then the host asks nobody, and begins no catch-up for later changes either.

Fix: it waits 100 ms for the store (healthy: 5 ms), as for a host, and then asks further hosts. The read goes on and is merged when it ends. Hosts that are not behind send and read as before.

--- a/controller/watch/directread.go
+++ b/controller/watch/directread.go
@@ -47,7 +47,7 @@
 }
 
 // readIfBehind reads the store after other hosts did not send what this one lacks, and reports
-// whether it did. Dozens of hosts may lack the same change, so each waits for a random moment.
+// whether the store served it within storePatience. Dozens of hosts may lack the same change, so each waits for a random moment.
 func (c *Controller) readIfBehind(ctx context.Context, still func() bool) bool {
 	c.mu.Lock()
 	spread := c.randomDuration(watchers.ReadSpread(len(c.hosts)))
@@ -59,7 +59,25 @@
 	due := still() && !c.direct.reading && c.direct.policy.May(time.Now(), c.view())
 	c.direct.reading = c.direct.reading || due
 	c.mu.Unlock()
-	return due && c.readStore(ctx, whyBehind)
+	return due && c.readWithin(ctx, storePatience)
+}
+
+// storePatience is how long a host that is behind waits for the store before it asks further hosts.
+// A healthy store answers within 5 ms; one that does not respond takes its timeouts, up to 4 s for
+// the two calls.
+const storePatience = hedgeDelay
+
+// readWithin reads the store as a host that is behind, and reports whether the store served it within
+// d. A read that takes longer goes on.
+func (c *Controller) readWithin(ctx context.Context, d time.Duration) bool {
+	served := make(chan bool, 1)
+	go func() { served <- c.readStore(ctx, whyBehind) }()
+	select {
+	case ok := <-served:
+		return ok
+	case <-time.After(d):
+		return false
+	}
 }
 
 // readStore reads what is new in the store, without forwarding it, and reports whether the store
--- a/controller/watch/directread_test.go
+++ b/controller/watch/directread_test.go
@@ -47,6 +47,38 @@
 	})
 }
 
+// Guards against a host that stays behind for seconds because it waits for a store that does not
+// respond to it, with timeouts that double, and asks no further host meanwhile. The hosts that it
+// asks first do not reply.
+func TestUnresponsiveStoreKeepsNoHostFromAskingOthers(t *testing.T) {
+	const firstRequests = 800 * time.Millisecond // those before the read of the store
+	var behind atomic.Pointer[host]
+	var changedAt atomic.Pointer[time.Time]
+	setUp := func(fl *fleet) {
+		fl.net.Drop = func(from, to peer.HostID, kind peer.Kind) bool {
+			h, at := behind.Load(), changedAt.Load()
+			if h == nil || at == nil || time.Since(*at) > firstRequests {
+				return false
+			}
+			return h.addr == string(from) && kind == kindSync || h.addr == string(to) && kind != kindHeartbeat
+		}
+	}
+	withNetwork(t, 14, setUp, func(fl *fleet) {
+		h := fl.nonWatcher()
+		h.client.SetMode(memstore.Unresponsive)
+		behind.Store(h)
+		for i := range 4 {
+			now := time.Now()
+			changedAt.Store(&now)
+			fl.record.Put(entryOf(i, true))
+			took := fl.await(nil, func(h *host) bool { return !h.routesTo(i) })
+			assert.Check(t, took < bound, "drain %d known after %s", i, took)
+			time.Sleep(3*time.Second - time.Since(now))
+		}
+		assert.Check(t, h.c.count.directReads.Value() > 0, "the store was not read")
+	})
+}
+
 // Guards against a host without a current watcher that goes by what it has until its turn to take
 // over comes: all watchers and the first hosts in turn stop responding.
 func TestDrainIsKnownInTimeThoughFirstHostsInTurnAreSilent(t *testing.T) {
