--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -127,6 +127,14 @@
 	return !over || !a.declined()
 }
 
+// reconsider probes a host in backoff that another host names as an owner. It answers that host, so
+// that this one need not wait for the end of the backoff.
+func (c *Controller) reconsider(id ports.HostID) {
+	if a, contacted := c.status(id); contacted && !a.owns {
+		go c.probe(id)
+	}
+}
+
 // alive reports whether another host says that it can own parts.
 func (c *Controller) alive(id ports.HostID) bool {
 	a, contacted := c.status(id)
@@ -176,6 +184,18 @@
 	}
 }
 
+// resetIfCutOff resets the parts of this host once it is in the minority of a network partition.
+// Without it, a host that gets no request while it is cut off would keep its tokens, and gain more,
+// although other hosts own its parts by then.
+func (c *Controller) resetIfCutOff() {
+	c.mu.Lock()
+	hasParts := len(c.parts) > 0
+	c.mu.Unlock()
+	if hasParts && !c.deps.StoreWatched() {
+		c.canOwn()
+	}
+}
+
 const (
 	// majoritySampleSize is how many other hosts a host probes to learn whether it
 	// reaches a majority, majorityTTL how long the result is valid.
