Paths: a connection through another host that opens late serves the next request

Callers saw: on a host that is cut off and short of processor time, one request after the other was refused with connect-failed.

Cause: connections through other hosts were ended with the wait of their request (the dial timeout, 250 ms). Where they take longer, each request began anew, none was ever kept, and the path did not count as lost, so that each request also waited for the own connection first.

Evidence: logs of failing plays of TestHostsCutOffFromAllTargetsServeTheirCallers, with attempts of 250 ms (cause=timeout), and "path to target lost" up to 3.5 s after the cut.

Fix: they go on for three dial timeouts in all. The first one is kept for the next request, and the path counts as lost, unless the own connection opens after all. The request waits no longer than before.

The cleanup of the fake paths waits for the longer dials.

--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -14,6 +14,10 @@
 	HeadStart = 80 * time.Millisecond
 	// NextStart is how long a connection through one host may take before the next host is tried.
 	NextStart = 50 * time.Millisecond
+	// CarriedDials is how many dial timeouts a connection through another host may take. That host
+	// uses one to find out whether it reaches the target. The rest is for the stream between hosts
+	// that are short of processor time, where 250 ms were too short.
+	CarriedDials = 3
 	// failureMemory is how long a failed direct connection is reason enough to tell another host
 	// at once that this one does not reach the target.
 	failureMemory = time.Second
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -15,7 +15,10 @@
 // and those through other hosts as long as none has been established.
 type opening struct {
 	pool *pool
-	ctx  context.Context // of the connections through other hosts
+	// ctx bounds the wait of the request, carried the connections through other hosts. Those go on if
+	// the wait ends without a connection, so that a later request has one. stop ends them.
+	ctx, carried context.Context
+	stop         context.CancelFunc
 	// maxConns limits this host's connections to the target; 0 means no limit.
 	maxConns int
 	// usable reports whether the target may still get requests.
@@ -55,7 +58,8 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, p.owner.opts.DialTimeout)
 	defer cancel()
-	o := &opening{pool: p, ctx: limited, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), begun: time.Now(), err: errNoPath}
+	carried, stop := context.WithTimeout(context.WithoutCancel(ctx), directpath.CarriedDials*p.owner.opts.DialTimeout)
+	o := &opening{pool: p, ctx: limited, carried: carried, stop: stop, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), begun: time.Now(), err: errNoPath}
 	c, err := o.run()
 	if err != nil {
 		return nil, o.markPathFault(err)
@@ -81,6 +85,7 @@
 			}
 			o.failed(r)
 			if o.turnedAway(r) {
+				o.stop()
 				return nil, o.err
 			}
 		case <-next.C:
@@ -88,11 +93,12 @@
 				continue // a host that is short of processor time sees both late
 			}
 		case <-o.ctx.Done():
-			o.finish(opened{})
+			go o.newRemainder().await(o.pending)
 			return nil, errors.CombineErrors(o.ctx.Err(), o.err)
 		}
 		if !o.startNext() && o.pending == 0 {
 			if o.ownStarted {
+				o.stop()
 				return nil, o.err
 			}
 			o.startOwn() // the path may be back before a check finds out
@@ -130,7 +136,7 @@
 	o.hosts = o.hosts[1:]
 	o.pending++
 	go func() {
-		c, err := o.pool.dial(o.ctx, via)
+		c, err := o.pool.dial(o.carried, via)
 		o.done <- opened{via: via, conn: c, err: err}
 	}()
 	return true
@@ -156,6 +162,7 @@
 // host's own, which is kept for the next request. If another host won, and this host's own
 // connection fails, the path is lost.
 func (o *opening) finish(won opened) {
+	o.stop()
 	if won.via != "" {
 		o.pool.noteRelayed(won.conn)
 	}
--- a/upstream/open_test.go
+++ b/upstream/open_test.go
@@ -67,7 +67,7 @@
 	}})
 	p.noteReach("another", syscall.ECONNREFUSED) // so that one more failure counts as a cut
 	t.Cleanup(func() {
-		time.Sleep(p.opts.DialTimeout) // connections that are being opened end
+		time.Sleep(directpath.CarriedDials * p.opts.DialTimeout) // connections that are being opened end
 		p.Close()
 		f.serving.Wait()
 	})
@@ -80,6 +80,12 @@
 	f.own = behave
 }
 
+func (f *fakePaths) setHost(via ports.HostID, behave func(context.Context) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[via] = behave
+}
+
 func (f *fakePaths) Hosts(blackboard.Target) []ports.HostID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -88,7 +94,10 @@
 }
 
 func (f *fakePaths) Dial(ctx context.Context, via ports.HostID, _ blackboard.Target) (RelayedConn, error) {
-	conn, err := f.open(ctx, via, f.hosts[via])
+	f.mu.Lock()
+	behave := f.hosts[via]
+	f.mu.Unlock()
+	conn, err := f.open(ctx, via, behave)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/pathfault_test.go
+++ b/upstream/pathfault_test.go
@@ -20,7 +20,7 @@
 // loseOwnPath lets the first host carry a connection while the own path is silent.
 func loseOwnPath(t *testing.T, p *Pools, f *fakePaths) {
 	f.setOwn(silent)
-	f.hosts["a"] = well
+	f.setHost("a", well)
 	_, _ = send(p, SendOptions{})
 	time.Sleep(p.opts.DialTimeout)
 	assert.Check(t, p.pool(theTarget).pathLost())
@@ -40,7 +40,7 @@
 			"a host with paths that are well": {unreachable, false},
 		} {
 			loseOwnPath(t, p, f)
-			f.hosts["a"] = c.host
+			f.setHost("a", c.host)
 			res, _ := send(p, SendOptions{})
 			assert.Check(t, res.Err != nil && !res.Sent, name)
 			assert.Equal(t, errors.Is(res.Err, ErrPathFault), c.fault, name)
