Paths: a host that is cut off waits longer for others, and doubts timeouts it sees late

Callers saw: on a host that is cut off from all targets and short of processor time, requests refused with connect-failed after two attempts of 250 ms, although more than a second of their time was left.

Cause: the wait for a connection through another host ended with the dial timeout, and the next target needs the same hosts. A timer and a connection that a stalled process sees at the same moment were chosen from at random. A timeout that was seen long after it was due counted against the target.

Fix: a host whose path to the target is lost and that seems to be cut off waits for three dial timeouts (directpath.Wait), an opened connection takes precedence over the end of the wait, and a timeout that is seen more than 50 ms after it was due says nothing about the target.

--- a/policy/directpath/directpath.go
+++ b/policy/directpath/directpath.go
@@ -32,6 +32,16 @@
 	maxUnanswered = 3
 )
 
+// Wait returns how long a request waits for a connection. A host that is cut off from its targets waits
+// for as long as connections through other hosts may take: a request that gives up sooner needs the same
+// hosts for its next target.
+func Wait(dialTimeout time.Duration, cutOff bool) time.Duration {
+	if cutOff {
+		return CarriedDials * dialTimeout
+	}
+	return dialTimeout
+}
+
 // State is what a host knows of its own path to one target. The zero value is a path that is
 // well. It is not safe for concurrent use.
 type State struct {
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -77,6 +77,14 @@
 	return h.answered.After(begun) || len(h.silent) < cutFromTargets
 }
 
+// timerSlack is how late a host that has processor time sees that a time has come. A quota of 0.16
+// processors stalls a process for up to 84 ms in each 100 ms; one that does so is short of it.
+const timerSlack = 50 * time.Millisecond
+
+// TimerLate reports whether this host was short of processor time when a timeout was due: the
+// response may have arrived and was not read.
+func TimerLate(now, due time.Time) bool { return now.Sub(due) > timerSlack }
+
 // FailureTellsOfTarget reports whether a recorded connection that was refused or reset says
 // something about its target: it is the only one to which connections failed since one was opened.
 func (h *Host) FailureTellsOfTarget() bool { return len(h.failed) < cutFromTargets }
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -56,9 +56,10 @@
 	if p.owner.opts.Relay == nil {
 		return p.dial(ctx, "")
 	}
-	limited, cancel := context.WithTimeout(ctx, p.owner.opts.DialTimeout)
+	longest := directpath.CarriedDials * p.owner.opts.DialTimeout
+	limited, cancel := context.WithTimeout(ctx, directpath.Wait(p.owner.opts.DialTimeout, p.onlyCarried()))
 	defer cancel()
-	carried, stop := context.WithTimeout(context.WithoutCancel(ctx), directpath.CarriedDials*p.owner.opts.DialTimeout)
+	carried, stop := context.WithTimeout(context.WithoutCancel(ctx), longest)
 	o := &opening{pool: p, ctx: limited, carried: carried, stop: stop, maxConns: maxConns, usable: usable, done: make(chan opened, 1+relays.MaxTries), begun: time.Now(), err: errNoPath}
 	c, err := o.run()
 	if err != nil {
@@ -93,6 +94,9 @@
 				continue // a host that is short of processor time sees both late
 			}
 		case <-o.ctx.Done():
+			if len(o.done) > 0 {
+				continue // likewise
+			}
 			go o.newRemainder().await(o.pending)
 			return nil, errors.CombineErrors(o.ctx.Err(), o.err)
 		}
--- a/upstream/openlate_test.go
+++ b/upstream/openlate_test.go
@@ -65,3 +65,28 @@
 		carried.close()
 	})
 }
+
+// Guards against a host that is cut off and gives up on hosts that are short of processor time, although
+// its request has time left.
+func TestHostThatIsCutOffWaitsForOtherHosts(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			p, f := newFakePaths(t, well, well)
+			loseOwnPath(t, p, f)
+			p.noteReach("another", nil)
+			if cut {
+				p.noteReach("another", context.DeadlineExceeded)
+				p.noteReach("a third", context.DeadlineExceeded)
+			}
+			f.setHost("a", late(500*time.Millisecond))
+			res, took := send(p, SendOptions{})
+			if cut {
+				assert.NilError(t, res.Err)
+				assert.Equal(t, took, 500*time.Millisecond)
+				return
+			}
+			assert.Check(t, res.Err != nil && !res.Sent)
+			assert.Equal(t, took, p.opts.DialTimeout)
+		})
+	}
+}
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -73,6 +73,17 @@
 	return p.reach.NoAnswerSince(t)
 }
 
+// onlyCarried reports whether this host's own path to the target is lost and those to others seem to
+// be, too.
+func (p *pool) onlyCarried() bool {
+	if !p.pathLost() {
+		return false
+	}
+	p.owner.reachMu.Lock()
+	defer p.owner.reachMu.Unlock()
+	return p.owner.reach.CutOff()
+}
+
 // mayBeCut reports whether a connection that was just refused or reset may be due to the path, and
 // not to the target.
 func (p *pool) mayBeCut() bool {
@@ -237,12 +248,12 @@
 		return nil, errors.Mark(errPathLost, ErrPathFault)
 	}
 	if pl.pathUnusable() {
-		return nil, p.markPathFault(t.ID, time.Now(), errUnreached)
+		return nil, p.markPathFault(ownAttempt{target: t.ID}, errUnreached)
 	}
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	conn, err := p.opts.Dial(ctx, t.Addr)
 	pl.noteOwn(err)
-	return conn, p.markPathFault(t.ID, begun, err)
+	return conn, p.markPathFault(ownAttempt{target: t.ID, begun: begun, due: begun.Add(p.opts.DialTimeout)}, err)
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -189,7 +189,7 @@
 		if c.via == "" && CauseOf(err) == CauseTimeout {
 			pl.suspect(begin, o)
 		}
-		return Result{Sent: sent, Err: pl.markRequestFault(c, begin, err), Via: c.via}
+		return Result{Sent: sent, Err: pl.markRequestFault(req.Context(), c, begin, err), Via: c.via}
 	}
 	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
