--- a/policy/suspicion/alive.go
+++ b/policy/suspicion/alive.go
@@ -22,8 +22,8 @@
 type Proof struct {
 	Target      ports.RunID
 	From, Until time.Time
-	// Sure is the time since which the process is known to have run without a restart. A loss before
-	// that is withdrawn too, but only a limited number of times for each request.
+	// Sure is the time since which the target can not have been restarted. A loss before that is
+	// withdrawn too, but only a limited number of times for each request.
 	Sure time.Time
 }
 
@@ -33,9 +33,10 @@
 //
 // A process that is exiting may answer on some connections after it has closed others, so that an
 // answer proves nothing about losses within ProofGrace before its request was sent. A connection
-// does not survive its process: an answer on one that is older than the loss is proof however late
-// it arrives. An answer on a newer connection may come from another run at the same address, so that
-// it counts for less time than targets take to start.
+// does not survive its process, and no target restarts within RestartTime: an answer on a connection
+// that is older than the end of that time is proof however late it arrives. An answer on a newer
+// one may come from another run at the same address, so that it counts for less time than targets
+// take to start.
 func (l Limits) Proof(a Answer) Proof {
 	if a.Opened.IsZero() {
 		a.Opened = a.Sent
@@ -43,7 +44,7 @@
 	p := Proof{
 		Target: a.Target,
 		Until:  a.Sent.Add(-l.ProofGrace),
-		Sure:   a.Opened.Add(l.ProofGrace),
+		Sure:   a.Opened.Add(-l.RestartTime),
 	}
 	p.From = p.Sure
 	if since := a.Sent.Add(-l.proofWindow(a.Target)); !a.Cold && since.Before(p.From) {
@@ -69,7 +70,7 @@
 }
 
 // Withdrawal lists the requests that lost a loss, with their states before. Exonerated are those
-// that have none left; they are cleared.
+// that have none left and are cleared.
 type Withdrawal struct {
 	Affected   []Exonerated
 	Exonerated []Exonerated
@@ -146,13 +147,17 @@
 	if len(e.losses) == before {
 		return
 	}
+	delete(b.accused, d)
 	x := Exonerated{Digest: d, Was: e.state}
 	w.Affected = append(w.Affected, x)
 	switch {
+	case len(e.losses) == 0 && len(b.withdrawn[d]) > 0:
+		// The targets may have been restarted, so that the request runs alone until it is answered.
+		e.setState(Suspect, now)
 	case len(e.losses) == 0:
 		w.Exonerated = append(w.Exonerated, x)
 		delete(b.entries, d)
-	case e.state == Quarantined && !b.blamed(e):
+	case e.state == Quarantined && !b.stillBlamed(e):
 		e.setState(Suspect, now)
 	}
 }
@@ -220,15 +225,33 @@
 	return allowed
 }
 
-// awaitsProof reports whether a target that a request lost is still being verified.
+// awaitsProof reports whether a target that a request lost is still being verified, or another one
+// whose loss would excuse it. Of the latter, only losses until SettleTime matter.
 func (b *Tracker) awaitsProof(now time.Time, e *entry) bool {
-	return slices.ContainsFunc(e.losses, func(l Loss) bool {
-		return l.Pending && now.Sub(l.At) < b.limits.VerifyTimeout
-	})
+	pending := func(l Loss) bool { return l.Pending && now.Sub(l.At) < b.limits.VerifyTimeout }
+	if slices.ContainsFunc(e.losses, pending) {
+		return true
+	}
+	for _, l := range b.losses {
+		if pending(l) && b.relevant(e, l) {
+			return true
+		}
+	}
+	return false
+}
+
+// relevant reports whether a loss may excuse a request that is quarantined: it is close to the
+// beginning of the quarantine and later than the last excuse.
+func (b *Tracker) relevant(e *entry, l Loss) bool {
+	return e.since.Sub(l.At) < b.limits.LossWindow && l.At.Sub(e.since) <= b.limits.SettleTime && l.At.After(e.excusedAt)
 }
 
 // EndVerification records that this host no longer looks for a proof that a target is alive.
 func (b *Tracker) EndVerification(target ports.RunID) {
+	if l, ok := b.losses[target]; ok && l.Own {
+		l.Pending = false
+		b.losses[target] = l
+	}
 	for _, e := range b.entries {
 		for i, l := range e.losses {
 			if l.Own && l.Target == target {
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -34,7 +34,8 @@
 	return Loss{Target: r.Target, At: now.Add(-max(0, r.SinceLoss)), Trial: r.Trial, Pending: r.Pending}
 }
 
-// Record returns the state of a request, and false if it is clean.
+// Record returns the state of a request, and false if it is clean. It has no losses if they were all
+// withdrawn but the request is still to run alone; other hosts ignore such a record.
 func (b *Tracker) Record(now time.Time, d Digest) (Record, bool) {
 	if b.State(now, d) == Clean {
 		return Record{}, false
@@ -88,8 +89,11 @@
 	return false
 }
 
-// newest returns the age of the newest loss.
+// newest returns the age of the newest loss, or of the state if all losses were withdrawn.
 func (r Record) newest() time.Duration {
+	if len(r.Losses) == 0 {
+		return max(0, r.Age)
+	}
 	age := r.Losses[0].SinceLoss
 	for _, l := range r.Losses {
 		age = min(age, l.SinceLoss)
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -10,6 +10,7 @@
 package suspicion
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -74,6 +75,8 @@
 	// alive, ProofWindow the longest one if the request's connection is newer than the loss and the
 	// target's incarnation unknown; with one it is LossWindow. See Proof.
 	ProofGrace, ProofWindow time.Duration
+	// RestartTime is less than a target takes to accept connections after it has crashed.
+	RestartTime time.Duration
 	// MaxWithdrawn is how many losses of a request within WithdrawalMemory are withdrawn, without a
 	// complete response, by answers of targets that may have been restarted.
 	MaxWithdrawn     int
@@ -95,8 +98,9 @@
 		MaxQuarantine:    24 * time.Hour,
 		TrialTimeout:     time.Minute,
 		ProofGrace:       100 * time.Millisecond, // an exiting process closes its connections within some ms
+		RestartTime:      150 * time.Millisecond, // supervisors wait 100 ms before they start a process
 		ProofWindow:      400 * time.Millisecond, // a crashed target is unavailable for seconds
-		MaxWithdrawn:     3,                      // two more losses quarantine: five crashes, and one of a concurrent send
+		MaxWithdrawn:     2,                      // with two more, or four in a zone loss, six crashes at most
 		WithdrawalMemory: 10 * time.Second,       // hosts know a restart after 3 s
 		MaxEntries:       4096,
 	}
@@ -139,6 +143,8 @@
 	// excuse the request again: otherwise it could crash one target after the other for the
 	// length of the loss window.
 	excusedAt time.Time
+	// excuses counts how often that happened.
+	excuses int
 }
 
 // trial is the permission to run a suspect in isolation.
@@ -167,6 +173,12 @@
 	return len(e.losses) >= b.minLosses && !e.answered
 }
 
+// stillBlamed is like blamed for a request some of whose losses may have been withdrawn: if it was
+// excused, there has to be a loss since.
+func (b *Tracker) stillBlamed(e *entry) bool {
+	return b.blamed(e) && slices.ContainsFunc(e.losses, func(l Loss) bool { return l.At.After(e.excusedAt) })
+}
+
 // add records a loss and reports whether it is new evidence.
 func (e *entry) add(l Loss, window time.Duration) bool {
 	for i, old := range e.losses {
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -92,14 +92,25 @@
 	if e.settled || now.Sub(e.since) < b.limits.SettleTime || b.awaitsProof(now, e) {
 		return
 	}
-	if !b.blamed(e) || b.unexplained(e) >= b.limits.MassLossTargets || b.accusedWith(e) > maxAccused {
+	blamed := b.stillBlamed(e)
+	excused := b.unexplained(e) >= b.limits.MassLossTargets || b.accusedWith(e) > maxAccused
+	switch {
+	case !blamed:
 		e.setState(Suspect, now)
 		e.excusedAt = now
-		return
+	case excused && e.excuses < maxExcuses:
+		e.setState(Suspect, now)
+		e.excusedAt = now
+		e.excuses++
+	default:
+		e.settled = true
 	}
-	e.settled = true
 }
 
+// maxExcuses is how often a request without a complete response may be excused. Where targets are lost all
+// the time, each crash would be excused by a loss of another target.
+const maxExcuses = 2
+
 // release makes a quarantined request a suspect with one loss, so that one more loss in a trial
 // quarantines it again.
 func (b *Tracker) release(e *entry, now time.Time) {
@@ -168,9 +179,7 @@
 // before explains no loss of others, and every other lost target counts, as do all but the first
 // of its own losses outside of trials.
 func (b *Tracker) unexplained(e *entry) int {
-	counts := func(l Loss) bool {
-		return absDiff(l.At, e.since) < b.limits.LossWindow && l.At.After(e.excusedAt)
-	}
+	counts := func(l Loss) bool { return b.relevant(e, l) }
 	n := 0
 	if e.answered {
 		n = e.untrialed(counts)
@@ -235,6 +244,10 @@
 // may be handled: messages of one host are handled concurrently.
 const reorderAllowance = 50 * time.Millisecond
 
+// Drop forgets a request that the host that arbitrates its trials does not suspect. Unlike Clear, it does
+// not state that the request was answered.
+func (b *Tracker) Drop(d Digest) { delete(b.entries, d) }
+
 // ClearElsewhere records that another host has cleared a request, whether it is suspected here or
 // not yet.
 func (b *Tracker) ClearElsewhere(now time.Time, d Digest) {
--- a/quarantine/alive.go
+++ b/quarantine/alive.go
@@ -106,8 +106,8 @@
 )
 
 // Verify finds out in the background whether a target is alive that this host lost. probe sends one
-// probe and returns when it has ended; TargetAnswered must be called for the answer. It is
-// called at most maxVerificationProbes times, and not if other answers of the target suffice.
+// probe and returns when it has ended; TargetAnswered must be called for the answer. Probes end
+// once the target's losses are disproved, by whatever answer, or maxVerificationProbes have failed.
 func (q *Quarantine) Verify(target ports.RunID, probe func()) {
 	begin := false
 	q.locked(func(now time.Time) {
@@ -127,35 +127,44 @@
 
 // verify probes a target until its losses are disproved.
 func (q *Quarantine) verify(target ports.RunID, probe func()) {
-	for range maxVerificationProbes {
-		time.Sleep(q.untilProvable(target))
-		if q.untilProvable(target) < 0 {
-			break
+	for failed := 0; ; {
+		provable, lost := q.provableFrom(target, failed < maxVerificationProbes)
+		if !lost {
+			return
 		}
-		q.count.Add(countVerified, 1)
+		time.Sleep(time.Until(provable))
 		next := time.Now().Add(verificationInterval)
+		if at, lost := q.unproven(target); !lost || at.After(provable) {
+			continue // disproved meanwhile, or lost again
+		}
+		q.count.Add(countVerified, 1)
 		probe()
-		if q.untilProvable(target) < 0 {
-			break
+		if at, lost := q.unproven(target); lost && !at.After(provable) {
+			failed++
 		}
 		time.Sleep(time.Until(next))
 	}
-	q.locked(func(time.Time) {
-		delete(q.verifying, target)
-		q.tracker.EndVerification(target)
-		q.notifyWaiters()
+}
+
+// unproven returns when an answer can disprove the last loss of a target, and false if there is none
+// to disprove.
+func (q *Quarantine) unproven(target ports.RunID) (provable time.Time, lost bool) {
+	q.locked(func(now time.Time) {
+		provable, lost = q.tracker.Unproven(now, target)
 	})
+	return provable.Add(q.proofGrace), lost
 }
 
-// untilProvable returns how long an answer of a target can not disprove its last loss yet, or a
-// negative duration if there is no loss to disprove.
-func (q *Quarantine) untilProvable(target ports.RunID) (d time.Duration) {
+// provableFrom is like unproven. If there is nothing to disprove, or no probe is left, it ends the
+// verification.
+func (q *Quarantine) provableFrom(target ports.RunID, probesLeft bool) (provable time.Time, lost bool) {
 	q.locked(func(now time.Time) {
-		last, lost := q.tracker.Unproven(now, target)
-		d = -1
-		if lost {
-			d = max(0, last.Add(q.proofGrace).Sub(now))
+		provable, lost = q.tracker.Unproven(now, target)
+		if lost = lost && probesLeft; !lost {
+			delete(q.verifying, target)
+			q.tracker.EndVerification(target)
+			q.notifyWaiters()
 		}
 	})
-	return d
+	return provable.Add(q.proofGrace), lost
 }
--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -89,7 +89,7 @@
 	q.locked(func(now time.Time) {
 		switch resp.Answer {
 		case suspicion.Unrestricted:
-			q.tracker.Clear(now, digest)
+			q.tracker.Drop(digest)
 		case suspicion.Refused:
 			q.tracker.Merge(now, resp.Record, q.completedCache.has(digest))
 		}
