--- a/edge/localcluster_test.go
+++ b/edge/localcluster_test.go
@@ -39,9 +39,11 @@
 	targets   map[string]*target
 	seeds     []string
 	// drain holds the members of the setting drain, in JSON.
-	drain  string
-	ids    int
-	client *http.Client
+	drain string
+	// callers holds members of the setting callers, in JSON, each preceded by a comma.
+	callers string
+	ids     int
+	client  *http.Client
 	// key is the API key sent with each request; none is sent if it is empty.
 	key string
 	// logs holds the log of each daemon.
@@ -164,14 +166,14 @@
 	peers := freeAddr(l.t)
 	text := fmt.Sprintf(`{
 		"host": {"id": "h%d", "zone": "a"},
-		"callers": {"addr": "127.0.0.1:0"}, "readiness": {"addr": "127.0.0.1:0"},
+		"callers": {"addr": "127.0.0.1:0"%s}, "readiness": {"addr": "127.0.0.1:0"},
 		"operators": {"addr": "127.0.0.1:0"},
 		"peers": {"addr": %q, "seeds": [%s]},
 		"directory": {"store": %q},
 		"retries": {"ratio": 0.2, "window": "10s", "reserve": 60},
 		"measuring": {"perTarget": 60},
 		"drain": {%s},
-	}`, len(l.daemons), peers, quoteAll(l.seeds), l.storeAddr, l.drain)
+	}`, len(l.daemons), l.callers, peers, quoteAll(l.seeds), l.storeAddr, l.drain)
 	s, err := settings.Parse("test", []byte(text))
 	assert.NilError(l.t, err)
 	buffer := new(syncBuffer)
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -37,7 +37,8 @@
 	Server *http.Server
 	// Listener is nil if the handler of Server is called in some other way.
 	Listener net.Listener
-	// Ahead, if not nil, is the listener on which Pipeline hands over requests that run ahead.
+	// Ahead, if not nil, is the listener on which Pipeline hands over requests that run ahead. Server
+	// must have no TLS then.
 	Ahead net.Listener
 	// Pipeline may be nil, in which case the requests of a connection run one after another.
 	Pipeline Pipeline
@@ -60,17 +61,27 @@
 // Serve serves callers until Close, or until the server is closed.
 func (c *Callers) Serve() error {
 	c.conns.attach(c.Server)
-	if c.Ahead != nil {
-		// Serve would take the server for one with TLS: net/http sets TLSConfig when it starts.
-		go func() { _ = c.Server.Serve(c.conns.listener(c.Ahead)) }() // ends with the server
-	}
-	err := Serve(c.Server, c.conns.listener(c.Listener))
+	err := c.serve()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
+// serve serves the listeners. A server whose requests run ahead has no TLS, but net/http sets its
+// TLSConfig as soon as it serves the first of the two, so that it can't be asked for that.
+func (c *Callers) serve() error {
+	listener := c.conns.listener(c.Listener)
+	if c.Ahead == nil {
+		return Serve(c.Server, listener)
+	}
+	go func() { _ = c.Server.Serve(c.conns.listener(c.Ahead)) }() // ends with the server
+	if err := c.Server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // Close closes the listener, serves requests that still arrive on open connections for a
 // short time, and waits for the requests in flight. Requests that arrive meanwhile are
 // answered with "Connection: close".
--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -49,7 +49,7 @@
 		switch {
 		case a.closed:
 			return 0, net.ErrClosed
-		case a.done, a.dropped, a.conn.lost != nil:
+		case a.done, a.dropped, a.conn.gone:
 			return 0, io.EOF
 		case !a.readDeadline.IsZero() && !a.readDeadline.After(time.Now()):
 			return 0, os.ErrDeadlineExceeded
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -45,7 +45,9 @@
 	// closing is set when the server has closed the connection between two requests while later
 	// ones run ahead; closed when the caller's connection is closed.
 	closing, closed bool
-	// lost is why reading from the caller failed; nil if it didn't.
+	// gone is set once the caller has closed its side. lost is why reading from the caller failed;
+	// nil if it didn't.
+	gone bool
 	lost error
 	// readDeadline is the server's read deadline.
 	readDeadline time.Time
--- a/pipeline/order.go
+++ b/pipeline/order.go
@@ -24,7 +24,7 @@
 
 // mayStart reports whether the state of the connection allows the next request to run ahead.
 func (c *Conn) mayStart() bool {
-	if c.sealed || c.closed || c.lost != nil || c.held == nil || c.deliver > 0 || c.pipeline.draining.Load() {
+	if c.sealed || c.closed || c.gone || c.held == nil || c.deliver > 0 || c.pipeline.draining.Load() {
 		return false
 	}
 	return c.state == idle && len(c.queue) > 0 || c.state == whole && c.begun && c.overtakable
@@ -107,7 +107,9 @@
 	for _, a := range c.queue[i+1:] {
 		a.dropped = true
 		c.remove(a)
-		c.pipeline.count.dropped.Add(1)
+		if !c.gone { // else it was counted then
+			c.pipeline.count.dropped.Add(1)
+		}
 	}
 	c.queue = slices.Delete(c.queue, i+1, len(c.queue))
 	if len(c.queue) == 0 {
@@ -127,10 +129,10 @@
 	a.changed.Broadcast()
 }
 
-// lose records that the caller's connection can't be read from any more. Requests that run are
-// canceled, as net/http does.
-func (c *Conn) lose(err error) {
-	c.lost = err
+// cancelAll cancels the requests that run, because the caller has closed its side of the connection.
+// net/http does that as well, and writes the responses nevertheless.
+func (c *Conn) cancelAll() {
+	c.gone = true
 	for _, a := range c.queue {
 		c.pipeline.count.dropped.Add(1)
 		a.changed.Broadcast()
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -113,3 +113,11 @@
 	took := time.Since(begin)
 	assert.Check(t, took < 500*time.Millisecond, "three requests of 200 ms took %v", took)
 }
+
+// skipContinue reads a response with status 100.
+func (c *caller) skipContinue() {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, resp.StatusCode, http.StatusContinue)
+}
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -25,8 +25,8 @@
 		case c.deliver > 0:
 			return c.deliverHeld(p), nil
 		case c.state == whole && len(p) == 1:
-			if c.lost != nil {
-				return 0, c.lost
+			if c.gone {
+				return 0, io.EOF
 			}
 			if c.expired() {
 				return 0, os.ErrDeadlineExceeded
@@ -131,7 +131,7 @@
 // readMore reads from the caller unless a request waits already, and otherwise waits until something
 // has changed.
 func (c *Conn) readMore() {
-	if c.lost == nil && !c.sealed && c.first().form == incomplete {
+	if !c.gone && !c.sealed && c.first().form == incomplete {
 		if c.held == nil {
 			c.held = newHeld(c.pipeline.limits.memory, minHeld)
 		}
@@ -156,7 +156,8 @@
 	switch {
 	case err == nil:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		c.lose(err)
+		c.lost = err
+		c.cancelAll()
 	case c.state == idle:
 		// The server's idle timeout doesn't apply while requests run.
 		c.readDeadline = time.Time{}
@@ -177,8 +178,8 @@
 		polled = true
 	}
 	c.mu.Lock()
-	if polled && c.lost == nil && !c.closed && closedByPeer(c.Conn) {
-		c.lose(io.EOF)
+	if polled && !c.gone && !c.closed && closedByPeer(c.Conn) {
+		c.cancelAll()
 	}
 }
 
