pipeline: no allocation where a caller doesn't pipeline

A caller may send its next request when it has the response and the server isn't done with it. The byte that the server's background read then gets is kept without a buffer, since the handler has returned and nothing would run ahead.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -52,6 +52,10 @@
 	// readDeadline is the server's read deadline.
 	readDeadline time.Time
 
+	// stash is a single withheld byte, if stashed is set. It needs no buffer: a caller that doesn't
+	// pipeline may send its next request before the server is done with a response.
+	stash   byte
+	stashed bool
 	// held holds the withheld bytes; nil if there are none.
 	held *held
 	// deliver is how many of the withheld bytes belong to the request that the server reads.
@@ -66,6 +70,8 @@
 	queue []*aheadConn
 	// wake is signaled when readPipelined has to look again; nil before anything was pipelined.
 	wake chan struct{}
+	// poll is the timer of await.
+	poll *time.Timer
 }
 
 var _ exchange = (*Conn)(nil)
@@ -79,7 +85,7 @@
 func (c *Conn) Unread() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.held != nil && len(c.held.bytes()) > 0 && !c.sealed
+	return (c.stashed || c.held != nil && len(c.held.bytes()) > 0) && !c.sealed
 }
 
 // RunsAhead reports whether requests run ahead on the connection.
@@ -111,7 +117,7 @@
 	if c.serverBuffer == 0 {
 		c.serverBuffer = len(p)
 	}
-	if c.held != nil || len(c.queue) > 0 {
+	if c.stashed || c.held != nil || len(c.queue) > 0 {
 		defer c.mu.Unlock()
 		return c.readPipelined(p)
 	}
@@ -143,10 +149,11 @@
 			break
 		}
 		// The server reads a single byte while a handler runs, to notice that the caller is gone.
-		if err == nil && c.withhold(p[:1]) {
+		if err == nil {
+			c.stash, c.stashed = p[0], true
+			c.ensureWake()
 			return c.readPipelined(p)
 		}
-		c.state = opaque
 	}
 	return n, err
 }
--- a/pipeline/held.go
+++ b/pipeline/held.go
@@ -1,5 +1,7 @@
 package pipeline
 
+import "sync"
+
 // Sizes of the buffer for withheld bytes.
 const (
 	// minHeld is its first size in bytes.
@@ -15,6 +17,9 @@
 	r, w   int
 }
 
+// smallBuffers holds buffers of minHeld bytes.
+var smallBuffers = sync.Pool{New: func() any { return new([minHeld]byte) }}
+
 // newHeld returns a buffer that has room for n bytes, or nil if there is no memory for it.
 func newHeld(m Memory, n int) *held {
 	size := minHeld
@@ -24,6 +29,9 @@
 	if !m.TryAcquire(int64(size)) {
 		return nil
 	}
+	if size == minHeld {
+		return &held{memory: m, buf: smallBuffers.Get().(*[minHeld]byte)[:]}
+	}
 	return &held{memory: m, buf: make([]byte, size)}
 }
 
@@ -44,9 +52,21 @@
 		h.r = 0
 	}
 	if h.w == len(h.buf) && len(h.buf) < maxHeld && h.memory.TryAcquire(int64(len(h.buf))) {
-		h.buf = append(h.buf, make([]byte, len(h.buf))...)
+		small := h.buf
+		h.buf = make([]byte, 2*len(small))
+		copy(h.buf, small)
+		recycle(small)
 	}
 	return h.buf[h.w:]
 }
 
-func (h *held) release() { h.memory.Release(int64(len(h.buf))) }
+func (h *held) release() {
+	h.memory.Release(int64(len(h.buf)))
+	recycle(h.buf)
+}
+
+func recycle(buf []byte) {
+	if len(buf) == minHeld {
+		smallBuffers.Put((*[minHeld]byte)(buf))
+	}
+}
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -31,9 +31,22 @@
 			if c.expired() {
 				return 0, os.ErrDeadlineExceeded
 			}
+			if c.stashed && c.returned {
+				c.await() // the response is almost complete, so nothing runs ahead
+				continue
+			}
+			if c.stashed && !c.withhold([]byte{c.stash}) {
+				c.state = opaque
+				continue
+			}
+			c.stashed = false
 		case c.state != idle:
 			// The server wants more for the current request than was taken for it.
 			c.state = opaque
+			if c.stashed {
+				p[0], c.stashed = c.stash, false
+				return 1, nil
+			}
 			if c.held == nil {
 				return c.readThrough(p)
 			}
@@ -66,6 +79,9 @@
 		return c.deliverHeld(p), nil
 	}
 	c.releaseHeld()
+	if c.stashed {
+		return c.readAfterStash(p)
+	}
 	if c.lost != nil {
 		return 0, c.lost
 	}
@@ -75,6 +91,19 @@
 	return c.readThrough(p)
 }
 
+// readAfterStash returns the stashed byte, which begins a request, with what follows it.
+func (c *Conn) readAfterStash(p []byte) (int, error) {
+	p[0], c.stashed = c.stash, false
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p[1:])
+	c.mu.Lock()
+	if err != nil {
+		c.state = opaque // the next read returns the error again
+		return 1, nil
+	}
+	return c.received(p, n+1, nil)
+}
+
 // readThrough reads without pipelining.
 func (c *Conn) readThrough(p []byte) (int, error) {
 	c.mu.Unlock()
@@ -167,17 +196,21 @@
 
 // await waits until something has changed. The caller's close is noticed although nothing is read.
 func (c *Conn) await() {
-	poll := time.NewTimer(closePollInterval)
-	defer poll.Stop()
 	c.ensureWake()
+	if c.poll == nil {
+		c.poll = time.NewTimer(closePollInterval)
+	} else {
+		c.poll.Reset(closePollInterval)
+	}
 	c.mu.Unlock()
 	polled := false
 	select {
 	case <-c.wake:
-	case <-poll.C:
+	case <-c.poll.C:
 		polled = true
 	}
 	c.mu.Lock()
+	c.poll.Stop()
 	if polled && !c.gone && !c.closed && closedByPeer(c.Conn) {
 		c.cancelAll()
 	}
@@ -209,7 +242,6 @@
 	}
 	h.append(b)
 	c.held, c.next, c.bound = h, nil, false
-	c.ensureWake()
 	return true
 }
 
