--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -25,15 +25,28 @@
 		case c.deliver > 0:
 			return c.deliverHeld(p), nil
 		case c.state == whole && len(p) == 1:
-			if c.lost != nil {
-				return 0, c.lost
+			if c.gone {
+				return 0, io.EOF
 			}
 			if c.expired() {
 				return 0, os.ErrDeadlineExceeded
 			}
+			if c.stashed && c.returned {
+				c.await() // the response is almost complete, so nothing runs ahead
+				continue
+			}
+			if c.stashed && !c.withhold([]byte{c.stash}) {
+				c.state = opaque
+				continue
+			}
+			c.stashed = false
 		case c.state != idle:
 			// The server wants more for the current request than was taken for it.
 			c.state = opaque
+			if c.stashed {
+				p[0], c.stashed = c.stash, false
+				return 1, nil
+			}
 			if c.held == nil {
 				return c.readThrough(p)
 			}
@@ -66,6 +79,9 @@
 		return c.deliverHeld(p), nil
 	}
 	c.releaseHeld()
+	if c.stashed {
+		return c.readAfterStash(p)
+	}
 	if c.lost != nil {
 		return 0, c.lost
 	}
@@ -75,6 +91,19 @@
 	return c.readThrough(p)
 }
 
+// readAfterStash returns the stashed byte, which begins a request, with what follows it.
+func (c *Conn) readAfterStash(p []byte) (int, error) {
+	p[0], c.stashed = c.stash, false
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p[1:])
+	c.mu.Lock()
+	if err != nil {
+		c.state = opaque // the next read returns the error again
+		return 1, nil
+	}
+	return c.received(p, n+1, nil)
+}
+
 // readThrough reads without pipelining.
 func (c *Conn) readThrough(p []byte) (int, error) {
 	c.mu.Unlock()
@@ -131,7 +160,7 @@
 // readMore reads from the caller unless a request waits already, and otherwise waits until something
 // has changed.
 func (c *Conn) readMore() {
-	if c.lost == nil && !c.sealed && c.first().form == incomplete {
+	if !c.gone && !c.sealed && c.first().form == incomplete {
 		if c.held == nil {
 			c.held = newHeld(c.pipeline.limits.memory, minHeld)
 		}
@@ -156,7 +185,8 @@
 	switch {
 	case err == nil:
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		c.lose(err)
+		c.lost = err
+		c.cancelAll()
 	case c.state == idle:
 		// The server's idle timeout doesn't apply while requests run.
 		c.readDeadline = time.Time{}
@@ -166,19 +196,23 @@
 
 // await waits until something has changed. The caller's close is noticed although nothing is read.
 func (c *Conn) await() {
-	poll := time.NewTimer(closePollInterval)
-	defer poll.Stop()
 	c.ensureWake()
+	if c.poll == nil {
+		c.poll = time.NewTimer(closePollInterval)
+	} else {
+		c.poll.Reset(closePollInterval)
+	}
 	c.mu.Unlock()
 	polled := false
 	select {
 	case <-c.wake:
-	case <-poll.C:
+	case <-c.poll.C:
 		polled = true
 	}
 	c.mu.Lock()
-	if polled && c.lost == nil && !c.closed && closedByPeer(c.Conn) {
-		c.lose(io.EOF)
+	c.poll.Stop()
+	if polled && !c.gone && !c.closed && closedByPeer(c.Conn) {
+		c.cancelAll()
 	}
 }
 
@@ -208,7 +242,6 @@
 	}
 	h.append(b)
 	c.held, c.next, c.bound = h, nil, false
-	c.ensureWake()
 	return true
 }
 
