--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -241,10 +241,24 @@
 		defer h.mu.Unlock()
 		n.current = nil
 		close(p.ended)
+		go h.reportUnreachable(n)
 		time.AfterFunc(h.plan.restart, func() { h.restart(n) })
 	})
 }
 
+// reportUnreachable reports from a random host that no connection to a target can be made, as a request
+// or a probe finds out.
+func (h *history) reportUnreachable(n *node) {
+	time.Sleep(simRoundTrip)
+	x := h.anyHost()
+	h.mu.Lock()
+	run := x.run(n.id)
+	h.mu.Unlock()
+	a, _ := x.q.Admit(context.Background(), 1)
+	a.ConnectFailed(run)
+	a.Close()
+}
+
 func (h *history) restart(n *node) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
