--- a/controller/probes/probes.go
+++ b/controller/probes/probes.go
@@ -20,6 +20,7 @@
 	"github.com/cactusproxy/cactusproxy/budget"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
@@ -72,6 +73,8 @@
 	Leaving func(key blackboard.ServiceKey, id ports.HostID)
 	// OnSignals, if set, receives the signals that targets send with their responses.
 	OnSignals pick.SignalHandler
+	// OnAnswered, if set, is called when a target answers a probe.
+	OnAnswered func(suspicion.Answer)
 	// BackedOff, if set, reports whether a target has asked for no requests from this
 	// host for the time being. Such a target is not probed.
 	BackedOff func(key blackboard.ServiceKey, t blackboard.Target) bool
@@ -291,6 +294,9 @@
 	res := c.deps.Prober(ctx, cand.Target, path)
 	took := time.Since(start)
 	spend.Done(took)
+	if res.OK && c.deps.OnAnswered != nil {
+		c.deps.OnAnswered(suspicion.Answer{Target: cand.Target.RunID(), Sent: start})
+	}
 	c.report(cand, res, took)
 }
 
--- a/provision.go
+++ b/provision.go
@@ -214,6 +214,8 @@
 		BackedOff: d.picker.BackedOff,
 		Metrics:   d.metrics,
 		Log:       d.log,
+
+		OnAnswered: d.quarantine.TargetAnswered,
 	})
 }
 
