Connections to targets that stalled no longer cost a request each

Cause: a pooled connection that carries nothing any more, without a reset, is found out only by a request that gets no answer; each idle connection to each target cost one. A middlebox that still acknowledges defeats the TCP user timeout. Seen before, on with the test: edge.TestRequestsAreAnsweredThoughConnectionsToTargetsStalled got 504 on the new route after 9 s of traffic. Change: a request or probe without an answer in time, on a connection used before, closes the idle connections to that target that have not answered since it began; if two targets leave such requests unanswered and none answers on a used connection, those to all targets. Counter paths.stalled, line "closed idle connections that may have stalled".

--- a/edge/stalled_test.go
+++ b/edge/stalled_test.go
@@ -1,7 +1,10 @@
 package edge_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,17 +17,26 @@
 // changesKnownWithin is the time in which all hosts must know a change.
 const changesKnownWithin = 2 * time.Second
 
+// stallNoticedWithin is the time in which hosts must answer requests again after the connections to
+// their targets have stalled: one request of 1.5 s may be lost on each, and the next are answered.
+const stallNoticedWithin = 4 * time.Second
+
+// stallRounds is how often connections stall in a test: those that replaced the first ones may stall too.
+const stallRounds = 2
+
 // assertChangesKnown changes the routes, lets a target leave, and fails the test unless all hosts know
 // both in time and serve requests, also those of the new route.
-func (l *localCluster) assertChangesKnown() {
+func (l *localCluster) assertChangesKnown(round int) {
 	l.t.Helper()
-	leaving := l.targets["lots-0"]
+	version := uint64(2 + round)
+	leaving := l.targets[fmt.Sprintf("lots-%d", round)]
+	prefix := fmt.Sprintf("/more%d/", round)
 	begin := time.Now()
-	l.configure(2, standin.Route{Name: "more", Host: hostName, Prefix: "/more/", Type: "safe", Service: "lots", Timeout: "2s", MaxAttempts: 2})
+	l.configure(version, standin.Route{Name: "more", Host: hostName, Prefix: prefix, Type: "safe", Service: "lots", Timeout: "2s", MaxAttempts: 2})
 	l.list(leaving, "draining")
 	l.await("all hosts know the changes", func() bool {
 		for _, d := range l.daemons {
-			if d.Board().Routes.Load().Config.Version != 2 || !d.knowsLeaving(leaving.ID) {
+			if d.Board().Routes.Load().Config.Version != version || !d.knowsLeaving(leaving.ID) {
 				return false
 			}
 		}
@@ -33,7 +45,7 @@
 	took := time.Since(begin)
 	assert.Check(l.t, took < changesKnownWithin, "changes known after %s", took)
 	for _, d := range l.daemons {
-		assert.Equal(l.t, l.send(d, http.MethodGet, "/more/7", "").status, http.StatusOK)
+		assert.Equal(l.t, l.send(d, http.MethodGet, prefix+"7", "").status, http.StatusOK)
 	}
 	l.assertServed(l.cutTraffic(l.daemons, 0, 300*time.Millisecond))
 }
@@ -50,13 +62,15 @@
 	return true
 }
 
-// stallAll stalls the established connections of some proxies.
-func stallAll(t *testing.T, list []*stallproxy.Proxy) {
-	n := 0
-	for _, p := range list {
-		n += p.Stall()
-	}
-	assert.Check(t, n > 0, "no connection was established")
+// stallAll stalls the established connections of some proxies, once there are any.
+func (l *localCluster) stallAll(list []*stallproxy.Proxy) {
+	l.await("connections that can stall", func() bool {
+		n := 0
+		for _, p := range list {
+			n += p.Stall()
+		}
+		return n > 0
+	})
 }
 
 // Guards against hosts that miss changes because their connections to each other carry nothing any
@@ -69,8 +83,10 @@
 		l.start()
 	}
 	l.assertServed(l.cutTraffic(l.daemons, 0, 300*time.Millisecond))
-	stallAll(t, l.peerProxies)
-	l.assertChangesKnown()
+	for round := range stallRounds {
+		l.stallAll(l.peerProxies)
+		l.assertChangesKnown(round)
+	}
 }
 
 // Guards against hosts that miss changes because the connections on which they watch the store carry
@@ -84,8 +100,10 @@
 		l.start()
 	}
 	l.assertServed(l.cutTraffic(l.daemons, 0, 300*time.Millisecond))
-	stallAll(t, []*stallproxy.Proxy{proxy})
-	l.assertChangesKnown()
+	for round := range stallRounds {
+		l.stallAll([]*stallproxy.Proxy{proxy})
+		l.assertChangesKnown(round)
+	}
 }
 
 // Guards against requests that are lost one after the other on pooled connections to targets which
@@ -103,9 +121,31 @@
 	for range 4 {
 		l.start()
 	}
+	for round := range stallRounds {
+		for _, d := range l.daemons {
+			l.burst(d) // leaves several idle connections to each target
+		}
+		l.stallAll(proxies)
+		begin := time.Now()
+		l.await("requests are served on new connections", l.allServed)
+		assert.Check(t, time.Since(begin) < stallNoticedWithin, "served after %s", time.Since(begin))
+		l.assertChangesKnown(round)
+	}
+}
+
+// allServed sends a request through each daemon at once, and reports whether all were served.
+func (l *localCluster) allServed() bool {
+	var wg sync.WaitGroup
+	var failed atomic.Int64
 	for _, d := range l.daemons {
-		l.burst(d) // leaves several idle connections to each target
+		l.ids++
+		id := fmt.Sprintf("round-%d", l.ids)
+		wg.Go(func() {
+			if l.sendWithID(id, d, http.MethodGet, "/lots/7", "").status != http.StatusOK {
+				failed.Add(1)
+			}
+		})
 	}
-	stallAll(t, proxies)
-	l.assertChangesKnown()
+	wg.Wait()
+	return failed.Load() == 0
 }
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -9,7 +9,8 @@
 )
 
 // cutFromTargets is the number of targets whose connections must have failed since this host last
-// opened one, or broken since one last answered, for it to be taken for cut off.
+// opened one, or broken since one last answered, for it to be taken for cut off, and whose connections
+// must have stalled for all to be in doubt.
 const cutFromTargets = 2
 
 // Host is what a host knows of its own paths to all targets together. It is not safe for
@@ -25,6 +26,10 @@
 	broken map[ports.HostID]bool
 	// answered is when any target last answered, or accepted a connection.
 	answered time.Time
+	// stalled are the targets that left a request on a connection used before without an answer in
+	// time, since any target answered on such a connection, which was at answeredOnUsed.
+	stalled        map[ports.HostID]bool
+	answeredOnUsed time.Time
 }
 
 // Failed records that a connection to a target was refused or reset.
@@ -69,6 +74,29 @@
 	h.answered = now
 }
 
+// Unanswered records that a request that began at begun, on a connection that had been used before, got no
+// answer in time. It reports whether all connections used before are in doubt: several targets left
+// such requests without an answer, and none has answered on such a connection since.
+//
+// Connections may stop to carry data without a reset, for instance if a middlebox between them and the
+// targets has lost its state, while new ones work.
+func (h *Host) Unanswered(target ports.HostID, begun time.Time) bool {
+	if h.answeredOnUsed.After(begun) {
+		return false
+	}
+	if h.stalled == nil {
+		h.stalled = make(map[ports.HostID]bool)
+	}
+	h.stalled[target] = true
+	return len(h.stalled) >= cutFromTargets
+}
+
+// AnsweredOnUsed records that a target answered on a connection that had been used before.
+func (h *Host) AnsweredOnUsed(now time.Time) {
+	clear(h.stalled)
+	h.answeredOnUsed = now
+}
+
 // NoAnswerSince reports whether no target has answered since a time. While others answer, a
 // target that does not answer is more likely slow: when all hosts start at once, many are.
 func (h *Host) NoAnswerSince(t time.Time) bool { return h.answered.Before(t) }
--- a/policy/directpath/host_test.go
+++ b/policy/directpath/host_test.go
@@ -57,3 +57,20 @@
 	h.Answered(noon)
 	assert.Check(t, !h.CutOff())
 }
+
+// Guards against requests that are lost one after the other on connections that carry nothing any more, and
+// against closing the connections to all targets because some are slow.
+func TestConnectionsAreInDoubtIfNoTargetAnswersOnUsedOnes(t *testing.T) {
+	var h Host
+	later := noon.Add(1)
+	assert.Check(t, !h.Unanswered("a", noon))
+	assert.Check(t, !h.Unanswered("a", noon), "one target only")
+	assert.Check(t, h.Unanswered("b", noon))
+	h.Answered(later)
+	assert.Check(t, h.Unanswered("c", noon), "an answer on a new connection does not speak for the others")
+	h.AnsweredOnUsed(later)
+	assert.Check(t, !h.Unanswered("a", noon), "a request that began before")
+	assert.Check(t, !h.Unanswered("b", noon))
+	assert.Check(t, !h.Unanswered("a", later))
+	assert.Check(t, h.Unanswered("b", later))
+}
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -138,7 +138,11 @@
 	now := time.Now()
 	p.owner.reachMu.Lock()
 	p.owner.reach.Answered(now)
+	if c.used {
+		p.owner.reach.AnsweredOnUsed(now)
+	}
 	p.owner.reachMu.Unlock()
+	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answeredAt = now
--- a/upstream/pathlog.go
+++ b/upstream/pathlog.go
@@ -19,7 +19,7 @@
 	limiter                         *rate.Limiter
 	ownFailed, lost, regained       *expvar.Int
 	checks, relayed, lines, suspect *expvar.Int
-	verified                        *expvar.Int
+	verified, stalled               *expvar.Int
 }
 
 func newPathLog(o Options) *pathLog {
@@ -33,6 +33,7 @@
 		checks:    c("checks"),
 		suspect:   c("suspected"),
 		verified:  c("verified"),
+		stalled:   c("stalled"),
 		relayed:   c("relayed"),
 		lines:     c("lines_dropped"),
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,6 +50,7 @@
 	// via is the host that carries the connection; empty if this host opened it itself.
 	via       ports.HostID
 	opened    time.Time // when it was established
+	used      bool      // whether it has carried a response
 	idleSince time.Time // when it became idle
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -188,6 +188,9 @@
 	if err != nil {
 		sent := c.counter.writes.Load() != before
 		pl.discard(c)
+		if CauseOf(err) == CauseTimeout && c.used {
+			pl.noteStalled(begin)
+		}
 		if c.via == "" && CauseOf(err) == CauseTimeout {
 			pl.suspect(begin, o)
 		}
