--- /dev/null
+++ b/policy/admission/admission.go
@@ -0,0 +1,113 @@
+// Package admission decides which requests of a service are sent on while the service is short of
+// room, that is, while targets or the choice of a target turn requests away.
+//
+// More urgent ranks go first, and every rank keeps a guaranteed minimum. Within a rank, tenants get
+// max-min fair shares: those that ask for less than their share are admitted, those that ask for
+// more are admitted up to it. The rate that all requests together may have follows from how many
+// admitted requests found no room (Limit), so that no capacity has to be configured or reported.
+//
+// A Demand counts requests by rank and tenant, Shares divides a rate among them, and each host
+// decides by the resulting Level. The rules follow core-stateless fair queueing (Stoica et al.,
+// SIGCOMM 1998): the shares are computed at one place, and hosts drop at random by the ratio of
+// share and demand.
+package admission
+
+import "time"
+
+const (
+	// MaxRanks is the number of ranks that are told apart. Less urgent ones count as the last.
+	MaxRanks = 8
+	// Interval is the time between two updates of a Level.
+	Interval = 250 * time.Millisecond
+)
+
+// Key identifies the requests that share a decision. Tenant is empty for requests without one.
+type Key struct {
+	Rank   int    `msgpack:"r"`
+	Tenant string `msgpack:"t"`
+}
+
+// NewKey returns the key of requests of a rank, which is limited to the ranks that are told apart,
+// and a tenant.
+func NewKey(rank int, tenant string) Key {
+	return Key{Rank: min(max(rank, 0), MaxRanks-1), Tenant: tenant}
+}
+
+// Level says which requests of a service are admitted. The zero value admits all. It is immutable
+// once shared.
+type Level struct {
+	// Limited is set while the service is short of room.
+	Limited bool `msgpack:"limited"`
+	// Ranks are the admitted fractions of tenants within their fair share.
+	Ranks [MaxRanks]float64 `msgpack:"ranks"`
+	// Heavy are the admitted fractions of tenants that ask for more than their share.
+	Heavy map[Key]float64 `msgpack:"heavy"`
+	// Full is the part of the room for requests that are all admitted.
+	Full float64 `msgpack:"full"`
+}
+
+// Request is a request to decide on.
+type Request struct {
+	Key
+	// Objective is the desired response time, 0 if there is none, and Left the part of it that
+	// the caller has not waited yet; it may be negative.
+	Objective, Left time.Duration
+	// Usual is the usual response time of the service, 0 if not known.
+	Usual time.Duration
+}
+
+// Hopeless reports whether a retry can hardly be answered in time any more. A first attempt never
+// is, however short its objective: else kinds of requests with short objectives would get nothing.
+func (r *Request) Hopeless() bool {
+	return r.Objective > 0 && r.Left < r.Objective && r.Left < r.Usual
+}
+
+// Decision is the result for one request.
+type Decision struct {
+	Admitted bool
+	// Spare is set if an admitted request must not wait for a slot, because requests of which all
+	// are admitted may be waiting. LeaveSlot is set if it must leave a slot of its target free for
+	// those.
+	Spare, LeaveSlot bool
+	// Share is the admitted fraction of such requests.
+	Share float64
+}
+
+// reserve is how often a spare request leaves a slot free, relative to Level.Full. With 1, one in
+// 50 requests of tenants within their share found no room at 14 hosts.
+const reserve = 2
+
+// Decide decides on a request with two random numbers in [0, 1).
+func (l *Level) Decide(r Request, u, v float64) Decision {
+	if l == nil || !l.Limited {
+		return Decision{Admitted: true, Share: 1}
+	}
+	share, heavy := l.Heavy[r.Key]
+	if !heavy {
+		share = l.Ranks[r.Rank]
+	}
+	if r.Hopeless() {
+		return Decision{Share: share}
+	}
+	spare := share < 1
+	return Decision{Admitted: u < share, Spare: spare, LeaveSlot: spare && v < reserve*l.Full, Share: share}
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may retry.
+	// Callers wait at most a third of their remaining time, which is 2 s or less.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// RetryAfter returns when a refused caller may retry, with a random number u in [0, 1): after the
+// time in which the service works off the refused requests of one interval at the admitted
+// fraction. It differs by up to a factor of 3 between callers, so that they don't return together.
+func RetryAfter(share, u float64) time.Duration {
+	wait := maxRetryAfter
+	if share > 0 {
+		wait = time.Duration(min(float64(Interval)*(1-share)/share, float64(maxRetryAfter)))
+	}
+	wait = time.Duration(float64(max(wait, 2*minRetryAfter)) * (0.5 + u))
+	return min(max(wait, minRetryAfter), maxRetryAfter*3/2)
+}
