--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -94,20 +94,19 @@
 }
 
 const (
-	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may retry.
-	// Callers wait at most a third of their remaining time, which is 2 s or less.
-	minRetryAfter = 50 * time.Millisecond
+	// minRetryAfter is about the time in which requests at targets end. maxRetryAfter is the
+	// longest time that callers with the longest deadlines wait, a third of them.
+	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
 
-// RetryAfter returns when a refused caller may retry, with a random number u in [0, 1): after the
-// time in which the service works off the refused requests of one interval at the admitted
-// fraction. It differs by up to a factor of 3 between callers, so that they don't return together.
+// RetryAfter returns when a refused caller may retry, with a random number u in [0, 1): on the mean
+// after the time in which the service works off the refused requests of one interval at the
+// admitted fraction, spread evenly so that callers don't return together.
 func RetryAfter(share, u float64) time.Duration {
-	wait := maxRetryAfter
+	spread := float64(maxRetryAfter - minRetryAfter)
 	if share > 0 {
-		wait = time.Duration(min(float64(Interval)*(1-share)/share, float64(maxRetryAfter)))
+		spread = min(spread, 2*float64(Interval)*(1-share)/share)
 	}
-	wait = time.Duration(float64(max(wait, 2*minRetryAfter)) * (0.5 + u))
-	return min(max(wait, minRetryAfter), maxRetryAfter*3/2)
+	return minRetryAfter + time.Duration(u*max(spread, float64(minRetryAfter)))
 }
--- a/policy/admission/shares.go
+++ b/policy/admission/shares.go
@@ -12,6 +12,23 @@
 // Weights returns the weight of a tenant's share relative to others; nil stands for equal weights.
 type Weights func(tenant string) float64
 
+func (w Weights) of(tenant string) float64 {
+	if w == nil {
+		return 1
+	}
+	return w(tenant)
+}
+
+// QuotaWeights returns weights by the tenants' quotas, in requests per second, so that a large
+// tenant within its quota isn't taken for one that floods. No weight is below the mean quota, which
+// guarantees every tenant half of an equal share. Rate returns 0 for a tenant without a quota.
+func QuotaWeights(mean float64, rate func(tenant string) float64) Weights {
+	if mean <= 0 {
+		return nil
+	}
+	return func(tenant string) float64 { return max(mean, rate(tenant)) }
+}
+
 // Shares divides room for a number of requests among a demand.
 func Shares(room float64, d *Demand, weights Weights) Level {
 	l := Level{Limited: true, Heavy: make(map[Key]float64)}
@@ -53,66 +70,83 @@
 	return least
 }
 
-// claim is the demand of one tenant in a rank.
+// claim is the demand of one tenant in a rank, and what it got. The claim without a tenant stands
+// for all that are not tracked.
 type claim struct {
-	key            Key
-	demand, weight float64
+	key                 Key
+	demand, weight, got float64
 }
 
+// maxHeavy is the number of tenants with a fraction of their own in a Level, which limits its size
+// in messages. If more ask for more than their share, the rest of a rank gets the mean of the rest.
+const maxHeavy = 32
+
 // divide gives the tenants of a rank max-min fair shares of room.
-//
-// Those that are not tracked are taken for as many tenants as would each ask for what the least of
-// the tracked ones does. Requests without a tenant get the mean fraction.
 func (l *Level) divide(room float64, d *Demand, rank int, weights Weights) {
 	n := d.Ranks[rank]
+	l.Ranks[rank] = 1
 	if n == 0 || room >= n {
-		l.Ranks[rank] = 1
 		l.Full += n
 		return
 	}
-	mean := room / n
-	var claims []claim
-	least := 0.0
-	for k, c := range d.Tracked {
-		switch {
-		case k.Rank != rank:
-		case k.Tenant == "":
-			l.Heavy[k] = mean
-			room -= mean * c
-		default:
-			w := weightOf(weights, k.Tenant)
-			claims = append(claims, claim{k, c, w})
-			if least == 0 || c/w < least {
-				least = c / w
-			}
-		}
-	}
-	light := claim{demand: d.untracked(rank), weight: 1}
-	if least > 0 {
-		light.weight = light.demand / least
-	}
-	if light.demand > 0 {
-		claims = append(claims, light)
+	claims := d.claims(rank, weights)
+	if anonymous := d.Tracked[Key{Rank: rank}]; anonymous > 0 {
+		// Requests without a tenant aren't one tenant: they get the mean.
+		l.Heavy[Key{Rank: rank}] = room / n
+		room -= room / n * anonymous
 	}
 	unit := fairUnit(claims, max(0, room))
-	l.Ranks[rank] = 1
+	asked, got, full := 0.0, 0.0, 0.0
+	for i := range claims {
+		c := &claims[i]
+		c.got = min(c.demand, unit*c.weight)
+		asked += c.demand
+		got += c.got
+		if c.got == c.demand {
+			full += c.got
+		}
+	}
+	// Those that ask for the most beyond their share come first.
+	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(b.demand-b.got, a.demand-a.got) })
 	for _, c := range claims {
-		switch got := unit * c.weight; {
-		case got >= c.demand:
-			l.Full += c.demand
-		case c.key.Tenant == "":
-			l.Ranks[rank] = got / c.demand
-		default:
-			l.Heavy[c.key] = got / c.demand
+		if c.got == c.demand || len(l.Heavy) >= maxHeavy {
+			break
+		}
+		if c.key.Tenant != "" {
+			l.Heavy[c.key] = c.got / c.demand
+			asked -= c.demand
+			got -= c.got
 		}
 	}
+	if asked > 0 && got < asked*(1-1e-9) {
+		l.Ranks[rank] = got / asked
+		return
+	}
+	l.Full += full
 }
 
-func weightOf(w Weights, tenant string) float64 {
-	if w == nil {
-		return 1
+// claims returns the demand of the tenants of a rank. Those that are not tracked are taken for as
+// many as would each ask for what the least of the tracked ones does.
+func (d *Demand) claims(rank int, weights Weights) (claims []claim) {
+	least := 0.0
+	for k, n := range d.Tracked {
+		if k.Rank != rank || k.Tenant == "" {
+			continue
+		}
+		w := weights.of(k.Tenant)
+		claims = append(claims, claim{key: k, demand: n, weight: w})
+		if least == 0 || n/w < least {
+			least = n / w
+		}
 	}
-	return w(tenant)
+	rest := claim{demand: d.untracked(rank), weight: 1}
+	if rest.demand <= 0 {
+		return claims
+	}
+	if least > 0 {
+		rest.weight = rest.demand / least
+	}
+	return append(claims, rest)
 }
 
 // fairUnit returns the fair share of a tenant of weight 1, such that the shares, none greater than
