--- /dev/null
+++ b/controller/admission/admission.go
@@ -0,0 +1,178 @@
+// Package admission applies package policy/admission on every host: it decides on the first attempt
+// of each call before a target is chosen, and lets hosts agree on the level of a service that is
+// short of room.
+//
+// One host owns a service, by rendezvous hashing. While a host sees signs that the service is short
+// of room, it reports its demand and results to the owner once in a period; the reply is the level.
+// A host that can't reach the owner tries the next one with its next report and decides by its own
+// observations until then. Nothing is sent while services have room.
+package admission
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/peer"
+	"github.com/cactusproxy/cactusproxy/pick"
+	policy "github.com/cactusproxy/cactusproxy/policy/admission"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+// Deps are the dependencies of a Controller.
+type Deps struct {
+	// Picker is the wrapped picker.
+	Picker  pick.Picker
+	Board   *blackboard.Board
+	Link    peer.Link
+	Seed    uint64
+	Metrics *metrics.Set
+	Log     *zap.Logger
+}
+
+// Controller is a pick.Picker that refuses calls beyond the share of their rank and tenant while
+// their service is short of room. It is safe for concurrent use.
+type Controller struct {
+	deps  Deps
+	self  ports.HostID
+	count counters
+	scope atomic.Pointer[scope]
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[blackboard.ServiceKey]*service
+	views    map[blackboard.ServiceKey]*ownedView
+	// unreachable are owners that didn't reply, with the end of their backoff.
+	unreachable map[ports.HostID]time.Time
+}
+
+var _ pick.Picker = (*Controller)(nil)
+
+// New returns a controller and registers its message handler with the link.
+func New(d Deps) *Controller {
+	c := &Controller{
+		deps:        d,
+		self:        d.Link.Self(),
+		count:       newCounters(d.Metrics),
+		rng:         rand.New(rand.NewPCG(d.Seed, 7)),
+		services:    make(map[blackboard.ServiceKey]*service),
+		views:       make(map[blackboard.ServiceKey]*ownedView),
+		unreachable: make(map[ports.HostID]time.Time),
+	}
+	peer.Handle(d.Link, peer.KindAdmission+kindReport, c.onReport)
+	return c
+}
+
+// Pick implements pick.Picker. It decides on first attempts only: a call whose first attempt was
+// admitted keeps its right.
+func (c *Controller) Pick(ctx context.Context, req pick.Request) (pick.Grant, outcome.Result) {
+	if !c.currentScope().active(req.Service.Service) {
+		return c.deps.Picker.Pick(ctx, req)
+	}
+	s := c.service(req.Service)
+	if req.Hedge {
+		if s.limited(time.Now()) {
+			return nil, outcome.Refuse(outcome.ReasonOverload)
+		}
+		return c.deps.Picker.Pick(ctx, req)
+	}
+	d := policy.Decision{Admitted: true, Share: 1}
+	if len(req.Avoid) == 0 {
+		d = s.decide(time.Now(), requestOf(req))
+		if !d.Admitted {
+			c.count.refuse(req.Priority)
+			return nil, c.refusal(outcome.Refuse(outcome.ReasonOverload), req, d)
+		}
+		req.Spare, req.LeaveSlot = d.Spare, d.LeaveSlot
+	}
+	g, refusal := c.deps.Picker.Pick(ctx, req)
+	if g != nil {
+		s.recordGrant(time.Now(), g)
+		return &heldGrant{Grant: g, service: s, req: req}, outcome.Result{}
+	}
+	if !lacksRoom(refusal.Reason) {
+		return nil, refusal
+	}
+	now := time.Now()
+	s.recordNoRoom(now, req)
+	if !s.limited(now) {
+		return nil, refusal
+	}
+	c.count.noRoom.Add(1)
+	return nil, c.refusal(refusal, req, d)
+}
+
+// requestOf returns the request to decide on for an attempt.
+func requestOf(req pick.Request) policy.Request {
+	return policy.Request{Key: policy.NewKey(req.Priority, req.Tenant), Objective: req.Objective, Left: timeLeft(time.Now(), req)}
+}
+
+// timeLeft returns how much of the objective is left.
+func timeLeft(now time.Time, req pick.Request) time.Duration {
+	return req.Objective - now.Sub(req.Arrived)
+}
+
+// lacksRoom reports whether a refusal by the wrapped picker means that no target had room.
+func lacksRoom(r outcome.Reason) bool {
+	switch r {
+	case outcome.ReasonOverload, outcome.ReasonQueueTimeout, outcome.ReasonTargetLimit, outcome.ReasonShed, outcome.ReasonQueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
+// refusal completes a refusal while the service is limited.
+func (c *Controller) refusal(r outcome.Result, req pick.Request, d policy.Decision) outcome.Result {
+	c.mu.Lock()
+	r.RetryAfter = policy.RetryAfter(d.Share, c.rng.Float64())
+	c.mu.Unlock()
+	detail := fmt.Sprintf("rank=%d share=%.3f", req.Priority, d.Share)
+	if r.Detail != "" {
+		detail += " " + r.Detail
+	}
+	r.Detail = detail
+	return r
+}
+
+func (c *Controller) service(key blackboard.ServiceKey) *service {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[key]
+	if s == nil {
+		s = &service{key: key, rng: rand.New(rand.NewPCG(c.rng.Uint64(), 8))}
+		c.services[key] = s
+	}
+	return s
+}
+
+// heldGrant is a grant that reports its result to the controller. It implements pick.Explainer.
+type heldGrant struct {
+	pick.Grant
+	service *service
+	req     pick.Request
+}
+
+// Basis implements pick.Explainer.
+func (h *heldGrant) Basis() pick.Basis { return basisOf(h.Grant) }
+
+func basisOf(g pick.Grant) pick.Basis {
+	if e, ok := g.(pick.Explainer); ok {
+		return e.Basis()
+	}
+	return pick.Basis{}
+}
+
+// Release implements pick.Grant.
+func (h *heldGrant) Release(r pick.Report) {
+	h.service.recordEnd(time.Now(), h.req, r, basisOf(h.Grant).LoadUnreported)
+	h.Grant.Release(r)
+}
--- /dev/null
+++ b/controller/admission/exchange.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/peer"
+	policy "github.com/cactusproxy/cactusproxy/policy/admission"
+	"github.com/cactusproxy/cactusproxy/policy/rendezvous"
+	"github.com/cactusproxy/cactusproxy/ports"
+)
+
+const (
+	// reportsPerSecond is the number of reports that an owner gets while its service is short of
+	// room. Beyond 100 hosts each reports less often.
+	reportsPerSecond = 400
+	// reportTimeout bounds a report and its reply; a round trip takes 1 to 3 ms.
+	reportTimeout = 150 * time.Millisecond
+	// ownerBackoff is how long a host that didn't reply isn't asked again.
+	ownerBackoff = 2 * time.Second
+	// viewTTL is the time without reports after which an owner forgets a service.
+	viewTTL = 3 * time.Second
+)
+
+// maxPeriod bounds the time between two reports, since levels lose weight with age.
+const maxPeriod = time.Second
+
+// period returns the time between two reports of a host.
+func period(hosts int) time.Duration {
+	return min(max(policy.Interval, time.Duration(hosts)*time.Second/reportsPerSecond), maxPeriod)
+}
+
+// Run reports to owners until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.mu.Lock()
+	timer := time.NewTimer(time.Duration(c.rng.Float64() * float64(policy.Interval))) // hosts report at different times
+	c.mu.Unlock()
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-timer.C:
+			timer.Reset(period(len(c.deps.Board.Members.Load().Members)))
+			c.reportAll(ctx, now)
+		}
+	}
+}
+
+// reportAll reports on each service that may be short of room, and forgets old views and backoffs.
+func (c *Controller) reportAll(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	services := make([]*service, 0, len(c.services))
+	for _, s := range c.services {
+		services = append(services, s)
+	}
+	for key, v := range c.views {
+		if now.Sub(v.reportedAt) > viewTTL {
+			delete(c.views, key)
+		}
+	}
+	for id, until := range c.unreachable {
+		if now.After(until) {
+			delete(c.unreachable, id)
+		}
+	}
+	c.mu.Unlock()
+	for _, s := range services {
+		if r, due := s.takeReport(now); due {
+			go c.report(ctx, s, r)
+		}
+	}
+}
+
+// report sends a report to the owner of its service and puts the level of the reply in force. If
+// the owner doesn't reply, this host's own view is used.
+func (c *Controller) report(ctx context.Context, s *service, r report) {
+	c.count.reports.Add(1)
+	owner := c.owner(r.key())
+	if owner == c.self {
+		s.setLevel(time.Now(), c.view(time.Now(), &r))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := peer.Call[levelReply](ctx, c.deps.Link, owner, peer.KindAdmission+kindReport, r)
+	now := time.Now()
+	if err == nil {
+		s.setLevel(now, reply.level())
+		return
+	}
+	c.count.reportsFailed.Add(1)
+	c.deps.Log.Info("owner of admission did not reply", zap.String("service", r.Service), zap.String("peer", string(owner)), zap.Error(err))
+	c.mu.Lock()
+	c.unreachable[owner] = now.Add(ownerBackoff)
+	c.mu.Unlock()
+	s.setLevel(now, c.view(now, &r))
+}
+
+// owner returns the host that owns a service, among those that this host can reach.
+func (c *Controller) owner(key blackboard.ServiceKey) ports.HostID {
+	members := c.deps.Board.Members.Load().Members
+	c.mu.Lock()
+	reachable := make([]blackboard.Member, 0, len(members))
+	for _, m := range members {
+		if _, failed := c.unreachable[m.Host.ID]; !failed {
+			reachable = append(reachable, m)
+		}
+	}
+	c.mu.Unlock()
+	m, ok := rendezvous.Owner("admission/"+key.String(), reachable)
+	if !ok {
+		return c.self
+	}
+	return m.Host.ID
+}
+
+// ownedView is an owner's view of a service.
+type ownedView struct {
+	policy.View
+	level policy.Level
+	// nextAt is when the next level is due, reportedAt when the last report came.
+	nextAt, reportedAt time.Time
+}
+
+// onReport adds a report of another host and replies with the level.
+func (c *Controller) onReport(_ context.Context, _ ports.HostID, r report) (levelReply, error) {
+	c.count.owned.Add(1)
+	return replyOf(c.view(time.Now(), &r)), nil
+}
+
+// view adds a report to the view of its service and returns the level, which changes once in a
+// period.
+func (c *Controller) view(now time.Time, r *report) policy.Level {
+	weights := c.currentScope().weights
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := r.key()
+	v := c.views[key]
+	if v == nil {
+		v = &ownedView{nextAt: now.Add(period(len(c.deps.Board.Members.Load().Members)))}
+		c.views[key] = v
+	}
+	v.reportedAt = now
+	v.Report(r.demand(), r.Seen)
+	if !now.Before(v.nextAt) {
+		v.level = v.Next(weights)
+		v.nextAt = now.Add(period(len(c.deps.Board.Members.Load().Members)))
+		if v.level.Limited {
+			c.count.limited.Add(1)
+		}
+	}
+	return v.level
+}
--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -64,6 +64,8 @@
 	Objective time.Duration
 	// Priority is the call's priority; 0 is the most urgent.
 	Priority int
+	// Tenant is the tenant that owns the caller's API key; empty if there is none.
+	Tenant string
 	// Regions restricts the targets to these regions; empty allows all.
 	Regions []string
 	// ResponseSizes, if set, records the sizes of the responses to such calls.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -145,6 +145,7 @@
 			Arrived:   c.Arrived.Add(-c.PriorWait),
 			Objective: c.Objective,
 			Priority:  c.Priority,
+			Tenant:    c.Tenant,
 			Bytes:     c.bytes(),
 			Regions:   c.Regions,
 		})
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 
 	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/admission"
 	"github.com/cactusproxy/cactusproxy/controller/leave"
 	"github.com/cactusproxy/cactusproxy/controller/quota"
 	"github.com/cactusproxy/cactusproxy/controller/watch"
@@ -71,6 +72,7 @@
 	watch      *watch.Controller
 	quota      *quota.Controller
 	picker     *backpressure.Picker
+	admission  *admission.Controller
 	leave      *leave.Controller
 
 	callers    *daemon.Callers
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -160,6 +160,7 @@
 		OnSignals: d.observeSignals,
 	})
 	d.provisionPicker()
+	d.provisionAdmission()
 	d.provisionCallers()
 	d.provisionServers()
 	d.provisionLeave()
@@ -199,7 +200,7 @@
 func (d *Daemon) provisionCallers() {
 	dispatcher := dispatch.New(dispatch.Deps{
 		Board:               d.board,
-		Picker:              d.picker,
+		Picker:              d.admission,
 		Upstream:            d.pools,
 		Quarantine:          d.quarantine,
 		Metrics:             d.metrics,
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -6,6 +6,7 @@
 
 	"github.com/cactusproxy/cactusproxy/backpressure"
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/controller/admission"
 	"github.com/cactusproxy/cactusproxy/controller/quota"
 	"github.com/cactusproxy/cactusproxy/peer"
 	policy "github.com/cactusproxy/cactusproxy/policy/quota"
@@ -52,6 +53,18 @@
 	})
 }
 
+// provisionAdmission creates the admission control, which wraps the picker.
+func (d *Daemon) provisionAdmission() {
+	d.admission = admission.New(admission.Deps{
+		Picker:  d.picker,
+		Board:   d.board,
+		Link:    d.node,
+		Seed:    d.incarnation,
+		Metrics: d.metrics,
+		Log:     d.log,
+	})
+}
+
 // observeSignals passes the signals of a target's response or probe to the picker.
 func (d *Daemon) observeSignals(key blackboard.ServiceKey, t blackboard.Target, s targetapi.Signals) {
 	d.picker.HandleSignals(key, t, s)
--- a/edge/run.go
+++ b/edge/run.go
@@ -38,6 +38,7 @@
 		d.watch.Run,
 		d.quota.Run,
 		d.picker.Run,
+		d.admission.Run,
 		d.quarantine.Run,
 		d.watchLimits,
 		daemon.Upkeep{Board: d.board, Pools: d.pools, Quarantine: d.quarantine}.Run,
--- a/entry/request.go
+++ b/entry/request.go
@@ -37,6 +37,7 @@
 		Depth:           intHeader(r, s.deps.Contract.Depth, 0),
 		Objective:       m.Objective,
 		Priority:        m.Priority,
+		Tenant:          m.Tenant,
 		Regions:         m.Regions,
 		StillAuthorized: m.StillAuthorized,
 		Caller:          callerIdentity(r),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -49,6 +49,7 @@
 	KindQuota
 	KindTargetLimit
 	KindRelay
+	KindAdmission
 )
 
 // Handler handles a message and returns the body of the reply. The handler owns body. An
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -38,6 +38,12 @@
 	Objective time.Duration
 	// Priority is the rank of the call; 0 is the most urgent.
 	Priority int
+	// Tenant is the name of the tenant that owns the request's API key; empty if there is none.
+	Tenant string
+	// Spare marks a call of a tenant or rank that exceeds its share while the service is short of
+	// room. It is granted only if a slot is free, without waiting; with LeaveSlot only if another
+	// slot of the target stays free.
+	Spare, LeaveSlot bool
 	// Bytes is the estimated size of the request's body and its response together.
 	Bytes float64
 	// Regions are the only regions whose targets may get the call; all if empty.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -113,7 +113,7 @@
 			probed = c.all()
 			next := placement.WaitForBetter
 			// Another probe round is worthwhile only if this one brought current load reports.
-			if known := p.probe(ctx, s, probed); !req.Hedge && (!known || waits >= s.maxWaits()) {
+			if known := p.probe(ctx, s, probed); !req.Hedge && (!known || req.Spare || waits >= s.maxWaits()) {
 				next = placement.NoFallback
 			}
 			g, last = p.choose(ctx, s, req, probed, next)
@@ -174,6 +174,9 @@
 	if at, ok := ctx.Deadline(); ok && expectedLatency > at.Sub(now) {
 		worthwhile = false
 	}
+	if req.Spare && t.figures.FreeSlots(now) < slotsNeeded(req, t) {
+		worthwhile = false
+	}
 	switch placement.Decide(cost, worthwhile, next) {
 	case placement.Refuse:
 		return nil, outcome.ReasonOverload
@@ -194,6 +197,14 @@
 	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, ""
 }
 
+// slotsNeeded returns how many slots must be free for a spare call to be sent to a target.
+func slotsNeeded(req pick.Request, t *target) float64 {
+	if req.LeaveSlot && t.figures.Slots > 1 {
+		return 2
+	}
+	return 1
+}
+
 func overloadIf(refused bool) outcome.Reason {
 	if refused {
 		return outcome.ReasonOverload
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -23,8 +23,8 @@
 
 // Key identifies the requests that share a decision. Tenant is empty for requests without one.
 type Key struct {
-	Rank   int    `msgpack:"r"`
-	Tenant string `msgpack:"t"`
+	Rank   int
+	Tenant string
 }
 
 // NewKey returns the key of requests of a rank, which is limited to the ranks that are told apart,
@@ -37,13 +37,13 @@
 // once shared.
 type Level struct {
 	// Limited is set while the service is short of room.
-	Limited bool `msgpack:"limited"`
+	Limited bool
 	// Ranks are the admitted fractions of tenants within their fair share.
-	Ranks [MaxRanks]float64 `msgpack:"ranks"`
+	Ranks [MaxRanks]float64
 	// Heavy are the admitted fractions of tenants that ask for more than their share.
-	Heavy map[Key]float64 `msgpack:"heavy"`
+	Heavy map[Key]float64
 	// Full is the part of the room for requests that are all admitted.
-	Full float64 `msgpack:"full"`
+	Full float64
 }
 
 // Request is a request to decide on.
@@ -54,6 +54,21 @@
 	Objective, Left time.Duration
 	// Usual is the usual response time of the service, 0 if not known.
 	Usual time.Duration
+	// Age is the time since the level was computed.
+	Age time.Duration
+}
+
+const (
+	// freshAge is the age up to which a level is in force as it is, some intervals, and levelTTL
+	// the age at which it has lost all weight: a host that hears nothing more admits all and
+	// decides by its own results.
+	freshAge = 1500 * time.Millisecond
+	levelTTL = 4 * time.Second
+)
+
+// weight is the weight of a level of this age.
+func weight(age time.Duration) float64 {
+	return min(1, max(0, float64(levelTTL-age)/float64(levelTTL-freshAge)))
 }
 
 // Hopeless reports whether a retry can hardly be answered in time any more. A first attempt never
@@ -62,6 +77,9 @@
 	return r.Objective > 0 && r.Left < r.Objective && r.Left < r.Usual
 }
 
+// InForce reports whether the level, computed age ago, still limits anything.
+func (l *Level) InForce(age time.Duration) bool { return l.Limited && age < levelTTL }
+
 // Decision is the result for one request.
 type Decision struct {
 	Admitted bool
@@ -79,13 +97,14 @@
 
 // Decide decides on a request with two random numbers in [0, 1).
 func (l *Level) Decide(r Request, u, v float64) Decision {
-	if l == nil || !l.Limited {
+	if l == nil || !l.Limited || r.Age >= levelTTL {
 		return Decision{Admitted: true, Share: 1}
 	}
 	share, heavy := l.Heavy[r.Key]
 	if !heavy {
 		share = l.Ranks[r.Rank]
 	}
+	share = 1 - (1-share)*weight(r.Age)
 	if r.Hopeless() {
 		return Decision{Share: share}
 	}
--- a/policy/admission/admission_test.go
+++ b/policy/admission/admission_test.go
@@ -164,6 +164,18 @@
 	assert.Check(t, !l.Decide(retry, 0, 0).Admitted)
 }
 
+// A host that hears nothing more of the others, as when it is cut off, must not refuse by what they
+// said long ago.
+func TestOldLevelsLoseWeight(t *testing.T) {
+	l := Shares(10, demandOf(map[Key]float64{{0, "flood"}: 50}), nil)
+	share := func(age time.Duration) float64 {
+		return l.Decide(Request{Key: Key{0, "flood"}, Age: age}, 0, 0).Share
+	}
+	assert.Equal(t, share(time.Second), 0.2)
+	assert.Check(t, share(3*time.Second) > 0.2 && share(3*time.Second) < 1)
+	assert.Equal(t, share(5*time.Second), 1.0)
+}
+
 // Callers must not return together, and later the less is admitted.
 func TestRetryAfterIsSpreadAndGrows(t *testing.T) {
 	for _, share := range []float64{0, 0.05, 0.3, 0.9, 1} {
--- a/policy/admission/demand.go
+++ b/policy/admission/demand.go
@@ -8,9 +8,9 @@
 // hitters algorithm of Misra and Gries). Its size does not depend on the number of tenants. The
 // zero value is empty. It is not safe for concurrent use.
 type Demand struct {
-	Ranks [MaxRanks]float64 `msgpack:"ranks"`
+	Ranks [MaxRanks]float64
 	// Tracked are lower bounds of the requests of keys. The rest of a rank is not attributed.
-	Tracked map[Key]float64 `msgpack:"tracked"`
+	Tracked map[Key]float64
 }
 
 // Add counts n requests of a key.
@@ -43,6 +43,11 @@
 	}
 }
 
+// AddUntracked counts n requests of a rank without attributing them.
+func (d *Demand) AddUntracked(rank int, n float64) {
+	d.Ranks[NewKey(rank, "").Rank] += n
+}
+
 // Merge adds the counts of another Demand, multiplied by weight.
 func (d *Demand) Merge(o *Demand, weight float64) {
 	for r, n := range o.Ranks {
@@ -78,8 +83,8 @@
 	return n
 }
 
-// untracked returns the requests of a rank that no key accounts for.
-func (d *Demand) untracked(rank int) float64 {
+// Untracked returns the requests of a rank that no key accounts for.
+func (d *Demand) Untracked(rank int) float64 {
 	n := d.Ranks[rank]
 	for k, c := range d.Tracked {
 		if k.Rank == rank {
--- a/policy/admission/shares.go
+++ b/policy/admission/shares.go
@@ -139,7 +139,7 @@
 			least = n / w
 		}
 	}
-	rest := claim{demand: d.untracked(rank), weight: 1}
+	rest := claim{demand: d.Untracked(rank), weight: 1}
 	if rest.demand <= 0 {
 		return claims
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -146,6 +146,11 @@
 // WouldQueue reports whether one more call would wait for a slot.
 func (f *TargetState) WouldQueue(now time.Time) bool { return f.calls(f.Age(now)) >= float64(f.Slots) }
 
+// FreeSlots returns the estimated number of slots that are free.
+func (f *TargetState) FreeSlots(now time.Time) float64 {
+	return float64(f.Slots) - f.calls(f.Age(now))
+}
+
 // Worthwhile reports whether a call should be sent to a target with the given estimated response
 // time: if the response would meet its objective, or if a slot is free; while slots are scarce,
 // only if both hold.
