--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -97,15 +97,14 @@
 		s.seen.NoRoom++
 		s.signAt = now
 		return
-	case pick.TimedOut, pick.Canceled:
 	default:
 		return
 	}
-	if !unreported || r.Class == pick.Canceled && !late {
+	if !unreported {
 		return
 	}
 	s.seen.Answered++
-	if late || r.Class == pick.TimedOut {
+	if late {
 		s.seen.Late++
 		s.signAt = now
 	}
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -108,7 +108,7 @@
 	if r.Hopeless() {
 		return Decision{Share: share}
 	}
-	spare := share < 1
+	spare := share < 1 && l.Full > 0
 	return Decision{Admitted: u < share, Spare: spare, LeaveSlot: spare && v < reserve*l.Full, Share: share}
 }
 
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -20,12 +20,39 @@
 	a.Late += weight * o.Late
 }
 
-// usualLate is the fraction of late responses that does not count as lack of room: slow periods of
-// targets make one in ten late without any.
-const usualLate = 0.25
+const (
+	// usualLate is the fraction of late responses that does not count as lack of room: slow periods
+	// of targets make one in ten late without any.
+	usualLate = 0.25
+	// lateGain is how much less is admitted if all responses are late, so that queues drain.
+	lateGain = 0.7
+	// leastByLateness is the fraction of the demand that is admitted in any case where lateness
+	// limits it: responses may be late for another reason.
+	leastByLateness = 0.2
+)
+
+// unreported reports whether the targets don't report their load.
+func (a *Observed) unreported() bool { return a.Answered > 0 }
 
-// lacking returns how many admitted requests found no room, by refusals and late responses.
-func (a *Observed) lacking() float64 { return a.NoRoom + max(0, a.Late-usualLate*a.Answered) }
+// lateness returns by how much more responses are late than usual, 0 to 1.
+func (a *Observed) lateness() float64 {
+	if !a.unreported() {
+		return 0
+	}
+	return max(0, a.Late/a.Answered-usualLate) / (1 - usualLate)
+}
+
+// served returns how many requests there was room for. Where targets report no load, their queues
+// hide the lack of it; they answer at the rate of their capacity then.
+func (a *Observed) served() float64 {
+	if a.unreported() {
+		return a.Answered * (1 - lateGain*a.lateness())
+	}
+	return max(0, a.Admitted-a.NoRoom)
+}
+
+// pressure returns the fraction of requests that lack room.
+func (a *Observed) pressure() float64 { return a.NoRoom/max(a.Admitted, 1) + a.lateness() }
 
 const (
 	// enterPressure is the fraction of requests without room from which on a service is short of
@@ -36,7 +63,7 @@
 	// headroom is how much more is admitted than found room lately, so that a free slot always
 	// finds a request and the limit follows targets that come back. It is spare requests that
 	// find no room then.
-	headroom = 0.1
+	headroom = 0.2
 	// seenWeight is the weight of an interval in the moving averages of results.
 	seenWeight = 0.4
 )
@@ -45,14 +72,13 @@
 // limit.
 type Limit struct {
 	limited, started bool
+	room             float64
 	// seen is the moving average of the results of an interval.
 	seen Observed
 }
 
 // Room returns the limit; false means that there is none.
-func (l *Limit) Room() (float64, bool) {
-	return max(0, l.seen.Admitted-l.seen.lacking())*(1+headroom) + 1, l.limited
-}
+func (l *Limit) Room() (float64, bool) { return l.room, l.limited }
 
 // Update adjusts the limit by the results and the demand of the last interval.
 func (l *Limit) Update(o Observed, demand float64) {
@@ -61,12 +87,14 @@
 	}
 	l.seen.Add(l.seen, -seenWeight)
 	l.seen.Add(o, seenWeight)
-	room, _ := l.Room()
-	pressure := l.seen.lacking() / max(l.seen.Admitted, 1)
-	switch {
+	l.room = l.seen.served()*(1+headroom) + 1
+	if l.seen.unreported() {
+		l.room = max(l.room, leastByLateness*demand)
+	}
+	switch pressure := l.seen.pressure(); {
 	case pressure > enterPressure:
 		l.limited = true
-	case pressure < leavePressure && room > demand:
+	case pressure < leavePressure && l.room > demand:
 		l.limited = false
 	}
 }
