--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -6,6 +6,7 @@
 
 import (
 	"expvar"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -144,6 +145,9 @@
 	if c.Result.RetryAfter > 0 {
 		f = append(f, zap.Duration("retry_after", c.Result.RetryAfter))
 	}
+	if a := c.Result.Admission; a != nil {
+		f = append(f, zap.Int("rank", a.Rank), zap.Float64("share", math.Round(a.Share*1000)/1000))
+	}
 	if c.Result.Detail != "" {
 		f = append(f, zap.String("why", c.Result.Detail))
 	}
--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -135,11 +134,7 @@
 	c.mu.Lock()
 	r.RetryAfter = policy.RetryAfter(d.Share, c.rng.Float64())
 	c.mu.Unlock()
-	detail := fmt.Sprintf("rank=%d share=%.3f", req.Priority, d.Share)
-	if r.Detail != "" {
-		detail += " " + r.Detail
-	}
-	r.Detail = detail
+	r.Admission = &outcome.Admission{Rank: req.Priority, Share: d.Share}
 	return r
 }
 
--- a/controller/admission/messages.go
+++ b/controller/admission/messages.go
@@ -12,10 +12,9 @@
 
 // keyed is a number for a rank and tenant.
 type keyed struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Rank     uint8
-	Tenant   string
-	N        float32
+	Rank   uint8   `msgpack:"r"`
+	Tenant string  `msgpack:"t"`
+	N      float32 `msgpack:"n"`
 }
 
 func keyedOf(m map[policy.Key]float64) []keyed {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -152,7 +152,7 @@
 		if g == nil {
 			qa.Close()
 			r := h.fallbackReply(refusal.Reason, refusal.RetryAfter)
-			r.Result.Detail = refusal.Detail
+			r.Result.Detail, r.Result.Admission = refusal.Detail, refusal.Admission
 			return r
 		}
 		if !c.authorized() {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -55,6 +55,16 @@
 	RetryAfter time.Duration
 	// Detail explains the basis of a refusal in the log.
 	Detail string
+	// Admission, if set, is the basis of a refusal while the service was short of room.
+	Admission *Admission
+}
+
+// Admission is the basis of a refusal while a service is short of room.
+type Admission struct {
+	// Rank is the priority of the call, 0 being the most urgent.
+	Rank int
+	// Share is the fraction that is admitted of the calls of this rank and tenant.
+	Share float64
 }
 
 // Refuse returns a NotRun result with the reason's default Retry-After.
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -62,7 +62,8 @@
 	leavePressure = 0.01
 	// headroom is how much more is admitted than found room lately, so that a free slot always
 	// finds a request and the limit follows targets that come back. It is spare requests that
-	// find no room then.
+	// find no room then. With 0.1 one in ten fewer were served at 1.5 times the capacity; with 0.3
+	// tenants within their share lost one in 30 where 14 hosts were cut apart.
 	headroom = 0.2
 	// seenWeight is the weight of an interval in the moving averages of results.
 	seenWeight = 0.4
@@ -73,28 +74,41 @@
 type Limit struct {
 	limited, started bool
 	room             float64
-	// seen is the moving average of the results of an interval.
-	seen Observed
+	// seen and demand are the moving averages of the results and the demand of an interval.
+	seen   Observed
+	demand float64
 }
 
-// Room returns the limit; false means that there is none.
-func (l *Limit) Room() (float64, bool) { return l.room, l.limited }
-
 // Update adjusts the limit by the results and the demand of the last interval.
 func (l *Limit) Update(o Observed, demand float64) {
 	if !l.started {
-		l.started, l.seen = true, o
+		l.started, l.seen, l.demand = true, o, demand
 	}
 	l.seen.Add(l.seen, -seenWeight)
 	l.seen.Add(o, seenWeight)
-	l.room = l.seen.served()*(1+headroom) + 1
+	l.demand += seenWeight * (demand - l.demand)
+	pressure := l.seen.pressure()
+	// Where requests find room, fewer of them don't mean that there is less: else a load that fell
+	// would be refused for seconds.
+	if room := l.seen.served()*(1+headroom) + 1; room > l.room || pressure > enterPressure && o.pressure() > enterPressure {
+		l.room = room
+	}
 	if l.seen.unreported() {
-		l.room = max(l.room, leastByLateness*demand)
+		l.room = max(l.room, leastByLateness*l.demand)
 	}
-	switch pressure := l.seen.pressure(); {
+	switch {
 	case pressure > enterPressure:
 		l.limited = true
-	case pressure < leavePressure && l.room > demand:
+	case pressure < leavePressure && l.room > l.demand:
 		l.limited = false
 	}
 }
+
+// Level returns the level at which as much of a demand is admitted as of that of the last
+// intervals. The demand tells how it is divided, and may cover a longer time.
+func (l *Limit) Level(d *Demand, weights Weights) Level {
+	if !l.limited {
+		return Level{}
+	}
+	return Shares(l.room/max(l.demand, 1)*d.Total(), d, weights)
+}
--- a/policy/admission/view.go
+++ b/policy/admission/view.go
@@ -24,10 +24,7 @@
 // Next ends an interval and returns the level for the next one.
 func (v *View) Next(weights Weights) Level {
 	v.limit.Update(v.current, v.arrivals)
-	l := Level{}
-	if room, limited := v.limit.Room(); limited {
-		l = Shares(room/(1-demandDecay), &v.demand, weights)
-	}
+	l := v.limit.Level(&v.demand, weights)
 	v.demand.Scale(demandDecay)
 	v.current, v.arrivals = Observed{}, 0
 	return l
