--- a/edge/provision.go
+++ b/edge/provision.go
@@ -164,6 +164,7 @@
 		OnAnswered: d.quarantine.TargetAnswered,
 	})
 	d.provisionPicker()
+	d.provisionAdmission()
 	d.provisionCallers()
 	d.provisionServers()
 	d.provisionLeave()
@@ -209,7 +210,7 @@
 func (d *Daemon) provisionCallers() {
 	dispatcher := dispatch.New(dispatch.Deps{
 		Board:               d.board,
-		Picker:              d.picker,
+		Picker:              d.admission,
 		Upstream:            d.pools,
 		Quarantine:          d.quarantine,
 		Metrics:             d.metrics,
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,16 @@
 	Detail string
 	// TargetsBusy is set if targets would take the request if it did not need one to itself.
 	TargetsBusy bool
+	// Admission, if set, is the basis of a refusal while the service was short of room.
+	Admission *Admission
+}
+
+// Admission is the basis of a refusal while a service is short of room.
+type Admission struct {
+	// Rank is the priority of the call, 0 being the most urgent.
+	Rank int
+	// Share is the fraction that is admitted of the calls of this rank and tenant.
+	Share float64
 }
 
 // Refuse returns a NotRun result with the reason's default Retry-After.
