Upstream: an idle connection whose close was not read yet carries no request

Safe, but a caller that could retry was not told so.

Cause: whether an idle connection is open was known from the goroutine that reads it. On a machine short of processor time it runs after the next request is written. A write also counted as sent once begun, even if TCP refused its first byte (broken pipe).

Fix: an idle connection is used only if poll(2) finds nothing to read: no close, and no bytes that no request asked for, which would be taken for the response. A write that failed and of which a *net.TCPConn accepted no byte does not count; all other connections, streams between hosts above all, count each write as before. A request without a body whose idle connection took no byte goes on another connection of the same target. Why it is safe: TCP reports how many bytes it queued, net/http has ended its writes before RoundTrip returns an error, and a write of which a part was accepted counts.

--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -77,8 +77,8 @@
 	return h.answered.After(begun) || len(h.silent) < cutFromTargets
 }
 
-// timerSlack is how late a host that has processor time sees that a time has come. A quota of 0.16
-// processors stalls a process for up to 84 ms in each 100 ms; one that does so is short of it.
+// timerSlack is how late a host that has processor time sees that a time has come. The processor quota of
+// a small host may stall it for longer, which counts as short of processor time.
 const timerSlack = 50 * time.Millisecond
 
 // TimerLate reports whether this host was short of processor time when a timeout was due: the
--- /dev/null
+++ b/upstream/counting.go
@@ -0,0 +1,32 @@
+package upstream
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countingConn counts the writes by which bytes may have left this host. A write is counted when it
+// starts: while it is under way, there is no way to know how much of it was sent.
+type countingConn struct {
+	net.Conn
+	// exact is set if a failed write reports exactly how many bytes were accepted.
+	exact  bool
+	writes atomic.Uint64
+}
+
+// newCountingConn returns a countingConn. Only TCP reports exactly how much it accepted; a stream
+// between hosts may have sent a part of a frame.
+func newCountingConn(c net.Conn) *countingConn {
+	_, tcp := c.(*net.TCPConn)
+	return &countingConn{Conn: c, exact: tcp}
+}
+
+// Write implements net.Conn. A failed write of which TCP accepted no byte is not counted.
+func (c *countingConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	n, err := c.Conn.Write(b)
+	if c.exact && err != nil && n == 0 {
+		c.writes.Add(^uint64(0))
+	}
+	return n, err
+}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -65,15 +65,10 @@
 }
 
 // newResponseWait returns nil for a connection through another host, which has timeouts of its own.
-func newResponseWait(conn net.Conn) *responseWait {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
+func newResponseWait(raw syscall.RawConn) *responseWait {
+	if raw == nil {
 		return nil
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return nil // closed, as the next request finds out
-	}
 	w := &responseWait{raw: raw}
 	w.timer = time.AfterFunc(quietAfter, func() { _ = setUserTimeout(raw, quietTimeout) })
 	w.timer.Stop()
--- a/upstream/dialroute.go
+++ b/upstream/dialroute.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &countingConn{Conn: raw}
+	c := newCountingConn(raw)
 	if route != nil {
 		route.conn = c
 	}
@@ -66,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{cc: cc, counter: route.conn, via: via, idleSince: time.Now(), wait: newResponseWait(route.conn.Conn)}
+	socket := socketOf(route.conn.Conn)
+	c := &conn{cc: cc, counter: route.conn, socket: socket, via: via, idleSince: time.Now(), wait: newResponseWait(socket)}
 	c.busy.Store(true)
 	return c, nil
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
@@ -47,12 +47,16 @@
 type conn struct {
 	cc      *http.ClientConn
 	counter *countingConn
+	// socket is the connection's socket; nil for one through another host.
+	socket syscall.RawConn
 	// via is the host that carries the connection; empty if this host opened it itself.
 	via       ports.HostID
 	idleSince time.Time // when it became idle
 	// idleTimeout is how long the target keeps the connection idle; 0 if unknown.
 	idleTimeout time.Duration
 	busy        atomic.Bool
+	// reused is set once the connection has been taken from the idle ones.
+	reused bool
 	// wait is the wait for the response to the current request.
 	wait *responseWait
 }
@@ -61,6 +65,7 @@
 func (p *pool) acquire(ctx context.Context, o SendOptions) (*conn, error) {
 	p.checkPath(o)
 	if c := p.acquireIdle(o.NonIdempotent); c != nil {
+		c.reused = true
 		return c, nil
 	}
 	if !p.reserve(o.MaxConns) {
@@ -161,7 +166,9 @@
 }
 
 // usable reports whether an idle connection may carry another request.
-func (c *conn) usable() bool { return c.cc.Available() > 0 && !c.expiring() && !c.retired() }
+func (c *conn) usable() bool {
+	return c.cc.Available() > 0 && !c.expiring() && !c.retired() && !hasUnread(c.socket)
+}
 
 // readKeepAlive reads the target's idle timeout from the Keep-Alive header.
 func (c *conn) readKeepAlive(h http.Header) {
@@ -201,15 +208,3 @@
 		return true
 	})
 }
-
-// countingConn counts the writes started on a connection. A write is counted when it starts: if it
-// is aborted, there is no way to know how much of it was sent.
-type countingConn struct {
-	net.Conn
-	writes atomic.Uint64
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(b)
-}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -61,7 +61,7 @@
 	// RequestID names the request in the log of a host that carries it; empty if it has none.
 	RequestID string
 	// BeforeSend, if set, is called once there is a connection, to complete the request with what
-	// changes while one is opened. It is not called if the request isn't sent.
+	// changes while one is opened. It is called again if the request is sent on another one.
 	BeforeSend func()
 }
 
@@ -166,12 +166,25 @@
 	return p
 }
 
-// RoundTrip sends a request to a target on an idle connection or a new one.
+// RoundTrip sends a request to a target on an idle connection or a new one. If a connection that was
+// idle turns out to be closed before any byte of a request without a body was sent, the request is
+// sent on another one.
 func (p *Pools) RoundTrip(req *http.Request, t blackboard.Target, o SendOptions) Result {
+	for {
+		res, stale := p.roundTrip(req, t, o)
+		if !stale {
+			return res
+		}
+	}
+}
+
+// roundTrip sends a request on one connection. It reports whether the request may be sent on another
+// one, because this one was idle before and took no byte.
+func (p *Pools) roundTrip(req *http.Request, t blackboard.Target, o SendOptions) (res Result, stale bool) {
 	pl := p.pool(t)
 	c, err := pl.acquire(req.Context(), o)
 	if err != nil {
-		return Result{Err: err}
+		return Result{Err: err}, false
 	}
 	req.URL.Scheme = p.scheme
 	req.URL.Host = t.Addr
@@ -189,13 +202,14 @@
 		if c.via == "" && CauseOf(err) == CauseTimeout {
 			pl.suspect(begin, o)
 		}
-		return Result{Sent: sent, Err: pl.markRequestFault(req.Context(), c, begin, err), Via: c.via}
+		stale = c.reused && !sent && (req.Body == nil || req.Body == http.NoBody) && req.Context().Err() == nil
+		return Result{Sent: sent, Err: pl.markRequestFault(req.Context(), c, begin, err), Via: c.via}, stale
 	}
 	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: pl, conn: c}
-	return Result{Response: resp, Sent: true, Via: c.via}
+	return Result{Response: resp, Sent: true, Via: c.via}, false
 }
 
 func (p *Pools) pool(t blackboard.Target) *pool {
