--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -82,8 +82,8 @@
 	return h.answered.After(begun) || len(h.silent) < cutFromTargets
 }
 
-// timerSlack is how late a host that has processor time sees that a time has come. A small processor
-// quota stalls a process for up to 84 ms in each 100 ms; one that is stalled is short of processor time.
+// timerSlack is how late a host that has processor time sees that a time has come. The processor quota of
+// a small host may stall it for longer, which counts as short of processor time.
 const timerSlack = 50 * time.Millisecond
 
 // TimerLate reports whether this host was short of processor time when a timeout was due: the
--- a/upstream/dialroute.go
+++ b/upstream/dialroute.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &countingConn{Conn: raw}
+	c := newCountingConn(raw)
 	if route != nil {
 		route.conn = c
 	}
@@ -67,7 +67,8 @@
 		return nil, err
 	}
 	now := time.Now()
-	c := &conn{cc: cc, counter: route.conn, via: via, opened: now, idleSince: now, wait: newResponseWait(route.conn.Conn)}
+	socket := socketOf(route.conn.Conn)
+	c := &conn{cc: cc, counter: route.conn, socket: socket, via: via, opened: now, idleSince: now, wait: newResponseWait(socket)}
 	c.busy.Store(true)
 	return c, nil
 }
