Watch: the next change doesn't end what a digest showed

Cause: lists of targets can be compared only at the same newest revision. A heartbeat that shows a lost change counted as outdated once the next change had come within the 150 ms that a host waits before it asks others, and the digest of that change, which shows the loss too, was disregarded during the wait. A change every 250 ms repeats this. Also, the reply of the relay that forwarded a change counted as that of a watcher, although the relay lacks what its zone lacks.

Evidence: trace of one late host. The digest of the change after the lost one leads to a round 0.15 s later; two hosts of the zone and the relay reply and lack the drain, and the round counts as successful. The host gets four further changes in the next 1.2 s and begins no round.

Fix: that a change was lost holds until the digests are equal at the same revision, a watcher has replied or the store was read. After a digest from a relay a host asks a watcher last instead of the relay.

--- a/controller/watch/catchup.go
+++ b/controller/watch/catchup.go
@@ -108,8 +108,11 @@
 			}
 			open++
 			go func() {
-				reached := c.fetchFrom(ctx, id)
-				enough <- reached && id == watcher || !c.stillBehind(still)
+				upToDate := c.fetchFrom(ctx, id) && id == watcher
+				if upToDate {
+					c.noteUpToDate()
+				}
+				enough <- upToDate || !c.stillBehind(still)
 			}()
 			stagger = time.After(hedgeDelay)
 		}
@@ -129,6 +132,13 @@
 	}
 }
 
+// noteUpToDate records that this host has the state of a watcher.
+func (c *Controller) noteUpToDate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostChange = false
+}
+
 // beginFetch reports whether state can be requested from a host: it is another one, and no earlier
 // request to it is pending.
 func (c *Controller) beginFetch(id ports.HostID) bool {
--- a/controller/watch/directread.go
+++ b/controller/watch/directread.go
@@ -152,6 +152,7 @@
 	applied := c.merge(now, ch, c.self)
 	if targetsOK {
 		c.state.Advance(targets.Revision)
+		c.lostChange = false
 	}
 	c.noteDirectConfig(config, asked, deferred)
 	return !applied.Empty()
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -38,9 +38,10 @@
 	if !known || previous.StoreOK != b.StoreOK || !previous.Fresh(now) {
 		c.wakeUp()
 	}
+	c.compareDigest(b.Newest, b.Digest)
 	if c.behind(b) {
 		c.noteGap(sent, b)
-		c.scheduleCatchUp(from, func() bool { return c.behind(b) })
+		c.scheduleCatchUp(from, func() bool { return c.behind(b) || c.lostChange })
 	}
 	if b.Hosts == c.hostDigest() {
 		c.noteComplete()
@@ -116,9 +117,38 @@
 //
 // While changes keep coming, the digest of a heartbeat is almost never comparable.
 func (c *Controller) checkDigest(ch directory.Changes, from ports.HostID) {
-	if ch.Digest != 0 && c.state.Newest() == ch.DigestAt && c.state.Digest() != ch.Digest {
-		c.scheduleCatchUp(from, func() bool { return true })
+	if ch.Digest == 0 {
+		return
 	}
+	c.compareDigest(ch.DigestAt, ch.Digest)
+	if c.lostChange {
+		c.scheduleCatchUp(c.watcherFor(from), func() bool { return c.lostChange })
+	}
+}
+
+// compareDigest records whether this host lost a change, if it has the same newest revision as
+// another one had with this digest. c.mu must be held.
+//
+// Lists with different newest revisions can't be compared, so the next change must not end what the
+// digest showed: with a change every 0.25 s, hosts routed to a draining target for 2 s.
+func (c *Controller) compareDigest(newest directory.Revision, digest uint64) {
+	if newest == c.state.Newest() && c.state.HasTargets() {
+		c.lostChange = digest != c.state.Digest()
+	}
+}
+
+// watcherFor returns the sender of a change if it is a watcher, or else a random watcher. It returns
+// the sender if no watcher is known. c.mu must be held.
+//
+// A relay may lack the same change as the hosts that it forwards to, so its reply does not bring
+// them up to date.
+func (c *Controller) watcherFor(from ports.HostID) ports.HostID {
+	ids := watchers.FreshWatchers(time.Now(), c.heartbeats)
+	if len(ids) == 0 || slices.Contains(ids, from) {
+		return from
+	}
+	slices.Sort(ids)
+	return ids[c.rng.IntN(len(ids))]
 }
 
 // onSync replies with the state that another host lacks.
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -124,6 +124,8 @@
 	// earliest time at which it exchanges lists of hosts again.
 	catchingUp   bool
 	nextExchange time.Time
+	// lostChange is set while a digest shows that this host lost a change of a target.
+	lostChange bool
 	// watcherSeenAt is when this host last heard a watcher that the store serves, or was one
 	// itself. staleLoggedAt is when it last logged that it keeps evacuations in force without
 	// one.
