--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -130,7 +130,7 @@
 // another one had with this digest. c.mu must be held.
 //
 // Lists with different newest revisions can't be compared, so the next change must not end what the
-// digest showed: with a change every 0.25 s, hosts routed to a draining target for 2 s.
+// digest showed: while changes kept coming, hosts routed to a draining target for seconds.
 func (c *Controller) compareDigest(newest directory.Revision, digest uint64) {
 	if newest == c.state.Newest() && c.state.HasTargets() {
 		c.lostChange = digest != c.state.Digest()
