--- a/policy/admission/compare_test.go
+++ b/policy/admission/compare_test.go
@@ -114,9 +114,12 @@
 		f.inTime, f.late, f.atOnce, f.afterWait, f.lost, f.light, f.heavy, f.rank0, f.rank1, f.inversion, f.kind, f.zone)
 }
 
-// mean plays a scenario with several seeds: few at many hosts, whose figures differ little.
-func mean(s scenario, how func() approach) figures {
-	seeds := max(1, 120/s.hosts)
+// seedsFor returns how many times a scenario is played: few times at many hosts, whose figures
+// differ little.
+func seedsFor(hosts int) int { return max(1, 120/hosts) }
+
+// mean plays a scenario with several seeds.
+func mean(s scenario, how func() approach, seeds int) figures {
 	sum := make([]figures, seeds)
 	for i := range sum {
 		s.seed = uint64(i)
@@ -156,7 +159,7 @@
 				t.Run(fmt.Sprintf("%d/%s/%s", hosts, name, label), func(t *testing.T) {
 					t.Parallel()
 					s.hosts = hosts
-					t.Log(mean(s, how))
+					t.Log(mean(s, how, seedsFor(hosts)))
 				})
 			}
 		}
@@ -168,17 +171,18 @@
 	if !*compare {
 		t.Skip("run with -compare")
 	}
-	for _, name := range []string{"flood 3", "ranks 1.5"} {
+	for _, name := range []string{"flood 3", "flood 3, at once", "ranks 1.5", "ranks 3"} {
 		for label, change := range map[string]func(*scenario){
 			"whole": func(*scenario) {}, "no slot left": func(s *scenario) { s.noReserve = true },
-			"spare waits": func(s *scenario) { s.spareWaits = true },
-			"neither":     func(s *scenario) { s.noReserve, s.spareWaits = true, true },
+			"spare waits":    func(s *scenario) { s.spareWaits = true },
+			"neither":        func(s *scenario) { s.noReserve, s.spareWaits = true, true },
+			"hopeless stays": func(s *scenario) { s.noHopeless = true },
 		} {
 			t.Run(name+"/"+label, func(t *testing.T) {
 				s := scenarios[name]
 				s.hosts = 100
 				change(&s)
-				t.Log(mean(s, newOwners))
+				t.Log(mean(s, newOwners, 8))
 			})
 		}
 	}
@@ -200,7 +204,7 @@
 				if hosts == 14 && s.cut {
 					least = 0.97 // groups of 5 and 9 hosts with 20 requests a second each
 				}
-				without, f := mean(s, newNothing), mean(s, newOwners)
+				without, f := mean(s, newNothing, seedsFor(hosts)), mean(s, newOwners, seedsFor(hosts))
 				t.Log(f)
 				if f.heavy > 0 {
 					assert.Check(t, f.light > least, "%s", f)
--- a/policy/admission/model_test.go
+++ b/policy/admission/model_test.go
@@ -83,6 +83,8 @@
 	// noReserve and spareWaits leave out that requests beyond their share leave a slot free, and
 	// that they don't wait for one.
 	noReserve, spareWaits bool
+	// noHopeless leaves out that retries that can hardly be in time give way.
+	noHopeless bool
 }
 
 type model struct {
@@ -172,7 +174,11 @@
 func (c *modelCall) try() {
 	m := c.m
 	k := modelKinds[c.kind]
-	d := m.how.decide(c.host, Request{Key: c.key, Objective: k.objective, Left: k.objective - (m.now - c.began), Usual: 2 * k.work})
+	r := Request{Key: c.key, Objective: k.objective, Left: k.objective - (m.now - c.began), Usual: 2 * k.work}
+	if m.noHopeless {
+		r.Usual = 0
+	}
+	d := m.how.decide(c.host, r)
 	if !d.Admitted {
 		c.refused(RetryAfter(d.Share, m.rng.Float64()))
 		return
