--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -97,12 +97,11 @@
 		s.recordGrant(time.Now(), g)
 		return &heldGrant{Grant: g, service: s, req: req}, outcome.Result{}
 	}
-	if !lacksRoom(refusal.Reason) {
-		return nil, refusal
-	}
 	now := time.Now()
-	s.recordNoRoom(now, req)
-	if !s.limited(now) {
+	if lacksRoom(refusal) {
+		s.recordNoRoom(now, req)
+	}
+	if refusal.Reason != outcome.ReasonOverload && refusal.Reason != outcome.ReasonQueueTimeout || !s.limited(now) {
 		return nil, refusal
 	}
 	c.count.noRoom.Add(1)
@@ -119,10 +118,14 @@
 	return req.Objective - now.Sub(req.Arrived)
 }
 
-// lacksRoom reports whether a refusal by the wrapped picker means that no target had room.
-func lacksRoom(r outcome.Reason) bool {
-	switch r {
-	case outcome.ReasonOverload, outcome.ReasonQueueTimeout, outcome.ReasonTargetLimit, outcome.ReasonShed, outcome.ReasonQueueFull:
+// lacksRoom reports whether a refusal by the wrapped picker means that no target had room. One for
+// lack of time doesn't: if it did, a kind of request with a short objective, refused at a load that
+// leaves slots free, would make a limit that leaves more of them free.
+func lacksRoom(r outcome.Result) bool {
+	switch r.Reason {
+	case outcome.ReasonOverload:
+		return r.NoSlot
+	case outcome.ReasonQueueTimeout, outcome.ReasonTargetLimit, outcome.ReasonShed, outcome.ReasonQueueFull:
 		return true
 	default:
 		return false
@@ -143,7 +146,7 @@
 	defer c.mu.Unlock()
 	s := c.services[key]
 	if s == nil {
-		s = &service{key: key, rng: rand.New(rand.NewPCG(c.rng.Uint64(), 8))}
+		s = &service{key: key, usedAt: time.Now(), rng: rand.New(rand.NewPCG(c.rng.Uint64(), 8))}
 		c.services[key] = s
 	}
 	return s
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -28,6 +28,8 @@
 	tokens    float64
 	last      time.Time
 	got       []pick.Request
+	// lackOfTime makes refusals be for lack of time.
+	lackOfTime bool
 }
 
 // maxTokens is the number of calls that a fakePicker grants at once.
@@ -47,7 +49,9 @@
 		p.tokens--
 		return fakeGrant{}, outcome.Result{}
 	}
-	return nil, outcome.Refuse(outcome.ReasonOverload)
+	refusal := outcome.Refuse(outcome.ReasonOverload)
+	refusal.NoSlot = !p.lackOfTime
+	return nil, refusal
 }
 
 // testHost is a host with a fake picker.
@@ -195,6 +199,19 @@
 	})
 }
 
+// Calls of a kind with a short objective are refused by the choice of a target although slots are
+// free. That must not limit the others, which would leave more slots free.
+func TestLackOfTimeIsNoLackOfRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := startHosts(t, peernet.New(), tenantsConfig("flood", "light"), 4)
+		for _, h := range hosts {
+			h.picker.lackOfTime = true
+		}
+		flood, light := overload(t, hosts, 5*time.Second)
+		assert.Equal(t, flood+light, 0)
+	})
+}
+
 // A call whose first attempt was admitted isn't refused by its share when it is retried; a hedge is
 // not sent while there is a shortage.
 func TestRetriesKeepTheirRight(t *testing.T) {
@@ -239,7 +256,7 @@
 	assert.Equal(t, d.Total(), 5003.0)
 	l := policy.Shares(100, d, nil)
 	assert.Check(t, len(l.Heavy) <= 32, "%d", len(l.Heavy))
-	back := replyOf(l)
+	back := replyOf(l, true)
 	got := back.level()
 	assert.Equal(t, len(got.Heavy), len(l.Heavy))
 	empty := levelReply{Limited: true}
--- a/controller/admission/exchange.go
+++ b/controller/admission/exchange.go
@@ -20,7 +20,11 @@
 	// reportTimeout bounds a report and its reply; a round trip takes 1 to 3 ms.
 	reportTimeout = 150 * time.Millisecond
 	// ownerBackoff is how long a host that didn't reply isn't asked again.
-	ownerBackoff = 2 * time.Second
+	ownerBackoff = 5 * time.Second
+	// maxOwnersAsked is how many hosts are asked with one report.
+	maxOwnersAsked = 3
+	// idleTTL is the time without requests after which a host forgets a service.
+	idleTTL = time.Minute
 	// viewTTL is the time without reports after which an owner forgets a service.
 	viewTTL = 3 * time.Second
 )
@@ -54,8 +58,11 @@
 func (c *Controller) reportAll(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	services := make([]*service, 0, len(c.services))
-	for _, s := range c.services {
+	for key, s := range c.services {
 		services = append(services, s)
+		if s.idle(now) {
+			delete(c.services, key)
+		}
 	}
 	for key, v := range c.views {
 		if now.Sub(v.reportedAt) > viewTTL {
@@ -76,28 +83,37 @@
 }
 
 // report sends a report to the owner of its service and puts the level of the reply in force. If
-// the owner doesn't reply, this host's own view is used.
+// the owner doesn't reply, the next hosts are asked; if none does, this host's own view is used.
 func (c *Controller) report(ctx context.Context, s *service, r report) {
 	c.count.reports.Add(1)
-	owner := c.owner(r.key())
-	if owner == c.self {
-		s.setLevel(time.Now(), c.view(time.Now(), &r))
-		return
+	defer s.endReport()
+	for range maxOwnersAsked {
+		owner := c.owner(r.key())
+		if owner == c.self {
+			break
+		}
+		reply, err := c.ask(ctx, owner, r)
+		if err == nil {
+			if reply.Known {
+				s.setLevel(time.Now(), reply.level())
+			}
+			return
+		}
+		c.count.reportsFailed.Add(1)
+		c.deps.Log.Info("owner of admission did not reply", zap.String("service", r.Service), zap.String("peer", string(owner)), zap.Error(err))
+		c.mu.Lock()
+		c.unreachable[owner] = time.Now().Add(ownerBackoff)
+		c.mu.Unlock()
 	}
+	if l, known := c.view(time.Now(), &r); known {
+		s.setLevel(time.Now(), l)
+	}
+}
+
+func (c *Controller) ask(ctx context.Context, owner ports.HostID, r report) (levelReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	reply, err := peer.Call[levelReply](ctx, c.deps.Link, owner, peer.KindAdmission+kindReport, r)
-	now := time.Now()
-	if err == nil {
-		s.setLevel(now, reply.level())
-		return
-	}
-	c.count.reportsFailed.Add(1)
-	c.deps.Log.Info("owner of admission did not reply", zap.String("service", r.Service), zap.String("peer", string(owner)), zap.Error(err))
-	c.mu.Lock()
-	c.unreachable[owner] = now.Add(ownerBackoff)
-	c.mu.Unlock()
-	s.setLevel(now, c.view(now, &r))
+	return peer.Call[levelReply](ctx, c.deps.Link, owner, peer.KindAdmission+kindReport, r)
 }
 
 // owner returns the host that owns a service, among those that this host can reach.
@@ -121,7 +137,9 @@
 // ownedView is an owner's view of a service.
 type ownedView struct {
 	policy.View
+	// level is known after the first period.
 	level policy.Level
+	known bool
 	// nextAt is when the next level is due, reportedAt when the last report came.
 	nextAt, reportedAt time.Time
 }
@@ -129,12 +147,13 @@
 // onReport adds a report of another host and replies with the level.
 func (c *Controller) onReport(_ context.Context, _ ports.HostID, r report) (levelReply, error) {
 	c.count.owned.Add(1)
-	return replyOf(c.view(time.Now(), &r)), nil
+	l, known := c.view(time.Now(), &r)
+	return replyOf(l, known), nil
 }
 
 // view adds a report to the view of its service and returns the level, which changes once in a
-// period.
-func (c *Controller) view(now time.Time, r *report) policy.Level {
+// period. It returns false before the end of the first.
+func (c *Controller) view(now time.Time, r *report) (policy.Level, bool) {
 	weights := c.currentScope().weights
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,11 +166,11 @@
 	v.reportedAt = now
 	v.Report(r.demand(), r.Seen)
 	if !now.Before(v.nextAt) {
-		v.level = v.Next(weights)
+		v.level, v.known = v.Next(weights), true
 		v.nextAt = now.Add(period(len(c.deps.Board.Members.Load().Members)))
 		if v.level.Limited {
 			c.count.limited.Add(1)
 		}
 	}
-	return v.level
+	return v.level, v.known
 }
--- a/controller/admission/messages.go
+++ b/controller/admission/messages.go
@@ -67,17 +67,19 @@
 
 // levelReply is a policy.Level.
 type levelReply struct {
+	// Known is false while the owner has too few reports to tell; the last level stays in force.
+	Known   bool      `msgpack:"known"`
 	Limited bool      `msgpack:"limited"`
 	Ranks   []float32 `msgpack:"ranks"`
 	Heavy   []keyed   `msgpack:"heavy"`
 	Full    float32   `msgpack:"full"`
 }
 
-func replyOf(l policy.Level) levelReply {
-	if !l.Limited {
-		return levelReply{}
+func replyOf(l policy.Level, known bool) levelReply {
+	if !known || !l.Limited {
+		return levelReply{Known: known}
 	}
-	r := levelReply{Limited: true, Heavy: keyedOf(l.Heavy), Full: float32(l.Full)}
+	r := levelReply{Known: true, Limited: true, Heavy: keyedOf(l.Heavy), Full: float32(l.Full)}
 	for _, share := range l.Ranks {
 		r.Ranks = append(r.Ranks, float32(share))
 	}
--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -36,12 +36,15 @@
 	usual time.Duration
 	// reporting is set while a report is under way.
 	reporting bool
+	// usedAt is when the last request was decided on.
+	usedAt time.Time
 }
 
 // decide counts a request and decides on it.
 func (s *service) decide(now time.Time, r policy.Request) policy.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.usedAt = now
 	r.Usual, r.Age = s.usual, now.Sub(s.levelAt)
 	if !r.Hopeless() {
 		s.demand.Add(r.Key, 1)
@@ -127,9 +130,23 @@
 	return newReport(s.key, &demand, seen), true
 }
 
-// setLevel puts a level in force and ends a report.
+// setLevel puts a level in force.
 func (s *service) setLevel(now time.Time, l policy.Level) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.level, s.levelAt, s.reporting = l, now, false
+	s.level, s.levelAt = l, now
+}
+
+// endReport allows the next report.
+func (s *service) endReport() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reporting = false
+}
+
+// idle reports whether the service got no requests for long.
+func (s *service) idle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.reporting && now.Sub(s.usedAt) > idleTTL
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -55,6 +55,9 @@
 	RetryAfter time.Duration
 	// Detail explains the basis of a refusal in the log.
 	Detail string
+	// NoSlot is set if a call was refused because no target that it could go to had a slot free,
+	// not because it had too little time left.
+	NoSlot bool
 	// Admission, if set, is the basis of a refusal while the service was short of room.
 	Admission *Admission
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -108,7 +108,7 @@
 			return nil, p.refuse(s.refusalReason(c), s.describe())
 		}
 		p.probe(ctx, s, probed)
-		g, last := p.choose(ctx, s, req, probed, placement.ProbeOtherZones)
+		g, last, noSlot := p.choose(ctx, s, req, probed, placement.ProbeOtherZones)
 		if g == nil && last == "" {
 			probed = c.all()
 			next := placement.WaitForBetter
@@ -116,14 +116,16 @@
 			if known := p.probe(ctx, s, probed); !req.Hedge && (!known || req.Spare || waits >= s.maxWaits()) {
 				next = placement.NoFallback
 			}
-			g, last = p.choose(ctx, s, req, probed, next)
+			g, last, noSlot = p.choose(ctx, s, req, probed, next)
 		}
 		if g != nil {
 			g.basis.Probed, g.basis.Waited = len(probed), time.Since(start)
 			return g, outcome.Result{}
 		}
 		if last != "" {
-			return nil, p.refuse(last, s.describe())
+			refusal := p.refuse(last, s.describe())
+			refusal.NoSlot = noSlot
+			return nil, refusal
 		}
 		if req.Hedge {
 			// The first attempt may still succeed. A hedged attempt that waits, or takes a slot
@@ -159,14 +161,15 @@
 }
 
 // choose grants the best target of a list. It returns a reason if the call is refused, and
-// neither a grant nor a reason if the caller should first try what next allows.
-func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, next placement.Fallback) (*heldGrant, outcome.Reason) {
+// neither a grant nor a reason if the caller should first try what next allows. noSlot reports
+// whether the best target has no slot free for the call.
+func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, next placement.Fallback) (_ *heldGrant, _ outcome.Reason, noSlot bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, cost := s.best(now, placement.TransferCost(req.Bytes), list)
 	if t == nil {
-		return nil, overloadIf(next == placement.NoFallback)
+		return nil, overloadIf(next == placement.NoFallback), true
 	}
 	expectedWork := t.figures.ExpectedTime(now)
 	expectedLatency := time.Duration(expectedWork * float64(s.workTime))
@@ -174,14 +177,15 @@
 	if at, ok := ctx.Deadline(); ok && expectedLatency > at.Sub(now) {
 		worthwhile = false
 	}
-	if req.Spare && t.figures.FreeSlots(now) < slotsNeeded(req, t) {
+	noSlot = t.figures.FreeSlots(now) < slotsNeeded(req, t)
+	if req.Spare && noSlot {
 		worthwhile = false
 	}
 	switch placement.Decide(cost, worthwhile, next) {
 	case placement.Refuse:
-		return nil, outcome.ReasonOverload
+		return nil, outcome.ReasonOverload, noSlot
 	case placement.Continue:
-		return nil, ""
+		return nil, "", noSlot
 	}
 	if t.info.Evacuated {
 		invariant.Check(false, invariant.EvacuatedIdle, "%s", t.info.RunID())
@@ -194,10 +198,11 @@
 	}
 	t.cold.MarkUsed()
 	t.figures.InFlight++
-	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, ""
+	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, "", false
 }
 
-// slotsNeeded returns how many slots must be free for a spare call to be sent to a target.
+// slotsNeeded returns how many slots of a target must be free for a call not to wait or, if it has
+// to leave one, to be sent there.
 func slotsNeeded(req pick.Request, t *target) float64 {
 	if req.LeaveSlot && t.figures.Slots > 1 {
 		return 2
