--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -85,7 +85,8 @@
 	}
 	d := policy.Decision{Admitted: true, Share: 1}
 	if len(req.Avoid) == 0 {
-		d = s.decide(time.Now(), requestOf(req))
+		now := time.Now()
+		d = s.decide(now, requestOf(now, req))
 		if !d.Admitted {
 			c.count.refuse(req.Priority)
 			return nil, c.refusal(outcome.Refuse(outcome.ReasonOverload), req, d)
@@ -109,8 +110,8 @@
 }
 
 // requestOf returns the request to decide on for an attempt.
-func requestOf(req pick.Request) policy.Request {
-	return policy.Request{Key: policy.NewKey(req.Priority, req.Tenant), Objective: req.Objective, Left: timeLeft(time.Now(), req)}
+func requestOf(now time.Time, req pick.Request) policy.Request {
+	return policy.Request{Key: policy.NewKey(req.Priority, req.Tenant), Objective: req.Objective, Left: timeLeft(now, req)}
 }
 
 // timeLeft returns how much of the objective is left.
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -278,6 +278,6 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		req := pick.Request{Tenant: names[i*7919%len(names)], Priority: i % 4, Arrived: s.levelAt, Objective: time.Second}
-		s.decide(s.levelAt, requestOf(req))
+		s.decide(s.levelAt, requestOf(s.levelAt, req))
 	}
 }
--- a/policy/admission/demand.go
+++ b/policy/admission/demand.go
@@ -27,9 +27,12 @@
 		d.Tracked[k] = old + n
 		return
 	}
-	least := n
+	least, most := n, 0.0
 	for _, c := range d.Tracked {
-		least = min(least, c)
+		least, most = min(least, c), max(most, c)
+	}
+	if most <= least {
+		clear(d.Tracked) // the usual case with many tenants, and faster than one by one
 	}
 	for other, c := range d.Tracked {
 		if c <= least {
