--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,9 @@
 	Detail string
 	// TargetsBusy is set if targets would take the request if it did not need one to itself.
 	TargetsBusy bool
+	// NoSlot is set if a call was refused because no target that it could go to had a slot free,
+	// not because it had too little time left.
+	NoSlot bool
 	// Admission, if set, is the basis of a refusal while the service was short of room.
 	Admission *Admission
 }
