Admission: targets that turn requests away with slots free don't limit a service

Fewer admitted requests were then fewer answers, which looked like still less room. Change: a request that a target turned away counts as a lack of room only if the target says that all of its slots are in use, or if the service's targets report no load. The fake proxy of the stalled connections' tests takes a testing.TB, as its cluster does.

--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -97,8 +97,10 @@
 		}
 		s.usual += time.Duration(usualWeight * float64(r.Latency-s.usual))
 	case pick.Shed:
-		s.seen.NoRoom++
-		s.signAt = now
+		if unreported || full(r) {
+			s.seen.NoRoom++
+			s.signAt = now
+		}
 		return
 	default:
 		return
@@ -113,6 +115,14 @@
 	}
 }
 
+// full reports whether a target that turned a request away says that all of its slots are in use. One
+// with free slots turns requests away for a reason of its own: fewer requests would only be fewer
+// answers, which would look like still less room.
+func full(r pick.Report) bool {
+	l := r.TargetLoad
+	return l.Slots > 0 && l.Running >= l.Slots
+}
+
 // takeReport returns what this host saw since its last report, and starts the next. It returns
 // false if none is due.
 func (s *service) takeReport(now time.Time) (report, bool) {
--- a/internal/fakes/stallproxy/stallproxy.go
+++ b/internal/fakes/stallproxy/stallproxy.go
@@ -25,7 +25,7 @@
 }
 
 // New returns a proxy on a listener that forwards to an address. It is closed at the end of the test.
-func New(t *testing.T, listener net.Listener, to string) *Proxy {
+func New(t testing.TB, listener net.Listener, to string) *Proxy {
 	p := &Proxy{listener: listener, to: to, pairs: make(map[*pair]bool)}
 	t.Cleanup(p.close)
 	go p.serve()
