--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -88,7 +88,7 @@
 		now := time.Now()
 		d = s.decide(now, requestOf(now, req))
 		if !d.Admitted {
-			c.count.refuse(req.Priority)
+			c.count.refuse(req.Priority, d.Cause)
 			return nil, c.refusal(outcome.Refuse(outcome.ReasonOverload), req, d)
 		}
 		req.Spare, req.LeaveSlot = d.Spare, d.LeaveSlot
@@ -105,7 +105,7 @@
 	if refusal.Reason != outcome.ReasonOverload && refusal.Reason != outcome.ReasonQueueTimeout || !s.limited(now) {
 		return nil, refusal
 	}
-	c.count.noRoom.Add(1)
+	c.count.refuse(req.Priority, noRoom)
 	return nil, c.refusal(refusal, req, d)
 }
 
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
+	"regexp"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,6 +247,23 @@
 	assert.Check(t, !newScope(nil).active("s"))
 }
 
+// Counters have few labels, whatever priorities and tenants there are.
+func TestCountersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := startHosts(t, peernet.New(), tenantsConfig("flood", "light"), 1)[0]
+		for i := range 3000 {
+			h.ask(t, fmt.Sprintf("t%d", i), i%100-20, 1)
+			time.Sleep(5 * time.Millisecond)
+		}
+		n := 0
+		h.count.refused.Do(func(kv expvar.KeyValue) {
+			n++
+			assert.Check(t, regexp.MustCompile(`^rank-[0-7]/(share|rank|late|no-room)$`).MatchString(kv.Key), "%s", kv.Key)
+		})
+		assert.Check(t, n > 0)
+	})
+}
+
 // What another host reports is bounded and can't break the owner: ranks out of range, negative and
 // endless counts.
 func TestOddReports(t *testing.T) {
--- a/controller/admission/counters.go
+++ b/controller/admission/counters.go
@@ -10,19 +10,16 @@
 
 // counters are the metrics in the maps "admission" and "admission_refused".
 type counters struct {
-	// noRoom counts admitted calls that found no room while their service was limited.
-	noRoom *expvar.Int
 	// reports and reportsFailed count this host's reports, owned those it got as an owner, and
 	// limited the periods in which a service that it owns was limited.
 	reports, reportsFailed, owned, limited *expvar.Int
-	// refused counts calls refused at once, by rank.
+	// refused counts calls refused while their service was limited, by rank and cause.
 	refused *expvar.Map
 }
 
 func newCounters(m *metrics.Set) counters {
 	c := m.Counters("admission")
 	return counters{
-		noRoom:        c("no_room"),
 		reports:       c("reports"),
 		reportsFailed: c("reports_failed"),
 		owned:         c("owned"),
@@ -31,6 +28,9 @@
 	}
 }
 
-func (c *counters) refuse(priority int) {
-	c.refused.Add("rank-"+strconv.Itoa(policy.NewKey(priority, "").Rank), 1)
+// noRoom is the cause of refusals of calls that were admitted and found no room.
+const noRoom policy.Cause = "no-room"
+
+func (c *counters) refuse(priority int, cause policy.Cause) {
+	c.refused.Add("rank-"+strconv.Itoa(policy.NewKey(priority, "").Rank)+"/"+string(cause), 1)
 }
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -89,8 +89,22 @@
 	Spare, LeaveSlot bool
 	// Share is the admitted fraction of such requests.
 	Share float64
+	// Cause is why the request is refused; empty if it is admitted.
+	Cause Cause
 }
 
+// Cause is why a request is refused.
+type Cause string
+
+const (
+	// BeyondShare is for tenants that ask for more than their fair share.
+	BeyondShare Cause = "share"
+	// BeyondRank is for all others of a rank that there is too little room for.
+	BeyondRank Cause = "rank"
+	// TooLate is for retries that can hardly be answered in time any more.
+	TooLate Cause = "late"
+)
+
 // reserve is how often a spare request leaves a slot free, relative to Level.Full. With 1, one in
 // 50 requests of tenants within their share found no room at 14 hosts.
 const reserve = 2
@@ -101,15 +115,19 @@
 		return Decision{Admitted: true, Share: 1}
 	}
 	share, heavy := l.Heavy[r.Key]
+	cause := BeyondShare
 	if !heavy {
-		share = l.Ranks[r.Rank]
+		share, cause = l.Ranks[r.Rank], BeyondRank
 	}
 	share = 1 - (1-share)*weight(r.Age)
-	if r.Hopeless() {
-		return Decision{Share: share}
+	switch {
+	case r.Hopeless():
+		return Decision{Share: share, Cause: TooLate}
+	case u >= share:
+		return Decision{Share: share, Cause: cause}
 	}
 	spare := share < 1 && l.Full > 0
-	return Decision{Admitted: u < share, Spare: spare, LeaveSlot: spare && v < reserve*l.Full, Share: share}
+	return Decision{Admitted: true, Spare: spare, LeaveSlot: spare && v < reserve*l.Full, Share: share}
 }
 
 const (
