--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -106,7 +106,7 @@
 )
 
 // reserve is how often a spare request leaves a slot free, relative to Level.Full. With 1, one in
-// 50 requests of tenants within their share found no room at 14 hosts.
+// 50 requests of tenants within their share found no room where there were few hosts.
 const reserve = 2
 
 // Decide decides on a request with two random numbers in [0, 1).
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -63,7 +63,7 @@
 	// headroom is how much more is admitted than found room lately, so that a free slot always
 	// finds a request and the limit follows targets that come back. It is spare requests that
 	// find no room then. With 0.1 one in ten fewer were served at 1.5 times the capacity; with 0.3
-	// tenants within their share lost one in 30 where 14 hosts were cut apart.
+	// tenants within their share lost one in 30 where few hosts were cut apart.
 	headroom = 0.2
 	// seenWeight is the weight of an interval in the moving averages of results.
 	seenWeight = 0.4
