--- a/policy/grant/coordinator_test.go
+++ b/policy/grant/coordinator_test.go
@@ -314,6 +314,24 @@
 	assert.Check(t, refused <= 12, "%d of 1000 attempts were refused", refused)
 }
 
+// Guards against targets that are held back for all hosts because one host has no path to them.
+func TestFailuresOfPathsHoldNoTargetBack(t *testing.T) {
+	d := newFixture(3, 2)
+	d.warm()
+	at := make(map[ports.HostID]int)
+	for id := AttemptID(1); id <= 300; id++ {
+		g := d.request("a", Request{ID: id}).Grants
+		assert.Assert(t, len(g) == 1, "attempt %d", id)
+		at[g[0].Target]++
+		d.now = d.now.Add(time.Millisecond)
+		d.finish("a", id, pick.NoPath)
+	}
+	for target, n := range at {
+		assert.Check(t, n >= 50, "%s got %d of 300", target, n)
+	}
+	assert.Equal(t, len(at), 3)
+}
+
 // Calls arrive one after the other, so every target is idle when the next one arrives. A target
 // whose response to one is overdue gets no calls for as long as that response took, and its usual
 // share after that.
