--- a/upstream/path.go
+++ b/upstream/path.go
@@ -245,7 +245,7 @@
 	pl := p.pool(t)
 	pl.checkPath(SendOptions{})
 	if pl.pathLost() {
-		return nil, errors.Mark(errPathLost, ErrPathFault)
+		return nil, p.paths.fault(errPathLost)
 	}
 	if pl.pathUnusable() {
 		return nil, p.markPathFault(ownAttempt{target: t.ID}, errUnreached)
--- a/upstream/pathfault.go
+++ b/upstream/pathfault.go
@@ -36,7 +36,7 @@
 	if err == nil || p.opts.Relay == nil || p.tellsOfTarget(a, err) {
 		return err
 	}
-	return errors.Mark(err, ErrPathFault)
+	return p.paths.fault(err)
 }
 
 // tellsOfTarget records that an attempt failed and reports whether that says something about the
@@ -59,7 +59,7 @@
 func (p *pool) markRequestFault(ctx context.Context, c *conn, begun time.Time, err error) error {
 	switch cause := CauseOf(err); {
 	case cause == CauseRelay, cause == CauseTimeout && c.via != "":
-		return errors.Mark(err, ErrPathFault)
+		return p.owner.paths.fault(err)
 	case cause == CauseTimeout:
 		due, _ := ctx.Deadline()
 		if ctx.Err() == nil {
@@ -79,7 +79,7 @@
 		return err
 	}
 	if !o.ownStarted || o.pool.pathLost() {
-		return errors.Mark(err, ErrPathFault)
+		return o.pool.owner.paths.fault(err)
 	}
 	own := o.ownErr
 	if own == nil {
@@ -89,5 +89,5 @@
 	if o.pool.owner.tellsOfTarget(ownAttempt{target: o.pool.target.ID, begun: o.begun, due: due}, own) {
 		return err
 	}
-	return errors.Mark(err, ErrPathFault)
+	return o.pool.owner.paths.fault(err)
 }
--- a/upstream/pathlog.go
+++ b/upstream/pathlog.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 )
@@ -19,7 +20,7 @@
 	limiter                         *rate.Limiter
 	ownFailed, lost, regained       *expvar.Int
 	checks, relayed, lines, suspect *expvar.Int
-	verified                        *expvar.Int
+	verified, faults, stale         *expvar.Int
 }
 
 func newPathLog(o Options) *pathLog {
@@ -33,11 +34,19 @@
 		checks:    c("checks"),
 		suspect:   c("suspected"),
 		verified:  c("verified"),
+		faults:    c("faults"),
+		stale:     c("stale"),
 		relayed:   c("relayed"),
 		lines:     c("lines_dropped"),
 	}
 }
 
+// fault counts a failure that says nothing about its target, and marks its error with ErrPathFault.
+func (l *pathLog) fault(err error) error {
+	l.faults.Add(1)
+	return errors.Mark(err, ErrPathFault)
+}
+
 func (l *pathLog) info(msg string, fields ...zap.Field) {
 	if !l.limiter.Allow() {
 		l.lines.Add(1)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -175,6 +175,7 @@
 		if !stale {
 			return res
 		}
+		p.paths.stale.Add(1)
 	}
 }
 
