Paths: one opening for a target goes on beyond the wait of its request

On a host that is short of processor time each request that stopped waiting left up to three connections through other hosts behind, which took processor time from the rest. Now one opening for each target goes on, and the others end with their requests.

upstream.TestOneOpeningForATargetGoesOn: 20 requests that stop waiting leave one connection, which serves the next request.

--- a/upstream/openlate.go
+++ b/upstream/openlate.go
@@ -22,9 +22,16 @@
 	return &remainder{opening: o, ownPending: o.ownStarted && o.ownErr == nil, ownErr: o.ownErr}
 }
 
-// await handles the results of the pending connections.
+// await handles the results of the pending connections. If another opening to the target goes on
+// already, those through other hosts end at once: a host that is short of processor time must not open
+// several for each request.
 func (r *remainder) await(pending int) {
 	defer r.stop()
+	if r.pool.beginRemainder() {
+		defer r.pool.endRemainder()
+	} else {
+		r.stop()
+	}
 	for range pending {
 		r.add(<-r.done)
 		r.settle()
@@ -70,3 +77,18 @@
 	r.pool.adopt(e.conn, r.maxConns)
 	r.stop()
 }
+
+// beginRemainder reports whether an opening may go on after the wait of its request.
+func (p *pool) beginRemainder() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := !p.remaining
+	p.remaining = true
+	return first
+}
+
+func (p *pool) endRemainder() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remaining = false
+}
--- a/upstream/openlate_test.go
+++ b/upstream/openlate_test.go
@@ -90,3 +90,19 @@
 		})
 	}
 }
+
+// Guards against a host that is short of processor time and opens several connections through other
+// hosts for each of many requests that have stopped waiting.
+func TestOneOpeningForATargetGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, f := newFakePaths(t, silent, late(500*time.Millisecond))
+		for range 20 {
+			go send(p, SendOptions{})
+		}
+		time.Sleep(directpath.CarriedDials * p.opts.DialTimeout)
+		assert.Equal(t, f.count("a"), 1)
+		assert.Check(t, p.pool(theTarget).pathLost())
+		res, _ := send(p, SendOptions{})
+		assert.Equal(t, res.Via, ports.HostID("a"))
+	})
+}
