--- a/upstream/pathlog.go
+++ b/upstream/pathlog.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 )
@@ -20,6 +21,7 @@
 	ownFailed, lost, regained       *expvar.Int
 	checks, relayed, lines, suspect *expvar.Int
 	verified, stalled               *expvar.Int
+	faults, stale                   *expvar.Int
 }
 
 func newPathLog(o Options) *pathLog {
@@ -34,11 +36,19 @@
 		suspect:   c("suspected"),
 		verified:  c("verified"),
 		stalled:   c("stalled"),
+		faults:    c("faults"),
+		stale:     c("stale"),
 		relayed:   c("relayed"),
 		lines:     c("lines_dropped"),
 	}
 }
 
+// fault counts a failure that says nothing about its target, and marks its error with ErrPathFault.
+func (l *pathLog) fault(err error) error {
+	l.faults.Add(1)
+	return errors.Mark(err, ErrPathFault)
+}
+
 func (l *pathLog) info(msg string, fields ...zap.Field) {
 	if !l.limiter.Allow() {
 		l.lines.Add(1)
