Connections between hosts that stalled are replaced

Cause: a connection between hosts was given up only by TCP: on an error, or if nothing was acknowledged for 5 s. Behind a middlebox that has lost its state but still acknowledges, it stayed for good, and everything sent on it was lost. Change: 500 ms after something was sent and no byte received, a ping asks for a reply; 500 ms later another connection is opened, which takes the place of the first if the ping still has no reply. On a full link the handshake takes longer than the ping, so that a slow connection is kept. Counter peer.connection_stalled.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -42,9 +42,16 @@
 	r.unreachableSince = time.Time{}
 	r.mu.Unlock()
 	start := time.Now()
-	r.node.count.connections.Add(1)
-	err = r.serve(s)
-	r.node.count.connections.Add(-1)
+	for s != nil {
+		r.node.count.connections.Add(1)
+		err = r.serve(s)
+		r.node.count.connections.Add(-1)
+		if s, r.next = r.next, nil; s != nil {
+			r.node.count.connStalled.Add(1)
+			r.node.opts.Log.Info("peer connection stalled, replaced", zap.String("peer", string(r.id)))
+			r.failAll(err)
+		}
+	}
 	if time.Since(start) > stableAfter {
 		r.backoff.Reset()
 	}
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -16,6 +16,7 @@
 	inboundRefused      *expvar.Int
 	acceptFailed        *expvar.Int
 	connBroken          *expvar.Int
+	connStalled         *expvar.Int
 	frameRefused        *expvar.Int
 	unknownPeer         *expvar.Int
 	backingOff          *expvar.Int
@@ -40,6 +41,7 @@
 		inboundRefused:  add("inbound_refused"),
 		acceptFailed:    add("accept_failed"),
 		connBroken:      add("connection_broken"),
+		connStalled:     add("connection_stalled"),
 		frameRefused:    add("frame_refused"),
 		unknownPeer:     add("unknown_peer"),
 		backingOff:      add("backing_off"),
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,9 +65,11 @@
 
 func (n *Node) newSession(conn net.Conn) *session {
 	_, overTLS := conn.(*tls.Conn)
+	heard := new(atomic.Int64)
 	return &session{
 		conn:            conn,
-		br:              bufio.NewReaderSize(conn, readBufferSize),
+		heard:           heard,
+		br:              bufio.NewReaderSize(heardReader{Reader: conn, at: heard}, readBufferSize),
 		maxFrame:        n.opts.MaxFrame,
 		dec:             newFrameDecoder(),
 		count:           &n.count,
--- a/peer/node.go
+++ b/peer/node.go
@@ -116,7 +116,7 @@
 	}
 	n := &Node{opts: opts, count: newCounters(opts.Metrics)}
 	n.ctx, n.stop = context.WithCancel(context.Background())
-	n.handlers.Store(&map[Kind]Handler{})
+	n.handlers.Store(&map[Kind]Handler{kindPing: handlePing})
 	n.streams.Store(&map[Kind]StreamHandler{})
 	n.remotes.Store(&map[HostID]*remote{})
 	return n
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -73,6 +73,10 @@
 	// connection has been opened again.
 	unreachableSince time.Time
 	closed           bool
+
+	// next is the connection that replaces one that stalled. Only the goroutine that serves the
+	// remote uses it.
+	next *session
 }
 
 func newRemote(n *Node, id HostID) *remote {
@@ -235,6 +239,10 @@
 func (r *remote) writeQueue(s *session, read <-chan error) (err error, reading bool) {
 	idle := time.NewTicker(idleTimeout)
 	defer idle.Stop()
+	check := time.NewTicker(silenceCheckInterval)
+	defer check.Stop()
+	silent := newSilence(r, s)
+	defer silent.end()
 	used := true
 	var b batch
 	for {
@@ -245,6 +253,7 @@
 				return err, true
 			}
 			b.reset()
+			silent.sent(time.Now())
 		}
 		select {
 		case <-r.ctx.Done():
@@ -252,6 +261,12 @@
 		case err := <-read:
 			return err, false
 		case <-r.wake:
+		case now := <-check.C:
+			silent.check(now)
+		case other := <-silent.opened:
+			if silent.replaced(other) {
+				return errStalled, true
+			}
 		case <-idle.C:
 			if !used && !r.waiting() {
 				return nil, true
--- a/peer/session.go
+++ b/peer/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,9 @@
 
 // session is a connection after its handshake. One goroutine reads and one writes.
 type session struct {
-	conn     net.Conn
+	conn net.Conn
+	// heard is when bytes were last received, in nanoseconds since the epoch.
+	heard    *atomic.Int64
 	br       *bufio.Reader
 	peer     hello
 	send     *frameMAC // nil without a shared key
