Idle connections are closed after two unanswered requests in a row, not after one

Cause: a full target leaves a probe unanswered now and then; closing its idle connections each time would cost it new connections. Change: one target's idle connections are closed after two requests in a row without an answer on used connections; those to all targets, as before, once two targets leave such requests unanswered.

--- a/upstream/path.go
+++ b/upstream/path.go
@@ -146,6 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answeredAt = now
+	p.unansweredOnUsed = 0
 	p.path.Answered()
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,6 +41,9 @@
 	// nextVerification is when that may be done again.
 	verifying        bool
 	nextVerification time.Time
+	// unansweredOnUsed is the number of requests on connections used before that got no answer in
+	// time since the target last answered.
+	unansweredOnUsed int
 }
 
 // conn is a connection that counts its writes, which shows whether a request was sent.
--- a/upstream/stalled.go
+++ b/upstream/stalled.go
@@ -6,18 +6,30 @@
 	"go.uber.org/zap"
 )
 
+// maxUnansweredOnUsed is the number of requests in a row, on connections used before, without an answer
+// in time after which the idle connections to a target are closed. A full target leaves one unanswered
+// now and then, and new connections cost it more.
+const maxUnansweredOnUsed = 2
+
 // noteStalled closes the idle connections to the target that have not carried an answer since a request
-// began that got none in time, on a connection that had been used before. Such connections may carry
-// nothing any more, and each would cost a request.
+// began that got none in time, on a connection that had been used before, if that happened twice. Such
+// connections may carry nothing any more, and each would cost a request.
 //
 // If several targets leave such requests unanswered, the same holds for the connections to all targets.
 func (p *pool) noteStalled(begun time.Time) {
 	p.owner.reachMu.Lock()
 	all := p.owner.reach.Unanswered(p.target.ID, begun)
 	p.owner.reachMu.Unlock()
-	pools := []*pool{p}
-	if all {
+	p.mu.Lock()
+	p.unansweredOnUsed++
+	own := p.unansweredOnUsed >= maxUnansweredOnUsed
+	p.mu.Unlock()
+	var pools []*pool
+	switch {
+	case all:
 		pools = p.owner.all()
+	case own:
+		pools = []*pool{p}
 	}
 	closed := 0
 	for _, pl := range pools {
--- a/upstream/stalled_test.go
+++ b/upstream/stalled_test.go
@@ -101,6 +101,39 @@
 	})
 }
 
+// Guards against stalled connections to one target that cost a request each, while others answer.
+func TestStalledConnectionsToOneTargetCostFewRequests(t *testing.T) {
+	const idle = 5
+	synctest.Test(t, func(t *testing.T) {
+		s, other := &stallingTargets{stalled: make(chan struct{})}, &stallingTargets{stalled: make(chan struct{})}
+		p := New(Options{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr == "other:1" {
+				return other.dial(ctx, addr)
+			}
+			return s.dial(ctx, addr)
+		}})
+		defer other.serving.Wait()
+		defer s.serving.Wait()
+		defer p.Close()
+		var wg sync.WaitGroup
+		for range idle {
+			wg.Go(func() { assert.Check(t, ask(p, "stalled")) })
+		}
+		wg.Wait()
+		assert.Check(t, ask(p, "other"))
+		s.stall()
+		lost := 0
+		for range idle {
+			time.Sleep(time.Millisecond)
+			assert.Check(t, ask(p, "other"))
+			if !ask(p, "stalled") {
+				lost++
+			}
+		}
+		assert.Equal(t, lost, maxUnansweredOnUsed)
+	})
+}
+
 // Guards against closing idle connections because a target is slow: others, or other connections to
 // it, answer.
 func TestSlowAnswersCloseNoConnectionsThatAnswer(t *testing.T) {
@@ -117,7 +150,9 @@
 		begun := time.Now()
 		time.Sleep(time.Millisecond)
 		assert.Check(t, ask(p, "slow")) // on a connection that has answered since
-		p.existingPool("slow").noteStalled(begun)
+		for range maxUnansweredOnUsed {
+			p.existingPool("slow").noteStalled(begun)
+		}
 		assert.Check(t, ask(p, "slow"))
 		assert.Check(t, ask(p, "other"))
 		assert.Equal(t, s.opened, opened)
