--- a/upstream/path.go
+++ b/upstream/path.go
@@ -157,6 +157,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answeredAt = now
+	p.unansweredOnUsed = 0
 	p.path.Answered()
 }
 
