pipeline: the buffer of withheld bytes is released after the last response

The read that waits for more requests while some run ahead held its buffer, and kept the server's idle timeout from beginning, until the caller sent again. It is interrupted when the last response was written. A request that waits for a limit is counted once.

--- a/edge/pipeline_calls_test.go
+++ b/edge/pipeline_calls_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,15 +60,21 @@
 // requests at a time.
 func (l *localCluster) counted(version uint64, work time.Duration) *countingTarget {
 	l.t.Helper()
-	tg := &countingTarget{Target: &standin.Target{ID: "counted-0", Slots: 512, Queue: 512, Work: work}}
+	tg := l.startCounted("counted-0", work)
+	l.configure(version, standin.Route{Name: "counted", Host: hostName, Prefix: "/counted/", Type: "safe", Service: "counted", Timeout: "5s", MaxAttempts: 2})
+	l.awaitVersion(version, "counted")
+	return tg
+}
+
+// startCounted starts a target of the service counted.
+func (l *localCluster) startCounted(id string, work time.Duration) *countingTarget {
+	tg := &countingTarget{Target: &standin.Target{ID: id, Slots: 512, Queue: 512, Work: work}}
 	server := httptest.NewServer(tg)
 	l.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
 	l.store.Put("servers", tg.ID, tg.Entry("counted", server.Listener.Addr().String(), "a", "ready"))
-	l.configure(version, standin.Route{Name: "counted", Host: hostName, Prefix: "/counted/", Type: "safe", Service: "counted", Timeout: "5s", MaxAttempts: 2})
-	l.awaitVersion(version, "counted")
 	return tg
 }
 
@@ -276,7 +283,14 @@
 // many connections without pipelining; a refused one must not have run.
 func TestManyPipelinedConnections(t *testing.T) {
 	l := newLocalCluster(t, 1)
-	tg := l.counted(2, 0)
+	var targets []*countingTarget
+	for i := range 7 {
+		targets = append(targets, l.startCounted(fmt.Sprint("counted-", i+1), 0))
+	}
+	targets = append(targets, l.counted(2, 0))
+	ran := func(id string) bool {
+		return slices.ContainsFunc(targets, func(tg *countingTarget) bool { return tg.ran(id) })
+	}
 	const conns, requests = 200, 100
 	var wg sync.WaitGroup
 	failures := make(chan string, conns)
@@ -296,7 +310,7 @@
 				r, err := c.read()
 				want := fmt.Sprintf("c%d-%d", i, j)
 				isRefused := r.status == http.StatusServiceUnavailable && strings.HasPrefix(r.body, "not-run ")
-				if err != nil || r.id != want || r.status != http.StatusOK && !isRefused || isRefused == tg.ran(want) {
+				if err != nil || r.id != want || r.status != http.StatusOK && !isRefused || isRefused == ran(want) {
 					failures <- fmt.Sprintf("%s: got %q, status %d, %v, %s", want, r.id, r.status, err, r.body)
 					return
 				}
@@ -311,7 +325,9 @@
 	for f := range failures {
 		t.Error(f)
 	}
-	assert.Equal(t, tg.running.Load(), int32(0))
+	for _, tg := range targets {
+		assert.Equal(t, tg.running.Load(), int32(0))
+	}
 	t.Log(refused.Load(), "refused", l.daemons[0].Metrics().Map("pipeline").String())
 }
 
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -64,8 +64,8 @@
 	// a limit kept it from running ahead.
 	next  *split
 	bound bool
-	// reading is set while a read to held is in progress.
-	reading bool
+	// reading is set while a read to held is in progress, interrupted once it was told to end.
+	reading, interrupted bool
 	// queue holds the requests that run ahead, in order.
 	queue []*aheadConn
 	// spares are in-memory connections without a request, which expire ends.
--- a/pipeline/limits_test.go
+++ b/pipeline/limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,9 @@
 	for i := range 5 {
 		c.expect(fmt.Sprint("/held/", i))
 	}
+	bound, err := strconv.Atoi(s.counter("bound_connection"))
+	assert.NilError(t, err)
+	assert.Check(t, bound <= 2, "the two requests beyond the limit were counted %d times", bound)
 }
 
 // Guards against callers that together take more than the host's limit. All requests must be served.
--- a/pipeline/order.go
+++ b/pipeline/order.go
@@ -34,21 +34,21 @@
 func (c *Conn) start(s *split) bool {
 	p := c.pipeline
 	if len(c.queue) >= p.opts.PerConnection {
-		return c.wait(p.count.boundConnection)
+		return c.wait(s, p.count.boundConnection)
 	}
 	if !p.limits.takeRequest() {
-		return c.wait(p.count.boundHost)
+		return c.wait(s, p.count.boundHost)
 	}
 	length := int64(s.length)
 	if !p.limits.memory.TryAcquire(length) {
 		p.limits.returnRequest()
-		return c.wait(p.count.boundMemory)
+		return c.wait(s, p.count.boundMemory)
 	}
 	a, bound := c.aheadConn()
 	if a == nil {
 		p.limits.returnRequest()
 		p.limits.memory.Release(length)
-		return c.wait(bound)
+		return c.wait(s, bound)
 	}
 	a.unread, a.length = append(a.unread[:0], c.held.bytes()[:s.length]...), length
 	a.changed.Broadcast()
@@ -62,10 +62,13 @@
 	return true
 }
 
-// wait keeps the next request from running ahead because of a limit.
-func (c *Conn) wait(limit *expvar.Int) bool {
-	limit.Add(1)
-	c.bound = true
+// wait keeps the next request from running ahead because of a limit, until another one of the
+// connection is answered.
+func (c *Conn) wait(s *split, limit *expvar.Int) bool {
+	if !s.counted {
+		limit.Add(1)
+	}
+	s.counted, c.bound = true, true
 	return false
 }
 
@@ -121,6 +124,7 @@
 	c.giveTurn()
 	c.startAhead()
 	c.signal()
+	c.interrupt()
 }
 
 // keep makes the in-memory connection of an answered request a spare one, or ends it.
--- a/pipeline/order_test.go
+++ b/pipeline/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -310,3 +311,71 @@
 	assert.Equal(t, err, io.EOF)
 	await(t, "the end of the shutdown", done.Load)
 }
+
+// Guards against a shutdown that takes requests for done whose responses wait for their turn.
+func TestResponsesThatWaitForTheirTurnAreUndelivered(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		g := newGate()
+		s := serve(t, g, nil)
+		c := s.dial()
+		c.send(get("/held/0"), get("/1"), get("/2"))
+		await(t, "two undelivered responses", func() bool { return s.pipeline.Undelivered() == 2 })
+		assert.Check(t, !s.pipeline.Settled())
+		if leaves {
+			assert.NilError(t, c.Close())
+		} else {
+			close(g.open)
+			for _, path := range []string{"/held/0", "/1", "/2"} {
+				c.expect(path)
+			}
+		}
+		await(t, "no undelivered response", func() bool { return s.pipeline.Undelivered() == 0 })
+	}
+}
+
+// Guards against in-memory connections that are kept for good, and against requests that are mixed up
+// on those that are used again.
+func TestInMemoryConnectionsAreUsedAgainAndEnd(t *testing.T) {
+	memory := &meter{limit: 1 << 20}
+	s := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/0") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}), func(o *pipeline.Options) { o.Memory = memory })
+	c := s.dial()
+	for i := range 10 {
+		for j := range 4 {
+			c.send(get(fmt.Sprintf("/%d/%d", i, j)))
+		}
+		for j := range 4 {
+			c.expect(fmt.Sprintf("/%d/%d", i, j))
+		}
+	}
+	assert.Check(t, s.conns.Load() <= 10, "%d connections", s.conns.Load())
+	await(t, "all memory is returned", func() bool { return memory.held() == 0 })
+	c.send(get("/9/0"), get("/last"))
+	c.expect("/9/0")
+	c.expect("/last")
+}
+
+// Guards against idle connections that stay open for good after requests ran ahead on them, and
+// against requests that run for longer than the idle timeout and are cut off.
+func TestIdleTimeoutBeginsAfterTheLastResponse(t *testing.T) {
+	const idle = 200 * time.Millisecond
+	g := newGate()
+	c := serveIdle(t, g, nil, idle).dial()
+	c.send(get("/0"), get("/held/1"))
+	c.expect("/0")
+	time.Sleep(2 * idle)
+	close(g.open)
+	c.expect("/held/1")
+	c.send(get("/held/2"), get("/3"))
+	c.expect("/held/2")
+	c.expect("/3")
+	begin := time.Now()
+	_, err := c.reader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	took := time.Since(begin)
+	assert.Check(t, took > idle/2 && took < 10*idle, "closed after %v", took)
+}
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,10 +25,18 @@
 	pipeline *pipeline.Pipeline
 	metrics  *metrics.Set
 	addr     string
+	// conns counts the connections that the server has accepted.
+	conns atomic.Int32
 }
 
 // serve starts a server for a handler. Requests whose path begins with /alone may not run ahead.
 func serve(t *testing.T, h http.Handler, change func(*pipeline.Options)) *testServer {
+	t.Helper()
+	return serveIdle(t, h, change, time.Minute)
+}
+
+// serveIdle is serve with an idle timeout.
+func serveIdle(t *testing.T, h http.Handler, change func(*pipeline.Options), idle time.Duration) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -42,7 +51,12 @@
 		change(&opts)
 	}
 	s.pipeline = pipeline.New(opts)
-	s.server = &http.Server{Handler: overtakable(opts.MayRunAhead, h), ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	s.server = &http.Server{Handler: overtakable(opts.MayRunAhead, h), ReadHeaderTimeout: time.Minute, IdleTimeout: idle}
+	s.server.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.conns.Add(1)
+		}
+	}
 	s.pipeline.Attach(s.server)
 	go func() { _ = s.server.Serve(s.pipeline.Listener(l)) }()
 	go func() { _ = s.server.Serve(s.pipeline.Ahead(l.Addr())) }()
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -182,16 +182,24 @@
 	c.mu.Lock()
 	c.reading = false
 	c.held.w += n
-	switch {
-	case err == nil:
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.lost = err
 		c.cancelAll()
-	case c.state == idle:
-		// The server's idle timeout doesn't apply while requests run.
-		c.readDeadline = time.Time{}
+		return
+	}
+	if c.state == idle && (err != nil || c.interrupted) {
+		// The server's idle timeout doesn't apply while requests run, and begins when they end.
 		_ = c.Conn.SetReadDeadline(time.Time{}) // if it fails, so does the next read
 	}
+	c.interrupted = false
+}
+
+// interrupt ends a read to held after the last response, so that its memory is released.
+func (c *Conn) interrupt() {
+	if c.reading && c.state == idle && len(c.queue) == 0 {
+		c.interrupted = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // if it fails, so does the read
+	}
 }
 
 // await waits until something has changed. The caller's close is noticed although nothing is read.
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -30,6 +30,8 @@
 	length, body int
 	// request is set for plain.
 	request *http.Request
+	// counted is set once the request was counted as waiting for a limit.
+	counted bool
 }
 
 // headerScan finds the empty line that ends a header, over several reads.
