--- a/controller/admission/exchange.go
+++ b/controller/admission/exchange.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportsPerSecond is the number of reports that an owner gets while its service is short of
-	// room. Beyond 100 hosts each reports less often.
+	// room. If there are more hosts than that allows, each reports less often.
 	reportsPerSecond = 400
 	// reportTimeout bounds a report and its reply; a round trip takes 1 to 3 ms.
 	reportTimeout = 150 * time.Millisecond
