--- a/controller/admission/exchange.go
+++ b/controller/admission/exchange.go
@@ -99,6 +99,9 @@
 			}
 			return
 		}
+		if ctx.Err() != nil {
+			return // this host is stopping
+		}
 		c.count.reportsFailed.Add(1)
 		c.deps.Log.Info("owner of admission did not reply", zap.String("service", r.Service), zap.String("peer", string(owner)), zap.Error(err))
 		c.mu.Lock()
