--- a/controller/admission/exchange.go
+++ b/controller/admission/exchange.go
@@ -15,7 +15,7 @@
 
 const (
 	// reportsPerSecond is the number of reports that an owner gets while its service is short of
-	// room. With more hosts than that allows at the usual interval, each reports less often.
+	// room. If there are more hosts than that allows, each reports less often.
 	reportsPerSecond = 400
 	// reportTimeout bounds a report and its reply; a round trip takes 1 to 3 ms.
 	reportTimeout = 150 * time.Millisecond
@@ -99,6 +99,9 @@
 			}
 			return
 		}
+		if ctx.Err() != nil {
+			return // this host is stopping
+		}
 		c.count.reportsFailed.Add(1)
 		c.deps.Log.Info("owner of admission did not reply", zap.String("service", r.Service), zap.String("peer", string(owner)), zap.Error(err))
 		c.mu.Lock()
