Quotas: tests of alternating owners let the last requests end

With -race the end of a test, which stops the hosts, raced with requests that were still pending (host.up in the test's fleet, which is not synchronized; older tests of this package report the same with -race).

--- a/controller/quota/takeover_test.go
+++ b/controller/quota/takeover_test.go
@@ -37,6 +37,7 @@
 	withFleet(t, 12, []routing.Tenant{large}, func(fl *fleet) {
 		go fl.cutOffRepeatedly(large.Name, 300*time.Millisecond, 500*time.Millisecond, 15*time.Second)
 		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 4*large.Rate, 15*time.Second)
+		time.Sleep(2 * time.Second) // the last requests and cuts end
 		fl.assertWithinQuota(large)
 	})
 }
@@ -52,6 +53,7 @@
 		withFleet(t, 12, []routing.Tenant{tenant}, func(fl *fleet) {
 			go fl.cutOffRepeatedly(tenant.Name, 300*time.Millisecond, 500*time.Millisecond, 15*time.Second)
 			fl.load(rand.New(rand.NewPCG(1, 1)), tenant.Name, 4*tenant.Rate, 15*time.Second)
+			time.Sleep(2 * time.Second) // the last requests and cuts end
 			fl.assertWithinQuota(tenant)
 		})
 	}
@@ -89,10 +91,14 @@
 			fl.load(rng, large.Name, 20, 4*time.Second)
 			time.Sleep(100 * time.Millisecond) // requests that found no owner are refused by then
 			fl.net.UnblockAll()
+			fl.mu.Lock()
 			clear(fl.refused)
+			fl.mu.Unlock()
 			fl.load(rng, large.Name, 20, 2*time.Second)
 			time.Sleep(time.Second)
+			fl.mu.Lock()
 			refused += fl.refused[large.Name]
+			fl.mu.Unlock()
 		}
 		assert.Check(t, refused == 0, "%d refused", refused)
 	})
