--- a/controller/quota/takeover_test.go
+++ b/controller/quota/takeover_test.go
@@ -73,6 +73,7 @@
 			fl.heal()
 		}()
 		fl.load(rand.New(rand.NewPCG(1, 1)), large.Name, 6*large.Rate, 8*time.Second)
+		time.Sleep(2 * time.Second) // the last requests end
 		fl.assertWithinQuota(large)
 	})
 }
