Watch: a host that the store doesn't serve asks eight others instead of four

Where watchers turn slow with a change, a host is aware of it after 0.9 s, its first requests are vain until 1.5 s, and from 1.6 s on it asks four random hosts, 0.1 s apart, of 100 of which 44 are slow. Three are asked within the bound.

Fix: eight hosts, 0.05 s apart, so that six are asked within the bound, and never the host itself. Only hosts that neither the first requests nor the store bring up to date ask them, as before.

Package controller/watch passes.

--- a/controller/watch/catchup.go
+++ b/controller/watch/catchup.go
@@ -20,8 +20,11 @@
 	// lateReplyTimeout is how long a reply is still taken. State merges by revision, so late is as
 	// good as early, and asking again would fill the links further.
 	lateReplyTimeout = 2 * time.Second
-	// fallbackHosts is how many hosts are asked if the store does not serve this one.
-	fallbackHosts = 4
+	// fallbackHosts is how many hosts are asked if the store does not serve this one in time, and
+	// fallbackDelay how long it waits for one of them before it also asks the next. Where half of
+	// the others are slow or cut off, four vain requests in a row are common and eight are rare.
+	fallbackHosts = 8
+	fallbackDelay = hedgeDelay / 2
 )
 
 // scheduleCatchUp fetches what this host missed if it is still behind after catchUpAfter: the
@@ -49,10 +52,10 @@
 	}
 	c.logBehind(from)
 	ctx := context.Background()
-	if c.fetchHedged(ctx, c.catchUpOrder(from), from, still) || c.readIfBehind(ctx, still) {
+	if c.fetchHedged(ctx, c.catchUpOrder(from), hedgeDelay, from, still) || c.readIfBehind(ctx, still) {
 		return
 	}
-	c.fetchHedged(ctx, c.anyHosts(fallbackHosts), from, still)
+	c.fetchHedged(ctx, c.anyHosts(fallbackHosts), fallbackDelay, from, still)
 }
 
 // stillBehind reports whether this host is still behind.
@@ -80,21 +83,21 @@
 	return append([]ports.HostID{from}, others...)
 }
 
-// anyHosts returns up to n random hosts.
+// anyHosts returns up to n random other hosts.
 func (c *Controller) anyHosts(n int) []ports.HostID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := c.hostIDs()
+	ids := slices.DeleteFunc(c.hostIDs(), func(id ports.HostID) bool { return id == c.self })
 	slices.Sort(ids)
 	c.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids[:min(n, len(ids))]
 }
 
 // fetchHedged asks hosts for what this one lacks, the next one when a reply did not help or after
-// hedgeDelay, and reports whether this host got it within catchUpTimeout. The reply of the watcher
+// delay, and reports whether this host got it within catchUpTimeout. The reply of the watcher
 // that showed that this host is behind brings it up to date in any case. Replies that come later
 // are taken, too.
-func (c *Controller) fetchHedged(ctx context.Context, ids []ports.HostID, watcher ports.HostID, still func() bool) bool {
+func (c *Controller) fetchHedged(ctx context.Context, ids []ports.HostID, delay time.Duration, watcher ports.HostID, still func() bool) bool {
 	deadline := time.NewTimer(catchUpTimeout)
 	defer deadline.Stop()
 	enough := make(chan bool, len(ids))
@@ -114,7 +117,7 @@
 				}
 				enough <- upToDate || !c.stillBehind(still)
 			}()
-			stagger = time.After(hedgeDelay)
+			stagger = time.After(delay)
 		}
 		if open == 0 && len(ids) == 0 {
 			return !c.stillBehind(still)
--- a/controller/watch/directread_test.go
+++ b/controller/watch/directread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,6 +80,45 @@
 	})
 }
 
+// Guards against a host that the store turns away and that asks so few others that all of them may be
+// silent: here half of them are, among them the watchers and its zone, which it asks first.
+func TestHostThatTheStoreRejectsAsksEnoughOthers(t *testing.T) {
+	const oneRound = 1250 * time.Millisecond // heartbeat, wait, first requests, fallback
+	var behind atomic.Pointer[host]
+	var silent sync.Map
+	setUp := func(fl *fleet) {
+		fl.net.Drop = func(from, to peer.HostID, kind peer.Kind) bool {
+			h := behind.Load()
+			if h == nil || kind == kindHeartbeat {
+				return false
+			}
+			_, isSilent := silent.Load(string(to))
+			return h.addr == string(from) && isSilent || h.addr == string(to)
+		}
+	}
+	withNetwork(t, 14, setUp, func(fl *fleet) {
+		h := fl.nonWatcher()
+		count := 0
+		for _, first := range []bool{true, false} { // the watchers and the zone, then others
+			for _, other := range fl.hosts {
+				asked := other.watches() || other.c.deps.Self.Zone == h.c.deps.Self.Zone
+				if other != h && asked == first && count < fallbackHosts-1 {
+					silent.Store(other.addr, true)
+					count++
+				}
+			}
+		}
+		h.client.SetMode(memstore.Refusing)
+		behind.Store(h)
+		for i := range 40 {
+			fl.record.Put(entryOf(20+i, false))
+			took := fl.await(nil, func(h *host) bool { return h.routesTo(20 + i) })
+			assert.Check(t, took < oneRound, "change %d known after %s", i, took)
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
 // Guards against a host without a current watcher that goes by what it has until its turn to take
 // over comes: all watchers and the first hosts in turn stop responding.
 func TestDrainIsKnownInTimeThoughFirstHostsInTurnAreSilent(t *testing.T) {
