A later proof confirms a withdrawn loss, so that its request need not run alone

Cause: a loss that was withdrawn by an answer on a later connection kept its request running alone until it was answered, also when an older connection answered afterwards. Change: such a proof ends that.

--- a/policy/suspicion/alive.go
+++ b/policy/suspicion/alive.go
@@ -105,7 +105,7 @@
 	return p, b.RecordProof(now, p, true)
 }
 
-// suspected reports whether any loss of a target is recorded.
+// suspected reports whether any loss of a target is recorded, or withdrawn without being sure.
 func (b *Tracker) suspected(target ports.RunID) bool {
 	if _, ok := b.losses[target]; ok {
 		return true
@@ -115,6 +115,11 @@
 			return true
 		}
 	}
+	for _, list := range b.withdrawn {
+		if slices.ContainsFunc(list, func(l Loss) bool { return l.Target == target }) {
+			return true
+		}
+	}
 	return false
 }
 
@@ -132,19 +137,33 @@
 	if l, ok := b.losses[p.Target]; ok && known.covers(l) {
 		delete(b.losses, p.Target)
 	}
+	b.confirmWithdrawn(p.Target)
 	for d, e := range b.entries {
 		b.withdrawFrom(now, d, e, p.Target, &w)
 	}
 	return w
 }
 
+// confirmWithdrawn forgets withdrawals that a later proof shows to be right, so that they no longer count
+// against their requests.
+func (b *Tracker) confirmWithdrawn(target ports.RunID) {
+	known := b.alive[target]
+	for d, list := range b.withdrawn {
+		list = slices.DeleteFunc(list, func(l Loss) bool { return l.Target == target && known.covers(l) && known.sure(l) })
+		if b.withdrawn[d] = list; len(list) == 0 {
+			delete(b.withdrawn, d)
+		}
+	}
+}
+
 // withdrawFrom withdraws the losses of one request at a target, as far as they are disproved.
 func (b *Tracker) withdrawFrom(now time.Time, d Digest, e *entry, target ports.RunID, w *Withdrawal) {
 	before := len(e.losses)
+	confirmed := before == 0 && len(b.withdrawn[d]) == 0
 	e.losses = slices.DeleteFunc(e.losses, func(l Loss) bool {
 		return l.Target == target && b.disproved(now, d, l)
 	})
-	if len(e.losses) == before {
+	if len(e.losses) == before && !confirmed {
 		return
 	}
 	delete(b.accused, d)
--- a/policy/suspicion/proof_test.go
+++ b/policy/suspicion/proof_test.go
@@ -102,6 +102,20 @@
 	assert.Equal(t, len(answer(b, "t1", time.Minute+200*ms, time.Minute+200*ms).Affected), 1, "a complete response begins anew")
 }
 
+// Guards against a request that goes on running alone although a later answer shows that its target was not
+// restarted.
+func TestLaterProofConfirmsAWithdrawal(t *testing.T) {
+	l := DefaultLimits()
+	b := NewTracker(l)
+	breakRun(b, 0, 1, "t1", false)
+	late := l.RestartTime + 50*ms
+	assert.Equal(t, len(answer(b, "t1", late, late).Exonerated), 0)
+	assert.Equal(t, b.State(at(late), 1), Suspect)
+	assert.DeepEqual(t, answer(b, "t1", time.Second, -time.Second).Exonerated, []Exonerated{{Digest: 1, Was: Suspect}})
+	assert.Equal(t, b.State(at(time.Second), 1), Clean)
+	assert.Check(t, !b.Active())
+}
+
 // Guards against a request that is refused while it is being found out whether its targets are alive,
 // and against one that is held for ever because the host that does so has failed.
 func TestRequestIsHeldWhileItsTargetsAreVerified(t *testing.T) {
