--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -119,7 +119,14 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		for _, r := range hosts[0].picker.got {
+		sent := pick.Request{
+			Service: fleetKey, Tenant: "a", Priority: 3, Arrived: time.Now(), Objective: time.Second, Bytes: 5,
+			Regions: []string{"r"}, Avoid: []ports.HostID{"t"}, Hedge: true, Exclusive: true, Digest: 9,
+		}
+		hosts[0].Pick(t.Context(), sent)
+		got := hosts[0].picker.got
+		assert.DeepEqual(t, got[len(got)-1], sent)
+		for _, r := range got {
 			assert.Check(t, !r.Spare && !r.LeaveSlot)
 		}
 	})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -177,9 +177,10 @@
 	if at, ok := ctx.Deadline(); ok && expectedLatency > at.Sub(now) {
 		worthwhile = false
 	}
-	noSlot = t.figures.FreeSlots(now) < slotsNeeded(req, t)
-	if req.Spare && noSlot {
-		worthwhile = false
+	noSlot = t.figures.WouldQueue(now)
+	if req.Spare {
+		noSlot = t.figures.FreeSlots(now) < slotsNeeded(req, t)
+		worthwhile = worthwhile && !noSlot
 	}
 	switch placement.Decide(cost, worthwhile, next) {
 	case placement.Refuse:
@@ -201,8 +202,7 @@
 	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, "", false
 }
 
-// slotsNeeded returns how many slots of a target must be free for a call not to wait or, if it has
-// to leave one, to be sent there.
+// slotsNeeded returns how many slots of a target must be free for a spare call to be sent there.
 func slotsNeeded(req pick.Request, t *target) float64 {
 	if req.LeaveSlot && t.figures.Slots > 1 {
 		return 2
