--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -438,13 +437,10 @@
 	}
 }
 
-// historySeeds is the number of seeds that each kind of history runs with.
-var historySeeds = flag.Int("history-seeds", 5, "number of random histories of each kind")
-
 // playHistories plays one history for each seed.
 func playHistories(t *testing.T, fast, poison bool) []*history {
 	var all []*history
-	for seed := range uint64(*historySeeds) {
+	for seed := range uint64(*simSeeds) {
 		synctest.Test(t, func(*testing.T) {
 			h := newHistory(seed, fast)
 			h.play(poison)
