Admission: calls beyond their share take slots that are free

Change: such a call is sent on if a target that reports its load has more than one slot free at once. It never waits.

--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -88,8 +88,7 @@
 		now := time.Now()
 		d = s.decide(now, requestOf(now, req))
 		if !d.Admitted {
-			c.count.refuse(req.Priority, d.Cause)
-			return nil, c.refusal(outcome.Refuse(outcome.ReasonOverload), req, d)
+			return c.pickBeyondShare(ctx, s, req, d)
 		}
 		req.Spare, req.LeaveSlot = d.Spare, d.LeaveSlot
 	}
@@ -109,6 +108,21 @@
 	return nil, c.refusal(refusal, req, d)
 }
 
+// pickBeyondShare decides on a call beyond its share. The room that a level divides is an estimate:
+// such a call is sent on all the same if a target reports more than one free slot, so that no slot
+// stays empty. It never waits, and a retry that is too late gets nothing.
+func (c *Controller) pickBeyondShare(ctx context.Context, s *service, req pick.Request, d policy.Decision) (pick.Grant, outcome.Result) {
+	if d.Cause != policy.TooLate && s.loadReported() {
+		req.Spare, req.LeaveSlot = true, true
+		if g, _ := c.deps.Picker.Pick(ctx, req); g != nil {
+			s.recordGrant(time.Now(), g)
+			return &heldGrant{Grant: g, service: s, req: req}, outcome.Result{}
+		}
+	}
+	c.count.refuse(req.Priority, d.Cause)
+	return nil, c.refusal(outcome.Refuse(outcome.ReasonOverload), req, d)
+}
+
 // requestOf returns the request to decide on for an attempt.
 func requestOf(now time.Time, req pick.Request) policy.Request {
 	return policy.Request{Key: policy.NewKey(req.Priority, req.Tenant), Objective: req.Objective, Left: timeLeft(now, req)}
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -88,10 +88,11 @@
 	return hosts
 }
 
-// ask sends calls of a tenant to a host and returns how many were refused before the picker.
+// ask sends calls of a tenant to a host and returns how many were refused before the picker, or for
+// their share.
 func (h testHost) ask(t *testing.T, tenant string, priority, n int) (refused int) {
-	before := len(h.picker.got)
 	for range n {
+		before := len(h.picker.got)
 		g, r := h.Pick(t.Context(), pick.Request{Service: fleetKey, Tenant: tenant, Priority: priority, Arrived: time.Now(), Objective: time.Second})
 		if g != nil {
 			g.Release(pick.Report{Class: pick.OK, Latency: 100 * time.Millisecond})
@@ -99,8 +100,11 @@
 		}
 		assert.Equal(t, r.Outcome, outcome.NotRun)
 		assert.Equal(t, r.Status(), 503)
+		if len(h.picker.got) == before || r.Admission != nil && r.Admission.Share < 1 {
+			refused++
+		}
 	}
-	return n - (len(h.picker.got) - before)
+	return refused
 }
 
 // Without tenants and with one priority for each service, requests reach the wrapped picker as they
--- a/controller/admission/load_test.go
+++ b/controller/admission/load_test.go
@@ -110,7 +110,7 @@
 func TestFloodThroughOneHost(t *testing.T) {
 	with, without := withTenants(floodOf(3, 1, 0)).compare(t)
 	light := with.group("t")
-	assert.Check(t, light.ratio() > 0.95, "%f", light.ratio())
+	assert.Check(t, light.ratio() > 0.98, "%f", light.ratio())
 	checkWorth(t, with, without)
 }
 
@@ -170,3 +170,11 @@
 	assert.Equal(t, r.messages, 0)
 	assert.Equal(t, r.all.ratio(), 1.0)
 }
+
+// Guards against small tenants that pay for a flood because only late responses show it.
+func TestTenantsWithinTheirShareWhereTargetsReportNoLoad(t *testing.T) {
+	calm, flood := withTenants(floodOf(lightLoad, 0, -1)), withTenants(floodOf(3, 4, -1))
+	calm.silent, flood.silent = true, true
+	without, with := calm.play(t).group("t"), flood.play(t).group("t")
+	assert.Check(t, with.ratio() > without.ratio()-0.02, "%f, without the flood %f", with.ratio(), without.ratio())
+}
--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -34,6 +34,8 @@
 	signAt time.Time
 	// usual is the moving average of response times of targets; 0 before the first.
 	usual time.Duration
+	// reportsLoad is set if the target of the last grant reports its load.
+	reportsLoad bool
 	// reporting is set while a report is under way.
 	reporting bool
 	// usedAt is when the last request was decided on.
@@ -62,15 +64,24 @@
 // recordGrant counts an attempt that found a target. One that had to wait for it is a sign that
 // the service is short of room.
 func (s *service) recordGrant(now time.Time, g pick.Grant) {
-	waited := basisOf(g).Waited >= placement.WaitInterval
+	basis := basisOf(g)
+	waited := basis.Waited >= placement.WaitInterval
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen.Admitted++
+	s.reportsLoad = !basis.LoadUnreported
 	if waited {
 		s.signAt = now
 	}
 }
 
+// loadReported reports whether the service's targets report their load.
+func (s *service) loadReported() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reportsLoad
+}
+
 // recordNoRoom counts an attempt that found no target with room. One that came too late to be
 // answered in time even by an idle target says nothing about room.
 func (s *service) recordNoRoom(now time.Time, req pick.Request) {
--- a/policy/admission/compare_test.go
+++ b/policy/admission/compare_test.go
@@ -194,26 +194,40 @@
 func TestInvariantsHoldInAllScenarios(t *testing.T) {
 	for _, hosts := range []int{14, 100, 300} {
 		for name, s := range scenarios {
-			if s.blind || hosts == 300 && (s.cut || strings.Contains(name, ",")) {
+			if s.blind || hosts == 14 && s.cut || hosts == 300 && (s.cut || strings.Contains(name, ",")) {
 				continue // without load reports the model's hosts fill all queues; 300 hosts take long
 			}
 			t.Run(fmt.Sprintf("%d/%s", hosts, name), func(t *testing.T) {
 				t.Parallel()
-				s.hosts = hosts
-				least := 0.98
-				if hosts == 14 && s.cut {
-					least = 0.97 // groups of 5 and 9 hosts with 20 requests a second each
-				}
-				without, f := mean(s, newNothing, seedsFor(hosts)), mean(s, newOwners, seedsFor(hosts))
-				t.Log(f)
-				if f.heavy > 0 {
-					assert.Check(t, f.light > least, "%s", f)
-				}
-				assert.Check(t, f.inTime > 0.98*without.inTime, "%s, without: %s", f, without)
-				assert.Check(t, f.served > 0.85*without.served, "%s, without: %s", f, without)
-				assert.Check(t, f.inversion < 0.05, "%s", f)
-				assert.Check(t, f.kind > 0.5 && f.zone > 0.5, "%s", f)
+				checkInvariants(t, s, hosts)
 			})
 		}
 	}
 }
+
+// Guards against small tenants that lose requests to a flood where each side of a partition has a
+// handful of hosts, and an owner that hears of a few requests a second.
+func TestInvariantsHoldWhereFewHostsAreCutApart(t *testing.T) {
+	for name, s := range scenarios {
+		if s.cut && !s.blind {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				checkInvariants(t, s, 14)
+			})
+		}
+	}
+}
+
+func checkInvariants(t *testing.T, s scenario, hosts int) {
+	t.Helper()
+	s.hosts = hosts
+	without, f := mean(s, newNothing, seedsFor(hosts)), mean(s, newOwners, seedsFor(hosts))
+	t.Log(f)
+	if f.heavy > 0 {
+		assert.Check(t, f.light > 0.98, "%s", f)
+	}
+	assert.Check(t, f.inTime > 0.98*without.inTime, "%s, without: %s", f, without)
+	assert.Check(t, f.served > 0.85*without.served, "%s, without: %s", f, without)
+	assert.Check(t, f.inversion < 0.05, "%s", f)
+	assert.Check(t, f.kind > 0.5 && f.zone > 0.5, "%s", f)
+}
