Losses after the settle time excuse a request again unless they are being verified

Change: the window is the old one; only losses whose targets are being verified are left out of it after the settle time.

--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -179,7 +179,10 @@
 // before explains no loss of others, and every other lost target counts, as do all but the first
 // of its own losses outside of trials.
 func (b *Tracker) unexplained(e *entry) int {
-	counts := func(l Loss) bool { return b.relevant(e, l) }
+	counts := func(l Loss) bool {
+		recent := absDiff(l.At, e.since) < b.limits.LossWindow && l.At.After(e.excusedAt)
+		return recent && (!l.Pending || b.relevant(e, l))
+	}
 	n := 0
 	if e.answered {
 		n = e.untrialed(counts)
