Comments and unexported names of the last changes in plain terms

Cause: an engineer new to the code stumbled over figures of speech and private words (silence, heard, patience, told, lost), doc comments that did not begin with the identifier or did not say what the code does, and words that the glossary did not have (spare request, runs ahead).

Change: in peer, silence is stallDetector and heard is receivedAt; in controller/watch, storePatience is storeHedgeDelay; in pipeline, isRead is isGetOrHead, lost is readErr and spareTime is spareTTL; in policy/suspicion, told is received; in policy/directpath, answeredOn is usedOpenedAt; in upstream, remaining is hasRemainder. Comments of these packages and of controller/admission, policy/admission, controller/quota, dispatch, placer, pick, quarantine and internal/daemon are reworded. A single-slot target is now named where a slot has to stay free.

In tests only the renamed identifiers changed.

--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -108,9 +108,10 @@
 	return nil, c.refusal(refusal, req, d)
 }
 
-// pickBeyondShare decides on a call beyond its share. The room that a level divides is an estimate:
-// such a call is sent on all the same if a target reports more than one free slot, so that no slot
-// stays empty. It never waits, and a retry that is too late gets nothing.
+// pickBeyondShare decides on a call beyond its share. It is sent on without waiting if a target that
+// reports its load has room for it and keeps another slot free (see pick.Request.LeaveSlot), since the
+// room that a level divides is an estimate that may be too low. A retry that came too late is refused
+// in any case.
 func (c *Controller) pickBeyondShare(ctx context.Context, s *service, req pick.Request, d policy.Decision) (pick.Grant, outcome.Result) {
 	if d.Cause != policy.TooLate && s.loadReported() {
 		req.Spare, req.LeaveSlot = true, true
@@ -134,8 +135,8 @@
 }
 
 // lacksRoom reports whether a refusal by the wrapped picker means that no target had room. One for
-// lack of time doesn't: if it did, a kind of request with a short objective, refused at a load that
-// leaves slots free, would make a limit that leaves more of them free.
+// lack of time doesn't: requests with a short objective are refused while slots are free, and if that
+// counted, the limit would fall and leave more slots free.
 func lacksRoom(r outcome.Result) bool {
 	switch r.Reason {
 	case outcome.ReasonOverload:
@@ -167,7 +168,7 @@
 	return s
 }
 
-// heldGrant is a grant that reports its result to the controller. It implements pick.Explainer.
+// heldGrant is a grant that records its result for the controller. It implements pick.Explainer.
 type heldGrant struct {
 	pick.Grant
 	service *service
--- a/controller/admission/exchange.go
+++ b/controller/admission/exchange.go
@@ -19,9 +19,9 @@
 	reportsPerSecond = 400
 	// reportTimeout bounds a report and its reply; a round trip takes 1 to 3 ms.
 	reportTimeout = 150 * time.Millisecond
-	// ownerBackoff is how long a host that didn't reply isn't asked again.
+	// ownerBackoff is how long a host that didn't reply gets no reports.
 	ownerBackoff = 5 * time.Second
-	// maxOwnersAsked is how many hosts are asked with one report.
+	// maxOwnersAsked is the number of hosts to which one report is sent until one replies.
 	maxOwnersAsked = 3
 	// idleTTL is the time without requests after which a host forgets a service.
 	idleTTL = time.Minute
--- a/controller/admission/service.go
+++ b/controller/admission/service.go
@@ -32,7 +32,7 @@
 	levelAt time.Time
 	// signAt is when this host last saw a sign that the service is short of room.
 	signAt time.Time
-	// usual is the moving average of response times of targets; 0 before the first.
+	// usual is the moving average of the targets' response times; 0 before the first response.
 	usual time.Duration
 	// reportsLoad is set if the target of the last grant reports its load.
 	reportsLoad bool
@@ -61,8 +61,8 @@
 	return s.level.InForce(now.Sub(s.levelAt))
 }
 
-// recordGrant counts an attempt that found a target. One that had to wait for it is a sign that
-// the service is short of room.
+// recordGrant counts an attempt that found a target, also one for a call beyond its share. One that
+// had to wait for a target is a sign that the service is short of room.
 func (s *service) recordGrant(now time.Time, g pick.Grant) {
 	basis := basisOf(g)
 	waited := basis.Waited >= placement.WaitInterval
@@ -126,9 +126,9 @@
 	}
 }
 
-// full reports whether a target that turned a request away says that all of its slots are in use. One
-// with free slots turns requests away for a reason of its own: fewer requests would only be fewer
-// answers, which would look like still less room.
+// full reports whether a target that turned a request away reports that all of its slots are in use.
+// One with free slots turns requests away for another reason, and to admit fewer would not help: there
+// would be fewer responses, which would look like still less room.
 func full(r pick.Report) bool {
 	l := r.TargetLoad
 	return l.Slots > 0 && l.Running >= l.Slots
--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -127,8 +127,8 @@
 	return !over || !a.declined()
 }
 
-// reconsider probes a host in backoff that another host names as an owner. It answers that host, so
-// that this one need not wait for the end of the backoff.
+// reconsider probes a host in backoff that another host names as an owner. Since it replies to the
+// other host, this one needn't wait for the end of the backoff.
 func (c *Controller) reconsider(id ports.HostID) {
 	if a, contacted := c.status(id); contacted && !a.owns {
 		go c.probe(id)
@@ -192,7 +192,7 @@
 	hasParts := len(c.parts) > 0
 	c.mu.Unlock()
 	if hasParts && !c.deps.StoreWatched() {
-		c.canOwn()
+		c.canOwn() // resets the parts if no majority replies
 	}
 }
 
--- a/controller/quota/takeover.go
+++ b/controller/quota/takeover.go
@@ -13,8 +13,9 @@
 	// verified that none of them replies: two ticks, so that one late tick does not end it. After
 	// that it counts as a new owner.
 	takeoverTTL = 2 * tickInterval
-	// takeoverIdle is how long after the last request for such a part the host keeps verifying. A
-	// tenant with three requests a second asks a zone's owner every two seconds at 62% of its quota.
+	// takeoverIdle is how long after the last request for such a part the host goes on to verify. It
+	// has to exceed the time between requests of small tenants: one with a quota of three requests a
+	// second asks the owner in a zone every two seconds at 62% of its quota.
 	takeoverIdle = sweepInterval
 )
 
--- a/controller/watch/catchup.go
+++ b/controller/watch/catchup.go
@@ -22,7 +22,7 @@
 	lateReplyTimeout = 2 * time.Second
 	// fallbackHosts is how many hosts are asked if the store does not serve this one in time, and
 	// fallbackDelay how long it waits for one of them before it also asks the next. Where half of
-	// the others are slow or cut off, four vain requests in a row are common and eight are rare.
+	// the others are slow or cut off, four failed requests in a row are common and eight are rare.
 	fallbackHosts = 8
 	fallbackDelay = hedgeDelay / 2
 )
--- a/controller/watch/directread.go
+++ b/controller/watch/directread.go
@@ -47,7 +47,8 @@
 }
 
 // readIfBehind reads the store after other hosts did not send what this one lacks, and reports
-// whether the store served it within storePatience. Dozens of hosts may lack the same change, so each waits for a random moment.
+// whether the store served it within storeHedgeDelay. Dozens of hosts may lack the same change, so each
+// begins after a random delay.
 func (c *Controller) readIfBehind(ctx context.Context, still func() bool) bool {
 	c.mu.Lock()
 	spread := c.randomDuration(watchers.ReadSpread(len(c.hosts)))
@@ -59,13 +60,13 @@
 	due := still() && !c.direct.reading && c.direct.policy.May(time.Now(), c.view())
 	c.direct.reading = c.direct.reading || due
 	c.mu.Unlock()
-	return due && c.readWithin(ctx, storePatience)
+	return due && c.readWithin(ctx, storeHedgeDelay)
 }
 
-// storePatience is how long a host that is behind waits for the store before it asks further hosts.
-// A healthy store answers within 5 ms; one that does not respond takes its timeouts, up to 4 s for
-// the two calls.
-const storePatience = hedgeDelay
+// storeHedgeDelay is how long a host that is behind waits for the store before it asks further hosts.
+// A healthy store answers within 5 ms; one that does not respond blocks the two calls until their
+// timeouts, up to 4 s.
+const storeHedgeDelay = hedgeDelay
 
 // readWithin reads the store as a host that is behind, and reports whether the store served it within
 // d. A read that takes longer goes on.
--- a/controller/watch/lostchange_test.go
+++ b/controller/watch/lostchange_test.go
@@ -30,7 +30,7 @@
 		time.Sleep(20 * time.Millisecond)
 		losing.Store(nil)
 		for i, start := 20, time.Now(); h.routesTo(3) && time.Since(start) < bound; i++ {
-			h.hear(watcher)
+			h.deliverHeartbeat(watcher)
 			time.Sleep(10 * time.Millisecond)
 			fl.record.Put(entryOf(i, false))
 			time.Sleep(catchUpAfter - 8*time.Millisecond)
@@ -39,8 +39,8 @@
 	})
 }
 
-// hear delivers a heartbeat of a watcher to a host.
-func (h *host) hear(watcher *host) {
+// deliverHeartbeat delivers a heartbeat of a watcher to a host.
+func (h *host) deliverHeartbeat(watcher *host) {
 	watcher.c.mu.Lock()
 	b := heartbeat{
 		Host: watcher.c.deps.Self, Sent: watcher.c.reading(time.Now()), StoreOK: true, Targets: targetsAnswer{Answered: true},
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -129,8 +129,9 @@
 // compareDigest records whether this host lost a change, if it has the same newest revision as
 // another one had with this digest. c.mu must be held.
 //
-// Lists with different newest revisions can't be compared, so the next change must not end what the
-// digest showed: while changes kept coming, hosts routed to a draining target for seconds.
+// Lists with different newest revisions can't be compared, so a later change does not reset
+// lostChange: otherwise hosts would send requests to a draining target for as long as changes keep
+// coming.
 func (c *Controller) compareDigest(newest directory.Revision, digest uint64) {
 	if newest == c.state.Newest() && c.state.HasTargets() {
 		c.lostChange = digest != c.state.Digest()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,10 +130,12 @@
 	return d.run(ctx, c, h)
 }
 
-// A suspect whose targets all run something else waits up to maxIdleWaits times idleWait, 200 ms, for an
-// idle one, or to be cleared. The others may be runs of the same page, admitted before a loss.
 const (
-	idleWait     = 20 * time.Millisecond
+	// idleWait is the time between two attempts of a suspected request to find an idle target, since it
+	// has to run alone.
+	idleWait = 20 * time.Millisecond
+	// maxIdleWaits is the number of such waits, 200 ms in all. The targets may be running the same
+	// request for other callers, admitted before the first loss, and it may be cleared when these end.
 	maxIdleWaits = 10
 )
 
--- a/dispatch/reply.go
+++ b/dispatch/reply.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// responseReply returns a reply that forwards the response. If the call asks for that, the attempt is
-// ended at once if the response is completely in memory.
+// responseReply returns a reply that forwards the response. With Call.ReleaseBuffered, the attempt ends
+// at once if the response is completely in memory.
 func (a *attempt) responseReply(c *Call) *Reply {
 	r := a.streamReply()
 	if buffered, ok := a.resp.Body.(*bufferedBody); ok && c.ReleaseBuffered && buffered.complete() {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -201,7 +201,7 @@
 	})
 }
 
-// verifyTarget finds out in the background whether a target is alive whose connection broke.
+// verifyTarget checks in the background whether a target whose connection broke is alive.
 func (d *Daemon) verifyTarget(key blackboard.ServiceKey, t blackboard.Target) {
 	d.pools.Verify(t)
 	d.quarantine.Verify(t.RunID(), func() { d.placer.ProbeTarget(key, t) })
@@ -279,7 +279,8 @@
 	d.operators = d.auxiliaryServer(MetricsPath, d.metrics)
 }
 
-// provisionPipeline lets requests of one connection run at the same time, unless that is turned off.
+// provisionPipeline lets requests of one connection run at the same time, unless the settings turn it
+// off.
 func (d *Daemon) provisionPipeline() {
 	if d.settings.Callers.Pipeline.Off {
 		return
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -37,8 +37,8 @@
 	Server *http.Server
 	// Listener is nil if the handler of Server is called in some other way.
 	Listener net.Listener
-	// Ahead, if not nil, is the listener on which Pipeline hands over requests that run ahead. Server
-	// must have no TLS then.
+	// Ahead, if not nil, is the listener on which Server accepts the requests that Pipeline starts
+	// before earlier ones of their connection are answered. Server must not use TLS then.
 	Ahead net.Listener
 	// Pipeline may be nil, in which case the requests of a connection run one after another.
 	Pipeline Pipeline
@@ -68,8 +68,8 @@
 	return err
 }
 
-// serve serves the listeners. A server whose requests run ahead has no TLS, but net/http sets its
-// TLSConfig as soon as it serves the first of the two, so that it can't be asked for that.
+// serve serves the listeners. With Ahead it does not call Serve, which uses TLS if Server.TLSConfig is
+// set: net/http sets that field when it serves the first listener, also without TLS.
 func (c *Callers) serve() error {
 	listener := c.conns.listener(c.Listener)
 	if c.Ahead == nil {
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -65,11 +65,11 @@
 
 func (n *Node) newSession(conn net.Conn) *session {
 	_, overTLS := conn.(*tls.Conn)
-	heard := new(atomic.Int64)
+	receivedAt := new(atomic.Int64)
 	return &session{
 		conn:            conn,
-		heard:           heard,
-		br:              bufio.NewReaderSize(heardReader{Reader: conn, at: heard}, readBufferSize),
+		receivedAt:      receivedAt,
+		br:              bufio.NewReaderSize(receiptReader{Reader: conn, at: receivedAt}, readBufferSize),
 		maxFrame:        n.opts.MaxFrame,
 		dec:             newFrameDecoder(),
 		count:           &n.count,
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -239,10 +239,10 @@
 func (r *remote) writeQueue(s *session, read <-chan error) (err error, reading bool) {
 	idle := time.NewTicker(idleTimeout)
 	defer idle.Stop()
-	check := time.NewTicker(silenceCheckInterval)
+	check := time.NewTicker(stallCheckInterval)
 	defer check.Stop()
-	silent := newSilence(r, s)
-	defer silent.end()
+	stall := newStallDetector(r, s)
+	defer stall.end()
 	used := true
 	var b batch
 	for {
@@ -253,7 +253,7 @@
 				return err, true
 			}
 			b.reset()
-			silent.sent(time.Now())
+			stall.sent(time.Now())
 		}
 		select {
 		case <-r.ctx.Done():
@@ -262,9 +262,9 @@
 			return err, false
 		case <-r.wake:
 		case now := <-check.C:
-			silent.check(now)
-		case other := <-silent.opened:
-			if silent.replaced(other) {
+			stall.check(now)
+		case other := <-stall.opened:
+			if stall.replaced(other) {
 				return errStalled, true
 			}
 		case <-idle.C:
--- a/peer/session.go
+++ b/peer/session.go
@@ -18,16 +18,16 @@
 // session is a connection after its handshake. One goroutine reads and one writes.
 type session struct {
 	conn net.Conn
-	// heard is when bytes were last received, in nanoseconds since the epoch.
-	heard    *atomic.Int64
-	br       *bufio.Reader
-	peer     hello
-	send     *frameMAC // nil without a shared key
-	recv     *frameMAC
-	maxFrame int
-	dec      *frameDecoder
-	tag      [tagSize]byte
-	count    *counters
+	// receivedAt is when bytes were last received, in nanoseconds since the epoch.
+	receivedAt *atomic.Int64
+	br         *bufio.Reader
+	peer       hello
+	send       *frameMAC // nil without a shared key
+	recv       *frameMAC
+	maxFrame   int
+	dec        *frameDecoder
+	tag        [tagSize]byte
+	count      *counters
 	// writeCountExact is set if a failed write reports exactly how many bytes were sent. TLS
 	// does not: part of an encrypted record may already have been sent.
 	writeCountExact bool
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -42,7 +42,7 @@
 	Tenant string
 	// Spare marks a call of a tenant or rank that exceeds its share while the service is short of
 	// room. It is granted only if a slot is free, without waiting; with LeaveSlot only if another
-	// slot of the target stays free.
+	// slot of the target stays free, unless the target has a single one.
 	Spare, LeaveSlot bool
 	// Bytes is the estimated size of the request's body and its response together.
 	Bytes float64
@@ -105,7 +105,7 @@
 	Shed
 	// Leaving is a refusal by a target that is draining.
 	Leaving
-	// NotSent means that no byte was sent: the target gave no connection, or the call ended before.
+	// NotSent means that no byte was sent: the target accepted no connection, or the call ended before.
 	NotSent
 	// BrokeOff means that the connection ended before the complete response arrived.
 	BrokeOff
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -45,10 +45,10 @@
 	// closing is set when the server has closed the connection between two requests while later
 	// ones run ahead; closed when the caller's connection is closed.
 	closing, closed bool
-	// gone is set once the caller has closed its side. lost is why reading from the caller failed;
-	// nil if it didn't.
-	gone bool
-	lost error
+	// gone is set once the caller has closed its side. readErr is the error with which reading from
+	// the caller failed; nil if it didn't.
+	gone    bool
+	readErr error
 	// readDeadline is the server's read deadline.
 	readDeadline time.Time
 
@@ -71,7 +71,7 @@
 	// spares are in-memory connections without a request, which expire ends.
 	spares []*aheadConn
 	expire *time.Timer
-	// wake is signaled when readPipelined has to look again; nil before anything was pipelined.
+	// wake is signaled when readPipelined has to check the state again; nil before anything was pipelined.
 	wake chan struct{}
 	// poll is the timer of await.
 	poll *time.Timer
@@ -124,9 +124,9 @@
 		defer c.mu.Unlock()
 		return c.readPipelined(p)
 	}
-	if c.lost != nil {
+	if c.readErr != nil {
 		defer c.mu.Unlock()
-		return 0, c.lost
+		return 0, c.readErr
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
@@ -138,8 +138,8 @@
 	return c.received(p, n, err)
 }
 
-// received takes note of n bytes that were read while nothing was pipelined, and returns what the
-// server gets of them.
+// received processes n bytes that were read while nothing was pipelined, and returns what the server
+// gets of them.
 func (c *Conn) received(p []byte, n int, err error) (int, error) {
 	switch c.state {
 	case idle:
@@ -161,10 +161,10 @@
 	return n, err
 }
 
-// receivedFirst looks at the beginning of a request and returns how much of it the server gets.
+// receivedFirst parses the beginning of a request and returns how much of it the server gets.
 func (c *Conn) receivedFirst(p []byte, n int) int {
 	c.state, c.scan = opaque, headerScan{}
-	if len(p) != c.serverBuffer || !isRead(p[:n]) {
+	if len(p) != c.serverBuffer || !isGetOrHead(p[:n]) {
 		return n
 	}
 	end := c.scan.end(p[:n])
@@ -187,7 +187,7 @@
 	return s.length
 }
 
-// continueHeader takes note of more bytes of a header.
+// continueHeader scans more bytes of a header.
 func (c *Conn) continueHeader(b []byte) {
 	switch c.scan.end(b) {
 	case -1:
--- a/pipeline/limits.go
+++ b/pipeline/limits.go
@@ -13,10 +13,10 @@
 	// (10 kB) and the stacks of two goroutines.
 	aheadOverhead = 16 << 10
 	// maxSpares is how many in-memory connections of one caller's connection are kept for its next
-	// requests, and spareTime for how long. Without them a request that runs ahead takes a third more
+	// requests, and spareTTL for how long. Without them a request that runs ahead takes a third more
 	// processor time, for the new connection and the growth of its stack.
 	maxSpares = 8
-	spareTime = time.Second
+	spareTTL  = time.Second
 )
 
 // limits are the limits of one host.
--- a/pipeline/order.go
+++ b/pipeline/order.go
@@ -137,9 +137,9 @@
 	a.spare = true
 	c.spares = append(c.spares, a)
 	if c.expire == nil {
-		c.expire = time.AfterFunc(spareTime, c.expireSpares)
+		c.expire = time.AfterFunc(spareTTL, c.expireSpares)
 	} else {
-		c.expire.Reset(spareTime)
+		c.expire.Reset(spareTTL)
 	}
 }
 
--- a/pipeline/pipeline.go
+++ b/pipeline/pipeline.go
@@ -22,8 +22,8 @@
 
 // Defaults of the limits.
 const (
-	// DefaultPerConnection is how many requests of one connection may run ahead. Targets have 3
-	// slots and a queue of 6, so that more from one caller would fill two of them.
+	// DefaultPerConnection is how many requests of one connection may run ahead. A target has 3
+	// slots and a queue of 6, so that more of one connection would fill two targets.
 	DefaultPerConnection = 16
 	// DefaultPerHost is how many requests may run ahead on one host. Each takes some 16 kB.
 	DefaultPerHost = 256
@@ -109,7 +109,8 @@
 	s.Handler = handler(s.Handler)
 }
 
-// handler tells each connection when a request reaches its handler and when the handler returns.
+// handler notifies the exchange of a request when the request reaches its handler and when the handler
+// returns.
 func handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		x := exchangeIn(r.Context())
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// closePollInterval is how often a connection from which nothing is read for now is checked for
-// having been closed by the caller. Requests at targets have to be canceled within half a second.
+// closePollInterval is the interval at which a connection from which nothing is read for now is checked
+// for a close by the caller. Requests at targets have to be canceled within half a second.
 const closePollInterval = 100 * time.Millisecond
 
 // readPipelined is Read while bytes are withheld or requests run ahead. It reads from the caller and
@@ -82,8 +82,8 @@
 	if c.stashed {
 		return c.readAfterStash(p)
 	}
-	if c.lost != nil {
-		return 0, c.lost
+	if c.readErr != nil {
+		return 0, c.readErr
 	}
 	if idleFor != 0 {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(idleFor)) // if it fails, so does the read
@@ -125,7 +125,7 @@
 		c.setWhole(s.body)
 		c.deliver = s.length
 		return
-	case s.form == incomplete && isRead(b):
+	case s.form == incomplete && isGetOrHead(b):
 		c.state, c.scan = partial, headerScan{}
 		c.scan.end(b)
 	default:
@@ -183,7 +183,7 @@
 	c.reading = false
 	c.held.w += n
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.lost = err
+		c.readErr = err
 		c.cancelAll()
 		return
 	}
@@ -230,7 +230,7 @@
 	}
 }
 
-// signal makes readPipelined look again.
+// signal makes readPipelined check the state again.
 func (c *Conn) signal() {
 	if c.wake == nil {
 		return
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -64,8 +64,8 @@
 // headerEnd returns the length of the header at the beginning of b, or -1 if it is incomplete.
 func headerEnd(b []byte) int { return new(headerScan).end(b) }
 
-// isRead reports whether a request begins as a GET or HEAD.
-func isRead(b []byte) bool {
+// isGetOrHead reports whether a request begins with the method GET or HEAD.
+func isGetOrHead(b []byte) bool {
 	return bytes.HasPrefix(b, []byte("GET ")) || bytes.HasPrefix(b, []byte("HEAD "))
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -207,7 +207,8 @@
 	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, "", false
 }
 
-// slotsNeeded returns how many slots of a target must be free for a spare call to be sent there.
+// slotsNeeded returns how many slots of a target must be free for a spare call to be sent there. A
+// target with a single slot can't keep another one free.
 func slotsNeeded(req pick.Request, t *target) float64 {
 	if req.LeaveSlot && t.figures.Slots > 1 {
 		return 2
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -42,7 +42,7 @@
 	Ranks [MaxRanks]float64
 	// Heavy are the admitted fractions of tenants that ask for more than their share.
 	Heavy map[Key]float64
-	// Full is the part of the room for requests that are all admitted.
+	// Full is the fraction of the room that goes to ranks and tenants admitted in full.
 	Full float64
 }
 
@@ -83,9 +83,9 @@
 // Decision is the result for one request.
 type Decision struct {
 	Admitted bool
-	// Spare is set if an admitted request must not wait for a slot, because requests of which all
-	// are admitted may be waiting. LeaveSlot is set if it must leave a slot of its target free for
-	// those.
+	// Spare is set if an admitted request must not wait for a slot, because requests of ranks and
+	// tenants admitted in full may be waiting. LeaveSlot is set if it must leave a slot of its target
+	// free for those.
 	Spare, LeaveSlot bool
 	// Share is the admitted fraction of such requests.
 	Share float64
@@ -105,8 +105,8 @@
 	TooLate Cause = "late"
 )
 
-// reserve is how often a spare request leaves a slot free, relative to Level.Full. It is more than 1
-// because hosts choose by reports that are some milliseconds old, and several may take the same slot.
+// reserve is the probability that a spare request leaves a slot free, relative to Level.Full. It is
+// more than 1 because hosts choose by reports that are some milliseconds old, and several may take the same slot.
 const reserve = 2
 
 // Decide decides on a request with two random numbers in [0, 1).
@@ -131,13 +131,13 @@
 }
 
 const (
-	// minRetryAfter is about the time in which requests at targets end. maxRetryAfter is the
-	// longest time that callers with the longest deadlines wait, a third of them.
+	// minRetryAfter is about the time in which requests at targets end. maxRetryAfter is a third of
+	// the callers' longest deadlines.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
 
-// RetryAfter returns when a refused caller may retry, with a random number u in [0, 1): on the mean
+// RetryAfter returns when a refused caller may retry, with a random number u in [0, 1): on average
 // after the time in which the service works off the refused requests of one interval at the
 // admitted fraction, spread evenly so that callers don't return together.
 func RetryAfter(share, u float64) time.Duration {
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -55,15 +55,16 @@
 func (a *Observed) pressure() float64 { return a.NoRoom/max(a.Admitted, 1) + a.lateness() }
 
 const (
-	// enterPressure is the fraction of requests without room from which on a service is short of
-	// it. Short bursts below the capacity leave one in 100 without.
+	// enterPressure is the fraction of requests without room above which a service is limited.
+	// Short bursts below the capacity leave one in 100 without room.
 	enterPressure = 0.03
-	// leavePressure is the fraction below which it is not, once its room exceeds the demand.
+	// leavePressure is the fraction below which it is no longer limited, once its room exceeds the
+	// demand.
 	leavePressure = 0.01
-	// headroom is how much more is admitted than found room lately, so that a free slot always
-	// finds a request and the limit follows targets that come back. It is spare requests that
-	// find no room then. Less leaves slots empty under overload; more takes room from tenants
-	// within their share where few hosts are cut apart.
+	// headroom is the fraction by which more is admitted than found room lately, so that a free slot
+	// always gets a request and the limit follows targets that come back. The requests that find no
+	// room then are spare ones. Less leaves slots empty under overload; more takes room from tenants
+	// within their share where a partition leaves few hosts on a side.
 	headroom = 0.2
 	// seenWeight is the weight of an interval in the moving averages of results.
 	seenWeight = 0.4
--- a/policy/admission/shares.go
+++ b/policy/admission/shares.go
@@ -6,7 +6,7 @@
 )
 
 // guaranteed is the fraction of the room that each rank keeps, however many more urgent requests
-// there are, unless that admitted a greater part of it than of those.
+// there are. It is less for a rank of which a greater part would be admitted than of more urgent ones.
 const guaranteed = 0.05
 
 // Weights returns the weight of a tenant's share relative to others; nil stands for equal weights.
@@ -21,7 +21,8 @@
 
 // QuotaWeights returns weights by the tenants' quotas, in requests per second, so that a large
 // tenant within its quota isn't taken for one that floods. No weight is below the mean quota, which
-// guarantees every tenant half of an equal share. Rate returns 0 for a tenant without a quota.
+// guarantees every tenant half of an equal share. The function rate returns 0 for a tenant without a
+// quota.
 func QuotaWeights(mean float64, rate func(tenant string) float64) Weights {
 	if mean <= 0 {
 		return nil
@@ -125,8 +126,8 @@
 	l.Full += full
 }
 
-// claims returns the demand of the tenants of a rank. Those that are not tracked are taken for as
-// many as would each ask for what the least of the tracked ones does.
+// claims returns the demand of the tenants of a rank. The untracked demand counts as that of several
+// tenants, each of which asks for as much, relative to its weight, as the smallest tracked one.
 func (d *Demand) claims(rank int, weights Weights) (claims []claim) {
 	least := 0.0
 	for k, n := range d.Tracked {
--- a/policy/admission/view.go
+++ b/policy/admission/view.go
@@ -1,7 +1,7 @@
 package admission
 
-// demandDecay is the factor by which older demand counts less with each interval: a window of a
-// second. Bursts of small tenants are taken for floods by shorter ones.
+// demandDecay is the factor by which older demand counts less with each interval, which amounts to a
+// window of 1 s. In a shorter one, bursts of small tenants would look like floods.
 const demandDecay = 0.75
 
 // View is what an owner knows of a service: the demand and results that hosts report to it. The
--- a/policy/directpath/host.go
+++ b/policy/directpath/host.go
@@ -33,10 +33,11 @@
 	// answered is when any target last answered, or accepted a connection.
 	answered time.Time
 	// stalled are the targets that left a request on a connection used before without an answer in
-	// time, with the time at which it began. answeredAt is when a target last answered on a connection
-	// used before, which was opened at answeredOn.
-	stalled                map[ports.HostID]time.Time
-	answeredAt, answeredOn time.Time
+	// time, with the time at which it began.
+	stalled map[ports.HostID]time.Time
+	// usedAnsweredAt is when a target last answered on a connection used before, usedOpenedAt when
+	// that connection was opened.
+	usedAnsweredAt, usedOpenedAt time.Time
 }
 
 // Failed records that a connection to a target was refused or reset.
@@ -87,8 +88,8 @@
 	return h.answered.After(begun) || len(h.silent) < cutFromTargets
 }
 
-// timerSlack is how late a host that has processor time sees that a time has come. The processor quota of
-// a small host may stall it for longer, which counts as short of processor time.
+// timerSlack is the delay of a timer beyond which a host counts as short of processor time, for instance
+// because its processor quota is used up.
 const timerSlack = 50 * time.Millisecond
 
 // TimerLate reports whether this host was short of processor time when a timeout was due: the
@@ -116,10 +117,10 @@
 // answer in time. It reports whether all connections used before are in doubt: several targets left
 // such requests without an answer, and none has answered on such a connection since.
 //
-// Connections may stop to carry data without a reset, for instance if a middlebox between them and the
-// targets has lost its state, while new ones work.
+// Connections may stop carrying data without a reset, while new ones work, for instance if a middlebox
+// before the targets has lost its state.
 func (h *Host) Unanswered(target ports.HostID, begun time.Time) bool {
-	if h.answeredAt.After(begun) && h.answeredOn.Before(begun) {
+	if h.usedAnsweredAt.After(begun) && h.usedOpenedAt.Before(begun) {
 		return false
 	}
 	if h.stalled == nil {
@@ -134,15 +135,15 @@
 	return true
 }
 
-// AnsweredOnUsed records that a target answered on a connection that had been used before and was opened
-// at some time. It does not speak for connections that stalled before that.
+// AnsweredOnUsed records that a target answered on a connection that had been used before, and when that
+// connection was opened. The answer says nothing about older connections: they may have stalled before.
 func (h *Host) AnsweredOnUsed(now, opened time.Time) {
 	for target, begun := range h.stalled {
 		if opened.Before(begun) {
 			delete(h.stalled, target)
 		}
 	}
-	h.answeredAt, h.answeredOn = now, opened
+	h.usedAnsweredAt, h.usedOpenedAt = now, opened
 }
 
 // NoAnswerSince reports whether no target has answered since a time. While others answer, a
--- a/policy/suspicion/alive.go
+++ b/policy/suspicion/alive.go
@@ -83,13 +83,13 @@
 	return b.RecordProof(now, b.reached(now, target), true).Exonerated
 }
 
-// reached is the proof that another host reached a target.
+// reached returns the proof that another host reached a target.
 func (b *Tracker) reached(now time.Time, target ports.RunID) Proof {
 	from := now.Add(-b.limits.LossWindow)
 	return Proof{Target: target, From: from, Sure: from, Until: now}
 }
 
-// RecordReached is like RecordAlive and returns the proof to tell other hosts.
+// RecordReached is like RecordAlive and returns the proof to send to other hosts.
 func (b *Tracker) RecordReached(now time.Time, target ports.RunID) (Proof, Withdrawal) {
 	p := b.reached(now, target)
 	return p, b.RecordProof(now, p, true)
@@ -131,7 +131,7 @@
 	if own {
 		known.own = known.own.merge(p)
 	} else {
-		known.told = known.told.merge(p)
+		known.received = known.received.merge(p)
 	}
 	b.alive[p.Target] = known
 	if l, ok := b.losses[p.Target]; ok && known.covers(l) {
@@ -181,18 +181,18 @@
 	}
 }
 
-// proofs are the proofs for one target: by this host, and those that other hosts told.
-type proofs struct{ own, told Proof }
+// proofs are the proofs for one target: those that this host found, and those received from others.
+type proofs struct{ own, received Proof }
 
 // covers reports whether there is a proof against a loss.
 func (k proofs) covers(l Loss) bool {
-	return k.own.covers(l.At) || !l.Own && k.told.covers(l.At)
+	return k.own.covers(l.At) || !l.Own && k.received.covers(l.At)
 }
 
 // sure reports whether such a proof excludes a restart since the loss.
 func (k proofs) sure(l Loss) bool {
 	sure := func(p Proof) bool { return p.covers(l.At) && l.At.After(p.Sure) }
-	return sure(k.own) || !l.Own && sure(k.told)
+	return sure(k.own) || !l.Own && sure(k.received)
 }
 
 // merge returns the union of two proofs if they overlap, and the newer one otherwise.
@@ -297,7 +297,7 @@
 func (b *Tracker) Proofs(now time.Time, r Record) (out []Proof) {
 	for _, l := range r.Losses {
 		known := b.alive[l.Target]
-		for _, p := range []Proof{known.own, known.told} {
+		for _, p := range []Proof{known.own, known.received} {
 			if p.covers(l.at(now).At) {
 				out = append(out, p)
 				break
@@ -310,7 +310,7 @@
 // sweepProofs drops proofs and withdrawals that no longer matter.
 func (b *Tracker) sweepProofs(now time.Time) {
 	for target, known := range b.alive {
-		if now.Sub(known.own.Until) >= b.limits.SuspectTTL && now.Sub(known.told.Until) >= b.limits.SuspectTTL {
+		if now.Sub(known.own.Until) >= b.limits.SuspectTTL && now.Sub(known.received.Until) >= b.limits.SuspectTTL {
 			delete(b.alive, target)
 		}
 	}
@@ -334,8 +334,8 @@
 	return ProofRecord{Target: p.Target, SinceFrom: now.Sub(p.From), SinceSure: now.Sub(p.Sure), SinceUntil: now.Sub(p.Until)}
 }
 
-// Proof returns the proof by this host's clock, and false if the record is malformed. It covers the losses
-// of reorderAllowance more, since the record of a loss may have taken longer than the proof.
+// Proof returns the proof by this host's clock, and false if the record is malformed. Until is later by
+// reorderAllowance, since the record of a loss may have taken longer to arrive than the proof.
 func (r ProofRecord) Proof(now time.Time) (Proof, bool) {
 	until := now.Add(reorderAllowance - r.SinceUntil)
 	p := Proof{Target: r.Target, From: now.Add(-r.SinceFrom), Sure: now.Add(-r.SinceSure), Until: until}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -114,7 +114,7 @@
 	Trial bool
 	// Own is set if this host observed the loss.
 	Own bool
-	// Pending is set if the host that observed the loss finds out whether the target is alive.
+	// Pending is set while the host that observed the loss verifies whether the target is alive.
 	Pending bool
 }
 
--- a/quarantine/alive.go
+++ b/quarantine/alive.go
@@ -86,7 +86,8 @@
 	return struct{}{}, nil
 }
 
-// proofRecords returns what the sender of a record does not know. The caller holds the lock.
+// proofRecords returns the proofs against losses of a record, for its sender, which does not know of
+// them. The caller holds the lock.
 func (q *Quarantine) proofRecords(now time.Time, r suspicion.Record) (out []suspicion.ProofRecord) {
 	for _, p := range q.tracker.Proofs(now, r) {
 		out = append(out, p.Record(now))
@@ -95,8 +96,8 @@
 }
 
 const (
-	// maxVerifications bounds the targets that a host verifies at the same time. A failed zone of
-	// a large deployment has more, and gains nothing by it.
+	// maxVerifications bounds the targets that a host verifies at the same time. In a failed zone of
+	// a large deployment more targets are lost, which are not alive.
 	maxVerifications = 16
 	// maxVerificationProbes is the number of probes for one verification. A target may turn the first
 	// one away because it is full.
@@ -105,7 +106,7 @@
 	verificationInterval = 100 * time.Millisecond
 )
 
-// Verify finds out in the background whether a target is alive that this host lost. probe sends one
+// Verify checks in the background whether a target that this host lost is alive. probe sends one
 // probe and returns when it has ended; TargetAnswered must be called for the answer. Probes end
 // once the target's losses are disproved, by whatever answer, or maxVerificationProbes have failed.
 func (q *Quarantine) Verify(target ports.RunID, probe func()) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -104,7 +104,7 @@
 	changed chan struct{}
 	// proofGrace is suspicion.Limits.ProofGrace.
 	proofGrace time.Duration
-	// verifying holds the targets that Verify is finding out about.
+	// verifying holds the targets that are being verified, see Verify.
 	verifying map[ports.RunID]bool
 }
 
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -64,7 +64,7 @@
 	timer *time.Timer
 }
 
-// newResponseWait returns nil for a connection through another host, which has timeouts of its own.
+// newResponseWait returns nil without a socket: a connection through another host has timeouts of its own.
 func newResponseWait(raw syscall.RawConn) *responseWait {
 	if raw == nil {
 		return nil
--- a/upstream/open.go
+++ b/upstream/open.go
@@ -95,7 +95,7 @@
 			}
 		case <-o.ctx.Done():
 			if len(o.done) > 0 {
-				continue // likewise
+				continue // as above
 			}
 			go o.newRemainder().await(o.pending)
 			return nil, errors.CombineErrors(o.ctx.Err(), o.err)
--- a/upstream/openlate.go
+++ b/upstream/openlate.go
@@ -5,7 +5,7 @@
 // host only if this host's own fails.
 //
 // Connections through other hosts may take longer than a request waits, on hosts that are short of
-// processor time. Each request would otherwise begin anew, and the path would never count as lost.
+// processor time. Otherwise each request would start over, and the path would never count as lost.
 type remainder struct {
 	*opening
 	// ownPending is set while this host's own connection is being opened, ownErr once that failed.
@@ -82,13 +82,13 @@
 func (p *pool) beginRemainder() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := !p.remaining
-	p.remaining = true
+	first := !p.hasRemainder
+	p.hasRemainder = true
 	return first
 }
 
 func (p *pool) endRemainder() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.remaining = false
+	p.hasRemainder = false
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,8 +37,8 @@
 	answeredAt time.Time
 	// suspectedAt is when the path was last checked because the target did not answer.
 	suspectedAt time.Time
-	// remaining is set while an opening goes on whose request has stopped waiting.
-	remaining bool
+	// hasRemainder is set while an opening goes on whose request has stopped waiting, see remainder.
+	hasRemainder bool
 	// verifying is set while it is being found out whether the target is alive, and
 	// nextVerification is when that may be done again.
 	verifying        bool
--- a/upstream/stalled.go
+++ b/upstream/stalled.go
@@ -7,15 +7,15 @@
 )
 
 // maxUnansweredOnUsed is the number of requests in a row, on connections used before, without an answer
-// in time after which the idle connections to a target are closed. A full target leaves one unanswered
-// now and then, and new connections cost it more.
+// in time after which the idle connections to a target are closed. A single one is common at a full
+// target, which new connections would load further.
 const maxUnansweredOnUsed = 2
 
-// noteStalled closes the idle connections to the target that have not carried an answer since a request
-// began that got none in time, on a connection that had been used before, if that happened twice. Such
-// connections may carry nothing any more, and each would cost a request.
+// noteStalled records that a request that began at begun, on a connection that had been used before, got
+// no answer in time. After maxUnansweredOnUsed of them in a row it closes the connections to the target
+// that have been idle since before begun: they may have stalled as well, and each would cost a request.
 //
-// If several targets leave such requests unanswered, the same holds for the connections to all targets.
+// If several targets leave such requests unanswered, it closes those to all targets.
 func (p *pool) noteStalled(begun time.Time) {
 	p.owner.reachMu.Lock()
 	all := p.owner.reach.Unanswered(p.target.ID, begun)
--- a/upstream/unread.go
+++ b/upstream/unread.go
@@ -15,13 +15,13 @@
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return nil // closed, as the next request finds out
+		return nil // closed, which the next request reports
 	}
 	return raw
 }
 
 // hasUnread reports whether an idle connection was closed by the other end, or holds bytes that no
-// request asked for. It asks the system: on a host that is short of processor time, the goroutine
+// request asked for. It asks the kernel: on a host that is short of processor time, the goroutine
 // that reads the connection finds out after the next request was sent, and nobody can tell then
 // whether it ran.
 func hasUnread(socket syscall.RawConn) bool {
