--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -32,6 +32,9 @@
 	Picker  pick.Picker
 	Board   *blackboard.Board
 	Link    peer.Link
+	// ByPriority makes admission control act also on services of configurations without tenants, if
+	// routes of different priorities lead to them.
+	ByPriority bool
 	Seed    uint64
 	Metrics *metrics.Set
 	Log     *zap.Logger
--- a/controller/admission/admission_test.go
+++ b/controller/admission/admission_test.go
@@ -80,7 +80,7 @@
 	for i := range n {
 		p := &fakePicker{perSecond: 50, last: time.Now()}
 		h := testHost{picker: p, Controller: New(Deps{
-			Picker: p, Board: board, Link: net.Join(hostID(i)), Seed: uint64(i), Metrics: metrics.New(), Log: zap.NewNop(),
+			Picker: p, ByPriority: true, Board: board, Link: net.Join(hostID(i)), Seed: uint64(i), Metrics: metrics.New(), Log: zap.NewNop(),
 		})}
 		hosts = append(hosts, h)
 		go func() { _ = h.Run(ctx) }()
@@ -247,15 +247,15 @@
 func TestOddConfigurations(t *testing.T) {
 	c := tenantsConfig("a", "b")
 	c.Tenants[0].Priority, c.Tenants[1].Rate = -7, 0
-	s := newScope(routing.NewTable(c, rand.New(rand.NewPCG(1, 1))))
+	s := newScope(routing.NewTable(c, rand.New(rand.NewPCG(1, 1))), true)
 	assert.Check(t, s.active("s") && s.weights == nil)
 	c = tenantsConfig("a", "b", "c")
 	c.Tenants[0].Rate, c.Tenants[1].Rate = 90, 10
-	s = newScope(routing.NewTable(c, rand.New(rand.NewPCG(1, 1))))
+	s = newScope(routing.NewTable(c, rand.New(rand.NewPCG(1, 1))), true)
 	assert.Equal(t, s.weights("a"), 90.0)
 	assert.Equal(t, s.weights("b"), 50.0)
 	assert.Equal(t, s.weights("gone"), 50.0)
-	assert.Check(t, !newScope(nil).active("s"))
+	assert.Check(t, !newScope(nil, true).active("s"))
 }
 
 // Counters have few labels, whatever priorities and tenants there are.
--- a/controller/admission/fleet_test.go
+++ b/controller/admission/fleet_test.go
@@ -278,7 +278,7 @@
 	if f.off {
 		return p
 	}
-	c := New(Deps{Picker: p, Board: f.board, Link: f.net.Join(hostID(i)), Seed: uint64(i), Metrics: m, Log: zap.NewNop()})
+	c := New(Deps{Picker: p, ByPriority: true, Board: f.board, Link: f.net.Join(hostID(i)), Seed: uint64(i), Metrics: m, Log: zap.NewNop()})
 	go func() { _ = c.Run(ctx) }()
 	return c
 }
--- a/controller/admission/scope.go
+++ b/controller/admission/scope.go
@@ -16,7 +16,7 @@
 	weights  policy.Weights
 }
 
-func newScope(t *routing.Table) *scope {
+func newScope(t *routing.Table, byPriority bool) *scope {
 	s := &scope{table: t}
 	if t == nil {
 		return s
@@ -30,6 +30,9 @@
 		})
 		return s
 	}
+	if !byPriority {
+		return s
+	}
 	s.services = make(map[string]bool)
 	priorities := make(map[string]int)
 	for i := range t.Config.Routes {
@@ -64,7 +67,7 @@
 	t := c.deps.Board.Routes.Load()
 	s := c.scope.Load()
 	if s == nil || s.table != t {
-		s = newScope(t)
+		s = newScope(t, c.deps.ByPriority)
 		c.scope.Store(s)
 	}
 	return s
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -56,12 +56,13 @@
 // provisionAdmission creates the admission control, which wraps the picker.
 func (d *Daemon) provisionAdmission() {
 	d.admission = admission.New(admission.Deps{
-		Picker:  d.picker,
-		Board:   d.board,
-		Link:    d.node,
-		Seed:    d.incarnation,
-		Metrics: d.metrics,
-		Log:     d.log,
+		Picker:     d.picker,
+		Board:      d.board,
+		Link:       d.node,
+		ByPriority: d.settings.Admission.ByPriority,
+		Seed:       d.incarnation,
+		Metrics:    d.metrics,
+		Log:        d.log,
 	})
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,8 @@
 	Measuring Measuring `json:"measuring,omitzero"`
 	// Quotas is the tolerance of tenants' quotas. It is only used with a directory.
 	Quotas Quotas `json:"quotas,omitzero"`
+	// Admission is only used with a directory.
+	Admission Admission `json:"admission,omitzero"`
 	// MemoryMB is the memory limit of the daemon in megabytes. 0 means no limit.
 	MemoryMB int `json:"memoryMB,omitempty"`
 	// LinkMbps is the bandwidth of the host's network link in each direction, in megabits per
@@ -90,6 +92,13 @@
 	Pipeline Pipeline `json:"pipeline,omitzero"`
 }
 
+// Admission configures admission control of services that are short of room.
+type Admission struct {
+	// ByPriority makes it act also where the configuration has no tenants, on services to which
+	// routes of different priorities lead.
+	ByPriority bool `json:"byPriority,omitempty"`
+}
+
 // Pipeline limits the requests that run before earlier ones of their connection are answered.
 type Pipeline struct {
 	// Off makes all requests of a connection wait for each other.
