--- a/controller/admission/admission.go
+++ b/controller/admission/admission.go
@@ -29,15 +29,15 @@
 // Deps are the dependencies of a Controller.
 type Deps struct {
 	// Picker is the wrapped picker.
-	Picker  pick.Picker
-	Board   *blackboard.Board
-	Link    peer.Link
+	Picker pick.Picker
+	Board  *blackboard.Board
+	Link   peer.Link
 	// ByPriority makes admission control act also on services of configurations without tenants, if
 	// routes of different priorities lead to them.
 	ByPriority bool
-	Seed    uint64
-	Metrics *metrics.Set
-	Log     *zap.Logger
+	Seed       uint64
+	Metrics    *metrics.Set
+	Log        *zap.Logger
 }
 
 // Controller is a pick.Picker that refuses calls beyond the share of their rank and tenant while
