--- a/peer/remote.go
+++ b/peer/remote.go
@@ -239,8 +239,6 @@
 func (r *remote) writeQueue(s *session, read <-chan error) (err error, reading bool) {
 	idle := time.NewTicker(idleTimeout)
 	defer idle.Stop()
-	check := time.NewTicker(stallCheckInterval)
-	defer check.Stop()
 	stall := newStallDetector(r, s)
 	defer stall.end()
 	used := true
@@ -261,7 +259,7 @@
 		case err := <-read:
 			return err, false
 		case <-r.wake:
-		case now := <-check.C:
+		case now := <-stall.due.C:
 			stall.check(now)
 		case other := <-stall.opened:
 			if stall.replaced(other) {
--- a/peer/stalled.go
+++ b/peer/stalled.go
@@ -20,8 +20,6 @@
 	// pingTimeout is how long a ping may stay without any byte in return until another connection
 	// is opened.
 	pingTimeout = 500 * time.Millisecond
-	// stallCheckInterval is the interval at which it is checked whether a connection has stalled.
-	stallCheckInterval = 250 * time.Millisecond
 )
 
 var errStalled = errors.New("connection carries no data while a new one does")
@@ -53,6 +51,10 @@
 	// since is when something was first sent after the last byte was received, pinged when a ping
 	// was sent since then; zero if nothing was.
 	since, pinged time.Time
+	// due fires when check is to be called. It is stopped while nothing is awaited: hosts have a
+	// connection to each of many others, and a ticker for each would wake them thousands of times
+	// a second.
+	due *time.Timer
 	// dialing is set while another connection is being opened, which opened receives; nil if that
 	// failed.
 	dialing bool
@@ -60,13 +62,16 @@
 }
 
 func newStallDetector(r *remote, s *session) *stallDetector {
-	return &stallDetector{r: r, s: s, opened: make(chan *session, 1)}
+	due := time.NewTimer(pingAfter)
+	due.Stop()
+	return &stallDetector{r: r, s: s, due: due, opened: make(chan *session, 1)}
 }
 
 // sent records that something was sent.
 func (d *stallDetector) sent(now time.Time) {
 	if d.since.IsZero() || d.received() {
 		d.since, d.pinged = now, time.Time{}
+		d.due.Reset(pingAfter)
 	}
 }
 
@@ -80,11 +85,10 @@
 	case d.received():
 		d.since, d.pinged = time.Time{}, time.Time{}
 	case d.pinged.IsZero():
-		if now.Sub(d.since) >= pingAfter {
-			d.pinged = now
-			d.r.ping()
-		}
-	case !d.dialing && now.Sub(d.pinged) >= pingTimeout:
+		d.pinged = now
+		d.due.Reset(pingTimeout)
+		d.r.ping()
+	case !d.dialing:
 		d.dialing = true
 		go d.dial()
 	}
@@ -104,6 +108,7 @@
 func (d *stallDetector) replaced(other *session) bool {
 	d.dialing = false
 	if other == nil {
+		d.due.Reset(pingTimeout)
 		return false
 	}
 	if d.since.IsZero() || d.pinged.IsZero() || d.received() {
@@ -116,6 +121,7 @@
 
 // end closes a connection that is still being opened and no longer needed.
 func (d *stallDetector) end() {
+	d.due.Stop()
 	if !d.dialing {
 		return
 	}
