--- a/pipeline/ahead.go
+++ b/pipeline/ahead.go
@@ -24,7 +24,7 @@
 	begun, returned bool
 	// turn is set once all earlier responses are written.
 	turn bool
-	// spare is set while there is no request, done once the server is told that the connection ends.
+	// spare is set while there is no request, done once the server learns that the connection ends.
 	spare, done bool
 	// dropped is set when the response can't be delivered any more, closed when the server has
 	// closed the connection before the response was complete.
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -64,7 +64,7 @@
 	// a limit kept it from running ahead.
 	next  *split
 	bound bool
-	// reading is set while a read to held is in progress, interrupted once it was told to end.
+	// reading is set while a read to held is in progress, interrupted once it was asked to end.
 	reading, interrupted bool
 	// queue holds the requests that run ahead, in order.
 	queue []*aheadConn
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -15,7 +15,7 @@
 import "time"
 
 const (
-	// MaxRanks is the number of ranks that are told apart. Less urgent ones count as the last.
+	// MaxRanks is the number of ranks that are distinguished. Less urgent ones count as the last.
 	MaxRanks = 8
 	// Interval is the time between two updates of a Level.
 	Interval = 250 * time.Millisecond
@@ -27,7 +27,7 @@
 	Tenant string
 }
 
-// NewKey returns the key of requests of a rank, which is limited to the ranks that are told apart,
+// NewKey returns the key of requests of a rank, which is limited to the ranks that are distinguished,
 // and a tenant.
 func NewKey(rank int, tenant string) Key {
 	return Key{Rank: min(max(rank, 0), MaxRanks-1), Tenant: tenant}
--- a/policy/admission/limit.go
+++ b/policy/admission/limit.go
@@ -56,7 +56,7 @@
 
 const (
 	// enterPressure is the fraction of requests without room above which a service is limited.
-	// Short bursts below the capacity leave one in 100 without room.
+	// Short bursts below the capacity leave a few without room.
 	enterPressure = 0.03
 	// leavePressure is the fraction below which it is no longer limited, once its room exceeds the
 	// demand.
--- a/relay/server.go
+++ b/relay/server.go
@@ -133,7 +133,7 @@
 	return nil
 }
 
-// dialFailure returns the reason that the host which asked is told for a failed connection. It takes
+// dialFailure returns the reason sent to the requesting host for a failed connection. It takes
 // errUnreachable as evidence about the target.
 func dialFailure(err error) error {
 	if errors.Is(err, upstream.ErrPathFault) {
