--- /dev/null
+++ b/review/_stand/backend.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cactusproxy/cactusproxy/platform/standin"
+)
+
+const (
+	headerInstance    = "X-Cactusproxy-Instance-Id"
+	headerTarget      = "X-Cactusproxy-Target-Instance"
+	headerLoad        = "X-Cactusproxy-Backend-Load"
+	headerNotExecuted = "X-Cactusproxy-Not-Executed"
+)
+
+// backend is a sound backend after the users' pages. It begins to work on a request once its body
+// has arrived.
+type backend struct {
+	d           *deployment
+	id, service string
+	slots       int
+	queue       int
+	work        time.Duration
+	free        chan struct{}
+
+	mu               sync.Mutex
+	running, waiting int
+	startedAt        map[string]time.Time
+}
+
+// firstBackendHost is the last part of the address of the first backend.
+const firstBackendHost = 100
+
+// startBackend starts a backend and registers it.
+func (d *deployment) startBackend(n int, service, zone string, slots, queue int, work time.Duration) (*backend, error) {
+	b := &backend{
+		d: d, id: fmt.Sprintf("i-%s-%d", service, n), service: service, slots: slots, queue: queue, work: work,
+		free: make(chan struct{}, slots), startedAt: make(map[string]time.Time),
+	}
+	addr := d.addr(firstBackendHost+n, "8500")
+	if err := d.serve(addr, b); err != nil {
+		return nil, err
+	}
+	d.store.Put("servers", b.id, b.entry(addr, zone, "ready"))
+	return b, nil
+}
+
+func (b *backend) entry(addr, zone, state string) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmup_left":"0ms","seq":1}`,
+		b.service, addr, zone, b.slots, state)
+}
+
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set(headerInstance, b.id)
+	b.mu.Lock()
+	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,100", b.running, b.waiting, b.slots))
+	b.mu.Unlock()
+	if r.URL.Path == standin.HealthPath {
+		return
+	}
+	id := r.Header.Get(standin.HeaderRequestID)
+	h.Set(standin.HeaderRequestID, id)
+	if want := r.Header.Get(headerTarget); want != "" && want != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !b.enqueue() {
+		h.Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		b.dequeue()
+		b.d.record("%s got a request that broke off: %s after %d bytes: %v", b.id, id, n, err)
+		return
+	}
+	select {
+	case b.free <- struct{}{}:
+	case <-r.Context().Done():
+		b.dequeue()
+		return
+	}
+	b.dequeue()
+	defer func() { <-b.free }()
+	b.begin(id)
+	defer b.finish()
+	select {
+	case <-time.After(b.work):
+	case <-r.Context().Done():
+		return
+	}
+	answer := standin.ResponseBody(id, int(n))
+	h.Set(standin.HeaderSeal, "seal-"+id)
+	h.Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
+}
+
+func (b *backend) enqueue() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.waiting >= b.queue {
+		return false
+	}
+	b.waiting++
+	return true
+}
+
+func (b *backend) dequeue() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting--
+}
+
+func (b *backend) begin(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running++
+	b.startedAt[id] = time.Now()
+	b.d.record("%s runs %s", b.id, id)
+}
+
+func (b *backend) finish() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+}
