--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 type backend struct {
 	d           *deployment
 	id, service string
+	addr, zone  string
+	server      *http.Server
 	slots       int
 	queue       int
 	work        time.Duration
@@ -42,17 +46,60 @@
 		d: d, id: fmt.Sprintf("i-%s-%d", service, n), service: service, slots: slots, queue: queue, work: work,
 		free: make(chan struct{}, slots), startedAt: make(map[string]time.Time),
 	}
-	addr := d.addr(firstBackendHost+n, "8500")
-	if err := d.serve(addr, b); err != nil {
-		return nil, err
+	b.addr, b.zone = d.addr(firstBackendHost+n, "8500"), zone
+	return b, b.start()
+}
+
+// start listens and registers.
+func (b *backend) start() error {
+	l, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		return err
 	}
-	d.store.Put("servers", b.id, b.entry(addr, zone, "ready"))
-	return b, nil
+	s := &http.Server{Handler: b}
+	go func() { _ = s.Serve(l) }()
+	b.server = s
+	b.d.store.Put("servers", b.id, b.entry("ready"))
+	return nil
+}
+
+const (
+	// poisonPath ends the path of a request that crashes each backend that begins to run it.
+	poisonPath = "/poison"
+	// crashDown is how long a crashed backend is down, entryLapse how long its entry stays.
+	crashDown  = 3 * time.Second
+	entryLapse = 4500 * time.Millisecond
+)
+
+// crash ends the backend without notice. Its next incarnation has the same address and another ID.
+func (b *backend) crash() {
+	b.d.mu.Lock()
+	b.d.crashes++
+	n := b.d.crashes
+	b.d.mu.Unlock()
+	b.d.record("%s crashes", b.id)
+	_ = b.server.Close()
+	time.AfterFunc(entryLapse, func() { b.d.store.Remove("servers", b.id) })
+	time.AfterFunc(crashDown, func() {
+		next := &backend{
+			d: b.d, id: fmt.Sprintf("%s-%d", b.id, n), service: b.service, slots: b.slots, queue: b.queue, work: b.work,
+			addr: b.addr, zone: b.zone, free: make(chan struct{}, b.slots), startedAt: make(map[string]time.Time),
+		}
+		if err := next.start(); err != nil {
+			b.d.record("%s did not start again: %v", next.id, err)
+		}
+	})
+}
+
+func (d *deployment) crashCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashes
 }
 
-func (b *backend) entry(addr, zone, state string) []byte {
+func (b *backend) entry(state string) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmup_left":"0ms","seq":1}`,
-		b.service, addr, zone, b.slots, state)
+		b.service, b.addr, b.zone, b.slots, state)
 }
 
 // ServeHTTP implements http.Handler.
@@ -92,6 +139,10 @@
 	defer func() { <-b.free }()
 	b.begin(id)
 	defer b.finish()
+	if strings.HasSuffix(r.URL.Path, poisonPath) {
+		b.crash()
+		return
+	}
 	select {
 	case <-time.After(b.work):
 	case <-r.Context().Done():
--- a/review/_stand/deployment.go
+++ b/review/_stand/deployment.go
@@ -41,8 +41,9 @@
 	daemons []*daemon
 	closers []func()
 
-	mu  sync.Mutex
-	log *os.File
+	mu      sync.Mutex
+	log     *os.File
+	crashes int
 }
 
 func newDeployment(root, record string) (*deployment, error) {
@@ -315,6 +316,13 @@
 	p.down = down
 }
 
+// isStopping reports whether the process was told to end.
+func (p *daemon) isStopping() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.expected
+}
+
 // isUp reports whether the process runs.
 func (p *daemon) isUp() bool {
 	p.mu.Lock()
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,7 +20,8 @@
 type scenario func(d *deployment, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"quota-power-loss": quotaPowerLoss,
+	"quota-power-loss":      quotaPowerLoss,
+	"poison-after-restarts": poisonAfterRestarts,
 }
 
 func main() { os.Exit(run()) }
