--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -64,8 +63,8 @@
 }
 
 const (
-	// poisonPath ends the path of a request that crashes each backend that begins to run it.
-	poisonPath = "/poison"
+	// poisonMark begins the body of a request that crashes each backend that begins to run it.
+	poisonMark = "poison"
 	// crashDown is how long a crashed backend is down, entryLapse how long its entry stays.
 	crashDown  = 3 * time.Second
 	entryLapse = 4500 * time.Millisecond
@@ -123,7 +122,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	mark := make([]byte, len(poisonMark))
+	m, _ := io.ReadFull(r.Body, mark)
 	n, err := io.Copy(io.Discard, r.Body)
+	n += int64(m)
 	if err != nil {
 		b.dequeue()
 		b.d.record("%s got a request that broke off: %s after %d bytes: %v", b.id, id, n, err)
@@ -139,7 +141,7 @@
 	defer func() { <-b.free }()
 	b.begin(id)
 	defer b.finish()
-	if strings.HasSuffix(r.URL.Path, poisonPath) {
+	if string(mark) == poisonMark {
 		b.crash()
 		return
 	}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]scenario{
 	"quota-power-loss":      quotaPowerLoss,
 	"poison-after-restarts": poisonAfterRestarts,
+	"poison-large-upload":   poisonLargeUpload,
 }
 
 func main() { os.Exit(run()) }
