--- a/review/_stand/largepoison.go
+++ b/review/_stand/largepoison.go
@@ -27,6 +27,7 @@
 	poisonEvery    = time.Second
 	poisonFor      = 25 * time.Second
 	uploadDeadline = "2000"
+	uploadWork     = 76 * time.Millisecond
 	// warmUp is how long innocent uploads come before the other one.
 	warmUp = 4 * time.Second
 )
@@ -40,6 +41,8 @@
 	// envPoisonFirst sends innocent uploads only once the other one was sent poisonFirst times and is
 	// sent no more.
 	envPoisonFirst = "POISON_FIRST"
+	// envWork sets how long backends work on an upload, in milliseconds.
+	envWork = "WORK_MS"
 )
 
 // poisonFirst is how often the upload that crashes backends is sent with envPoisonFirst.
@@ -54,8 +57,12 @@
 	route := standin.Route{Name: "photos", Host: "h.example", Prefix: "/u/", Type: "upload", Service: "photos", Timeout: "2000ms", MaxAttempts: 2}
 	d.store.Put("op", "config", standin.Config(1, route))
 	zones := []string{"a", "b", "c"}
+	work := uploadWork
+	if ms, err := strconv.Atoi(os.Getenv(envWork)); err == nil {
+		work = time.Duration(ms) * time.Millisecond
+	}
 	for i := range 9 {
-		if _, err := d.startBackend(i, "photos", zones[i%3], 4, 16, 76*time.Millisecond); err != nil {
+		if _, err := d.startBackend(i, "photos", zones[i%3], 4, 16, work); err != nil {
 			return false, err
 		}
 	}
