--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cactusproxyd ] && [ -x target/review-stand ] || exit 2
-exec timeout -k 5 110 target/review-stand poison-large-upload review/1/record.txt
+exec timeout -k 5 110 target/review-stand poison-of-one-caller review/1/record.txt
--- a/review/_stand/backend.go
+++ b/review/_stand/backend.go
@@ -141,7 +141,7 @@
 	defer func() { <-b.free }()
 	b.begin(id)
 	defer b.finish()
-	if string(mark) == poisonMark {
+	if string(mark) == poisonMark || isPoisonCaller(r) {
 		b.crash()
 		return
 	}
@@ -156,6 +156,11 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// isPoisonCaller reports whether a request is one of poisonCaller.
+func isPoisonCaller(r *http.Request) bool {
+	return r.Header.Get(standin.HeaderTenant) == poisonCaller || r.Header.Get("Authorization") == keyOf(poisonCaller)
+}
+
 func (b *backend) enqueue() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -23,6 +23,7 @@
 	"quota-power-loss":      quotaPowerLoss,
 	"poison-after-restarts": poisonAfterRestarts,
 	"poison-large-upload":   poisonLargeUpload,
+	"poison-of-one-caller":  poisonOfOneCaller,
 }
 
 func main() { os.Exit(run()) }
