--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 const (
@@ -44,6 +46,7 @@
 		return exitNotRun
 	}
 	defer d.close()
+	go d.endOnSignal()
 	broken, err := scenarios[os.Args[1]](d, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
@@ -59,5 +62,14 @@
 	}
 }
 
+// endOnSignal ends all processes of the scenario when this one is told to end.
+func (d *deployment) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	d.close()
+	os.Exit(exitNotRun)
+}
+
 // binary returns the path of the daemon as the deploy file builds it.
 func binary(root string) string { return filepath.Join(root, "target", "cactusproxyd") }
