Logs: on what grounds a host sends to a target that is or may be cold

Of a flooded cold target the lines told neither who was allowed to send to it nor why: only refusals named cold targets, and a target's own report that it is cold was logged only if nothing had presumed it.

Each call to a target that is or may be cold has a line now, with what the host took the target for, how many hosts own its calls, the version and age of the list that names them, and what is left of the quota. Calls on the strength of a target's report that it is warm tell its age. The first report of cold tells how many calls were sent since the report before. Counters: placer_cold_calls by grounds, placer.cold_quotas_renewed. No decision changes.

With these lines the hypotheses can be told apart: quotas that begin anew (same sender, list_age below a second, cold_quotas_renewed), too many owners (owners=1/1), old reports (warm=, calls).

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -19,6 +19,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/pick"
 )
 
 const (
@@ -96,7 +97,13 @@
 // noteworthy reports whether the call is logged regardless of sampling.
 func (c *Call) noteworthy() bool {
 	relayed := slices.ContainsFunc(c.Attempts, func(a dispatch.AttemptRecord) bool { return a.Via != "" })
-	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1 || relayed
+	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1 || relayed || c.sentToColdTarget()
+}
+
+// sentToColdTarget reports whether an attempt went to a target that was, or may have been, cold.
+// Such attempts are few, and too many of them crash the target.
+func (c *Call) sentToColdTarget() bool {
+	return slices.ContainsFunc(c.Attempts, func(a dispatch.AttemptRecord) bool { return a.Basis.Cold != "" })
 }
 
 func (l *Log) sampled() bool {
@@ -158,7 +165,8 @@
 }
 
 // formatAttempts formats attempts as "target:reason/status took=… ran=… cost=… age=…
-// probed=… waited=…", separated by semicolons; cold= and limit= are added if set.
+// probed=… waited=…", separated by semicolons; cold= with its quota, warm= and limit= are added if
+// set.
 func formatAttempts(records []dispatch.AttemptRecord) string {
 	var b strings.Builder
 	for i, a := range records {
@@ -181,6 +189,10 @@
 		b.WriteString(" age=" + a.Basis.Age.Round(time.Microsecond).String())
 		if a.Basis.Cold != "" {
 			b.WriteString(" cold=" + a.Basis.Cold)
+			b.WriteString(formatColdQuota(a.Basis.ColdQuota))
+		}
+		if a.Basis.WarmAge > 0 {
+			b.WriteString(" warm=" + a.Basis.WarmAge.Round(time.Millisecond).String())
 		}
 		if a.Basis.Limit > 0 {
 			b.WriteString(" limit=" + strconv.FormatFloat(a.Basis.Limit, 'f', 2, 64))
@@ -191,6 +203,13 @@
 	return b.String()
 }
 
+func formatColdQuota(q pick.ColdQuota) string {
+	return " owners=" + strconv.Itoa(q.Owners) + "/" + strconv.Itoa(q.Hosts) +
+		" list=" + strconv.FormatUint(q.ListVersion, 10) +
+		" list_age=" + q.ListAge.Round(time.Millisecond).String() +
+		" left=" + strconv.FormatFloat(q.Left, 'f', 2, 64)
+}
+
 func mayHaveRun(a dispatch.AttemptRecord) string {
 	if a.MayHaveRun {
 		return "maybe"
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -78,8 +78,13 @@
 	Age  time.Duration
 	// LoadUnreported is set if the targets of the service do not report their load.
 	LoadUnreported bool
-	// Cold says why the target was, or may have been, considered cold; empty if it was not.
-	Cold string
+	// Cold says why the target was, or may have been, considered cold; empty if it was not. In
+	// that case the call was sent by ColdQuota.
+	Cold      string
+	ColdQuota ColdQuota
+	// WarmAge is the age of the target's own report that it is warm, if the call was sent on the
+	// strength of it; 0 if not.
+	WarmAge time.Duration
 	// Limit is the limit that the target set, in requests per second; 0 if none.
 	Limit float64
 	// Probed is the number of targets probed for the choice, Waited the time that the choice
@@ -88,6 +93,18 @@
 	Waited time.Duration
 }
 
+// ColdQuota is the quota by which a host sent a call to a target that was, or may have been, cold.
+type ColdQuota struct {
+	// Owners is the number of hosts that share the calls to the target, out of Hosts.
+	Owners, Hosts int
+	// ListVersion is the version of the list of hosts that named the owners, and ListAge how long
+	// this host had it.
+	ListVersion uint64
+	ListAge     time.Duration
+	// Left is the number of calls left of this host's quota.
+	Left float64
+}
+
 // Explainer is implemented by grants that know what their choice was based on.
 type Explainer interface {
 	Basis() Basis
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 )
 
@@ -51,23 +54,67 @@
 	}
 }
 
+// coldTurn is what this host knew of a target when the target first reported that it is cold.
+type coldTurn struct {
+	remaining time.Duration
+	// presumed is why the target was considered cold before its report.
+	presumed coldstart.Source
+	// calls is the number of calls sent since the report before, whose age was reportAge.
+	calls     int
+	reportAge time.Duration
+}
+
 // recordWarmUp records the remaining warm-up time that a target reported, and reports whether
-// the target is newly known to be cold. The caller holds the lock.
+// that is the first of its reports that it is cold. The caller holds the lock.
 func (s *service) recordWarmUp(now time.Time, t *target, remaining time.Duration) bool {
 	if !s.limits.bounded() {
 		return false // targets of the service do not report their warm-up
 	}
-	wasCold := t.cold.Cold(now)
+	before := t.cold
 	t.cold.Observe(now, remaining)
-	return remaining > 0 && !wasCold
+	if remaining <= 0 || before.Cold(now) && before.Confirmed() {
+		return false
+	}
+	t.coldTurn = coldTurn{
+		remaining: remaining,
+		presumed:  before.Basis(now),
+		calls:     before.Calls(),
+		reportAge: before.ReportAge(now),
+	}
+	return true
 }
 
+// logCold logs that a target reported that it is cold, with the number of calls that this host sent
+// on the strength of the report before. The lines are rate limited: a zone that returns may have
+// thousands of cold targets.
+func (p *Placer) logCold(s *service, t *target) {
+	if !p.coldLines.Allow() {
+		p.count.linesDropped.Add(1)
+		return
+	}
+	s.mu.Lock()
+	turn, run := t.coldTurn, t.info.RunID()
+	s.mu.Unlock()
+	p.deps.Log.Info(msgCold, zap.String("target", string(run)), zap.String("service", s.key.Service),
+		zap.Duration("remaining", turn.remaining), zap.Stringer("presumed", turn.presumed),
+		zap.Int("calls", turn.calls), zap.Duration("report_age", turn.reportAge))
+}
+
+// coldLinesPerSecond and coldLineBurst limit the log lines about cold targets.
+const (
+	coldLinesPerSecond = 20
+	coldLineBurst      = 200
+)
+
 // coldQuotaOf returns this host's share of the calls to a cold target. It is recomputed when
 // the members or the configured rate change. The caller holds the lock.
 func (s *service) coldQuotaOf(t *target) coldstart.Quota {
 	version := s.board.Members.Version()
 	if !t.quota.known || t.quota.membersVersion != version || t.quota.perSecond != s.limits.perSecond {
 		m := s.board.Members.Load()
+		if t.quota.Owned() {
+			s.quotasRenewed.Add(1)
+		}
 		t.quota = coldQuota{
 			Quota:          coldstart.NewQuota(m.Self, t.info.ID, t.info.Zone, s.limits.perSecond, m.Members),
 			membersVersion: version,
@@ -92,3 +139,40 @@
 func (s *service) overColdQuota(now time.Time, t *target) bool {
 	return s.coldLimited(now, t) && !s.coldQuotaOf(t).Available(now)
 }
+
+// admitCold takes a call to a target from this host's quota if the target is, or may be, cold. It
+// records in b why the call is allowed. The caller holds the lock.
+func (s *service) admitCold(now time.Time, t *target, b *pick.Basis) (cold bool) {
+	if !s.limits.bounded() {
+		return false
+	}
+	if !s.coldLimited(now, t) {
+		b.WarmAge = t.cold.ReportAge(now)
+		return false
+	}
+	q := s.coldQuotaOf(t)
+	q.Take(now)
+	owners, hosts := q.Owners()
+	b.Cold = t.cold.Basis(now).String()
+	b.ColdQuota = pick.ColdQuota{
+		Owners:      owners,
+		Hosts:       hosts,
+		ListVersion: t.quota.membersVersion,
+		ListAge:     now.Sub(s.members.since),
+		Left:        q.Left(now),
+	}
+	return true
+}
+
+// memberList is the version of the list of hosts on the board, and since when this host has it.
+type memberList struct {
+	version uint64
+	since   time.Time
+}
+
+// refreshMembers notes a new version of the list of hosts. The caller holds the lock.
+func (s *service) refreshMembers(now time.Time) {
+	if version := s.board.Members.Version(); s.members.since.IsZero() || version != s.members.version {
+		s.members = memberList{version: version, since: now}
+	}
+}
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -16,8 +16,12 @@
 	// coldCalls calls sent to cold targets, coldOverQuota choices that skipped cold targets
 	// because this host's quota for them was used up.
 	evacuated, coldCalls, coldOverQuota *expvar.Int
-	// refused counts refused calls by reason, probeFailures failed probes by cause.
-	refused, probeFailures *expvar.Map
+	// coldQuotasRenewed counts quotas for cold targets that began anew, linesDropped log lines
+	// beyond the limit.
+	coldQuotasRenewed, linesDropped *expvar.Int
+	// coldCallsBy counts coldCalls by why the target was considered cold, refused counts refused
+	// calls by reason, probeFailures failed probes by cause.
+	coldCallsBy, refused, probeFailures *expvar.Map
 }
 
 func newCounters(m *metrics.Set) counters {
@@ -32,7 +36,12 @@
 		evacuated:     c("choices_without_zone"),
 		coldCalls:     c("cold_calls"),
 		coldOverQuota: c("cold_quota_spent"),
+		linesDropped:  c("lines_dropped"),
+		coldCallsBy:   m.Map("placer_cold_calls"),
 		refused:       m.Map("placer_refused"),
+
+		coldQuotasRenewed: c("cold_quotas_renewed"),
+
 		probeFailures: m.Map("probe_failures"),
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
@@ -59,6 +60,8 @@
 type Placer struct {
 	deps  Deps
 	count counters
+	// coldLines limits the log lines about cold targets.
+	coldLines *rate.Limiter
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -74,6 +77,8 @@
 		count:    newCounters(d.Metrics),
 		rng:      rand.New(rand.NewPCG(d.Seed, 5)),
 		services: make(map[blackboard.ServiceKey]*service),
+
+		coldLines: rate.NewLimiter(coldLinesPerSecond, coldLineBurst),
 	}
 	p.publishReach(d.Metrics)
 	return p
@@ -94,6 +99,8 @@
 			far:     placement.NewBaseline(),
 			targets: make(map[ports.HostID]*target),
 			subset:  placement.Subset{Seed: p.rng.Uint64()},
+
+			quotasRenewed: p.count.coldQuotasRenewed,
 		}
 		p.services[key] = s
 	}
@@ -197,10 +204,9 @@
 		invariant.Check(false, invariant.EvacuatedIdle, "%s", t.info.RunID())
 	}
 	basis := pick.Basis{Cost: cost, Age: t.figures.Age(now), LoadUnreported: s.reportsNoLoad()}
-	if s.coldLimited(now, t) {
-		s.coldQuotaOf(t).Take(now)
+	if s.admitCold(now, t, &basis) {
 		p.count.coldCalls.Add(1)
-		basis.Cold = t.cold.Basis(now).String()
+		p.count.coldCallsBy.Add(basis.Cold, 1)
 	}
 	t.cold.MarkUsed()
 	t.figures.InFlight++
@@ -261,7 +267,9 @@
 	if change == "" {
 		return
 	}
-	p.deps.Log.Info(change, zap.String("target", string(run)), zap.String("service", s.key.Service))
+	if change != msgCold {
+		p.deps.Log.Info(change, zap.String("target", string(run)), zap.String("service", s.key.Service))
+	}
 	p.logReach(s, s.noteReach(time.Now(), change))
 }
 
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -105,7 +105,11 @@
 	if a.reached && !a.replaced && p.deps.OnAnswered != nil {
 		p.deps.OnAnswered(suspicion.Answer{Target: info.RunID(), Sent: sent, Opened: a.opened, Cold: a.signals.WarmUp > 0})
 	}
-	p.logChange(s.recordProbe(t, a, time.Since(sent)), s, info.RunID())
+	change := s.recordProbe(t, a, time.Since(sent))
+	p.logChange(change, s, info.RunID())
+	if change == msgCold {
+		p.logCold(s, t)
+	}
 	if !a.reached {
 		p.count.probesFailed.Add(1)
 		p.count.probeFailures.Add(string(a.failure), 1)
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -31,7 +31,7 @@
 	case change == msgUnreachable && s.noneReachedSince.IsZero() && s.unreachable() == len(s.targets):
 		s.noneReachedSince = now
 		return reachChange{message: msgNoneReached, targets: len(s.targets)}
-	case change == msgReachable && !s.noneReachedSince.IsZero():
+	case (change == msgReachable || change == msgCold) && !s.noneReachedSince.IsZero():
 		after := now.Sub(s.noneReachedSince)
 		s.noneReachedSince = time.Time{}
 		return reachChange{message: msgAnyReached, targets: len(s.targets), after: after}
--- a/placer/service.go
+++ b/placer/service.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -38,6 +39,10 @@
 	subset placement.Subset
 	useAll bool
 	limits coldLimits
+	// members is the list of hosts by which cold targets are shared.
+	members memberList
+	// quotasRenewed counts quotas for cold targets that began anew.
+	quotasRenewed *expvar.Int
 	// evacuated is the number of targets in list that are in evacuated zones.
 	evacuated int
 	// noneReachedSince is when the last target that this host reached was lost; zero while it
@@ -61,6 +66,7 @@
 // list changed. The caller holds the lock.
 func (s *service) refresh(now time.Time) bool {
 	s.limits = coldLimitsOf(s.board, s.key.Service)
+	s.refreshMembers(now)
 	version := s.board.Targets.Version()
 	if s.initialized && version == s.targetsVersion {
 		return false
--- a/placer/target.go
+++ b/placer/target.go
@@ -34,6 +34,8 @@
 	// to it while it is cold.
 	cold  coldstart.Estimate
 	quota coldQuota
+	// coldTurn is the last change of the target to cold.
+	coldTurn coldTurn
 	// backoffUntil is the time until which the target gets no calls. connectFailures is the number
 	// of consecutive failures to reach it, backoffs the number of those that said something about
 	// the target.
--- a/policy/coldstart/estimate.go
+++ b/policy/coldstart/estimate.go
@@ -50,10 +50,10 @@
 type Estimate struct {
 	ColdUntil time.Time
 	Source    Source
-	// reportedAt is when the target itself last reported whether it is cold; used is set once a
-	// call was sent on the strength of that report.
+	// reportedAt is when the target itself last reported whether it is cold, and calls the number
+	// of calls sent on the strength of that report.
 	reportedAt time.Time
-	used       bool
+	calls      int
 }
 
 // Cold reports whether the target is considered cold.
@@ -66,14 +66,25 @@
 // cold the calls of a warm one.
 func (b Estimate) Warm(now time.Time) bool {
 	ttl := freshTTL
-	if !b.used {
+	if b.calls == 0 {
 		ttl = reportTTL
 	}
 	return !b.Cold(now) && !b.reportedAt.IsZero() && now.Sub(b.reportedAt) < ttl
 }
 
 // MarkUsed records that a call is sent to a target considered warm.
-func (b *Estimate) MarkUsed() { b.used = true }
+func (b *Estimate) MarkUsed() { b.calls++ }
+
+// Calls returns the number of calls sent since the target's last report.
+func (b Estimate) Calls() int { return b.calls }
+
+// ReportAge returns the age of the target's last report, or 0 if there was none.
+func (b Estimate) ReportAge(now time.Time) time.Duration {
+	if b.reportedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(b.reportedAt)
+}
 
 // Basis returns the source for treating a target as not warm: Unknown if its last report that it
 // is warm is too old.
@@ -92,7 +103,7 @@
 // It never shortens the estimate.
 func (b *Estimate) Infer(now, until time.Time, s Source) {
 	if now.Before(until) && until.After(b.ColdUntil) {
-		*b = Estimate{ColdUntil: until, Source: s, reportedAt: b.reportedAt, used: b.used}
+		*b = Estimate{ColdUntil: until, Source: s, reportedAt: b.reportedAt, calls: b.calls}
 	}
 }
 
--- a/policy/coldstart/quota.go
+++ b/policy/coldstart/quota.go
@@ -26,6 +26,8 @@
 // messages, and hosts that come or go move the ownership of few targets.
 type Quota struct {
 	limiter *rate.Limiter
+	// owners is the number of hosts that share the calls, out of hosts.
+	owners, hosts int
 }
 
 // NewQuota returns the quota of host self for a target that bears perSecond calls while it is
@@ -44,9 +46,24 @@
 	}
 	owners := OwnerCount(perSecond, inZone)
 	if !rendezvous.InTopN(self, string(target), ownerZone, owners, members) {
-		return Quota{}
+		return Quota{owners: owners, hosts: inZone}
 	}
-	return Quota{limiter: rate.NewLimiter(rate.Limit(perSecond/float64(owners)), 1)}
+	return Quota{limiter: rate.NewLimiter(rate.Limit(perSecond/float64(owners)), 1), owners: owners, hosts: inZone}
+}
+
+// Owned reports whether this host owns a share.
+func (q Quota) Owned() bool { return q.limiter != nil }
+
+// Owners returns the number of hosts that share the calls to the target, and out of how many they
+// were chosen.
+func (q Quota) Owners() (owners, hosts int) { return q.owners, q.hosts }
+
+// Left returns the number of calls that this host may send now.
+func (q Quota) Left(now time.Time) float64 {
+	if q.limiter == nil {
+		return 0
+	}
+	return q.limiter.TokensAt(now)
 }
 
 // Available reports whether the quota allows a call now.
