--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,8 @@
 	running   int
 	coldUntil time.Time
 	calls     []time.Time
+	// replyTime is how long the target takes to reply to a probe.
+	replyTime time.Duration
 }
 
 func (t *coldTarget) run() {
@@ -73,8 +76,8 @@
 type coldTargets map[ports.HostID]*coldTarget
 
 func (c coldTargets) RoundTrip(_ *http.Request, info blackboard.Target, _ upstream.SendOptions) upstream.Result {
-	time.Sleep(time.Millisecond)
 	t := c[info.ID]
+	time.Sleep(max(t.replyTime, time.Millisecond))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := http.Header{"Load": {fmt.Sprintf("%d,0", t.running)}}
@@ -88,39 +91,76 @@
 type coldCluster struct {
 	board   *blackboard.Board
 	targets coldTargets
+	mu      sync.Mutex
 	placers []*Placer
+	// hosts are all hosts, and probes is the number of probes a second that they may send a target.
+	hosts  []blackboard.Member
+	probes float64
 }
 
 // newColdCluster returns a cluster whose hosts together may send each target the given number
 // of probes per second.
 func newColdCluster(t *testing.T, probes float64) *coldCluster {
-	l := &coldCluster{board: blackboard.New(), targets: make(coldTargets)}
+	l := &coldCluster{board: blackboard.New(), targets: make(coldTargets), probes: probes}
 	rng := rand.New(rand.NewPCG(1, 1))
 	l.board.Routes.Store(routing.NewTable(&routing.Config{Services: []routing.Service{
 		{Name: "s", HealthPath: "/h", MaxConns: 1000, WarmUp: coldDuration, ColdRate: coldRate},
 	}}, rng))
-	var members []blackboard.Member
 	for i := range coldHosts {
 		h := ports.Host{ID: ports.HostID(fmt.Sprint("h", i)), Zone: fmt.Sprint("z", i%2)}
-		members = append(members, blackboard.Member{Host: h, State: blackboard.MemberLive, Ready: true})
+		l.hosts = append(l.hosts, blackboard.Member{Host: h, State: blackboard.MemberLive, Ready: true})
 	}
 	l.setTargets(func(*blackboard.Target) {})
+	l.placers = make([]*Placer, coldHosts)
 	for i := range coldHosts {
-		// Each host has a board with its own ID; the rest is the same for all.
-		own := blackboard.New()
-		own.Routes.Store(l.board.Routes.Load())
-		own.Members.Store(&blackboard.Members{Self: members[i].Host.ID, Members: members})
-		own.Targets.Store(l.board.Targets.Load())
-		t.Cleanup(func() { _ = own.Close() })
-		l.placers = append(l.placers, New(Deps{
-			Board: own, Upstream: l.targets, Probes: NewProbeQuota(own, probes), Zone: members[i].Host.Zone, Seed: uint64(i),
-			Metrics: metrics.New(), Log: zap.NewNop(),
-			Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad, WarmUp: "Warm-Up"},
-		}))
+		l.restart(t, i, l.members(i))
 	}
 	return l
 }
 
+// restart replaces a host's placer by a new one that knows the given hosts.
+func (l *coldCluster) restart(t *testing.T, i int, members *blackboard.Members) {
+	// Each host has a board with its own ID; the rest is the same for all.
+	own := blackboard.New()
+	own.Routes.Store(l.board.Routes.Load())
+	own.Members.Store(members)
+	own.Targets.Store(l.board.Targets.Load())
+	t.Cleanup(func() { _ = own.Close() })
+	p := New(Deps{
+		Board: own, Upstream: l.targets, Probes: NewProbeQuota(own, l.probes), Zone: l.hosts[i].Host.Zone, Seed: uint64(i),
+		Metrics: metrics.New(), Log: zap.NewNop(),
+		Contract: &targetapi.Contract{Load: "Load", ReadLoad: readSimLoad, WarmUp: "Warm-Up"},
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.placers[i] = p
+}
+
+// placer returns the placer of a host.
+func (l *coldCluster) placer(i int) *Placer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.placers[i]
+}
+
+// members returns the list of all hosts but some, as host self has it.
+func (l *coldCluster) members(self int, without ...int) *blackboard.Members {
+	list := &blackboard.Members{Self: l.hosts[self].Host.ID, Complete: true}
+	for i, m := range l.hosts {
+		if i == self || !slices.Contains(without, i) {
+			list.Members = append(list.Members, m)
+		}
+	}
+	return list
+}
+
+// someMembers returns the incomplete list of a host that knows few hosts.
+func (l *coldCluster) someMembers(rng *rand.Rand, self, known int) *blackboard.Members {
+	list := l.members(self, rng.Perm(coldHosts)[known:]...)
+	list.Complete = false
+	return list
+}
+
 // setTargets publishes the target list after applying change to each entry.
 func (l *coldCluster) setTargets(change func(*blackboard.Target)) {
 	view := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
@@ -157,7 +197,7 @@
 	var wg sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		p := l.placers[rng.IntN(coldHosts)]
+		p := l.placer(rng.IntN(coldHosts))
 		sent++
 		wg.Go(func() {
 			if !l.call(t, p) {
