Cold targets: what was spent of a quota stays spent when the list of hosts changes

What callers saw: two cold targets got more requests in a second than all hosts together may send (FAILBACK); a target that is flooded while cold crashes.

Cause: a host made a new, full limiter for each cold target that it owns a share of whenever the list of hosts got a new version. The list is published again with each restart of any host, also where it names the same hosts, so that each restart gave every owner of every cold target another call. The same for a target whose entry vanished and came back.

Change: a quota keeps its limiter while its ownership changes, and for as long as what was spent counts, also after the target's entry is gone. Why it suffices for this: a host's calls to a target within a second are now bounded by its own limiter, 1 and its share of the rate, whatever the list does.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -8,6 +9,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/coldstart"
+	"github.com/cactusproxy/cactusproxy/ports"
 )
 
 // coldLimits are the configured limits for a service's cold targets.
@@ -34,8 +36,7 @@
 	return coldLimits{warmUp: s.WarmUp, perSecond: s.ColdRate}
 }
 
-// coldQuota caches this host's share of the calls to one cold target, with the inputs it was
-// computed from.
+// coldQuota is this host's share of the calls to one cold target, with the inputs of its ownership.
 type coldQuota struct {
 	coldstart.Quota
 	membersVersion uint64
@@ -106,23 +107,38 @@
 	coldLineBurst      = 200
 )
 
-// coldQuotaOf returns this host's share of the calls to a cold target. It is recomputed when
-// the members or the configured rate change. The caller holds the lock.
-func (s *service) coldQuotaOf(t *target) coldstart.Quota {
+// coldQuotaOf returns this host's share of the calls to a cold target. Its ownership is computed
+// again when the members or the configured rate change. The caller holds the lock.
+func (s *service) coldQuotaOf(now time.Time, t *target) *coldQuota {
+	q := &t.quota
 	version := s.board.Members.Version()
-	if !t.quota.known || t.quota.membersVersion != version || t.quota.perSecond != s.limits.perSecond {
+	if !q.known || q.membersVersion != version || q.perSecond != s.limits.perSecond {
 		m := s.board.Members.Load()
-		if t.quota.Owned() {
-			s.quotasRenewed.Add(1)
-		}
-		t.quota = coldQuota{
-			Quota:          coldstart.NewQuota(m.Self, t.info.ID, t.info.Zone, s.limits.perSecond, m.Members),
-			membersVersion: version,
-			perSecond:      s.limits.perSecond,
-			known:          true,
-		}
+		q.Assign(now, s.limits.perSecond, coldstart.OwnershipOf(m.Self, t.info.ID, t.info.Zone, s.limits.perSecond, m.Members))
+		q.membersVersion, q.perSecond, q.known = version, s.limits.perSecond, true
 	}
-	return t.quota.Quota
+	return q
+}
+
+// keepQuota keeps what was spent of the quota of a target that is no longer listed: its entry may
+// return. The caller holds the lock.
+func (s *service) keepQuota(now time.Time, t *target) {
+	if t.quota.Spent(now) {
+		s.keptQuotas[t.info.RunID()] = t.quota
+	}
+}
+
+// restoreQuota returns what was kept of the quota of a target that is listed again. The caller
+// holds the lock.
+func (s *service) restoreQuota(run ports.RunID) coldQuota {
+	q := s.keptQuotas[run]
+	delete(s.keptQuotas, run)
+	return q
+}
+
+// dropKeptQuotas drops the kept quotas that count no longer. The caller holds the lock.
+func (s *service) dropKeptQuotas(now time.Time) {
+	maps.DeleteFunc(s.keptQuotas, func(_ ports.RunID, q coldQuota) bool { return !q.Spent(now) })
 }
 
 // coldLimited reports whether calls to the target are rate limited because it is, or may be,
@@ -137,7 +153,7 @@
 // Cold targets are idle and therefore look cheapest to every host at the same moment. The
 // quotas of all hosts add up to the configured rate of the target.
 func (s *service) overColdQuota(now time.Time, t *target) bool {
-	return s.coldLimited(now, t) && !s.coldQuotaOf(t).Available(now)
+	return s.coldLimited(now, t) && !s.coldQuotaOf(now, t).Available(now)
 }
 
 // admitCold takes a call to a target from this host's quota if the target is, or may be, cold. It
@@ -150,14 +166,13 @@
 		b.WarmAge = t.cold.ReportAge(now)
 		return false
 	}
-	q := s.coldQuotaOf(t)
+	q := s.coldQuotaOf(now, t)
 	q.Take(now)
-	owners, hosts := q.Owners()
 	b.Cold = t.cold.Basis(now).String()
 	b.ColdQuota = pick.ColdQuota{
-		Owners:      owners,
-		Hosts:       hosts,
-		ListVersion: t.quota.membersVersion,
+		Owners:      q.Owners,
+		Hosts:       q.Hosts,
+		ListVersion: q.membersVersion,
 		ListAge:     now.Sub(s.members.since),
 		Left:        q.Left(now),
 	}
--- a/placer/coldflood_test.go
+++ b/placer/coldflood_test.go
@@ -95,6 +95,35 @@
 	}
 }
 
+// Guards against a cold target's quota that begins anew each time its entry vanishes and returns.
+func TestColdTargetsAreNotFloodedWhileTheirEntriesComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newColdCluster(t, 40)
+		defer l.board.Close()
+		begin := time.Now()
+		l.setAllCold(begin)
+		full := l.board.Targets.Load()
+		some := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
+		for i, tg := range full.ByService[testKey] {
+			if i%4 == 0 {
+				some.ByService[testKey] = append(some.ByService[testKey], tg)
+			}
+		}
+		l.during(coldDuration, 25*time.Millisecond, func(n int) {
+			view := some
+			if n%2 == 1 {
+				view = full
+			}
+			for i := range coldHosts {
+				l.placer(i).deps.Board.Targets.Store(view)
+			}
+		})
+		sent, refused := l.runLoad(t, rand.New(rand.NewPCG(13, 13)), 600, coldDuration)
+		t.Logf("%d calls, %d refused, at most %d a second", sent, refused, l.worst(begin))
+		assert.Check(t, l.worst(begin) <= maxColdCalls, "%d", l.worst(begin))
+	})
+}
+
 // Guards against hosts that have just started, know few others and so own the calls of every cold
 // target.
 func TestHostsThatKnowFewOthersDoNotFloodColdTargets(t *testing.T) {
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -16,9 +16,8 @@
 	// coldCalls calls sent to cold targets, coldOverQuota choices that skipped cold targets
 	// because this host's quota for them was used up.
 	evacuated, coldCalls, coldOverQuota *expvar.Int
-	// coldQuotasRenewed counts quotas for cold targets that began anew, linesDropped log lines
-	// beyond the limit.
-	coldQuotasRenewed, linesDropped *expvar.Int
+	// linesDropped counts log lines beyond the limit.
+	linesDropped *expvar.Int
 	// coldCallsBy counts coldCalls by why the target was considered cold, refused counts refused
 	// calls by reason, probeFailures failed probes by cause.
 	coldCallsBy, refused, probeFailures *expvar.Map
@@ -40,8 +39,6 @@
 		coldCallsBy:   m.Map("placer_cold_calls"),
 		refused:       m.Map("placer_refused"),
 
-		coldQuotasRenewed: c("cold_quotas_renewed"),
-
 		probeFailures: m.Map("probe_failures"),
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -100,7 +100,7 @@
 			targets: make(map[ports.HostID]*target),
 			subset:  placement.Subset{Seed: p.rng.Uint64()},
 
-			quotasRenewed: p.count.coldQuotasRenewed,
+			keptQuotas: make(map[ports.RunID]coldQuota),
 		}
 		p.services[key] = s
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -41,8 +40,8 @@
 	limits coldLimits
 	// members is the list of hosts by which cold targets are shared.
 	members memberList
-	// quotasRenewed counts quotas for cold targets that began anew.
-	quotasRenewed *expvar.Int
+	// keptQuotas holds the quotas of targets that are not listed and that count still.
+	keptQuotas map[ports.RunID]coldQuota
 	// evacuated is the number of targets in list that are in evacuated zones.
 	evacuated int
 	// noneReachedSince is when the last target that this host reached was lost; zero while it
@@ -100,7 +99,7 @@
 			continue
 		}
 		for len(at) > 0 && before[at[0]].ID < info.ID {
-			s.remove(old[0])
+			s.remove(now, old[0])
 			at, old = at[1:], old[1:]
 		}
 		var t *target
@@ -118,8 +117,9 @@
 		s.list, s.indexes = append(s.list, t), append(s.indexes, i)
 	}
 	for _, t := range old {
-		s.remove(t)
+		s.remove(now, t)
 	}
+	s.dropKeptQuotas(now)
 	s.listed = list
 }
 
@@ -157,6 +157,7 @@
 func (s *service) targetFor(now time.Time, t *target, info blackboard.Target) *target {
 	if t == nil || info.Incarnation.Replaces(t.info.Incarnation) {
 		t = newTarget(info, s.zone)
+		t.quota = s.restoreQuota(info.RunID())
 		t.presumeCold(now, blackboard.Target{}, info, s.limits)
 		s.targets[info.ID] = t
 		return t
@@ -168,9 +169,10 @@
 
 // remove drops the state of a target that is no longer listed or in the subset. The caller
 // holds the lock.
-func (s *service) remove(t *target) {
+func (s *service) remove(now time.Time, t *target) {
 	if s.targets[t.info.ID] == t {
 		delete(s.targets, t.info.ID)
+		s.keepQuota(now, t)
 	}
 }
 
--- a/policy/coldstart/quota.go
+++ b/policy/coldstart/quota.go
@@ -17,23 +17,17 @@
 	return min(max(int(math.Floor(perSecond)), 1), hosts)
 }
 
-// Quota is this host's share of the calls that one cold target bears; it is empty for a host that
-// does not own a share.
-//
-// An even split over hundreds of hosts would allow each one call every 20 seconds: unused where
-// calls arrive, and a burst beyond the target's capacity if every host may save one up. Therefore
-// a few hosts, chosen by rendezvous hashing, own the calls of a target. They agree without
-// messages, and hosts that come or go move the ownership of few targets.
-type Quota struct {
-	limiter *rate.Limiter
-	// owners is the number of hosts that share the calls, out of hosts.
-	owners, hosts int
+// Ownership tells whether a host owns a share of the calls to a cold target, and how many owners
+// there are out of how many hosts.
+type Ownership struct {
+	Owned         bool
+	Owners, Hosts int
 }
 
-// NewQuota returns the quota of host self for a target that bears perSecond calls while it is
-// cold. Owners are chosen among the live hosts of the target's zone, or among all members if the
-// zone has none.
-func NewQuota(self, target ports.HostID, zone string, perSecond float64, members []blackboard.Member) Quota {
+// OwnershipOf returns the ownership of host self for a target that bears perSecond calls while it
+// is cold. Owners are chosen among the live hosts of the target's zone, or among all members if
+// the zone has none.
+func OwnershipOf(self, target ports.HostID, zone string, perSecond float64, members []blackboard.Member) Ownership {
 	inZone := 0
 	for _, m := range members {
 		if m.State == blackboard.MemberLive && m.Host.Zone == zone {
@@ -45,29 +39,56 @@
 		ownerZone, inZone = "", len(members)
 	}
 	owners := OwnerCount(perSecond, inZone)
-	if !rendezvous.InTopN(self, string(target), ownerZone, owners, members) {
-		return Quota{owners: owners, hosts: inZone}
+	return Ownership{
+		Owned:  rendezvous.InTopN(self, string(target), ownerZone, owners, members),
+		Owners: owners,
+		Hosts:  inZone,
 	}
-	return Quota{limiter: rate.NewLimiter(rate.Limit(perSecond/float64(owners)), 1), owners: owners, hosts: inZone}
 }
 
-// Owned reports whether this host owns a share.
-func (q Quota) Owned() bool { return q.limiter != nil }
-
-// Owners returns the number of hosts that share the calls to the target, and out of how many they
-// were chosen.
-func (q Quota) Owners() (owners, hosts int) { return q.owners, q.hosts }
+// Quota is this host's share of the calls that one cold target bears; it is empty for a host that
+// does not own a share. The zero value is a share that is not owned. It is not safe for concurrent
+// use.
+//
+// An even split over hundreds of hosts would allow each one call every 20 seconds: unused where
+// calls arrive, and a burst beyond the target's capacity if every host may save one up. Therefore
+// a few hosts, chosen by rendezvous hashing, own the calls of a target. They agree without
+// messages, and hosts that come or go move the ownership of few targets.
+//
+// What was spent stays spent while the ownership changes: otherwise each new list of hosts would
+// give every owner another call.
+type Quota struct {
+	Ownership
+	limiter *rate.Limiter
+}
 
-// Left returns the number of calls that this host may send now.
-func (q Quota) Left(now time.Time) float64 {
+// Assign applies the ownership of a share of perSecond calls.
+func (q *Quota) Assign(now time.Time, perSecond float64, o Ownership) {
+	q.Ownership = o
+	if !o.Owned {
+		return
+	}
+	limit := rate.Limit(perSecond / float64(o.Owners))
 	if q.limiter == nil {
-		return 0
+		q.limiter = rate.NewLimiter(limit, 1)
+		return
 	}
-	return q.limiter.TokensAt(now)
+	q.limiter.SetLimitAt(now, limit)
 }
 
 // Available reports whether the quota allows a call now.
-func (q Quota) Available(now time.Time) bool { return q.limiter != nil && q.limiter.TokensAt(now) >= 1 }
+func (q *Quota) Available(now time.Time) bool { return q.Left(now) >= 1 }
 
 // Take takes a call from the quota and reports whether it was allowed.
-func (q Quota) Take(now time.Time) bool { return q.limiter != nil && q.limiter.AllowN(now, 1) }
+func (q *Quota) Take(now time.Time) bool { return q.Owned && q.limiter.AllowN(now, 1) }
+
+// Left returns the number of calls that this host may send now.
+func (q *Quota) Left(now time.Time) float64 {
+	if !q.Owned {
+		return 0
+	}
+	return q.limiter.TokensAt(now)
+}
+
+// Spent reports whether calls were taken that count against calls from now on.
+func (q *Quota) Spent(now time.Time) bool { return q.limiter != nil && q.limiter.TokensAt(now) < 1 }
--- a/policy/coldstart/quota_test.go
+++ b/policy/coldstart/quota_test.go
@@ -45,7 +45,13 @@
 }
 
 func newOwned(self, target ports.HostID, zone string, perSecond float64, members []blackboard.Member) limiter {
-	return NewQuota(self, target, zone, perSecond, members)
+	return newQuota(self, target, zone, perSecond, members)
+}
+
+func newQuota(self, target ports.HostID, zone string, perSecond float64, members []blackboard.Member) *Quota {
+	q := &Quota{}
+	q.Assign(start, perSecond, OwnershipOf(self, target, zone, perSecond, members))
+	return q
 }
 
 type newLimiter func(self, target ports.HostID, zone string, perSecond float64, members []blackboard.Member) limiter
@@ -144,7 +150,7 @@
 	owners := func(target ports.HostID, zone string, members []blackboard.Member) map[ports.HostID]bool {
 		set := make(map[ports.HostID]bool)
 		for _, m := range members {
-			if NewQuota(m.Host.ID, target, zone, capacity, members).Available(start) {
+			if newQuota(m.Host.ID, target, zone, capacity, members).Available(start) {
 				set[m.Host.ID] = true
 			}
 		}
