Cold targets: a share has one owner at a time, also around changes and starts

Cause: who owns a share was decided by each host from its newest list alone. A host that has just started knows itself and a few others and among these owns nearly every target of its zone, with the whole rate if it is alone; so does each of the hosts that start together. A host that is killed and started again has the share that its earlier run has just spent. A share that moves is spent by the owner before and after, at the same time if they learn of the change at different times.

Change: coldstart.Hosts. A host owns nothing until it knows all hosts, nor in its first second; hosts that left the list keep their shares for 2 s, so that nobody takes them over before.

Tests of placer start with hosts that have run for 2 s; their checks are unchanged.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -39,9 +39,9 @@
 // coldQuota is this host's share of the calls to one cold target, with the inputs of its ownership.
 type coldQuota struct {
 	coldstart.Quota
-	membersVersion uint64
-	perSecond      float64
-	known          bool
+	hostsVersion uint64
+	perSecond    float64
+	known        bool
 }
 
 // presumeCold updates the presumed end of the target's warm-up if the platform's entry for it
@@ -108,14 +108,12 @@
 )
 
 // coldQuotaOf returns this host's share of the calls to a cold target. Its ownership is computed
-// again when the members or the configured rate change. The caller holds the lock.
+// again when the hosts or the configured rate change. The caller holds the lock.
 func (s *service) coldQuotaOf(now time.Time, t *target) *coldQuota {
 	q := &t.quota
-	version := s.board.Members.Version()
-	if !q.known || q.membersVersion != version || q.perSecond != s.limits.perSecond {
-		m := s.board.Members.Load()
-		q.Assign(now, s.limits.perSecond, coldstart.OwnershipOf(m.Self, t.info.ID, t.info.Zone, s.limits.perSecond, m.Members))
-		q.membersVersion, q.perSecond, q.known = version, s.limits.perSecond, true
+	if version := s.view.Version; !q.known || q.hostsVersion != version || q.perSecond != s.limits.perSecond {
+		q.Assign(now, s.limits.perSecond, s.view.OwnershipOf(t.info.ID, t.info.Zone, s.limits.perSecond))
+		q.hostsVersion, q.perSecond, q.known = version, s.limits.perSecond, true
 	}
 	return q
 }
@@ -153,7 +151,7 @@
 // Cold targets are idle and therefore look cheapest to every host at the same moment. The
 // quotas of all hosts add up to the configured rate of the target.
 func (s *service) overColdQuota(now time.Time, t *target) bool {
-	return s.coldLimited(now, t) && !s.coldQuotaOf(now, t).Available(now)
+	return s.coldLimited(now, t) && !(s.view.MayOwn(now) && s.coldQuotaOf(now, t).Available(now))
 }
 
 // admitCold takes a call to a target from this host's quota if the target is, or may be, cold. It
@@ -172,22 +170,9 @@
 	b.ColdQuota = pick.ColdQuota{
 		Owners:      q.Owners,
 		Hosts:       q.Hosts,
-		ListVersion: q.membersVersion,
-		ListAge:     now.Sub(s.members.since),
+		ListVersion: q.hostsVersion,
+		ListAge:     now.Sub(s.view.Since),
 		Left:        q.Left(now),
 	}
 	return true
 }
-
-// memberList is the version of the list of hosts on the board, and since when this host has it.
-type memberList struct {
-	version uint64
-	since   time.Time
-}
-
-// refreshMembers notes a new version of the list of hosts. The caller holds the lock.
-func (s *service) refreshMembers(now time.Time) {
-	if version := s.board.Members.Version(); s.members.since.IsZero() || version != s.members.version {
-		s.members = memberList{version: version, since: now}
-	}
-}
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -18,6 +18,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/routing"
 	"github.com/cactusproxy/cactusproxy/targetapi"
@@ -115,6 +116,7 @@
 	for i := range coldHosts {
 		l.restart(t, i, l.members(i))
 	}
+	time.Sleep(coldstart.HandoverDelay) // hosts that have just started own no shares
 	return l
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,6 +23,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 	"github.com/cactusproxy/cactusproxy/policy/placement"
 	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -66,6 +67,10 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[blackboard.ServiceKey]*service
+
+	// hosts are the hosts that share the calls to cold targets. hostsMu is locked after a service.
+	hostsMu sync.Mutex
+	hosts   *coldstart.Hosts
 }
 
 var _ pick.Picker = (*Placer)(nil)
@@ -77,6 +82,7 @@
 		count:    newCounters(d.Metrics),
 		rng:      rand.New(rand.NewPCG(d.Seed, 5)),
 		services: make(map[blackboard.ServiceKey]*service),
+		hosts:    coldstart.NewHosts(time.Now()),
 
 		coldLines: rate.NewLimiter(coldLinesPerSecond, coldLineBurst),
 	}
@@ -151,10 +157,18 @@
 	}
 }
 
+// hostsView returns the list of hosts that share the calls to cold targets.
+func (p *Placer) hostsView(now time.Time) *coldstart.View {
+	p.hostsMu.Lock()
+	defer p.hostsMu.Unlock()
+	return p.hosts.View(now, p.deps.Board.Members.Load())
+}
+
 func (p *Placer) candidates(s *service, req pick.Request, waits int) candidates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.view = p.hostsView(now)
 	if s.refresh(now) {
 		p.deps.Probes.Update()
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 	"github.com/cactusproxy/cactusproxy/policy/health"
 	"github.com/cactusproxy/cactusproxy/policy/placement"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -38,8 +39,8 @@
 	subset placement.Subset
 	useAll bool
 	limits coldLimits
-	// members is the list of hosts by which cold targets are shared.
-	members memberList
+	// view is the list of hosts that share the calls to cold targets.
+	view *coldstart.View
 	// keptQuotas holds the quotas of targets that are not listed and that count still.
 	keptQuotas map[ports.RunID]coldQuota
 	// evacuated is the number of targets in list that are in evacuated zones.
@@ -65,7 +66,6 @@
 // list changed. The caller holds the lock.
 func (s *service) refresh(now time.Time) bool {
 	s.limits = coldLimitsOf(s.board, s.key.Service)
-	s.refreshMembers(now)
 	version := s.board.Targets.Version()
 	if s.initialized && version == s.targetsVersion {
 		return false
--- a/policy/coldstart/quota.go
+++ b/policy/coldstart/quota.go
@@ -68,7 +68,7 @@
 	if !o.Owned {
 		return
 	}
-	limit := rate.Limit(perSecond / float64(o.Owners))
+	limit := ownerRate(perSecond, o.Owners)
 	if q.limiter == nil {
 		q.limiter = rate.NewLimiter(limit, 1)
 		return
@@ -76,6 +76,17 @@
 	q.limiter.SetLimitAt(now, limit)
 }
 
+// ownerRate returns the calls per second of each of some owners.
+//
+// Fractions of a call are left out: at 1.1 calls per second each owner would send two within some
+// second, and hosts that disagree about the owners would together send twice as many.
+func ownerRate(perSecond float64, owners int) rate.Limit {
+	if perSecond >= 1 {
+		perSecond = math.Floor(perSecond)
+	}
+	return rate.Limit(perSecond / float64(owners))
+}
+
 // Available reports whether the quota allows a call now.
 func (q *Quota) Available(now time.Time) bool { return q.Left(now) >= 1 }
 
