Cold targets: a report of "warm" counts for 250 ms from when it was asked for

Cause: a target that turns cold in place was warm when hosts last probed it. Each host sent it any number of calls for 250 ms after its report and one more until the report was a second old, so that what all hosts may send grows with their number; the age counted from the arrival of the reply. Replies that take longer than the 12 ms for which a choice waits, as on hosts short of processor time, leave a choice with just such reports.

Change: a report counts for 250 ms from when it was asked for; later calls are taken from the host's quota.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -67,12 +68,12 @@
 
 // recordWarmUp records the remaining warm-up time that a target reported, and reports whether
 // that is the first of its reports that it is cold. The caller holds the lock.
-func (s *service) recordWarmUp(now time.Time, t *target, remaining time.Duration) bool {
+func (s *service) recordWarmUp(asked, now time.Time, t *target, remaining time.Duration) bool {
 	if !s.limits.bounded() {
 		return false // targets of the service do not report their warm-up
 	}
 	before := t.cold
-	t.cold.Observe(now, remaining)
+	t.cold.Observe(asked, now, remaining)
 	if remaining <= 0 || before.Cold(now) && before.Confirmed() {
 		return false
 	}
@@ -176,3 +177,33 @@
 	}
 	return true
 }
+
+// awaitReport waits until the probe of a target ends that could take the call but for its quota, and
+// reports whether there was one. A target whose report is late may well be warm, and refusing the
+// call would cost its caller more time than the wait.
+func (p *Placer) awaitReport(ctx context.Context, s *service, list []ranked) bool {
+	done := s.awaitedReport(time.Now(), list)
+	if done == nil {
+		return false
+	}
+	p.count.reportWaits.Add(1)
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awaitedReport returns what is closed when the probe of a target ends that could take a call but
+// for its quota; nil if there is none.
+func (s *service) awaitedReport(now time.Time, list []ranked) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range list {
+		if r.probeDone != nil && r.available(now) && !r.figures.Full(now) && !r.cold.Cold(now) && s.overColdQuota(now, r.target) {
+			return r.probeDone
+		}
+	}
+	return nil
+}
--- a/placer/coldflood_test.go
+++ b/placer/coldflood_test.go
@@ -167,6 +167,22 @@
 	}
 }
 
+// Guards against calls that are refused at once where all targets are warm and only their replies to
+// probes are late.
+func TestCallsWaitForLateReports(t *testing.T) {
+	for _, reply := range []time.Duration{15 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newColdCluster(t, 40)
+			defer l.board.Close()
+			l.setReplyTime(reply)
+			sent, refused := l.runLoad(t, rand.New(rand.NewPCG(14, 14)), 300, 3*time.Second)
+			t.Logf("replies after %s: %d calls, %d refused", reply, sent, refused)
+			assert.Check(t, refused < sent/100, "replies after %s: %d of %d refused", reply, refused, sent)
+			time.Sleep(time.Second) // probes in flight end
+		})
+	}
+}
+
 // Guards against many hosts that each hold a report of a target from before it turned cold, because
 // the replies to their probes are late.
 func TestColdTargetsAreNotFloodedByHostsWithOldReports(t *testing.T) {
--- a/placer/counters.go
+++ b/placer/counters.go
@@ -16,8 +16,9 @@
 	// coldCalls calls sent to cold targets, coldOverQuota choices that skipped cold targets
 	// because this host's quota for them was used up.
 	evacuated, coldCalls, coldOverQuota *expvar.Int
-	// linesDropped counts log lines beyond the limit.
-	linesDropped *expvar.Int
+	// reportWaits counts waits for late reports on whether a target is cold, linesDropped log lines
+	// beyond the limit.
+	reportWaits, linesDropped *expvar.Int
 	// coldCallsBy counts coldCalls by why the target was considered cold, refused counts refused
 	// calls by reason, probeFailures failed probes by cause.
 	coldCallsBy, refused, probeFailures *expvar.Map
@@ -35,6 +36,7 @@
 		evacuated:     c("choices_without_zone"),
 		coldCalls:     c("cold_calls"),
 		coldOverQuota: c("cold_quota_spent"),
+		reportWaits:   c("cold_report_waits"),
 		linesDropped:  c("lines_dropped"),
 		coldCallsBy:   m.Map("placer_cold_calls"),
 		refused:       m.Map("placer_refused"),
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -136,6 +136,9 @@
 			}
 			g, last, noSlot = p.choose(ctx, s, req, probed, next)
 		}
+		for g == nil && last != "" && !req.Hedge && p.awaitReport(ctx, s, probed) {
+			g, last, noSlot = p.choose(ctx, s, req, probed, placement.NoFallback)
+		}
 		if g != nil {
 			g.basis.Probed, g.basis.Waited = len(probed), time.Since(start)
 			return g, outcome.Result{}
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -192,7 +192,7 @@
 	}
 	recovered := t.markReachable()
 	switch {
-	case s.recordWarmUp(now, t, a.signals.WarmUp):
+	case s.recordWarmUp(now.Add(-took), now, t, a.signals.WarmUp):
 		return msgCold
 	case recovered:
 		return msgReachable
--- a/policy/coldstart/estimate.go
+++ b/policy/coldstart/estimate.go
@@ -37,23 +37,22 @@
 	}
 }
 
-// How long a target's own report that it is warm counts. A target that crashes and restarts, or
-// turns cold in place, is back before the record shows it. A report covers any number of calls
-// for freshTTL, and a single call until reportTTL.
-const (
-	freshTTL  = 250 * time.Millisecond
-	reportTTL = time.Second
-)
+// reportTTL is how long a target's own report that it is warm counts, from when the host asked for
+// it. A target that crashes and restarts, or turns cold in place, is back before the record shows
+// it, and each host goes on sending to it until its report is too old. Later calls are taken from
+// the host's quota, whether the target is warm or not: one call for each report would add up to
+// one for each host.
+const reportTTL = 250 * time.Millisecond
 
 // Estimate is the time until which a target is considered cold, and the source of that. The zero
 // value means that nothing is known.
 type Estimate struct {
 	ColdUntil time.Time
 	Source    Source
-	// reportedAt is when the target itself last reported whether it is cold, and calls the number
-	// of calls sent on the strength of that report.
-	reportedAt time.Time
-	calls      int
+	// askedAt is when the host asked for the target's last report of whether it is cold, and calls
+	// the number of calls sent on the strength of that report.
+	askedAt time.Time
+	calls   int
 }
 
 // Cold reports whether the target is considered cold.
@@ -65,11 +64,7 @@
 // Without this check, hosts that have used up their probes would send a target that restarted
 // cold the calls of a warm one.
 func (b Estimate) Warm(now time.Time) bool {
-	ttl := freshTTL
-	if b.calls == 0 {
-		ttl = reportTTL
-	}
-	return !b.Cold(now) && !b.reportedAt.IsZero() && now.Sub(b.reportedAt) < ttl
+	return !b.Cold(now) && !b.askedAt.IsZero() && now.Sub(b.askedAt) < reportTTL
 }
 
 // MarkUsed records that a call is sent to a target considered warm.
@@ -80,10 +75,10 @@
 
 // ReportAge returns the age of the target's last report, or 0 if there was none.
 func (b Estimate) ReportAge(now time.Time) time.Duration {
-	if b.reportedAt.IsZero() {
+	if b.askedAt.IsZero() {
 		return 0
 	}
-	return now.Sub(b.reportedAt)
+	return now.Sub(b.askedAt)
 }
 
 // Basis returns the source for treating a target as not warm: Unknown if its last report that it
@@ -103,11 +98,12 @@
 // It never shortens the estimate.
 func (b *Estimate) Infer(now, until time.Time, s Source) {
 	if now.Before(until) && until.After(b.ColdUntil) {
-		*b = Estimate{ColdUntil: until, Source: s, reportedAt: b.reportedAt, calls: b.calls}
+		*b = Estimate{ColdUntil: until, Source: s, askedAt: b.askedAt, calls: b.calls}
 	}
 }
 
-// Observe records the target's own report of how much longer it is cold, 0 if it is warm.
-func (b *Estimate) Observe(now time.Time, left time.Duration) {
-	*b = Estimate{ColdUntil: now.Add(left), Source: HealthAnswer, reportedAt: now}
+// Observe records the target's own report, asked for at a time, of how much longer it is cold, 0 if
+// it is warm. A report that took long to arrive may be that old.
+func (b *Estimate) Observe(asked, now time.Time, left time.Duration) {
+	*b = Estimate{ColdUntil: now.Add(left), Source: HealthAnswer, askedAt: asked}
 }
