Cold targets: a rejected probe is no word that the target is warm

A warm target reports no remaining warm-up, and a response without one counted as a report that the target is warm: also a rejection ("the health path waits for a slot, or is rejected, in the same way as any other request") and a response that names no target.

Only the target's own response counts now, healthy or not. A report that it is cold counts from any response, as before. TestOnlyTheTargetsOwnResponseSaysThatItIsWarm fails before (rejected: warm).

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -68,9 +68,13 @@
 
 // recordWarmUp records the remaining warm-up time that a target reported, and reports whether
 // that is the first of its reports that it is cold. The caller holds the lock.
-func (s *service) recordWarmUp(asked, now time.Time, t *target, remaining time.Duration) bool {
-	if !s.limits.bounded() {
-		return false // targets of the service do not report their warm-up
+//
+// A warm target reports no time, but neither does a rejection, or a response that isn't the
+// target's.
+func (s *service) recordWarmUp(asked, now time.Time, t *target, a probeResult) bool {
+	remaining := a.signals.WarmUp
+	if !s.limits.bounded() || remaining <= 0 && !a.own {
+		return false
 	}
 	before := t.cold
 	t.cold.Observe(asked, now, remaining)
--- a/placer/coldflood_test.go
+++ b/placer/coldflood_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/ports"
+	"github.com/cactusproxy/cactusproxy/targetapi"
+	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
 // worst returns the most calls that any target got within a second while it was cold.
@@ -208,3 +214,40 @@
 		}
 	}
 }
+
+// Guards against a rejection, or a response that doesn't name its target, that is taken for the
+// target's word that it is warm.
+func TestOnlyTheTargetsOwnResponseSaysThatItIsWarm(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		status int
+		header http.Header
+		warm   bool
+	}{
+		{"healthy", http.StatusOK, http.Header{"Id": {"a"}}, true},
+		{"unhealthy", http.StatusServiceUnavailable, http.Header{"Id": {"a"}}, true},
+		{"rejected", http.StatusServiceUnavailable, http.Header{"Id": {"a"}, "Shed": {targetapi.Yes}}, false},
+		{"unnamed", http.StatusOK, http.Header{}, false},
+	} {
+		p := New(Deps{
+			Board: blackboard.New(), Contract: &targetapi.Contract{Instance: "Id", WarmUp: "Warm-Up", Shed: "Shed"},
+			Upstream: healthResponse{tc.status, tc.header}, Metrics: metrics.New(), Log: zap.NewNop(),
+		})
+		tg := newTarget(blackboard.Target{ID: "a", Zone: "z0"}, "z0")
+		s := &service{targets: map[ports.HostID]*target{"a": tg}, limits: coldLimits{warmUp: coldDuration, perSecond: coldRate}}
+		tg.probeDone = make(chan struct{})
+		p.probeTarget(s, tg, tg.info, "/h", 1)
+		assert.Equal(t, tg.cold.Warm(time.Now()), tc.warm, tc.name)
+		_ = p.deps.Board.Close()
+	}
+}
+
+// healthResponse is the response to each probe.
+type healthResponse struct {
+	status int
+	header http.Header
+}
+
+func (r healthResponse) RoundTrip(*http.Request, blackboard.Target, upstream.SendOptions) upstream.Result {
+	return upstream.Result{Sent: true, Response: &http.Response{StatusCode: r.status, Header: r.header, Body: http.NoBody}}
+}
--- a/placer/probe.go
+++ b/placer/probe.go
@@ -154,6 +154,8 @@
 	// signals are the target's signals; they are empty unless it was reached.
 	signals targetapi.Signals
 	reached bool
+	// own is set if the target named itself and did not reject the probe.
+	own bool
 	// opened is when the connection was opened on which the target answered.
 	opened time.Time
 	// failure is why the target was not reached, pathFault is set if that says nothing about the
@@ -192,7 +194,7 @@
 	}
 	recovered := t.markReachable()
 	switch {
-	case s.recordWarmUp(now.Add(-took), now, t, a.signals.WarmUp):
+	case s.recordWarmUp(now.Add(-took), now, t, a):
 		return msgCold
 	case recovered:
 		return msgReachable
@@ -229,6 +231,8 @@
 		a.replaced = true
 		return a
 	}
-	a.signals = p.deps.Contract.Signals(res.Response.StatusCode, res.Response.Header)
+	status, header := res.Response.StatusCode, res.Response.Header
+	a.own = p.deps.Contract.Names(string(info.ID), header) && !p.deps.Contract.IsShed(status, header)
+	a.signals = p.deps.Contract.Signals(status, header)
 	return a
 }
--- a/targetapi/contract.go
+++ b/targetapi/contract.go
@@ -115,6 +115,12 @@
 	return from == "" || from == target
 }
 
+// Names reports whether a health response names the given target, or the contract has no such
+// header.
+func (c *Contract) Names(target string, h http.Header) bool {
+	return c.Instance == "" || h.Get(c.Instance) == target
+}
+
 // IsAnswerTo reports whether a response belongs to the request with these headers. A refusal
 // may lack the echoed ID: some targets refuse before they read the header.
 func (c *Contract) IsAnswerTo(request, answer http.Header, status int) bool {
