Soak: targets that are cold, also while they run, and hosts killed in series

From seed 80,000 on services declare 4.5 requests a second while cold, targets are cold when they start under load, and turn cold one by one or a zone at once while they run; up to all hosts but one are killed and started again 0 to 0.3 s after each other. No cold target may get more than 14 requests within a second, from all hosts together, disturbed or not. Each seed tells the most that one got. Earlier seeds do what they did.

--- a/cmd/cactussoak/main.go
+++ b/cmd/cactussoak/main.go
@@ -78,7 +78,8 @@
 		fmt.Fprintln(os.Stderr, "seed", seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", seed, res.Requests, res.Served, len(res.Findings))
+	fmt.Printf("seed %d: %d requests, %d served, at most %d a second at a cold target, %d promises broken\n",
+		seed, res.Requests, res.Served, res.MostCold, len(res.Findings))
 	if len(res.Findings) == 0 {
 		_ = os.RemoveAll(dir)
 		return true
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -58,10 +58,18 @@
 		r := &request{id: fmt.Sprintf("s%d-c%d-%d", s.seed, n, i), process: p, run: p.generation()}
 		s.sendOne(c, rng, r, s.readRoute(n+i))
 		s.check(r)
-		time.Sleep(time.Duration(rng.Int64N(int64(30 * time.Millisecond))))
+		time.Sleep(time.Duration(rng.Int64N(int64(s.callerPause()))))
 	}
 }
 
+// callerPause returns the longest pause of a caller between two requests.
+func (s *Soak) callerPause() time.Duration {
+	if s.targets.coldLimits {
+		return maxColdPause
+	}
+	return 30 * time.Millisecond
+}
+
 // keepRedirect makes a client return a redirect instead of following it.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -51,11 +51,19 @@
 	{"targets out of reach", (*Soak).cutPaths},
 	{"links throttled", (*Soak).throttleLinks},
 	{"links throttled", (*Soak).throttleLinks},
+	{"target turns cold", (*Soak).turnCold},
+	{"zone turns cold", (*Soak).turnZoneCold},
+	{"zone turns cold", (*Soak).turnZoneCold},
+	{"zone turns cold", (*Soak).turnZoneCold},
+	{"hosts killed in series", (*Soak).killInSeries},
+	{"hosts killed in series", (*Soak).killInSeries},
+	{"hosts killed in series", (*Soak).killInSeries},
 }
 
 // Seeds below firstSeedOfSecond use the first firstDisturbances entries of the list, seeds
 // below firstSeedOfAll the first secondDisturbances, those below firstSeedOfCuts the first
-// thirdDisturbances, those below firstSeedOfThrottles the first fourthDisturbances, and others all.
+// thirdDisturbances, those below firstSeedOfThrottles the first fourthDisturbances, those below
+// firstSeedOfCold the first fifthDisturbances, and others all.
 // New entries are appended, so that seeds that once found a bug keep their sequence of disturbances.
 const (
 	firstDisturbances  = 19
@@ -67,6 +75,7 @@
 
 	fourthDisturbances   = 27
 	firstSeedOfThrottles = 70_000
+	fifthDisturbances    = 29
 )
 
 // disturbancesFor returns the disturbances that a seed chooses from.
@@ -80,6 +89,8 @@
 		return disturbances[:thirdDisturbances]
 	case seed < firstSeedOfThrottles:
 		return disturbances[:fourthDisturbances]
+	case seed < firstSeedOfCold:
+		return disturbances[:fifthDisturbances]
 	default:
 		return disturbances
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -61,6 +61,8 @@
 	cuts []pathCut
 	// evacuations are the orders to evacuate the near zone so far.
 	evacuations []evacuation
+	// mostCold is the most requests that reached a cold target within a second.
+	mostCold int
 	// added are the permanent routes that configurations have added so far.
 	added []route
 	// servedAt is when a run of a host first served a route.
@@ -73,6 +75,8 @@
 	Seed     uint64
 	Requests int
 	Served   int
+	// MostCold is the most requests that reached a cold target within a second.
+	MostCold int
 	Findings []string
 	Actions  []string
 }
@@ -90,11 +94,12 @@
 		disturbedAt: make(map[*process][]time.Time),
 		servedAt:    make(map[servedRoute]time.Time),
 	}
-	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll}
+	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll, coldLimits: s.seed >= firstSeedOfCold}
 	if err := s.setUp(); err != nil {
 		return Result{}, err
 	}
 	defer s.tearDown()
+	s.targets.underLoad = true
 	work, halt := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	background := func(f func()) {
@@ -121,6 +126,7 @@
 	s.checkEvacuations()
 	s.checkSignals()
 	s.checkCuts()
+	s.checkCold()
 	served := 0
 	for _, r := range s.requests {
 		if r.status == http.StatusOK && r.at.After(recovered) {
@@ -132,7 +138,7 @@
 }
 
 func (s *Soak) result() Result {
-	r := Result{Seed: s.seed, Requests: len(s.requests), Findings: s.findings, Actions: s.actions}
+	r := Result{Seed: s.seed, Requests: len(s.requests), MostCold: s.mostCold, Findings: s.findings, Actions: s.actions}
 	for _, q := range s.requests {
 		if q.status == http.StatusOK {
 			r.Served++
@@ -196,7 +202,11 @@
 	for _, r := range added {
 		routes = append(routes, configRoute(r.name, "safe", "lots"))
 	}
-	s.store.Put("op", "config", standin.Config(version, routes...))
+	document := standin.Config(version, routes...)
+	if s.targets.coldLimits {
+		document = standin.ConfigWithColdLimits(version, coldTime, coldRate, routes...)
+	}
+	s.store.Put("op", "config", document)
 }
 
 // configRoute returns a route of the configuration.
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -20,6 +20,7 @@
 	proxy   *FaultProxy
 	gone    bool
 	signals targetSignals
+	cold    coldSpells
 	// drainAt is when the target's entry was set to draining, or zero.
 	drainAt time.Time
 }
@@ -29,6 +30,10 @@
 	store *standin.Store
 	// zones places some of the targets in the far zone.
 	zones bool
+	// coldLimits makes targets announce that they are cold.
+	coldLimits bool
+	// underLoad is set once callers send requests. Targets that start after that are cold.
+	underLoad bool
 
 	mu   sync.Mutex
 	list []*testTarget
@@ -72,6 +77,12 @@
 		zone:    zone,
 		proxy:   proxy,
 	}
+	if t.coldLimits {
+		b.Slots, b.Queue, b.Work, b.Cold = coldSlots, coldQueue, coldWork, b.cold.left
+		if t.underLoad {
+			b.cold.begin(time.Now())
+		}
+	}
 	b.LoseResponse, b.CorruptStatus = b.losesResponse, corruptStatus
 	b.Limit, b.BackOff, b.Leaving = b.signals.announcedLimit, b.signals.requestedRest, b.signals.announcesLeaving
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
