Calls to targets that may turn cold are sent soon after they were placed, or placed again

Between the choice of a target and the request lies the opening of a connection, through another host where the own path is lost. Calls that wait there reach the target together, later than its quota or its report of "warm" allowed them.

The choice at a service whose targets have a limit while cold holds for 250 ms; a connection that takes longer ends the attempt unsent, as for a target that leaves meanwhile, and the call is placed again without a share of the budget for retries. TestCallGoesElsewhereIfItsGrantExpiresWhileItConnects fails before (sent to t1 after a second). What remains: a process that is stopped between the check and the send.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -95,7 +95,7 @@
 	res := d.upstream.RoundTrip(req, p.grant.Target(), upstream.SendOptions{
 		MaxConns:      d.connShare(c),
 		NonIdempotent: c.Idempotency == NonIdempotent,
-		Usable:        func() bool { return d.usable(c.Key, p.grant.Target()) },
+		Usable:        func() bool { return d.usable(c.Key, p.grant) },
 		RequestID:     c.Header.Get(d.contract.RequestID),
 		BeforeSend:    func() { d.setTimeout(ctx, req.Header) },
 	})
@@ -190,9 +190,13 @@
 	}
 }
 
-// usable reports whether a target may get requests: it is listed, neither leaving nor evacuated,
-// and no other run has taken its place.
-func (d *Dispatcher) usable(key blackboard.ServiceKey, chosen blackboard.Target) bool {
+// usable reports whether the target of a grant may get the request: the grant holds still, the target
+// is listed, neither leaving nor evacuated, and no other run has taken its place.
+func (d *Dispatcher) usable(key blackboard.ServiceKey, g pick.Grant) bool {
+	if by := basisOf(g).SendBy; !by.IsZero() && time.Now().After(by) {
+		return false
+	}
+	chosen := g.Target()
 	for _, t := range d.board.Targets.Load().ByService[key] {
 		if t.ID == chosen.ID {
 			return !t.Leaving && !t.Evacuated && !t.Incarnation.Replaces(chosen.Incarnation)
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -29,6 +29,8 @@
 	released []pick.Class
 	// silent is reported in the basis of each grant: targets that don't report load.
 	silent bool
+	// firstSendBy is until when the grant for t1 holds.
+	firstSendBy time.Time
 }
 
 func (p *fakePicker) Pick(context.Context, pick.Request) (pick.Grant, outcome.Result) {
@@ -53,7 +55,13 @@
 }
 
 // Basis implements pick.Explainer.
-func (g *fakeGrant) Basis() pick.Basis { return pick.Basis{LoadUnreported: g.picker.silent} }
+func (g *fakeGrant) Basis() pick.Basis {
+	b := pick.Basis{LoadUnreported: g.picker.silent}
+	if g.id == "t1" {
+		b.SendBy = g.picker.firstSendBy
+	}
+	return b
+}
 
 func (g *fakeGrant) Target() blackboard.Target {
 	return blackboard.Target{ID: g.id, Addr: string(g.id) + ":80"}
--- a/dispatch/left_test.go
+++ b/dispatch/left_test.go
@@ -59,3 +59,22 @@
 		}
 	}
 }
+
+// Guards against a call that is sent to a target long after it was placed there, because its
+// connection took long to open: the target may have turned cold meanwhile.
+func TestCallGoesElsewhereIfItsGrantExpiresWhileItConnects(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newHarness(t, shed(), shed())
+			up := new(lateUpstream)
+			b.d.upstream = up
+			b.d.retries = new(hedgeBudget) // allows no retry
+			b.picker.firstSendBy = time.Now().Add(250 * time.Millisecond)
+			c := newCall(method)
+			b.d.board.Targets.Store(&blackboard.Targets{ByService: map[blackboard.ServiceKey][]blackboard.Target{c.Key: {{ID: "t1"}, {ID: "t2"}}}})
+			body, err := readReply(t, b.do(t, context.Background(), c))
+			assert.Check(t, err)
+			assert.Check(t, body == "t2" && len(up.sent) == 1, "%s, sent to %v", body, up.sent)
+		})
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -85,6 +85,9 @@
 	// WarmAge is the age of the target's own report that it is warm, if the call was sent on the
 	// strength of it; 0 if not.
 	WarmAge time.Duration
+	// SendBy is until when the choice holds; zero if it holds until the target leaves. A call that
+	// isn't sent by then, because a connection is still being opened, is placed again.
+	SendBy time.Time
 	// Limit is the limit that the target set, in requests per second; 0 if none.
 	Limit float64
 	// Probed is the number of targets probed for the choice, Waited the time that the choice
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -159,12 +159,18 @@
 	return s.coldLimited(now, t) && !(s.view.MayOwn(now) && s.coldQuotaOf(now, t).Available(now))
 }
 
+// grantTTL is how long a call that was placed at a target that may turn cold may take to be sent.
+// Calls that wait longer for a connection would reach the target together, and later than its quota
+// allowed them.
+const grantTTL = 250 * time.Millisecond
+
 // admitCold takes a call to a target from this host's quota if the target is, or may be, cold. It
 // records in b why the call is allowed. The caller holds the lock.
 func (s *service) admitCold(now time.Time, t *target, b *pick.Basis) (cold bool) {
 	if !s.limits.bounded() {
 		return false
 	}
+	b.SendBy = now.Add(grantTTL)
 	if !s.coldLimited(now, t) {
 		b.WarmAge = t.cold.ReportAge(now)
 		return false
