--- a/edge/retries_test.go
+++ b/edge/retries_test.go
@@ -62,3 +62,28 @@
 		assert.Check(t, spent > int(set.Reserve)/2, "%d", spent)
 	})
 }
+
+// Guards against hosts that have just started, know only themselves, and each take the whole reserve.
+func TestHostsThatKnowOnlyThemselvesKeepToTheReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 14
+		set := settings.Retries{Ratio: 0.2, Window: "10s", Reserve: 58}
+		spent := 0
+		var budgets []*retryBudget
+		for range hosts {
+			b := blackboard.New()
+			defer b.Close()
+			b.Members.Store(members(1))
+			budgets = append(budgets, newRetryBudget(set, b))
+		}
+		for range 20 {
+			time.Sleep(50 * time.Millisecond)
+			for _, r := range budgets {
+				if r.Take(blackboard.ServiceKey{Service: "s"}, time.Now()) {
+					spent++
+				}
+			}
+		}
+		assert.Check(t, spent <= int(set.Reserve), "%d", spent)
+	})
+}
