Invariant: calls to targets that may be cold are taken from the host's quota

The choice ignored whether the quota gave the call; it asks and takes under one lock at one time now, and that they agree is asserted (cold-quota).

--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -34,6 +34,8 @@
 	EvacuatedIdle Name = "evacuated-idle"
 	// SlotAccount: the number of granted slots matches the requests that hold them.
 	SlotAccount Name = "slot-account"
+	// ColdQuota: a call to a target that is or may be cold is taken from this host's quota.
+	ColdQuota Name = "cold-quota"
 	// QuotaPart: a zone's part of a tenant's quota never exceeds its capacity.
 	QuotaPart Name = "quota-part"
 	// RouteService: every route of a table refers to services of the same table.
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/invariant"
 	"github.com/cactusproxy/cactusproxy/pick"
 	"github.com/cactusproxy/cactusproxy/policy/coldstart"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -176,7 +177,9 @@
 		return false
 	}
 	q := s.coldQuotaOf(now, t)
-	q.Take(now)
+	if !s.view.MayOwn(now) || !q.Take(now) {
+		invariant.Check(false, invariant.ColdQuota, "%s", t.info.RunID())
+	}
 	b.Cold = t.cold.Basis(now).String()
 	b.ColdQuota = pick.ColdQuota{
 		Owners:      q.Owners,
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -193,9 +193,9 @@
 // neither a grant nor a reason if the caller should first try what next allows. noSlot reports
 // whether the best target has no slot free for the call.
 func (p *Placer) choose(ctx context.Context, s *service, req pick.Request, list []ranked, next placement.Fallback) (_ *heldGrant, _ outcome.Reason, noSlot bool) {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	t, cost := s.best(now, placement.TransferCost(req.Bytes), list)
 	if t == nil {
 		return nil, overloadIf(next == placement.NoFallback), true
