Retries: a host that starts under load takes one of the reserve until it knows all others

The reserve of the retry budget is divided by the hosts that each host knows.

A host that started under load takes one retry of the reserve until it knows all others. A first start of a deployment, before there are callers, stays as it was; its own test is unchanged.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -68,10 +68,14 @@
 	assert.Check(t, leaving.LastRun().Before(mark))
 }
 
+// timeToKnowAll is how long after its start a host knows all others, and has its share of the retries.
+const timeToKnowAll = 1500 * time.Millisecond
+
 // A target runs a request and its response is lost. A safe request must be retried on another
 // target. A mutating one must not run again, and its client gets status 502: it may have run.
 func TestLostAnswers(t *testing.T) {
 	l := newLocalCluster(t, 1)
+	time.Sleep(timeToKnowAll)
 	for _, tg := range l.targets {
 		tg.LoseResponse = func(id string) bool { return strings.HasSuffix(id, "-lost") && l.runs(id) == 1 }
 	}
@@ -108,6 +112,7 @@
 // have run. Guards against forwarding the status, which would blame a valid request.
 func TestErrorWithoutSealIsNotForwarded(t *testing.T) {
 	l := newLocalCluster(t, 1)
+	time.Sleep(timeToKnowAll)
 	statuses := []int{301, 400, 404, 413, 431}
 	for _, tg := range l.targets {
 		tg.CorruptStatus = func(id string) int {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -217,7 +217,7 @@
 		Contract:            d.platform.Contract,
 		OnSignals:           d.observeSignals,
 		OnBroken:            d.verifyTarget,
-		Retries:             newRetryBudget(d.settings.Retries, d.board),
+		Retries:             newRetryBudget(d.settings.Retries, d.board, !d.settings.Directory.FirstStart),
 		ResponseBufferBytes: d.responseMemory(),
 	})
 	d.entry = entry.New(entry.Deps{
--- a/edge/retries.go
+++ b/edge/retries.go
@@ -20,6 +20,8 @@
 	limits  settings.Retries
 	board   *blackboard.Board
 	started time.Time
+	// underLoad is set if the host started while others were serving.
+	underLoad bool
 
 	mu      sync.Mutex
 	windows map[blackboard.ServiceKey]*retry.Window
@@ -27,8 +29,8 @@
 
 var _ dispatch.RetryBudget = (*retryBudget)(nil)
 
-func newRetryBudget(s settings.Retries, b *blackboard.Board) *retryBudget {
-	return &retryBudget{limits: s, board: b, started: time.Now(), windows: make(map[blackboard.ServiceKey]*retry.Window)}
+func newRetryBudget(s settings.Retries, b *blackboard.Board, underLoad bool) *retryBudget {
+	return &retryBudget{limits: s, board: b, started: time.Now(), underLoad: underLoad, windows: make(map[blackboard.ServiceKey]*retry.Window)}
 }
 
 // Call implements dispatch.RetryBudget.
@@ -63,13 +65,23 @@
 // initialReserveRatio is the fraction of its share of the reserve that a host starts with.
 const initialReserveRatio = 0.25
 
+// unknownShare is the most that a host that started under load takes of the reserve before it knows
+// all others, in requests per window.
+const unknownShare = 1
+
 // reserveShare returns this host's share of the reserve, in requests per window. It ramps up to the
 // full share over the first window: a host that has just started may know only its seeds, and
-// would take far more than its share.
+// would take far more than its share. Under load many hosts may start together that know only
+// themselves, and each would take the whole reserve.
 func (r *retryBudget) reserveShare(now time.Time) float64 {
-	hosts := max(1, len(r.board.Members.Load().Members))
+	m := r.board.Members.Load()
+	hosts := max(1, len(m.Members))
 	ramp := min(1, max(initialReserveRatio, float64(now.Sub(r.started))/float64(r.span())))
-	return ramp * distributedBudgetRatio * r.limits.Reserve / float64(hosts)
+	share := ramp * distributedBudgetRatio * r.limits.Reserve / float64(hosts)
+	if r.underLoad && !m.Complete {
+		return min(share, unknownShare)
+	}
+	return share
 }
 
 func (r *retryBudget) span() time.Duration { return r.limits.Window.Or(defaultRetryWindow) }
