Soak: a request on a connection to a run that was killed is not one of an undisturbed host

Trace: host-1 was killed at about 5.98 s, in series; the request failed at 5.984 s by the soak's clock and is in no log; the next run listened 0.1 s later. It went out after the next process was started, on a connection that the caller had kept to the killed one.

Such requests are told by httptrace now: sent on a connection that had been used before, within a second after its host got SIGKILL. All others are checked as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/platform/standin"
@@ -34,6 +35,8 @@
 	body     string
 	seal     string
 	err      error
+	// reused is set if it was sent on a connection that had been used before.
+	reused bool
 	// undisturbed is the result of undisturbedDuring when the request ended. It is stored
 	// because a later disturbance overwrites the state that it depends on.
 	undisturbed bool
@@ -105,6 +108,8 @@
 	req.Host = hostName
 	req.Header.Set(standin.HeaderRequestID, r.id)
 	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.reused = i.Reused }}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	r.at = time.Now()
 	resp, err := c.Do(req)
 	if err == nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -99,6 +99,9 @@
 	return ok && since.Before(r.at)
 }
 
+// noticeKill is how long a caller on a busy machine may take to notice that a connection has ended.
+const noticeKill = time.Second
+
 // checkFailed checks a request without a response. Only hosts that were killed, paused or
 // disconnected may cause one, never a graceful stop.
 func (s *Soak) checkFailed(r *request) {
@@ -108,8 +111,10 @@
 	disturbed := p.disturbed
 	// A request may be sent after the kill was recorded and before the process dies.
 	killed := p.killed
+	// A caller may not have noticed yet that a connection to the run that was killed has ended.
+	onDeadConn := r.reused && p.killedAt.After(r.at.Add(-noticeKill)) && p.killedAt.Before(r.end)
 	p.mu.Unlock()
-	if killed {
+	if killed || onDeadConn {
 		return
 	}
 	if isConnRefused(r.err) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -36,6 +36,8 @@
 	// expected is set while the process is being ended, killed if by SIGKILL.
 	expected bool
 	killed   bool
+	// killedAt is when the process last got SIGKILL.
+	killedAt time.Time
 	// restarting is set from the first signal that ends the process until it has been
 	// started again.
 	restarting bool
@@ -169,6 +171,9 @@
 	p.expected = true
 	p.disturbed = time.Now()
 	p.killed = s == syscall.SIGKILL
+	if p.killed {
+		p.killedAt = p.disturbed
+	}
 	if s == syscall.SIGTERM {
 		p.termAt = time.Now()
 	}
@@ -191,6 +196,9 @@
 	if p.restarting {
 		p.killed = p.killed || s == syscall.SIGKILL
 		p.disturbed = time.Now()
+		if s == syscall.SIGKILL {
+			p.killedAt = p.disturbed
+		}
 		p.mu.Unlock()
 		p.signal(s)
 		return
