--- a/placer/coldflood_test.go
+++ b/placer/coldflood_test.go
@@ -59,23 +59,29 @@
 	}()
 }
 
+// floodWhile sends calls to targets that are all cold while change is called at an interval, and
+// checks that none gets too many.
+func floodWhile(t *testing.T, every time.Duration, change func(t *testing.T, l *coldCluster, n int)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newColdCluster(t, 40)
+		defer l.board.Close()
+		begin := time.Now()
+		l.setAllCold(begin)
+		l.during(coldDuration, every, func(n int) { change(t, l, n) })
+		sent, refused := l.runLoad(t, rand.New(rand.NewPCG(9, 9)), 600, coldDuration)
+		t.Logf("every %s: %d calls, %d refused, at most %d a second", every, sent, refused, l.worst(begin))
+		assert.Check(t, l.worst(begin) <= maxColdCalls, "every %s: %d", every, l.worst(begin))
+	})
+}
+
 // Guards against hosts that may send a cold target more with each list of hosts that is published,
 // though it names the same hosts.
 func TestColdTargetsAreNotFloodedWhenTheListOfHostsIsPublishedAgain(t *testing.T) {
 	for _, every := range []time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			l := newColdCluster(t, 40)
-			defer l.board.Close()
-			begin := time.Now()
-			l.setAllCold(begin)
-			l.during(coldDuration, every, func(int) {
-				for i := range coldHosts {
-					l.placer(i).deps.Board.Members.Store(l.members(i))
-				}
-			})
-			sent, refused := l.runLoad(t, rand.New(rand.NewPCG(9, 9)), 600, coldDuration)
-			t.Logf("every %s: %d calls, %d refused, at most %d a second", every, sent, refused, l.worst(begin))
-			assert.Check(t, l.worst(begin) <= maxColdCalls, "every %s: %d", every, l.worst(begin))
+		floodWhile(t, every, func(_ *testing.T, l *coldCluster, _ int) {
+			for i := range coldHosts {
+				l.placer(i).deps.Board.Members.Store(l.members(i))
+			}
 		})
 	}
 }
@@ -84,52 +90,45 @@
 // hosts leave the list and return by turns.
 func TestColdTargetsAreNotFloodedWhileHostsComeAndGo(t *testing.T) {
 	for _, every := range []time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			l := newColdCluster(t, 40)
-			defer l.board.Close()
-			begin := time.Now()
-			l.setAllCold(begin)
-			l.during(coldDuration, every, func(n int) {
-				for i := range coldHosts {
-					l.placer(i).deps.Board.Members.Store(l.members(i, n%coldHosts, (n+7)%coldHosts, (n+19)%coldHosts))
-				}
-			})
-			sent, refused := l.runLoad(t, rand.New(rand.NewPCG(9, 9)), 600, coldDuration)
-			t.Logf("every %s: %d calls, %d refused, at most %d a second", every, sent, refused, l.worst(begin))
-			assert.Check(t, l.worst(begin) <= maxColdCalls, "every %s: %d", every, l.worst(begin))
+		floodWhile(t, every, func(_ *testing.T, l *coldCluster, n int) {
+			for i := range coldHosts {
+				l.placer(i).deps.Board.Members.Store(l.members(i, n%coldHosts, (n+7)%coldHosts, (n+19)%coldHosts))
+			}
 		})
 	}
 }
 
+// Guards against hosts that are killed and started again one after the other, each with a new quota.
+func TestHostsThatRestartByTurnsDoNotFloodColdTargets(t *testing.T) {
+	for _, every := range []time.Duration{10 * time.Millisecond, 25 * time.Millisecond, 100 * time.Millisecond} {
+		floodWhile(t, every, func(t *testing.T, l *coldCluster, n int) { l.restart(t, n%coldHosts, l.members(n%coldHosts)) })
+	}
+}
+
 // Guards against a cold target's quota that begins anew each time its entry vanishes and returns.
 func TestColdTargetsAreNotFloodedWhileTheirEntriesComeAndGo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		l := newColdCluster(t, 40)
-		defer l.board.Close()
-		begin := time.Now()
-		l.setAllCold(begin)
-		full := l.board.Targets.Load()
-		some := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
-		for i, tg := range full.ByService[testKey] {
-			if i%4 == 0 {
-				some.ByService[testKey] = append(some.ByService[testKey], tg)
-			}
+	floodWhile(t, 25*time.Millisecond, func(_ *testing.T, l *coldCluster, n int) {
+		view := l.board.Targets.Load()
+		if n%2 == 0 {
+			view = everyFourth(view)
+		}
+		for i := range coldHosts {
+			l.placer(i).deps.Board.Targets.Store(view)
 		}
-		l.during(coldDuration, 25*time.Millisecond, func(n int) {
-			view := some
-			if n%2 == 1 {
-				view = full
-			}
-			for i := range coldHosts {
-				l.placer(i).deps.Board.Targets.Store(view)
-			}
-		})
-		sent, refused := l.runLoad(t, rand.New(rand.NewPCG(13, 13)), 600, coldDuration)
-		t.Logf("%d calls, %d refused, at most %d a second", sent, refused, l.worst(begin))
-		assert.Check(t, l.worst(begin) <= maxColdCalls, "%d", l.worst(begin))
 	})
 }
 
+// everyFourth returns a list with every fourth target of another.
+func everyFourth(view *blackboard.Targets) *blackboard.Targets {
+	some := &blackboard.Targets{ByService: make(map[blackboard.ServiceKey][]blackboard.Target)}
+	for i, tg := range view.ByService[testKey] {
+		if i%4 == 0 {
+			some.ByService[testKey] = append(some.ByService[testKey], tg)
+		}
+	}
+	return some
+}
+
 // Guards against hosts that have just started, know few others and so own the calls of every cold
 // target.
 func TestHostsThatKnowFewOthersDoNotFloodColdTargets(t *testing.T) {
@@ -157,22 +156,6 @@
 	}
 }
 
-// Guards against hosts that are killed and started again one after the other, each with a new quota.
-func TestHostsThatRestartByTurnsDoNotFloodColdTargets(t *testing.T) {
-	for _, every := range []time.Duration{10 * time.Millisecond, 25 * time.Millisecond, 100 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
-			l := newColdCluster(t, 40)
-			defer l.board.Close()
-			begin := time.Now()
-			l.setAllCold(begin)
-			l.during(coldDuration, every, func(n int) { l.restart(t, n%coldHosts, l.members(n%coldHosts)) })
-			sent, refused := l.runLoad(t, rand.New(rand.NewPCG(12, 12)), 600, coldDuration)
-			t.Logf("every %s: %d calls, %d refused, at most %d a second", every, sent, refused, l.worst(begin))
-			assert.Check(t, l.worst(begin) <= maxColdCalls, "every %s: %d", every, l.worst(begin))
-		})
-	}
-}
-
 // Guards against calls that are refused at once where all targets are warm and only their replies to
 // probes are late.
 func TestCallsWaitForLateReports(t *testing.T) {
