--- a/calllog/calllog_test.go
+++ b/calllog/calllog_test.go
@@ -11,7 +11,7 @@
 	"github.com/cactusproxy/cactusproxy/pick"
 )
 
-// Guards against a call to a cold target that leaves no line, or one that doesn't tell what allowed it.
+// Guards against a call to a cold target that leaves no line, or one that lacks what allowed it.
 func TestCallToAColdTargetIsLoggedWithItsQuota(t *testing.T) {
 	basis := pick.Basis{
 		Cold:      "zone-returned",
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -55,8 +55,7 @@
 	// defaultDrainNotice is the time between the stop signal and the closing of the listener. The
 	// platform's load balancer checks once a second and removes a host after two failures. The
 	// process is killed 6 s after the signal and an upload may take 4 s, so that requests
-	// accepted later than 3 s after the signal might not complete. With 3.2 s here, one that was
-	// accepted at 3.04 s was cut off.
+	// accepted later than 3 s after the signal might not complete.
 	defaultDrainNotice = 2800 * time.Millisecond
 	// defaultDrainLimit ends the drain before the platform kills the process, 6 s after the
 	// signal.
--- a/placer/coldflood_test.go
+++ b/placer/coldflood_test.go
@@ -199,7 +199,7 @@
 }
 
 // Guards against a rejection, or a response that doesn't name its target, that is taken for the
-// target's word that it is warm.
+// target's own report that it is warm.
 func TestOnlyTheTargetsOwnResponseSaysThatItIsWarm(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
--- a/policy/coldstart/quota.go
+++ b/policy/coldstart/quota.go
@@ -17,7 +17,7 @@
 	return min(max(int(math.Floor(perSecond)), 1), hosts)
 }
 
-// Ownership tells whether a host owns a share of the calls to a cold target, and how many owners
+// Ownership is whether a host owns a share of the calls to a cold target, and how many owners
 // there are out of how many hosts.
 type Ownership struct {
 	Owned         bool
@@ -78,8 +78,8 @@
 
 // ownerRate returns the calls per second of each of some owners.
 //
-// Fractions of a call are left out: at 1.1 calls per second each owner would send two within some
-// second, and hosts that disagree about the owners would together send twice as many.
+// Fractions of a call are left out: an owner with a rate above one call per second sends two within
+// some second, and hosts that disagree about the owners would together send twice as many.
 func ownerRate(perSecond float64, owners int) rate.Limit {
 	if perSecond >= 1 {
 		perSecond = math.Floor(perSecond)
