An answer after a lost probe ends the target's backoff

Callers saw no-target (503) for up to 250 ms from a host whose targets had just answered it. Cause: when the connections to targets stall, the host's probes to all of them go unanswered at once, and each target gets a backoff of 250 ms. The next probe is answered a millisecond later on a new connection ("target reached again"), but the answer ended only the count of failures, not the backoff. Change: a probe without an answer in time has a backoff of its own, which an answer to a later request or probe ends. Refused connections, rejections and answers for another target keep theirs: a target that turns connections away may answer on others. Tests: placer.TestAnswerAfterALostProbeEndsTheBackoff failed before; TestAnswerDoesNotEndTheBackoffAfterARefusedConnection holds the other side.

--- a/placer/probe.go
+++ b/placer/probe.go
@@ -189,10 +189,16 @@
 		}
 		return ""
 	}
-	if !a.reached {
-		return t.recordUnreached(now, a.pathFault)
+	switch {
+	case a.reached:
+	case a.pathFault:
+		return recordUnreached(t.markNoPath())
+	case a.failure == upstream.CauseTimeout:
+		return recordUnreached(t.markSilent(now))
+	default:
+		return recordUnreached(t.markUnreachable(now))
 	}
-	recovered := t.markReachable()
+	recovered := t.markReachable(now.Add(-took))
 	switch {
 	case s.recordWarmUp(now.Add(-took), now, t, a):
 		return msgCold
--- a/placer/target.go
+++ b/placer/target.go
@@ -41,7 +41,10 @@
 	// the target.
 	backoffUntil    time.Time
 	connectFailures int
-	backoffs        int
+	// silentUntil is like backoffUntil for a probe without an answer in time, which was recorded at
+	// silentAt. An answer to a later request ends it.
+	silentAt, silentUntil time.Time
+	backoffs              int
 	// replacedBackoff is the last backoff after an answer for another target; a good answer
 	// resets it to 0.
 	replacedBackoff time.Duration
@@ -65,7 +68,7 @@
 
 // available reports whether the target may get a call now.
 func (t *target) available(now time.Time) bool {
-	return !t.info.Leaving && !t.info.Evacuated && !now.Before(t.backoffUntil) && !t.health.Ejected(now) &&
+	return !t.info.Leaving && !t.info.Evacuated && !now.Before(t.backoffUntil) && !now.Before(t.silentUntil) && !t.health.Ejected(now) &&
 		(!t.health.OnTrial() || t.figures.InFlight == 0)
 }
 
@@ -83,11 +86,23 @@
 // markUnreachable backs off exponentially from a target that cannot be reached, and reports
 // whether this is the first failure.
 func (t *target) markUnreachable(now time.Time) bool {
-	t.backOff(now, min(initialBackoff<<min(t.backoffs, 8), maxBackoff))
-	t.backoffs++
+	t.backOff(now, t.nextBackoff())
 	return t.markNoPath()
 }
 
+// markSilent is like markUnreachable for a probe that got no answer in time: the connection may have
+// stalled while the target is well.
+func (t *target) markSilent(now time.Time) bool {
+	t.silentAt, t.silentUntil = now, now.Add(t.nextBackoff())
+	return t.markNoPath()
+}
+
+func (t *target) nextBackoff() time.Duration {
+	d := min(initialBackoff<<min(t.backoffs, 8), maxBackoff)
+	t.backoffs++
+	return d
+}
+
 // markNoPath records a failure to reach the target that says nothing about it, and reports whether
 // this is the first failure.
 func (t *target) markNoPath() bool {
@@ -95,25 +110,21 @@
 	return t.connectFailures == 1
 }
 
-// recordUnreached records that an attempt or a probe did not reach the target; with pathFault, the
-// failure says nothing about the target. It returns the log message of a resulting state change,
-// or "".
-func (t *target) recordUnreached(now time.Time, pathFault bool) (change string) {
-	first := false
-	if pathFault {
-		first = t.markNoPath()
-	} else {
-		first = t.markUnreachable(now)
-	}
+// recordUnreached records that the target was not reached, with the result of the mark method that says
+// how. It returns the log message of a resulting state change, or "".
+func recordUnreached(first bool) (change string) {
 	if first {
 		return msgUnreachable
 	}
 	return ""
 }
 
-// markReachable records that the target answered, and reports whether it was unreachable
-// before.
-func (t *target) markReachable() bool {
+// markReachable records that the target answered a request that was sent at the given time, and
+// reports whether it was unreachable before.
+func (t *target) markReachable(sent time.Time) bool {
+	if sent.After(t.silentAt) {
+		t.silentUntil = time.Time{}
+	}
 	was := t.connectFailures > 0
 	t.connectFailures, t.backoffs, t.replacedBackoff = 0, 0, 0
 	return was
@@ -139,15 +150,15 @@
 	t.figures.InFlight--
 	switch r.Class {
 	case pick.OK:
-		if t.markReachable() {
+		if t.markReachable(now.Add(-r.Latency)) {
 			return msgReachable
 		}
 	case pick.Shed:
 		t.backOff(now, shedBackoff)
 	case pick.NotSent:
-		return t.recordUnreached(now, false)
+		return recordUnreached(t.markUnreachable(now))
 	case pick.NoPath:
-		return t.recordUnreached(now, true)
+		return recordUnreached(t.markNoPath())
 	case pick.Leaving:
 		t.info.Leaving = true
 		return msgLeaving
