Quarantine: uploads that aren't held in memory are told apart by their first 32 KiB

Callers saw an upload of over 1 MiB crash a target at each send, without end, where others uploaded to the same path; and where none did, all uploads to the path refused once it was quarantined. Change: the first 32 KiB are read before such a request is sent, and belong to its digest. Callers that want a response before they send more wait 100 ms longer for it: what has arrived by then is sent on, and its digest is of one of few lengths. A body in chunks that ends within the first part has its length, so that it is the same request on hosts with and without memory for it. Tests: entry.TestUploadsThatAreNotHeldInMemoryAreToldApart failed before; TestHeadThatIsLateIsKnownByOneOfFewLengths, TestBodyInChunksIsTheSameRequestWithAndWithoutMemory, TestHeadOfAnUploadIsForwarded.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -131,7 +131,7 @@
 		URL:           &u,
 		Host:          c.Host,
 		Header:        h,
-		Body:          c.Body.reader(),
+		Body:          c.Body.Reader(),
 		ContentLength: c.Body.length,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -11,6 +11,7 @@
 // Body is a request body. A body in memory can be sent any number of times; a stream can be sent
 // only as long as none of it has been read.
 type Body struct {
+	// mem is the whole body or, of a stream, its first part.
 	mem     []byte
 	stream  io.ReadCloser
 	length  int64
@@ -21,13 +22,23 @@
 // MemoryBody returns a Body held in memory.
 func MemoryBody(b []byte) *Body { return &Body{mem: b, length: int64(len(b))} }
 
-// StreamBody returns a Body that is read from r while it is sent; length is -1 if unknown.
-func StreamBody(r io.ReadCloser, length int64) *Body {
-	return &Body{stream: r, length: length}
+// StreamBody returns a Body that is read from r while it is sent; length is -1 if unknown. Head is its first
+// part, as far as it is known before.
+func StreamBody(r io.ReadCloser, length int64, head []byte) *Body {
+	return &Body{mem: head, stream: r, length: length}
 }
 
 // Bytes returns the body if it is held in memory, and false for a stream.
-func (b *Body) Bytes() ([]byte, bool) { return b.mem, b.stream == nil }
+func (b *Body) Bytes() ([]byte, bool) {
+	if b.stream != nil {
+		return nil, false
+	}
+	return b.mem, true
+}
+
+// Head returns what is known of the body before it is sent: all of a body in memory, and the first part
+// of a stream.
+func (b *Body) Head() []byte { return b.mem }
 
 // Length returns the length in bytes, or -1 if unknown.
 func (b *Body) Length() int64 { return b.length }
@@ -38,8 +49,8 @@
 // Aborted reports whether reading the body from the caller failed before its end.
 func (b *Body) Aborted() bool { return b.aborted.Load() }
 
-// reader returns a reader of the body for one attempt.
-func (b *Body) reader() io.ReadCloser {
+// Reader returns a reader of the body for one attempt.
+func (b *Body) Reader() io.ReadCloser {
 	if b.stream != nil {
 		return &streamReader{body: b}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -107,7 +107,7 @@
 	}
 	b := newHarness(t, shedAfterRead, respond(200, "", nil))
 	c := newCall(http.MethodPut)
-	c.Body = StreamBody(io.NopCloser(strings.NewReader("upload")), 6)
+	c.Body = StreamBody(io.NopCloser(strings.NewReader("upload")), 6, nil)
 	r := b.do(t, context.Background(), c)
 	assert.Equal(t, r.Result.Outcome, outcome.NotRun)
 	assert.Equal(t, r.Result.Reason, outcome.ReasonShed)
--- a/entry/request.go
+++ b/entry/request.go
@@ -78,14 +78,13 @@
 
 // digest returns the hash by which the quarantine knows a request.
 func (s *Server) digest(r *http.Request, c *dispatch.Call) uint64 {
-	content, _ := c.Body.Bytes()
 	q := quarantine.Request{
 		Workspace: c.Key.Workspace,
 		Service:   c.Key.Service,
 		Method:    c.Method,
 		Path:      c.URL.RequestURI(),
 		Caller:    c.Caller,
-		Body:      content,
+		Body:      c.Body.Head(),
 		Length:    c.Body.Length(),
 	}
 	if name := s.deps.Contract.Key; name != "" && r.Header.Get(name) != "" {
@@ -142,8 +141,8 @@
 	return "auth:" + hex.EncodeToString(sum[:16])
 }
 
-// readBody reads a body into memory if it is small enough to be replayed; otherwise the body stays
-// a stream.
+// readBody reads a body into memory if it is small enough to be replayed; otherwise it reads the head and
+// the rest stays a stream.
 func (s *Server) readBody(r *http.Request, m Match) (*dispatch.Body, func(), outcome.Result) {
 	limit := m.Service.MaxBody
 	if limit > 0 && r.ContentLength > limit {
@@ -156,42 +155,51 @@
 	if limit > 0 {
 		stream = http.MaxBytesReader(nil, r.Body, limit)
 	}
-	maxReplay := int64(m.Service.MaxReplayBody)
-	if r.ContentLength < 0 {
-		return s.readUnsizedBody(r, stream, maxReplay, m)
-	}
-	if r.ContentLength > maxReplay || !s.memory.TryAcquire(r.ContentLength) {
-		return dispatch.StreamBody(stream, r.ContentLength), func() {}, outcome.Result{}
-	}
-	release := func() { s.memory.Release(r.ContentLength) }
-	b := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(stream, b); err != nil {
+	body, release, err := s.readStart(r.ContentLength, stream, int64(m.Service.MaxReplayBody))
+	if err != nil {
 		release()
 		return nil, nil, s.bodyError(r, m, err)
 	}
-	return dispatch.MemoryBody(b), release, outcome.Result{}
+	return body, release, outcome.Result{}
 }
 
-// readUnsizedBody reads a body of unknown length into memory if it turns out to be small enough.
-// The rest of a longer one stays a stream.
-func (s *Server) readUnsizedBody(r *http.Request, stream io.ReadCloser, maxReplay int64, m Match) (*dispatch.Body, func(), outcome.Result) {
-	if maxReplay == 0 || !s.memory.TryAcquire(maxReplay) {
-		return dispatch.StreamBody(stream, -1), func() {}, outcome.Result{}
+// readStart reads as much of a body of the given length, which is -1 if unknown, as must be known before
+// it is sent. The returned function releases the memory, also after an error.
+func (s *Server) readStart(length int64, stream io.ReadCloser, maxReplay int64) (*dispatch.Body, func(), error) {
+	reserve := length
+	if length < 0 {
+		reserve = maxReplay
+	}
+	if reserve == 0 || reserve > maxReplay || !s.memory.TryAcquire(reserve) {
+		body, err := streamBody(stream, length)
+		return body, func() {}, err
+	}
+	release := func() { s.memory.Release(reserve) }
+	if length >= 0 {
+		b := make([]byte, length)
+		_, err := io.ReadFull(stream, b)
+		return dispatch.MemoryBody(b), release, err
 	}
-	release := func() { s.memory.Release(maxReplay) }
 	b, err := io.ReadAll(io.LimitReader(stream, maxReplay))
-	if err != nil {
-		release()
-		return nil, nil, s.bodyError(r, m, err)
-	}
-	if int64(len(b)) < maxReplay {
-		return dispatch.MemoryBody(b), release, outcome.Result{}
+	if err != nil || int64(len(b)) < maxReplay {
+		return dispatch.MemoryBody(b), release, err
 	}
 	whole := struct {
 		io.Reader
 		io.Closer
 	}{io.MultiReader(bytes.NewReader(b), stream), stream}
-	return dispatch.StreamBody(whole, -1), release, outcome.Result{}
+	return dispatch.StreamBody(whole, -1, b[:min(headBytes, len(b))]), release, nil
+}
+
+// streamBody reads the head of a body that stays a stream. If the body turns out to end in it, its length is
+// known, so that the request is the same one as where the body is held in memory.
+func streamBody(stream io.ReadCloser, length int64) (*dispatch.Body, error) {
+	h := readHead(stream, length)
+	b, err := h.known()
+	if errors.Is(err, io.EOF) && (length < 0 || length == int64(len(b))) {
+		length, err = int64(len(b)), nil
+	}
+	return dispatch.StreamBody(h, length, b), err
 }
 
 func (s *Server) bodyError(r *http.Request, m Match, err error) outcome.Result {
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -11,6 +11,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -37,9 +39,8 @@
 
 func (d *recorder) Do(_ context.Context, c *dispatch.Call) *dispatch.Reply {
 	d.call = c
-	if b, ok := c.Body.Bytes(); ok {
-		d.body = string(b)
-	}
+	b, _ := io.ReadAll(c.Body.Reader())
+	d.body = string(b)
 	return &d.reply
 }
 
@@ -307,3 +308,76 @@
 	assert.Equal(t, digest("a"), digest("a"))
 	assert.Equal(t, digest(""), digest(""))
 }
+
+// Guards against uploads to one path that are one request to the quarantine, so that one of them crashes
+// targets without end beside the others, or closes the path for them.
+func TestUploadsThatAreNotHeldInMemoryAreToldApart(t *testing.T) {
+	s, d, _ := newServer(t)
+	digest := func(body io.Reader, length int64) uint64 {
+		r := httptest.NewRequest(http.MethodPut, "http://auction.example/lots", body)
+		r.ContentLength = length
+		do(s, r)
+		_, inMemory := d.call.Body.Bytes()
+		assert.Check(t, !inMemory)
+		return d.call.RequestDigest
+	}
+	for _, length := range []int64{18, -1} {
+		one := digest(strings.NewReader("lake, a photograph"), length)
+		assert.Check(t, one != digest(strings.NewReader("hall, a photograph"), length))
+		assert.Equal(t, one, digest(iotest.OneByteReader(strings.NewReader("lake, a photograph")), length))
+	}
+}
+
+// Guards against a body in chunks that is another request on a host that has no memory left for it.
+func TestBodyInChunksIsTheSameRequestWithAndWithoutMemory(t *testing.T) {
+	s, d, _ := newServer(t)
+	digest := func() uint64 {
+		r := httptest.NewRequest(http.MethodPut, "http://auction.example/lots", strings.NewReader("an upload"))
+		r.ContentLength = -1
+		do(s, r)
+		return d.call.RequestDigest
+	}
+	withMemory := digest()
+	assert.Check(t, s.memory.TryAcquire(1<<10))
+	assert.Equal(t, digest(), withMemory)
+	_, inMemory := d.call.Body.Bytes()
+	assert.Check(t, !inMemory)
+}
+
+// Guards against an upload that reaches the target without its first part, or twice.
+func TestHeadOfAnUploadIsForwarded(t *testing.T) {
+	s, d, _ := newServer(t)
+	for _, length := range []int64{60, -1} {
+		body := strings.Repeat("abc", 20)
+		r := httptest.NewRequest(http.MethodPut, "http://auction.example/lots", strings.NewReader(body))
+		r.ContentLength = length
+		do(s, r)
+		assert.Equal(t, d.body, body)
+	}
+}
+
+// Guards against a slow upload that is a new request with each way in which its parts arrive, and against
+// one that is not sent on before its caller, which wants a response first, goes on.
+func TestHeadThatIsLateIsKnownByOneOfFewLengths(t *testing.T) {
+	digests := make(map[uint64]bool)
+	for n := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			s, d, _ := newServer(t)
+			from, to := io.Pipe()
+			r := httptest.NewRequest(http.MethodPut, "http://auction.example/lots", from)
+			r.ContentLength = 60
+			start := time.Now()
+			go func() {
+				_, _ = io.WriteString(to, strings.Repeat("a", n))
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(to, strings.Repeat("a", 60-n))
+				_ = to.Close()
+			}()
+			do(s, r)
+			assert.Equal(t, d.body, strings.Repeat("a", 60))
+			assert.Check(t, d.call.Arrived.Sub(start) <= headWait)
+			digests[d.call.RequestDigest] = true
+		})
+	}
+	assert.Check(t, len(digests) <= 2, "%d requests", len(digests)) // 0 and 8 bytes of the head
+}
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -17,8 +17,7 @@
 	Method, Path       string
 	// Caller is the caller's credential, or empty if it has none.
 	Caller string
-	// Body is the content. If it is not buffered in memory, it is the part that was read before the
-	// request is sent.
+	// Body is the content or, if it is not held in memory, its first part.
 	Body []byte
 	// Length is the length of the whole body, or -1 if it is unknown.
 	Length int64
