Quarantine: uploads that begin alike are isolated, not cleared or refused for one another

Change: the hash of an upload is kept while it is sent. A whole answer clears a suspect only if the answered upload had the same content as far as the lost one had been sent. The hosts tell each other how often they released it, so that a record from before doesn't count again.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -90,6 +90,7 @@
 		a.end(a.class)
 		return a
 	}
+	p.quarantineAttempt.Streams(c.Body.content)
 	p.quarantineAttempt.Started(p.grant.Target().RunID())
 	req := d.newRequest(ctx, c, p.grant.Target())
 	res := d.upstream.RoundTrip(req, p.grant.Target(), upstream.SendOptions{
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -6,15 +6,19 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/cactusproxy/cactusproxy/quarantine"
 )
 
 // Body is a request body. A body in memory can be sent any number of times; a stream can be sent
 // only as long as none of it has been read.
 type Body struct {
 	// mem is the whole body or, of a stream, its first part.
-	mem     []byte
-	stream  io.ReadCloser
-	length  int64
+	mem    []byte
+	stream io.ReadCloser
+	length int64
+	// content is what is sent of a stream.
+	content *quarantine.Content
 	read    atomic.Bool
 	aborted atomic.Bool
 }
@@ -25,7 +29,7 @@
 // StreamBody returns a Body that is read from r while it is sent; length is -1 if unknown. Head is its first
 // part, as far as it is known before.
 func StreamBody(r io.ReadCloser, length int64, head []byte) *Body {
-	return &Body{mem: head, stream: r, length: length}
+	return &Body{mem: head, stream: r, length: length, content: quarantine.NewContent()}
 }
 
 // Bytes returns the body if it is held in memory, and false for a stream.
@@ -67,7 +71,11 @@
 func (r *streamReader) Read(p []byte) (int, error) {
 	r.body.read.Store(true)
 	n, err := r.body.stream.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	_, _ = r.body.content.Write(p[:n])
+	switch {
+	case errors.Is(err, io.EOF):
+		r.body.content.End()
+	case err != nil:
 		r.body.aborted.Store(true)
 	}
 	return n, err
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -19,6 +19,9 @@
 	Losses    []LossRecord  `msgpack:"l"`
 	// KnownGood is set if some host remembers a complete response to the request.
 	KnownGood bool `msgpack:"g"`
+	// Uncertain is BrokenRun.Uncertain, and Releases how often the request was released.
+	Uncertain bool `msgpack:"u"`
+	Releases  int  `msgpack:"n"`
 }
 
 // LossRecord is a Loss as sent between hosts; SinceLoss is the time since it.
@@ -27,11 +30,12 @@
 	SinceLoss time.Duration `msgpack:"a"`
 	Trial     bool          `msgpack:"r"`
 	Pending   bool          `msgpack:"p"`
+	Sent      Part          `msgpack:"b"`
 }
 
 // at returns the loss by this host's clock.
 func (r LossRecord) at(now time.Time) Loss {
-	return Loss{Target: r.Target, At: now.Add(-max(0, r.SinceLoss)), Trial: r.Trial, Pending: r.Pending}
+	return Loss{Target: r.Target, At: now.Add(-max(0, r.SinceLoss)), Trial: r.Trial, Pending: r.Pending, Sent: r.Sent}
 }
 
 // Record returns the state of a request, and false if it is clean. It has no losses if they were all
@@ -41,9 +45,12 @@
 		return Record{}, false
 	}
 	e := b.entries[d]
-	r := Record{Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent), KnownGood: e.answered}
+	r := Record{
+		Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent),
+		KnownGood: e.answered, Uncertain: e.uncertain, Releases: e.releases,
+	}
 	for _, l := range e.losses {
-		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending})
+		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending, Sent: l.Sent})
 	}
 	return r, true
 }
@@ -74,6 +81,8 @@
 	}
 	e := b.ensure(r.Digest, now)
 	e.answered = e.answered || r.KnownGood || knownGood
+	e.uncertain = e.uncertain || r.Uncertain
+	outdated := b.mergeReleases(now, e, r.Releases)
 	if at := now.Add(-r.SinceSent); e.sent.Before(at) {
 		e.sent = at
 	}
@@ -82,7 +91,7 @@
 	if r.State == Quarantined {
 		age = r.Age
 	}
-	if e.state == Suspect && b.blamed(e) && (fresh || r.State == Quarantined) {
+	if e.state == Suspect && b.blamed(e) && (fresh || r.State == Quarantined && !outdated) {
 		b.accuse(r.Digest, e, now.Add(-age))
 		e.settled = age >= b.limits.SettleTime
 	}
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -68,6 +68,10 @@
 	// MaxQuarantine is how long a request that keeps being sent is refused until it is tried in
 	// isolation again.
 	MaxQuarantine time.Duration
+	// UncertainRefusals is how long a request of uncertain identity is refused each time that it is
+	// quarantined, until it is tried in isolation again; afterwards MaxQuarantine holds. Requests
+	// that are innocent may be refused with it.
+	UncertainRefusals [3]time.Duration
 	// TrialTimeout is how long a trial excludes others if its end is never reported. It has to
 	// exceed the duration of the calls that matter.
 	TrialTimeout time.Duration
@@ -96,13 +100,16 @@
 		SuspectTTL:       10 * time.Minute,
 		ReleaseAfterIdle: 10 * time.Minute,
 		MaxQuarantine:    24 * time.Hour,
-		TrialTimeout:     time.Minute,
-		ProofGrace:       100 * time.Millisecond, // an exiting process closes its connections within some ms
-		RestartTime:      150 * time.Millisecond, // supervisors wait 100 ms before they start a process
-		ProofWindow:      400 * time.Millisecond, // a crashed target is unavailable for seconds
-		MaxWithdrawn:     1,                      // enough to lift a quarantine; with 2, 7 targets crashed in one of 300 histories
-		WithdrawalMemory: 10 * time.Second,       // hosts know a restart after 3 s
-		MaxEntries:       4096,
+		// The first is the time in which a host must know of a loss. A request may crash three targets and
+		// reach three more after that.
+		UncertainRefusals: [3]time.Duration{3 * time.Second, 3 * time.Second, 10 * time.Minute},
+		TrialTimeout:      time.Minute,
+		ProofGrace:        100 * time.Millisecond, // an exiting process closes its connections within some ms
+		RestartTime:       150 * time.Millisecond, // supervisors wait 100 ms before they start a process
+		ProofWindow:       400 * time.Millisecond, // a crashed target is unavailable for seconds
+		MaxWithdrawn:      1,                      // enough to lift a quarantine; with 2, 7 targets crashed in one of 300 histories
+		WithdrawalMemory:  10 * time.Second,       // hosts know a restart after 3 s
+		MaxEntries:        4096,
 	}
 }
 
@@ -116,6 +123,14 @@
 	Own bool
 	// Pending is set while the host that observed the loss verifies whether the target is alive.
 	Pending bool
+	// Sent is what had been sent of a body that isn't held in memory.
+	Sent Part
+}
+
+// Part is the first part of the content of a request.
+type Part struct {
+	Bytes int64  `msgpack:"n"`
+	Hash  uint64 `msgpack:"h"`
 }
 
 // BrokenRun is a run whose connection broke.
@@ -125,6 +140,9 @@
 	// KnownGood is set if the host remembers a complete response to an earlier run of the
 	// request.
 	KnownGood bool
+	// Uncertain is set if requests of other content may have the same digest, because the body
+	// isn't held in memory.
+	Uncertain bool
 }
 
 // entry is the state of one request.
@@ -145,6 +163,10 @@
 	excusedAt time.Time
 	// excuses counts how often that happened.
 	excuses int
+	// uncertain is BrokenRun.Uncertain of any run.
+	uncertain bool
+	// releases counts how often a quarantine ended by its duration, if uncertain is set.
+	releases int
 }
 
 // trial is the permission to run a suspect in isolation.
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -65,13 +65,13 @@
 	}
 	switch e.state {
 	case Suspect:
-		if now.Sub(e.sent) >= b.limits.SuspectTTL {
+		if b.expired(now, e) {
 			delete(b.entries, d)
 			return Clean
 		}
 	case Quarantined:
 		b.settle(now, e)
-		if now.Sub(e.sent) >= b.limits.ReleaseAfterIdle || now.Sub(e.since) >= b.limits.MaxQuarantine {
+		if now.Sub(e.sent) >= b.limits.ReleaseAfterIdle || now.Sub(e.since) >= b.maxQuarantine(e) {
 			b.release(e, now)
 		}
 	}
@@ -119,6 +119,9 @@
 	e.losses[0].Trial = false
 	e.trial = trial{}
 	e.sent = now
+	if e.uncertain {
+		e.releases++
+	}
 }
 
 // RecordSent records that a request was sent again and returns its state.
@@ -137,6 +140,7 @@
 	e := b.ensure(r.Digest, now)
 	e.sent = now
 	e.answered = e.answered || r.KnownGood
+	e.uncertain = e.uncertain || r.Uncertain
 	if e.add(r.Loss, b.limits.LossWindow) && b.blamed(e) {
 		b.accuse(r.Digest, e, now)
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -34,7 +34,9 @@
 	// suspected when the attempt was sent.
 	answer suspicion.Answer
 	trial  *trial
-	once   sync.Once
+	// content is what is sent of a body that isn't held in memory; nil for other requests.
+	content *Content
+	once    sync.Once
 }
 
 // trial is the permission to run one attempt of a suspect.
@@ -143,6 +145,13 @@
 	}
 }
 
+// Streams must be called before the first byte is sent of a body that isn't held in memory.
+func (a *Attempt) Streams(c *Content) {
+	if a != nil {
+		a.content = c
+	}
+}
+
 // Answered records when the connection was opened on which the target answers, and whether the
 // target reports that it is warming up. It must be called before Completed.
 func (a *Attempt) Answered(opened time.Time, cold bool) {
@@ -159,7 +168,7 @@
 	}
 	a.once.Do(func() {
 		a.q.reachability.markUp(a.answer.Target)
-		a.q.recordCompletion(a.digest)
+		a.q.recordCompletion(a.digest, a.content)
 		a.q.TargetAnswered(a.answer)
 		a.endTrial()
 	})
@@ -174,8 +183,8 @@
 		return
 	}
 	a.once.Do(func() {
-		loss := suspicion.Loss{Target: a.answer.Target, Trial: a.trial != nil}
-		a.q.recordLoss(suspicion.BrokenRun{Digest: a.digest, Loss: loss})
+		loss := suspicion.Loss{Target: a.answer.Target, Trial: a.trial != nil, Sent: a.content.sent()}
+		a.q.recordLoss(suspicion.BrokenRun{Digest: a.digest, Loss: loss, Uncertain: a.content != nil})
 		a.endTrial()
 	})
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -268,19 +268,22 @@
 func formatDigest(d suspicion.Digest) string { return strconv.FormatUint(d, 16) }
 
 // recordCompletion records a run on this host that ended with a complete response.
-func (q *Quarantine) recordCompletion(d suspicion.Digest) {
+func (q *Quarantine) recordCompletion(d suspicion.Digest, c *Content) {
 	q.completedCache.add(d)
 	if q.active.Load() {
-		q.markInnocent(d)
+		q.markInnocent(d, func() bool { return q.tracker.ClearedBy(d, c.parts()) })
 	}
 }
 
-// markInnocent marks a request as innocent, and notifies the other hosts if it had been
-// suspected or quarantined. It reports whether it had been.
-func (q *Quarantine) markInnocent(d suspicion.Digest) bool {
+// markInnocent marks a request as innocent if shown confirms it, which is called with the lock held,
+// and notifies the other hosts if it had been suspected or quarantined. It reports whether it had been.
+func (q *Quarantine) markInnocent(d suspicion.Digest, shown func() bool) bool {
 	known := false
 	var was suspicion.State
 	q.locked(func(now time.Time) {
+		if !shown() {
+			return
+		}
 		was = q.tracker.State(now, d)
 		known = q.tracker.Clear(now, d)
 		if known {
@@ -302,7 +305,9 @@
 
 // Clear clears a request on all hosts at the request of an operator. It reports
 // whether the request was suspected or quarantined on this host.
-func (q *Quarantine) Clear(digest uint64) bool { return q.markInnocent(digest) }
+func (q *Quarantine) Clear(digest uint64) bool {
+	return q.markInnocent(digest, func() bool { return true })
+}
 
 // Entry describes a suspected or quarantined request for operators.
 type Entry struct {
