Quarantine: hosts that start, or return after a cut, learn what others hold back

Callers saw a request that crashes targets refused by all hosts, and let through once more by each host that was restarted. Cause: a record is told again for 2.5 s after its last change and never later. Change: each host compares the sums of what it has quarantined with another host each second, and with nine before its first request, which waits for that for 250 ms at most. A host that has just started says so. If all that are asked have, requests run at once; if nobody answers, after that wait. A reply has some 256 records. What ends within 5 s isn't handed over, so that hosts don't begin a quarantine anew that others have ended. Tried first: 500 ms, and a list of hosts known to be complete. Two tests of pipelined requests failed (503 in place of 504), since a host that starts alone waited for that long.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -146,7 +146,8 @@
 		Metrics: d.metrics,
 		Log:     d.log,
 
-		Verifies: true,
+		MembersKnown: func() bool { return d.board.Status.Load().Serving() },
+		Verifies:     true,
 	})
 	d.placer = placer.New(placer.Deps{
 		Board:      d.board,
--- /dev/null
+++ b/policy/suspicion/held.go
@@ -0,0 +1,56 @@
+package suspicion
+
+import "time"
+
+// heldBuckets is the number of parts into which the quarantined requests are divided to compare those of
+// two hosts.
+const heldBuckets = 32
+
+// releaseMargin is how long before the end of a quarantine it is no longer handed to other hosts. They would
+// begin it anew after others have released the request.
+const releaseMargin = 5 * time.Second
+
+// Held returns a sum for each part of the quarantined requests, or nil if there are none. Equal sets have
+// equal sums.
+func (b *Tracker) Held(now time.Time) (sums []uint64) {
+	for d := range b.entries {
+		if b.State(now, d) != Quarantined {
+			continue
+		}
+		if sums == nil {
+			sums = make([]uint64, heldBuckets)
+		}
+		sums[d%heldBuckets] ^= d
+	}
+	return sums
+}
+
+// HeldBeyond returns records of the quarantined requests that a host with the given sums may lack: those of
+// the parts that differ, beginning with the given one, until there are n or more. Next is the part to
+// begin with the next time, or 0 if there are no more.
+func (b *Tracker) HeldBeyond(now time.Time, sums []uint64, from, n int) (out []Record, next int) {
+	own := b.Held(now)
+	if own == nil || from < 0 {
+		return nil, 0
+	}
+	if len(sums) != heldBuckets {
+		sums = make([]uint64, heldBuckets)
+	}
+	parts := make([][]Digest, heldBuckets)
+	for d, e := range b.entries {
+		if i := d % heldBuckets; e.state == Quarantined && own[i] != sums[i] {
+			parts[i] = append(parts[i], d)
+		}
+	}
+	for i := from; i < heldBuckets; i++ {
+		if len(out) >= n {
+			return out, i
+		}
+		for _, d := range parts[i] {
+			if r, ok := b.Record(now, d); ok && r.SinceSent < b.limits.ReleaseAfterIdle-releaseMargin {
+				out = append(out, r)
+			}
+		}
+	}
+	return out, 0
+}
--- a/provision.go
+++ b/provision.go
@@ -166,6 +166,8 @@
 		Members: d.eligibleMembers,
 		Metrics: d.metrics,
 		Log:     d.log,
+
+		MembersKnown: func() bool { return d.board.Status.Load().Serving() },
 	})
 	d.slots = slots.New(slots.Deps{
 		Board:       d.board,
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -56,6 +56,9 @@
 	if digest == 0 {
 		return nil, Decision{}
 	}
+	if q.catchingUp.Load() && !q.awaitCatchUp(ctx) {
+		return nil, q.refuse(Decision{Waited: true})
+	}
 	if q.entries.Load() == 0 {
 		return &Attempt{q: q, digest: digest}, Decision{}
 	}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -20,6 +20,8 @@
 	kindTargetLost
 	// kindTargetsAlive announces that targets did not crash.
 	kindTargetsAlive
+	// kindHeld asks for the requests that a host has quarantined.
+	kindHeld
 )
 
 // recordsMsg is the body of kindRecords.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -62,6 +62,8 @@
 	countDropped      = "notifications_dropped"
 	countVerified     = "targets_verified"
 	countAlive        = "targets_alive"
+	countHeldFetched  = "held_fetched"
+	countHeldFailed   = "held_fetch_failed"
 )
 
 // Deps holds the dependencies and settings of a Quarantine.
@@ -70,8 +72,11 @@
 	// Members returns the entry hosts that may hold roles. This host may be among
 	// them or not.
 	Members func() []ports.HostID
-	Metrics *metrics.Set
-	Log     *zap.Logger
+	// MembersKnown reports whether Members returns the hosts that were there when this one started; nil if
+	// it always does.
+	MembersKnown func() bool
+	Metrics      *metrics.Set
+	Log          *zap.Logger
 	// Limits defaults to suspicion.DefaultLimits if it is zero.
 	Limits suspicion.Limits
 	// Verifies is set if the caller calls Verify after each attempt that broke off.
@@ -83,8 +88,10 @@
 type Quarantine struct {
 	link    peer.Link
 	members func() []ports.HostID
-	count   *expvar.Map
-	log     *zap.Logger
+	// membersKnown is Deps.MembersKnown.
+	membersKnown func() bool
+	count        *expvar.Map
+	log          *zap.Logger
 	// verifies is Deps.Verifies.
 	verifies bool
 
@@ -94,6 +101,10 @@
 	// no lock. While active is not set, complete responses take none either.
 	entries atomic.Int64
 	active  atomic.Bool
+	// catchingUp is set until caughtUp is closed: until this host knows what others hold back, or has
+	// given up to find out. Informed is set once it knows.
+	catchingUp, informed atomic.Bool
+	caughtUp             chan struct{}
 	// trials numbers the trials of this host, see newTrial.
 	trials atomic.Uint64
 
@@ -114,11 +125,18 @@
 	if d.Limits == (suspicion.Limits{}) {
 		d.Limits = suspicion.DefaultLimits()
 	}
+	if d.MembersKnown == nil {
+		d.MembersKnown = func() bool { return true }
+	}
 	q := &Quarantine{
 		link:    d.Link,
 		members: d.Members,
-		count:   d.Metrics.Map("quarantine"),
-		log:     d.Log,
+
+		membersKnown: d.MembersKnown,
+		caughtUp:     make(chan struct{}),
+
+		count: d.Metrics.Map("quarantine"),
+		log:   d.Log,
 
 		verifies: d.Verifies,
 
@@ -135,12 +153,18 @@
 	peer.Handle(d.Link, kindEndTrial, q.onEndTrial)
 	peer.Handle(d.Link, kindTargetLost, q.onTargetLost)
 	peer.Handle(d.Link, kindTargetsAlive, q.onTargetsAlive)
+	peer.Handle(d.Link, kindHeld, q.onHeld)
 	return q
 }
 
-// Run drops expired entries and repeats recent records to the other hosts until
-// ctx ends.
+// Run fetches what the other hosts hold back; then it drops expired entries, repeats recent records to
+// the other hosts and compares what they hold back, until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) error {
+	begin := time.Now()
+	q.catchingUp.Store(true)
+	var g sync.WaitGroup
+	defer g.Wait()
+	g.Go(func() { q.catchUp(ctx) })
 	tick := time.NewTicker(syncInterval)
 	defer tick.Stop()
 	for {
@@ -151,6 +175,10 @@
 			if q.active.Load() {
 				q.sync()
 			}
+			q.compare(ctx)
+			if time.Since(begin) >= startOver {
+				q.informed.Store(true)
+			}
 		}
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -164,7 +164,7 @@
 func TestClearedAndExpiredRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
-		defer s.stop()
+		defer s.close()
 		breakOff := func(h *Quarantine, digest uint64, target ports.RunID) {
 			a, _ := h.Admit(context.Background(), digest)
 			a.Started(target)
@@ -202,7 +202,7 @@
 func TestLostNotificationsAreRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
-		defer s.stop()
+		defer s.close()
 		net := peernet.New()
 		ids := []ports.HostID{"a", "b"}
 		host := func(id ports.HostID) *Quarantine {
@@ -230,7 +230,7 @@
 func TestOneTrialAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
-		defer s.stop()
+		defer s.close()
 		a, _ := s.hosts[0].Admit(context.Background(), 5)
 		a.Started("t01")
 		a.BrokeOff()
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -72,6 +72,12 @@
 	return s
 }
 
+// close stops the hosts and waits until no message is in transit.
+func (s *sim) close() {
+	s.stop()
+	time.Sleep(10 * time.Millisecond)
+}
+
 // delay returns a random one-way network delay and counts the message.
 func (s *sim) delay(_, _ ports.HostID) time.Duration {
 	s.mu.Lock()
