Quotas: one loss of all owners grants start tokens once

Cause: each host that came to own a zone's part within 2 s of its start gave the part half of the tolerance, also if the owner before it had just spent the same. Change: such a host asks all that can own the part. One that has owned it since hands over the tokens that it has (those until it last certainly owned the part) and gains none for 1.4 s, as after any change of the owner. Only if none has does the part begin with the tokens for a lost record. Of two that ask each other at once the one that ranks before gets them. The limits of targets use the same code.

--- a/controller/quota/borrow.go
+++ b/controller/quota/borrow.go
@@ -87,6 +87,7 @@
 	if owner != c.self || !known || l.Rate == 0 {
 		return borrowReply{Owns: c.knowsAllHosts()}, nil
 	}
+	c.inherit(req.Name, c.deps.Zone, l, rank)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/controller/quota/decide.go
+++ b/controller/quota/decide.go
@@ -54,6 +54,7 @@
 		return takeReply{Verdict: granted}
 	}
 	c.countOwned(rank)
+	c.inherit(req.Name, c.zoneOf(req), l, rank)
 	reply, late := c.takeOwn(req, l, rank)
 	if reply.Verdict == granted || late {
 		return reply
--- a/controller/quota/messages.go
+++ b/controller/quota/messages.go
@@ -18,6 +18,8 @@
 	kindAlive
 	// kindNotify tells an owner about a limit.
 	kindNotify
+	// kindHandOver asks a host for a part that it may have owned.
+	kindHandOver
 )
 
 // verdict is an owner's decision on a request.
--- a/controller/quota/part.go
+++ b/controller/quota/part.go
@@ -24,6 +24,8 @@
 	// verifiedAt is when this host took the part over or last verified that no host that ranks
 	// before it replies. It is zero after one of them replied.
 	verifiedAt time.Time
+	// repliedAt is when one of them last replied.
+	repliedAt time.Time
 	// nextBorrowAt is when the other zones may next be asked for tokens.
 	nextBorrowAt time.Time
 	// granted and denied count the requests since the last report; lent and borrowed are
@@ -89,10 +91,7 @@
 	if rank > 0 {
 		since = now
 	}
-	fresh := now.Sub(c.started) < startupPeriod
-	if !fresh {
-		since = since.Add(c.handoverDelay)
-	}
+	since = since.Add(c.handoverDelay)
 	p := &part{
 		Part:   quota.NewPart(since, l, c.deps.Tolerance, 1+len(c.deps.OtherZones)),
 		rank:   rank,
@@ -102,14 +101,13 @@
 
 		arrivals: make(map[string]*quota.Arrivals),
 	}
-	if fresh {
-		p.AddStartTokens()
-	} else {
-		p.TakeOver(since)
-	}
+	p.TakeOver(since)
 	return p
 }
 
+// justStarted reports whether the record of all owners of a part may just have been lost.
+func (c *Controller) justStarted(now time.Time) bool { return now.Sub(c.started) < startupPeriod }
+
 // resetAll takes the tokens of all parts away, because other hosts may have owned them in
 // the meantime.
 func (c *Controller) resetAll(now time.Time, why string) {
--- a/controller/quota/quota.go
+++ b/controller/quota/quota.go
@@ -76,6 +76,8 @@
 	handoverDelay time.Duration
 	// borrowing deduplicates concurrent borrowing for a quota.
 	borrowing singleflight.Group
+	// inheriting deduplicates the questions for a part, by the name of the quota.
+	inheriting singleflight.Group
 	// probes deduplicates concurrent requests for a host's status. The empty key stands
 	// for the check for a majority.
 	probes singleflight.Group
@@ -85,6 +87,8 @@
 	// owns, both by the name of the quota.
 	requesters map[string]*requester
 	parts      map[string]*part
+	// claims holds the parts that this host is about to create, see inherit.
+	claims map[string]*claim
 	// contacted holds the last known status of other hosts.
 	contacted map[ports.HostID]hostStatus
 	// majorityReachable is whether most other hosts replied when last probed, at
@@ -104,12 +108,14 @@
 		handoverDelay: defaultHandoverDelay,
 		requesters:    make(map[string]*requester),
 		parts:         make(map[string]*part),
+		claims:        make(map[string]*claim),
 		contacted:     make(map[ports.HostID]hostStatus),
 	}
 	peer.Handle(d.Link, d.Kind+kindTake, c.onTake)
 	peer.Handle(d.Link, d.Kind+kindBorrow, c.onBorrow)
 	peer.Handle(d.Link, d.Kind+kindAlive, c.onAlive)
 	peer.Handle(d.Link, d.Kind+kindNotify, c.onNotify)
+	peer.Handle(d.Link, d.Kind+kindHandOver, c.onHandOver)
 	return c
 }
 
--- a/controller/quota/start_test.go
+++ b/controller/quota/start_test.go
@@ -36,10 +36,15 @@
 // take sends a request with a deadline through a host and returns the result and how long
 // it took.
 func take(h *host, deadline time.Duration) (outcome.Result, time.Duration) {
+	return takeOf(small.Name, h, deadline)
+}
+
+// takeOf is take for a tenant.
+func takeOf(tenant string, h *host, deadline time.Duration) (outcome.Result, time.Duration) {
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	r := h.c.Take(ctx, quota.Request{Name: small.Name, Remaining: deadline})
+	r := h.c.Take(ctx, quota.Request{Name: tenant, Remaining: deadline})
 	return r, time.Since(begin)
 }
 
--- a/controller/quota/takeover.go
+++ b/controller/quota/takeover.go
@@ -28,6 +28,18 @@
 	return p.takenOver() && now.Sub(p.verifiedAt) > takeoverTTL
 }
 
+// ownedUntil returns until when this host certainly owned the part.
+func (p *part) ownedUntil(now time.Time) time.Time {
+	switch {
+	case !p.lapsed(now):
+		return now
+	case p.verifiedAt.IsZero():
+		return p.repliedAt
+	default:
+		return p.verifiedAt.Add(takeoverTTL)
+	}
+}
+
 // verifyTakeovers probes the hosts in whose place this one owns parts, and ends its ownership of a
 // part if one of them can own it again. Requesters then go to that host, and this one would not
 // learn of it otherwise: its part would gain tokens at the same time as the other's.
@@ -44,7 +56,7 @@
 		switch {
 		case p == nil:
 		case slices.ContainsFunc(before, func(id ports.HostID) bool { return replied[id] }):
-			p.verifiedAt = time.Time{}
+			p.verifiedAt, p.repliedAt = time.Time{}, now
 		case now.After(p.verifiedAt) && !p.verifiedAt.IsZero():
 			p.verifiedAt = now
 		}
