Quotas: an owner that others name is asked at once, although this host has it in backoff

Callers well within their quota got quota-unknown (503) from a host that had the owner in backoff, after the owner was back: it was probed, but the request did not wait for the answer, and the second try 50 ms later could still miss it. Change: the request waits for the probe, once for each such host.

--- a/controller/quota/owners.go
+++ b/controller/quota/owners.go
@@ -127,11 +127,11 @@
 	return !over || !a.declined()
 }
 
-// reconsider probes a host in backoff that another host names as an owner. Since it replies to the
-// other host, this one needn't wait for the end of the backoff.
+// reconsider probes a host in backoff that another host names as an owner, before it is asked. Since it
+// replies to the other host, this one needn't wait for the end of the backoff.
 func (c *Controller) reconsider(id ports.HostID) {
 	if a, contacted := c.status(id); contacted && !a.owns {
-		go c.probe(id)
+		c.probe(id)
 	}
 }
 
--- a/controller/quota/take.go
+++ b/controller/quota/take.go
@@ -235,6 +235,7 @@
 func (c *Controller) askOnce(ctx context.Context, req takeRequest, t *trace) takeReply {
 	next := c.owners(req.Name, c.zoneOf(req))
 	asked := make(map[ports.HostID]bool, maxOwnersAsked)
+	reconsidered := make(map[ports.HostID]bool)
 	for len(next) > 0 && len(asked) < maxOwnersAsked && ctx.Err() == nil {
 		id := next[0]
 		next = next[1:]
@@ -254,7 +255,10 @@
 		}
 		t.asked(id, reply, time.Since(begin))
 		if reply.Owner != "" && !asked[reply.Owner] {
-			c.reconsider(reply.Owner)
+			if !reconsidered[reply.Owner] {
+				reconsidered[reply.Owner] = true
+				c.reconsider(reply.Owner)
+			}
 			next = append([]ports.HostID{reply.Owner}, next...)
 		}
 	}
