SIGHUP no longer ends a daemon that is starting

Cause: the handler was installed after the settings had been read and the listeners opened. Change: the handlers of SIGHUP, SIGTERM and SIGINT are installed first.

--- a/cmd/cactusproxyd/main.go
+++ b/cmd/cactusproxyd/main.go
@@ -78,6 +78,11 @@
 }
 
 func serve(file string) int {
+	// Until their handlers are installed, signals end the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	s, err := settings.Load(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -100,10 +105,6 @@
 		lines.Flush()
 		invariant.Stop(name, detail)
 	})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go settings.Watch(ctx, file, hup, d.Reload)
 	if err := d.Run(ctx); err != nil {
 		log.Error("stopped", zap.Error(err))
