An upload whose caller stops midway is answered at its route's timeout

Cause: the deadline for reading the body was cleared once its head had been read. At the timeout the connection to the target waits for the read of the body, and the response for that connection. Change: the rest of a body that isn't held in memory is read until 20 ms after the call's deadline; until then a call of which everything was read has ended by its own deadline, and not as one whose caller is gone.

--- a/edge/early_test.go
+++ b/edge/early_test.go
@@ -89,3 +89,34 @@
 	assert.NilError(l.t, conn.SetDeadline(time.Now().Add(5*time.Second)))
 	return conn, bufio.NewReader(conn)
 }
+
+// Guards against an upload whose caller stops sending midway and gets no response at the route's timeout: the
+// host waited for the rest of the body.
+func TestUploadThatStopsMidwayIsAnsweredAtItsTimeout(t *testing.T) {
+	const timeout = 600 * time.Millisecond
+	l := newLocalCluster(t, 1)
+	l.configure(2, standin.Route{Name: "slow", Host: hostName, Prefix: "/slow/", Type: "upload", Service: "lots", Timeout: "600ms", MaxAttempts: 1})
+	l.await("the route", func() bool { return l.send(l.daemons[0], http.MethodGet, "/slow/", "").status == http.StatusOK })
+	chunk := strings.Repeat("x", 64<<10)
+	for name, framing := range map[string]string{"with a length": "Content-Length: 4000000\r\n\r\n", "in chunks": "Transfer-Encoding: chunked\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			conn, r := l.dial()
+			begin := time.Now()
+			_, err := fmt.Fprintf(conn, "POST /slow/ HTTP/1.1\r\nHost: %s\r\n%s: stops-%d\r\n%s", hostName, standin.HeaderRequestID, begin.UnixNano(), framing)
+			assert.NilError(t, err)
+			for range 20 {
+				piece := chunk
+				if name == "in chunks" {
+					piece = fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
+				}
+				_, err := io.WriteString(conn, piece)
+				assert.NilError(t, err)
+			}
+			resp, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout)
+			took := time.Since(begin)
+			assert.Check(t, took >= timeout && took < timeout+500*time.Millisecond, "%s", took)
+		})
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -154,7 +154,7 @@
 	_ = control.SetReadDeadline(time.Now().Add(rec.Timeout)) // not every writer supports it
 	c, releaseBody, refusal := s.newCall(r, m)
 	if refusal.Outcome == 0 {
-		_ = control.SetReadDeadline(time.Time{})
+		_ = control.SetReadDeadline(readDeadline(ctx, c))
 	}
 	if refusal.Outcome != 0 {
 		s.refuse(w, rec, callRefusal(r, m, refusal))
@@ -185,6 +185,20 @@
 	s.reply(w, rec, reply)
 }
 
+// lateRead is how long after the deadline of a call the read of its upload ends. By then a call of which
+// everything was read has ended by its own deadline, and not because its caller seems to be gone.
+const lateRead = 20 * time.Millisecond
+
+// readDeadline returns until when the rest of a call's body is read, or zero if all of it was. The target's
+// connection waits for an upload that has stopped, and the call for that connection.
+func readDeadline(ctx context.Context, c *dispatch.Call) time.Time {
+	at, ok := ctx.Deadline()
+	if _, inMemory := c.Body.Bytes(); inMemory || !ok {
+		return time.Time{}
+	}
+	return at.Add(lateRead)
+}
+
 // keyedRefusal returns the result for a request that is refused before the claim of its
 // idempotency key has been looked up. An earlier request with the same key may have run through
 // another host; if this one were reported as not-run, the caller would assume that the purchase
