A refusal by the quarantine names the digest; operations: from a refused upload, or from crashes, to the cause

What was seen: the line of a call that was refused as quarantined didn't tell which held-back request it was. Test: dispatch.TestQuarantineRefusalNamesTheDigest (failed to find a digest before).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -145,7 +145,9 @@
 	for {
 		qa, decision := d.admitAttempt(ctx, c)
 		if decision.Refuse {
-			return h.fallbackReply(quarantineReason(decision), decision.RetryAfter)
+			r := h.fallbackReply(quarantineReason(decision), decision.RetryAfter)
+			r.Result.Detail = "digest=" + quarantine.FormatDigest(c.RequestDigest)
+			return r
 		}
 		g, refusal := d.picker.Pick(ctx, pick.Request{
 			Service:   c.Key,
--- a/dispatch/seal_test.go
+++ b/dispatch/seal_test.go
@@ -191,3 +191,26 @@
 	b.do(t, t.Context(), newContractCall(http.MethodPost))
 	assert.DeepEqual(t, b.picker.reports(), []pick.Class{pick.Foreign})
 }
+
+// Guards against a refusal of which operators can't tell which request was held back.
+func TestQuarantineRefusalNamesTheDigest(t *testing.T) {
+	b := newContractHarness(t)
+	q := quarantine.New(quarantine.Deps{
+		Link:    peernet.New().Join("h0"),
+		Members: func() []ports.HostID { return []ports.HostID{"h0"} },
+		Metrics: b.m,
+		Log:     zap.NewNop(),
+	})
+	b.d.quarantine = q
+	for _, target := range []ports.RunID{"t1", "t2"} {
+		a, _ := q.Admit(t.Context(), 0xabc)
+		a.Started(target)
+		a.BrokeOff()
+	}
+	c := newContractCall(http.MethodGet)
+	c.RequestDigest = 0xabc
+	r := b.do(t, t.Context(), c)
+	assert.Equal(t, r.Result.Reason, outcome.ReasonQuarantined)
+	assert.Equal(t, r.Result.Detail, "digest=abc")
+	assert.Equal(t, q.List(1)[0].Digest, "abc")
+}
--- a/quarantine/alive.go
+++ b/quarantine/alive.go
@@ -54,7 +54,7 @@
 	notifyAll(q, q.recipientsOfAll(w.Affected), kindTargetsAlive, msg)
 	for _, e := range w.Exonerated {
 		q.count.Add(countCleared, 1)
-		q.log.Info("request cleared", zap.String("digest", formatDigest(e.Digest)))
+		q.log.Info("request cleared", zap.String("digest", FormatDigest(e.Digest)))
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -290,10 +290,11 @@
 		event, counter = "request quarantined", countQuarantined
 	}
 	q.count.Add(counter, 1)
-	q.log.Warn(event, zap.String("digest", formatDigest(d)), zap.String("target", string(target)))
+	q.log.Warn(event, zap.String("digest", FormatDigest(d)), zap.String("target", string(target)))
 }
 
-func formatDigest(d suspicion.Digest) string { return strconv.FormatUint(d, 16) }
+// FormatDigest returns a digest as it is in the log.
+func FormatDigest(d suspicion.Digest) string { return strconv.FormatUint(d, 16) }
 
 // recordCompletion records a run on this host that ended with a complete response.
 func (q *Quarantine) recordCompletion(d suspicion.Digest, c *Content) {
@@ -327,7 +328,7 @@
 // reportCleared notifies the hosts that know of a suspect that it has been cleared.
 func (q *Quarantine) reportCleared(d suspicion.Digest, was suspicion.State) {
 	q.count.Add(countCleared, 1)
-	q.log.Info("request cleared", zap.String("digest", formatDigest(d)))
+	q.log.Info("request cleared", zap.String("digest", FormatDigest(d)))
 	notifyAll(q, q.recipients(d, was), kindCleared, clearedMsg{Digests: []suspicion.Digest{d}})
 }
 
@@ -352,7 +353,7 @@
 	q.locked(func(now time.Time) { records = q.tracker.Newest(now, n) })
 	out := make([]Entry, 0, len(records))
 	for _, r := range records {
-		e := Entry{Digest: formatDigest(r.Digest), State: r.State.String(), Age: r.Age}
+		e := Entry{Digest: FormatDigest(r.Digest), State: r.State.String(), Age: r.Age}
 		for _, l := range r.Losses {
 			e.Lost = append(e.Lost, l.Target)
 		}
