--- a/dispatch/seal_test.go
+++ b/dispatch/seal_test.go
@@ -146,19 +146,25 @@
 	assert.Equal(t, b.do(t, t.Context(), newContractCall(http.MethodPost)).Status, http.StatusBadGateway)
 }
 
+// startQuarantine gives the dispatcher the quarantine of the only host.
+func (b *harness) startQuarantine() *quarantine.Quarantine {
+	q := quarantine.New(quarantine.Deps{
+		Link:    peernet.New().Join("h0"),
+		Members: func() []ports.HostID { return []ports.HostID{"h0"} },
+		Metrics: b.m,
+		Log:     zap.NewNop(),
+	})
+	b.d.quarantine = q
+	return q
+}
+
 // A request gets an unverified response from each target it is sent to, but no target crashes. If
 // these counted as crashes, all hosts would refuse the request for a minute.
 func TestUnverifiedResponsesAreNotCountedAsCrashes(t *testing.T) {
 	for _, status := range []int{200, 400, 404, 500} {
 		corrupt := respond(status, "", headers("Id", "r1"))
 		b := newContractHarness(t, corrupt, corrupt, corrupt, corrupt)
-		q := quarantine.New(quarantine.Deps{
-			Link:    peernet.New().Join("h0"),
-			Members: func() []ports.HostID { return []ports.HostID{"h0"} },
-			Metrics: b.m,
-			Log:     zap.NewNop(),
-		})
-		b.d.quarantine = q
+		q := b.startQuarantine()
 		for range 2 {
 			c := newContractCall(http.MethodGet)
 			c.MaxAttempts, c.RequestDigest = 2, 7
@@ -195,13 +201,7 @@
 // Guards against a refusal of which operators can't tell which request was held back.
 func TestQuarantineRefusalNamesTheDigest(t *testing.T) {
 	b := newContractHarness(t)
-	q := quarantine.New(quarantine.Deps{
-		Link:    peernet.New().Join("h0"),
-		Members: func() []ports.HostID { return []ports.HostID{"h0"} },
-		Metrics: b.m,
-		Log:     zap.NewNop(),
-	})
-	b.d.quarantine = q
+	q := b.startQuarantine()
 	for _, target := range []ports.RunID{"t1", "t2"} {
 		a, _ := q.Admit(t.Context(), 0xabc)
 		a.Started(target)
