Quarantine: a host that starts doesn't wait for hosts that are down

What callers saw: requests to a host that had just started waited for up to 250 ms where other hosts were down. Cause: it waited for the answers of all hosts that it had asked what they hold back, although one that was informed had answered, and asked again. Change: the first informed answer ends the wait, and it is 120 ms at most. Test: quarantine.TestStartDoesNotWaitForHostsThatAreDown failed before.

--- a/quarantine/handover.go
+++ b/quarantine/handover.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +25,7 @@
 	heldTimeout = 100 * time.Millisecond
 	// catchUpWait is how long requests wait at most after a start until other hosts have answered what they
 	// hold back, catchUpPause the time between two rounds of questions.
-	catchUpWait  = 250 * time.Millisecond
+	catchUpWait  = 120 * time.Millisecond
 	catchUpPause = 20 * time.Millisecond
 	// catchUpPeers is the number of hosts that are asked at once after a start, and maxCompareTries that
 	// of the hosts asked later, one after the other until one answers.
@@ -129,26 +127,28 @@
 		zap.Int64("requests", q.entries.Load()), zap.Duration("took", time.Since(begin)))
 }
 
-// askOthers asks other hosts, and reports whether this one is informed now: by one that was, or since all of them
-// have just started.
+// askOthers asks other hosts, and reports whether this one is informed now: by the first one that was, or since all
+// of them have just started. It doesn't wait for the others, some of which may be down.
 func (q *Quarantine) askOthers(ctx context.Context) bool {
+	type answer struct{ answered, informed bool }
 	known := q.membersKnown()
 	ids := q.others()
-	var informed, missing atomic.Bool
-	var g sync.WaitGroup
-	for _, id := range ids[:min(catchUpPeers, len(ids))] {
-		g.Go(func() {
-			answered, knows := q.fetchFrom(ctx, id)
-			if knows {
-				informed.Store(true)
-			}
-			if !answered {
-				missing.Store(true)
-			}
-		})
+	ids = ids[:min(catchUpPeers, len(ids))]
+	answers := make(chan answer, len(ids))
+	for _, id := range ids {
+		go func() {
+			answered, informed := q.fetchFrom(ctx, id)
+			answers <- answer{answered, informed}
+		}()
 	}
-	g.Wait()
-	return informed.Load() || known && !missing.Load()
+	for range ids {
+		a := <-answers
+		if a.informed {
+			return true
+		}
+		known = known && a.answered
+	}
+	return known
 }
 
 // awaitCatchUp waits until this host knows what others hold back, or has given up. It returns false if ctx
--- a/quarantine/handover_test.go
+++ b/quarantine/handover_test.go
@@ -224,3 +224,21 @@
 		Losses: []suspicion.LossRecord{{Target: "t1", SinceLoss: age}, {Target: "t2", SinceLoss: age, Trial: true}},
 	}
 }
+
+// Guards against requests that wait after a start for hosts that are down, although one that is informed has
+// answered.
+func TestStartDoesNotWaitForHostsThatAreDown(t *testing.T) {
+	inCluster(t, 4, func(t *testing.T, c *cluster) {
+		c.start(c.ids...)
+		c.quarantine("h0", 7)
+		for _, id := range c.ids[2:] {
+			for _, to := range c.ids {
+				c.net.Block(to, id)
+			}
+		}
+		c.start("h1")
+		refused, took := c.refuses("h1", 7)
+		assert.Check(t, refused)
+		assert.Check(t, took <= 20*time.Millisecond, "%s", took)
+	})
+}
