--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -107,7 +107,7 @@
 		ProofGrace:        100 * time.Millisecond, // an exiting process closes its connections within some ms
 		RestartTime:       150 * time.Millisecond, // supervisors wait 100 ms before they start a process
 		ProofWindow:       400 * time.Millisecond, // a crashed target is unavailable for seconds
-		MaxWithdrawn:      1,                      // enough to lift a quarantine; with 2, 7 targets crashed in one of 300 histories
+		MaxWithdrawn:      1,                      // enough to lift a quarantine; more would clear requests that crash targets which restart fast
 		WithdrawalMemory:  10 * time.Second,       // hosts know a restart after 3 s
 		MaxEntries:        4096,
 	}
--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -14,7 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
-// BenchmarkMemory measures the memory of a Quarantine that was told of 10,000 quarantined requests, and the
+// BenchmarkMemory measures the memory of a Quarantine that learned of 10,000 quarantined requests, and the
 // time of a request beside them. In a minute of 100,000 requests none adds to the memory.
 func BenchmarkMemory(b *testing.B) {
 	for _, target := range []ports.RunID{"target-1", "other"} {
