--- a/internal/soak/cut.go
+++ b/internal/soak/cut.go
@@ -77,20 +77,34 @@
 		}
 		lost := float64(cut.sent - cut.served)
 		if cut.rate() < minShare*others.rate() && lost > lostTries+lostShare*float64(cut.sent+others.sent) {
-			s.reportViolation("cut off from all targets at %s: %d of %d served, by the others %d of %d",
-				c.from.Sub(s.start).Round(time.Millisecond), cut.served, cut.sent, others.served, others.sent)
+			s.reportViolation("cut off from all targets at %s: %d of %d served, by the others %d of %d; lost: %s",
+				c.from.Sub(s.start).Round(time.Millisecond), cut.served, cut.sent, others.served, others.sent, cut.describeLost())
 		}
 	}
 }
 
 // tally counts requests and those that were served.
-type tally struct{ sent, served int }
+type tally struct {
+	sent, served int
+	lost         []*request
+}
 
 func (t *tally) add(r *request) {
 	t.sent++
 	if r.status == http.StatusOK {
 		t.served++
+		return
+	}
+	t.lost = append(t.lost, r)
+}
+
+// describeLost lists the requests that were not served, by which the logs of their hosts are searched.
+func (t *tally) describeLost() string {
+	var list []string
+	for _, r := range t.lost {
+		list = append(list, fmt.Sprintf("%s %s %d after %s", r.id, r.process.name, r.status, r.end.Sub(r.at).Round(time.Millisecond)))
 	}
+	return strings.Join(list, ", ")
 }
 
 func (t *tally) rate() float64 { return float64(t.served) / max(1, float64(t.sent)) }
