Placer: a call goes to an idle target of another zone in place of a refusal

Callers got 503 overload at once from services with idle targets.

Cause: a choice took the cheapest target and then asked whether a call should be sent there. While slots are scarce it should not where it would queue. The bytes of an upload make a target of another zone cost more than a queue in the own one, so uploads were refused beside idle targets.

Evidence: refusals with open=4 cold=0 cheapest=1.15, an idle target of another zone (1 and 0.15), within some ms, on cut hosts and on others. Older load reports and failing relays were ruled out by the same lines.

Why it works: if the cheapest target is not worth a call, the cheapest of those that are is taken, if it reported its load. TestUploadGoesToAnIdleTargetOfAnotherZoneRatherThanBeRefused failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -196,26 +196,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	t, cost := s.best(now, placement.TransferCost(req.Bytes), list)
+	transfer := placement.TransferCost(req.Bytes)
+	t, cost := s.best(now, transfer, list)
 	if t == nil {
 		return nil, overloadIf(next == placement.NoFallback), true
 	}
-	expectedWork := t.figures.ExpectedTime(now)
-	expectedLatency := time.Duration(expectedWork * float64(s.workTime))
-	worthwhile := req.Objective == 0 || placement.Worthwhile(&t.figures, now, expectedLatency, req.Arrived.Add(req.Objective).Sub(now))
-	if at, ok := ctx.Deadline(); ok && expectedLatency > at.Sub(now) {
-		worthwhile = false
-	}
-	noSlot = t.figures.WouldQueue(now)
-	if req.Spare {
-		noSlot = t.figures.FreeSlots(now) < slotsNeeded(req, t)
-		worthwhile = worthwhile && !noSlot
+	e := s.estimate(ctx, now, req, t)
+	if !e.worthwhile {
+		if other, otherCost := s.best(now, transfer, s.worthwhile(ctx, now, req, list)); other != nil {
+			t, cost, e = other, otherCost, s.estimate(ctx, now, req, other)
+		}
 	}
-	switch placement.Decide(cost, worthwhile, next) {
+	switch placement.Decide(cost, e.worthwhile, next) {
 	case placement.Refuse:
-		return nil, outcome.ReasonOverload, noSlot
+		return nil, outcome.ReasonOverload, e.noSlot
 	case placement.Continue:
-		return nil, "", noSlot
+		return nil, "", e.noSlot
 	}
 	if t.info.Evacuated {
 		invariant.Check(false, invariant.EvacuatedIdle, "%s", t.info.RunID())
@@ -227,7 +223,45 @@
 	}
 	t.cold.MarkUsed()
 	t.figures.InFlight++
-	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: expectedWork, basis: basis}, "", false
+	return &heldGrant{placer: p, service: s, target: t, info: t.info, expectedWork: e.work, basis: basis}, "", false
+}
+
+// estimate is what a call is expected to meet at a target.
+type estimate struct {
+	// work is the duration of the call in units of the service's usual work time.
+	work float64
+	// worthwhile reports whether to send the call there at all, noSlot whether no slot is free for it.
+	worthwhile, noSlot bool
+}
+
+// estimate returns what a call is expected to meet at a target. The caller holds the lock.
+func (s *service) estimate(ctx context.Context, now time.Time, req pick.Request, t *target) (e estimate) {
+	e.work = t.figures.ExpectedTime(now)
+	latency := time.Duration(e.work * float64(s.workTime))
+	e.worthwhile = req.Objective == 0 || placement.Worthwhile(&t.figures, now, latency, req.Arrived.Add(req.Objective).Sub(now))
+	if at, ok := ctx.Deadline(); ok && latency > at.Sub(now) {
+		e.worthwhile = false
+	}
+	e.noSlot = t.figures.WouldQueue(now)
+	if req.Spare {
+		e.noSlot = t.figures.FreeSlots(now) < slotsNeeded(req, t)
+		e.worthwhile = e.worthwhile && !e.noSlot
+	}
+	return e
+}
+
+// worthwhile returns the targets of a list that reported their load and that a call should be sent to.
+// The caller holds the lock.
+//
+// The cheapest target may have no slot free while one in another zone, which costs more for the bytes
+// that it takes there, is idle.
+func (s *service) worthwhile(ctx context.Context, now time.Time, req pick.Request, list []ranked) (out []ranked) {
+	for _, r := range list {
+		if r.loadKnown(now) && s.estimate(ctx, now, req, r.target).worthwhile {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // slotsNeeded returns how many slots of a target must be free for a spare call to be sent there. A
