Quarantine: the crash of a target that lost a response before is noticed

Cause: a target that lost one response counted as down on every host until it answered that host, also once an answer to another host had shown that it was alive. When it then crashed, "no connection could be made" was taken for the same loss, on the host that saw it and on those that were told. So the zone's fifth loss was unknown.

Why it works: a proof that a target was alive after a loss marks it as up again, on all hosts that get the proof. TestCrashIsNoticedOfATargetThatLostAResponseBefore failed before.

--- a/quarantine/alive.go
+++ b/quarantine/alive.go
@@ -40,6 +40,7 @@
 	q.locked(func(now time.Time) {
 		var p suspicion.Proof
 		p, w = record(now)
+		q.reachability.markAlive(p.Target, p.Until)
 		msg.Proofs = []suspicion.ProofRecord{p.Record(now)}
 		if len(w.Affected) > 0 {
 			q.notifyWaiters()
@@ -76,6 +77,7 @@
 	q.locked(func(now time.Time) {
 		for _, r := range msg.Proofs {
 			if p, ok := r.Proof(now); ok {
+				q.reachability.markAlive(p.Target, p.Until)
 				withdrawn += len(q.tracker.RecordProof(now, p, false).Affected)
 			}
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -262,7 +262,7 @@
 // recordLoss records a run on this host whose connection was lost, and sends the
 // updated record to other hosts.
 func (q *Quarantine) recordLoss(r suspicion.BrokenRun) {
-	q.reachability.markDown(r.Target)
+	q.reachability.markDown(time.Now(), r.Target)
 	r.KnownGood = q.completedCache.has(r.Digest)
 	r.Pending = q.verifies
 	var was, is suspicion.State
--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -14,28 +14,42 @@
 // reachability tracks which targets this host can reach, so that the loss of a target
 // counts as one event however many connections to it fail afterwards.
 type reachability struct {
-	targets sync.Map // ports.RunID -> *atomic.Bool
+	targets sync.Map // ports.RunID -> *reach
 }
 
+// reach is when a target was lost, in Unix nanoseconds; 0 if it is up.
+type reach struct{ lostAt atomic.Int64 }
+
 // markUp records that a target answered.
 func (r *reachability) markUp(id ports.RunID) {
-	if v, ok := r.targets.Load(id); ok {
-		if b := v.(*atomic.Bool); !b.Load() {
-			b.Store(true)
-		}
+	v, ok := r.targets.Load(id)
+	if !ok {
+		v, _ = r.targets.LoadOrStore(id, new(reach))
+	}
+	if t := v.(*reach); t.lostAt.Load() != 0 {
+		t.lostAt.Store(0)
+	}
+}
+
+// markAlive records that a target that was lost up to a time had not crashed. Otherwise its next loss
+// would not be noticed before it answers this host.
+func (r *reachability) markAlive(id ports.RunID, until time.Time) {
+	v, ok := r.targets.Load(id)
+	if !ok {
 		return
 	}
-	b := new(atomic.Bool)
-	b.Store(true)
-	r.targets.Store(id, b)
+	t := v.(*reach)
+	if at := t.lostAt.Load(); at != 0 && at <= until.UnixNano() {
+		t.lostAt.CompareAndSwap(at, 0)
+	}
 }
 
 // markDown records that a target was lost, and reports whether it was up before. A target
 // that this host never tried counts as up, so that a loss reported by another host is
 // taken as new.
-func (r *reachability) markDown(id ports.RunID) bool {
-	v, known := r.targets.LoadOrStore(id, new(atomic.Bool))
-	return !known || v.(*atomic.Bool).Swap(false)
+func (r *reachability) markDown(now time.Time, id ports.RunID) bool {
+	v, _ := r.targets.LoadOrStore(id, new(reach))
+	return v.(*reach).lostAt.CompareAndSwap(0, now.UnixNano())
 }
 
 // retain drops all targets for which known returns false.
@@ -56,7 +70,7 @@
 // report counts as the loss of the target. For idle targets it is the only sign that a
 // whole availability zone is failing and that no request is the cause.
 func (a *Attempt) ConnectFailed(target ports.RunID) {
-	if a == nil || !a.q.reachability.markDown(target) {
+	if a == nil || !a.q.reachability.markDown(time.Now(), target) {
 		return
 	}
 	a.q.locked(func(now time.Time) { a.q.tracker.RecordLostTarget(now, target) })
@@ -64,7 +78,7 @@
 }
 
 func (q *Quarantine) onTargetLost(_ context.Context, _ peer.HostID, msg targetLostMsg) (struct{}, error) {
-	if q.reachability.markDown(msg.Target) {
+	if q.reachability.markDown(time.Now(), msg.Target) {
 		q.locked(func(now time.Time) { q.tracker.RecordLostTarget(now, msg.Target) })
 	}
 	return struct{}{}, nil
@@ -72,10 +86,11 @@
 
 // markLosses marks the targets that records report as recently lost.
 func (q *Quarantine) markLosses(records []suspicion.Record) {
+	now := time.Now()
 	for _, r := range records {
 		for _, l := range r.Losses {
 			if l.SinceLoss < syncInterval {
-				q.reachability.markDown(l.Target)
+				q.reachability.markDown(now.Add(-l.SinceLoss), l.Target)
 			}
 		}
 	}
