Suspicion: an excuse counts once for all hosts

A request that crashes targets may be excused twice where other targets are lost at the same time. Records tell the count now. An accusation that another host has excused may be excused here as well without counting twice.

TestExcusesCountOnceForAllHosts fails without the count in the records and without the rule for an accusation that was excused elsewhere.

--- a/policy/suspicion/proof_test.go
+++ b/policy/suspicion/proof_test.go
@@ -1,6 +1,7 @@
 package suspicion
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -184,3 +185,41 @@
 		assert.Check(t, !ok, "%+v", r)
 	}
 }
+
+// Guards against a request that crashes targets and is excused by each host in turn, and against an innocent
+// one whose only excuse counts once for each host.
+func TestExcusesCountOnceForAllHosts(t *testing.T) {
+	l := DefaultLimits()
+	hosts := []*Tracker{NewTracker(l), NewTracker(l), NewTracker(l)}
+	crashes := 0
+	crash := func(when time.Duration) {
+		for _, b := range hosts {
+			target := ports.RunID(fmt.Sprintf("t%d", crashes))
+			b.RecordBrokenRun(at(when), BrokenRun{Digest: 1, Loss: Loss{Target: target, At: at(when), Trial: crashes > 0}})
+			b.RecordLostTarget(at(when), "other-"+target)
+		}
+		crashes++
+	}
+	crash(0)
+	for i := time.Duration(1); i <= maxExcuses; i++ {
+		crash(i * time.Second)
+		for _, b := range hosts {
+			now := at(i*time.Second + l.SettleTime)
+			assert.Equal(t, b.State(now, 1), Suspect, "excused %d times", i)
+			r, _ := b.Record(now, 1)
+			for _, other := range hosts {
+				other.Merge(now, r, false)
+			}
+		}
+	}
+	crash(3 * time.Second)
+	r, _ := hosts[0].Record(at(3*time.Second), 1)
+	for i, b := range hosts {
+		assert.Check(t, b.Settled(at(4*time.Second), 1), "host %d", i)
+	}
+
+	late := NewTracker(l)
+	late.Merge(at(3*time.Second), r, false)
+	late.RecordLostTarget(at(3*time.Second), "another")
+	assert.Check(t, late.Settled(at(4*time.Second), 1), "a host that excused it never has no excuse left")
+}
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -22,6 +22,8 @@
 	// Uncertain is BrokenRun.Uncertain, and Releases how often the request was released.
 	Uncertain bool `msgpack:"u"`
 	Releases  int  `msgpack:"n"`
+	// Excuses is how often the request was excused.
+	Excuses int `msgpack:"x"`
 }
 
 // LossRecord is a Loss as sent between hosts; SinceLoss is the time since it.
@@ -48,6 +50,7 @@
 	r := Record{
 		Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent),
 		KnownGood: e.answered, Uncertain: e.uncertain, Releases: e.releases,
+		Excuses: e.excuses,
 	}
 	for _, l := range e.losses {
 		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending, Sent: l.Sent})
@@ -87,6 +90,7 @@
 		e.sent = at
 	}
 	fresh := b.mergeLosses(now, e, r.Losses)
+	e.mergeExcuses(r.Excuses)
 	age := time.Duration(0)
 	if r.State == Quarantined {
 		age = r.Age
@@ -129,6 +133,16 @@
 	return fresh
 }
 
+// mergeExcuses adopts how often another host has excused a request, so that one that crashes targets is not
+// excused by each host in turn.
+func (e *entry) mergeExcuses(excuses int) {
+	if excuses <= e.excuses {
+		return
+	}
+	e.excuses = excuses
+	e.excusedElsewhere = e.state == Quarantined && !e.settled
+}
+
 // ChangedWithin reports whether something changed the record within the last age.
 func (r Record) ChangedWithin(age time.Duration) bool {
 	return r.newest() <= age || r.State == Quarantined && r.Age <= age
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -161,8 +161,10 @@
 	// excuse the request again: otherwise it could crash one target after the other for the
 	// length of the loss window.
 	excusedAt time.Time
-	// excuses counts how often that happened.
-	excuses int
+	// excuses counts how often that happened, on any host. It includes the present accusation if
+	// excusedElsewhere is set.
+	excuses          int
+	excusedElsewhere bool
 	// uncertain is BrokenRun.Uncertain of any run.
 	uncertain bool
 	// lost counts all losses, also those that were withdrawn.
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -107,10 +107,12 @@
 	case !blamed:
 		e.setState(Suspect, now)
 		e.excusedAt = now
-	case excused && e.excuses+e.releases < maxExcuses:
+	case excused && e.excusesLeft() > 0:
 		e.setState(Suspect, now)
 		e.excusedAt = now
-		e.excuses++
+		if !e.excusedElsewhere {
+			e.excuses++
+		}
 	default:
 		e.settled = true
 	}
@@ -120,6 +122,15 @@
 // sent. Where targets are lost all the time, each crash would be excused by a loss of another target.
 const maxExcuses = 2
 
+// excusesLeft returns how often the request may still be excused, for the present accusation too.
+func (e *entry) excusesLeft() int {
+	left := maxExcuses - e.excuses - e.releases
+	if e.excusedElsewhere {
+		left++
+	}
+	return left
+}
+
 // release makes a quarantined request a suspect with one loss, so that one more loss in a trial
 // quarantines it again.
 func (b *Tracker) release(e *entry, now time.Time) {
@@ -157,6 +168,7 @@
 // accuse quarantines a request; settle later confirms or drops the quarantine.
 func (b *Tracker) accuse(d Digest, e *entry, at time.Time) {
 	e.setState(Quarantined, at)
+	e.excusedElsewhere = false
 	for old, t := range b.accused {
 		if at.Sub(t) >= 2*b.limits.LossWindow {
 			delete(b.accused, old)
