Quarantine: what another host has not confirmed is not adopted as confirmed

Innocent requests were refused on all hosts, for ten minutes, also a popular page: a zone or some targets had failed, which excuses the requests that were lost with them.

Cause: hosts repeat what they hold back each second. A host that got the record of a quarantine older than 250 ms took it for confirmed, without asking whether other losses excuse the request. The sender was still holding it, since lost targets were being verified (up to 900 ms), and dropped it afterwards; or the receiver itself had dropped it already.

Evidence: the trackers of refusing hosts, dumped at the first refusal (a trial): each 1 ms after a full second, when records are repeated; quarantined since .32 to .68 s, excuses 0, or excused 2 ms before, with losses of targets that nothing explains.

Why it works: a record tells whether its sender has confirmed the quarantine; where it has not, the receiver decides itself. One older than a second, of which the losses beside it are not known any more, is adopted as before. TestQuarantineThatAnotherHostHasNotConfirmedIsNotAdoptedAsConfirmed failed before.

--- a/policy/suspicion/proof_test.go
+++ b/policy/suspicion/proof_test.go
@@ -186,6 +186,43 @@
 	}
 }
 
+// Guards against refusing an innocent request because another host told of its quarantine, which that
+// host had not confirmed and dropped later.
+func TestQuarantineThatAnotherHostHasNotConfirmedIsNotAdoptedAsConfirmed(t *testing.T) {
+	l := DefaultLimits()
+	zoneLoss := func(b *Tracker, from time.Duration) {
+		for i, target := range []ports.RunID{"t1", "t2"} {
+			when := from + time.Duration(i)*ms
+			b.RecordBrokenRun(at(when), BrokenRun{Digest: 1, Loss: Loss{Target: target, At: at(when), Trial: i == 1, Pending: true}})
+		}
+		b.RecordLostTarget(at(from+3*ms), "t3")
+	}
+	b, other := NewTracker(l), NewTracker(l)
+	zoneLoss(b, 0)
+	zoneLoss(other, 20*ms)
+	b.EndVerification("t1")
+	b.EndVerification("t2")
+	assert.Equal(t, b.State(at(l.SettleTime+2*ms), 1), Suspect, "excused by the loss of t3")
+
+	r, ok := other.Record(at(l.SettleTime+100*ms), 1)
+	assert.Check(t, ok && r.State == Quarantined && !r.Settled)
+	b.Merge(at(l.SettleTime+100*ms), r, false)
+	assert.Check(t, !b.Settled(at(l.SettleTime+100*ms), 1))
+	assert.Equal(t, b.State(at(2*time.Second), 1), Suspect)
+	assert.Equal(t, other.State(at(2*time.Second), 1), Suspect)
+}
+
+// A quarantine that another host has confirmed applies at once, also on a host that knows nothing of the
+// targets that were lost.
+func TestConfirmedQuarantineIsAdoptedAsConfirmed(t *testing.T) {
+	b, other := NewTracker(DefaultLimits()), NewTracker(DefaultLimits())
+	quarantineAt(other, 0)
+	r, ok := other.Record(at(2*time.Second), 1)
+	assert.Check(t, ok && r.Settled)
+	b.Merge(at(2*time.Second), r, false)
+	assert.Check(t, b.Settled(at(2*time.Second), 1))
+}
+
 // Guards against a request that crashes targets and is excused by each host in turn, and against an innocent
 // one whose only excuse counts once for each host.
 func TestExcusesCountOnceForAllHosts(t *testing.T) {
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -24,6 +24,8 @@
 	Releases  int  `msgpack:"n"`
 	// Excuses is how often the request was excused.
 	Excuses int `msgpack:"x"`
+	// Settled is set if the sender has confirmed the quarantine.
+	Settled bool `msgpack:"c"`
 }
 
 // LossRecord is a Loss as sent between hosts; SinceLoss is the time since it.
@@ -50,7 +52,7 @@
 	r := Record{
 		Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent),
 		KnownGood: e.answered, Uncertain: e.uncertain, Releases: e.releases,
-		Excuses: e.excuses,
+		Excuses: e.excuses, Settled: e.settled,
 	}
 	for _, l := range e.losses {
 		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending, Sent: l.Sent})
@@ -97,7 +99,9 @@
 	}
 	if e.state == Suspect && b.blamed(e) && (fresh || r.State == Quarantined && !outdated) {
 		b.accuse(r.Digest, e, now.Add(-age))
-		e.settled = age >= b.limits.SettleTime
+		// A quarantine that the sender has not confirmed may be dropped for a loss that excuses the request.
+		// Of an older one it is no longer known which targets were lost with it.
+		e.settled = r.Settled || age >= b.limits.LossWindow
 	}
 	return false
 }
