Suspicion: a page that is known to be well isn't blamed for targets that another request crashed

A popular page was refused on all hosts (7,917 attempts in one history): two targets lost its responses, and a request that crashes targets crashed the same two within 100 ms, before an answer of theirs could show that they had been alive.

Cause: the losses of a request that was answered before explain nothing for others, but those of a request that never was answered were not held against it in turn.

Evidence: the tracker of the refusing host (a trial): page 999 answered before, losses of t01 at .056 and t02 at .062; the poison request, never answered, lost t02 at .121 and t01 at .142.

TestRequestAnsweredBeforeIsNotBlamedForTargetsThatAnotherCrashed failed before.

--- a/policy/suspicion/proof_test.go
+++ b/policy/suspicion/proof_test.go
@@ -223,6 +223,23 @@
 	assert.Check(t, b.Settled(at(2*time.Second), 1))
 }
 
+// Guards against refusing a page that is known to be well because it lost its responses at the targets that
+// a request crashed right after.
+func TestRequestAnsweredBeforeIsNotBlamedForTargetsThatAnotherCrashed(t *testing.T) {
+	const page, poison = 1, 2
+	b := NewTracker(DefaultLimits())
+	lose := func(after time.Duration, d Digest, target ports.RunID, trial bool) {
+		b.RecordBrokenRun(at(after), BrokenRun{Digest: d, Loss: Loss{Target: target, At: at(after), Trial: trial}, KnownGood: d == page})
+	}
+	lose(0, page, "t1", false)
+	lose(5*ms, page, "t2", true)
+	lose(60*ms, poison, "t2", false)
+	lose(80*ms, poison, "t1", true)
+	assert.Equal(t, b.State(at(400*ms), page), Suspect)
+	assert.Equal(t, b.State(at(400*ms), poison), Quarantined)
+	assert.Check(t, b.Settled(at(400*ms), poison))
+}
+
 // Guards against a request that crashes targets and is excused by each host in turn, and against an innocent
 // one whose only excuse counts once for each host.
 func TestExcusesCountOnceForAllHosts(t *testing.T) {
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -1,6 +1,7 @@
 package suspicion
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -102,7 +103,7 @@
 		return
 	}
 	blamed := b.stillBlamed(e)
-	excused := b.unexplained(e) >= b.limits.MassLossTargets || b.accusedWith(e) > maxAccused
+	excused := b.unexplained(e) >= b.limits.MassLossTargets || b.accusedWith(e) > maxAccused || b.explainedByOthers(e)
 	switch {
 	case !blamed:
 		e.setState(Suspect, now)
@@ -242,6 +243,33 @@
 	return false
 }
 
+// explainedByOthers reports whether a request that was answered before is left with too few losses to blame
+// it, without those of targets that a quarantined request which was never answered lost as well.
+func (b *Tracker) explainedByOthers(e *entry) bool {
+	if !e.answered {
+		return false
+	}
+	own := 0
+	for _, l := range e.losses {
+		if !b.lostByAccused(l) {
+			own++
+		}
+	}
+	return own < defaultMinLosses
+}
+
+// lostByAccused reports whether a quarantined request that was never answered lost the same target at
+// about the same time.
+func (b *Tracker) lostByAccused(l Loss) bool {
+	same := func(o Loss) bool { return o.Target == l.Target && absDiff(o.At, l.At) < b.limits.LossWindow }
+	for _, e := range b.entries {
+		if e.state == Quarantined && !e.answered && slices.ContainsFunc(e.losses, same) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Tracker) recordLoss(now time.Time, l Loss) {
 	for id, old := range b.losses {
 		if now.Sub(old.At) >= 2*b.limits.LossWindow {
