--- a/quarantine/reach.go
+++ b/quarantine/reach.go
@@ -17,17 +17,21 @@
 	targets sync.Map // ports.RunID -> *reach
 }
 
-// reach is when a target was lost, in Unix nanoseconds; 0 if it is up.
-type reach struct{ lostAt atomic.Int64 }
+// reach is when a target was lost; nil if it is up.
+type reach struct{ lostAt atomic.Pointer[time.Time] }
 
-// markUp records that a target answered.
-func (r *reachability) markUp(id ports.RunID) {
+func (r *reachability) of(id ports.RunID) *reach {
 	v, ok := r.targets.Load(id)
 	if !ok {
 		v, _ = r.targets.LoadOrStore(id, new(reach))
 	}
-	if t := v.(*reach); t.lostAt.Load() != 0 {
-		t.lostAt.Store(0)
+	return v.(*reach)
+}
+
+// markUp records that a target answered.
+func (r *reachability) markUp(id ports.RunID) {
+	if t := r.of(id); t.lostAt.Load() != nil {
+		t.lostAt.Store(nil)
 	}
 }
 
@@ -39,17 +43,16 @@
 		return
 	}
 	t := v.(*reach)
-	if at := t.lostAt.Load(); at != 0 && at <= until.UnixNano() {
-		t.lostAt.CompareAndSwap(at, 0)
+	if at := t.lostAt.Load(); at != nil && !at.After(until) {
+		t.lostAt.CompareAndSwap(at, nil)
 	}
 }
 
 // markDown records that a target was lost, and reports whether it was up before. A target
 // that this host never tried counts as up, so that a loss reported by another host is
 // taken as new.
-func (r *reachability) markDown(now time.Time, id ports.RunID) bool {
-	v, _ := r.targets.LoadOrStore(id, new(reach))
-	return v.(*reach).lostAt.CompareAndSwap(0, now.UnixNano())
+func (r *reachability) markDown(at time.Time, id ports.RunID) bool {
+	return r.of(id).lostAt.CompareAndSwap(nil, &at)
 }
 
 // retain drops all targets for which known returns false.
