Placer: calls beyond their tenant's share don't look for a target a second time

Since calls that are refused at the cheapest target may go to others, calls beyond their share found more of the free slots that calls within theirs need.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -202,7 +202,7 @@
 		return nil, overloadIf(next == placement.NoFallback), true
 	}
 	e := s.estimate(ctx, now, req, t)
-	if !e.worthwhile {
+	if !e.worthwhile && !req.Spare {
 		if other, otherCost := s.best(now, transfer, s.worthwhile(ctx, now, req, list)); other != nil {
 			t, cost, e = other, otherCost, s.estimate(ctx, now, req, other)
 		}
