Quarantine: a request is the same one whatever API key its tenant sends

Cause: the digest by which the quarantine knows a request has the API key as it was sent. Targets never see the key: they are told the tenant, which may have many keys and change them. Where no tenant is asked for (a public route, a configuration without tenants) the key names nobody and is taken off before the target, so that any value made a new request at no cost.

Change: the digest has the tenant in place of the key. Other credentials are as before; what changes with them is another fault.

--- a/entry/request.go
+++ b/entry/request.go
@@ -72,24 +72,23 @@
 		return nil, nil, refusal
 	}
 	c.Body = body
-	c.RequestDigest = s.digest(r, c)
+	c.RequestDigest = digest(c)
 	return c, release, outcome.Result{}
 }
 
-// digest returns the hash by which the quarantine knows a request.
-func (s *Server) digest(r *http.Request, c *dispatch.Call) uint64 {
+// digest returns the hash by which the quarantine knows a request. The API key isn't part of it: targets are
+// told the tenant, which may have many keys, and a key that names no tenant isn't sent on.
+func digest(c *dispatch.Call) uint64 {
 	q := quarantine.Request{
 		Workspace: c.Key.Workspace,
 		Service:   c.Key.Service,
 		Method:    c.Method,
 		Path:      c.URL.RequestURI(),
+		Tenant:    c.Tenant,
 		Caller:    c.Caller,
 		Body:      c.Body.Head(),
 		Length:    c.Body.Length(),
 	}
-	if name := s.deps.Contract.Key; name != "" && r.Header.Get(name) != "" {
-		q.Caller = r.Header.Get(name)
-	}
 	return q.Digest()
 }
 
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -15,7 +15,9 @@
 type Request struct {
 	Workspace, Service string
 	Method, Path       string
-	// Caller is the caller's credential, or empty if it has none.
+	// Tenant owns the caller's API key; empty if the request needs none.
+	Tenant string
+	// Caller is the caller's client certificate or credential, or empty if it has none.
 	Caller string
 	// Body is the content or, if it is not held in memory, its first part.
 	Body []byte
@@ -28,7 +30,7 @@
 func (r *Request) Digest() uint64 {
 	var h xxhash.Digest
 	h.Reset()
-	for _, s := range [...]string{r.Workspace, r.Service, r.Method, r.Path, r.Caller} {
+	for _, s := range [...]string{r.Workspace, r.Service, r.Method, r.Path, r.Tenant, r.Caller} {
 		writeLength(&h, int64(len(s)))
 		_, _ = h.WriteString(s)
 	}
