Suspicion: an upload that was refused for ten minutes runs alone after that

What callers see: an upload that begins like innocent ones and crashes each target that runs it, sent without end, crashes four targets more every ten minutes.

Cause: a request of uncertain identity is forgotten ten minutes after its last loss, and its third refusal lasts ten minutes from that loss. So the first request with its digest after the release found a suspect and was let run alone; at the second one it was forgotten. TestUploadsOfUncertainIdentity doesn't show it, since there the crashing upload is always the first one after a release.

TestUploadRunsAloneAfterALongRefusal fails before (innocent uploads run freely from 10m6s on, isolated is asked for until 20 minutes).

--- a/policy/suspicion/uncertain.go
+++ b/policy/suspicion/uncertain.go
@@ -23,12 +23,16 @@
 }
 
 // expired reports whether a suspect is forgotten. One of uncertain identity is, however often requests with
-// its digest are sent, some time after its last loss.
+// its digest are sent, some time after its last loss. It has run alone for as long since its last release, or
+// the one that crashes targets would be forgotten while it was refused.
 func (b *Tracker) expired(now time.Time, e *entry) bool {
 	last := e.sent
 	if e.uncertain {
 		last = e.lastLoss()
 	}
+	if e.uncertain && e.since.After(last) {
+		last = e.since
+	}
 	return now.Sub(last) >= b.limits.SuspectTTL
 }
 
--- a/policy/suspicion/uncertain_test.go
+++ b/policy/suspicion/uncertain_test.go
@@ -92,3 +92,31 @@
 		assert.Equal(t, b.State(at(8*time.Second), 1), Suspect)
 	}
 }
+
+// Guards against an upload that crashes targets anew every ten minutes, because it is forgotten as soon as it
+// has been refused for so long and an innocent one is sent first.
+func TestUploadRunsAloneAfterALongRefusal(t *testing.T) {
+	b := NewTracker(DefaultLimits())
+	now, crashes := time.Duration(0), 0
+	for range 3 {
+		for range 2 {
+			if a := b.Admit(at(now), 1, "poison"); a == Refused || a == Busy {
+				break
+			}
+			crashes++
+			breakUpload(b, now, ports.RunID(fmt.Sprint("t", crashes)), crashes > 1, Part{Bytes: 128, Hash: 7})
+			b.EndTrial(1, "poison")
+		}
+		now += 3 * time.Second
+	}
+	assert.Equal(t, crashes, 4)
+	for ; now < 25*time.Minute; now += time.Second {
+		if a := b.Admit(at(now), 1, "innocent"); a == Exclusive {
+			b.EndTrial(1, "innocent")
+		}
+		a := b.Admit(at(now), 1, "innocent")
+		assert.Check(t, a != Unrestricted || now > 20*time.Minute, "after %s", now)
+		b.EndTrial(1, "innocent")
+	}
+	assert.Equal(t, b.State(at(now), 1), Clean)
+}
