Suspicion: a request that has lost eight targets is accused for its next one

Cause: at most eight losses of a request are kept, and a further one was no new evidence. A release keeps one, but hosts that have not released the request yet tell of the old ones, and it is full again.

Change: the oldest loss makes room.

TestReleasedUploadIsAccusedWhateverOldLossesAreToldOf fails before (suspect, not quarantined).

--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -215,7 +215,7 @@
 			return l.Trial && !old.Trial
 		}
 	}
-	if len(e.losses) == maxLosses {
+	if len(e.losses) == maxLosses && !e.dropOldest(l.At) {
 		return false
 	}
 	e.losses = append(e.losses, l)
@@ -223,9 +223,24 @@
 	return true
 }
 
-// maxLosses limits the losses kept per request; two are decisive.
+// maxLosses limits the losses kept per request; two are decisive, and the newest ones count.
 const maxLosses = 8
 
+// dropOldest makes room for a loss at the given time, and reports whether it is newer than another one.
+func (e *entry) dropOldest(at time.Time) bool {
+	oldest := 0
+	for i, l := range e.losses {
+		if l.At.Before(e.losses[oldest].At) {
+			oldest = i
+		}
+	}
+	if !e.losses[oldest].At.Before(at) {
+		return false
+	}
+	e.losses = slices.Delete(e.losses, oldest, oldest+1)
+	return true
+}
+
 func (e *entry) lostWith(id ports.RunID) bool {
 	for _, l := range e.losses {
 		if l.Target == id {
--- a/policy/suspicion/uncertain_test.go
+++ b/policy/suspicion/uncertain_test.go
@@ -120,3 +120,19 @@
 	}
 	assert.Equal(t, b.State(at(now), 1), Clean)
 }
+
+// Guards against an upload that crashes targets without end after eight losses, because hosts that have not
+// released it yet tell of the old ones.
+func TestReleasedUploadIsAccusedWhateverOldLossesAreToldOf(t *testing.T) {
+	b := NewTracker(DefaultLimits())
+	breakUpload(b, 0, "t0", false, Part{})
+	breakUpload(b, 300*time.Millisecond, "t1", true, Part{})
+	old, _ := b.Record(at(300*time.Millisecond), 1)
+	for i := range maxLosses {
+		since := time.Duration(i) * 10 * time.Millisecond
+		old.Losses = append(old.Losses[:i:i], LossRecord{Target: ports.RunID(fmt.Sprint("t", i)), SinceLoss: since})
+	}
+	assert.Equal(t, b.RecordSent(at(4*time.Second), 1), Suspect)
+	b.Merge(at(4*time.Second), aged(old, 3700*time.Millisecond), false)
+	assert.Equal(t, breakUpload(b, 5*time.Second, "t9", true, Part{}), Quarantined)
+}
