Quarantine: requests that are alike but for their credential are held back together

Cause: each value of the credential makes a new request, of which nothing is known. Class: what identifies a request is chosen by the one who sends it.

Once several of them have crashed targets the group runs alone and is refused after each further loss; requests that were answered before are left alone, and hosts tell each other of these. Suspects of such groups are handed to hosts that start, too. A host that adopts a suspect keeps the time of its last send.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -14,6 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/blackboard"
 	"github.com/cactusproxy/cactusproxy/declare"
 	"github.com/cactusproxy/cactusproxy/policy/sizes"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 )
 
 // Idempotency says whether a call may be retried after an attempt that may have run.
@@ -74,8 +75,8 @@
 	// response waits for those to earlier requests of the caller's connection. Otherwise the target
 	// would count as busy until the caller has the response.
 	ReleaseBuffered bool
-	// RequestDigest identifies the request to the quarantine; 0 if it was not computed.
-	RequestDigest uint64
+	// Identity identifies the request to the quarantine; zero if it was not computed.
+	Identity suspicion.ID
 }
 
 // bytes estimates the total size of the request body and the response body.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -53,7 +54,7 @@
 // Quarantine limits attempts of requests that are suspected of crashing targets. It is
 // implemented by quarantine.Quarantine.
 type Quarantine interface {
-	Admit(ctx context.Context, digest uint64) (*quarantine.Attempt, quarantine.Decision)
+	Admit(ctx context.Context, id suspicion.ID) (*quarantine.Attempt, quarantine.Decision)
 }
 
 // Dispatcher executes calls against targets. It is safe for concurrent use.
@@ -146,14 +147,14 @@
 		qa, decision := d.admitAttempt(ctx, c)
 		if decision.Refuse {
 			r := h.fallbackReply(quarantineReason(decision), decision.RetryAfter)
-			r.Result.Detail = "digest=" + quarantine.FormatDigest(c.RequestDigest)
+			r.Result.Detail = "digest=" + quarantine.FormatDigest(decision.Digest)
 			return r
 		}
 		g, refusal := d.picker.Pick(ctx, pick.Request{
 			Service:   c.Key,
 			Avoid:     h.tried,
 			Exclusive: decision.Exclusive,
-			Digest:    c.RequestDigest,
+			Digest:    c.Identity.Request,
 
 			Arrived:   c.Arrived.Add(-c.PriorWait),
 			Objective: c.Objective,
@@ -200,7 +201,7 @@
 	if d.quarantine == nil {
 		return nil, quarantine.Decision{}
 	}
-	return d.quarantine.Admit(ctx, c.RequestDigest)
+	return d.quarantine.Admit(ctx, c.Identity)
 }
 
 // replyOrRetry returns the reply that follows from an attempt, or nil if the call is to be
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -127,7 +127,7 @@
 		Hedge:   true,
 		Bytes:   c.bytes(),
 		Regions: c.Regions,
-		Digest:  c.RequestDigest,
+		Digest:  c.Identity.Request,
 	})
 	if hedgeGrant == nil {
 		return d.refuseHedge(qa, "hedge-no-slot")
--- a/dispatch/seal_test.go
+++ b/dispatch/seal_test.go
@@ -14,6 +14,7 @@
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pick"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 	"github.com/cactusproxy/cactusproxy/upstream"
@@ -167,7 +168,7 @@
 		q := b.startQuarantine()
 		for range 2 {
 			c := newContractCall(http.MethodGet)
-			c.MaxAttempts, c.RequestDigest = 2, 7
+			c.MaxAttempts, c.Identity.Request = 2, 7
 			assert.Equal(t, b.do(t, t.Context(), c).Status, http.StatusBadGateway)
 		}
 		assert.Equal(t, len(b.picker.reports()), 4)
@@ -203,12 +204,12 @@
 	b := newContractHarness(t)
 	q := b.startQuarantine()
 	for _, target := range []ports.RunID{"t1", "t2"} {
-		a, _ := q.Admit(t.Context(), 0xabc)
+		a, _ := q.Admit(t.Context(), suspicion.ID{Request: 0xabc})
 		a.Started(target)
 		a.BrokeOff()
 	}
 	c := newContractCall(http.MethodGet)
-	c.RequestDigest = 0xabc
+	c.Identity.Request = 0xabc
 	r := b.do(t, t.Context(), c)
 	assert.Equal(t, r.Result.Reason, outcome.ReasonQuarantined)
 	assert.Equal(t, r.Result.Detail, "digest=abc")
--- a/entry/request.go
+++ b/entry/request.go
@@ -14,12 +14,16 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pipeline"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/quarantine"
 )
 
 // HeaderIdempotencyKey carries the idempotency key of an at-most-once call.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
+// headerAuthorization carries the credential of a caller without an API key.
+const headerAuthorization = "Authorization"
+
 // maxDepth stops call loops. Legitimate chains of calls are up to 26 deep.
 const maxDepth = 32
 
@@ -72,24 +76,26 @@
 		return nil, nil, refusal
 	}
 	c.Body = body
-	c.RequestDigest = digest(c)
+	c.Identity = identity(r, c)
 	return c, release, outcome.Result{}
 }
 
-// digest returns the hash by which the quarantine knows a request. The API key isn't part of it: targets are
-// told the tenant, which may have many keys, and a key that names no tenant isn't sent on.
-func digest(c *dispatch.Call) uint64 {
+// identity returns how the quarantine knows a request. The API key isn't part of it: targets are told the
+// tenant, which may have many keys, and a key that names no tenant isn't sent on.
+func identity(r *http.Request, c *dispatch.Call) suspicion.ID {
 	q := quarantine.Request{
 		Workspace: c.Key.Workspace,
 		Service:   c.Key.Service,
 		Method:    c.Method,
 		Path:      c.URL.RequestURI(),
 		Tenant:    c.Tenant,
-		Caller:    c.Caller,
+		Caller:    r.Header.Get(headerAuthorization),
+		Host:      c.Host,
 		Body:      c.Body.Head(),
 		Length:    c.Body.Length(),
 	}
-	return q.Digest()
+	q.Certificate, _ = certificateSubject(r)
+	return q.ID()
 }
 
 // attemptsLeft returns the maximum number of attempts of a call: the service's limit or, if lower,
@@ -129,10 +135,10 @@
 // a digest of its Authorization header. Callers without either share one identity in their
 // workspace.
 func callerIdentity(r *http.Request) string {
-	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
-		return "cert:" + r.TLS.PeerCertificates[0].Subject.String()
+	if subject, ok := certificateSubject(r); ok {
+		return "cert:" + subject
 	}
-	auth := r.Header.Get("Authorization")
+	auth := r.Header.Get(headerAuthorization)
 	if auth == "" {
 		return ""
 	}
@@ -140,6 +146,14 @@
 	return "auth:" + hex.EncodeToString(sum[:16])
 }
 
+// certificateSubject returns the subject of the caller's client certificate, and false if it has none.
+func certificateSubject(r *http.Request) (subject string, ok bool) {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return "", false
+	}
+	return r.TLS.PeerCertificates[0].Subject.String(), true
+}
+
 // readBody reads a body into memory if it is small enough to be replayed; otherwise it reads the head and
 // the rest stays a stream.
 func (s *Server) readBody(r *http.Request, m Match) (*dispatch.Body, func(), outcome.Result) {
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -22,6 +22,7 @@
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/routing"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
@@ -301,7 +302,7 @@
 			r.Header.Set("Authorization", auth)
 		}
 		do(s, r)
-		return d.call.RequestDigest
+		return d.call.Identity.Request
 	}
 	assert.Check(t, digest("a") != digest("b"))
 	assert.Check(t, digest("a") != digest(""))
@@ -309,6 +310,27 @@
 	assert.Equal(t, digest(""), digest(""))
 }
 
+// Guards against a caller whose credential, or host name, is new each time, so that the quarantine finds nothing
+// that its requests have in common.
+func TestRequestsThatDifferInTheirCredentialAreOneGroup(t *testing.T) {
+	s, d, _ := newServer(t)
+	identity := func(host, path, auth string) suspicion.ID {
+		r := httptest.NewRequest(http.MethodGet, "http://"+host+path, nil)
+		r.Header.Set("Authorization", auth)
+		do(s, r)
+		return d.call.Identity
+	}
+	one := identity("auction.example", "/lots/7", "a")
+	for _, other := range []suspicion.ID{
+		identity("auction.example", "/lots/7", "b"),
+		identity("AUCTION.example:8080", "/lots/7", "a"),
+	} {
+		assert.Check(t, other.Request != one.Request)
+		assert.Equal(t, other.Group, one.Group)
+	}
+	assert.Check(t, identity("auction.example", "/lots/8", "a").Group != one.Group)
+}
+
 // Guards against uploads to one path that are one request to the quarantine, so that one of them crashes
 // targets without end beside the others, or closes the path for them.
 func TestUploadsThatAreNotHeldInMemoryAreToldApart(t *testing.T) {
@@ -319,7 +341,7 @@
 		do(s, r)
 		_, inMemory := d.call.Body.Bytes()
 		assert.Check(t, !inMemory)
-		return d.call.RequestDigest
+		return d.call.Identity.Request
 	}
 	for _, length := range []int64{18, -1} {
 		one := digest(strings.NewReader("lake, a photograph"), length)
@@ -335,7 +357,7 @@
 		r := httptest.NewRequest(http.MethodPut, "http://auction.example/lots", strings.NewReader("an upload"))
 		r.ContentLength = -1
 		do(s, r)
-		return d.call.RequestDigest
+		return d.call.Identity.Request
 	}
 	withMemory := digest()
 	assert.Check(t, s.memory.TryAcquire(1<<10))
@@ -376,7 +398,7 @@
 			do(s, r)
 			assert.Equal(t, d.body, strings.Repeat("a", 60))
 			assert.Check(t, d.call.Arrived.Sub(start) <= headWait)
-			digests[d.call.RequestDigest] = true
+			digests[d.call.Identity.Request] = true
 		})
 	}
 	assert.Check(t, len(digests) <= 2, "%d requests", len(digests)) // 0 and 8 bytes of the head
--- a/entry/tenant_test.go
+++ b/entry/tenant_test.go
@@ -312,7 +312,7 @@
 	k := newKeyedServer(t, tenantsConfig(1, tenant("school", "key-1", "key-2"), tenant("other", "key-3")))
 	digest := func(key string) uint64 {
 		k.get("/lots/7", headerKey, key)
-		return k.sent.call.RequestDigest
+		return k.sent.call.Identity.Request
 	}
 	assert.Equal(t, digest("key-1"), digest("key-2"))
 	assert.Check(t, digest("key-1") != digest("key-3"))
@@ -329,7 +329,7 @@
 		k := newKeyedServer(t, c)
 		digest := func(key string) uint64 {
 			k.get(path, headerKey, key)
-			return k.sent.call.RequestDigest
+			return k.sent.call.Identity.Request
 		}
 		assert.Equal(t, digest("a"), digest("b"))
 		assert.Equal(t, digest("a"), digest(""))
--- a/policy/suspicion/held.go
+++ b/policy/suspicion/held.go
@@ -10,11 +10,12 @@
 // begin it anew after others have released the request.
 const releaseMargin = 5 * time.Second
 
-// Held returns a sum for each part of the quarantined requests, or nil if there are none. Equal sets have
+// Held returns a sum for each part of the quarantined requests and the groups, or nil if there are none. Equal sets have
 // equal sums.
 func (b *Tracker) Held(now time.Time) (sums []uint64) {
+	groups := b.evidentGroups()
 	for d := range b.entries {
-		if b.State(now, d) != Quarantined {
+		if !b.held(now, d, groups) {
 			continue
 		}
 		if sums == nil {
@@ -25,6 +26,20 @@
 	return sums
 }
 
+// held reports whether other hosts are told of a request although nothing is new: they would let it, or
+// requests of its group, crash targets again.
+func (b *Tracker) held(now time.Time, d Digest, groups map[Digest]bool) bool {
+	state, e := b.State(now, d), b.entries[d]
+	switch state {
+	case Clean:
+		return false
+	case Quarantined:
+		return true
+	default:
+		return e.isGroup || groups[e.group] && !e.answered
+	}
+}
+
 // HeldBeyond returns records of the quarantined requests that a host with the given sums may lack: those of
 // the parts that differ, beginning with the given one, until there are n or more. Next is the part to
 // begin with the next time, or 0 if there are no more.
@@ -37,8 +52,9 @@
 		sums = make([]uint64, heldBuckets)
 	}
 	parts := make([][]Digest, heldBuckets)
-	for d, e := range b.entries {
-		if i := d % heldBuckets; e.state == Quarantined && own[i] != sums[i] {
+	groups := b.evidentGroups()
+	for d := range b.entries {
+		if i := d % heldBuckets; own[i] != sums[i] && b.held(now, d, groups) {
 			parts[i] = append(parts[i], d)
 		}
 	}
@@ -48,6 +64,7 @@
 		}
 		for _, d := range parts[i] {
 			if r, ok := b.Record(now, d); ok && r.SinceSent < b.limits.ReleaseAfterIdle-releaseMargin {
+				r.Good = b.entries[d].goodRequests()
 				out = append(out, r)
 			}
 		}
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -17,6 +17,13 @@
 	Age       time.Duration `msgpack:"a"`
 	SinceSent time.Duration `msgpack:"q"`
 	Losses    []LossRecord  `msgpack:"l"`
+	// Group is the digest of the request's group; IsGroup is set if the record is one of a group.
+	Group   Digest `msgpack:"y"`
+	IsGroup bool   `msgpack:"z"`
+	// Probation is how long a group is tracked for losses that may be chance.
+	Probation time.Duration `msgpack:"w"`
+	// Good holds requests of a group that were answered while it was tracked; empty where nothing is handed over.
+	Good []Digest `msgpack:"o"`
 	// KnownGood is set if some host remembers a complete response to the request.
 	KnownGood bool `msgpack:"g"`
 	// Uncertain is BrokenRun.Uncertain, and Releases how often the request was released.
@@ -53,6 +60,7 @@
 		Digest: d, State: e.state, Age: now.Sub(e.since), SinceSent: now.Sub(e.sent),
 		KnownGood: e.answered, Uncertain: e.uncertain, Releases: e.releases,
 		Excuses: e.excuses, Settled: e.settled,
+		Group: e.group, IsGroup: e.isGroup, Probation: e.probation,
 	}
 	for _, l := range e.losses {
 		r.Losses = append(r.Losses, LossRecord{Target: l.Target, SinceLoss: now.Sub(l.At), Trial: l.Trial, Pending: l.Pending, Sent: l.Sent})
@@ -78,15 +86,27 @@
 	if at, ok := b.cleared[r.Digest]; ok && !now.Add(-r.newest()).After(at) {
 		return true
 	}
+	if b.probationOver(now, r) {
+		return false
+	}
 	r.Losses = slices.DeleteFunc(slices.Clone(r.Losses), func(l LossRecord) bool {
 		return b.disproved(now, r.Digest, l.at(now))
 	})
 	if len(r.Losses) == 0 {
 		return b.entries[r.Digest] == nil
 	}
+	known := b.entries[r.Digest] != nil
 	e := b.ensure(r.Digest, now)
+	if !known {
+		// Or hosts that tell each other of a suspect would never forget it.
+		e.since, e.sent = now.Add(-r.Age), now.Add(-r.SinceSent)
+	}
+	e.group, e.isGroup, e.probation = r.Group, r.IsGroup, max(e.probation, r.Probation)
 	e.answered = e.answered || r.KnownGood || knownGood
 	e.uncertain = e.uncertain || r.Uncertain
+	for _, d := range r.Good {
+		e.addGood(d)
+	}
 	outdated := b.mergeReleases(now, e, r.Releases)
 	if at := now.Add(-r.SinceSent); e.sent.Before(at) {
 		e.sent = at
@@ -103,6 +123,9 @@
 		// Of an older one it is no longer known which targets were lost with it.
 		e.settled = r.Settled || age >= b.limits.LossWindow
 	}
+	if e.group != 0 && !e.answered {
+		b.trackGroup(now, e.group)
+	}
 	return false
 }
 
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -136,6 +136,8 @@
 // BrokenRun is a run whose connection broke.
 type BrokenRun struct {
 	Digest Digest
+	// Group is the digest of the request's group; 0 if it has none.
+	Group Digest
 	Loss
 	// KnownGood is set if the host remembers a complete response to an earlier run of the
 	// request.
@@ -167,6 +169,13 @@
 	excusedElsewhere bool
 	// uncertain is BrokenRun.Uncertain of any run.
 	uncertain bool
+	// group is BrokenRun.Group, isGroup is set for a group itself.
+	group   Digest
+	isGroup bool
+	// probation is how long a group is tracked for losses that may be chance; 0 if it was found otherwise.
+	probation time.Duration
+	// good holds the requests of a group that were answered while it was tracked.
+	good map[Digest]bool
 	// lost counts all losses, also those that were withdrawn.
 	lost int
 	// releases counts how often a quarantine ended by its duration.
@@ -191,10 +200,10 @@
 // blamed reports whether the losses are enough to blame the request: two targets, one of which
 // ran it in isolation, or as many as SetMinLosses says without a complete response ever. A
 // request that several targets ran at once and that was answered before is more likely a common
-// request on several failing targets, so it gets a trial first.
+// request on several failing targets, so it gets a trial first. So does a group of requests.
 func (b *Tracker) blamed(e *entry) bool {
-	if e.trialed() {
-		return len(e.losses) >= defaultMinLosses
+	if e.trialed() || e.isGroup {
+		return e.trialed() && len(e.losses) >= defaultMinLosses
 	}
 	return len(e.losses) >= b.minLosses && !e.answered
 }
--- a/policy/suspicion/tracker.go
+++ b/policy/suspicion/tracker.go
@@ -25,6 +25,8 @@
 	// withdrawn holds the losses that were withdrawn from requests since their last complete response,
 	// although the target may have been restarted.
 	withdrawn map[Digest][]Loss
+	// groupEnded holds until when losses of a group are no evidence any more, because its probation ended then.
+	groupEnded map[Digest]time.Time
 	// minLosses is the number of lost targets from which a request is blamed that never ran in
 	// isolation.
 	minLosses int
@@ -52,7 +54,8 @@
 
 		lossTargets: make(map[ports.RunID]bool),
 
-		withdrawn: make(map[Digest][]Loss),
+		withdrawn:  make(map[Digest][]Loss),
+		groupEnded: make(map[Digest]time.Time),
 	}
 }
 
@@ -72,6 +75,9 @@
 	switch e.state {
 	case Suspect:
 		if b.expired(now, e) {
+			if e.onProbation() {
+				b.groupEnded[d] = now
+			}
 			delete(b.entries, d)
 			return Clean
 		}
@@ -116,6 +122,7 @@
 		}
 	default:
 		e.settled = true
+		b.trackGroup(now, e.group)
 	}
 }
 
@@ -159,10 +166,12 @@
 	e.sent = now
 	e.answered = e.answered || r.KnownGood
 	e.uncertain = e.uncertain || r.Uncertain
+	e.group = r.Group
 	b.lossTargets[r.Target] = true
 	if e.add(r.Loss, b.limits.LossWindow) && b.blamed(e) {
 		b.accuse(r.Digest, e, now)
 	}
+	b.recordGroupLoss(now, e, r.Loss)
 	return e.state
 }
 
@@ -170,6 +179,9 @@
 func (b *Tracker) accuse(d Digest, e *entry, at time.Time) {
 	e.setState(Quarantined, at)
 	e.excusedElsewhere = false
+	if e.isGroup {
+		return // one of its requests is accused besides
+	}
 	for old, t := range b.accused {
 		if at.Sub(t) >= 2*b.limits.LossWindow {
 			delete(b.accused, old)
@@ -327,6 +339,11 @@
 			delete(b.cleared, d)
 		}
 	}
+	for d, at := range b.groupEnded {
+		if now.Sub(at) >= b.limits.SuspectTTL {
+			delete(b.groupEnded, d)
+		}
+	}
 	b.sweepProofs(now)
 	b.sweepLossTargets()
 }
--- a/policy/suspicion/uncertain.go
+++ b/policy/suspicion/uncertain.go
@@ -26,6 +26,9 @@
 // its digest are sent, some time after its last loss. It has run alone for as long since its last release, or
 // the one that crashes targets would be forgotten while it was refused.
 func (b *Tracker) expired(now time.Time, e *entry) bool {
+	if e.onProbation() {
+		return now.Sub(e.since) >= e.probation
+	}
 	last := e.sent
 	if e.uncertain {
 		last = e.lastLoss()
@@ -39,6 +42,9 @@
 // servedOut reports whether a request that keeps being sent has been refused for long enough.
 func (b *Tracker) servedOut(now time.Time, e *entry) bool {
 	n := max(e.releases, e.lost-fewLosses)
+	if e.isGroup {
+		return now.Sub(e.lastLoss()) >= groupRefusal(n)
+	}
 	if e.uncertain && n < len(b.limits.UncertainRefusals) {
 		return now.Sub(e.lastLoss()) >= b.limits.UncertainRefusals[n]
 	}
--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -52,7 +52,7 @@
 // locally. Each side of a network partition may then run a trial of its own, which is
 // better than refusing requests that are most likely innocent.
 func (q *Quarantine) acquireTrial(ctx context.Context, digest uint64) (suspicion.Admission, *trial) {
-	t := q.newTrial()
+	t := q.newTrial(digest)
 	for _, id := range q.arbiters(digest) {
 		t.arbiters = append(t.arbiters, id)
 		if id == q.link.Self() {
@@ -127,19 +127,24 @@
 // merge merges records from another host into the tracker and sends what follows:
 //   - to a sender whose record is outdated, that the request has been cleared or that
 //     targets in it did not crash;
-//   - to all hosts, records of suspects that the merge has quarantined;
+//   - to all hosts, records of suspects that the merge has quarantined, and of groups of requests that it
+//     has begun to track;
 //   - to all hosts, records of requests that this host saw answered, with that
 //     evidence, before others quarantine them without a trial.
 func (q *Quarantine) merge(from peer.HostID, records []suspicion.Record) {
 	q.markLosses(records)
 	var cleared []suspicion.Digest
 	var proofs []suspicion.ProofRecord
-	var vindicated, quarantined []suspicion.Record
+	var vindicated, quarantined, groups []suspicion.Record
 	q.locked(func(now time.Time) {
 		for _, r := range records {
 			knownGood := q.completedCache.has(r.Digest)
 			was := q.tracker.State(now, r.Digest)
+			grouped := q.tracker.State(now, r.Group) != suspicion.Clean
 			outdated := q.tracker.Merge(now, r, knownGood)
+			if rec, ok := q.tracker.Record(now, r.Group); ok && !grouped {
+				groups = append(groups, rec)
+			}
 			if rec, ok := q.tracker.Record(now, r.Digest); ok && was != suspicion.Quarantined && r.State == suspicion.Suspect && rec.State == suspicion.Quarantined {
 				quarantined = append(quarantined, rec)
 			}
@@ -163,6 +168,10 @@
 	if len(proofs) > 0 && !peer.Notify(q.link, from, kindTargetsAlive, targetsAliveMsg{Proofs: proofs}) {
 		q.count.Add(countDropped, 1)
 	}
+	for _, g := range groups {
+		q.reportGroup(g)
+		q.share(g)
+	}
 	if len(quarantined) > 0 {
 		broadcast(q, kindRecords, recordsMsg{Records: quarantined})
 	}
--- a/quarantine/attempt.go
+++ b/quarantine/attempt.go
@@ -23,13 +23,15 @@
 	Waited bool
 	// RetryAfter is the delay to suggest to the caller of a refused attempt.
 	RetryAfter time.Duration
+	// Digest is the digest of the request, or of its group, for which the attempt is refused.
+	Digest uint64
 }
 
 // Attempt is one admitted attempt. All methods accept a nil receiver, which stands
 // for an attempt that is not tracked.
 type Attempt struct {
-	q      *Quarantine
-	digest uint64
+	q  *Quarantine
+	id suspicion.ID
 	// answer is what a complete response shows about the target. Its Sent is zero if nothing was
 	// suspected when the attempt was sent.
 	answer suspicion.Answer
@@ -41,6 +43,8 @@
 
 // trial is the permission to run one attempt of a suspect.
 type trial struct {
+	// digest is the digest of the request or of its group.
+	digest uint64
 	holder string
 	// arbiters are the hosts that may have granted the permission, including those
 	// whose reply was lost.
@@ -51,62 +55,63 @@
 // retries and hedges alike. It returns at once unless the request is a suspect: then
 // it waits for permission to run a trial, or for the outcome of another trial, until
 // ctx ends. An attempt that is not refused must be ended by Completed, BrokeOff or
-// Close. A digest of 0 is admitted without tracking.
-func (q *Quarantine) Admit(ctx context.Context, digest uint64) (*Attempt, Decision) {
-	if digest == 0 {
+// Close. A request with a digest of 0 is admitted without tracking.
+func (q *Quarantine) Admit(ctx context.Context, id suspicion.ID) (*Attempt, Decision) {
+	if id.Request == 0 {
 		return nil, Decision{}
 	}
 	if q.catchingUp.Load() && !q.awaitCatchUp(ctx) {
-		return nil, q.refuse(Decision{Waited: true})
+		return nil, q.refuse(Decision{Waited: true, Digest: id.Request})
 	}
 	if q.entries.Load() == 0 {
-		return &Attempt{q: q, digest: digest}, Decision{}
+		return &Attempt{q: q, id: id}, Decision{}
 	}
-	return q.admitSuspect(ctx, digest)
+	return q.admitSuspect(ctx, id)
 }
 
-func (q *Quarantine) admitSuspect(ctx context.Context, digest uint64) (*Attempt, Decision) {
+func (q *Quarantine) admitSuspect(ctx context.Context, id suspicion.ID) (*Attempt, Decision) {
 	delay := minPollDelay
 	for {
-		answer, t, changed := q.decide(ctx, digest)
+		digest, answer, t, changed := q.decide(ctx, id)
 		switch answer {
 		case suspicion.Unrestricted:
-			return &Attempt{q: q, digest: digest}, Decision{}
+			return &Attempt{q: q, id: id}, Decision{}
 		case suspicion.Refused:
-			return nil, q.refuse(Decision{})
+			return nil, q.refuse(Decision{Digest: digest})
 		case suspicion.Exclusive:
 			q.count.Add(countTrials, 1)
-			return &Attempt{q: q, digest: digest, trial: t}, Decision{Exclusive: true}
+			return &Attempt{q: q, id: id, trial: t}, Decision{Exclusive: true}
 		}
 		q.count.Add(countTrialWaits, 1)
 		if !waitForChange(ctx, changed, delay) {
 			q.count.Add(countWaitTimeouts, 1)
-			return nil, q.refuse(Decision{Waited: true})
+			return nil, q.refuse(Decision{Waited: true, Digest: digest})
 		}
 		delay = min(2*delay, maxPollDelay)
 	}
 }
 
-// decide evaluates an attempt once, without waiting for another trial. The channel changed
-// is closed at the next change to any request.
-func (q *Quarantine) decide(ctx context.Context, digest uint64) (a suspicion.Admission, t *trial, changed <-chan struct{}) {
+// decide evaluates an attempt once, without waiting for another trial, by the state of the request or of
+// its group, whose digest it returns. The channel changed is closed at the next change to any request.
+func (q *Quarantine) decide(ctx context.Context, id suspicion.ID) (digest uint64, a suspicion.Admission, t *trial, changed <-chan struct{}) {
 	var state suspicion.State
 	var settled bool
 	q.locked(func(now time.Time) {
+		digest = q.tracker.Subject(now, id, q.completedCache.has(id.Request))
 		state = q.tracker.RecordSent(now, digest)
 		settled = q.tracker.Settled(now, digest)
 		changed = q.changed
 	})
 	switch {
 	case state == suspicion.Clean:
-		return suspicion.Unrestricted, nil, changed
+		return digest, suspicion.Unrestricted, nil, changed
 	case settled:
-		return suspicion.Refused, nil, changed
+		return digest, suspicion.Refused, nil, changed
 	case state == suspicion.Quarantined:
-		return suspicion.Busy, nil, changed
+		return digest, suspicion.Busy, nil, changed
 	}
 	a, t = q.acquireTrial(ctx, digest)
-	return a, t, changed
+	return digest, a, t, changed
 }
 
 // Bounds of the backoff between requests to the arbiter while another trial runs.
@@ -171,7 +176,7 @@
 	}
 	a.once.Do(func() {
 		a.q.reachability.markUp(a.answer.Target)
-		a.q.recordCompletion(a.digest, a.content)
+		a.q.recordCompletion(a.id, a.content)
 		a.q.TargetAnswered(a.answer)
 		a.endTrial()
 	})
@@ -187,7 +192,7 @@
 	}
 	a.once.Do(func() {
 		loss := suspicion.Loss{Target: a.answer.Target, Trial: a.trial != nil, Sent: a.content.sent()}
-		a.q.recordLoss(suspicion.BrokenRun{Digest: a.digest, Loss: loss, Uncertain: a.content != nil})
+		a.q.recordLoss(suspicion.BrokenRun{Digest: a.id.Request, Group: a.id.Group, Loss: loss, Uncertain: a.content != nil})
 		a.endTrial()
 	})
 }
@@ -206,10 +211,10 @@
 	if a.trial == nil {
 		return
 	}
-	msg := endTrialMsg{Digest: a.digest, Holder: a.trial.holder}
+	msg := endTrialMsg{Digest: a.trial.digest, Holder: a.trial.holder}
 	a.q.locked(func(now time.Time) {
-		a.q.tracker.EndTrial(a.digest, ports.HostID(a.trial.holder))
-		if r, ok := a.q.tracker.Record(now, a.digest); ok {
+		a.q.tracker.EndTrial(a.trial.digest, ports.HostID(a.trial.holder))
+		if r, ok := a.q.tracker.Record(now, a.trial.digest); ok {
 			msg.Record = append(msg.Record, r)
 		}
 		a.q.notifyWaiters()
@@ -222,7 +227,7 @@
 }
 
 // newTrial returns a trial with a holder name that is unique across all hosts.
-func (q *Quarantine) newTrial() *trial {
+func (q *Quarantine) newTrial(digest uint64) *trial {
 	n := strconv.FormatUint(q.trials.Add(1), 10)
-	return &trial{holder: string(q.link.Self()) + "/" + n}
+	return &trial{digest: digest, holder: string(q.link.Self()) + "/" + n}
 }
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -5,9 +5,12 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 )
 
-// Request is what makes two requests the same one: the same caller asks the same for the same content.
+// Request is what makes two requests the same one: the same caller asks the same for the same content. Those
+// that differ only in Caller or Host are of one group, see suspicion.ID.
 //
 // The caller belongs to it: targets do different things for different callers, so that a path may
 // crash them for one caller only. Without it, the good responses to all others would clear the
@@ -17,29 +20,40 @@
 	Method, Path       string
 	// Tenant owns the caller's API key; empty if the request needs none.
 	Tenant string
-	// Caller is the caller's client certificate or credential, or empty if it has none.
+	// Certificate is the subject of the caller's client certificate, or empty if it has none.
+	Certificate string
+	// Caller is the caller's credential as it was sent, or empty if it has none.
 	Caller string
+	// Host is the host name by which the caller asks.
+	Host string
 	// Body is the content or, if it is not held in memory, its first part.
 	Body []byte
 	// Length is the length of the whole body, or -1 if it is unknown.
 	Length int64
 }
 
-// Digest returns the hash that identifies equal requests. It is never 0, which Admit takes for a
-// request that is not tracked.
-func (r *Request) Digest() uint64 {
+// ID returns the hashes that identify equal requests and their group. They are never 0, which Admit takes for
+// a request that is not tracked.
+func (r *Request) ID() suspicion.ID {
 	var h xxhash.Digest
 	h.Reset()
-	for _, s := range [...]string{r.Workspace, r.Service, r.Method, r.Path, r.Tenant, r.Caller} {
-		writeLength(&h, int64(len(s)))
-		_, _ = h.WriteString(s)
-	}
+	writeStrings(&h, r.Workspace, r.Service, r.Method, r.Path, r.Tenant, r.Certificate)
 	writeLength(&h, r.Length)
 	_, _ = h.Write(r.Body)
-	return max(1, h.Sum64())
+	group := max(1, h.Sum64())
+	writeLength(&h, int64(len(r.Body)))
+	writeStrings(&h, r.Caller, r.Host)
+	return suspicion.ID{Request: max(1, h.Sum64()), Group: group}
+}
+
+// writeStrings writes each string with a length prefix, so that adjacent ones can't run together.
+func writeStrings(h *xxhash.Digest, list ...string) {
+	for _, s := range list {
+		writeLength(h, int64(len(s)))
+		_, _ = h.WriteString(s)
+	}
 }
 
-// writeLength writes a length prefix, so that adjacent parts can't run together.
 func writeLength(h *xxhash.Digest, n int64) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(n))
--- a/quarantine/faults_history_test.go
+++ b/quarantine/faults_history_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -39,11 +40,21 @@
 // sentRequest is what callers send again and again.
 type sentRequest struct {
 	digest uint64
+	// group is the request's group; 0 if it has none.
+	group  uint64
 	poison bool
 	// content of an upload; nil for a request whose body is held in memory.
 	content []byte
 }
 
+// crashesAs returns the digest under which its crashes are counted.
+func (r sentRequest) crashesAs() uint64 {
+	if r.group != 0 {
+		return r.group
+	}
+	return r.digest
+}
+
 // faults is a history in which hosts are restarted and cut off.
 type faults struct {
 	*history
@@ -62,6 +73,15 @@
 	lostAt map[uint64][]time.Time
 	// refusedAt holds when innocent requests were refused, by digest.
 	refusedAt map[uint64][]time.Time
+	// answeredBy holds the requests that have a group and that a run of a host has answered, and answeredRefused
+	// how many of these it refused after that.
+	answeredBy      map[answeredRequest]bool
+	answeredRefused int
+}
+
+type answeredRequest struct {
+	by     *Quarantine
+	digest uint64
 }
 
 func newFaults(seed uint64, fast bool) *faults {
@@ -78,6 +98,7 @@
 		late:         make(map[uint64]int),
 		lostAt:       make(map[uint64][]time.Time),
 		refusedAt:    make(map[uint64][]time.Time),
+		answeredBy:   make(map[answeredRequest]bool),
 	}
 	f.net.Delay = func(_, _ ports.HostID) time.Duration { return f.duration(100*time.Microsecond, 2*time.Millisecond) }
 	for i := range plan.targets {
@@ -193,12 +214,15 @@
 func (f *faults) sendOnce(r sentRequest) bool {
 	x, q, generation := f.host()
 	ctx, cancel := context.WithTimeout(context.Background(), simAdmitTimeout)
-	a, d := q.Admit(ctx, r.digest)
+	a, d := q.Admit(ctx, suspicion.ID{Request: r.digest, Group: r.group})
 	cancel()
 	if d.Refuse {
 		if !r.poison && !d.Waited && f.alive(x, generation) {
 			f.mu.Lock()
 			f.refusedAt[r.digest] = append(f.refusedAt[r.digest], time.Now())
+			if f.answeredBy[answeredRequest{q, r.digest}] {
+				f.answeredRefused++
+			}
 			f.mu.Unlock()
 		}
 		return false
@@ -222,7 +246,7 @@
 		ok = false
 	}
 	if ok && r.poison {
-		f.noteCrash(x, r.digest)
+		f.noteCrash(x, r.crashesAs())
 		f.crash(n, c.to)
 		ok = false
 	}
@@ -241,6 +265,11 @@
 	a.Completed()
 	f.keep(x, n, c)
 	f.count(&f.answered)
+	if r.group != 0 {
+		f.mu.Lock()
+		f.answeredBy[answeredRequest{q, r.digest}] = true
+		f.mu.Unlock()
+	}
 	return true
 }
 
--- a/quarantine/handover_test.go
+++ b/quarantine/handover_test.go
@@ -61,7 +61,7 @@
 // quarantine makes all hosts in touch with a host hold a request back.
 func (c *cluster) quarantine(id ports.HostID, digest uint64) {
 	for i := range 2 {
-		a, _ := c.hosts[id].Admit(context.Background(), digest)
+		a, _ := c.hosts[id].Admit(context.Background(), suspicion.ID{Request: digest})
 		a.Started(ports.RunID(fmt.Sprintf("t%d-%d", digest, i)))
 		a.BrokeOff()
 		time.Sleep(10 * time.Millisecond)
@@ -74,7 +74,7 @@
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	a, d := c.hosts[id].Admit(ctx, digest)
+	a, d := c.hosts[id].Admit(ctx, suspicion.ID{Request: digest})
 	a.Close()
 	return d.Refuse && !d.Waited, time.Since(begin)
 }
@@ -88,6 +88,25 @@
 	})
 }
 
+// Guards against a group of requests that crash targets and that nobody notices, since in a large cluster
+// suspects are told to few hosts.
+func TestGroupIsNoticedInALargeCluster(t *testing.T) {
+	inCluster(t, maxFullBroadcast+8, func(t *testing.T, c *cluster) {
+		c.start(c.ids...)
+		for i := range 3 {
+			a, _ := c.hosts[c.ids[i]].Admit(context.Background(), suspicion.ID{Request: uint64(100 + i), Group: 21})
+			a.Started(ports.RunID(fmt.Sprintf("t%d", i)))
+			a.BrokeOff()
+			time.Sleep(time.Second)
+		}
+		for _, id := range c.ids {
+			a, d := c.hosts[id].Admit(context.Background(), suspicion.ID{Request: 200, Group: 21})
+			assert.Check(t, d.Exclusive, "%s", id)
+			a.Close()
+		}
+	})
+}
+
 // Guards against a request that crashes a target more with each host that is restarted after all have
 // quarantined it.
 func TestHostThatStartsKnowsWhatOthersHoldBack(t *testing.T) {
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -255,7 +255,7 @@
 	h.mu.Lock()
 	run := x.run(n.id)
 	h.mu.Unlock()
-	a, _ := x.q.Admit(context.Background(), 1)
+	a, _ := x.q.Admit(context.Background(), suspicion.ID{Request: 1})
 	a.ConnectFailed(run)
 	a.Close()
 }
@@ -358,7 +358,7 @@
 	for range n {
 		x := h.anyHost()
 		ctx, cancel := context.WithTimeout(context.Background(), simAdmitTimeout)
-		a, d := x.q.Admit(ctx, digest)
+		a, d := x.q.Admit(ctx, suspicion.ID{Request: digest})
 		cancel()
 		if d.Refuse && digest != poisonDigest {
 			h.count(&h.refused)
--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -44,7 +45,7 @@
 	})
 	held := heap() - before
 	send := func(i uint64) {
-		a, _ := q.Admit(context.Background(), digestOf(i))
+		a, _ := q.Admit(context.Background(), suspicion.ID{Request: digestOf(i)})
 		a.Started(target)
 		a.Completed()
 	}
--- a/quarantine/messages.go
+++ b/quarantine/messages.go
@@ -22,6 +22,8 @@
 	kindTargetsAlive
 	// kindHeld asks for the requests that a host has quarantined.
 	kindHeld
+	// kindAnswered announces requests of a tracked group that were answered.
+	kindAnswered
 )
 
 // recordsMsg is the body of kindRecords.
@@ -34,6 +36,11 @@
 	Digests []suspicion.Digest `msgpack:"d"`
 }
 
+// answeredMsg is the body of kindAnswered.
+type answeredMsg struct {
+	Requests []suspicion.ID `msgpack:"r"`
+}
+
 // targetLostMsg is the body of kindTargetLost.
 type targetLostMsg struct {
 	Target ports.RunID `msgpack:"t"`
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,6 +45,8 @@
 	repeatWindow = 2500 * time.Millisecond
 	// maxSyncRecords bounds the number of records that are repeated in one round.
 	maxSyncRecords = 64
+	// maxAnswered bounds the answered requests of which other hosts are told in one round.
+	maxAnswered = 1024
 	// DefaultRetryAfter is the retry delay returned with a refusal.
 	DefaultRetryAfter = 5 * time.Second
 )
@@ -52,6 +54,7 @@
 // Names of the counters in the metrics map "quarantine".
 const (
 	countSuspected    = "suspected"
+	countGroups       = "groups_suspected"
 	countQuarantined  = "quarantined"
 	countRefused      = "refused"
 	countCleared      = "cleared"
@@ -117,6 +120,8 @@
 	proofGrace time.Duration
 	// verifying holds the targets that are being verified, see Verify.
 	verifying map[ports.RunID]bool
+	// answered holds requests of tracked groups that this host answered and has not told others of yet.
+	answered []suspicion.ID
 }
 
 // New returns a Quarantine and registers its message handlers on the link. The
@@ -153,6 +158,7 @@
 	peer.Handle(d.Link, kindEndTrial, q.onEndTrial)
 	peer.Handle(d.Link, kindTargetLost, q.onTargetLost)
 	peer.Handle(d.Link, kindTargetsAlive, q.onTargetsAlive)
+	peer.Handle(d.Link, kindAnswered, q.onAnswered)
 	peer.Handle(d.Link, kindHeld, q.onHeld)
 	return q
 }
@@ -185,7 +191,14 @@
 
 func (q *Quarantine) sync() {
 	var records []suspicion.Record
-	q.locked(func(now time.Time) { records = q.tracker.Newest(now, maxSyncRecords) })
+	var answered []suspicion.ID
+	q.locked(func(now time.Time) {
+		records = q.tracker.Newest(now, maxSyncRecords)
+		answered, q.answered = q.answered, nil
+	})
+	if len(answered) > 0 && len(q.members()) <= maxFullBroadcast {
+		broadcast(q, kindAnswered, answeredMsg{Requests: answered})
+	}
 	for _, r := range records {
 		if r.ChangedWithin(repeatWindow) && q.shouldRepeat(r.Digest) {
 			q.share(r)
@@ -210,7 +223,15 @@
 // targets drop connections for reasons of their own, there are hundreds of suspects,
 // and sending each of them to all hosts would saturate the links.
 func (q *Quarantine) share(r suspicion.Record) {
-	notifyAll(q, q.recipients(r.Digest, r.State), kindRecords, recordsMsg{Records: []suspicion.Record{r}})
+	state := r.State
+	if r.IsGroup {
+		state = suspicion.Quarantined // any host may get the next one of its requests
+	}
+	to := q.recipients(r.Digest, state)
+	if r.Group != 0 && len(to) < len(q.members()) {
+		to = append(slices.Clone(to), q.arbiters(r.Group)...) // or no host would see what several requests have in common
+	}
+	notifyAll(q, to, kindRecords, recordsMsg{Records: []suspicion.Record{r}})
 }
 
 // recipients returns the hosts that receive records of a request in the given state.
@@ -266,18 +287,21 @@
 	r.KnownGood = q.completedCache.has(r.Digest)
 	r.Pending = q.verifies
 	var was, is suspicion.State
+	var grouped bool
 	var records []suspicion.Record
 	q.locked(func(now time.Time) {
 		r.At = now
 		was = q.tracker.State(now, r.Digest)
+		grouped = q.tracker.State(now, r.Group) != suspicion.Clean
 		is = q.tracker.RecordBrokenRun(now, r)
-		if rec, ok := q.tracker.Record(now, r.Digest); ok {
-			records = append(records, rec)
-		}
+		records = q.tracker.Tracked(now, suspicion.ID{Request: r.Digest, Group: r.Group})
 		q.notifyWaiters()
 	})
 	for _, rec := range records {
 		q.share(rec)
+		if rec.IsGroup && !grouped {
+			q.reportGroup(rec)
+		}
 	}
 	if was != is {
 		q.report(r.Digest, is, r.Target)
@@ -293,15 +317,43 @@
 	q.log.Warn(event, zap.String("digest", FormatDigest(d)), zap.String("target", string(target)))
 }
 
+// reportGroup reports that this host has begun to track a group of requests.
+func (q *Quarantine) reportGroup(r suspicion.Record) {
+	q.count.Add(countGroups, 1)
+	q.log.Warn("requests alike but for their credential or host name crash targets",
+		zap.String("digest", FormatDigest(r.Digest)), zap.Int("losses", len(r.Losses)))
+}
+
 // FormatDigest returns a digest as it is in the log.
 func FormatDigest(d suspicion.Digest) string { return strconv.FormatUint(d, 16) }
 
 // recordCompletion records a run on this host that ended with a complete response.
-func (q *Quarantine) recordCompletion(d suspicion.Digest, c *Content) {
-	q.completedCache.add(d)
-	if q.active.Load() {
-		q.markInnocent(d, func() bool { return q.tracker.ClearedBy(d, c.parts()) })
+func (q *Quarantine) recordCompletion(id suspicion.ID, c *Content) {
+	q.completedCache.add(id.Request)
+	if !q.active.Load() {
+		return
+	}
+	q.markInnocent(id.Request, func() bool { return q.tracker.ClearedBy(id.Request, c.parts()) })
+	if id.Group == 0 {
+		return
 	}
+	q.locked(func(now time.Time) {
+		if q.tracker.RecordGood(now, id) && len(q.answered) < maxAnswered {
+			q.answered = append(q.answered, id)
+		}
+	})
+}
+
+// onAnswered takes in what other hosts answered, so that a caller who goes to another host isn't refused
+// with its group.
+func (q *Quarantine) onAnswered(_ context.Context, _ peer.HostID, msg answeredMsg) (struct{}, error) {
+	q.locked(func(now time.Time) {
+		for _, id := range msg.Requests {
+			q.tracker.RecordGood(now, id)
+		}
+		q.notifyWaiters()
+	})
+	return struct{}{}, nil
 }
 
 // markInnocent marks a request as innocent if shown confirms it, which is called with the lock held,
@@ -340,10 +392,12 @@
 
 // Entry describes a suspected or quarantined request for operators.
 type Entry struct {
-	Digest string        `json:"digest"`
-	State  string        `json:"state"`
-	Age    time.Duration `json:"age"`
-	Lost   []ports.RunID `json:"lost"`
+	Digest string `json:"digest"`
+	// Group is set for a group of requests that are alike but for their credential or host name.
+	Group bool          `json:"group,omitempty"`
+	State string        `json:"state"`
+	Age   time.Duration `json:"age"`
+	Lost  []ports.RunID `json:"lost"`
 }
 
 // List returns up to n suspected or quarantined requests, the most recently changed
@@ -353,7 +407,7 @@
 	q.locked(func(now time.Time) { records = q.tracker.Newest(now, n) })
 	out := make([]Entry, 0, len(records))
 	for _, r := range records {
-		e := Entry{Digest: FormatDigest(r.Digest), State: r.State.String(), Age: r.Age}
+		e := Entry{Digest: FormatDigest(r.Digest), Group: r.IsGroup, State: r.State.String(), Age: r.Age}
 		for _, l := range r.Losses {
 			e.Lost = append(e.Lost, l.Target)
 		}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -166,13 +167,13 @@
 		s := newSim(1)
 		defer s.close()
 		breakOff := func(h *Quarantine, digest uint64, target ports.RunID) {
-			a, _ := h.Admit(context.Background(), digest)
+			a, _ := h.Admit(context.Background(), suspicion.ID{Request: digest})
 			a.Started(target)
 			a.BrokeOff()
 			time.Sleep(5 * time.Millisecond)
 		}
 		breakOff(s.hosts[0], 5, "t01")
-		a, d := s.hosts[1].Admit(context.Background(), 5)
+		a, d := s.hosts[1].Admit(context.Background(), suspicion.ID{Request: 5})
 		assert.Check(t, d.Exclusive)
 		a.Started("t02")
 		a.Completed()
@@ -185,14 +186,14 @@
 		breakOff(s.hosts[1], 6, "t02")
 		began := time.Now()
 		for _, q := range s.hosts {
-			_, d = q.Admit(context.Background(), 6)
+			_, d = q.Admit(context.Background(), suspicion.ID{Request: 6})
 			assert.Check(t, d.Refuse)
 		}
 		for s.hosts[3].List(1)[0].State == "quarantined" {
 			time.Sleep(time.Second)
 		}
 		t.Logf("quarantine expired after %s without attempts", time.Since(began))
-		_, d = s.hosts[3].Admit(context.Background(), 6)
+		_, d = s.hosts[3].Admit(context.Background(), suspicion.ID{Request: 6})
 		assert.Check(t, d.Exclusive)
 	})
 }
@@ -213,7 +214,7 @@
 		defer stop()
 		go func() { _ = a.Run(ctx) }()
 		net.Block("a", "b")
-		at, _ := a.Admit(ctx, 5)
+		at, _ := a.Admit(ctx, suspicion.ID{Request: 5})
 		at.Started("t1")
 		at.BrokeOff()
 		synctest.Wait()
@@ -231,7 +232,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(1)
 		defer s.close()
-		a, _ := s.hosts[0].Admit(context.Background(), 5)
+		a, _ := s.hosts[0].Admit(context.Background(), suspicion.ID{Request: 5})
 		a.Started("t01")
 		a.BrokeOff()
 		time.Sleep(5 * time.Millisecond)
@@ -240,7 +241,7 @@
 		var wg sync.WaitGroup
 		for i := range 20 {
 			wg.Go(func() {
-				a, d := s.hosts[i%simHosts].Admit(context.Background(), 5)
+				a, d := s.hosts[i%simHosts].Admit(context.Background(), suspicion.ID{Request: 5})
 				mu.Lock()
 				if d.Exclusive {
 					exclusive++
@@ -264,7 +265,7 @@
 	ctx := context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
-		a, _ := s.Admit(ctx, 77)
+		a, _ := s.Admit(ctx, suspicion.ID{Request: 77})
 		a.Started("t1")
 		a.Completed()
 	}
@@ -279,7 +280,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				r.Digest()
+				r.ID()
 			}
 		})
 	}
--- a/quarantine/reach_test.go
+++ b/quarantine/reach_test.go
@@ -18,7 +18,7 @@
 		c.start(c.ids...)
 		h := c.hosts["h0"]
 		breakOff := func(digest uint64, target ports.RunID) {
-			a, _ := h.Admit(context.Background(), digest)
+			a, _ := h.Admit(context.Background(), suspicion.ID{Request: digest})
 			a.Started(target)
 			a.BrokeOff()
 			time.Sleep(5 * time.Millisecond)
@@ -32,7 +32,7 @@
 
 		breakOff(8, "t2")
 		breakOff(8, "t3")
-		a, _ := h.Admit(context.Background(), 9)
+		a, _ := h.Admit(context.Background(), suspicion.ID{Request: 9})
 		a.ConnectFailed("t1")
 		a.Close()
 		time.Sleep(time.Second)
--- a/quarantine/sim_test.go
+++ b/quarantine/sim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cactusproxy/cactusproxy/internal/fakes/peernet"
 	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/ports"
 )
 
@@ -140,7 +141,7 @@
 // reportUnreachable reports from a random host that no connection to the target can be made.
 func (s *sim) reportUnreachable(id ports.RunID) {
 	time.Sleep(simRoundTrip)
-	a, _ := s.host().Admit(context.Background(), 1)
+	a, _ := s.host().Admit(context.Background(), suspicion.ID{Request: 1})
 	a.ConnectFailed(id)
 	a.Close()
 }
@@ -180,7 +181,7 @@
 func (s *sim) send(digest uint64, poison bool, n int) {
 	for range n {
 		ctx, cancel := context.WithTimeout(context.Background(), simAdmitTimeout)
-		a, d := s.host().Admit(ctx, digest)
+		a, d := s.host().Admit(ctx, suspicion.ID{Request: digest})
 		cancel()
 		s.mu.Lock()
 		s.sends++
