Dispatch: a rejection whose body never ends delays no retry

The caller waits until its deadline and gets a failure in place of the response of another target; the slot at the target counts as taken all the while.

Cause: up to 16 KiB of the body of a response that isn't forwarded are read, so that the connection can be used again, for as long as the request has time.

Change: for 50 ms at most, then the connection is closed. A rejection with a usual body arrives with its header.

TestRejectionWithoutEndIsRetriedAtOnce fails before: the POST ends without a response after its whole 2 s.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -298,13 +298,19 @@
 	a.resp = resp
 }
 
-// maxDiscard is how many bytes of a response that isn't forwarded are read, so that its
-// connection can be reused.
-const maxDiscard = 16 << 10
+const (
+	// maxDiscard is how many bytes of a response that isn't forwarded are read, so that its
+	// connection can be reused.
+	maxDiscard = 16 << 10
+	// maxDiscardTime is for how long: the body may never end, and the caller waits for the next attempt.
+	maxDiscardTime = 50 * time.Millisecond
+)
 
 // discard ends an attempt whose response isn't forwarded.
 func (a *attempt) discard(resp *http.Response, class pick.Class) {
+	late := time.AfterFunc(maxDiscardTime, a.cancel)
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard+1)
+	late.Stop()
 	_ = resp.Body.Close()
 	a.end(class)
 }
