--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -11,8 +11,11 @@
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
-// maxHealthBody bounds the bytes read of the response body of a health endpoint.
-const maxHealthBody = 4 << 10
+// maxHealthHead and maxHealthBody bound the bytes read of the response of a health endpoint, which may never end.
+const (
+	maxHealthHead = 64 << 10
+	maxHealthBody = 4 << 10
+)
 
 // Dial opens a connection to a target.
 type Dial func(ctx context.Context, t blackboard.Target) (net.Conn, error)
@@ -27,6 +30,9 @@
 	transport := &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHealthHead,
+
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return dial(ctx, ctx.Value(probedTarget{}).(blackboard.Target))
 		},
--- a/ports/httpstore/client.go
+++ b/ports/httpstore/client.go
@@ -34,6 +34,8 @@
 	// idleTimeout is shorter than common server idle timeouts: a write sent on a connection that
 	// the platform is closing ends in ErrUncertain.
 	idleTimeout = 5 * time.Second
+	// maxResponseHead is the largest response header that is read.
+	maxResponseHead = 64 << 10
 	// maxResponseBytes is the largest response body that is read.
 	maxResponseBytes = 64 << 20
 )
@@ -97,6 +99,8 @@
 		MaxIdleConnsPerHost: c.MaxConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 }
 
