Log: what the standard library says is a short line of the log

What an operator sees: a target that sends bytes after its complete responses, or without end, has up to 4 KiB of them written to standard error for each response, beside the log that has one line of key=value pairs for each event. The library writes them at once, so that a reader of standard error that stalls would delay requests (read, not run).

--- a/cmd/cactusproxyd/main.go
+++ b/cmd/cactusproxyd/main.go
@@ -95,6 +95,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	logging.CaptureLibrary(log)
 	d, err := newDaemon(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
