Quarantine: requests of two routes are not the same one

Change: the name of the route belongs to the request. A caller can't vary it beyond the routes that there are. Declared workspaces have no such names; there one workspace has all its host names.

TestRequestsOfTwoRoutesAreNotTheSame fails before (one request, one group). Not played by whole daemons.

--- a/entry/request.go
+++ b/entry/request.go
@@ -76,16 +76,17 @@
 		return nil, nil, refusal
 	}
 	c.Body = body
-	c.Identity = identity(r, c)
+	c.Identity = identity(r, m, c)
 	return c, release, outcome.Result{}
 }
 
 // identity returns how the quarantine knows a request. The API key isn't part of it: targets are told the
 // tenant, which may have many keys, and a key that names no tenant isn't sent on.
-func identity(r *http.Request, c *dispatch.Call) suspicion.ID {
+func identity(r *http.Request, m Match, c *dispatch.Call) suspicion.ID {
 	q := quarantine.Request{
 		Workspace: c.Key.Workspace,
 		Service:   c.Key.Service,
+		Route:     m.Route,
 		Method:    c.Method,
 		Path:      c.URL.RequestURI(),
 		Tenant:    c.Tenant,
--- a/entry/tenant_test.go
+++ b/entry/tenant_test.go
@@ -18,6 +18,7 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
+	"github.com/cactusproxy/cactusproxy/policy/suspicion"
 	"github.com/cactusproxy/cactusproxy/routing"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
@@ -335,3 +336,21 @@
 		assert.Equal(t, digest("a"), digest(""))
 	}
 }
+
+// Guards against a request that crashes targets under one host name and is cleared by the good responses to the
+// same path under another one, which the same service answers.
+func TestRequestsOfTwoRoutesAreNotTheSame(t *testing.T) {
+	c := tenantsConfig(1)
+	other := c.Routes[0]
+	c.RequiresKey, other.Name, other.Host = false, "archive", "archive.example"
+	c.Routes = append(c.Routes, other)
+	k := newKeyedServer(t, c)
+	identity := func(host string) suspicion.ID {
+		k.ProxyHandler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://"+host+"/lots/7", nil))
+		return k.sent.call.Identity
+	}
+	one, two := identity("auction.example"), identity("archive.example")
+	assert.Check(t, one.Request != two.Request)
+	assert.Check(t, one.Group != two.Group)
+	assert.Equal(t, identity("AUCTION.example:8080"), one)
+}
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -17,7 +17,9 @@
 // request that crashes targets, or it would close the path for them.
 type Request struct {
 	Workspace, Service string
-	Method, Path       string
+	// Route is the name of the route, which tells host names apart; empty where routes have no names.
+	Route        string
+	Method, Path string
 	// Tenant owns the caller's API key; empty if the request needs none.
 	Tenant string
 	// Certificate is the subject of the caller's client certificate, or empty if it has none.
@@ -35,7 +37,7 @@
 func (r *Request) ID() suspicion.ID {
 	var h xxhash.Digest
 	h.Reset()
-	writeStrings(&h, r.Workspace, r.Service, r.Method, r.Path, r.Tenant, r.Certificate)
+	writeStrings(&h, r.Workspace, r.Service, r.Route, r.Method, r.Path, r.Tenant, r.Certificate)
 	writeLength(&h, r.Length)
 	_, _ = h.Write(r.Body)
 	group := max(1, h.Sum64())
