--- a/dispatch/endless_test.go
+++ b/dispatch/endless_test.go
@@ -13,13 +13,16 @@
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
 
-// trickle responds with a body of a byte each 10 ms, without end, until its attempt is canceled.
+// tricklePause is the time between two bytes of trickle.
+const tricklePause = 10 * time.Millisecond
+
+// trickle responds with a body of a byte now and then, without end, until its attempt is canceled.
 func trickle(status int, h http.Header) behavior {
 	return func(req *http.Request) upstream.Result {
 		from, to := io.Pipe()
 		go func() {
 			for req.Context().Err() == nil {
-				time.Sleep(10 * time.Millisecond)
+				time.Sleep(tricklePause)
 				_, _ = to.Write([]byte("x"))
 			}
 		}()
@@ -42,6 +45,7 @@
 			assert.NilError(t, err)
 			assert.Equal(t, body, "own", "%d", status)
 			assert.Check(t, time.Since(begin) <= 100*time.Millisecond, "%d: %s", status, time.Since(begin))
+			time.Sleep(2 * tricklePause) // the target notices
 		})
 	}
 }
