--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,7 +34,9 @@
 	status   int
 	body     string
 	seal     string
-	err      error
+	// credential is sent in the header Authorization, unless it is empty.
+	credential string
+	err        error
 	// reused is set if it was sent on a connection that had been used before.
 	reused bool
 	// undisturbed is the result of undisturbedDuring when the request ended. It is stored
@@ -59,6 +61,9 @@
 			c = keepAlive
 		}
 		r := &request{id: fmt.Sprintf("s%d-c%d-%d", s.seed, n, i), process: p, run: p.generation()}
+		if s.targets.poison {
+			r.credential = fmt.Sprint("caller-", n)
+		}
 		s.sendOne(c, rng, r, s.readRoute(n+i))
 		s.check(r)
 		time.Sleep(time.Duration(rng.Int64N(int64(s.callerPause()))))
@@ -92,6 +97,14 @@
 		method, r.route = http.MethodPost, route{name: "photos"}
 		body = make([]byte, uploadSize)
 	}
+	s.exchange(c, r, method, body)
+}
+
+// headerAuthorization carries the credential of a caller.
+const headerAuthorization = "Authorization"
+
+// exchange sends a request and reads its response.
+func (s *Soak) exchange(c *http.Client, r *request, method string, body []byte) {
 	r.size = len(body)
 	// The caller gives up lateTolerance after its deadline.
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+lateTolerance)
@@ -107,6 +120,9 @@
 	req.ContentLength = int64(len(body))
 	req.Host = hostName
 	req.Header.Set(standin.HeaderRequestID, r.id)
+	if r.credential != "" {
+		req.Header.Set(headerAuthorization, r.credential)
+	}
 	req.Header.Set(standin.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { r.reused = i.Reused }}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -93,6 +93,9 @@
 // checkCold looks for targets that got more than maxColdRate requests within a second while they
 // were cold, from all hosts together, however disturbed these were.
 func (s *Soak) checkCold() {
+	if !s.targets.coldLimits {
+		return
+	}
 	for _, b := range s.targets.all() {
 		arrivals := b.Arrivals()
 		for _, from := range b.cold.list {
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -91,7 +91,7 @@
 		return disturbances[:fourthDisturbances]
 	case seed < firstSeedOfCold:
 		return disturbances[:fifthDisturbances]
-	default:
+	default: // those of cold targets do nothing where targets have no limit while cold
 		return disturbances
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,7 +94,7 @@
 		disturbedAt: make(map[*process][]time.Time),
 		servedAt:    make(map[servedRoute]time.Time),
 	}
-	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll, coldLimits: s.seed >= firstSeedOfCold}
+	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll, coldLimits: s.seed >= firstSeedOfCold && s.seed < firstSeedOfPoison, poison: s.seed >= firstSeedOfPoison}
 	if err := s.setUp(); err != nil {
 		return Result{}, err
 	}
@@ -114,6 +114,9 @@
 	for n := range o.Callers {
 		background(func() { s.caller(work, n) })
 	}
+	if s.targets.poison {
+		background(func() { s.poisonCaller(work) })
+	}
 	s.disturb(work)
 	s.healAll()
 	recovered := time.Now().Add(recoveryTime / 2)
@@ -127,6 +130,7 @@
 	s.checkSignals()
 	s.checkCuts()
 	s.checkCold()
+	s.checkPoison()
 	served := 0
 	for _, r := range s.requests {
 		if r.status == http.StatusOK && r.at.After(recovered) {
--- a/internal/soak/targets.go
+++ b/internal/soak/targets.go
@@ -32,6 +32,8 @@
 	zones bool
 	// coldLimits makes targets announce that they are cold.
 	coldLimits bool
+	// poison makes targets crash while they run the reads of one caller, and send responses without end.
+	poison bool
 	// underLoad is set once callers send requests. Targets that start after that are cold.
 	underLoad bool
 
@@ -40,6 +42,8 @@
 	next int
 	// unreachableFrom are the addresses whose packets all targets lose.
 	unreachableFrom []net.IP
+	// crashes are those by requests, in order.
+	crashes []crash
 }
 
 // Capacity and service time of the targets.
@@ -83,6 +87,9 @@
 			b.cold.begin(time.Now())
 		}
 	}
+	if t.poison {
+		b.Intercept = func(w http.ResponseWriter, r *http.Request, id string) bool { return t.intercept(b, w, r, id) }
+	}
 	b.LoseResponse, b.CorruptStatus = b.losesResponse, corruptStatus
 	b.Limit, b.BackOff, b.Leaving = b.signals.announcedLimit, b.signals.requestedRest, b.signals.announcesLeaving
 	b.server = &http.Server{Handler: b.Target, ReadHeaderTimeout: time.Minute}
