Suspicion: groups are looked for where something is new; names of their evidence

What a host with little processor time would see: each record that another host repeats (up to 64 a second of each) goes through all suspects, to look for groups, and each complete response takes the quarantine's lock twice while anything is suspected.

Change: groups are looked for when a record brought a loss or a confirmed quarantine; the response is noted under the lock that it takes anyway. What speaks against a group has a type of its own.

No profile was made.

--- a/policy/suspicion/group.go
+++ b/policy/suspicion/group.go
@@ -114,42 +114,48 @@
 	quarantined, losses := b.groupEvidence(d)
 	if quarantined >= groupQuarantined {
 		g = b.newGroup(now, d, losses)
-		g.losses[0].Trial = true // a quarantine that was confirmed is worth a loss in isolation
+		g.losses[0].Trial = true // a confirmed quarantine is worth a loss in isolation
 		b.accuse(d, g, now)
 		g.settled = true
 		return
 	}
-	n, accused, longest := apart(losses, b.limits.VerifyTimeout)
+	n, accused, longest := countApart(losses, b.limits.VerifyTimeout)
 	if g == nil && (n >= groupLosses || accused >= groupAccused) {
 		g = b.newGroup(now, d, losses)
 		g.probation = min(max(2*longest, minProbation), maxProbation)
 	}
 }
 
+// lastLoss is the last loss of one request of a group.
+type lastLoss struct {
+	Loss
+	// accused is set if the request lost two targets, or one in isolation.
+	accused bool
+}
+
 // groupEvidence returns how many requests of a group are quarantined for good, and the last loss of each one
-// that has lost a target, by time. Trial is set for those that lost two, or one in isolation.
-func (b *Tracker) groupEvidence(d Digest) (quarantined int, losses []Loss) {
+// that has lost a target, by time.
+func (b *Tracker) groupEvidence(d Digest) (quarantined int, losses []lastLoss) {
 	for _, e := range b.entries {
 		if e.group != d || e.answered || len(e.losses) == 0 {
 			continue
 		}
 		l := e.losses[len(e.losses)-1]
-		l.Trial = e.trialed() || len(e.losses) >= defaultMinLosses
 		if !l.At.After(b.groupEnded[d]) {
 			continue
 		}
-		losses = append(losses, l)
+		losses = append(losses, lastLoss{Loss: l, accused: e.trialed() || len(e.losses) >= defaultMinLosses})
 		if e.state == Quarantined && e.settled {
 			quarantined++
 		}
 	}
-	slices.SortFunc(losses, func(x, y Loss) int { return x.At.Compare(y.At) })
+	slices.SortFunc(losses, func(x, y lastLoss) int { return x.At.Compare(y.At) })
 	return quarantined, losses
 }
 
-// apart returns how many losses are at least the given time apart, and at different targets, how many of them have
-// Trial set, and the longest time between two of them. Targets that fail together are one event.
-func apart(losses []Loss, least time.Duration) (n, accused int, longest time.Duration) {
+// countApart returns how many losses are at least the given time apart, and at different targets, how many of them
+// are of accused requests, and the longest time between two of them. Targets that fail together are one event.
+func countApart(losses []lastLoss, least time.Duration) (n, accused int, longest time.Duration) {
 	var last time.Time
 	seen := make(map[ports.RunID]bool)
 	for _, l := range losses {
@@ -162,7 +168,7 @@
 		}
 		seen[l.Target], last = true, l.At
 		n++
-		if l.Trial {
+		if l.accused {
 			accused++
 		}
 	}
@@ -170,12 +176,13 @@
 }
 
 // newGroup tracks a group with the last of its losses.
-func (b *Tracker) newGroup(now time.Time, d Digest, losses []Loss) *entry {
+func (b *Tracker) newGroup(now time.Time, d Digest, losses []lastLoss) *entry {
 	g := b.ensure(d, now)
 	g.isGroup, g.uncertain = true, true
-	g.losses = slices.Clone(losses[max(0, len(losses)-groupLosses):])
-	for i := range g.losses {
-		g.losses[i].Trial, g.losses[i].Sent = false, Part{}
+	g.losses = nil
+	for _, l := range losses[max(0, len(losses)-groupLosses):] {
+		l.Trial, l.Sent = false, Part{}
+		g.losses = append(g.losses, l.Loss)
 	}
 	return g
 }
--- a/policy/suspicion/held.go
+++ b/policy/suspicion/held.go
@@ -10,7 +10,7 @@
 // begin it anew after others have released the request.
 const releaseMargin = 5 * time.Second
 
-// Held returns a sum for each part of the quarantined requests and the groups, or nil if there are none. Equal sets have
+// Held returns a sum for each part of the requests that are held, or nil if there are none. Equal sets have
 // equal sums.
 func (b *Tracker) Held(now time.Time) (sums []uint64) {
 	groups := b.evidentGroups()
@@ -40,7 +40,7 @@
 	}
 }
 
-// HeldBeyond returns records of the quarantined requests that a host with the given sums may lack: those of
+// HeldBeyond returns records of the requests that are held and that a host with the given sums may lack: those of
 // the parts that differ, beginning with the given one, until there are n or more. Next is the part to
 // begin with the next time, or 0 if there are no more.
 func (b *Tracker) HeldBeyond(now time.Time, sums []uint64, from, n int) (out []Record, next int) {
--- a/policy/suspicion/record.go
+++ b/policy/suspicion/record.go
@@ -97,6 +97,7 @@
 	}
 	known := b.entries[r.Digest] != nil
 	e := b.ensure(r.Digest, now)
+	lost, settled := e.lost, e.settled
 	if !known {
 		// Or hosts that tell each other of a suspect would never forget it.
 		e.since, e.sent = now.Add(-r.Age), now.Add(-r.SinceSent)
@@ -123,7 +124,7 @@
 		// Of an older one it is no longer known which targets were lost with it.
 		e.settled = r.Settled || age >= b.limits.LossWindow
 	}
-	if e.group != 0 && !e.answered {
+	if news := e.lost != lost || e.settled != settled; news && !e.answered {
 		b.trackGroup(now, e.group)
 	}
 	return false
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -333,14 +333,11 @@
 	if !q.active.Load() {
 		return
 	}
-	q.markInnocent(id.Request, func() bool { return q.tracker.ClearedBy(id.Request, c.parts()) })
-	if id.Group == 0 {
-		return
-	}
-	q.locked(func(now time.Time) {
+	q.markInnocent(id.Request, func(now time.Time) bool {
 		if q.tracker.RecordGood(now, id) && len(q.answered) < maxAnswered {
 			q.answered = append(q.answered, id)
 		}
+		return q.tracker.ClearedBy(id.Request, c.parts())
 	})
 }
 
@@ -358,11 +355,11 @@
 
 // markInnocent marks a request as innocent if shown confirms it, which is called with the lock held,
 // and notifies the other hosts if it had been suspected or quarantined. It reports whether it had been.
-func (q *Quarantine) markInnocent(d suspicion.Digest, shown func() bool) bool {
+func (q *Quarantine) markInnocent(d suspicion.Digest, shown func(now time.Time) bool) bool {
 	known := false
 	var was suspicion.State
 	q.locked(func(now time.Time) {
-		if !shown() {
+		if !shown(now) {
 			return
 		}
 		was = q.tracker.State(now, d)
@@ -387,7 +384,7 @@
 // Clear clears a request on all hosts at the request of an operator. It reports
 // whether the request was suspected or quarantined on this host.
 func (q *Quarantine) Clear(digest uint64) bool {
-	return q.markInnocent(digest, func() bool { return true })
+	return q.markInnocent(digest, func(time.Time) bool { return true })
 }
 
 // Entry describes a suspected or quarantined request for operators.
