Relay: the connection to a target is closed once its opener is gone

What a target sees: it answers an upload early with bytes that never end, behind another host.

Cause: the host that carries the connection copies both ways. The copy to the target waits, since the target reads nothing; the copy from the target fails, since the opener has closed the stream, but didn't tell the other one.

Change: it closes the target's connection, which ends the other copy.

The list of heads without end stands in one place now for the tests that read them.

Not mended: a target that reads nothing and sends nothing; docs/design/foreign-bytes.md.

--- a/internal/fakes/endless/endless.go
+++ b/internal/fakes/endless/endless.go
@@ -17,6 +17,21 @@
 	Pause time.Duration
 }
 
+// Heads returns responses whose head never ends, by name.
+func Heads() map[string]Answer {
+	return map[string]Answer{
+		"head":        {Start: "HTTP/1.1 200 OK\r\n", Repeat: "X: y\r\n"},
+		"header line": {Start: "HTTP/1.1 200 OK\r\nX: ", Repeat: "y"},
+		"status line": {Start: "HTTP/1.1 200 ", Repeat: "y"},
+		"interim":     {Repeat: "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		"no HTTP":     {Repeat: "y"},
+		"chunk line":  {Start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", Repeat: "y"},
+	}
+}
+
+// Body returns a response whose body never ends.
+func Body() Answer { return Answer{Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: "y"} }
+
 // blockSize is how many bytes are written at once without a pause.
 const blockSize = 32 << 10
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -222,6 +222,10 @@
 		err := copyBytes(stream, target)
 		switch {
 		case err == nil && stream.CloseWrite() == nil:
+		case errors.Is(err, errWrite):
+			// The opener is gone. The other direction doesn't notice while it waits for a target that doesn't read.
+			_ = target.Close()
+			stream.Abort()
 		case upstream.CauseOf(err) == upstream.CauseTimeout:
 			_ = stream.Close() // the path failed, and not the target
 		default:
