--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,8 +45,6 @@
 	repeatWindow = 2500 * time.Millisecond
 	// maxSyncRecords bounds the number of records that are repeated in one round.
 	maxSyncRecords = 64
-	// maxAnswered bounds the answered requests of which other hosts are told in one round.
-	maxAnswered = 1024
 	// DefaultRetryAfter is the retry delay returned with a refusal.
 	DefaultRetryAfter = 5 * time.Second
 )
@@ -196,9 +194,7 @@
 		records = q.tracker.Newest(now, maxSyncRecords)
 		answered, q.answered = q.answered, nil
 	})
-	if len(answered) > 0 && len(q.members()) <= maxFullBroadcast {
-		broadcast(q, kindAnswered, answeredMsg{Requests: answered})
-	}
+	q.shareAnswered(answered)
 	for _, r := range records {
 		if r.ChangedWithin(repeatWindow) && q.shouldRepeat(r.Digest) {
 			q.share(r)
@@ -317,13 +313,6 @@
 	q.log.Warn(event, zap.String("digest", FormatDigest(d)), zap.String("target", string(target)))
 }
 
-// reportGroup reports that this host has begun to track a group of requests.
-func (q *Quarantine) reportGroup(r suspicion.Record) {
-	q.count.Add(countGroups, 1)
-	q.log.Warn("requests alike but for their credential crash targets",
-		zap.String("digest", FormatDigest(r.Digest)), zap.Int("losses", len(r.Losses)))
-}
-
 // FormatDigest returns a digest as it is in the log.
 func FormatDigest(d suspicion.Digest) string { return strconv.FormatUint(d, 16) }
 
@@ -334,25 +323,11 @@
 		return
 	}
 	q.markInnocent(id.Request, func(now time.Time) bool {
-		if q.tracker.RecordGood(now, id) && len(q.answered) < maxAnswered {
-			q.answered = append(q.answered, id)
-		}
+		q.recordGood(now, id)
 		return q.tracker.ClearedBy(id.Request, c.parts())
 	})
 }
 
-// onAnswered takes in what other hosts answered, so that a caller who goes to another host isn't refused
-// with its group.
-func (q *Quarantine) onAnswered(_ context.Context, _ peer.HostID, msg answeredMsg) (struct{}, error) {
-	q.locked(func(now time.Time) {
-		for _, id := range msg.Requests {
-			q.tracker.RecordGood(now, id)
-		}
-		q.notifyWaiters()
-	})
-	return struct{}{}, nil
-}
-
 // markInnocent marks a request as innocent if shown confirms it, which is called with the lock held,
 // and notifies the other hosts if it had been suspected or quarantined. It reports whether it had been.
 func (q *Quarantine) markInnocent(d suspicion.Digest, shown func(now time.Time) bool) bool {
