--- a/edge/endless_test.go
+++ b/edge/endless_test.go
@@ -46,6 +46,9 @@
 	"chunk": func(id string) endless.Answer {
 		return endless.Answer{Start: "HTTP/1.1 200 OK\r\n" + sealOf(id) + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", Repeat: "y"}
 	},
+	"sealed chunk line": func(id string) endless.Answer {
+		return endless.Answer{Start: "HTTP/1.1 200 OK\r\n" + sealOf(id) + "Transfer-Encoding: chunked\r\n\r\n1;", Repeat: "y"}
+	},
 	"trailer": func(id string) endless.Answer {
 		return endless.Answer{Start: "HTTP/1.1 200 OK\r\n" + sealOf(id) + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X: y\r\n"}
 	},
