Watch: how old a host's copy of the record may be is tracked, told and logged

Callers of the whole fleet and of a deployment of 121 hosts had requests handled by configurations that had been replaced for seconds. A call's line tells the version that it went by, and no line or metric tells how old that knowledge was, so that a host that knew that it was behind can't be told from one that had heard nothing, nor from one that took old messages for new ones.

A replica is now dated by its sources: an answer of the store by the store's own clock (an answer to a watch dated by its request is up to a whole wait too old, one dated by its arrival is new however long it lay in a buffer), a heartbeat and a reply by the age that their sender tells in them. Calls have replica_age in their lines, all calls by a replica older than 2 s have a line, configuration.replica_age_ms is in the metrics. No decision goes by it yet.

--- a/calllog/calllog.go
+++ b/calllog/calllog.go
@@ -30,6 +30,9 @@
 	lineBurst      = 300
 	// sampleEvery is the sampling rate of successful calls: one in this many is logged.
 	sampleEvery = 200
+	// loggedAge is the age of the replica from which every call is logged: nothing older may be in
+	// force anywhere.
+	loggedAge = 2 * time.Second
 	// maxHistograms is the largest number of services that get a latency histogram.
 	maxHistograms = 64
 )
@@ -47,7 +50,10 @@
 	Tenant string
 	// ConfigVersion is the version of the configuration that was applied to the call.
 	ConfigVersion uint64
-	Arrived       time.Time
+	// ReplicaAge is how long before the call the host's copy of the platform's state was last known
+	// to be complete.
+	ReplicaAge time.Duration
+	Arrived    time.Time
 	// Waited is how long before Arrived the caller first sent the call, as far as known.
 	Waited time.Duration
 	// Timeout is the time the call had to finish.
@@ -97,7 +103,8 @@
 // noteworthy reports whether the call is logged regardless of sampling.
 func (c *Call) noteworthy() bool {
 	relayed := slices.ContainsFunc(c.Attempts, func(a dispatch.AttemptRecord) bool { return a.Via != "" })
-	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1 || relayed || c.sentToColdTarget()
+	return c.Result.Outcome != outcome.Answered || c.Status >= 500 || len(c.Attempts) > 1 || relayed || c.sentToColdTarget() ||
+		c.ReplicaAge > loggedAge
 }
 
 // sentToColdTarget reports whether an attempt went to a target that was, or may have been, cold.
@@ -143,6 +150,9 @@
 		zap.Duration("took", took.Round(time.Microsecond)),
 		zap.Duration("had", c.Timeout),
 	}
+	if c.ReplicaAge > 0 {
+		f = append(f, zap.Duration("replica_age", c.ReplicaAge.Round(time.Millisecond)))
+	}
 	if c.Tenant != "" {
 		f = append(f, zap.String("tenant", c.Tenant))
 	}
--- a/controller/watch/bootstrap.go
+++ b/controller/watch/bootstrap.go
@@ -95,6 +95,8 @@
 // moment queue behind each other.
 func (c *Controller) readOnce(ctx context.Context) {
 	var g errgroup.Group
+	var complete [directory.Topics]bool
+	began := time.Now()
 	for t := range directory.Topics {
 		g.Go(func() error {
 			asked := time.Now()
@@ -110,10 +112,16 @@
 				c.noteConfirmed(asked) // a caller may arrive before this host watches
 			}
 			c.merge(time.Now(), ch, c.self)
+			complete[t] = true
 			return nil
 		})
 	}
 	_ = g.Wait() // failures are logged above; the watch retries
+	if !slices.Contains(complete[:], false) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.noteCurrent(began)
+	}
 }
 
 // querySeeds fetches the state from the seeds, starting one query every stagger. It reports
--- a/controller/watch/call.go
+++ b/controller/watch/call.go
@@ -23,6 +23,9 @@
 	err     error
 	// askedAt and receivedAt are when the call began and ended.
 	askedAt, receivedAt time.Time
+	// currentAt is a time at which the store certainly had nothing newer. It is later than validAt
+	// if the store tells its clock.
+	currentAt time.Time
 }
 
 // historyGone reports whether the store no longer has the changes that were asked for.
@@ -43,6 +46,9 @@
 	a.changes, a.err = c.fetch(ctx, w, t, after, timeout)
 	slow.Stop()
 	a.receivedAt = time.Now()
+	if a.err == nil {
+		a.currentAt = c.dateByStoreClock(a)
+	}
 	switch {
 	case a.err == nil && a.receivedAt.Sub(a.askedAt) < baseTimeout:
 		c.timeout.reset()
--- a/controller/watch/confirm.go
+++ b/controller/watch/confirm.go
@@ -167,11 +167,17 @@
 	Newest  uint64 `json:"newest"`
 	// ConfirmedMS is the age of the last confirmation in milliseconds, -1 if there was none.
 	ConfirmedMS int64 `json:"confirmed_ms"`
+	// ReplicaAgeMS is how long ago this host's copy of the state was certainly complete, in
+	// milliseconds, -1 if it never was.
+	ReplicaAgeMS int64 `json:"replica_age_ms"`
 }
 
 func (c *Controller) confirmationMetrics() any {
 	confirmation := c.deps.Board.Confirmation.Load()
-	m := confirmationMetrics{Newest: confirmation.Newest, ConfirmedMS: -1}
+	m := confirmationMetrics{Newest: confirmation.Newest, ConfirmedMS: -1, ReplicaAgeMS: -1}
+	if age := c.replica.age(time.Now()); age != neverCurrent {
+		m.ReplicaAgeMS = age.Milliseconds()
+	}
 	if table := c.deps.Board.Routes.Load(); table != nil {
 		m.Version = table.Config.Version
 	}
--- a/controller/watch/confirm_test.go
+++ b/controller/watch/confirm_test.go
@@ -82,3 +82,25 @@
 		assert.Equal(t, h.version(), uint64(1))
 	})
 }
+
+// Guards against taking an answer of the store for news that waited in a buffer while this process
+// was stopped: it is as old as when the store made it, and no older than the clocks can tell.
+func TestAnswerThatWaitedInABufferIsDatedByTheStoresClock(t *testing.T) {
+	const storeAhead = 7 * time.Hour
+	var s storeClock
+	s.madeAt(time.Second, 1010*time.Millisecond, storeAhead+1005*time.Millisecond)
+	asked, made, received := 2*time.Second, 2900*time.Millisecond, 9*time.Second
+	got := s.madeAt(asked, received, storeAhead+made)
+	assert.Check(t, got <= made && got >= made-10*time.Millisecond, "dated %s, made %s", got, made)
+}
+
+// A store that starts its clock anew must not make old answers look new.
+func TestClockOfTheStoreThatBeginsAnewIsMeasuredAgain(t *testing.T) {
+	for _, anew := range []time.Duration{0, 20 * time.Hour} {
+		var s storeClock
+		s.madeAt(time.Second, 1010*time.Millisecond, 7*time.Hour)
+		s.madeAt(2*time.Second, 2010*time.Millisecond, anew)
+		got := s.madeAt(3*time.Second, 9*time.Second, anew+1500*time.Millisecond)
+		assert.Check(t, got <= 3510*time.Millisecond, "dated %s", got)
+	}
+}
--- a/controller/watch/directread.go
+++ b/controller/watch/directread.go
@@ -155,6 +155,9 @@
 		c.state.Advance(targets.Revision)
 		c.lostChange = false
 	}
+	if targetsOK && config.Revision > 0 {
+		c.noteCurrent(asked)
+	}
 	c.noteDirectConfig(config, asked, deferred)
 	return !applied.Empty()
 }
--- a/controller/watch/gap.go
+++ b/controller/watch/gap.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.gap = nil
+	c.noteCurrent(g.shown.currentAt(g.since))
 	lasted := now.Sub(g.since)
 	c.count.gaps.Add(1)
 	if lasted <= catchUpAfter || !c.logLimiter.Allow() {
--- a/controller/watch/heartbeat.go
+++ b/controller/watch/heartbeat.go
@@ -31,6 +31,7 @@
 		Newest:    c.state.Newest(),
 		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
+		Age:       c.replica.toldAge(now),
 
 		Evacuations:   c.state.Evacuations().Digest(),
 		EvacuationsAt: c.state.Evacuations().Newest(),
--- a/controller/watch/messages.go
+++ b/controller/watch/messages.go
@@ -47,6 +47,8 @@
 	EvacuationsAt directory.Revision `msgpack:"evacuations_at,omitempty"`
 	// Hosts is the digest of the hosts that the watcher knows.
 	Hosts uint64 `msgpack:"hosts"`
+	// Age is the age of the sender's replica, as in replica.age.
+	Age time.Duration `msgpack:"age,omitempty"`
 }
 
 // targets tells when the store last answered the sender about targets. If the store serves it,
@@ -129,6 +131,8 @@
 	Changes   packedChanges  `msgpack:"changes"`
 	// Hosts are the hosts known to the replying host; empty unless Fresh is set.
 	Hosts hostList `msgpack:"hosts"`
+	// Age is the age of the replying host's replica, as in replica.age.
+	Age time.Duration `msgpack:"age,omitempty"`
 }
 
 // hostList is an encoded list of hosts.
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -42,6 +42,8 @@
 	if c.behind(b) {
 		c.noteGap(sent, b)
 		c.scheduleCatchUp(from, func() bool { return c.behind(b) || c.lostChange })
+	} else {
+		c.noteCurrent(b.currentAt(sent))
 	}
 	if b.Hosts == c.hostDigest() {
 		c.noteComplete()
@@ -172,6 +174,7 @@
 		Fresh:   true,
 		Changes: c.snapshotFor(now, req),
 		Hosts:   peer.Pack(c.hostList()),
+		Age:     c.replica.toldAge(now),
 	}, nil
 }
 
@@ -275,6 +278,9 @@
 	}
 	c.mergeHosts(reply.Hosts.Value...)
 	c.merge(time.Now(), reply.Changes.Value, from)
+	if reply.Age > 0 {
+		c.noteCurrent(asked.Add(-reply.Age))
+	}
 	return syncResult{reached: true, fresh: reply.Fresh, referrals: reply.Referrals}
 }
 
--- a/controller/watch/store.go
+++ b/controller/watch/store.go
@@ -58,6 +58,9 @@
 	// configAt is a time at which the store certainly had no configuration newer than the
 	// current one; zero if none is known.
 	configAt time.Time
+	// currentAt is, for each topic, a time at which the store certainly had nothing newer than this
+	// host; zero if none is known.
+	currentAt [directory.Topics]time.Time
 	// rereadAt is when to read the configuration in full again; zero if that is not needed.
 	rereadAt time.Time
 }
@@ -75,6 +78,18 @@
 // serves reports whether the store has served this watch at all, for both topics.
 func (w *storeWatch) serves() bool { return w.lastOK[0].Load() > 0 && w.lastOK[1].Load() > 0 }
 
+// currentUntil returns a time at which the store certainly had nothing newer than this host on any
+// topic; zero if none is known.
+func (w *storeWatch) currentUntil() time.Time {
+	earliest := w.currentAt[0]
+	for _, at := range w.currentAt {
+		if at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
 // storeAge is the age of the older of the topics' last answers.
 func (w *storeWatch) storeAge(now time.Time) time.Duration {
 	oldest := w.lastOK[0].Load()
@@ -254,12 +269,14 @@
 	if t == directory.TopicConfig {
 		c.noteConfig(w, ch, a.validAt())
 	}
+	w.currentAt[t] = a.currentAt
 	if t == directory.TopicTargets {
 		c.state.Advance(ch.Revision)
 		if !hadTargets {
 			applied = ch // the other hosts may not have the list yet either
 		}
 	}
+	c.noteCurrent(w.currentUntil())
 	if !applied.Empty() {
 		applied.Digest, applied.DigestAt = c.state.Digest(), c.state.Newest()
 		c.forward(withDelta(applied, previous))
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -68,6 +68,8 @@
 	count   counters
 	wake    chan struct{}
 	timeout storeTimeout
+	// storeClock dates the answers of the store.
+	storeClock storeClock
 	// confirmGroup limits this host to one Confirm request at a time; concurrent callers share
 	// it.
 	confirmGroup singleflight.Group
@@ -90,6 +92,8 @@
 	senders map[ports.HostID]*sender
 	// gap is set while this host is known to lack something.
 	gap *gap
+	// replica tells how old this host's copy of the state may be.
+	replica replica
 	// refusedAt is when each host last reported that the store did not serve its attempt to
 	// watch.
 	refusedAt map[ports.HostID]time.Time
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -83,6 +83,8 @@
 	// Waited is how long the store held a watch that it then answered without any change; 0 for
 	// other answers.
 	Waited time.Duration `msgpack:"-"`
+	// StoreTime is the reading of the store's steady clock when it made the answer, 0 if unknown.
+	StoreTime time.Duration `msgpack:"-"`
 	// Delta replaces Config where the receiver is likely to have the version it is based on.
 	Delta   *routing.Delta `msgpack:"delta"`
 	Targets []Target       `msgpack:"targets"`
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -233,6 +233,7 @@
 		Quota:              d.quota,
 		CallLog:            calllog.New(d.log, d.metrics),
 		AwaitStart:         d.watch.AwaitStart,
+		ReplicaAge:         d.watch.ReplicaAge,
 	})
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -69,6 +69,9 @@
 		s.refuse(w, c, outcome.Refuse(outcome.ReasonBadRequest))
 		return
 	}
+	if s.deps.ReplicaAge != nil {
+		c.ReplicaAge = s.deps.ReplicaAge()
+	}
 	m, refusal := s.find(r)
 	c.ConfigVersion = m.ConfigVersion
 	if refusal.Outcome != 0 {
--- a/entry/server.go
+++ b/entry/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/sync/semaphore"
@@ -65,6 +66,9 @@
 	// reports whether it is ready. If it is nil, calls to a starting host are refused
 	// immediately.
 	AwaitStart func(ctx context.Context) bool
+	// ReplicaAge returns how long ago this host's copy of the platform's state was last known to be
+	// complete; it may be nil.
+	ReplicaAge func() time.Duration
 	// CallLog receives every finished call; it may be nil.
 	CallLog CallLog
 }
--- a/internal/fakes/memstore/memstore.go
+++ b/internal/fakes/memstore/memstore.go
@@ -53,6 +53,8 @@
 	// watchesHeld suspends watches, as a real store does before it drops its history.
 	watchesHeld bool
 	calls       int
+	// started is the origin of the store's clock.
+	started time.Time
 }
 
 // New returns an empty store that takes the given delay before it processes a call.
@@ -65,6 +67,7 @@
 		evacuations: make(map[string]directory.Evacuation),
 
 		changed: make(chan struct{}),
+		started: time.Now().Add(-time.Hour),
 	}
 }
 
@@ -253,7 +256,7 @@
 func (s *Store) readAll(t directory.Topic) directory.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ch := directory.Changes{Revision: s.revision}
+	ch := directory.Changes{Revision: s.revision, StoreTime: time.Since(s.started)}
 	if t == directory.TopicConfig {
 		s.addConfig(&ch)
 		ch.AllEvacuations = s.revision
@@ -311,7 +314,7 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			ch.Waited = wait
+			ch.Waited, ch.StoreTime = wait, time.Since(c.store.started)
 			return ch, nil
 		case <-ctx.Done():
 			return directory.Changes{}, ctx.Err()
@@ -325,7 +328,7 @@
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ch := directory.Changes{Revision: after}
+	ch := directory.Changes{Revision: after, StoreTime: time.Since(s.started)}
 	if s.watchesHeld {
 		return ch, c.modeFor(t), s.changed, nil
 	}
