--- a/internal/fakes/peernet/peernet.go
+++ b/internal/fakes/peernet/peernet.go
@@ -31,6 +31,8 @@
 	mu      sync.Mutex
 	links   map[peer.HostID]*Link
 	blocked map[[2]peer.HostID]bool
+	// paused has a channel for each paused host, which is closed when it resumes.
+	paused map[peer.HostID]chan struct{}
 	// busyUntil is when each link has sent all that is queued on it.
 	busyUntil map[direction]time.Time
 }
@@ -50,6 +52,7 @@
 	return &Network{
 		links:     make(map[peer.HostID]*Link),
 		blocked:   make(map[[2]peer.HostID]bool),
+		paused:    make(map[peer.HostID]chan struct{}),
 		busyUntil: make(map[direction]time.Time),
 	}
 }
@@ -92,6 +95,35 @@
 	clear(n.blocked)
 }
 
+// Pause makes messages to and from a host wait until Resume, as while its process is stopped.
+func (n *Network) Pause(id peer.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[id] == nil {
+		n.paused[id] = make(chan struct{})
+	}
+}
+
+// Resume lets the messages of a paused host pass.
+func (n *Network) Resume(id peer.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.paused[id]; c != nil {
+		close(c)
+		delete(n.paused, id)
+	}
+}
+
+// awaitResume waits until a host isn't paused.
+func (n *Network) awaitResume(id peer.HostID) {
+	n.mu.Lock()
+	c := n.paused[id]
+	n.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
 // receiver returns the link that gets a message, or nil if the message is lost.
 func (n *Network) receiver(from, to peer.HostID) *Link {
 	n.mu.Lock()
@@ -104,6 +136,7 @@
 
 // transit reports a message to OnSend and sleeps for as long as it is in transit.
 func (n *Network) transit(from, to peer.HostID, kind peer.Kind, size int) {
+	n.awaitResume(from)
 	if n.OnSend != nil {
 		n.OnSend(from, to, kind, size+frameOverhead)
 	}
@@ -112,6 +145,7 @@
 		time.Sleep(n.Delay(from, to))
 	}
 	n.transmit(direction{host: to}, size+frameOverhead)
+	n.awaitResume(to)
 }
 
 // transmit sleeps until a link has sent the message, after those queued before it.
