Hosts route calls only by a replica that they know to be up to date

What callers saw: requests handled by a configuration that had been replaced for seconds, by hosts in touch whose processes had been stopped, starved of processor time or reached late. On the users' trace one host had learned of version 8, took version 4 from a peer, and ran two requests by it within 11 ms: it had processor time, knew that it was behind, and nothing asked.

Cause: an old configuration was no ground for a denial, but routing by it asked nothing. What a host knows was as new as the last message that it had handled, however long that had waited.

Now a call is routed if the replica was certainly complete at most 1.9 s before. Otherwise the host first asks the watcher it heard from last, some others and the store, and the call waits for that up to a quarter of a second, then it is refused, not run, with a short Retry-After. A host that reaches nobody serves by what it has after one vain try, after ten if it knows that it lacks something; tries of a process that did not run meanwhile don't count; while watchers say that the store is out, nothing is asked. A heartbeat counts only if its sender's clock was measured, else a queue that was there from the start does not show. The gap of a host that was behind is closed after what closed it is published: calls were released a moment before.

Why it is enough: each source dates what it tells by the store's clock or by the moment of asking, so that time in which the process did not run can't make old knowledge look new.

--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -17,6 +17,9 @@
 	// directReads counts the reads of the store by this host while it did not watch it, directReadsFailed
 	// those that the store did not serve in full.
 	directReads, directReadsFailed *expvar.Int
+	// refreshes counts how often this host asked others because its replica was too old to route
+	// calls, refreshesFailed how often that did not bring it up to date.
+	refreshes, refreshesFailed *expvar.Int
 	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
 	// of the last one.
 	snapshots, snapshotBytes *expvar.Int
@@ -49,6 +52,8 @@
 		gaps:              c("caught_up"),
 		directReads:       c("direct_reads"),
 		directReadsFailed: c("direct_reads_failed"),
+		refreshes:         c("refreshes"),
+		refreshesFailed:   c("refreshes_failed"),
 		snapshots:         c("snapshots"),
 		snapshotBytes:     c("snapshot_bytes"),
 		dropped:           c("notifications_dropped"),
--- a/controller/watch/denial_test.go
+++ b/controller/watch/denial_test.go
@@ -33,7 +33,7 @@
 }
 
 // newCallers returns the HTTP handler for a host's callers.
-func newCallers(board *blackboard.Board, c entry.Confirmer) http.Handler {
+func newCallers(board *blackboard.Board, c *Controller) http.Handler {
 	return entry.New(entry.Deps{
 		Board:       board,
 		Dispatcher:  noCapacity{},
@@ -41,6 +41,9 @@
 		ConfigFresh: func() bool { return true },
 		Contract:    &targetapi.Contract{},
 		Finder:      entry.NewRouteFinder(board, c),
+
+		ReplicaAge:   c.ReplicaAge,
+		AwaitCurrent: c.AwaitCurrent,
 	}).ProxyHandler()
 }
 
--- a/controller/watch/gap.go
+++ b/controller/watch/gap.go
@@ -14,15 +14,17 @@
 	since time.Time
 	// shown is that heartbeat.
 	shown heartbeat
+	// certain is set if it was certainly sent no earlier than since.
+	certain bool
 	// requests and failed are the totals of requests for missing state when it began.
 	requests, failed int64
 }
 
 // noteGap records that a heartbeat, sent at a time, shows something that this host lacks. c.mu
 // must be held.
-func (c *Controller) noteGap(sent time.Time, b heartbeat) {
+func (c *Controller) noteGap(sent time.Time, certain bool, b heartbeat) {
 	if c.gap == nil {
-		c.gap = &gap{since: sent, shown: b, requests: c.count.syncs.Value(), failed: c.count.failedSyncs.Value()}
+		c.gap = &gap{since: sent, shown: b, certain: certain, requests: c.count.syncs.Value(), failed: c.count.failedSyncs.Value()}
 	}
 }
 
@@ -34,7 +36,9 @@
 		return
 	}
 	c.gap = nil
-	c.noteCurrent(g.shown.currentAt(g.since))
+	if g.certain {
+		c.noteCurrent(g.shown.currentAt(g.since))
+	}
 	lasted := now.Sub(g.since)
 	c.count.gaps.Add(1)
 	if lasted <= catchUpAfter || !c.logLimiter.Allow() {
--- a/controller/watch/peers.go
+++ b/controller/watch/peers.go
@@ -26,7 +26,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sent := c.sentAt(now, from, b)
+	sent, certain := c.sentAt(now, from, b)
 	previous, known := c.heartbeats[from]
 	c.heartbeats[from] = watchers.Heartbeat{SentAt: sent, StoreOK: b.StoreOK, StoreAge: b.StoreAge, StoreWait: b.StoreWait}
 	c.noteHost(b.Host)
@@ -40,9 +40,9 @@
 	}
 	c.compareDigest(b.Newest, b.Digest)
 	if c.behind(b) {
-		c.noteGap(sent, b)
+		c.noteGap(sent, certain, b)
 		c.scheduleCatchUp(from, func() bool { return c.behind(b) || c.lostChange })
-	} else {
+	} else if certain {
 		c.noteCurrent(b.currentAt(sent))
 	}
 	if b.Hosts == c.hostDigest() {
--- a/controller/watch/replica.go
+++ b/controller/watch/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cactusproxy/cactusproxy/policy/instant"
+	"github.com/cactusproxy/cactusproxy/policy/staleness"
 )
 
 // replica tells how old this host's copy of the platform's state may be.
@@ -50,8 +51,12 @@
 // noteCurrent records that this host's replica had everything that the store had accepted at a time.
 // c.mu must be held.
 func (c *Controller) noteCurrent(at time.Time) {
-	if !c.lostChange && !at.IsZero() {
-		c.replica.noteCurrent(at)
+	if c.lostChange || at.IsZero() {
+		return
+	}
+	c.replica.noteCurrent(at)
+	if c.replica.age(time.Now()) <= staleness.MaxAge {
+		c.releaseCalls()
 	}
 }
 
--- a/controller/watch/transit.go
+++ b/controller/watch/transit.go
@@ -48,11 +48,12 @@
 	return s
 }
 
-// sentAt returns the earliest time at which a heartbeat received now can have been sent. c.mu must
-// be held.
-func (c *Controller) sentAt(now time.Time, from ports.HostID, b heartbeat) time.Time {
+// sentAt returns the earliest time at which a heartbeat received now can have been sent, and whether
+// that is certain: until the clock of its sender has been measured, a queue that was there from the
+// first heartbeat does not show. c.mu must be held.
+func (c *Controller) sentAt(now time.Time, from ports.HostID, b heartbeat) (at time.Time, certain bool) {
 	if b.Sent == 0 {
-		return now // a host of an earlier release does not tell
+		return now, false // a host of an earlier release does not tell
 	}
 	s := c.senderOf(now, from, b.Host.Start)
 	s.clock.Receive(b.Sent, c.reading(now))
@@ -63,12 +64,12 @@
 	}
 	switch {
 	case !s.clock.Useful() && now.Sub(s.firstAt) < c.measurementSpread()+measureEvery:
-		took = s.clock.Growth(b.Sent, c.reading(now))
+		took, known = s.clock.Growth(b.Sent, c.reading(now)), false
 	case !known:
-		return s.firstAt
+		return s.firstAt, false
 	}
 	c.noteTransit(from, s, took)
-	return now.Add(-took)
+	return now.Add(-took), known
 }
 
 // noteTransit counts late heartbeats, and logs when those of a host become late and when they are
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -92,8 +92,10 @@
 	senders map[ports.HostID]*sender
 	// gap is set while this host is known to lack something.
 	gap *gap
-	// replica tells how old this host's copy of the state may be.
-	replica replica
+	// replica tells how old this host's copy of the state may be, refreshes brings it up to date for
+	// calls.
+	replica   replica
+	refreshes refreshes
 	// refusedAt is when each host last reported that the store did not serve its attempt to
 	// watch.
 	refusedAt map[ports.HostID]time.Time
@@ -294,6 +296,14 @@
 
 // merge applies changes, publishes those that were new and returns them. c.mu must be held.
 func (c *Controller) merge(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
+	applied := c.applyChanges(now, ch, from)
+	// Calls that wait for the changes go on once the gap is closed, by what is published then.
+	c.closeGap(now, from)
+	return applied
+}
+
+// applyChanges is merge without what depends on the changes being in force. c.mu must be held.
+func (c *Controller) applyChanges(now time.Time, ch directory.Changes, from ports.HostID) directory.Changes {
 	previous := c.state.Config()
 	c.noteRestore(now, ch)
 	ch.OutageHold = c.outageHold(now)
@@ -302,7 +312,6 @@
 		c.noteVersion(ch.Delta.Version)
 	}
 	c.noteVersion(c.version())
-	c.closeGap(now, from)
 	c.count.staleEntries.Set(c.state.StaleEntries())
 	c.count.refusedConfigs.Set(c.state.RefusedConfigs())
 	if applied.Empty() && (c.targetsKnown() || !c.state.HasTargets()) {
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -234,6 +234,7 @@
 		CallLog:            calllog.New(d.log, d.metrics),
 		AwaitStart:         d.watch.AwaitStart,
 		ReplicaAge:         d.watch.ReplicaAge,
+		AwaitCurrent:       d.watch.AwaitCurrent,
 	})
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 	"github.com/cactusproxy/cactusproxy/outcome"
 	"github.com/cactusproxy/cactusproxy/pipeline"
 	"github.com/cactusproxy/cactusproxy/policy/quota"
+	"github.com/cactusproxy/cactusproxy/policy/staleness"
 )
 
 // handleCall serves one call and counts it as in flight.
@@ -69,8 +70,9 @@
 		s.refuse(w, c, outcome.Refuse(outcome.ReasonBadRequest))
 		return
 	}
-	if s.deps.ReplicaAge != nil {
-		c.ReplicaAge = s.deps.ReplicaAge()
+	if !s.replicaCurrent(r, c) {
+		s.refuse(w, c, keyedRefusal(r, outcome.Refuse(outcome.ReasonReplicaOutdated)))
+		return
 	}
 	m, refusal := s.find(r)
 	c.ConfigVersion = m.ConfigVersion
@@ -127,7 +129,7 @@
 }
 
 // startWait is the maximum time that a call waits for a host that has just started, which takes 50
-// to 150 ms. A call waits no longer than 1/startWaitDivisor of the time that the caller has left.
+// to 150 ms, or that brings its replica up to date. A call waits no longer than 1/startWaitDivisor of the time that the caller has left.
 const (
 	startWait        = 250 * time.Millisecond
 	startWaitDivisor = 4
@@ -141,11 +143,35 @@
 	if s.deps.AwaitStart == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), min(startWait, s.timeout(r, startWaitDivisor*startWait)/startWaitDivisor))
+	ctx, cancel := s.shortWait(r)
 	defer cancel()
 	s.deps.AwaitStart(ctx)
 }
 
+// shortWait returns a context for a wait that leaves a call most of its time.
+func (s *Server) shortWait(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), min(startWait, s.timeout(r, startWaitDivisor*startWait)/startWaitDivisor))
+}
+
+// replicaCurrent reports whether a call may be routed by this host's replica of the platform's state,
+// and waits a short time for that.
+//
+// A process that was stopped or starved for seconds would go on by a configuration that has been
+// replaced and send to targets that have left, until it has handled what others sent meanwhile.
+func (s *Server) replicaCurrent(r *http.Request, c *calllog.Call) bool {
+	if s.deps.ReplicaAge == nil {
+		return true
+	}
+	current := true
+	if s.deps.ReplicaAge() > staleness.MaxAge {
+		ctx, cancel := s.shortWait(r)
+		defer cancel()
+		current = s.deps.AwaitCurrent(ctx)
+	}
+	c.ReplicaAge = s.deps.ReplicaAge()
+	return current
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, m Match, rec *calllog.Call) {
 	rec.Timeout = s.timeout(r, m.Service.Timeout)
 	ctx, cancel := context.WithTimeout(r.Context(), rec.Timeout)
--- a/entry/server.go
+++ b/entry/server.go
@@ -67,8 +67,10 @@
 	// immediately.
 	AwaitStart func(ctx context.Context) bool
 	// ReplicaAge returns how long ago this host's copy of the platform's state was last known to be
-	// complete; it may be nil.
-	ReplicaAge func() time.Duration
+	// complete. AwaitCurrent waits until calls may be routed by it or ctx ends, and reports whether
+	// they may be. Both are nil on platforms where ConfigFresh tells.
+	ReplicaAge   func() time.Duration
+	AwaitCurrent func(ctx context.Context) bool
 	// CallLog receives every finished call; it may be nil.
 	CallLog CallLog
 }
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -23,7 +23,10 @@
 	// ReasonConfigUnconfirmed means that the local configuration does not allow the call, and
 	// this host can not tell whether that configuration is the latest.
 	ReasonConfigUnconfirmed Reason = "config-unconfirmed"
-	ReasonBadRequest        Reason = "bad-request"
+	// ReasonReplicaOutdated means that this host's copy of the platform's state may be out of date,
+	// and that it could not bring it up to date at once.
+	ReasonReplicaOutdated Reason = "replica-outdated"
+	ReasonBadRequest      Reason = "bad-request"
 	// ReasonUnknownKey means that the call does not have the API key of a tenant.
 	ReasonUnknownKey Reason = "unknown-api-key"
 	// ReasonOverQuota means that the call exceeds its tenant's quota.
@@ -115,6 +118,7 @@
 	// A host that is behind catches up in about this time: it waits briefly for the change and
 	// then asks for it.
 	ReasonConfigUnconfirmed: {status: http.StatusServiceUnavailable, retryAfter: retrySoon},
+	ReasonReplicaOutdated:   {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonBadRequest:        {status: http.StatusBadRequest},
 	ReasonUnknownKey:        {status: http.StatusUnauthorized},
 	ReasonOverQuota:         {status: http.StatusTooManyRequests, retryAfter: retrySoon},
--- a/policy/watchers/heartbeat.go
+++ b/policy/watchers/heartbeat.go
@@ -75,6 +75,11 @@
 	return false
 }
 
+// StoreOut reports whether watchers were heard from a moment ago, of which the store serves none.
+func StoreOut(now time.Time, beats map[ports.HostID]Heartbeat) bool {
+	return len(FreshWatchers(now, beats)) == 0 && anyAlive(now, beats)
+}
+
 // freshWatchers returns the watchers whose information is current, and when there will be fewer
 // than WantedWatchers of them without further heartbeats.
 func freshWatchers(now time.Time, beats map[ports.HostID]Heartbeat) (ids []ports.HostID, expiry time.Time) {
