Watch: few differences to other hosts' states are made and encoded at a time

A sample of such a host's heap by the users showed 94,400 rows of targets encoded in msgpack, not compressed, of 50 MB that were read.

Cause: a host that lacks a part of the state gets its own difference, with thousands of rows while targets register. Requests are handled side by side, and the compressor takes one at a time, so that every other request held its rows and their encoding while it waited.

--- a/controller/watch/counters.go
+++ b/controller/watch/counters.go
@@ -23,6 +23,8 @@
 	// snapshots counts the snapshots encoded for hosts without state, snapshotBytes is the size
 	// of the last one.
 	snapshots, snapshotBytes *expvar.Int
+	// differencesRefused counts requests for missing state that waited in vain for others to be served.
+	differencesRefused *expvar.Int
 	// duplicateRelays counts large changes that were not forwarded because they contained
 	// nothing new.
 	duplicateRelays *expvar.Int
@@ -56,10 +58,13 @@
 		refreshesFailed:   c("refreshes_failed"),
 		snapshots:         c("snapshots"),
 		snapshotBytes:     c("snapshot_bytes"),
-		dropped:           c("notifications_dropped"),
-		takeovers:         c("takeovers"),
-		duplicateRelays:   c("repeats_not_passed_on"),
-		staleEntries:      c("late_words"),
+
+		differencesRefused: c("differences_refused"),
+
+		dropped:         c("notifications_dropped"),
+		takeovers:       c("takeovers"),
+		duplicateRelays: c("repeats_not_passed_on"),
+		staleEntries:    c("late_words"),
 
 		refusedConfigs: c("configs_refused"),
 		restores:       c("older_copies"),
--- a/controller/watch/watch.go
+++ b/controller/watch/watch.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
@@ -113,6 +114,8 @@
 	// cachedSnapshot is the encoded snapshot for hosts that have no state yet; nil until one
 	// asks.
 	cachedSnapshot *encodedSnapshot
+	// differences bounds how many differences to other hosts' states are encoded at a time.
+	differences *semaphore.Weighted
 	// evacuationsChanged is set until the targets on the board reflect the current evacuations.
 	evacuationsChanged bool
 	logLimiter         *rate.Limiter
@@ -160,6 +163,9 @@
 		fetching:   make(map[ports.HostID]bool),
 		refusedAt:  make(map[ports.HostID]time.Time),
 		serving:    make(chan struct{}),
+
+		differences: semaphore.NewWeighted(maxDifferences),
+
 		logLimiter: rate.NewLimiter(linesPerSecond, lineBurst),
 		// A host that has just started knows of no earlier outage.
 		targetsServedAt: time.Now(),
