Peer: what is queued for all other hosts together is bounded

A queue to one host holds up to 32 MiB, and a host has a queue to each of hundreds of others and one of replies from each.

Now 16 MiB of messages and as many of replies are queued at most; what is larger than 4 KiB and does not fit is refused at once, a reply by an error that sends its asker to another host. Heartbeats always pass.

--- a/peer/batch.go
+++ b/peer/batch.go
@@ -1,5 +1,7 @@
 package peer
 
+import "sync/atomic"
+
 // frameRange is the position of one frame in the buffer of a batch.
 type frameRange struct {
 	start, end int
@@ -23,6 +25,20 @@
 	b.frames = append(b.frames, frameRange{start: start, end: len(b.buf), id: h.id})
 }
 
+const (
+	// maxQueuedToAll bounds the bytes of messages, and of replies, that a host has yet to send to all
+	// peers together: hundreds of slow ones may each be sent the whole state, and the smallest hosts
+	// have 184 MB for everything.
+	maxQueuedToAll = 16 << 20
+	// smallFrame is the size in bytes up to which a frame is always queued, as a heartbeat is.
+	smallFrame = 4 << 10
+)
+
+// exceedsQueues reports whether a body of this size is too much beside what is queued for all peers.
+func exceedsQueues(queued *atomic.Int64, size int) bool {
+	return size > smallFrame && queued.Load()+int64(size) > maxQueuedToAll
+}
+
 // full reports whether adding a body of this size would exceed the limits of a queue. An
 // empty queue always accepts a frame.
 func (b *batch) full(size int) bool {
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -22,9 +22,12 @@
 	backingOff          *expvar.Int
 	queueFull           *expvar.Int
 	replyQueueFull      *expvar.Int
-	tooLarge            *expvar.Int
-	handlersBusy        *expvar.Int
-	lateReply           *expvar.Int
+	// repliesRefused counts replies that were not sent, and framesRefused messages that were not, because
+	// too many bytes were queued for all peers together.
+	repliesRefused, framesRefused *expvar.Int
+	tooLarge                      *expvar.Int
+	handlersBusy                  *expvar.Int
+	lateReply                     *expvar.Int
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -47,6 +50,8 @@
 		backingOff:      add("backing_off"),
 		queueFull:       add("queue_full"),
 		replyQueueFull:  add("reply_queue_full"),
+		repliesRefused:  add("replies_refused"),
+		framesRefused:   add("messages_refused"),
 		tooLarge:        add("too_large"),
 		handlersBusy:    add("handlers_busy"),
 		lateReply:       add("late_reply"),
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -10,7 +10,10 @@
 	"go.uber.org/zap"
 )
 
-var errBusy = errors.New("peer runs too many handlers")
+var (
+	errBusy        = errors.New("peer runs too many handlers")
+	errManyReplies = errors.New("peer has too many replies to send")
+)
 
 // serveInbound handles the messages of one inbound connection until it closes.
 func (n *Node) serveInbound(conn net.Conn) {
@@ -64,6 +67,8 @@
 	mu      sync.Mutex
 	enc     *frameEncoder
 	replies batch
+	// closed is set once no more replies are sent.
+	closed bool
 }
 
 func newInbound(n *Node, s *session) *inbound {
@@ -131,10 +136,16 @@
 		body = []byte(err.Error())
 		body = body[:min(len(body), in.node.maxBody())]
 	}
+	if exceedsQueues(&in.node.queuedReplies, len(body)) {
+		in.node.count.repliesRefused.Add(1)
+		h.typ, body = frameError, []byte(errManyReplies.Error())
+	}
 	in.mu.Lock()
 	full := in.replies.full(len(body))
-	if !full {
+	if !full && !in.closed {
+		before := len(in.replies.buf)
 		in.replies.add(in.enc, h, body, in.s.tagLen())
+		in.node.queuedReplies.Add(int64(len(in.replies.buf) - before))
 	}
 	in.mu.Unlock()
 	if full {
@@ -150,6 +161,7 @@
 // write sends replies until the connection closes.
 func (in *inbound) write(ctx context.Context) {
 	var b batch
+	defer func() { in.discard(&b) }()
 	for {
 		select {
 		case <-ctx.Done():
@@ -166,10 +178,21 @@
 			_ = in.s.conn.Close()
 			return
 		}
+		in.node.queuedReplies.Add(-int64(len(b.buf)))
 		b.reset()
 	}
 }
 
+// discard frees what is left in the queue and in the batch that could not be sent.
+func (in *inbound) discard(b *batch) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.node.queuedReplies.Add(-int64(len(b.buf) + len(in.replies.buf)))
+	b.reset()
+	in.replies.reset()
+	in.closed = true
+}
+
 // signal wakes the writer of a queue without blocking.
 func signal(c chan struct{}) {
 	select {
--- a/peer/node.go
+++ b/peer/node.go
@@ -89,6 +89,9 @@
 	remotes   atomic.Pointer[map[HostID]*remote]
 	inbound   atomic.Int64
 	executing atomic.Int64
+	// queuedReplies and queuedMessages are the sizes in bytes of the replies and of the requests and
+	// notifications that are queued or being written, to all peers together.
+	queuedReplies, queuedMessages atomic.Int64
 
 	mu     sync.Mutex // guards closed and changes of handlers and remotes
 	closed bool
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -207,6 +207,10 @@
 		r.node.count.queueFull.Add(1)
 		return 0, errQueueFull
 	}
+	if exceedsQueues(&r.node.queuedMessages, len(body)) {
+		r.node.count.framesRefused.Add(1)
+		return 0, errQueueFull
+	}
 	if r.enc == nil {
 		r.enc, r.pending = newFrameEncoder(), make(map[uint64]*call)
 	}
@@ -216,7 +220,9 @@
 		id = r.lastID
 		r.pending[id] = c
 	}
+	before := len(r.queue.buf)
 	r.queue.add(r.enc, header{typ: typ, kind: kind, id: id}, body, r.node.tagLen())
+	r.node.queuedMessages.Add(int64(len(r.queue.buf) - before))
 	return id, nil
 }
 
@@ -246,7 +252,9 @@
 	for {
 		if r.takeQueue(&b) {
 			used = true
-			if n, err := s.writeBatch(&b); err != nil {
+			n, err := s.writeBatch(&b)
+			r.node.queuedMessages.Add(-int64(len(b.buf)))
+			if err != nil {
 				r.failUnsent(&b, n)
 				return err, true
 			}
@@ -299,7 +307,9 @@
 		}
 	}
 	if abandoned {
+		before := len(b.buf)
 		b.remove(func(f frameRange) bool { return f.id != 0 && r.pending[f.id] == nil })
+		r.node.queuedMessages.Add(int64(len(b.buf) - before))
 	}
 	return len(b.frames) > 0
 }
@@ -363,6 +373,7 @@
 	r.mu.Lock()
 	failedCalls := r.pending
 	r.pending = make(map[uint64]*call)
+	r.node.queuedMessages.Add(-int64(len(r.queue.buf)))
 	r.queue.reset()
 	r.mu.Unlock()
 	for _, c := range failedCalls {
