Watch: hosts that start together know at once that their replicas are up to date

After all hosts had been killed, ten of them held their first calls for 115 to 250 ms ("replica may be out of date, asking others").

Cause: a host that had its state from one that hears no watcher yet did not learn how old that was, since such replies did not tell it, and the store was asked only after others had had 0.1 s, who had started at the same time.

Replies tell the age of the replica whether their sender hears a watcher or not, and a host that was never up to date asks the store and the others at once.

--- a/controller/watch/refresh.go
+++ b/controller/watch/refresh.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/cactusproxy/cactusproxy/internal/ctxtime"
 	"github.com/cactusproxy/cactusproxy/policy/staleness"
 	"github.com/cactusproxy/cactusproxy/policy/watchers"
 	"github.com/cactusproxy/cactusproxy/ports"
@@ -72,18 +70,26 @@
 	go c.refresh(now)
 }
 
-// refresh asks other hosts, and the store as well if none of them is up to date within hedgeDelay.
+// refresh asks other hosts, and the store as well once all of them have replied in vain or after
+// hedgeDelay. A host that has just started asks both at once: the others may have started with it.
 func (c *Controller) refresh(began time.Time) {
 	ctx := context.Background()
 	outdated := func() bool { return c.replica.age(time.Now()) > staleness.MaxAge }
-	var wg sync.WaitGroup
-	wg.Go(func() { c.fetchHedged(ctx, c.refreshOrder(), hedgeDelay, "", outdated) })
-	wg.Go(func() {
-		if ctxtime.Sleep(ctx, hedgeDelay) {
-			c.readIfBehind(ctx, outdated)
-		}
-	})
-	wg.Wait()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		c.fetchHedged(ctx, c.refreshOrder(), hedgeDelay, "", outdated)
+	}()
+	delay := hedgeDelay
+	if c.replica.age(began) == neverCurrent {
+		delay = 0
+	}
+	select {
+	case <-asked:
+	case <-time.After(delay):
+	}
+	c.readIfBehind(ctx, outdated)
+	<-asked
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/controller/watch/replica_test.go
+++ b/controller/watch/replica_test.go
@@ -1,7 +1,9 @@
 package watch
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,3 +32,28 @@
 		assert.Check(t, oldest < 1700*time.Millisecond, "replica known to be complete %s before", oldest)
 	})
 }
+
+// Guards against callers who wait while hosts that have all started at once find out whether their
+// replicas are up to date.
+func TestHostsThatStartTogetherRouteAtOnce(t *testing.T) {
+	withFleet(t, 14, func(fl *fleet) {
+		for _, h := range fl.hosts {
+			h.stop()
+		}
+		fl.hosts = nil
+		var wg sync.WaitGroup
+		for i := range 14 {
+			h := fl.start(i, true)
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				h.c.AwaitStart(ctx)
+				began := time.Now()
+				assert.Check(t, h.c.AwaitCurrent(ctx))
+				waited := time.Since(began)
+				assert.Check(t, waited < 50*time.Millisecond, "%s waits for %s", h.addr, waited)
+			})
+		}
+		wg.Wait()
+	})
+}
--- a/controller/watch/snapshot.go
+++ b/controller/watch/snapshot.go
@@ -58,10 +58,11 @@
 // the seeds every 20 ms.
 func (c *Controller) replyWithoutChanges(now time.Time) syncReply {
 	fresh := len(watchers.FreshWatchers(now, c.heartbeats)) > 0 || c.watch != nil && c.watch.storeOK()
+	age := c.replica.toldAge(now)
 	if !fresh || !c.state.HasTargets() || c.state.Config() == nil {
-		return syncReply{}
+		return syncReply{Age: age}
 	}
-	return syncReply{Fresh: true, Hosts: peer.Pack(c.hostList()), Age: c.replica.toldAge(now)}
+	return syncReply{Fresh: true, Hosts: peer.Pack(c.hostList()), Age: age}
 }
 
 // encodeDifference returns the changes for a host that has a part of the state.
