Soak: hosts are stopped for seconds and starved while configurations change

Every host is asked every 20 ms for the route of a version that was replaced over 2.5 s before, whatever happens to its process: 200 breaks the promise.

--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -91,6 +91,8 @@
 		return disturbances[:fourthDisturbances]
 	case seed < firstSeedOfCold:
 		return disturbances[:fifthDisturbances]
+	case seed >= firstSeedOfStarved:
+		return starvedDisturbances
 	default: // those of cold targets do nothing where targets have no limit while cold
 		return disturbances
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,6 +57,8 @@
 	version uint64
 	// configuredAt is when version was written to the store.
 	configuredAt time.Time
+	// replaced are the versions before that one.
+	replaced []replacedVersion
 	// cuts are the cuts between hosts and all targets so far.
 	cuts []pathCut
 	// evacuations are the orders to evacuate the near zone so far.
@@ -94,7 +96,7 @@
 		disturbedAt: make(map[*process][]time.Time),
 		servedAt:    make(map[servedRoute]time.Time),
 	}
-	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll, coldLimits: s.seed >= firstSeedOfCold && s.seed < firstSeedOfPoison, poison: s.seed >= firstSeedOfPoison}
+	s.targets = &targetSet{store: s.store, zones: s.seed >= firstSeedOfAll, coldLimits: s.seed >= firstSeedOfCold && s.seed < firstSeedOfPoison, poison: s.seed >= firstSeedOfPoison && s.seed < firstSeedOfStarved}
 	if err := s.setUp(); err != nil {
 		return Result{}, err
 	}
@@ -114,6 +116,11 @@
 	for n := range o.Callers {
 		background(func() { s.caller(work, n) })
 	}
+	if s.seed >= firstSeedOfStarved {
+		for _, p := range s.processes {
+			background(func() { s.watchReplaced(work, p) })
+		}
+	}
 	if s.targets.poison {
 		background(func() { s.poisonCaller(work) })
 	}
@@ -191,6 +198,7 @@
 // other has, which shows whether a host has it in force, and adds a permanent route.
 func (s *Soak) configure() {
 	s.mu.Lock()
+	previous := s.version
 	s.version += 1 + s.version%3
 	version := s.version
 	s.configuredAt = time.Now()
@@ -211,6 +219,11 @@
 		document = standin.ConfigWithColdLimits(version, coldTime, coldRate, routes...)
 	}
 	s.store.Put("op", "config", document)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if previous > 0 {
+		s.replaced = append(s.replaced, replacedVersion{version: previous, at: time.Now()})
+	}
 }
 
 // configRoute returns a route of the configuration.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,9 +23,10 @@
 //	     report that it was warm was up to a second old.
 //
 // Seed 70001 stands for those with throttled links, which exposed none so far, 90001 for those with one caller whose
-// reads crash targets with a new credential each time, and responses without end. Seed 80200 needs more
+// reads crash targets with a new credential each time, and responses without end, 100001 for those with starved
+// hosts. Seed 80200 needs more
 // hosts and callers and has a test of its own.
-var regressions = []uint64{1, 200, 401, 60016, 70001, 90001}
+var regressions = []uint64{1, 200, 401, 60016, 70001, 90001, 100_001}
 
 // shortRun is how long disturbances are injected in CI.
 const shortRun = 5 * time.Second
