--- a/controller/watch/confirm_test.go
+++ b/controller/watch/confirm_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -76,7 +77,7 @@
 		h.c.merge(time.Now(), directory.Changes{Delta: &routing.Delta{Base: 6, Version: 7}}, "x")
 		h.c.mu.Unlock()
 		assert.Equal(t, newest(), uint64(7))
-		_, err := h.c.onSync(t.Context(), ports.HostID("x"), syncRequest{Host: fl.hosts[1].c.deps.Self, Version: 9})
+		_, err := h.c.onSync(context.Background(), ports.HostID("x"), syncRequest{Host: fl.hosts[1].c.deps.Self, Version: 9})
 		assert.NilError(t, err)
 		assert.Equal(t, newest(), uint64(9))
 		assert.Equal(t, h.version(), uint64(1))
--- a/controller/watch/snapshot_test.go
+++ b/controller/watch/snapshot_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"runtime/metrics"
@@ -45,7 +46,7 @@
 
 // askForState returns the state that the host sends to one that starts.
 func (h *host) askForState(t *testing.T, i int) directory.Changes {
-	reply, err := h.c.onSync(t.Context(), "", syncRequest{Host: directory.Host{Addr: fmt.Sprintf("10.9.0.%d:1", i)}})
+	reply, err := h.c.onSync(context.Background(), "", syncRequest{Host: directory.Host{Addr: fmt.Sprintf("10.9.0.%d:1", i)}})
 	assert.Check(t, err)
 	raw, err := msgpack.Marshal(reply)
 	assert.Check(t, err)
