--- a/controller/watch/heartbeat.go
+++ b/controller/watch/heartbeat.go
@@ -31,7 +31,7 @@
 		Newest:    c.state.Newest(),
 		Digest:    c.state.Digest(),
 		Hosts:     c.hostDigest(),
-		Age:       c.replica.toldAge(now),
+		Age:       c.replica.messageAge(now),
 
 		Evacuations:   c.state.Evacuations().Digest(),
 		EvacuationsAt: c.state.Evacuations().Newest(),
--- a/controller/watch/refresh.go
+++ b/controller/watch/refresh.go
@@ -12,7 +12,7 @@
 )
 
 // refreshHosts is how many random hosts are asked for what this one may lack, after the watcher that
-// was heard from last.
+// sent the latest heartbeat.
 const refreshHosts = 4
 
 // refreshes are the attempts to bring a replica up to date that is too old to route calls by it.
@@ -64,7 +64,7 @@
 func (c *Controller) startRefresh(now time.Time) {
 	c.refreshes.running, c.refreshes.released = true, make(chan struct{})
 	c.count.refreshes.Add(1)
-	c.deps.Log.Info("replica may be out of date, asking others", zap.Duration("age", c.replica.toldAge(now)),
+	c.deps.Log.Info("replica may be out of date, asking others", zap.Duration("age", c.replica.messageAge(now)),
 		zap.Bool("lacking", c.lacks()), zap.Uint64("version", c.version()),
 		zap.Uint64("newest", c.deps.Board.Confirmation.Load().Newest), zap.Stringer("revision", c.state.Newest()))
 	go c.refresh(now)
--- a/controller/watch/replica.go
+++ b/controller/watch/replica.go
@@ -40,8 +40,8 @@
 	return max(1, instant.Elapsed(*at, now))
 }
 
-// toldAge returns the age for a message, 0 if there is none.
-func (r *replica) toldAge(now time.Time) time.Duration {
+// messageAge returns the age as messages carry it: 0 if the copy was never known to be complete.
+func (r *replica) messageAge(now time.Time) time.Duration {
 	if age := r.age(now); age != neverCurrent {
 		return age
 	}
--- a/controller/watch/snapshot.go
+++ b/controller/watch/snapshot.go
@@ -58,7 +58,7 @@
 // the seeds every 20 ms.
 func (c *Controller) replyWithoutChanges(now time.Time) syncReply {
 	fresh := len(watchers.FreshWatchers(now, c.heartbeats)) > 0 || c.watch != nil && c.watch.storeOK()
-	age := c.replica.toldAge(now)
+	age := c.replica.messageAge(now)
 	if !fresh || !c.state.HasTargets() || c.state.Config() == nil {
 		return syncReply{Age: age}
 	}
--- a/policy/staleness/staleness.go
+++ b/policy/staleness/staleness.go
@@ -29,7 +29,7 @@
 	Age time.Duration
 	// Lacking is set if another host is known to have something that this one lacks.
 	Lacking bool
-	// StoreOut is set if other hosts, heard from a moment ago, are not served by the store either.
+	// StoreOut is set if the latest heartbeats of watchers are recent and say that the store serves none.
 	StoreOut bool
 }
 
--- a/policy/watchers/heartbeat.go
+++ b/policy/watchers/heartbeat.go
@@ -75,7 +75,7 @@
 	return false
 }
 
-// StoreOut reports whether watchers were heard from a moment ago, of which the store serves none.
+// StoreOut reports whether heartbeats are recent and the store serves none of the watchers.
 func StoreOut(now time.Time, beats map[ports.HostID]Heartbeat) bool {
 	return len(FreshWatchers(now, beats)) == 0 && anyAlive(now, beats)
 }
