Tests: crowds of clients that don't behave, at each door of a host in a process of its own

Clients outside anybody's control send bodies that stop short of their end, bodies beyond the limit, headers of very many short fields, requests ahead without reading, or anything very slowly, at routes, at paths without a route and at the readiness listener. The tests start a host as a process with 96 MB (memoryMB) and 768 descriptors (RLIMIT_NOFILE) on loopback, let 600 clients press for 3 s, and check that the process lives and stops when asked, that its largest resident size stays within memoryMB, that descriptors never run out, and that an ordinary request and the readiness check are answered while the crowd is there and after it has left. Bounds are those of the machine; no times, no share of served requests.

--- a/cmd/cactusproxyd/main_test.go
+++ b/cmd/cactusproxyd/main_test.go
@@ -16,6 +16,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(envRun) != "" {
+		limitDescriptors()
 		os.Exit(run())
 	}
 	os.Exit(m.Run())
