Intake: connections of clients are bounded, and those that wait longest for their client make room

Callers saw: while a crowd held connections, a host had no descriptor left for anybody: new clients were not accepted, and connections to targets, the store and the readiness check failed (accept4: too many open files). An ordinary request waited until the crowd's requests timed out.

Cause: nothing bounded the connections of clients, nor those to targets, of which each request of the crowd took one more, nor those of the readiness and operators' listeners.

At the bound each new client takes the place of the connection that has waited longest for its client: half-way through a request or response for a second, or else between two requests (policy/connlimit). A request that is being served is never cut; if all are, the new connection is closed. That is enough since an ordinary client sends its request at once: it waits for milliseconds where a crowd's waits for seconds. Connections to targets: idle ones close first, then the call is refused, not run.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/watch"
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/intake"
 	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/metrics"
 	"github.com/cactusproxy/cactusproxy/peer"
@@ -77,6 +78,7 @@
 	leave      *leave.Controller
 
 	callers    *daemon.Callers
+	intake     *intake.Intake
 	pipeline   *pipeline.Pipeline // nil if it is turned off
 	ownAnswers *entry.ServerResponseMonitor
 	readiness  *http.Server
--- a/edge/provision.go
+++ b/edge/provision.go
@@ -17,6 +17,7 @@
 	"github.com/cactusproxy/cactusproxy/directory"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/intake"
 	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/peer"
 	"github.com/cactusproxy/cactusproxy/pipeline"
@@ -114,6 +115,7 @@
 		}),
 		OnPathLost: func(t blackboard.Target) { d.relay.PathLost(t) },
 		OnReached:  func(t blackboard.Target) { d.quarantine.TargetReached(t.RunID()) },
+		MaxConns:   daemon.MaxTargetConns(d.settings),
 		Metrics:    d.metrics,
 		Log:        d.log,
 	})
@@ -271,19 +273,22 @@
 	}
 	d.ownAnswers = entry.NewServerResponseMonitor(d.log, d.metrics, d.platform.Contract.RequestID)
 	d.ownAnswers.Attach(callers)
+	d.intake = d.newIntake("callers", daemon.MaxCallerConns(d.settings))
+	d.intake.Attach(callers)
+	accepted := d.intake.Accepted(d.listeners.callers)
 	d.callers = &daemon.Callers{
 		Server:   callers,
-		Listener: d.ownAnswers.Listener(d.listeners.callers),
+		Listener: d.ownAnswers.Listener(d.intake.Server(accepted)),
 		InFlight: d.entry.InFlight,
 	}
-	d.provisionPipeline()
-	d.readiness = d.auxiliaryServer(d.platform.ReadyPath, http.HandlerFunc(d.serveReadiness))
-	d.operators = d.auxiliaryServer(MetricsPath, d.metrics)
+	d.provisionPipeline(accepted)
+	d.readiness = d.auxiliaryServer("readiness", &d.listeners.readiness, d.platform.ReadyPath, http.HandlerFunc(d.serveReadiness))
+	d.operators = d.auxiliaryServer("operators", &d.listeners.operators, MetricsPath, d.metrics)
 }
 
 // provisionPipeline lets requests of one connection run at the same time, unless the settings turn it
-// off.
-func (d *Daemon) provisionPipeline() {
+// off. accepted is the listener for callers.
+func (d *Daemon) provisionPipeline(accepted net.Listener) {
 	if d.settings.Callers.Pipeline.Off {
 		return
 	}
@@ -296,7 +301,7 @@
 	})
 	d.pipeline.Attach(d.callers.Server)
 	d.callers.Pipeline = d.pipeline
-	d.callers.Listener = d.ownAnswers.Listener(d.pipeline.Listener(d.listeners.callers))
+	d.callers.Listener = d.ownAnswers.Listener(d.intake.Server(d.pipeline.Listener(accepted)))
 	d.callers.Ahead = d.ownAnswers.Listener(d.pipeline.Ahead(d.listeners.callers.Addr()))
 }
 
@@ -310,18 +315,27 @@
 	return n
 }
 
+func (d *Daemon) newIntake(name string, maxConns int) *intake.Intake {
+	return intake.New(intake.Options{Name: name, MaxConns: maxConns, Metrics: d.metrics, Log: d.log})
+}
+
 // MetricsPath is the path of the metrics on the operators' listener.
 const MetricsPath = "/metrics"
 
-func (d *Daemon) auxiliaryServer(path string, h http.Handler) *http.Server {
+// auxiliaryServer returns a server for one path on a listener, whose connections it bounds.
+func (d *Daemon) auxiliaryServer(name string, l *net.Listener, path string, h http.Handler) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
-	return &http.Server{
+	s := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: defaultReadHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
+	bound := d.newIntake(name, daemon.MaxAuxiliaryConns)
+	bound.Attach(s)
+	*l = bound.Server(bound.Accepted(*l))
+	return s
 }
 
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/intake/conn.go
@@ -0,0 +1,156 @@
+package intake
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/policy/connlimit"
+)
+
+// Conn is an accepted connection of a client.
+type Conn struct {
+	net.Conn
+	intake *Intake
+	// server is the connection as the server sees it; nil until it has accepted it.
+	server atomic.Pointer[serverConn]
+	// waitsFor is what the server's reads wait for, a connlimit.Wait, and since when in Unix nanoseconds.
+	waitsFor atomic.Uint32
+	since    atomic.Int64
+	// writingSince is when the write in progress began, in Unix nanoseconds; 0 without one.
+	writingSince atomic.Int64
+	// serving is set while a handler has the request.
+	serving atomic.Bool
+	// begun is set once a byte of the next request was read.
+	begun atomic.Bool
+}
+
+// connOf returns the Conn below a connection, or nil.
+func connOf(nc net.Conn) *Conn {
+	for {
+		if c, ok := nc.(*Conn); ok {
+			return c
+		}
+		outer, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = outer.NetConn()
+	}
+}
+
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("connection without a socket")
+	}
+	return sc.SyscallConn()
+}
+
+// CloseWrite closes the sending side.
+func (c *Conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.New("connection without half-close")
+	}
+	return half.CloseWrite()
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writingSince.Store(time.Now().UnixNano())
+	defer c.writingSince.Store(0)
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.intake.remove(c)
+	return c.Conn.Close()
+}
+
+// cut closes the connection from outside the server.
+func (c *Conn) cut() {
+	if s := c.server.Load(); s != nil {
+		_ = s.Conn.Close() // what wraps c may cancel requests that run ahead
+	}
+	_ = c.Close()
+}
+
+func (c *Conn) wait(w connlimit.Wait) {
+	c.since.Store(time.Now().UnixNano())
+	c.waitsFor.Store(uint32(w))
+}
+
+// state returns what the connection waits for.
+func (c *Conn) state() connlimit.Conn {
+	if at := c.writingSince.Load(); at != 0 {
+		return connlimit.Conn{Wait: connlimit.Reader, Since: time.Unix(0, at)}
+	}
+	w := connlimit.Wait(c.waitsFor.Load())
+	if w == connlimit.NextRequest && c.runsAhead() {
+		w = connlimit.Nothing
+	}
+	return connlimit.Conn{Wait: w, Since: time.Unix(0, c.since.Load())}
+}
+
+// runsAhead reports whether requests of the connection run ahead of the one that the server reads.
+func (c *Conn) runsAhead() bool {
+	s := c.server.Load()
+	if s == nil {
+		return false
+	}
+	p, ok := s.Conn.(interface{ RunsAhead() bool })
+	return ok && p.RunsAhead()
+}
+
+func (c *Conn) requestBegan() { c.serving.Store(true) }
+
+func (c *Conn) requestEnded() {
+	c.serving.Store(false)
+	c.begun.Store(false)
+}
+
+// serverConn is a connection as the server sees it.
+type serverConn struct {
+	net.Conn
+	conn *Conn
+}
+
+// NetConn returns the connection that s wraps.
+func (s *serverConn) NetConn() net.Conn { return s.Conn }
+
+// Read implements net.Conn.
+func (s *serverConn) Read(p []byte) (int, error) {
+	c := s.conn
+	c.server.CompareAndSwap(nil, s)
+	if w := c.waitOfRead(len(p)); w != connlimit.Nothing {
+		c.wait(w)
+		defer c.waitsFor.Store(uint32(connlimit.Nothing))
+	}
+	n, err := s.Conn.Read(p)
+	if n > 0 && !c.serving.Load() {
+		c.begun.Store(true)
+	}
+	return n, err
+}
+
+// waitOfRead returns what a read of the server waits for. While a handler runs, net/http reads a single byte to notice
+// that the client is gone.
+func (c *Conn) waitOfRead(size int) connlimit.Wait {
+	switch {
+	case c.serving.Load() && (size == 1 || c.intake.opts.TLS):
+		return connlimit.Nothing
+	case c.serving.Load() || c.begun.Load():
+		return connlimit.RestOfRequest
+	default:
+		return connlimit.NextRequest
+	}
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,200 @@
+// Package intake bounds what clients hold of a host: the connections that are open at the same time.
+//
+// Clients that nobody controls connect and send nothing, stop within a request, or don't read their responses. Without
+// a bound the host runs out of descriptors, also for its targets, the store and other hosts. At the bound, one of the
+// connections that wait for their client is closed for each new one (package connlimit), so that ordinary clients are
+// still served.
+package intake
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/cactusproxy/cactusproxy/metrics"
+	"github.com/cactusproxy/cactusproxy/policy/connlimit"
+)
+
+// logLinesPerSecond and logLineBurst limit the log lines of one host about closed connections.
+const (
+	logLinesPerSecond = 1
+	logLineBurst      = 10
+)
+
+// Options of an Intake.
+type Options struct {
+	// Name names the listener in metrics and in the log.
+	Name string
+	// MaxConns is the maximum of connections that are open at the same time.
+	MaxConns int
+	// TLS is set if the server decrypts what it reads. It can't be told then whether a request that is being served
+	// waits for its client.
+	TLS     bool
+	Metrics *metrics.Set
+	Log     *zap.Logger
+}
+
+// Intake bounds the connections of one server. It is safe for concurrent use.
+type Intake struct {
+	opts    Options
+	limiter *rate.Limiter
+	// closed counts connections that were closed for new ones, refused new ones that were closed since all others
+	// served a request.
+	closed, refused *expvar.Int
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// New returns an Intake that isn't attached to a server yet.
+func New(o Options) *Intake {
+	counter := o.Metrics.Counters("intake_" + o.Name)
+	in := &Intake{
+		opts:    o,
+		limiter: rate.NewLimiter(logLinesPerSecond, logLineBurst),
+		closed:  counter("closed"),
+		refused: counter("refused"),
+		conns:   make(map[*Conn]struct{}),
+	}
+	o.Metrics.Func("intake_"+o.Name+"_open", func() any { return in.Open() })
+	return in
+}
+
+// Open returns how many connections are open.
+func (in *Intake) Open() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.conns)
+}
+
+// Attach adds the hooks to a server that is going to serve on a listener of Server.
+func (in *Intake) Attach(s *http.Server) {
+	connState, connContext, handler := s.ConnState, s.ConnContext, s.Handler
+	s.ConnState = func(nc net.Conn, state http.ConnState) {
+		if c := connOf(nc); c != nil && state == http.StateIdle {
+			c.requestEnded()
+		}
+		if connState != nil {
+			connState(nc, state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, nc)
+		}
+		if c := connOf(nc); c != nil {
+			ctx = context.WithValue(ctx, connKey{}, c)
+		}
+		return ctx
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
+			c.requestBegan()
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// Accepted wraps the listener whose connections are counted. Other listeners may wrap it in turn.
+func (in *Intake) Accepted(l net.Listener) net.Listener { return &acceptListener{l, in} }
+
+// Server wraps the outermost listener, on which the server accepts. What it reads there shows what a connection waits
+// for.
+func (in *Intake) Server(l net.Listener) net.Listener { return &serverListener{l} }
+
+type acceptListener struct {
+	net.Listener
+	intake *Intake
+}
+
+// Accept implements net.Listener.
+func (l *acceptListener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: nc, intake: l.intake}
+		c.wait(connlimit.NextRequest)
+		if l.intake.add(c) {
+			return c, nil
+		}
+		_ = nc.Close()
+	}
+}
+
+type serverListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *serverListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &serverConn{Conn: nc, conn: connOf(nc)}, nil
+}
+
+// add counts a new connection, and closes another one at the limit. It returns false if each of the others serves a
+// request.
+func (in *Intake) add(c *Conn) bool {
+	in.mu.Lock()
+	var victim *Conn
+	full := len(in.conns) >= in.opts.MaxConns
+	if full {
+		victim = in.victim()
+	}
+	if victim != nil {
+		delete(in.conns, victim)
+	}
+	if victim != nil || !full {
+		in.conns[c] = struct{}{}
+	}
+	in.mu.Unlock()
+	switch {
+	case victim != nil:
+		in.closed.Add(1)
+		in.log("closed a connection for a new one", victim)
+		victim.cut()
+	case full:
+		in.refused.Add(1)
+		in.log("closed a new connection", c)
+	}
+	return victim != nil || !full
+}
+
+// victim returns the connection to close for a new one, or nil. in.mu is held.
+func (in *Intake) victim() *Conn {
+	list := make([]*Conn, 0, len(in.conns))
+	states := make([]connlimit.Conn, 0, len(in.conns))
+	for c := range in.conns {
+		list = append(list, c)
+		states = append(states, c.state())
+	}
+	if i := connlimit.Victim(time.Now(), states); i >= 0 {
+		return list[i]
+	}
+	return nil
+}
+
+func (in *Intake) remove(c *Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.conns, c)
+}
+
+func (in *Intake) log(message string, c *Conn) {
+	if !in.limiter.Allow() {
+		return
+	}
+	state := c.state()
+	in.opts.Log.Warn(message, zap.String("listener", in.opts.Name), zap.Int("max_conns", in.opts.MaxConns),
+		zap.Stringer("client", c.RemoteAddr()), zap.Uint8("wait", uint8(state.Wait)), zap.Duration("waited", time.Since(state.Since)))
+}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,128 @@
+package intake_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/cactusproxy/cactusproxy/intake"
+	"github.com/cactusproxy/cactusproxy/metrics"
+)
+
+const maxConns = 3
+
+// server serves on a listener that takes maxConns connections. Requests for /held end with the test.
+type server struct {
+	t      *testing.T
+	addr   string
+	intake *intake.Intake
+	held   chan struct{}
+}
+
+func serve(t *testing.T) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{t: t, addr: l.Addr().String(), held: make(chan struct{})}
+	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Metrics: metrics.New(), Log: zap.NewNop()})
+	h := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(s.handle)}
+	s.intake.Attach(h)
+	go func() { _ = h.Serve(s.intake.Server(s.intake.Accepted(l))) }()
+	t.Cleanup(func() {
+		close(s.held)
+		_ = h.Close()
+	})
+	return s
+}
+
+func (s *server) handle(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/held":
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-s.held
+	case "/large":
+		_, _ = w.Write(make([]byte, 64<<20))
+	default:
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
+// send opens a connection and sends text.
+func (s *server) send(text string) net.Conn {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, text)
+	assert.NilError(s.t, err)
+	return c
+}
+
+// request sends a request for a path and waits for the head of its response.
+func (s *server) request(path string) net.Conn {
+	s.t.Helper()
+	c := s.send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+	line, err := bufio.NewReaderSize(c, 16).ReadString(' ')
+	assert.NilError(s.t, err)
+	assert.Assert(s.t, strings.HasPrefix(line, "HTTP/1.1"))
+	return c
+}
+
+// assertClosed fails the test unless the server closes a connection on which it sends nothing more.
+func assertClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := io.Copy(io.Discard, c)
+	timeout, ok := err.(net.Error)
+	assert.Assert(t, !ok || !timeout.Timeout(), "the connection is open")
+}
+
+// Guards against clients that take all connections: those that send nothing or stop within a request make room.
+func TestConnectionsThatWaitForTheirClientMakeRoom(t *testing.T) {
+	for _, text := range []string{"", "GET / HT", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n12345678"} {
+		s := serve(t)
+		first := s.send(text)
+		for range maxConns - 1 {
+			time.Sleep(10 * time.Millisecond) // the order in which they have waited
+			s.send(text)
+		}
+		s.request("/")
+		assertClosed(t, first)
+		assert.Assert(t, s.intake.Open() <= maxConns)
+	}
+}
+
+// Guards against cutting off requests that are being served, for clients that connect later.
+func TestConnectionsWhoseRequestIsServedStay(t *testing.T) {
+	s := serve(t)
+	var held []net.Conn
+	for range maxConns {
+		held = append(held, s.request("/held"))
+	}
+	assertClosed(t, s.send(""))
+	for _, c := range held {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err := io.Copy(io.Discard, c)
+		timeout, ok := err.(net.Error)
+		assert.Check(t, ok && timeout.Timeout(), "closed: %v", err)
+	}
+}
+
+// Guards against clients that keep connections by not reading.
+func TestConnectionsWhoseClientDoesNotReadMakeRoom(t *testing.T) {
+	s := serve(t)
+	unread := s.request("/large")
+	for range maxConns - 1 {
+		s.request("/held")
+	}
+	time.Sleep(50 * time.Millisecond) // until the write blocks
+	s.request("/held")
+	assertClosed(t, unread)
+}
--- a/provision.go
+++ b/provision.go
@@ -16,6 +16,7 @@
 	"github.com/cactusproxy/cactusproxy/controller/targets"
 	"github.com/cactusproxy/cactusproxy/dispatch"
 	"github.com/cactusproxy/cactusproxy/entry"
+	"github.com/cactusproxy/cactusproxy/intake"
 	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/operator"
 	"github.com/cactusproxy/cactusproxy/peer"
@@ -321,7 +322,15 @@
 	d.answers.Attach(callers)
 	d.callers = &daemon.Callers{Server: callers, InFlight: d.entry.InFlight}
 	if l := d.listeners.callers; l != nil {
-		d.callers.Listener = d.answers.Listener(l)
+		bound := intake.New(intake.Options{
+			Name:     "callers",
+			MaxConns: daemon.MaxCallerConns(d.settings),
+			TLS:      d.settings.Callers.TLS.Enabled(),
+			Metrics:  d.metrics,
+			Log:      d.log,
+		})
+		bound.Attach(callers)
+		d.callers.Listener = d.answers.Listener(bound.Server(bound.Accepted(l)))
 	}
 }
 
--- a/provision_upstream.go
+++ b/provision_upstream.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/daemon"
 	"github.com/cactusproxy/cactusproxy/relay"
 	"github.com/cactusproxy/cactusproxy/upstream"
 )
@@ -20,6 +21,7 @@
 		Dial:        o.dial,
 		Relay:       d.relayClient(),
 		OnPathLost:  d.retireStreams,
+		MaxConns:    daemon.MaxTargetConns(d.settings),
 		OnReached:   func(t blackboard.Target) { d.quarantine.TargetReached(t.RunID()) },
 		Metrics:     d.metrics,
 		Log:         d.log,
--- a/settings/check.go
+++ b/settings/check.go
@@ -38,6 +38,8 @@
 	}
 	c.notNegative("callers.maxHeaderBytes", int64(s.Callers.MaxHeaderBytes))
 	c.notNegative("callers.bodyMemoryBytes", s.Callers.BodyMemoryBytes)
+	c.notNegative("callers.maxConns", int64(s.Callers.MaxConns))
+	c.notNegative("descriptors", int64(s.Descriptors))
 	c.notNegative("callers.pipeline.requestsPerConnection", int64(s.Callers.Pipeline.RequestsPerConnection))
 	c.notNegative("callers.pipeline.requestsPerHost", int64(s.Callers.Pipeline.RequestsPerHost))
 	c.notNegative("platform.writesPerSecond", int64(s.Platform.WritesPerSecond))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,8 @@
 	Admission Admission `json:"admission,omitzero"`
 	// MemoryMB is the memory limit of the daemon in megabytes. 0 means no limit.
 	MemoryMB int `json:"memoryMB,omitempty"`
+	// Descriptors is how many descriptors the daemon may have open. 0 means as many as the process may.
+	Descriptors int `json:"descriptors,omitempty"`
 	// LinkMbps is the bandwidth of the host's network link in each direction, in megabits per
 	// second. 0 means unknown.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
@@ -87,6 +89,9 @@
 	// IdleTimeout is the time after which an idle client connection is closed. The default is
 	// "120s".
 	IdleTimeout Duration `json:"idleTimeout,omitempty"`
+	// MaxConns is the maximum of client connections that are open at the same time. The default is a
+	// third of the descriptors, and at most as many as a quarter of MemoryMB is enough for.
+	MaxConns int `json:"maxConns,omitempty"`
 	// Pipeline configures requests that are sent on a connection before earlier ones are
 	// answered. It is only used with a directory.
 	Pipeline Pipeline `json:"pipeline,omitzero"`
--- a/upstream/counting.go
+++ b/upstream/counting.go
@@ -12,6 +12,9 @@
 	// exact is set if a failed write reports exactly how many bytes were accepted.
 	exact  bool
 	writes atomic.Uint64
+	// open counts the connections that are open, if it is set; closed is set once this one isn't.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 // newCountingConn returns a countingConn. Only TCP reports exactly how much it accepted; a stream
@@ -21,6 +24,20 @@
 	return &countingConn{Conn: c, exact: tcp}
 }
 
+// countIn counts the connection in open until it is closed.
+func (c *countingConn) countIn(open *atomic.Int64) {
+	c.open = open
+	open.Add(1)
+}
+
+// Close implements net.Conn.
+func (c *countingConn) Close() error {
+	if c.open != nil && c.closed.CompareAndSwap(false, true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn. A failed write of which TCP accepted no byte is not counted.
 func (c *countingConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
--- a/upstream/dialroute.go
+++ b/upstream/dialroute.go
@@ -40,19 +40,20 @@
 type dialRouteKey struct{}
 
 // dialCounting opens a connection as the dialRoute of ctx says.
-func dialCounting(ctx context.Context, o Options, addr string) (net.Conn, error) {
+func (p *Pools) dialCounting(ctx context.Context, addr string) (net.Conn, error) {
 	route, _ := ctx.Value(dialRouteKey{}).(*dialRoute)
 	var raw net.Conn
 	var err error
 	if route != nil && route.via != "" {
-		raw, err = o.Relay.Dial(ctx, route.via, route.target)
+		raw, err = p.opts.Relay.Dial(ctx, route.via, route.target)
 	} else {
-		raw, err = o.Dial(ctx, addr)
+		raw, err = p.opts.Dial(ctx, addr)
 	}
 	if err != nil {
 		return nil, err
 	}
 	c := newCountingConn(raw)
+	c.countIn(&p.open)
 	if route != nil {
 		route.conn = c
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -75,7 +75,7 @@
 		c.reused = true
 		return c, nil
 	}
-	if !p.reserve(o.MaxConns) {
+	if !p.owner.makeRoom() || !p.reserve(o.MaxConns) {
 		return nil, ErrConnLimit
 	}
 	usable := o.Usable != nil && o.Usable()
--- a/upstream/stalled.go
+++ b/upstream/stalled.go
@@ -51,6 +51,32 @@
 	return before - len(p.idle)
 }
 
+// makeRoom reports whether another connection may be opened. At the limit it closes the one that has been
+// idle longest at any target, so that connections for the next request don't use up the descriptors.
+func (p *Pools) makeRoom() bool {
+	if p.opts.MaxConns <= 0 || p.open.Load() < int64(p.opts.MaxConns) {
+		return true
+	}
+	var oldest *pool
+	var since time.Time
+	for _, pl := range p.all() {
+		if at, ok := pl.idleSince(); ok && (oldest == nil || at.Before(since)) {
+			oldest, since = pl, at
+		}
+	}
+	return oldest != nil && oldest.dropIdleSince(since.Add(1)) > 0
+}
+
+// idleSince returns since when the connection has been idle that has been so longest.
+func (p *pool) idleSince() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
+	}
+	return p.idle[0].idleSince, true
+}
+
 // all returns all pools.
 func (p *Pools) all() []*pool {
 	p.mu.Lock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +98,9 @@
 	// Metrics and Log receive what becomes known of the paths to targets; nil discards it.
 	Metrics *metrics.Set
 	Log     *zap.Logger
+	// MaxConns limits the connections to all targets together, including those through other hosts; 0
+	// means no limit.
+	MaxConns int
 	// MaxResponseHeader limits the response header in bytes; default 64 KiB.
 	MaxResponseHeader int64
 	// TLS is the configuration for connections to targets; nil means plain TCP.
@@ -136,6 +140,9 @@
 	transport *http.Transport
 	paths     *pathLog
 
+	// open counts the connections to all targets.
+	open atomic.Int64
+
 	reachMu sync.Mutex
 	reach   directpath.Host
 
@@ -156,7 +163,7 @@
 	protocols.SetHTTP1(true)
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return dialCounting(ctx, o, addr)
+			return p.dialCounting(ctx, addr)
 		},
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    o.DialTimeout,
