Intake: connections are asked what they wait for without the intake's lock

Callers saw: a host that accepts nobody any more.

Cause: to find a connection that makes room, the intake asked each, with its own lock held. What wraps a connection (package pipeline) locks it to answer, and holds the same lock while it closes, which tells the intake. A connection that was closed from elsewhere while the server waited for its next request made both wait for each other.

Fix: the list is copied under the lock, and the connections are asked outside of it. A connection that has closed meanwhile is closed once more, which does nothing.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,38 +147,47 @@
 // add counts a new connection, and closes another one at the limit. It returns false if each of the others serves a
 // request.
 func (in *Intake) add(c *Conn) bool {
-	in.mu.Lock()
-	var victim *Conn
-	full := len(in.conns) >= in.opts.MaxConns
-	if full {
-		victim = in.victim()
-	}
-	if victim != nil {
-		delete(in.conns, victim)
+	if in.tryAdd(c) {
+		return true
 	}
-	if victim != nil || !full {
-		in.conns[c] = struct{}{}
-	}
-	in.mu.Unlock()
-	switch {
-	case victim != nil:
-		in.closed.Add(1)
-		in.log("closed a connection for a new one", victim)
-		victim.cut()
-	case full:
+	victim := in.victim()
+	if victim == nil {
 		in.refused.Add(1)
 		in.log("closed a new connection", c)
+		return false
+	}
+	in.closed.Add(1)
+	in.log("closed a connection for a new one", victim)
+	in.replace(victim, c)
+	victim.cut()
+	return true
+}
+
+// tryAdd counts a new connection if the limit allows it.
+func (in *Intake) tryAdd(c *Conn) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if len(in.conns) >= in.opts.MaxConns {
+		return false
 	}
-	return victim != nil || !full
+	in.conns[c] = struct{}{}
+	return true
 }
 
-// victim returns the connection to close for a new one, or nil. in.mu is held.
+func (in *Intake) replace(old, with *Conn) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.conns, old)
+	in.conns[with] = struct{}{}
+}
+
+// victim returns the connection to close for a new one, or nil. in.mu isn't held while the connections are asked: what
+// wraps them locks them while they close.
 func (in *Intake) victim() *Conn {
-	list := make([]*Conn, 0, len(in.conns))
-	states := make([]connlimit.Conn, 0, len(in.conns))
-	for c := range in.conns {
-		list = append(list, c)
-		states = append(states, c.state())
+	list := in.list()
+	states := make([]connlimit.Conn, len(list))
+	for i, c := range list {
+		states[i] = c.state()
 	}
 	if i := connlimit.Victim(time.Now(), states); i >= 0 {
 		return list[i]
@@ -184,6 +195,12 @@
 	return nil
 }
 
+func (in *Intake) list() []*Conn {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Collect(maps.Keys(in.conns))
+}
+
 func (in *Intake) remove(c *Conn) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,13 +28,18 @@
 }
 
 func serve(t *testing.T) *server {
+	return serveWrapped(t, func(l net.Listener) net.Listener { return l })
+}
+
+// serveWrapped serves on a listener that wrap puts between the intake and the server.
+func serveWrapped(t *testing.T, wrap func(net.Listener) net.Listener) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &server{t: t, addr: l.Addr().String(), held: make(chan struct{})}
 	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Metrics: metrics.New(), Log: zap.NewNop()})
 	h := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(s.handle)}
 	s.intake.Attach(h)
-	go func() { _ = h.Serve(s.intake.Server(s.intake.Accepted(l))) }()
+	go func() { _ = h.Serve(s.intake.Server(wrap(s.intake.Accepted(l)))) }()
 	t.Cleanup(func() {
 		close(s.held)
 		_ = h.Close()
@@ -88,10 +94,13 @@
 func TestConnectionsThatWaitForTheirClientMakeRoom(t *testing.T) {
 	for _, text := range []string{"", "GET / HT", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n12345678"} {
 		s := serve(t)
-		first := s.send(text)
-		for range maxConns - 1 {
-			time.Sleep(10 * time.Millisecond) // the order in which they have waited
-			s.send(text)
+		var first net.Conn
+		for range maxConns {
+			c := s.send(text)
+			if first == nil {
+				first = c
+			}
+			time.Sleep(20 * time.Millisecond) // until the server waits for the rest
 		}
 		s.request("/")
 		assertClosed(t, first)
@@ -126,3 +135,64 @@
 	s.request("/held")
 	assertClosed(t, unread)
 }
+
+// lockingListener accepts connections that are locked while they close, as those of package pipeline are, and passes them
+// to accepted.
+type lockingListener struct {
+	net.Listener
+	accepted chan *lockingConn
+}
+
+func (l lockingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &lockingConn{Conn: nc, closing: make(chan struct{})}
+	l.accepted <- c
+	return c, nil
+}
+
+type lockingConn struct {
+	net.Conn
+	mu sync.Mutex
+	// closing is closed once the connection is being closed.
+	closing chan struct{}
+	once    sync.Once
+}
+
+// NetConn returns the connection that c wraps.
+func (c *lockingConn) NetConn() net.Conn { return c.Conn }
+
+// RunsAhead is asked when a connection has to make room.
+func (c *lockingConn) RunsAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return false
+}
+
+// Close implements net.Conn.
+func (c *lockingConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.once.Do(func() {
+		close(c.closing)
+		time.Sleep(100 * time.Millisecond) // until the next client has connected
+	})
+	return c.Conn.Close()
+}
+
+// Guards against a host that accepts nobody any more: a connection that was closing waited for the intake, and the
+// intake, which looked for one to close, for that connection.
+func TestClientsAreAcceptedWhileConnectionsClose(t *testing.T) {
+	accepted := make(chan *lockingConn, 2*maxConns)
+	s := serveWrapped(t, func(l net.Listener) net.Listener { return lockingListener{l, accepted} })
+	for range maxConns {
+		s.send("")
+	}
+	time.Sleep(50 * time.Millisecond) // until the server reads
+	first := <-accepted
+	go func() { _ = first.Close() }()
+	<-first.closing
+	s.request("/")
+}
