Intake: a request that is being served doesn't count as waiting for its client

Callers may have seen their connection closed while their request was being served, on a host at its bound of connections.

Cause: net/http begins to watch for the end of the client by a read of one byte before it calls the handler. If that read came first, the connection was taken for one that waits for the rest of its request as long as the handler ran.

Fix: a read of one byte is never a wait for the client, once a request has begun. Under TLS, where sizes tell nothing, only connections without a request make room; the others are bounded by the timeouts of header and route. TestWatchForTheEndOfTheClientIsNoWait fails before, passes now.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -142,13 +142,14 @@
 	return n, err
 }
 
-// waitOfRead returns what a read of the server waits for. While a handler runs, net/http reads a single byte to notice
-// that the client is gone.
+// waitOfRead returns what a read of the server waits for. A read of a single byte is how net/http notices, from before a
+// handler begins, that the client of a request that is being served is gone.
 func (c *Conn) waitOfRead(size int) connlimit.Wait {
+	begun := c.serving.Load() || c.begun.Load()
 	switch {
-	case c.serving.Load() && (size == 1 || c.intake.opts.TLS):
+	case begun && (size == 1 || c.intake.opts.TLS):
 		return connlimit.Nothing
-	case c.serving.Load() || c.begun.Load():
+	case begun:
 		return connlimit.RestOfRequest
 	default:
 		return connlimit.NextRequest
