Intake: headers are bounded by what they cost, not by their bytes

Callers saw: a host whose process grows to many times the memory of its machine, where it would be ended, by a few hundred clients whose headers are legal in size (16 kB) but made of fields of four bytes, or not legal (240 kB) and read all the same.

Cause: net/http turns a header into a map while it arrives, before any code here sees it; the map is copied for the call and for each attempt. A field of 4 to 6 bytes takes 90 to 190 bytes. Nothing bounded the headers of all connections together; the limit of one is 256 KiB.

Fix: what the server reads before a handler begins is counted on the connection: beyond 64 fields and 8 KiB, each field is reckoned with 256 bytes and each byte with 4, from the memory for bodies, until the request has ended. Without memory the connection is closed and nothing was passed on, so that its client may send again. Ordinary headers need none of it, so that ordinary callers are served also while a crowd has all of it; one header of the largest size needs 1 MB of at least 24.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -26,6 +26,8 @@
 	serving atomic.Bool
 	// begun is set once a byte of the next request was read.
 	begun atomic.Bool
+	// header is that of the current request.
+	header header
 }
 
 // connOf returns the Conn below a connection, or nil.
@@ -73,6 +75,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.intake.remove(c)
+	c.releaseHeader()
 	return c.Conn.Close()
 }
 
@@ -116,6 +119,26 @@
 func (c *Conn) requestEnded() {
 	c.serving.Store(false)
 	c.begun.Store(false)
+	if m := c.intake.opts.Memory; m != nil {
+		c.header.next(m)
+	}
+}
+
+func (c *Conn) releaseHeader() {
+	if m := c.intake.opts.Memory; m != nil {
+		c.header.release(m)
+	}
+}
+
+// receivedHeader accounts for bytes of a header, and reports whether there is memory for them.
+func (c *Conn) receivedHeader(b []byte) bool {
+	m := c.intake.opts.Memory
+	if m == nil || c.header.received(b, m) {
+		return true
+	}
+	c.intake.noMemory.Add(1)
+	c.intake.log("closed a connection without memory for its header", c)
+	return false
 }
 
 // serverConn is a connection as the server sees it.
@@ -136,8 +159,12 @@
 		defer c.waitsFor.Store(uint32(connlimit.Nothing))
 	}
 	n, err := s.Conn.Read(p)
-	if n > 0 && !c.serving.Load() {
-		c.begun.Store(true)
+	if n == 0 || c.serving.Load() {
+		return n, err
+	}
+	c.begun.Store(true)
+	if !c.receivedHeader(p[:n]) {
+		return 0, errNoMemory
 	}
 	return n, err
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -1,9 +1,14 @@
-// Package intake bounds what clients hold of a host: the connections that are open at the same time.
+// Package intake bounds what clients hold of a host: the connections that are open at the same time, and the memory of
+// the headers of their requests.
 //
 // Clients that nobody controls connect and send nothing, stop within a request, or don't read their responses. Without
 // a bound the host runs out of descriptors, also for its targets, the store and other hosts. At the bound, one of the
 // connections that wait for their client is closed for each new one (package connlimit), so that ordinary clients are
 // still served.
+//
+// A header of many short fields takes more than ten times its size. Beyond what an ordinary header takes, it is reckoned
+// by what it costs, while it arrives and until its request has ended. A connection for whose header there is no memory is
+// closed. Requests with ordinary headers need none of that memory.
 package intake
 
 import (
@@ -37,7 +42,9 @@
 	MaxConns int
 	// TLS is set if the server decrypts what it reads. It can't be told then whether a request that is being served
 	// waits for its client.
-	TLS     bool
+	TLS bool
+	// Memory limits the memory of headers; nil, or with TLS, it isn't limited.
+	Memory  Memory
 	Metrics *metrics.Set
 	Log     *zap.Logger
 }
@@ -49,6 +56,8 @@
 	// closed counts connections that were closed for new ones, refused new ones that were closed since all others
 	// served a request.
 	closed, refused *expvar.Int
+	// noMemory counts connections that were closed because there was no memory for their header.
+	noMemory *expvar.Int
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -56,13 +65,17 @@
 
 // New returns an Intake that isn't attached to a server yet.
 func New(o Options) *Intake {
+	if o.TLS {
+		o.Memory = nil
+	}
 	counter := o.Metrics.Counters("intake_" + o.Name)
 	in := &Intake{
-		opts:    o,
-		limiter: rate.NewLimiter(logLinesPerSecond, logLineBurst),
-		closed:  counter("closed"),
-		refused: counter("refused"),
-		conns:   make(map[*Conn]struct{}),
+		opts:     o,
+		limiter:  rate.NewLimiter(logLinesPerSecond, logLineBurst),
+		closed:   counter("closed"),
+		refused:  counter("refused"),
+		noMemory: counter("no_memory"),
+		conns:    make(map[*Conn]struct{}),
 	}
 	o.Metrics.Func("intake_"+o.Name+"_open", func() any { return in.Open() })
 	return in
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -28,15 +28,15 @@
 }
 
 func serve(t *testing.T) *server {
-	return serveWrapped(t, func(l net.Listener) net.Listener { return l })
+	return serveWith(t, nil, func(l net.Listener) net.Listener { return l })
 }
 
-// serveWrapped serves on a listener that wrap puts between the intake and the server.
-func serveWrapped(t *testing.T, wrap func(net.Listener) net.Listener) *server {
+// serveWith serves with a memory for headers, on a listener that wrap puts between the intake and the server.
+func serveWith(t *testing.T, m intake.Memory, wrap func(net.Listener) net.Listener) *server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &server{t: t, addr: l.Addr().String(), held: make(chan struct{})}
-	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Metrics: metrics.New(), Log: zap.NewNop()})
+	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Memory: m, Metrics: metrics.New(), Log: zap.NewNop()})
 	h := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(s.handle)}
 	s.intake.Attach(h)
 	go func() { _ = h.Serve(s.intake.Server(wrap(s.intake.Accepted(l)))) }()
@@ -186,7 +186,7 @@
 // intake, which looked for one to close, for that connection.
 func TestClientsAreAcceptedWhileConnectionsClose(t *testing.T) {
 	accepted := make(chan *lockingConn, 2*maxConns)
-	s := serveWrapped(t, func(l net.Listener) net.Listener { return lockingListener{l, accepted} })
+	s := serveWith(t, nil, func(l net.Listener) net.Listener { return lockingListener{l, accepted} })
 	for range maxConns {
 		s.send("")
 	}
--- a/provision.go
+++ b/provision.go
@@ -326,6 +326,7 @@
 			Name:     "callers",
 			MaxConns: daemon.MaxCallerConns(d.settings),
 			TLS:      d.settings.Callers.TLS.Enabled(),
+			Memory:   d.entry.BodyMemory(),
 			Metrics:  d.metrics,
 			Log:      d.log,
 		})
