Edge: clients of the readiness and operators' listeners are given up in time

Callers saw: connections to the readiness listener that stay open without end, and memory beyond the machine's by headers there, so that the platform's check could take the host out for all callers.

Cause: those servers had a timeout for the header alone. net/http reads what is left of a body, up to 256 KiB, before it sends the response, and waits for a client that doesn't read; the largest header was the library's 1 MB.

Fix: 5 s for a whole request, 10 s with its response, 4 KiB of header (net/http adds 4). The checks of a balancer and a scrape of the metrics take milliseconds and some hundred bytes.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -32,6 +32,12 @@
 const (
 	// defaultReadHeaderTimeout applies to the readiness and operator listeners.
 	defaultReadHeaderTimeout = 5 * time.Second
+	// auxiliaryReadTimeout bounds a whole request on those listeners, auxiliaryWriteTimeout the request and its
+	// response: the response to a request that isn't read to its end needs time, too.
+	auxiliaryReadTimeout  = 5 * time.Second
+	auxiliaryWriteTimeout = 10 * time.Second
+	// auxiliaryHeaderBytes is the largest header there, in bytes.
+	auxiliaryHeaderBytes = 4 << 10
 	// defaultDialTimeout leaves time to try another target within the shortest deadlines in
 	// use, about a second. A connection inside a region takes 1 to 3 ms. A lost SYN adds a
 	// second, which is too long to wait for.
@@ -328,7 +334,10 @@
 	mux.Handle(path, h)
 	s := &http.Server{
 		Handler:           mux,
+		MaxHeaderBytes:    auxiliaryHeaderBytes,
 		ReadHeaderTimeout: defaultReadHeaderTimeout,
+		ReadTimeout:       auxiliaryReadTimeout,
+		WriteTimeout:      auxiliaryWriteTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
