Pipeline: a header of more than 128 lines isn't parsed before its turn

Callers saw: a host beyond the memory of its machine by clients that send requests of legal size with very many short fields ahead and read no response.

Cause: bytes that arrive behind a request are split into requests by http.ReadRequest, to see whether they may run ahead. The parsed header takes more than ten times its bytes, which alone are accounted for; each connection holds one.

Fix: the lines are counted before. A header with more than 128 is left to the server in its turn, where its memory is reckoned by package intake.

Evidence: TestRequestWithManyFieldsWaitsForItsTurn fails before.

--- a/pipeline/limits_test.go
+++ b/pipeline/limits_test.go
@@ -132,3 +132,19 @@
 		await(t, "all memory is returned", func() bool { return memory.held() == 0 })
 	}
 }
+
+// Guards against requests of very many short fields that fill a host's memory before their turn: parsed, each takes more
+// than ten times the bytes that are accounted for. They must be served in turn.
+func TestRequestWithManyFieldsWaitsForItsTurn(t *testing.T) {
+	g := newGate()
+	s := serve(t, g, nil)
+	c := s.dial()
+	c.send(get("/held/0"), get("/held/1", strings.Repeat("a:\r\n", 200)), get("/held/2"))
+	await(t, "the first request", func() bool { return g.hasStarted("/held/0") })
+	time.Sleep(settle)
+	assert.Check(t, !g.hasStarted("/held/1"))
+	close(g.open)
+	for i := range 3 {
+		c.expect(fmt.Sprint("/held/", i))
+	}
+}
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -71,6 +71,10 @@
 
 var headerReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
+// maxFields is the largest number of lines of a header that is parsed before its turn. Parsed, a header of many short
+// fields takes more than ten times its size, which isn't part of the memory of the bytes withheld.
+const maxFields = 128
+
 // splitFirst returns the first request of b. The header is parsed by http.ReadRequest, as the server
 // does; a header whose length differs from what ReadRequest takes is unusual.
 func splitFirst(b []byte) split {
@@ -78,6 +82,9 @@
 	if end < 0 {
 		return split{form: incomplete}
 	}
+	if bytes.Count(b[:end], []byte("\n")) > maxFields {
+		return split{form: unusual}
+	}
 	src := bytes.NewReader(b[:end])
 	reader := headerReaders.Get().(*bufio.Reader)
 	reader.Reset(src)
