Entry: a request that is refused before its body is read is answered within half a second

Callers saw: no response, and a connection that stays open without end, if an upload stops short of its end at a path without a route (or is refused otherwise before its body was read).

Cause: net/http reads what is left of a body, up to 256 KiB, before it sends a response. Uploads on routes have a deadline for reads, refusals before a route was found had none.

Fix: if a part of the body is unread when the handler is done, reads end after 500 ms, as long as the rest of an upload with an early response is read. The response then announces the close of the connection. A body that was read completely keeps its connection as before.

docs/OPERATING.md needs no line: it is no setting.

--- a/entry/early_test.go
+++ b/entry/early_test.go
@@ -300,3 +300,17 @@
 		}
 	}
 }
+
+// Guards against clients that keep a connection, and get no response, by an upload that stops short of its end where
+// nothing of it is read: at a path without a route.
+func TestUnfinishedUploadWithoutARouteIsAnswered(t *testing.T) {
+	addr := startEntry(t, new(earlyTarget))
+	for _, chunked := range []bool{false, true} {
+		c := newClientConn(t, addr)
+		head, body := upload("/nowhere/7", strings.Repeat("x", 100<<10), chunked)
+		assert.NilError(t, c.send(head+body[:len(body)-10]))
+		resp, _ := c.readResponse(http.MethodPost)
+		assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+		assert.Check(t, resp.Close)
+	}
+}
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -73,11 +73,15 @@
 // drain waits until nothing reads the upload any more and reads a part of what remains. It is only
 // called after a complete response: a truncated one must break the connection immediately.
 func (u *uploadWriter) drain() {
+	control := http.NewResponseController(u.ResponseWriter)
 	if !u.leavesBodyUnread() {
+		if !u.body.complete(u.request.ContentLength) {
+			// net/http reads the rest before it sends the response, and its client may have stopped.
+			_ = control.SetReadDeadline(time.Now().Add(drainTimeout)) // if this fails, so do the reads
+		}
 		return
 	}
 	u.body.responded.Store(true)
-	control := http.NewResponseController(u.ResponseWriter)
 	_ = control.Flush() // if this fails, the caller is gone and the reads below fail too
 	_ = control.SetReadDeadline(time.Now().Add(drainTimeout))
 	if u.bodyExpected() {
@@ -109,6 +113,8 @@
 	limiter *bodyRateLimiter
 	// started is set once a part of the body has been read, eof once all of it has.
 	started, eof atomic.Bool
+	// size is how many bytes of the body have been read.
+	size atomic.Int64
 	// responded is set once no more of the body may be forwarded.
 	responded atomic.Bool
 }
@@ -122,6 +128,7 @@
 	}
 	b.started.Store(true)
 	n, err := b.src.Read(p)
+	b.size.Add(int64(n))
 	if errors.Is(err, io.EOF) {
 		b.eof.Store(true)
 	}
@@ -131,6 +138,11 @@
 	return n, err
 }
 
+// complete reports whether all of a body of the given length, which is -1 if unknown, has been read.
+func (b *uploadBody) complete(length int64) bool {
+	return b.eof.Load() || length >= 0 && b.size.Load() >= length
+}
+
 // remaining waits for a read in progress and returns the rest of the body. The caller must be its
 // only reader from then on.
 func (b *uploadBody) remaining() io.Reader {
