Entry: uploads that are sent on as they arrive are bounded by the memory that they take

Callers saw: nothing yet; a host of 184 MB with 1,300 connections would leave its memory by uploads that stop short of their end.

Cause: a body that isn't kept for another attempt, since it is long or the memory for bodies is in use, is sent on as it arrives. Its head (32 KiB) and the buffers of both directions were in nobody's account.

Fix: an eighth of the memory limit at 96 KiB for each. Beyond it the request is refused at once with 503 upload-memory and Retry-After, before anything of it is sent: it has not run. A client inside the limits doesn't meet it: with 184 MB and a link of 10 Mbit/s, 245 such uploads take at least 6 s of the link, and as many bodies as fit in a quarter of the memory are under way besides.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -51,8 +51,12 @@
 	// buffered.
 	defaultResponseMemory = 64 << 20
 	// responseMemoryDivisor divides the memory limit: responses that are buffered until complete
-	// may use an eighth. Together with request bodies this is three eighths of the limit.
+	// may use an eighth. Together with request bodies this is three eighths of the limit, and half of it with
+	// uploads.
 	responseMemoryDivisor = 8
+	// uploadMemoryDivisor divides the memory limit: requests whose body is sent on as it arrives may use an
+	// eighth.
+	uploadMemoryDivisor = 8
 	// goMemoryLimitPercent is the Go memory limit as a percentage of the process's memory limit.
 	// The rest is for stacks and socket buffers.
 	goMemoryLimitPercent = 60
@@ -233,6 +237,7 @@
 		Dispatcher:         dispatcher,
 		Metrics:            d.metrics,
 		BodyMemory:         d.bodyMemory(),
+		UploadMemory:       d.uploadMemory(),
 		LinkBytesPerSecond: d.settings.LinkMbps * 1e6 / 8,
 		WatchesStore:       d.watch.Watches,
 		ConfigFresh:        func() bool { return true },
@@ -256,6 +261,10 @@
 	return defaultBodyMemory
 }
 
+func (d *Daemon) uploadMemory() int64 {
+	return int64(d.settings.MemoryMB) << 20 / uploadMemoryDivisor
+}
+
 func (d *Daemon) responseMemory() int64 {
 	if mb := d.settings.MemoryMB; mb > 0 {
 		return int64(mb) << 20 / responseMemoryDivisor
--- a/entry/early_test.go
+++ b/entry/early_test.go
@@ -71,6 +71,12 @@
 // startEntry starts a target and a Server in front of it, and returns the Server's address. The
 // test fails if net/http responds to anything by itself, because all requests are valid.
 func startEntry(t *testing.T, target http.Handler) string {
+	t.Helper()
+	return startEntryWith(t, target, func(*Deps) {})
+}
+
+// startEntryWith is startEntry with other settings.
+func startEntryWith(t *testing.T, target http.Handler, change func(*Deps)) string {
 	t.Helper()
 	back := httptest.NewServer(target)
 	board := blackboard.New()
@@ -86,7 +92,9 @@
 	d := dispatch.New(dispatch.Deps{
 		Board: board, Picker: singleTarget(back.Listener.Addr().String()), Upstream: pools, Metrics: m, ResponseBufferBytes: 1 << 20,
 	})
-	s := New(Deps{Board: board, Dispatcher: d, Metrics: m, BodyMemory: 1 << 20, ConfigFresh: func() bool { return true }})
+	deps := Deps{Board: board, Dispatcher: d, Metrics: m, BodyMemory: 1 << 20, ConfigFresh: func() bool { return true }}
+	change(&deps)
+	s := New(deps)
 	front := httptest.NewUnstartedServer(s)
 	monitor := NewServerResponseMonitor(zap.NewNop(), m, "")
 	front.Listener = monitor.Listener(front.Listener)
--- a/entry/request.go
+++ b/entry/request.go
@@ -169,6 +169,9 @@
 		stream = http.MaxBytesReader(nil, r.Body, limit)
 	}
 	body, release, err := s.readStart(r.ContentLength, stream, int64(m.Service.MaxReplayBody))
+	if errors.Is(err, errUploadMemory) {
+		return nil, nil, outcome.Refuse(outcome.ReasonUploadMemory)
+	}
 	if err != nil {
 		release()
 		return nil, nil, s.bodyError(r, m, err)
@@ -184,8 +187,7 @@
 		reserve = maxReplay
 	}
 	if reserve == 0 || reserve > maxReplay || !s.memory.TryAcquire(reserve) {
-		body, err := streamBody(stream, length)
-		return body, func() {}, err
+		return s.streamUpload(stream, length)
 	}
 	release := func() { s.memory.Release(reserve) }
 	if length >= 0 {
@@ -204,6 +206,27 @@
 	return dispatch.StreamBody(whole, -1, b[:min(headBytes, len(b))]), release, nil
 }
 
+// uploadMemory is the memory in bytes of a request whose body is sent on as it arrives: the head of its body, and a buffer
+// for each direction.
+const uploadMemory = headBytes + 2*copyBufferSize
+
+// errUploadMemory means that there is no memory for another such request.
+var errUploadMemory = errors.New("no memory for another upload")
+
+// streamUpload returns a body that stays a stream. The returned function releases its memory, also after an error.
+func (s *Server) streamUpload(stream io.ReadCloser, length int64) (*dispatch.Body, func(), error) {
+	if s.uploads != nil && !s.uploads.TryAcquire(uploadMemory) {
+		return nil, func() {}, errUploadMemory
+	}
+	release := func() {
+		if s.uploads != nil {
+			s.uploads.Release(uploadMemory)
+		}
+	}
+	body, err := streamBody(stream, length)
+	return body, release, err
+}
+
 // streamBody reads the head of a body that stays a stream. If the body turns out to end in it, its length is
 // known, so that the request is the same one as where the body is held in memory.
 func streamBody(stream io.ReadCloser, length int64) (*dispatch.Body, error) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -47,6 +47,9 @@
 	// BodyMemory bounds the total size, in bytes, of the request bodies that this host keeps in
 	// memory for retries.
 	BodyMemory int64
+	// UploadMemory bounds the memory, in bytes, of the requests whose body is sent on as it arrives; 0
+	// means no limit.
+	UploadMemory int64
 	// LinkBytesPerSecond is the capacity of this host's link in each direction; 0 if unknown.
 	LinkBytesPerSecond float64
 	// WatchesStore reports whether this host watches the store on behalf of all others.
@@ -115,6 +118,7 @@
 type Server struct {
 	deps     Deps
 	memory   *semaphore.Weighted
+	uploads  *semaphore.Weighted // nil if there is no limit
 	bodyRate *bodyRateLimiter
 	cached   atomic.Pointer[cachedRouter]
 	mux      *chi.Mux
@@ -138,6 +142,9 @@
 		memory:   semaphore.NewWeighted(deps.BodyMemory),
 		bodyRate: newBodyRateLimiter(deps.LinkBytesPerSecond, deps.WatchesStore),
 	}
+	if deps.UploadMemory > 0 {
+		s.uploads = semaphore.NewWeighted(deps.UploadMemory)
+	}
 	s.mux = chi.NewRouter()
 	s.mux.Get(PathReady, s.ready)
 	s.mux.Post(PathKeys, s.issueKey)
--- a/outcome/reason.go
+++ b/outcome/reason.go
@@ -42,9 +42,12 @@
 	ReasonTooDeep        Reason = "too-deep"
 	// ReasonNotInTurn means that the call was started before earlier ones of its connection were
 	// answered, and that its route doesn't allow that.
-	ReasonNotInTurn   Reason = "not-in-turn"
-	ReasonQuarantined Reason = "quarantined"
-	ReasonCallerGone  Reason = "caller-gone"
+	ReasonNotInTurn Reason = "not-in-turn"
+	// ReasonUploadMemory means that this host has no memory for another body that is sent on as it
+	// arrives.
+	ReasonUploadMemory Reason = "upload-memory"
+	ReasonQuarantined  Reason = "quarantined"
+	ReasonCallerGone   Reason = "caller-gone"
 )
 
 // Reasons concerning targets.
@@ -130,6 +133,7 @@
 	ReasonDeadline:          {status: http.StatusGatewayTimeout},
 	ReasonQueueTimeout:      {status: http.StatusServiceUnavailable, retryAfter: retrySoon},
 	ReasonNotInTurn:         {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
+	ReasonUploadMemory:      {status: http.StatusServiceUnavailable, retryAfter: retryImmediately},
 	ReasonTooDeep:           {status: http.StatusLoopDetected},
 	ReasonQuarantined:       {status: http.StatusServiceUnavailable, retryAfter: retryLater},
 	ReasonCallerGone:        {status: http.StatusServiceUnavailable},
