Intake: a connection ends if its client reads nothing for a minute

Callers saw: nothing; the host kept connections, up to 256 KiB of response each, and the goroutines of requests that had ended long before, as long as their clients liked.

Cause: the server for callers has no timeout for writes, which would bound a whole response also where it is read slowly but steadily.

Fix: each write, 32 KiB at most, has a minute. A client that reads 1 KiB a second still gets its response.

Evidence: TestConnectionEndsIfItsClientReadsNothing (timeout of 2 s): open after 10 s before, closed now. That such clients make room for others at the bound of connections is there before.

--- a/edge/provision.go
+++ b/edge/provision.go
@@ -288,7 +288,14 @@
 	}
 	d.ownAnswers = entry.NewServerResponseMonitor(d.log, d.metrics, d.platform.Contract.RequestID)
 	d.ownAnswers.Attach(callers)
-	d.intake = d.newIntake("callers", daemon.MaxCallerConns(d.settings), d.entry.BodyMemory())
+	d.intake = intake.New(intake.Options{
+		Name:         "callers",
+		MaxConns:     daemon.MaxCallerConns(d.settings),
+		Memory:       d.entry.BodyMemory(),
+		WriteTimeout: daemon.CallerWriteTimeout,
+		Metrics:      d.metrics,
+		Log:          d.log,
+	})
 	d.intake.Attach(callers)
 	accepted := d.intake.Accepted(d.listeners.callers)
 	d.callers = &daemon.Callers{
@@ -330,10 +337,6 @@
 	return n
 }
 
-func (d *Daemon) newIntake(name string, maxConns int, m intake.Memory) *intake.Intake {
-	return intake.New(intake.Options{Name: name, MaxConns: maxConns, Memory: m, Metrics: d.metrics, Log: d.log})
-}
-
 // MetricsPath is the path of the metrics on the operators' listener.
 const MetricsPath = "/metrics"
 
@@ -350,7 +353,7 @@
 		IdleTimeout:       defaultIdleTimeout,
 		ErrorLog:          zap.NewStdLog(d.log),
 	}
-	bound := d.newIntake(name, daemon.MaxAuxiliaryConns, nil)
+	bound := intake.New(intake.Options{Name: name, MaxConns: daemon.MaxAuxiliaryConns, Metrics: d.metrics, Log: d.log})
 	bound.Attach(s)
 	*l = bound.Server(bound.Accepted(*l))
 	return s
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -67,8 +67,12 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.writingSince.Store(time.Now().UnixNano())
+	now := time.Now()
+	c.writingSince.Store(now.UnixNano())
 	defer c.writingSince.Store(0)
+	if d := c.intake.opts.WriteTimeout; d > 0 {
+		_ = c.Conn.SetWriteDeadline(now.Add(d)) // if it fails, so does the write
+	}
 	return c.Conn.Write(b)
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -43,6 +43,8 @@
 	// TLS is set if the server decrypts what it reads. It can't be told then whether a request that is being served
 	// waits for its client.
 	TLS bool
+	// WriteTimeout ends connections whose client takes nothing of a write for so long; 0 means no limit.
+	WriteTimeout time.Duration
 	// Memory limits the memory of headers; nil, or with TLS, it isn't limited.
 	Memory  Memory
 	Metrics *metrics.Set
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -17,7 +17,10 @@
 	"github.com/cactusproxy/cactusproxy/metrics"
 )
 
-const maxConns = 3
+const (
+	maxConns     = 3
+	writeTimeout = 2 * time.Second
+)
 
 // server serves on a listener that takes maxConns connections. Requests for /held end with the test.
 type server struct {
@@ -36,7 +39,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &server{t: t, addr: l.Addr().String(), held: make(chan struct{})}
-	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Memory: m, Metrics: metrics.New(), Log: zap.NewNop()})
+	s.intake = intake.New(intake.Options{Name: "test", MaxConns: maxConns, Memory: m, WriteTimeout: writeTimeout, Metrics: metrics.New(), Log: zap.NewNop()})
 	h := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(s.handle)}
 	s.intake.Attach(h)
 	go func() { _ = h.Serve(s.intake.Server(wrap(s.intake.Accepted(l)))) }()
@@ -196,3 +199,14 @@
 	<-first.closing
 	s.request("/")
 }
+
+// Guards against clients that keep a connection, and the response that is in memory for it, by not reading: such a
+// connection ends although no other client needs its place.
+func TestConnectionEndsIfItsClientReadsNothing(t *testing.T) {
+	s := serveWith(t, nil, func(l net.Listener) net.Listener { return l })
+	unread := s.request("/large")
+	for end := time.Now().Add(10 * time.Second); s.intake.Open() > 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the connection is open")
+	}
+	assertClosed(t, unread)
+}
--- a/internal/daemon/descriptors.go
+++ b/internal/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"github.com/cactusproxy/cactusproxy/settings"
 )
@@ -29,6 +30,10 @@
 // MaxAuxiliaryConns is the maximum of connections of a listener that a few clients poll, such as that for readiness.
 const MaxAuxiliaryConns = 32
 
+// CallerWriteTimeout ends a client connection whose client reads nothing for so long. A write has 32 KiB at most, so that
+// a client that reads 1 KiB a second is served.
+const CallerWriteTimeout = time.Minute
+
 // MaxCallerConns returns the maximum of client connections.
 func MaxCallerConns(s *settings.Settings) int {
 	if n := s.Callers.MaxConns; n > 0 {
--- a/provision.go
+++ b/provision.go
@@ -323,12 +323,13 @@
 	d.callers = &daemon.Callers{Server: callers, InFlight: d.entry.InFlight}
 	if l := d.listeners.callers; l != nil {
 		bound := intake.New(intake.Options{
-			Name:     "callers",
-			MaxConns: daemon.MaxCallerConns(d.settings),
-			TLS:      d.settings.Callers.TLS.Enabled(),
-			Memory:   d.entry.BodyMemory(),
-			Metrics:  d.metrics,
-			Log:      d.log,
+			Name:         "callers",
+			MaxConns:     daemon.MaxCallerConns(d.settings),
+			TLS:          d.settings.Callers.TLS.Enabled(),
+			Memory:       d.entry.BodyMemory(),
+			WriteTimeout: daemon.CallerWriteTimeout,
+			Metrics:      d.metrics,
+			Log:          d.log,
 		})
 		bound.Attach(callers)
 		d.callers.Listener = d.answers.Listener(bound.Server(bound.Accepted(l)))
