--- a/cmd/cactusproxyd/crowd_test.go
+++ b/cmd/cactusproxyd/crowd_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,16 +30,25 @@
 
 // door is a place to which clients can send requests.
 type door struct {
-	path string
-	// readiness is set for the listener of the platform's load balancer.
-	readiness bool
+	path     string
+	listener listener
 }
 
+// listener is one of the addresses of a host.
+type listener uint8
+
+const (
+	forCallers listener = iota
+	// forBalancer is the listener of the platform's load balancer.
+	forBalancer
+	forOperators
+)
+
 // doors are all doors of a host, by what is behind them.
 var doors = map[string][]door{
 	"routes":    {{path: "/lots/1"}, {path: "/bids/1"}, {path: "/files/1"}},
 	"no route":  {{path: "/nowhere/1"}, {path: platform.ReadyPath}},
-	"readiness": {{path: platform.ReadyPath, readiness: true}},
+	"readiness": {{path: platform.ReadyPath, listener: forBalancer}},
 }
 
 // member is one connection of a crowd.
@@ -112,8 +123,15 @@
 // Guards against a host that runs out of memory or descriptors, or answers nobody, while many clients send bodies of
 // legal size, stop just short of their end and stay.
 func TestCrowdOfBodiesThatStopShortOfTheirEnd(t *testing.T) {
+	for name, send := range bodiesThatStop() {
+		crowdAtAllDoors(t, name, send)
+	}
+}
+
+// bodiesThatStop returns what members of such a crowd send, by name.
+func bodiesThatStop() map[string]func(m *member) {
 	body := strings.Repeat("x", crowdBodyBytes)
-	for name, send := range map[string]func(m *member){
+	return map[string]func(m *member){
 		"one piece": func(m *member) {
 			n := len(body) >> (m.number % 3) // some are held in memory, others are not
 			short := 1
@@ -142,8 +160,6 @@
 		"answered at once": func(m *member) {
 			m.write(m.head("POST", length(100<<10)) + "\r\n" + body[:100<<10-1])
 		},
-	} {
-		crowdAtAllDoors(t, name, send)
 	}
 }
 
@@ -172,12 +188,19 @@
 // Guards against a host that runs out of memory, or answers nobody, while many clients send headers of legal size
 // made of very many fields, or headers beyond the limit.
 func TestCrowdOfManyShortFields(t *testing.T) {
+	for name, send := range manyShortFields() {
+		crowdAtAllDoors(t, name, send)
+	}
+}
+
+// manyShortFields returns what members of such a crowd send, by name.
+func manyShortFields() map[string]func(m *member) {
 	same := strings.Repeat("a:\r\n", len(legalFields)/len("a:\r\n"))
 	illegal := fields(15 * crowdHeaderBytes)
 	trailer := fields(crowdHeaderBytes)
-	for name, send := range map[string]func(m *member){
+	return map[string]func(m *member){
 		"whole": func(m *member) {
-			if !m.door.readiness && m.number%2 == 0 {
+			if m.door.listener == forCallers && m.number%2 == 0 {
 				m.door.path += "/hold"
 			}
 			m.write(m.head("GET", legalFields) + "\r\n")
@@ -189,8 +212,6 @@
 		"in trailer": func(m *member) {
 			m.write(m.head("POST", "Transfer-Encoding: chunked\r\n") + "\r\n" + chunk("x") + "0\r\n" + trailer)
 		},
-	} {
-		crowdAtAllDoors(t, name, send)
 	}
 }
 
@@ -198,7 +219,7 @@
 // ahead and read no response.
 func TestCrowdOfRequestsSentAhead(t *testing.T) {
 	crowdAtAllDoors(t, "large responses", func(m *member) {
-		if !m.door.readiness {
+		if m.door.listener == forCallers {
 			m.door.path += "/big"
 		}
 		request := m.head("GET", "") + "\r\n"
@@ -217,7 +238,14 @@
 // Guards against a host that runs out of memory or descriptors, or answers nobody, while many clients send or read
 // very slowly, or stop half-way.
 func TestCrowdOfSlowClients(t *testing.T) {
-	for name, send := range map[string]func(m *member){
+	for name, send := range slowClients() {
+		crowdAtAllDoors(t, name, send)
+	}
+}
+
+// slowClients returns what members of such a crowd do, by name.
+func slowClients() map[string]func(m *member) {
+	return map[string]func(m *member){
 		"silent":    func(*member) {},
 		"slow head": func(m *member) { m.slowly(m.head("GET", legalFields), 1) },
 		"half a head": func(m *member) {
@@ -233,7 +261,7 @@
 			m.write(m.head("POST", length(200<<10)) + "\r\n" + strings.Repeat("x", 100<<10))
 		},
 		"slow reader": func(m *member) {
-			if !m.door.readiness {
+			if m.door.listener == forCallers {
 				m.door.path += "/big"
 			}
 			if !m.write(m.head("GET", "") + "\r\n") {
@@ -245,17 +273,40 @@
 				}
 			}
 		},
-	} {
-		crowdAtAllDoors(t, name, send)
 	}
 }
 
+// Guards against a host that bears each kind of crowd, and not all at once, with more connections than there are
+// descriptors, at the listener for operators, too.
+func TestCrowdOfAllKindsAtOnce(t *testing.T) {
+	kinds := []func(m *member){func(m *member) { // closes its side half-way
+		m.write(m.head("POST", length(200<<10)) + "\r\n" + strings.Repeat("x", 100<<10))
+		_ = m.Conn.(*net.TCPConn).CloseWrite()
+	}}
+	for _, crowd := range []map[string]func(m *member){bodiesThatStop(), manyShortFields(), slowClients()} {
+		for _, name := range slices.Sorted(maps.Keys(crowd)) {
+			kinds = append(kinds, crowd[name])
+		}
+	}
+	list := []door{{path: "/metrics", listener: forOperators}}
+	for _, behind := range slices.Sorted(maps.Keys(doors)) {
+		list = append(list, doors[behind]...)
+	}
+	h := startCrowdHost(t)
+	leave := h.crowd(2*crowdDescriptors, list, func(m *member) { kinds[m.number%int64(len(kinds))](m) })
+	h.assertServes("while the crowd is there")
+	leave()
+	h.assertServes("after the crowd has left")
+	h.assertBounds()
+	h.assertStops()
+}
+
 // crowdAtAllDoors plays a crowd at each kind of door, each time with a host of its own.
 func crowdAtAllDoors(t *testing.T, name string, send func(m *member)) {
 	for behind, list := range doors {
 		t.Run(name+" at "+behind, func(t *testing.T) {
 			h := startCrowdHost(t)
-			leave := h.crowd(list, send)
+			leave := h.crowd(crowdSize, list, send)
 			h.assertServes("while the crowd is there")
 			leave()
 			h.assertServes("after the crowd has left")
@@ -267,12 +318,12 @@
 
 // crowd lets many clients send to doors of the host. It returns once all have sent what they want or their time has
 // passed; the returned function closes their connections.
-func (h *crowdHost) crowd(list []door, send func(m *member)) (leave func()) {
+func (h *crowdHost) crowd(size int, list []door, send func(m *member)) (leave func()) {
 	var sending, staying sync.WaitGroup
 	var number atomic.Int64
 	left := make(chan struct{})
 	until := time.Now().Add(crowdTime)
-	for i := range crowdSize {
+	for i := range size {
 		sending.Add(1)
 		staying.Go(func() {
 			sent := sync.OnceFunc(sending.Done)
@@ -311,12 +362,8 @@
 
 // connect opens the connection of a member, or reports that its time has passed.
 func (h *crowdHost) connect(m *member) bool {
-	addr := h.callers
-	if m.door.readiness {
-		addr = h.readiness
-	}
 	d := net.Dialer{Deadline: m.until}
-	conn, err := d.Dial("tcp", addr)
+	conn, err := d.Dial("tcp", h.addrs[m.door.listener])
 	if err != nil {
 		return false
 	}
--- a/cmd/cactusproxyd/crowdhost_test.go
+++ b/cmd/cactusproxyd/crowdhost_test.go
@@ -54,12 +54,13 @@
 
 // crowdHost is a host in a process of its own, with a platform and targets in this one.
 type crowdHost struct {
-	t                  *testing.T
-	callers, readiness string
-	cmd                *exec.Cmd
-	log                bytes.Buffer
-	exited             chan struct{}
-	client             *http.Client
+	t *testing.T
+	// addrs holds the addresses of the listeners.
+	addrs  map[listener]string
+	cmd    *exec.Cmd
+	log    bytes.Buffer
+	exited chan struct{}
+	client *http.Client
 
 	mu sync.Mutex
 	// descriptors is the largest number seen open at the same time.
@@ -80,10 +81,7 @@
 			store.Put("servers", tg.ID, tg.Entry(service, s.Listener.Addr().String(), "a", "ready"))
 		}
 	}
-	var operators, peers string
-	for _, addr := range []*string{&h.callers, &h.readiness, &operators, &peers} {
-		*addr = freeAddr(t)
-	}
+	h.addrs = map[listener]string{forCallers: freeAddr(t), forBalancer: freeAddr(t), forOperators: freeAddr(t)}
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	assert.NilError(t, os.WriteFile(file, fmt.Appendf(nil, `{
 		"host": {"id": "h", "zone": "a"},
@@ -93,7 +91,7 @@
 		"measuring": {"perTarget": 60},
 		"memoryMB": %d,
 		"drain": {"notice": "200ms", "limit": "2s"},
-	}`, h.callers, h.readiness, operators, peers, server.Listener.Addr(), crowdMemoryMB), 0o600))
+	}`, h.addrs[forCallers], h.addrs[forBalancer], h.addrs[forOperators], freeAddr(t), server.Listener.Addr(), crowdMemoryMB), 0o600))
 	h.cmd = exec.Command(os.Args[0], "serve", file)
 	h.cmd.Env = append(os.Environ(), envRun+"=1", fmt.Sprint(envDescriptors, "=", crowdDescriptors))
 	h.cmd.Stdout, h.cmd.Stderr = &h.log, &h.log
@@ -181,10 +179,10 @@
 func (h *crowdHost) assertServes(when string) {
 	h.t.Helper()
 	h.eventually("ready "+when, func() bool {
-		return h.get("http://"+h.readiness+platform.ReadyPath) == http.StatusOK
+		return h.get("http://"+h.addrs[forBalancer]+platform.ReadyPath) == http.StatusOK
 	})
 	h.eventually("ordinary request served "+when, func() bool {
-		return h.get("http://"+h.callers+"/lots/ordinary") == http.StatusOK
+		return h.get("http://"+h.addrs[forCallers]+"/lots/ordinary") == http.StatusOK
 	})
 }
 
@@ -216,7 +214,7 @@
 // assertServed fails the test unless the host answers one request that is written as given.
 func (h *crowdHost) assertServed(what, request string) {
 	h.t.Helper()
-	conn, err := net.Dial("tcp", h.callers)
+	conn, err := net.Dial("tcp", h.addrs[forCallers])
 	assert.NilError(h.t, err)
 	defer conn.Close()
 	assert.NilError(h.t, conn.SetDeadline(time.Now().Add(servedWithin)))
