Dispatch: buffered responses take the memory that is accounted for

Callers saw: a host beyond the memory of its machine by clients that ask for large responses and don't read them.

Cause: a response is buffered in one buffer that doubles when it grows, and grows also to find out that a response of known length has ended. 200 KiB took up to 410 kB where 205 were accounted for.

Fix: a response of known length takes a buffer of that length, any other parts of 4 KiB and then 28 KiB.

--- a/dispatch/buffer.go
+++ b/dispatch/buffer.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -32,37 +31,100 @@
 // read, and a response for which there is no memory stays a stream altogether. The memory is
 // released when the body is closed.
 func (h *responseBuffers) buffer(resp *http.Response) error {
-	size := resp.ContentLength
-	if size < 0 {
-		size = maxBufferedResponse
+	reserved := resp.ContentLength
+	if reserved < 0 {
+		reserved = maxBufferedResponse
 	}
-	if size > maxBufferedResponse || !h.memory.TryAcquire(size) {
+	if reserved > maxBufferedResponse || !h.memory.TryAcquire(reserved) {
 		return nil
 	}
-	var b bytes.Buffer
-	b.Grow(int(max(resp.ContentLength, 0)))
-	n, err := io.CopyN(&b, resp.Body, maxBufferedResponse+1)
-	switch {
-	case err != nil && !errors.Is(err, io.EOF):
-		h.memory.Release(size)
+	b, err := readBuffer(resp.Body, resp.ContentLength)
+	if err != nil {
+		h.memory.Release(reserved)
 		return err
-	case n > maxBufferedResponse:
-		resp.Body = &bufferedBody{Reader: io.MultiReader(&b, resp.Body), src: resp.Body, release: func() { h.memory.Release(size) }}
-		return nil
 	}
-	err = resp.Body.Close()
-	if size > n {
-		h.memory.Release(size - n)
+	if b.more {
+		resp.Body = &bufferedBody{Reader: io.MultiReader(b, resp.Body), src: resp.Body, release: func() { h.memory.Release(reserved) }}
+		return nil
 	}
-	if err != nil {
-		h.memory.Release(min(size, n))
+	if err := resp.Body.Close(); err != nil {
+		h.memory.Release(reserved)
 		return err
 	}
-	resp.ContentLength = n
-	resp.Body = &bufferedBody{Reader: &b, release: func() { h.memory.Release(min(size, n)) }}
+	held := min(reserved, b.capacity)
+	h.memory.Release(reserved - held)
+	resp.ContentLength = b.size
+	resp.Body = &bufferedBody{Reader: b, release: func() { h.memory.Release(held) }}
 	return nil
 }
 
+// firstPart and nextPart are the sizes in bytes of the parts in which a response of unknown length is buffered.
+const (
+	firstPart = 4 << 10
+	nextPart  = 28 << 10
+)
+
+// responseBuffer is the beginning of a response, in parts. A single buffer would take twice the memory that is accounted
+// for whenever it grows, also to find out that a response of known length has ended.
+type responseBuffer struct {
+	parts [][]byte
+	// size is the number of bytes, capacity the memory that they take.
+	size, capacity int64
+	// more is set if the response goes on.
+	more bool
+}
+
+// readBuffer reads a response of the given length, which is -1 if unknown, as far as it is buffered.
+func readBuffer(r io.Reader, length int64) (*responseBuffer, error) {
+	b := new(responseBuffer)
+	next := length
+	if length < 0 {
+		next = firstPart
+	}
+	for length < 0 && b.capacity < maxBufferedResponse || len(b.parts) == 0 {
+		ended, err := b.readPart(r, min(next, maxBufferedResponse-b.capacity))
+		if ended || err != nil {
+			return b, err
+		}
+		next = nextPart
+	}
+	before := b.size
+	_, err := b.readPart(r, 1)
+	b.more = b.size > before
+	return b, err
+}
+
+// readPart reads another part, and reports whether the response ended in it.
+func (b *responseBuffer) readPart(r io.Reader, size int64) (ended bool, err error) {
+	part := make([]byte, size)
+	n := 0
+	for n < len(part) && err == nil {
+		var read int
+		read, err = r.Read(part[n:])
+		n += read
+	}
+	b.parts = append(b.parts, part[:n])
+	b.size += int64(n)
+	b.capacity += size
+	if errors.Is(err, io.EOF) {
+		return true, nil
+	}
+	return false, err
+}
+
+// Read implements io.Reader.
+func (b *responseBuffer) Read(p []byte) (int, error) {
+	for len(b.parts) > 0 && len(b.parts[0]) == 0 {
+		b.parts = b.parts[1:]
+	}
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.parts[0])
+	b.parts[0] = b.parts[0][n:]
+	return n, nil
+}
+
 // bufferedBody is a response body that is partly or completely in memory.
 type bufferedBody struct {
 	io.Reader
--- a/dispatch/buffer_test.go
+++ b/dispatch/buffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -97,3 +98,44 @@
 		assert.DeepEqual(t, b.picker.reports(), []pick.Class{pick.OK})
 	}
 }
+
+// Guards against buffered responses that take several times the memory that is accounted for, where callers don't read
+// them.
+func TestBufferedResponsesTakeNoMoreThanIsAccountedFor(t *testing.T) {
+	const limit = 32 << 20
+	for _, size := range []int{100, 5_000, 100_000, 200 << 10, maxBufferedResponse} {
+		for _, withLength := range []bool{false, true} {
+			h := newResponseBuffers(limit)
+			var open []*http.Response
+			before := heapInUse()
+			for range 20 {
+				resp := sizedResponse(size, withLength)
+				assert.NilError(t, h.buffer(resp))
+				_, ok := resp.Body.(*bufferedBody)
+				assert.Assert(t, ok)
+				assert.Equal(t, resp.ContentLength, int64(size))
+				open = append(open, resp)
+			}
+			taken, accounted := heapInUse()-before, limit-h.free(limit)
+			assert.Check(t, taken <= accounted+20*overhead, "%d bytes, known %t: %d taken, %d accounted for", size, withLength, taken, accounted)
+			for _, resp := range open {
+				b, err := io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, len(b), size)
+				assert.NilError(t, resp.Body.Close())
+			}
+		}
+	}
+}
+
+// overhead is what a response of the test takes besides its body, in bytes.
+const overhead = 8 << 10
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC() // the first collection does not free the content of sync.Pools
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
