Intake: a client connection is reckoned with 64 KiB

Cause: with a request that is being served it takes four goroutines, their buffers and those of a connection to a target; 32 KiB was too little.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -18,7 +18,7 @@
 	targetDescriptorDivisor = 2
 	// callerConnMemory is the memory in bytes of a client connection with a request that is being served, and
 	// callerConnMemoryDivisor divides the memory limit: client connections may use a quarter.
-	callerConnMemory        = 32 << 10
+	callerConnMemory        = 64 << 10
 	callerConnMemoryDivisor = 4
 	// usualDescriptors is assumed if the limit of the process is unknown, and maxDescriptors if it is very high.
 	usualDescriptors = 1024
