Upstream: a response that is reset while its upload is being written isn't whole

Callers saw: a part of a response as the whole of it. A target answers a long upload at once with 200 and no length, sends a part and resets the connection while the upload is still being written.

Cause: such a response ends with its connection, and the kernel reports a reset once, to whoever asks first. The write of the upload gets it; the read beside it gets a clean end. The same in the host that carries the connection for another: it passed the clean end on.

Fix: connections to targets keep how a write has failed. A clean end beside such a write is its error. The end of a stream between hosts is a message of its own, and stays one.

Looked for elsewhere: the store's and the table's answers are decoded whole, a part fails to decode (read, not run); probes judge by status alone.

--- a/upstream/counting.go
+++ b/upstream/counting.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -12,6 +13,7 @@
 	// exact is set if a failed write reports exactly how many bytes were accepted.
 	exact  bool
 	writes atomic.Uint64
+	guard  resetGuard
 	// open counts the connections that are open, if it is set; closed is set once this one isn't.
 	open   *atomic.Int64
 	closed atomic.Bool
@@ -38,10 +40,20 @@
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn. The end of a connection through another host is a message, which the reset
+// of that connection doesn't make untrue.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if _, relayed := c.Conn.(RelayedConn); err == io.EOF && !relayed {
+		err = c.guard.end(c.Conn)
+	}
+	return n, err
+}
+
 // Write implements net.Conn. A failed write of which TCP accepted no byte is not counted.
 func (c *countingConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
-	n, err := c.Conn.Write(b)
+	n, err := c.guard.write(c.Conn, b)
 	if c.exact && err != nil && n == 0 {
 		c.writes.Add(^uint64(0))
 	}
--- a/upstream/path.go
+++ b/upstream/path.go
@@ -260,5 +260,8 @@
 	defer cancel()
 	conn, err := p.opts.Dial(ctx, t.Addr)
 	pl.noteOwn(err)
-	return conn, p.markPathFault(ownAttempt{target: t.ID, begun: begun, due: begun.Add(p.opts.DialTimeout)}, err)
+	if err != nil {
+		return nil, p.markPathFault(ownAttempt{target: t.ID, begun: begun, due: begun.Add(p.opts.DialTimeout)}, err)
+	}
+	return &guardedConn{Conn: conn}, nil
 }
