Upstream: what is no response in the protocol isn't forwarded as one

Callers saw: a connection closed without a response for the status 000, a status 600, or a success without a field of the target's, or with a body that wasn't the target's: chunk lines were part of it where the line was 'Transfer-Encoding : chunked'.

Cause: net/http accepts any three digits as a status and blanks in names of fields. It leaves such fields out when it writes, and what they say about the body has no effect. Control characters it refuses.

TestMalformedResponsesAreNotCountedAsCrashes.

Fix: a final response has a status of 200 to 599 and names that are tokens, also in its trailer; else the attempt counts as an answer of somebody else's (foreign-answer): 502, the request may have run, nobody is blamed for a crash. Probes of coordinating hosts want such a head as well. A line that begins with a blank behind another continues it, which the protocol allows to be joined (RFC 9112, 5.2), as net/http does.

--- a/controller/probes/http.go
+++ b/controller/probes/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/cactusproxy/cactusproxy/blackboard"
+	"github.com/cactusproxy/cactusproxy/internal/fieldname"
 	"github.com/cactusproxy/cactusproxy/targetapi"
 )
 
@@ -57,7 +58,8 @@
 // from the headers alone, because it can't be revoked and a body may be outdated or wrong.
 func resultOf(resp *http.Response) Result {
 	signals := targetapi.Default().Signals(resp.StatusCode, resp.Header)
-	res := Result{OK: resp.StatusCode == http.StatusOK, Load: -1, Leaving: signals.Leaving, Limit: signals.Limit, RetryAfter: signals.RetryAfter}
+	wellFormed := fieldname.AllValid(resp.Header)
+	res := Result{OK: resp.StatusCode == http.StatusOK && wellFormed, Load: -1, Leaving: signals.Leaving, Limit: signals.Limit, RetryAfter: signals.RetryAfter}
 	if signals.HasLoad {
 		res.Load = signals.Load.Running
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -181,11 +181,13 @@
 //
 // A process that crashes closes its connections. A timeout is a failure of the path: blamed on the
 // request, it would be held back on all hosts, and blamed on the target, targets that are well
-// would be taken out.
+// would be taken out. Bytes that are no response don't tell that the process has crashed.
 func brokenClass(c upstream.Cause) (pick.Class, outcome.Reason) {
 	switch c {
 	case upstream.CauseTimeout, upstream.CauseRelay:
 		return pick.PathLost, outcome.ReasonPathLost
+	case upstream.CauseMalformed:
+		return pick.Foreign, outcome.ReasonForeignAnswer
 	default:
 		return pick.BrokeOff, outcome.ReasonBrokeOff
 	}
--- a/dispatch/seal_test.go
+++ b/dispatch/seal_test.go
@@ -215,3 +215,30 @@
 	assert.Equal(t, r.Result.Detail, "digest=abc")
 	assert.Equal(t, q.List(1)[0].Digest, "abc")
 }
+
+// A target answers with a head or a trailer that is none in the protocol. Guards against a request that is taken for one
+// that crashed its target, and held back on all hosts.
+func TestMalformedResponsesAreNotCountedAsCrashes(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status":  "HTTP/1.1 000 OK\r\nId: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+		"head":    "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX Y: 1\r\n\r\n",
+	} {
+		send := overNetwork(t, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			assert.Check(t, err)
+			_, _ = io.WriteString(conn, answer)
+			_ = conn.Close()
+		})
+		b := newContractHarness(t, send, send)
+		q := b.startQuarantine()
+		for range 2 {
+			c := newContractCall(http.MethodPost)
+			c.Identity.Request = 7
+			r := b.do(t, t.Context(), c)
+			assert.Equal(t, r.Status, http.StatusBadGateway, name)
+			assert.Equal(t, r.Result.Reason, outcome.ReasonForeignAnswer, name)
+		}
+		assert.Equal(t, len(q.List(1)), 0, name)
+	}
+}
--- a/pipeline/split.go
+++ b/pipeline/split.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/cactusproxy/cactusproxy/internal/fieldname"
 )
 
 // form says how the first request of some bytes may be served.
@@ -143,12 +145,7 @@
 	if !strings.HasPrefix(r.RequestURI, "/") || r.Host == "" || !consistsOf(r.Host, isHostByte) {
 		return false
 	}
-	for name := range r.Header {
-		if !consistsOf(name, isTokenByte) {
-			return false
-		}
-	}
-	return true
+	return fieldname.AllValid(r.Header)
 }
 
 // unremarkable reports whether a request has no body and neither a header that affects the
@@ -175,8 +172,4 @@
 	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9'
 }
 
-func isTokenByte(b byte) bool {
-	return isAlphanumeric(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
-
 func isHostByte(b byte) bool { return isAlphanumeric(b) || strings.IndexByte(".-_:[]", b) >= 0 }
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -1,26 +1,35 @@
 package upstream
 
 import (
-	"errors"
 	"io"
+	"net/http"
 	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactusproxy/cactusproxy/internal/fieldname"
 )
 
 // responseBody returns its connection to the pool once the response has been read to its end, and
 // closes the connection if the reader stops earlier.
 type responseBody struct {
 	io.ReadCloser
-	pool *pool
-	conn *conn
-	eof  bool
-	once sync.Once
+	response *http.Response
+	pool     *pool
+	conn     *conn
+	eof      bool
+	once     sync.Once
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.eof = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !fieldname.AllValid(b.response.Trailer) {
+		return n, errors.Wrap(ErrMalformed, "trailer")
 	}
+	b.eof = true
 	return n, err
 }
 
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -21,6 +21,8 @@
 	CauseNoRoute Cause = "no-route"
 	CauseClosed  Cause = "closed"
 	CauseOther   Cause = "other"
+	// CauseMalformed is what is no response in the protocol.
+	CauseMalformed Cause = "malformed"
 	// CauseRelay is the loss of the host that carried the connection.
 	CauseRelay Cause = "relay-lost"
 )
@@ -37,6 +39,8 @@
 		return ""
 	case errors.Is(err, ErrRelayLost):
 		return CauseRelay
+	case errors.Is(err, ErrMalformed):
+		return CauseMalformed
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return CauseRefused
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,9 @@
 // ErrTargetLeft means that SendOptions.Usable changed to false.
 var ErrTargetLeft = errors.New("target left while the connection was opened")
 
+// ErrMalformed means that what the target sent is no response in the protocol.
+var ErrMalformed = errors.New("status or field name not allowed by HTTP")
+
 // connBufferSize is the size in bytes of a connection's buffers, which hold the header of a
 // request or response. It is small because a host keeps connections to hundreds of targets;
 // bodies bypass the buffers.
@@ -219,10 +222,14 @@
 		stale = c.reused && !sent && (req.Body == nil || req.Body == http.NoBody) && req.Context().Err() == nil
 		return Result{Sent: sent, Err: pl.markRequestFault(req.Context(), c, begin, err), Via: c.via}, stale
 	}
+	if !wellFormed(resp) {
+		pl.discard(c)
+		return Result{Sent: true, Err: errors.Wrapf(ErrMalformed, "status %d", resp.StatusCode), Via: c.via}, false
+	}
 	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
-	resp.Body = &responseBody{ReadCloser: resp.Body, pool: pl, conn: c}
+	resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, pool: pl, conn: c}
 	return Result{Response: resp, Sent: true, Via: c.via, Opened: c.opened}, false
 }
 
