--- a/entry/serverresponses.go
+++ b/entry/serverresponses.go
@@ -99,7 +99,7 @@
 
 type monitoredConnKey struct{}
 
-// monitoredConn is a connection from a caller. With HTTP/1, all fields except the atomic one
+// monitoredConn is a connection from a caller. With HTTP/1, all fields except the atomic ones
 // belong to the goroutine that serves the connection.
 type monitoredConn struct {
 	net.Conn
@@ -107,7 +107,7 @@
 	// unhandled is set while no handler has received the current or next request.
 	unhandled atomic.Bool
 	// tlsReady is set once a TLS handshake for HTTP/1 is complete.
-	tlsReady bool
+	tlsReady atomic.Bool
 	// calls is the number of requests passed to the handler; lastRequestID identifies the
 	// latest one.
 	calls         int
@@ -136,8 +136,8 @@
 	if c == nil {
 		return
 	}
-	if t, ok := nc.(*tls.Conn); ok && state == http.StateActive && !c.tlsReady {
-		c.tlsReady = t.ConnectionState().NegotiatedProtocol != "h2"
+	if t, ok := nc.(*tls.Conn); ok && state == http.StateActive && !c.tlsReady.Load() {
+		c.tlsReady.Store(t.ConnectionState().NegotiatedProtocol != "h2")
 	}
 	if state == http.StateIdle {
 		c.unhandled.Store(true)
@@ -174,7 +174,7 @@
 	case bytes.HasPrefix(proto, []byte("HTTP/1.")):
 		status, _, _ := bytes.Cut(statusText, []byte(" "))
 		c.monitor.record(c, string(status), string(statusText))
-	case c.tlsReady && len(b) >= minResponseRecord && b[0] == recordTypeApplicationData:
+	case c.tlsReady.Load() && len(b) >= minResponseRecord && b[0] == recordTypeApplicationData:
 		c.monitor.record(c, statusEncrypted, statusEncrypted)
 	default:
 		return
