Intake: connections without a request make room under HTTP/2, too

Callers may have seen: refused connections at a host with TLS whose connections are all idle.

Cause: what a connection waits for was taken from the read that the server begins. Under HTTP/2 a read is in progress all the while, so that an idle connection seemed to serve its last request for ever.

Fix: a connection waits for the next request as soon as one has ended, and for nothing as soon as a handler begins. Under TLS a connection counts as idle while no handler has a request.

A test of memory waits until the server reads, as its neighbour does (1 failure in 3 plays under the race detector).

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -118,11 +118,15 @@
 	return ok && p.RunsAhead()
 }
 
-func (c *Conn) requestBegan() { c.serving.Store(true) }
+func (c *Conn) requestBegan() {
+	c.serving.Store(true)
+	c.waitsFor.Store(uint32(connlimit.Nothing))
+}
 
 func (c *Conn) requestEnded() {
 	c.serving.Store(false)
 	c.begun.Store(false)
+	c.wait(connlimit.NextRequest) // under HTTP/2 a read is in progress all the while
 	if m := c.intake.opts.Memory; m != nil {
 		c.header.next(m)
 	}
@@ -160,9 +164,9 @@
 	c.server.CompareAndSwap(nil, s)
 	if w := c.waitOfRead(len(p)); w != connlimit.Nothing {
 		c.wait(w)
-		defer c.waitsFor.Store(uint32(connlimit.Nothing))
 	}
 	n, err := s.Conn.Read(p)
+	c.waitsFor.Store(uint32(connlimit.Nothing))
 	if n == 0 || c.serving.Load() {
 		return n, err
 	}
@@ -174,15 +178,18 @@
 }
 
 // waitOfRead returns what a read of the server waits for. A read of a single byte is how net/http notices, from before a
-// handler begins, that the client of a request that is being served is gone.
+// handler begins, that the client of a request that is being served is gone. Under TLS sizes tell nothing.
 func (c *Conn) waitOfRead(size int) connlimit.Wait {
-	begun := c.serving.Load() || c.begun.Load()
+	serving := c.serving.Load()
+	begun := serving || c.begun.Load()
 	switch {
-	case begun && (size == 1 || c.intake.opts.TLS):
+	case serving && c.intake.opts.TLS:
 		return connlimit.Nothing
-	case begun:
-		return connlimit.RestOfRequest
-	default:
+	case c.intake.opts.TLS || !begun:
 		return connlimit.NextRequest
+	case size == 1:
+		return connlimit.Nothing
+	default:
+		return connlimit.RestOfRequest
 	}
 }
--- a/intake/header_test.go
+++ b/intake/header_test.go
@@ -83,6 +83,7 @@
 	for range maxConns {
 		s.send(header(500, "/")[:1500])
 	}
+	time.Sleep(20 * time.Millisecond) // until the server waits for the rest
 	for range maxConns {
 		s.request("/held")
 	}
