Upstream: a connection to a target counts until its request has ended, not until its caller has read

Callers saw: 503 no-target or connection-limit for a minute, and before the timeout of writes without end, while other callers don't read their responses.

Cause: a response that is too large to be buffered is read as fast as its caller reads. Beyond the deadline net/http has closed its connection to the target, but the handler still waits for the caller, and the connection counted until it ended. 200 such callers took this host's share of a target; its probes failed at the same limit, so that the target counted as unreachable.

TestConnectionOfAnEndedRequestDoesNotCount fails after 10 s before.

Fix: the connection is given back when the request's context ends. What the caller has not got by then can't come any more: the target's connection is closed.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -19,6 +20,18 @@
 	conn     *conn
 	eof      bool
 	once     sync.Once
+	// stop ends the wait for the end of the request's context.
+	stop func() bool
+}
+
+// newResponseBody returns the body of a response. Its connection no longer counts once the request's context has ended,
+// also if the reader is held up by a caller that doesn't read: net/http has closed it then.
+func newResponseBody(ctx context.Context, resp *http.Response, p *pool, c *conn) *responseBody {
+	b := &responseBody{ReadCloser: resp.Body, response: resp, pool: p, conn: c}
+	b.stop = context.AfterFunc(ctx, func() {
+		b.once.Do(func() { p.discard(c) })
+	})
+	return b
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -35,6 +48,7 @@
 
 func (b *responseBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.stop()
 	b.once.Do(b.release)
 	return err
 }
--- a/upstream/maxconns_test.go
+++ b/upstream/maxconns_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -46,3 +47,34 @@
 	}
 	assert.Equal(t, readAll(t, get(limit)), "ok")
 }
+
+// Guards against callers that don't read their responses and take all of this host's connections to a target: a connection
+// no longer counts once its request has ended, though nobody has closed the response.
+func TestConnectionOfAnEndedRequestDoesNotCount(t *testing.T) {
+	p := New(Options{})
+	defer p.Close()
+	large := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 32<<20))
+	}))
+	defer large.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	unread := p.RoundTrip(request(t, ctx, http.MethodGet), targetAt(large.Listener.Addr().String()), SendOptions{MaxConns: 1})
+	assert.NilError(t, unread.Err)
+	again := func() Result {
+		return p.RoundTrip(request(t, context.Background(), http.MethodGet), targetAt(large.Listener.Addr().String()), SendOptions{MaxConns: 1})
+	}
+	assert.Assert(t, errors.Is(again().Err, ErrConnLimit))
+	cancel()
+	var next Result
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if next = again(); next.Err == nil {
+			break
+		}
+		assert.Assert(t, time.Now().Before(end), "%v", next.Err)
+	}
+	assert.NilError(t, next.Response.Body.Close())
+	_, err := io.ReadAll(unread.Response.Body)
+	assert.Assert(t, err != nil)
+	_ = unread.Response.Body.Close()
+	assert.Equal(t, p.pool(targetAt(large.Listener.Addr().String())).open, 0)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -229,7 +229,7 @@
 	pl.answered(c)
 	invariant.Check(resp.Request == req, invariant.OwnAnswer, "target=%s answered another request", t.ID)
 	c.readKeepAlive(resp.Header)
-	resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, pool: pl, conn: c}
+	resp.Body = newResponseBody(req.Context(), resp, pl, c)
 	return Result{Response: resp, Sent: true, Via: c.via, Opened: c.opened}, false
 }
 
