Test: a host's configuration is read before its targets

Cause: the test read a host's targets first and its version second. A host that took in both in between looked like one that knows the configuration and not the target.

The check is as strict: whoever has the version has to have the target by then; the version is only no longer newer than what it is compared with.

--- a/controller/watch/config_test.go
+++ b/controller/watch/config_test.go
@@ -96,9 +96,10 @@
 			fl.record.PutConfig(next)
 			begin := time.Now()
 			fl.await(nil, func(h *host) bool {
+				version := h.version() // before the targets, which come first
 				listed := len(h.board.Targets.Load().ByService[blackboard.ServiceKey{Workspace: routing.Workspace, Service: e.Service}]) > 0
-				assert.Check(t, h.version() < 2 || listed, "%d hosts: %s knows no target %s after the configuration", n, h.addr, time.Since(begin))
-				return h.version() == 2
+				assert.Check(t, version < 2 || listed, "%d hosts: %s knows no target %s after the configuration", n, h.addr, time.Since(begin))
+				return version == 2
 			})
 			assert.Check(t, time.Since(begin) < bound)
 		})
